--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+MODULES := . cmd/controller cmd/router cmd/rwhctl cmd/standin
+LINT_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+
+.PHONY: build demo test lint fmt codes examples generate tidy
+
+build:
+	@mkdir -p $(BIN)
+	@for p in controller router rwhctl standin; do (cd cmd/$$p && go build -o $(BIN)/$$p .) || exit 1; done
+
+demo: build
+	$(BIN)/standin demo --bin $(BIN) --example examples/pohjatee
+	$(BIN)/standin demo --bin $(BIN) --example examples/blue-mahoe
+
+test:
+	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
+
+$(BIN)/golangci-lint-$(LINT_VERSION):
+	@mkdir -p $(BIN)
+	GOWORK=off GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+lint: $(BIN)/golangci-lint-$(LINT_VERSION)
+	@for m in $(MODULES); do (cd $$m && $< run --config $(CURDIR)/.golangci.yml ./...) || bad=1; done; [ -z "$$bad" ]
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+examples: build
+	$(BIN)/standin examples --out examples
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+# Needs protoc, protoc-gen-go and protoc-gen-twirp; the generated code is committed.
+generate:
+	protoc -I peer/rpc --go_out=. --go_opt=module=redwinghall --twirp_out=. --twirp_opt=module=redwinghall peer/rpc/peer.proto
--- /dev/null
+++ b/caller/relay.go
@@ -0,0 +1,247 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/route"
+)
+
+// avoidAfterFailure keeps a group that failed a request out of the first
+// choice for a while, so that retries do not meet the same straggler again.
+const avoidAfterFailure = 2 * time.Second
+
+// relay brings one answer from the endpoints to the caller, over as many
+// tries as it takes, so that the caller sees one answer.
+type relay struct {
+	server   *Server
+	request  *request
+	model    *route.ModelView
+	body     []byte
+	sink     sink
+	sequence *sequence
+
+	failed *route.Slot
+	tried  map[string]bool // gateways that failed this request
+}
+
+var (
+	// errSinkGone means that the caller no longer reads.
+	errSinkGone = errors.New("the caller is gone")
+	// errAnswered means that the answer has begun, so that no refusal can
+	// take its place.
+	errAnswered = errors.New("the answer has begun")
+)
+
+// target is where one try goes.
+type target struct {
+	address string
+	slot    *route.Slot // nil: a router of another zone
+	zone    string
+}
+
+// run tries until the answer is complete, the deadline passes, the tries or
+// the budget end.
+func (l *relay) run(ctx context.Context, prefix uint64) error {
+	var last error
+	for try := range l.server.config.MaxTries {
+		if try > 0 && !l.server.budget.Spend() {
+			break
+		}
+		where, err := l.choose(ctx, prefix, try)
+		if err != nil {
+			if last == nil {
+				last = err
+			}
+			break
+		}
+		last = l.try(ctx, where)
+		if last == nil {
+			return nil
+		}
+		if errors.Is(last, errSinkGone) || ctx.Err() != nil {
+			break
+		}
+		klog.V(1).InfoS("try_failed", "request_id", l.request.id, "address", where.address,
+			"position", l.sequence.next, "cause", last.Error())
+		l.noteFailure(where)
+	}
+	return l.giveUp(ctx, last)
+}
+
+func (l *relay) noteFailure(where target) {
+	if where.slot != nil {
+		where.slot.Avoid(time.Now().Add(avoidAfterFailure))
+		l.failed = where.slot
+		return
+	}
+	if l.tried == nil {
+		l.tried = map[string]bool{}
+	}
+	l.tried[where.address] = true
+}
+
+// giveUp ends an answer that cannot be completed, at once.
+func (l *relay) giveUp(ctx context.Context, cause error) error {
+	if errors.Is(cause, errSinkGone) || l.sink.abort(redwinghall.CodeAnswerIncomplete) {
+		return redwinghall.NewOpError("relay.giveUp", redwinghall.CodeAnswerIncomplete, errAnswered)
+	}
+	if redwinghall.KindOf[redwinghall.Code](cause) != "" || codeOf(cause) != redwinghall.CodeEndpointFailed {
+		return cause
+	}
+	if ctx.Err() != nil {
+		return redwinghall.NewOpError("relay.giveUp", redwinghall.CodeAnswerIncomplete, cause)
+	}
+	return redwinghall.NewOpError("relay.giveUp", redwinghall.CodeEndpointFailed, cause)
+}
+
+// choose returns where to try next: a group of this zone, or a router of
+// another zone when this one is out of service or has no usable group.
+func (l *relay) choose(ctx context.Context, prefix uint64, try int) (target, error) {
+	s := l.server
+	out := s.board.View().ZoneOut(s.config.AvailabilityZone)
+	if !out {
+		slot, err := l.chooseSlot(ctx, prefix, try)
+		if err == nil {
+			return target{address: slot.Group().Leader().Address, slot: slot}, nil
+		}
+		if codeOf(err) != redwinghall.CodeNoCapacity {
+			return target{}, err
+		}
+	}
+	if l.request.hops == 0 {
+		if where, ok := s.gateway(l.tried, func(g route.Gateway) bool { return slices.Contains(g.Models, l.model.Model.ID) }); ok {
+			return where, nil
+		}
+	}
+	return target{}, redwinghall.NewOpError("relay.choose", redwinghall.CodeNoCapacity, nil)
+}
+
+func (l *relay) chooseSlot(ctx context.Context, prefix uint64, try int) (*route.Slot, error) {
+	if try > 0 {
+		if slot := l.server.board.PickOther(l.model.Model.ID, time.Now(), l.failed); slot != nil {
+			return slot, nil
+		}
+	}
+	return l.server.enter(ctx, l.request, l.model, prefix)
+}
+
+// gateway returns a router of another zone that is in service and serves what
+// is wanted. Zones are tried in a random order.
+func (s *Server) gateway(tried map[string]bool, serves func(route.Gateway) bool) (target, bool) {
+	view := s.board.View()
+	for _, i := range rand.Perm(len(view.Gateways)) {
+		g := view.Gateways[i]
+		if view.ZoneOut(g.AvailabilityZone) || !serves(g) || len(g.Routers) == 0 {
+			continue
+		}
+		for _, j := range rand.Perm(len(g.Routers)) {
+			if !tried[g.Routers[j]] {
+				return target{address: g.Routers[j], zone: g.AvailabilityZone}, true
+			}
+		}
+	}
+	return target{}, false
+}
+
+// try asks one target for the rest of the answer.
+func (l *relay) try(ctx context.Context, where target) error {
+	if where.slot != nil {
+		defer func() {
+			where.slot.Release()
+			l.model.Gate.Wake(time.Now())
+		}()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Guard: a connection that something in between has lost track of stays
+	// silent for good, and so does an endpoint that is frozen. The caller
+	// would wait until its deadline. Each chunk must follow the one before
+	// within the bound, or the try ends, its connection is closed, and another
+	// group goes on from the same position.
+	stall := time.AfterFunc(l.server.config.StallTimeout, cancel)
+	defer stall.Stop()
+
+	answer, err := l.send(ctx, where)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("endpoint answered with status %d", answer.StatusCode)
+	}
+	return l.copy(NewEventReader(answer.Body), stall)
+}
+
+func (l *relay) send(ctx context.Context, where target) (*http.Response, error) {
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+where.address+"/v1/chat/completions", bytes.NewReader(l.body))
+	if err != nil {
+		return nil, err
+	}
+	out.Header.Set("Content-Type", "application/json")
+	out.Header.Set(HeaderRequestID, l.request.id)
+	if l.sequence.next > 0 {
+		out.Header.Set(HeaderLastEvent, EventID(l.request.id, l.sequence.next-1))
+	}
+	if where.slot == nil {
+		s := l.request
+		out.Header.Set("Authorization", s.http.Header.Get("Authorization"))
+		out.Header.Set(HeaderHops, strconv.Itoa(s.hops+1))
+		setRemaining(ctx, out)
+	}
+	return l.server.streams.RoundTrip(out)
+}
+
+// setRemaining hands on how much time the request has left.
+func setRemaining(ctx context.Context, out *http.Request) {
+	if deadline, ok := ctx.Deadline(); ok {
+		out.Header.Set(HeaderTimeout, time.Until(deadline).Round(time.Millisecond).String())
+	}
+}
+
+// copy passes the events on until the end mark, which has its place in the
+// order like any chunk.
+func (l *relay) copy(events *EventReader, stall *time.Timer) error {
+	complete := false
+	deliver := func(position int, data []byte) error {
+		if bytes.Equal(data, doneData) {
+			complete = true
+			return l.sink.done(position)
+		}
+		return l.sink.chunk(position, data)
+	}
+	for !complete {
+		event, err := events.Next()
+		if err != nil {
+			return fmt.Errorf("stream ended before its end mark: %w", endOf(err))
+		}
+		stall.Reset(l.server.config.StallTimeout)
+		trusted, err := l.sequence.offer(event, deliver)
+		if err != nil {
+			return err
+		}
+		if !trusted {
+			return errBadStream
+		}
+	}
+	return nil
+}
+
+func endOf(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,188 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/admit"
+	"redwinghall/claim"
+	"redwinghall/peer"
+	"redwinghall/route"
+)
+
+// request is one caller's request on its way through the router.
+type request struct {
+	id      string
+	hops    int
+	started time.Time
+	account redwinghall.ClientAccount
+	view    *route.View
+	body    []byte
+	http    *http.Request
+	series  *series
+}
+
+// handler answers a request, or returns the error that refuses it. When it
+// has begun to answer it returns nil and the code that describes the end.
+type handler func(ctx context.Context, w http.ResponseWriter, r *request) error
+
+// guarded wraps a handler with what every caller's request needs: an id, the
+// limits, the client account, the deadline, and one place that refuses.
+func (s *Server) guarded(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, hr *http.Request) {
+		started := time.Now()
+		r := &request{id: requestID(hr), started: started, view: s.board.View(), http: hr}
+		w.Header().Set(HeaderRequestID, r.id)
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if s.inProgress.Add(1) > int64(s.config.MaxRequests) {
+			s.inProgress.Add(-1)
+			s.refuse(w, r, redwinghall.NewOpError("Server.guarded", redwinghall.CodeTooManyConnections, nil))
+			return
+		}
+		defer s.inProgress.Add(-1)
+
+		timeout, err := s.prepare(w, r)
+		if err == nil {
+			ctx, cancel := context.WithTimeout(hr.Context(), timeout)
+			defer cancel()
+			err = next(ctx, w, r)
+		}
+		s.finish(w, r, err)
+	}
+}
+
+// prepare finds the client account and reads the body.
+func (s *Server) prepare(w http.ResponseWriter, r *request) (time.Duration, error) {
+	if r.view.Accepted.Generation == 0 {
+		return 0, redwinghall.NewOpError("Server.prepare", redwinghall.CodeNoManifest, nil)
+	}
+	account, ok := r.view.Account(peer.BearerToken(r.http))
+	if !ok {
+		return 0, redwinghall.NewOpError("Server.prepare", redwinghall.CodeUnknownKey, nil)
+	}
+	r.account = account
+	r.series = s.metrics.of(account)
+	if text := r.http.Header.Get(HeaderHops); text != "" {
+		hops, err := strconv.Atoi(text)
+		if err != nil || hops < 0 {
+			return 0, redwinghall.NewOpError("Server.prepare", redwinghall.CodeBadRequest,
+				detail("the X-Redwinghall-Hops header is not a number"))
+		}
+		r.hops = hops
+	}
+	timeout, err := s.timeoutOf(r.http)
+	if err != nil {
+		return 0, err
+	}
+	r.body, err = io.ReadAll(http.MaxBytesReader(w, r.http.Body, s.config.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return 0, redwinghall.NewOpError("Server.prepare", redwinghall.CodeTooLarge, nil)
+	}
+	if err != nil {
+		return 0, redwinghall.NewOpError("Server.prepare", redwinghall.CodeBadRequest, detail("the body could not be read"))
+	}
+	return timeout, nil
+}
+
+// finish refuses a failed request, counts the outcome and logs it.
+func (s *Server) finish(w http.ResponseWriter, r *request, err error) {
+	if errors.Is(err, errAnswered) {
+		s.metrics.count(string(codeOf(err)))
+		klog.V(1).InfoS("answer_ended_early", "request_id", r.id, "client_account", r.account.ID, "code", codeOf(err))
+		return
+	}
+	if err != nil {
+		s.refuse(w, r, err)
+		return
+	}
+	s.metrics.count("ok")
+	observe(r.series.total, time.Since(r.started))
+	klog.V(2).InfoS("request_done", "request_id", r.id, "client_account", r.account.ID,
+		"duration", time.Since(r.started))
+}
+
+// refuse answers with the error's code.
+func (s *Server) refuse(w http.ResponseWriter, r *request, err error) {
+	code := codeOf(err)
+	body, status := newRefusal(code, r.id, detailOf(err))
+	if wait := s.retryAfter(r, code); wait > 0 {
+		body.RetryAfter = redwinghall.Duration(wait)
+	}
+	s.metrics.count(string(code))
+	klog.V(1).InfoS("request_refused", "request_id", r.id, "client_account", r.account.ID,
+		"code", code, "outcome", body.Outcome, "cause", err.Error())
+	body.write(w, status)
+}
+
+// retryAfter returns a better estimate than the table's where the queue gives
+// one; zero keeps the table's.
+func (s *Server) retryAfter(r *request, code redwinghall.Code) time.Duration {
+	if code != redwinghall.CodeQueueFull && code != redwinghall.CodeDeadlineTooShort {
+		return 0
+	}
+	longest := time.Duration(0)
+	for _, m := range r.view.Models {
+		longest = max(longest, m.Gate.RetryAfter(time.Now()))
+	}
+	return longest
+}
+
+// codeOf maps what went wrong to the code that the caller reads.
+func codeOf(err error) redwinghall.Code {
+	if code := redwinghall.KindOf[redwinghall.Code](err); code != "" {
+		return code
+	}
+	switch redwinghall.KindOf[admit.Kind](err) {
+	case admit.QueueFull:
+		return redwinghall.CodeQueueFull
+	case admit.DeadlineTooShort:
+		return redwinghall.CodeDeadlineTooShort
+	case admit.DeadlinePassed:
+		return redwinghall.CodeDeadlinePassed
+	}
+	if redwinghall.KindOf[claim.Kind](err) != "" {
+		return redwinghall.CodeClaimsUnavailable
+	}
+	return redwinghall.CodeEndpointFailed
+}
+
+func detailOf(err error) string {
+	var d detail
+	if errors.As(err, &d) {
+		return string(d)
+	}
+	return ""
+}
+
+// maxRequestID bounds an id that a caller brings.
+const maxRequestID = 64
+
+// requestID returns the caller's id when it is plain, and a new one otherwise.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequestID)
+	if id == "" || len(id) > maxRequestID {
+		return rand.Text()
+	}
+	for _, c := range id {
+		plain := c == '-' || c == '_' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !plain {
+			return rand.Text()
+		}
+	}
+	return id
+}
+
+func (s *Server) unknownPath(context.Context, http.ResponseWriter, *request) error {
+	return redwinghall.NewOpError("Server.unknownPath", redwinghall.CodeUnknownPath, nil)
+}
--- /dev/null
+++ b/claim/judge.go
@@ -0,0 +1,69 @@
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"redwinghall"
+)
+
+// Verdict is what an existing row means for a request with its key.
+type Verdict int
+
+// The verdicts.
+const (
+	// Proceed: the key is free, or was released; claim it at the row's version.
+	Proceed Verdict = iota
+	// Replay: the request ran; give the recorded answer.
+	Replay
+	// InProgress: another attempt may send the call at any moment.
+	InProgress
+	// Unknown: another attempt sent the call or stopped while it could.
+	Unknown
+	// KeyReused: the key belongs to a different request.
+	KeyReused
+)
+
+// Judge decides what a row means at now for a request with bodyHash. bound is
+// the longest time that an attempt takes from its claim to its outcome.
+type Judge interface {
+	Judge(now time.Time, row redwinghall.Row, bodyHash string, bound time.Duration) (Verdict, redwinghall.Claim)
+}
+
+// Never is the judge of the product: a held claim is never taken over.
+//
+// Guard: the holder of an old claim may be frozen, not dead. If another router
+// took the claim over and sent the call, the holder would send it too when it
+// thaws, and a customer would be charged twice. (The lease on a claim with a
+// takeover after 60 s, as in "Idempotency Keys Are How You Make Retries Safe
+// in Distributed Systems", has this fault unless the service itself removes
+// duplicates; docs/MEASUREMENTS.md sets both side by side.) An old claim is
+// answered with outcome_unknown instead.
+type Never struct{}
+
+// Judge implements Judge.
+func (Never) Judge(now time.Time, row redwinghall.Row, bodyHash string, bound time.Duration) (Verdict, redwinghall.Claim) {
+	if row.Version == 0 {
+		return Proceed, redwinghall.Claim{}
+	}
+	var c redwinghall.Claim
+	if err := json.Unmarshal(row.Value, &c); err != nil {
+		return Unknown, c // a row that cannot be read may stand for a call that ran
+	}
+	if c.BodyHash != bodyHash {
+		return KeyReused, c
+	}
+	switch c.State {
+	case redwinghall.ClaimReleased:
+		return Proceed, c
+	case redwinghall.ClaimRan:
+		return Replay, c
+	case redwinghall.ClaimHeld:
+		if now.Sub(c.At) <= bound {
+			return InProgress, c
+		}
+		return Unknown, c
+	default:
+		return Unknown, c
+	}
+}
--- /dev/null
+++ b/cmd/controller/main.go
@@ -0,0 +1,35 @@
+// Command controller keeps an availability zone's groups formed and takes the
+// operators' decisions.
+package main
+
+import (
+	"context"
+	"os"
+
+	"redwinghall/daemon"
+)
+
+const help = `Takes operators' manifests and decisions, and keeps the groups of its
+availability zone formed while it holds the zone's lease.
+
+Examples:
+  controller --settings controller.json
+  controller --settings controller.json --check
+
+Exit codes: 0 stopped after a signal, 1 failed, 2 wrong usage or settings.`
+
+func main() {
+	os.Exit(daemon.Main("controller", help, os.Args[1:], os.Stdout, os.Stderr, start))
+}
+
+func start(path string, check bool) (func(context.Context) error, error) {
+	settings, err := daemon.LoadController(path)
+	if err != nil || check {
+		return nil, err
+	}
+	controller, err := daemon.NewController(settings)
+	if err != nil {
+		return nil, err
+	}
+	return controller.Run, nil
+}
--- /dev/null
+++ b/daemon/router.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall/caller"
+	"redwinghall/claim"
+	"redwinghall/endpoint"
+	"redwinghall/kernel"
+	"redwinghall/peer"
+	"redwinghall/platform"
+	"redwinghall/ramp"
+	"redwinghall/route"
+)
+
+const (
+	refreshInterval = 100 * time.Millisecond
+	owedInterval    = 20 * time.Millisecond
+)
+
+// Router is an assembled router.
+type Router struct {
+	settings RouterSettings
+	Node     *peer.Node
+	Board    *route.Board
+	Server   *caller.Server
+	Keeper   *claim.Keeper
+	Poller   *endpoint.Poller
+	follower *platform.Follower
+	calls    *kernel.Group
+}
+
+// NewRouter assembles a router. Service calls that were sent outlive ctx's
+// end until the router has drained.
+func NewRouter(s RouterSettings) (*Router, error) {
+	token, err := s.PeerToken.Read()
+	if err != nil {
+		return nil, err
+	}
+	picker, err := route.Pickers.Get(s.Picker)
+	if err != nil {
+		return nil, err
+	}
+	table := platform.NewClient(s.PlatformAddress)
+	node := peer.NewNode(peer.Member{
+		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Address: s.PeerAddress,
+		Program: peer.Router, CallerAddress: s.CallerAddress,
+	}, s.Peers, token)
+	node.Interval = s.ExchangeInterval.Std()
+	node.HealthBound = s.AliveBound.Std()
+	board := route.NewBoard(route.BoardConfig{
+		AvailabilityZone: s.AvailabilityZone, Router: s.ID, AliveBound: s.AliveBound.Std(),
+		Ramp: ramp.Owned{}, Picker: picker,
+	})
+	keeper := claim.NewKeeper(claim.Config{
+		Router: s.ID, WriteInterval: s.ClaimInterval.Std(),
+		Bound: s.MaxTimeout.Std() + s.SettleTimeout.Std(),
+	}, table, claim.Never{})
+	calls := kernel.NewGroup(context.Background())
+	server := caller.NewServer(caller.Config{
+		Router: s.ID, AvailabilityZone: s.AvailabilityZone,
+		MaxBodyBytes: int64(s.MaxBodyBytes), MaxRequests: s.MaxRequests,
+		DefaultTimeout: s.DefaultTimeout.Std(), MaxTimeout: s.MaxTimeout.Std(),
+		StallTimeout: s.StallTimeout.Std(), SettleTimeout: s.SettleTimeout.Std(),
+		MaxTries: s.MaxTries, RetryPercent: s.RetryPercent,
+	}, board, keeper, calls)
+	return &Router{
+		settings: s, Node: node, Board: board, Server: server, Keeper: keeper,
+		Poller:   endpoint.NewPoller(endpoint.NewClient(s.PollInterval.Std()*4/5), node),
+		follower: platform.NewFollower(table, node, s.HeadInterval.Std()),
+		calls:    calls,
+	}, nil
+}
+
+// Run serves until ctx ends, then drains: it takes no new work, finishes what
+// is in progress, records what is owed, and stops.
+func (r *Router) Run(ctx context.Context) error {
+	g := kernel.NewGroup(context.Background())
+	callers := r.Server.HTTPServer(r.settings.CallerAddress)
+	peers := peerServer(r.settings.PeerAddress, r.Node.Handler())
+	if err := serve(g, "peer.listener", peers, peerMaxConnections); err != nil {
+		return err
+	}
+	r.Node.Run(g, time.Now())
+	r.Keeper.Run(g)
+	g.Every("platform.head", r.settings.HeadInterval.Std()/4, r.follower.Tick)
+	g.Every("endpoint.poll", r.settings.PollInterval.Std(), r.Poller.Tick)
+	g.Every("route.refresh", refreshInterval, func(_ context.Context, now time.Time) {
+		r.Board.Refresh(now, r.Node.Health, endpoint.RouterIDs(r.Node))
+	})
+	g.Go("route.rebuild", r.rebuildLoop)
+	if err := serve(g, "caller.listener", callers, r.settings.MaxConnections); err != nil {
+		g.Stop()
+		_ = peers.Close()
+		return errors.Join(err, g.Wait())
+	}
+	klog.InfoS("router_started", "id", r.settings.ID, "availability_zone", r.settings.AvailabilityZone,
+		"caller_address", r.settings.CallerAddress)
+
+	select {
+	case <-ctx.Done():
+	case <-g.Context().Done():
+	}
+	r.drain(callers)
+	g.Stop()
+	_ = peers.Close()
+	r.calls.Stop()
+	return g.Wait()
+}
+
+func (r *Router) rebuildLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.Node.Store.Changed():
+			r.Board.Rebuild(r.Node.Store)
+			r.Board.Refresh(time.Now(), r.Node.Health, endpoint.RouterIDs(r.Node))
+		}
+	}
+}
+
+// drain ends the router's work in the order in which others depend on it: the
+// balancer and the peers hear first, then requests in progress end, then
+// service calls that outlived their callers, then what is owed to the table.
+//
+// Guard: a router that closes its listener at once cuts off requests that the
+// balancer still sends to it, and one that exits before its outcomes are
+// recorded leaves bookings that nobody can look up.
+func (r *Router) drain(callers *http.Server) {
+	klog.InfoS("router_draining", "id", r.settings.ID)
+	r.Server.Drain()
+	r.Node.Leave(time.Now())
+	time.Sleep(r.settings.DrainDelay.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.DrainTimeout.Std())
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		klog.ErrorS(err, "drain_incomplete")
+		_ = callers.Close()
+	}
+	waitUntil(ctx, r.Server.CallsDone)
+	waitUntil(ctx, func() bool { return r.Keeper.Owed() == 0 })
+	klog.InfoS("router_drained", "id", r.settings.ID, "outcomes_not_recorded", r.Keeper.Owed())
+}
+
+func waitUntil(ctx context.Context, done func() bool) {
+	ticker := time.NewTicker(owedInterval)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/endpoint/poller.go
@@ -0,0 +1,120 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"redwinghall"
+	"redwinghall/health"
+	"redwinghall/kernel"
+	"redwinghall/peer"
+	"redwinghall/route"
+)
+
+// pollersPerGroup is how many routers of a zone ask the members of each
+// group: two, so that the loss of one leaves no gap. The others hear of it
+// through the exchange, so that no router asks every endpoint.
+const pollersPerGroup = 2
+
+// Poller asks the members of those groups that fall to this router.
+type Poller struct {
+	engine   redwinghall.Engine
+	node     *peer.Node
+	trackers map[string]*health.Tracker
+	polls    uint64
+}
+
+// NewPoller returns a poller that tells its words to node.
+func NewPoller(engine redwinghall.Engine, node *peer.Node) *Poller {
+	return &Poller{engine: engine, node: node, trackers: map[string]*health.Tracker{}}
+}
+
+// Polls returns how many reports were asked for.
+func (p *Poller) Polls() uint64 { return p.polls }
+
+// Tick asks once for the reports of every group that falls to this router.
+// Calls of Tick must not overlap.
+func (p *Poller) Tick(ctx context.Context, now time.Time) {
+	routers := RouterIDs(p.node)
+	round := kernel.NewGroup(ctx)
+	known := map[string]bool{}
+	for _, e := range p.node.Store.List(peer.PrefixGroups(p.node.Self.AvailabilityZone)) {
+		var g redwinghall.Group
+		if json.Unmarshal(e.Value, &g) != nil || g.Dissolved || len(g.Members) == 0 {
+			continue
+		}
+		known[g.ID] = true
+		if !slices.Contains(owners(g.ID, routers), p.node.Self.ID) {
+			delete(p.trackers, g.ID)
+			continue
+		}
+		tracker := p.tracker(g)
+		p.polls += uint64(len(g.Members))
+		round.Go("endpoint.poll_group", func(ctx context.Context) error {
+			p.pollGroup(ctx, tracker, now)
+			return nil
+		})
+	}
+	_ = round.Wait() // the rounds return no errors
+	for id := range p.trackers {
+		if !known[id] {
+			delete(p.trackers, id)
+		}
+	}
+	p.node.Health.Forget(func(id string) bool { return known[id] })
+}
+
+func (p *Poller) tracker(g redwinghall.Group) *health.Tracker {
+	t, ok := p.trackers[g.ID]
+	if !ok || t.Group().Generation != g.Generation {
+		t = health.NewTracker(g)
+		p.trackers[g.ID] = t
+	}
+	return t
+}
+
+func (p *Poller) pollGroup(ctx context.Context, t *health.Tracker, now time.Time) {
+	members := t.Group().Members
+	reports := make([]*redwinghall.Report, len(members))
+	round := kernel.NewGroup(ctx)
+	for i, m := range members {
+		round.Go("endpoint.poll", func(ctx context.Context) error {
+			if r, err := p.engine.Report(ctx, m.Address); err == nil {
+				reports[i] = &r
+			}
+			return nil
+		})
+	}
+	_ = round.Wait() // the rounds return no errors
+	for i, r := range reports {
+		if r != nil {
+			t.Observe(i, *r, now)
+		}
+	}
+	p.node.Observe(t.Word())
+}
+
+// RouterIDs returns the ids of the zone's live routers.
+func RouterIDs(node *peer.Node) []string {
+	members := node.Live(peer.Router)
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// owners returns the routers that ask a group's members.
+func owners(group string, routers []string) []string {
+	left := slices.Clone(routers)
+	var out []string
+	for len(out) < pollersPerGroup && len(left) > 0 {
+		owner := route.Owner(group, left)
+		out = append(out, owner)
+		left = slices.DeleteFunc(left, func(id string) bool { return id == owner })
+	}
+	return out
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,174 @@
+// Package lease decides who holds an availability zone's lease. It does no
+// I/O: the holder of a State reads and writes the row and tells it the time.
+//
+// Clocks of two VMs need not agree. A watcher therefore never reads a time
+// written by another process; it waits until the row has not changed for the
+// whole duration on its own clock.
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"redwinghall"
+)
+
+// Kind says what a lease error means.
+type Kind string
+
+// The kinds of lease error.
+const (
+	BadRecord Kind = "bad_record"
+)
+
+// Error is a failed lease operation.
+type Error = redwinghall.OpError[Kind]
+
+// Record is the value of the row lease/<zone>.
+type Record struct {
+	Holder  string `json:"holder"`
+	Fencing uint64 `json:"fencing"` // rises with each new holder, never falls
+	Nonce   string `json:"nonce"`   // of this write; settles a lost answer
+}
+
+// Fence is the value of the row fence/<zone>. It changes only when the holder
+// changes, so that every transaction of a holder can demand its version.
+type Fence struct {
+	Fencing uint64 `json:"fencing"`
+}
+
+// Key returns the key of a zone's lease.
+func Key(zone string) string { return "lease/" + zone }
+
+// FenceKey returns the key of a zone's fence.
+func FenceKey(zone string) string { return "fence/" + zone }
+
+// Action is what to do about the lease now.
+type Action int
+
+// The actions.
+const (
+	Wait Action = iota
+	Take
+	Renew
+)
+
+// Config is what all processes of a zone agree on.
+type Config struct {
+	Self     string
+	Duration time.Duration
+	// Margin is how much earlier the holder stops than a watcher may take over.
+	Margin time.Duration
+}
+
+// State is what one process knows of a lease. Values are immutable.
+type State struct {
+	config       Config
+	version      int64
+	fenceVersion int64
+	record       Record
+	unchanged    time.Time // when this version was first seen
+	heldUntil    time.Time
+	known        bool
+}
+
+// NewState returns a state that knows nothing.
+func NewState(config Config) State { return State{config: config} }
+
+// WithRows returns the state after the rows were read at now.
+func (s State) WithRows(now time.Time, leaseRow, fenceRow redwinghall.Row) (State, error) {
+	if s.known && leaseRow.Version == s.version {
+		s.fenceVersion = fenceRow.Version
+		return s, nil
+	}
+	var record Record
+	if leaseRow.Version != 0 {
+		if err := json.Unmarshal(leaseRow.Value, &record); err != nil {
+			return s, redwinghall.NewOpError("State.WithRows", BadRecord, err)
+		}
+	}
+	s.known = true
+	s.version = leaseRow.Version
+	s.fenceVersion = fenceRow.Version
+	s.record = record
+	s.unchanged = now
+	if record.Holder != s.config.Self {
+		s.heldUntil = time.Time{}
+	}
+	return s, nil
+}
+
+// Next returns what to do now.
+func (s State) Next(now time.Time) Action {
+	switch {
+	case !s.known:
+		return Wait
+	case s.Holds(now):
+		return Renew
+	case s.version == 0:
+		return Take
+	case now.Sub(s.unchanged) > s.config.Duration:
+		return Take
+	default:
+		return Wait
+	}
+}
+
+// Holds reports whether this process holds the lease at now.
+//
+// Guard: a holder that was frozen past its lease would go on giving orders
+// beside its successor, and a VM would be told to join two groups. Holding
+// ends Margin before a watcher may take over, by this process's own clock. A
+// freeze between this check and the order is caught by the fence row in each
+// transaction and by the fencing number in each order.
+func (s State) Holds(now time.Time) bool {
+	return s.record.Holder == s.config.Self && now.Before(s.heldUntil)
+}
+
+// Fencing returns the fencing number of the present record.
+func (s State) Fencing() uint64 { return s.record.Fencing }
+
+// Holder returns the id of the process in the present record.
+func (s State) Holder() string { return s.record.Holder }
+
+// FenceCheck returns the condition that each transaction of this holder needs.
+func (s State) FenceCheck(zone string) redwinghall.Write {
+	return redwinghall.Write{Key: FenceKey(zone), Expect: s.fenceVersion, CheckOnly: true}
+}
+
+// Txn returns the transaction of an action, and the record that it writes.
+func (s State) Txn(zone string, action Action, nonce string) (redwinghall.Txn, Record) {
+	record := Record{Holder: s.config.Self, Fencing: s.record.Fencing, Nonce: nonce}
+	if action == Take {
+		record.Fencing++
+	}
+	writes := []redwinghall.Write{{Key: Key(zone), Expect: s.version, Value: mustJSON(record)}}
+	if action == Take {
+		writes = append(writes, redwinghall.Write{
+			Key: FenceKey(zone), Expect: s.fenceVersion, Value: mustJSON(Fence{Fencing: record.Fencing}),
+		})
+	}
+	return redwinghall.Txn{Writes: writes}, record
+}
+
+// WithWritten returns the state after the transaction that was sent at sentAt
+// took effect and the rows were read back. The lease counts from the sending,
+// because a watcher may have seen the row at once.
+func (s State) WithWritten(sentAt time.Time, written Record, leaseRow, fenceRow redwinghall.Row) (State, error) {
+	next, err := s.WithRows(sentAt, leaseRow, fenceRow)
+	if err != nil {
+		return s, err
+	}
+	if next.record.Nonce == written.Nonce && next.record.Holder == s.config.Self {
+		next.heldUntil = sentAt.Add(s.config.Duration - s.config.Margin)
+	}
+	return next, nil
+}
+
+func mustJSON(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of plain fields always marshals
+	}
+	return data
+}
--- /dev/null
+++ b/operator/acceptor.go
@@ -0,0 +1,195 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"redwinghall"
+	"redwinghall/platform"
+)
+
+// Submission is one decision of an operator. SubmitID names it: the same
+// submission sent again is accepted at most once.
+type Submission struct {
+	SubmitID string `json:"submit_id"`
+	// Replaces is the generation, or the zone's number, that the operator saw
+	// when deciding. Zero means that there was none.
+	Replaces uint64 `json:"replaces"`
+}
+
+// Accepted is the answer to an accepted decision.
+type Accepted struct {
+	Code   redwinghall.Code `json:"code"`
+	Number uint64           `json:"number"` // the generation or zone number now in force
+	Hash   string           `json:"hash,omitempty"`
+}
+
+// Acceptor records operators' decisions in the platform's table.
+type Acceptor struct {
+	table redwinghall.Table
+	// Tries bounds how often a transaction is tried whose answer was lost.
+	Tries int
+	// Pause is the time between those tries.
+	Pause time.Duration
+}
+
+// Defaults of the acceptor.
+const (
+	defaultTries = 4
+	defaultPause = 100 * time.Millisecond
+)
+
+// NewAcceptor returns an acceptor of decisions.
+func NewAcceptor(table redwinghall.Table) *Acceptor {
+	return &Acceptor{table: table, Tries: defaultTries, Pause: defaultPause}
+}
+
+// change computes what a decision makes of the head. It returns the number
+// that will be in force, or the code of a refusal.
+type change func(head platform.Head) (next platform.Head, number uint64, extra []redwinghall.Write, refused redwinghall.Code)
+
+// SubmitManifest accepts the manifest if the generation in force is still the
+// one that it replaces.
+func (a *Acceptor) SubmitManifest(ctx context.Context, sub Submission, m redwinghall.Manifest) (Accepted, error) {
+	data, hash, err := m.Canonical()
+	if err != nil {
+		return Accepted{}, redwinghall.NewOpError("Acceptor.SubmitManifest", redwinghall.CodeManifestInvalid, err)
+	}
+	accepted, err := a.decide(ctx, sub, func(head platform.Head) (platform.Head, uint64, []redwinghall.Write, redwinghall.Code) {
+		if head.Generation != sub.Replaces {
+			return head, 0, nil, redwinghall.CodeManifestRace
+		}
+		head.Generation++
+		head.Hash = hash
+		head.SubmitID = sub.SubmitID
+		content := redwinghall.Write{Key: platform.KeyContent(hash), Value: data}
+		return head, head.Generation, []redwinghall.Write{content}, ""
+	})
+	accepted.Hash = hash
+	return accepted, err
+}
+
+// SetZone takes a zone out of service or back if the operators' last decision
+// on it is still the one that the operator saw.
+func (a *Acceptor) SetZone(ctx context.Context, sub Submission, zone string, state redwinghall.ZoneState) (Accepted, error) {
+	return a.decide(ctx, sub, func(head platform.Head) (platform.Head, uint64, []redwinghall.Write, redwinghall.Code) {
+		present := head.Zones[zone]
+		if present.Number != sub.Replaces {
+			return head, 0, nil, redwinghall.CodeZoneRace
+		}
+		next := redwinghall.AvailabilityZone{ID: zone, State: state, Number: present.Number + 1}
+		return head.WithZone(next), next.Number, nil, ""
+	})
+}
+
+// record remembers an accepted submission under its id.
+type record struct {
+	Number uint64 `json:"number"`
+}
+
+// decide carries a decision out in one transaction.
+//
+// Guard: when the table's answer is lost, the decision may be recorded, or
+// may be recorded later. Submitting blindly again would find a newer head and
+// report a race that the operator lost against itself; reporting a failure
+// could leave a manifest in force that its owner believes refused. The
+// transaction also writes a row named by the submit id, which must not exist:
+// reading that row back tells whether it took effect, and trying the very
+// same transaction again can take effect only once.
+func (a *Acceptor) decide(ctx context.Context, sub Submission, apply change) (Accepted, error) {
+	const op = "Acceptor.decide"
+	maySucceedLate := false
+	var last error
+	for try := range a.Tries {
+		if try > 0 && !pause(ctx, a.Pause) {
+			break
+		}
+		rows, err := a.table.Read(ctx, platform.KeySubmission(sub.SubmitID), platform.KeyHead)
+		if err != nil {
+			last = err
+			continue
+		}
+		if rows[0].Version != 0 {
+			return recorded(op, rows[0])
+		}
+		head, err := platform.ParseHead(rows[1])
+		if err != nil {
+			return Accepted{}, redwinghall.NewOpError(op, redwinghall.CodeTableUnavailable, err)
+		}
+		next, number, extra, refused := apply(head)
+		if refused != "" {
+			// Final also after a lost answer: the head moved on without the
+			// submission's row, and the earlier transaction demanded the old
+			// head, so it can never take effect.
+			return Accepted{}, redwinghall.NewOpError(op, refused, nil)
+		}
+		err = a.commit(ctx, sub, rows[1].Version, next, number, extra)
+		switch redwinghall.KindOf[redwinghall.TableKind](err) {
+		case "":
+			return Accepted{Code: redwinghall.CodeAccepted, Number: number}, nil
+		case redwinghall.TableUnknown:
+			maySucceedLate = true
+		}
+		last = err
+	}
+	if maySucceedLate {
+		return Accepted{}, redwinghall.NewOpError(op, redwinghall.CodeResultUnknown, last)
+	}
+	return Accepted{}, redwinghall.NewOpError(op, redwinghall.CodeTableUnavailable, last)
+}
+
+func (a *Acceptor) commit(ctx context.Context, sub Submission, headVersion int64, next platform.Head, number uint64, extra []redwinghall.Write) error {
+	writes := []redwinghall.Write{
+		{Key: platform.KeyHead, Expect: headVersion, Value: mustJSON(next)},
+		{Key: platform.KeySubmission(sub.SubmitID), Value: mustJSON(record{Number: number})},
+	}
+	extra, err := a.withoutPresent(ctx, extra)
+	if err != nil {
+		return err
+	}
+	return a.table.Commit(ctx, redwinghall.Txn{Writes: append(writes, extra...)})
+}
+
+// withoutPresent leaves out content rows that exist already: a row is named by
+// the hash of its content, so the same manifest submitted again needs no copy.
+func (a *Acceptor) withoutPresent(ctx context.Context, writes []redwinghall.Write) ([]redwinghall.Write, error) {
+	var out []redwinghall.Write
+	for _, w := range writes {
+		rows, err := a.table.Read(ctx, w.Key)
+		if err != nil {
+			return nil, err
+		}
+		if rows[0].Version == 0 {
+			out = append(out, w)
+		}
+	}
+	return out, nil
+}
+
+func recorded(op string, row redwinghall.Row) (Accepted, error) {
+	var r record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return Accepted{}, redwinghall.NewOpError(op, redwinghall.CodeResultUnknown, err)
+	}
+	return Accepted{Code: redwinghall.CodeAccepted, Number: r.Number}, nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func mustJSON(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of plain fields always marshals
+	}
+	return data
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,100 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"redwinghall"
+)
+
+const (
+	clientTimeout   = 15 * time.Second
+	maxClientAnswer = 64 << 20
+)
+
+// Client speaks to a controller's operators' interface.
+type Client struct {
+	address string
+	token   string
+	client  *http.Client
+}
+
+// NewClient returns a client of the controller at host:port address.
+func NewClient(address, token string) *Client {
+	return &Client{address: address, token: token, client: &http.Client{Timeout: clientTimeout}}
+}
+
+// RefusedError is a refusal as the controller sent it.
+type RefusedError struct {
+	Refusal
+}
+
+// Error returns the code and the sentence.
+func (e *RefusedError) Error() string { return string(e.Code) + ": " + e.Message }
+
+// SubmitManifest submits a manifest's JSON.
+func (c *Client) SubmitManifest(ctx context.Context, sub Submission, manifest []byte) (Accepted, error) {
+	var out Accepted
+	err := c.do(ctx, http.MethodPut, "/v1/manifest", ManifestRequest{Submission: sub, Manifest: manifest}, &out)
+	return out, err
+}
+
+// SetZone takes a zone out of service or back.
+func (c *Client) SetZone(ctx context.Context, sub Submission, zone string, state redwinghall.ZoneState) (Accepted, error) {
+	var out Accepted
+	err := c.do(ctx, http.MethodPut, "/v1/zones/"+zone, ZoneRequest{Submission: sub, State: state}, &out)
+	return out, err
+}
+
+// Status returns what the controller knows.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.do(ctx, http.MethodGet, "/v1/status", nil, &out)
+	return out, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return redwinghall.NewOpError("Client.do", redwinghall.CodeBadRequest, err)
+		}
+		body = data
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return redwinghall.NewOpError("Client.do", redwinghall.CodeBadRequest, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := c.client.Do(request)
+	if err != nil {
+		return redwinghall.NewOpError("Client.do", redwinghall.CodeResultUnknown, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxClientAnswer))
+	if err != nil {
+		return redwinghall.NewOpError("Client.do", redwinghall.CodeResultUnknown, err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return refusalOf(answer.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return redwinghall.NewOpError("Client.do", redwinghall.CodeResultUnknown, err)
+	}
+	return nil
+}
+
+func refusalOf(status int, data []byte) error {
+	var r Refusal
+	if err := json.Unmarshal(data, &r); err != nil || r.Code == "" {
+		return redwinghall.NewOpError("refusalOf", redwinghall.CodeResultUnknown, fmt.Errorf("status %d", status))
+	}
+	return &RefusedError{Refusal: r}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Traffic counts the bytes of the exchanges that this process starts, both
+// directions, as they pass the socket.
+type Traffic struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(uint64(n))
+	return n, err
+}
+
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+	maxIdlePerPeer  = 1
+)
+
+func newClient(traffic *Traffic, token string) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{Conn: conn, traffic: traffic}, nil
+		},
+		MaxIdleConnsPerHost: maxIdlePerPeer,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: tokenTransport{next: transport, token: token}}
+}
+
+// tokenTransport adds the peers' token to each request.
+type tokenTransport struct {
+	next  *http.Transport
+	token string
+}
+
+func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.token)
+	return t.next.RoundTrip(r)
+}
+
+// CloseIdleConnections lets http.Client reach the transport below.
+func (t tokenTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"time"
+
+	"redwinghall"
+	"redwinghall/peer/rpc"
+)
+
+func toEntries(entries []Entry) []*rpc.Entry {
+	out := make([]*rpc.Entry, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, &rpc.Entry{Key: e.Key, Number: e.Number, Value: e.Value})
+	}
+	return out
+}
+
+func fromEntries(entries []*rpc.Entry) []Entry {
+	out := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, Entry{Key: e.Key, Number: e.Number, Value: e.Value})
+	}
+	return out
+}
+
+func toMarks(marks []Mark) []*rpc.Mark {
+	out := make([]*rpc.Mark, 0, len(marks))
+	for _, m := range marks {
+		out = append(out, &rpc.Mark{Key: m.Key, Number: m.Number})
+	}
+	return out
+}
+
+func fromMarks(marks []*rpc.Mark) []Mark {
+	out := make([]Mark, 0, len(marks))
+	for _, m := range marks {
+		out = append(out, Mark{Key: m.Key, Number: m.Number})
+	}
+	return out
+}
+
+// neverSeen is the age of a group whose members were not all seen.
+const neverSeen = 1 << 30
+
+func toHealth(now time.Time, health []redwinghall.GroupHealth) []*rpc.Health {
+	out := make([]*rpc.Health, 0, len(health))
+	for _, h := range health {
+		age := uint32(neverSeen)
+		if !h.SeenAt.IsZero() {
+			age = uint32(min(max(now.Sub(h.SeenAt).Milliseconds(), 0), neverSeen))
+		}
+		out = append(out, &rpc.Health{
+			Group: h.Group, Generation: h.Generation, AgeMs: age, Broken: h.Broken,
+			Ready: h.Ready, Running: uint32(h.Running), Completed: h.Completed,
+		})
+	}
+	return out
+}
+
+// fromHealth turns an age back into a time of this process's clock: the clocks
+// of two VMs need not agree.
+func fromHealth(now time.Time, h *rpc.Health) redwinghall.GroupHealth {
+	out := redwinghall.GroupHealth{
+		Group: h.Group, Generation: h.Generation, Broken: h.Broken,
+		Ready: h.Ready, Running: int(h.Running), Completed: h.Completed,
+	}
+	if h.AgeMs < neverSeen {
+		out.SeenAt = now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
+	}
+	return out
+}
--- /dev/null
+++ b/peer/health_book.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"redwinghall"
+)
+
+// HealthBook holds the freshest word on each group of the zone, from this
+// process's own polls and from its peers.
+type HealthBook struct {
+	mu     sync.Mutex
+	groups map[string]redwinghall.GroupHealth
+}
+
+// NewHealthBook returns an empty book.
+func NewHealthBook() *HealthBook {
+	return &HealthBook{groups: map[string]redwinghall.GroupHealth{}}
+}
+
+// Merge takes a word on a group. It reports whether the group was found
+// broken by it for the first time, which peers must hear at once.
+//
+// Guard: a word that is on its way while a member restarts arrives after the
+// word "broken" and would make the group whole again; a caller would then be
+// sent to a replica that misses a VM. Broken is therefore final for its
+// generation, and only a higher generation, a new order, replaces it.
+func (b *HealthBook) Merge(h redwinghall.GroupHealth) (newlyBroken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held, ok := b.groups[h.Group]
+	if !ok || h.Generation > held.Generation {
+		b.groups[h.Group] = h
+		return h.Broken
+	}
+	if h.Generation < held.Generation || held.Broken {
+		return false
+	}
+	if h.Broken {
+		held.Broken = true
+		b.groups[h.Group] = held
+		return true
+	}
+	if h.SeenAt.After(held.SeenAt) {
+		b.groups[h.Group] = h
+	}
+	return false
+}
+
+// Get returns the freshest word on a group.
+func (b *HealthBook) Get(group string) (redwinghall.GroupHealth, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, ok := b.groups[group]
+	return h, ok
+}
+
+// Fresh returns the words that are not older than bound, and the broken ones.
+func (b *HealthBook) Fresh(now time.Time, bound time.Duration) []redwinghall.GroupHealth {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []redwinghall.GroupHealth
+	for _, h := range b.groups {
+		if h.Broken || now.Sub(h.SeenAt) <= bound {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Forget drops groups that no longer exist.
+func (b *HealthBook) Forget(keep func(group string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.groups {
+		if !keep(id) {
+			delete(b.groups, id)
+		}
+	}
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,348 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/kernel"
+	"redwinghall/peer/rpc"
+)
+
+// Program is the kind of a process.
+type Program string
+
+// The programs that take part in the exchange.
+const (
+	Router     Program = "router"
+	Controller Program = "controller"
+)
+
+// Member is a process that takes part in the exchange.
+type Member struct {
+	ID               string  `json:"id"`
+	AvailabilityZone string  `json:"availability_zone"`
+	Address          string  `json:"address"` // of its peer listener
+	Program          Program `json:"program"`
+	// CallerAddress is where a router takes callers' requests.
+	CallerAddress string `json:"caller_address,omitempty"`
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+// Defaults of the exchange.
+const (
+	DefaultInterval = time.Second
+	exchangeTimeout = time.Second
+	zoneFanout      = 3 // pushes of a change inside the zone
+	crossFanout     = 2 // pushes of a global change to other zones
+	crossPerTick    = 2 // exchanges between zones that a whole zone starts in one interval
+	downAfter       = 2 // failed exchanges until a peer is not counted
+)
+
+// Node is one process's part in the exchange.
+type Node struct {
+	Self   Member
+	Store  *Store
+	Health *HealthBook
+	// Interval between periodic exchanges.
+	Interval time.Duration
+	// HealthBound is the age at which a word on a group is no longer passed on.
+	HealthBound time.Duration
+	Traffic     *Traffic
+
+	token  string
+	client *http.Client
+	seeds  []Member
+
+	mu       sync.Mutex
+	failures map[string]int
+	urgent   []redwinghall.GroupHealth
+	pending  []Entry
+	wake     chan struct{}
+}
+
+// NewNode returns a node that knows its seeds. token guards the exchange.
+func NewNode(self Member, seeds []Member, token string) *Node {
+	traffic := &Traffic{}
+	return &Node{
+		Self: self, Store: NewStore(), Health: NewHealthBook(),
+		Interval: DefaultInterval, HealthBound: 3 * time.Second,
+		Traffic: traffic,
+		token:   token, client: newClient(traffic, token), seeds: seeds,
+		failures: map[string]int{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// Run takes part until the group stops. The member's own register is numbered
+// by its start time, so that a restart under the same id is newer.
+func (n *Node) Run(g *kernel.Group, started time.Time) {
+	n.announce(started, n.Self)
+	g.Every("peer.exchange", n.Interval, func(ctx context.Context, now time.Time) { n.tick(ctx, now) })
+	g.Go("peer.push", n.pushLoop)
+}
+
+// Leave tells the peers that this process stops.
+func (n *Node) Leave(now time.Time) {
+	self := n.Self
+	self.Leaving = true
+	n.announce(now, self)
+}
+
+func (n *Node) announce(now time.Time, self Member) {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return
+	}
+	n.Publish(Entry{Key: KeyMember(self.AvailabilityZone, self.ID), Number: uint64(now.UnixNano()), Value: value})
+}
+
+// Publish takes entries and pushes those that are news.
+func (n *Node) Publish(entries ...Entry) { n.push(n.Store.Apply(entries...)) }
+
+// Observe takes this process's own word on a group, and pushes it when it
+// says that the group is broken.
+func (n *Node) Observe(h redwinghall.GroupHealth) {
+	if n.Health.Merge(h) {
+		n.pushHealth(h)
+	}
+}
+
+func (n *Node) push(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	n.mu.Lock()
+	n.pending = append(n.pending, entries...)
+	n.mu.Unlock()
+	n.signal()
+}
+
+func (n *Node) pushHealth(h redwinghall.GroupHealth) {
+	n.mu.Lock()
+	n.urgent = append(n.urgent, h)
+	n.mu.Unlock()
+	n.signal()
+}
+
+func (n *Node) signal() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Members returns the processes of a zone that are known and not leaving,
+// this one included, also those that do not answer now.
+func (n *Node) Members(zone string) []Member {
+	byID := map[string]Member{}
+	for _, m := range n.seeds {
+		if m.AvailabilityZone == zone {
+			byID[m.ID] = m
+		}
+	}
+	for _, e := range n.Store.List(PrefixMembers(zone)) {
+		var m Member
+		if json.Unmarshal(e.Value, &m) == nil {
+			byID[m.ID] = m
+		}
+	}
+	out := make([]Member, 0, len(byID))
+	for _, m := range byID {
+		if !m.Leaving {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Live returns the members of this zone that answered lately, this one
+// included, of one program.
+func (n *Node) Live(program Program) []Member {
+	members := n.Members(n.Self.AvailabilityZone)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := members[:0]
+	for _, m := range members {
+		if m.Program == program && (m.ID == n.Self.ID || n.failures[m.ID] < downAfter) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (n *Node) others(zone string) []Member {
+	members := n.Members(zone)
+	out := members[:0]
+	for _, m := range members {
+		if m.ID != n.Self.ID {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (n *Node) foreign() []Member {
+	var out []Member
+	for _, m := range n.seeds {
+		if m.AvailabilityZone != n.Self.AvailabilityZone {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// tick exchanges with one random process of the zone, and now and then with
+// one of another zone, so that a zone as a whole starts crossPerTick of those
+// in each interval however many processes it has.
+func (n *Node) tick(ctx context.Context, now time.Time) {
+	zone := n.others(n.Self.AvailabilityZone)
+	if len(zone) > 0 {
+		_ = n.exchange(ctx, zone[rand.IntN(len(zone))], nil, n.Health.Fresh(now, n.HealthBound))
+	}
+	foreign := n.foreign()
+	if len(foreign) > 0 && rand.IntN(len(zone)+1) < crossPerTick {
+		_ = n.exchange(ctx, foreign[rand.IntN(len(foreign))], nil, nil)
+	}
+}
+
+func (n *Node) pushLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.wake:
+			n.flush(ctx)
+		}
+	}
+}
+
+func (n *Node) flush(ctx context.Context) {
+	n.mu.Lock()
+	entries, health := n.pending, n.urgent
+	n.pending, n.urgent = nil, nil
+	n.mu.Unlock()
+
+	pushes := kernel.NewGroup(ctx)
+	for _, m := range choose(n.others(n.Self.AvailabilityZone), zoneFanout) {
+		pushes.Go("peer.push_one", func(ctx context.Context) error {
+			_ = n.exchange(ctx, m, entries, health) // the periodic exchange repairs a lost push
+			return nil
+		})
+	}
+	if global := globalOnly(entries); len(global) > 0 {
+		for _, m := range choose(n.foreign(), crossFanout) {
+			pushes.Go("peer.push_one", func(ctx context.Context) error {
+				_ = n.exchange(ctx, m, global, nil)
+				return nil
+			})
+		}
+	}
+	_ = pushes.Wait()
+}
+
+func globalOnly(entries []Entry) []Entry {
+	var out []Entry
+	for _, e := range entries {
+		if (Scope{}).has(e.Key) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func choose(members []Member, count int) []Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(count, len(members))]
+}
+
+// exchange hands entries and health to a peer, takes what it returns, and
+// when the digests differ sends the marks so that both sides become equal.
+func (n *Node) exchange(ctx context.Context, m Member, entries []Entry, health []redwinghall.GroupHealth) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	scope := ScopeOf(n.Self.AvailabilityZone, m.AvailabilityZone)
+	client := rpc.NewPeerProtobufClient("http://"+m.Address, n.client)
+
+	request := n.request(scope, entries, health)
+	answer, err := client.Exchange(ctx, request)
+	if err == nil {
+		n.takeAnswer(answer)
+		if answer.Digest != n.Store.Digest(scope) {
+			err = n.reconcile(ctx, client, scope)
+		}
+	}
+	n.noteResult(m, err)
+	if err != nil {
+		// A connection that something in between has lost track of stays
+		// silent for good: idle ones to this peer are not trusted again.
+		n.client.CloseIdleConnections()
+		return redwinghall.NewOpError("Node.exchange", Unreachable, err)
+	}
+	return nil
+}
+
+// reconcile sends the marks; the peer answers with what is newer there, and
+// its own marks tell what is newer here.
+func (n *Node) reconcile(ctx context.Context, client rpc.Peer, scope Scope) error {
+	request := n.request(scope, nil, nil)
+	request.Marks = toMarks(n.Store.Marks(scope))
+	answer, err := client.Exchange(ctx, request)
+	if err != nil {
+		return err
+	}
+	n.takeAnswer(answer)
+	missing := n.Store.Newer(scope, fromMarks(answer.Marks))
+	if len(missing) == 0 {
+		return nil
+	}
+	_, err = client.Exchange(ctx, n.request(scope, missing, nil))
+	return err
+}
+
+func (n *Node) request(scope Scope, entries []Entry, health []redwinghall.GroupHealth) *rpc.ExchangeRequest {
+	return &rpc.ExchangeRequest{
+		From:             n.Self.ID,
+		AvailabilityZone: n.Self.AvailabilityZone,
+		Digest:           n.Store.Digest(scope),
+		Entries:          toEntries(entries),
+		Health:           toHealth(time.Now(), health),
+	}
+}
+
+func (n *Node) takeAnswer(answer *rpc.ExchangeResponse) {
+	n.push(n.Store.Apply(fromEntries(answer.Entries)...))
+	n.takeHealth(time.Now(), answer.Health)
+}
+
+func (n *Node) takeHealth(now time.Time, health []*rpc.Health) {
+	for _, h := range health {
+		word := fromHealth(now, h)
+		if n.Health.Merge(word) {
+			n.pushHealth(word)
+		}
+	}
+}
+
+func (n *Node) noteResult(m Member, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.failures[m.ID]
+	if err == nil {
+		delete(n.failures, m.ID)
+	} else {
+		n.failures[m.ID] = before + 1
+	}
+	if err != nil && before+1 == downAfter {
+		klog.InfoS("peer_down", "peer", m.ID, "cause", err.Error())
+	}
+	if err == nil && before >= downAfter {
+		klog.InfoS("peer_up", "peer", m.ID)
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"redwinghall/peer/rpc"
+)
+
+// server answers exchanges for a node.
+type server struct {
+	node *Node
+}
+
+// Handler returns the node's twirp handler behind its token.
+func (n *Node) Handler() http.Handler {
+	return requireToken(n.token, rpc.NewPeerServer(&server{node: n}))
+}
+
+// Exchange takes what the peer sends and returns what it lacks.
+func (s *server) Exchange(_ context.Context, in *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
+	n := s.node
+	now := time.Now()
+	scope := ScopeOf(n.Self.AvailabilityZone, in.AvailabilityZone)
+	taken := n.Store.Apply(fromEntries(in.Entries)...)
+	n.push(taken)
+	n.takeHealth(now, in.Health)
+	n.noteResult(Member{ID: in.From}, nil)
+
+	out := &rpc.ExchangeResponse{Digest: n.Store.Digest(scope)}
+	if len(in.Health) > 0 && in.AvailabilityZone == n.Self.AvailabilityZone {
+		out.Health = toHealth(now, n.Health.Fresh(now, n.HealthBound))
+	}
+	if len(in.Marks) > 0 {
+		out.Entries = toEntries(n.Store.Newer(scope, fromMarks(in.Marks)))
+		out.Marks = toMarks(n.Store.Marks(scope))
+	}
+	return out, nil
+}
+
+// BearerToken returns the token of an Authorization header.
+func BearerToken(r *http.Request) string {
+	const prefix = "Bearer "
+	header := r.Header.Get("Authorization")
+	if len(header) < len(prefix) || header[:len(prefix)] != prefix {
+		return ""
+	}
+	return header[len(prefix):]
+}
+
+// SameToken compares in a time that does not depend on where the tokens differ.
+func SameToken(got, want string) bool {
+	a, b := sha256.Sum256([]byte(got)), sha256.Sum256([]byte(want))
+	return want != "" && subtle.ConstantTimeCompare(a[:], b[:]) == 1
+}
+
+func requireToken(token string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !SameToken(BearerToken(r), token) {
+			http.Error(w, "peer token is missing or wrong", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/standin/engine/stream.go
@@ -0,0 +1,201 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"redwinghall"
+)
+
+// stream is one answer on its way.
+type stream struct {
+	vm      *VM
+	w       http.ResponseWriter
+	flush   func() error
+	request ChatRequest
+	id      string
+	faults  StreamFaults
+	ctx     context.Context
+}
+
+// chat streams an answer from the position after Last-Event-ID.
+func (v *VM) chat(w http.ResponseWriter, r *http.Request) {
+	var request ChatRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lifetime, refused := v.begin(request)
+	if refused != "" {
+		http.Error(w, refused, http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stop := context.AfterFunc(lifetime, cancel)
+	defer stop()
+
+	w.Header().Set("Content-Type", "text/event-stream")
+	s := &stream{
+		vm: v, w: w, flush: http.NewResponseController(w).Flush,
+		request: request, id: r.Header.Get("X-Request-Id"), faults: v.takeFaults(), ctx: ctx,
+	}
+	complete := s.run(resumeFrom(r))
+	v.end(lifetime, complete)
+	if !complete {
+		panic(http.ErrAbortHandler) // the connection is cut, as by a dead process
+	}
+}
+
+// begin admits a request, or says why not. It is where the judge looks.
+func (v *VM) begin(request ChatRequest) (context.Context, string) {
+	v.mu.Lock()
+	order := v.order
+	v.mu.Unlock()
+	since, incomplete := v.missing(order)
+
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if order.Role != redwinghall.RoleLeader || order.Model != request.Model || time.Now().Before(v.readyAt) {
+		return nil, "not serving this model"
+	}
+	v.fleet.count(func(r *Record) {
+		r.Requests++
+		r.ByVM[v.ID]++
+		if incomplete {
+			r.Incomplete++
+			r.LongestIncomplete = max(r.LongestIncomplete, redwinghall.Duration(time.Since(since)))
+		}
+	})
+	v.running++
+	v.noteLoad()
+	if bears := v.bears(); bears > 0 && v.running > bears {
+		v.fleet.count(func(r *Record) { r.Overloads++ })
+		v.die()
+		v.reset()
+		v.missingFrom = time.Now()
+		return nil, "overloaded after a cold start"
+	}
+	return v.lifetime, ""
+}
+
+// bears returns how many requests the engine bears now; 0: any number.
+func (v *VM) bears() int {
+	c := v.fleet.config
+	if c.ColdInFlight == 0 || int(v.completed) >= c.WarmAfter {
+		return 0
+	}
+	rise := (c.MaxInFlight - c.ColdInFlight) * int(v.completed) / max(1, c.WarmAfter)
+	return c.ColdInFlight + rise
+}
+
+func (v *VM) end(lifetime context.Context, complete bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if lifetime.Err() != nil {
+		return // another process start counts anew
+	}
+	v.running--
+	v.noteLoad()
+	if complete {
+		v.completed++
+		v.fleet.count(func(r *Record) { r.Completed++ })
+	}
+}
+
+func (v *VM) takeFaults() StreamFaults {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f := v.faults
+	switch {
+	case f.CutStreams > 0:
+		v.faults.CutStreams--
+		f.StallStreams = 0
+	case f.StallStreams > 0:
+		v.faults.StallStreams--
+	}
+	return f
+}
+
+// resumeFrom returns the position after the Last-Event-ID.
+func resumeFrom(r *http.Request) int {
+	_, position, ok := strings.Cut(r.Header.Get("Last-Event-Id"), "/")
+	n, err := strconv.Atoi(position)
+	if !ok || err != nil {
+		return 0
+	}
+	return n + 1
+}
+
+// run writes the rest of the answer and reports whether it was completed.
+func (s *stream) run(from int) bool {
+	last := s.request.tokens()
+	if !s.pause(s.vm.fleet.config.FirstToken.Std()) {
+		return false
+	}
+	for position := from; position <= last; position++ {
+		if s.faults.CutStreams > 0 && position-from >= s.faults.CutAt {
+			return false
+		}
+		if s.faults.StallStreams > 0 && position-from >= s.faults.CutAt {
+			<-s.ctx.Done()
+			return false
+		}
+		if !s.vm.wait(s.ctx) || !s.emit(position) {
+			return false
+		}
+		if position < last && !s.pause(s.vm.fleet.config.TokenDelay.Std()) {
+			return false
+		}
+	}
+	return true
+}
+
+// emit sends one chunk, or the end mark after the last one. With Shuffle an
+// even chunk is sent after the odd one that follows it, and twice.
+func (s *stream) emit(position int) bool {
+	if !s.faults.Shuffle || position >= s.request.tokens()-1 {
+		return s.send(position)
+	}
+	if position%2 == 0 {
+		return true
+	}
+	return s.send(position) && s.send(position-1) && s.send(position-1)
+}
+
+func (s *stream) send(position int) bool {
+	data := []byte("[DONE]")
+	if position < s.request.tokens() {
+		data = s.request.chunkJSON(s.id, position)
+	}
+	if s.faults.Shuffle && position == s.request.tokens()-1 && position%2 == 1 {
+		s.write(position-1, s.request.chunkJSON(s.id, position-1))
+	}
+	return s.write(position, data)
+}
+
+func (s *stream) write(position int, data []byte) bool {
+	if _, err := fmt.Fprintf(s.w, "id: %s/%d\ndata: %s\n\n", s.id, position, data); err != nil {
+		return false
+	}
+	return s.flush() == nil
+}
+
+func (s *stream) pause(d time.Duration) bool {
+	if d <= 0 {
+		return s.ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,139 @@
+// Package link is a stand-in for the network between two ends: a TCP link
+// that delays, cuts, or swallows silently.
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"redwinghall/kernel"
+)
+
+// Mode is what the link does with bytes.
+type Mode string
+
+// The modes of a link.
+const (
+	Pass Mode = "pass"
+	// Cut closes all connections and refuses new ones.
+	Cut Mode = "cut"
+	// Swallow keeps the connections that are open and delivers nothing more on
+	// them, like a middle box that has lost track; new connections work.
+	Swallow Mode = "swallow"
+)
+
+// Link forwards connections to a target.
+type Link struct {
+	target   string
+	listener net.Listener
+
+	mu    sync.Mutex
+	mode  Mode
+	delay time.Duration
+	conns map[*pair]bool
+}
+
+type pair struct {
+	a, b      net.Conn
+	swallowed bool
+}
+
+// New listens on address and forwards to target until the group stops.
+func New(g *kernel.Group, address, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{target: target, listener: listener, mode: Pass, conns: map[*pair]bool{}}
+	g.Go("link.accept", func(ctx context.Context) error { return l.accept(ctx, g) })
+	g.Go("link.stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		l.Set(Cut, 0)
+		return l.listener.Close()
+	})
+	return l, nil
+}
+
+// Address returns where the link listens.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Set changes what the link does from now on.
+func (l *Link) Set(mode Mode, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode, l.delay = mode, delay
+	for p := range l.conns {
+		switch mode {
+		case Cut:
+			_ = p.a.Close()
+			_ = p.b.Close()
+		case Swallow:
+			p.swallowed = true
+		}
+	}
+}
+
+func (l *Link) accept(ctx context.Context, g *kernel.Group) error {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		l.mu.Lock()
+		refused := l.mode == Cut
+		l.mu.Unlock()
+		if refused {
+			_ = conn.Close()
+			continue
+		}
+		other, err := net.Dial("tcp", l.target)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		p := &pair{a: conn, b: other}
+		l.mu.Lock()
+		l.conns[p] = true
+		l.mu.Unlock()
+		g.Go("link.copy", func(context.Context) error { return l.copy(p, p.b, p.a) })
+		g.Go("link.copy", func(context.Context) error { return l.copy(p, p.a, p.b) })
+	}
+}
+
+const bufferSize = 32 << 10
+
+// copy moves bytes one way until an end closes.
+func (l *Link) copy(p *pair, to, from net.Conn) error {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			break
+		}
+		l.mu.Lock()
+		delay, swallowed := l.delay, p.swallowed
+		l.mu.Unlock()
+		if swallowed {
+			continue
+		}
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			break
+		}
+	}
+	l.mu.Lock()
+	swallowed := p.swallowed
+	delete(l.conns, p)
+	l.mu.Unlock()
+	if !swallowed {
+		_ = to.Close()
+	}
+	return from.Close()
+}
--- /dev/null
+++ b/standin/load/load.go
@@ -0,0 +1,210 @@
+// Package load sends requests as callers do and checks every answer.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"redwinghall/caller"
+	"redwinghall/kernel"
+	"redwinghall/standin/engine"
+)
+
+// Config says what to send.
+type Config struct {
+	Routers  []string // host:port of caller listeners, used in turn
+	Key      string   // API key
+	Model    string
+	Requests int
+	Workers  int
+	Tokens   int
+	Timeout  time.Duration
+	Seed     int
+}
+
+// Result is what came back.
+type Result struct {
+	Sent    int            `json:"sent"`
+	Whole   int            `json:"whole"`   // complete and equal to what the engine must say
+	Wrong   int            `json:"wrong"`   // complete and different
+	Refused map[string]int `json:"refused"` // by code
+	Failed  int            `json:"failed"`  // no answer, or one that was not complete
+
+	FirstChunk []time.Duration `json:"-"`
+}
+
+// Quantile returns the time to first chunk that a share of the requests had
+// at most.
+func (r Result) Quantile(q float64) time.Duration {
+	if len(r.FirstChunk) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration(nil), r.FirstChunk...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// String is one line for people.
+func (r Result) String() string {
+	return fmt.Sprintf("sent %d, whole %d, wrong %d, failed %d, refused %v, first chunk p50 %s p95 %s",
+		r.Sent, r.Whole, r.Wrong, r.Failed, r.Refused,
+		r.Quantile(0.5).Round(time.Microsecond), r.Quantile(0.95).Round(time.Microsecond))
+}
+
+// NewClient returns an HTTP client for callers.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+}
+
+// Run sends the requests from a number of workers.
+func Run(ctx context.Context, c Config) Result {
+	client := NewClient()
+	result := Result{Refused: map[string]int{}}
+	var mu sync.Mutex
+	next := 0
+	workers := kernel.NewGroup(ctx)
+	for range c.Workers {
+		workers.Go("load.worker", func(ctx context.Context) error {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= c.Requests || ctx.Err() != nil {
+					return nil
+				}
+				one := Stream(ctx, client, c, i)
+				mu.Lock()
+				result.add(one)
+				mu.Unlock()
+			}
+		})
+	}
+	_ = workers.Wait() // workers return no errors
+	return result
+}
+
+func (r *Result) add(one Answer) {
+	r.Sent++
+	switch {
+	case one.Code != "":
+		r.Refused[one.Code]++
+	case one.Err != nil:
+		r.Failed++
+	case one.Text != one.Want:
+		r.Wrong++
+	default:
+		r.Whole++
+		r.FirstChunk = append(r.FirstChunk, one.First)
+	}
+}
+
+// Answer is one streamed answer.
+type Answer struct {
+	Text  string
+	Want  string
+	Code  string // of a refusal
+	Err   error
+	First time.Duration // to the first chunk
+}
+
+var errIncomplete = errors.New("the answer has no end mark")
+
+// Body returns the request body number i, and what the engine must answer.
+func Body(c Config, i int) (body []byte, want string) {
+	message := fmt.Sprintf(`{"role":"user","content":"seed %d request %d"}`, c.Seed, i)
+	body = []byte(fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[%s]}`, c.Model, c.Tokens, message))
+	var request engine.ChatRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		panic(err) // the body is made above
+	}
+	return body, request.Expected()
+}
+
+// Stream sends request number i and reads its streamed answer.
+func Stream(ctx context.Context, client *http.Client, c Config, i int) Answer {
+	body, want := Body(c, i)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	started := time.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+c.Routers[i%len(c.Routers)]+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return refusal(response)
+	}
+	answer := Answer{Want: want}
+	answer.Text, answer.First, answer.Err = readStream(response.Body, started)
+	return answer
+}
+
+func refusal(response *http.Response) Answer {
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	var body caller.Refusal
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
+		return Answer{Err: fmt.Errorf("status %d without a code", response.StatusCode)}
+	}
+	return Answer{Code: string(body.Error.Code)}
+}
+
+// streamChunk is the part of a chunk that holds text or an error.
+type streamChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *caller.RefusalBody `json:"error"`
+}
+
+func readStream(body io.Reader, started time.Time) (string, time.Duration, error) {
+	events := caller.NewEventReader(body)
+	var text strings.Builder
+	var first time.Duration
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			err = errIncomplete
+		}
+		if err != nil {
+			return text.String(), first, err
+		}
+		if first == 0 {
+			first = time.Since(started)
+		}
+		if event.IsDone() {
+			return text.String(), first, nil
+		}
+		var c streamChunk
+		if err := json.Unmarshal(event.Data, &c); err != nil {
+			return text.String(), first, err
+		}
+		if c.Error != nil {
+			return text.String(), first, fmt.Errorf("%s", c.Error.Code)
+		}
+		for _, choice := range c.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+}
--- /dev/null
+++ b/standin/table/server.go
@@ -0,0 +1,104 @@
+package table
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"redwinghall"
+	"redwinghall/platform"
+)
+
+// Paths of the stand-in's own controls.
+const (
+	PathFaults = "/standin/faults"
+	PathCounts = "/standin/counts"
+	PathSetVMs = "/standin/vms"
+)
+
+const maxBody = 64 << 20
+
+// Handler returns the table over HTTP, with its controls.
+func (t *Table) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathRead, func(w http.ResponseWriter, r *http.Request) {
+		var in platform.ReadRequest
+		if decode(w, r, &in) {
+			rows, err := t.Read(r.Context(), in.Keys...)
+			answer(w, platform.RowsResponse{Rows: rows}, err)
+		}
+	})
+	mux.HandleFunc("POST "+platform.PathScan, func(w http.ResponseWriter, r *http.Request) {
+		var in platform.ScanRequest
+		if decode(w, r, &in) {
+			rows, err := t.Scan(r.Context(), in.Prefix)
+			answer(w, platform.RowsResponse{Rows: rows}, err)
+		}
+	})
+	mux.HandleFunc("POST "+platform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+		var in redwinghall.Txn
+		if decode(w, r, &in) {
+			answer(w, struct{}{}, t.Commit(r.Context(), in))
+		}
+	})
+	mux.HandleFunc("POST "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		vms, err := t.VMs(r.Context())
+		answer(w, platform.VMsResponse{VMs: vms}, err)
+	})
+	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var in Faults
+		if decode(w, r, &in) {
+			t.SetFaults(in)
+			answer(w, struct{}{}, nil)
+		}
+	})
+	mux.HandleFunc("POST "+PathSetVMs, func(w http.ResponseWriter, r *http.Request) {
+		var in redwinghall.VMs
+		if decode(w, r, &in) {
+			t.SetVMs(in)
+			answer(w, struct{}{}, nil)
+		}
+	})
+	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, t.Counts(), nil)
+	})
+	return mux
+}
+
+func decode(w http.ResponseWriter, r *http.Request, out any) bool {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err == nil {
+		err = json.Unmarshal(data, out)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answer writes a result. A lost answer closes the connection without one.
+func answer(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	switch redwinghall.KindOf[redwinghall.TableKind](err) {
+	case redwinghall.TableConflict:
+		status = http.StatusConflict
+		var conflict *redwinghall.ConflictError
+		if errors.As(err, &conflict) {
+			v = platform.ConflictResponse{Keys: conflict.Keys}
+		}
+	case redwinghall.TableUnavailable:
+		status = http.StatusServiceUnavailable
+	case redwinghall.TableUnknown:
+		panic(http.ErrAbortHandler)
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // the client may be gone
+}
--- /dev/null
+++ b/standin/table/table.go
@@ -0,0 +1,238 @@
+// Package table is a stand-in for the platform's transactional table and list
+// of VMs: in memory, with the outages that the real one has.
+package table
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"redwinghall"
+)
+
+// Faults says how the table misbehaves.
+type Faults struct {
+	// Down refuses every operation.
+	Down bool `json:"down"`
+	// Silent never answers.
+	Silent bool `json:"silent"`
+	// LoseAnswers is how many coming commits take effect without an answer.
+	LoseAnswers int `json:"lose_answers"`
+	// LateWrites is how many coming commits take effect only after LateBy,
+	// without an answer.
+	LateWrites int                  `json:"late_writes"`
+	LateBy     redwinghall.Duration `json:"late_by"`
+	// Latency is added to each operation.
+	Latency redwinghall.Duration `json:"latency"`
+}
+
+// Counts tells how often the table was used.
+type Counts struct {
+	Reads    uint64 `json:"reads"` // read and scan operations
+	Commits  uint64 `json:"commits"`
+	Rows     uint64 `json:"rows"` // written by commits
+	Refused  uint64 `json:"refused"`
+	Conflict uint64 `json:"conflict"`
+}
+
+// Table is the table. Versions rise over all rows, so that a deleted row that
+// comes back has a higher one.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]redwinghall.Row
+	revision int64
+	faults   Faults
+	counts   Counts
+	vms      redwinghall.VMs
+	late     []redwinghall.Txn
+	changed  chan struct{} // closed when the faults change
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{rows: map[string]redwinghall.Row{}, changed: make(chan struct{})}
+}
+
+var (
+	errDown   = errors.New("the table is down")
+	errSilent = errors.New("the table did not answer")
+)
+
+// SetFaults replaces the faults.
+func (t *Table) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Counts returns how often the table was used.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// SetVMs replaces the list of VMs.
+func (t *Table) SetVMs(vms redwinghall.VMs) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms = append(redwinghall.VMs(nil), vms...)
+}
+
+// enter applies outages and latency before an operation.
+func (t *Table) enter(ctx context.Context, op string) error {
+	t.mu.Lock()
+	f, changed := t.faults, t.changed
+	if f.Down {
+		t.counts.Refused++
+	}
+	t.mu.Unlock()
+	switch {
+	case f.Down:
+		return redwinghall.NewOpError(op, redwinghall.TableUnavailable, errDown)
+	case f.Silent:
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+		return redwinghall.NewOpError(op, redwinghall.TableUnknown, errSilent)
+	case f.Latency > 0:
+		timer := time.NewTimer(f.Latency.Std())
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return redwinghall.NewOpError(op, redwinghall.TableUnknown, ctx.Err())
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+// Read implements redwinghall.Table.
+func (t *Table) Read(ctx context.Context, keys ...string) ([]redwinghall.Row, error) {
+	if err := t.enter(ctx, "Table.Read"); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	out := make([]redwinghall.Row, len(keys))
+	for i, key := range keys {
+		out[i] = t.rows[key]
+		out[i].Key = key
+	}
+	return out, nil
+}
+
+// Scan implements redwinghall.Table.
+func (t *Table) Scan(ctx context.Context, prefix string) ([]redwinghall.Row, error) {
+	if err := t.enter(ctx, "Table.Scan"); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	var out []redwinghall.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, row)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, nil
+}
+
+// VMs implements redwinghall.VMLister.
+func (t *Table) VMs(ctx context.Context) (redwinghall.VMs, error) {
+	if err := t.enter(ctx, "Table.VMs"); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	return append(redwinghall.VMs(nil), t.vms...), nil
+}
+
+// Commit implements redwinghall.Table.
+func (t *Table) Commit(ctx context.Context, txn redwinghall.Txn) error {
+	if err := t.enter(ctx, "Table.Commit"); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Commits++
+	if t.faults.LateWrites > 0 {
+		t.faults.LateWrites--
+		t.applyLater(txn, t.faults.LateBy.Std())
+		return redwinghall.NewOpError("Table.Commit", redwinghall.TableUnknown, errSilent)
+	}
+	conflicts := t.apply(txn)
+	if t.faults.LoseAnswers > 0 {
+		t.faults.LoseAnswers--
+		return redwinghall.NewOpError("Table.Commit", redwinghall.TableUnknown, errSilent)
+	}
+	if len(conflicts) > 0 {
+		t.counts.Conflict++
+		return redwinghall.NewOpError("Table.Commit", redwinghall.TableConflict, &redwinghall.ConflictError{Keys: conflicts})
+	}
+	return nil
+}
+
+// applyLater keeps a transaction until LandLate, or for a time when one is set.
+func (t *Table) applyLater(txn redwinghall.Txn, after time.Duration) {
+	if after == 0 {
+		t.late = append(t.late, txn)
+		return
+	}
+	time.AfterFunc(after, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.apply(txn)
+	})
+}
+
+// LandLate lets the late writes that wait take effect now, and returns how
+// many of them did.
+func (t *Table) LandLate() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	landed := 0
+	for _, txn := range t.late {
+		if len(t.apply(txn)) == 0 {
+			landed++
+		}
+	}
+	t.late = nil
+	return landed
+}
+
+// apply carries out a transaction, or returns the keys in conflict.
+func (t *Table) apply(txn redwinghall.Txn) []string {
+	var conflicts []string
+	for _, w := range txn.Writes {
+		if t.rows[w.Key].Version != w.Expect {
+			conflicts = append(conflicts, w.Key)
+		}
+	}
+	if len(conflicts) > 0 {
+		return conflicts
+	}
+	t.revision++
+	for _, w := range txn.Writes {
+		switch {
+		case w.CheckOnly:
+			continue
+		case w.Delete:
+			delete(t.rows, w.Key)
+		default:
+			t.rows[w.Key] = redwinghall.Row{Key: w.Key, Version: t.revision, Value: w.Value}
+		}
+		t.counts.Rows++
+	}
+	return nil
+}
--- /dev/null
+++ b/strictjson/strictjson.go
@@ -0,0 +1,199 @@
+// Package strictjson decodes JSON settings and manifests, and reports every
+// unknown field and wrong type at once instead of only the first.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"sort"
+	"strings"
+)
+
+// Problem is one thing wrong with the document, at a path such as
+// "models[0].replicas".
+type Problem struct {
+	Path    string
+	Message string
+}
+
+// Decode reads data into dst, a pointer to a struct. It returns no problems
+// and a filled dst, or all problems and an undefined dst.
+func Decode(data []byte, dst any) []Problem {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	var doc any
+	if err := decoder.Decode(&doc); err != nil {
+		return []Problem{{Path: "$", Message: "this is not valid JSON: " + err.Error()}}
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return []Problem{{Path: "$", Message: "text follows the JSON document"}}
+	}
+	problems := check("", doc, reflect.TypeOf(dst).Elem())
+	if len(problems) > 0 {
+		return problems
+	}
+	if err := json.Unmarshal(data, dst); err != nil {
+		return []Problem{{Path: "$", Message: err.Error()}}
+	}
+	return nil
+}
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+func check(path string, doc any, want reflect.Type) []Problem {
+	if reflect.PointerTo(want).Implements(unmarshalerType) {
+		return checkUnmarshaler(path, doc, want)
+	}
+	switch want.Kind() {
+	case reflect.Struct:
+		return checkStruct(path, doc, want)
+	case reflect.Slice:
+		return checkSlice(path, doc, want)
+	case reflect.Map:
+		return checkMap(path, doc, want)
+	case reflect.Pointer:
+		return check(path, doc, want.Elem())
+	default:
+		return checkScalar(path, doc, want)
+	}
+}
+
+func checkUnmarshaler(path string, doc any, want reflect.Type) []Problem {
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return one(path, err.Error())
+	}
+	value := reflect.New(want).Interface().(json.Unmarshaler)
+	if err := value.UnmarshalJSON(raw); err != nil {
+		return one(path, err.Error())
+	}
+	return nil
+}
+
+func checkStruct(path string, doc any, want reflect.Type) []Problem {
+	object, ok := doc.(map[string]any)
+	if !ok {
+		return one(path, "want an object, got "+describe(doc))
+	}
+	fields := map[string]reflect.Type{}
+	addFields(fields, want)
+	var problems []Problem
+	for _, name := range sortedKeys(object) {
+		fieldType, known := fields[name]
+		if !known {
+			problems = append(problems, Problem{Path: join(path, name), Message: "this field is not known"})
+			continue
+		}
+		problems = append(problems, check(join(path, name), object[name], fieldType)...)
+	}
+	return problems
+}
+
+// addFields lists a struct's fields by their JSON names; those of an embedded
+// struct stand beside its own.
+func addFields(fields map[string]reflect.Type, t reflect.Type) {
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		switch {
+		case field.Anonymous && name == "":
+			addFields(fields, field.Type)
+		case name == "":
+			fields[field.Name] = field.Type
+		default:
+			fields[name] = field.Type
+		}
+	}
+}
+
+func checkSlice(path string, doc any, want reflect.Type) []Problem {
+	list, ok := doc.([]any)
+	if !ok {
+		return one(path, "want a list, got "+describe(doc))
+	}
+	var problems []Problem
+	for i, item := range list {
+		problems = append(problems, check(fmt.Sprintf("%s[%d]", path, i), item, want.Elem())...)
+	}
+	return problems
+}
+
+func checkMap(path string, doc any, want reflect.Type) []Problem {
+	object, ok := doc.(map[string]any)
+	if !ok {
+		return one(path, "want an object, got "+describe(doc))
+	}
+	var problems []Problem
+	for _, name := range sortedKeys(object) {
+		problems = append(problems, check(join(path, name), object[name], want.Elem())...)
+	}
+	return problems
+}
+
+func checkScalar(path string, doc any, want reflect.Type) []Problem {
+	if doc == nil {
+		return one(path, "want a value, got null")
+	}
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return one(path, err.Error())
+	}
+	if err := json.Unmarshal(raw, reflect.New(want).Interface()); err != nil {
+		return one(path, fmt.Sprintf("want %s, got %s", scalarName(want), describe(doc)))
+	}
+	return nil
+}
+
+func scalarName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "a whole number"
+	}
+}
+
+func describe(doc any) string {
+	switch v := doc.(type) {
+	case nil:
+		return "null"
+	case string:
+		return "text"
+	case json.Number:
+		return "the number " + v.String()
+	case bool:
+		return "true or false"
+	case []any:
+		return "a list"
+	default:
+		return "an object"
+	}
+}
+
+func one(path, message string) []Problem {
+	if path == "" {
+		path = "$"
+	}
+	return []Problem{{Path: path, Message: message}}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func sortedKeys(object map[string]any) []string {
+	keys := make([]string, 0, len(object))
+	for k := range object {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/vm.go
@@ -0,0 +1,77 @@
+package redwinghall
+
+import "time"
+
+// VMState is what the platform's list says of a VM. The list lags behind
+// reality, so it is never taken as proof that a VM is alive.
+type VMState string
+
+// The states of a VM in the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one machine with accelerators, or one that runs a plain service.
+type VM struct {
+	ID               string  `json:"id"`
+	AvailabilityZone string  `json:"availability_zone"`
+	FabricDomain     string  `json:"fabric_domain"`
+	Address          string  `json:"address"` // host:port of its endpoint
+	Accelerators     int     `json:"accelerators"`
+	State            VMState `json:"state"`
+	// Service names the plain service that the VM runs; empty for a worker.
+	Service string `json:"service,omitempty"`
+}
+
+// VMs is a list of VMs as the platform gives it.
+type VMs []VM
+
+// Workers returns the live VMs of a zone that can join a group.
+func (v VMs) Workers(zone string) VMs {
+	var out VMs
+	for _, vm := range v {
+		if vm.AvailabilityZone == zone && vm.Service == "" && vm.State == VMLive {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// Services returns the live VMs of a zone that run a plain service.
+func (v VMs) Services(zone string) VMs {
+	var out VMs
+	for _, vm := range v {
+		if vm.AvailabilityZone == zone && vm.Service != "" && vm.State == VMLive {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// ByID returns the VMs keyed by id.
+func (v VMs) ByID() map[string]VM {
+	out := make(map[string]VM, len(v))
+	for _, vm := range v {
+		out[vm.ID] = vm
+	}
+	return out
+}
+
+// Report is what an endpoint says of itself when it is asked. Load lags.
+type Report struct {
+	StartID    string `json:"start_id"`   // new at every process start
+	Group      string `json:"group"`      // last order obeyed; empty when none
+	Generation uint64 `json:"generation"` // of that order
+	Model      string `json:"model"`
+	Version    string `json:"version"`
+	Ready      bool   `json:"ready"` // the ordered weights are loaded
+	Running    int    `json:"running"`
+	Completed  uint64 `json:"completed"` // requests finished since start
+}
+
+// Sighting is a report and when it was received, by the receiver's clock.
+type Sighting struct {
+	Report Report
+	At     time.Time
+}
