Take a group out at once when a member refuses a connection

Cause: a member counted as alive until its last sighting was older than alive_bound (2 s), also when its process was known to be gone. Ruled out: a shorter bound; it would take groups out on any late poll. Conclusion: a refused connection is evidence, silence still waits for the bound. TestRefusedMemberTakesGroupOutAtOnce fails without the comparison of SeenAt with LostAt.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -6,10 +6,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"redwinghall"
@@ -20,8 +22,9 @@
 
 // The kinds of endpoint error.
 const (
-	Unreachable Kind = "endpoint_unreachable"
-	StaleOrder  Kind = "stale_order" // the engine has obeyed a higher fencing number
+	Unreachable Kind = "endpoint_unreachable" // silent, or the way to it is
+	Refused     Kind = "endpoint_refused"     // its VM answers, its process is gone
+	StaleOrder  Kind = "stale_order"          // the engine has obeyed a higher fencing number
 	BadAnswer   Kind = "bad_answer"
 )
 
@@ -92,7 +95,7 @@
 	}
 	answer, err := c.client.Do(request)
 	if err != nil {
-		return nil, redwinghall.NewOpError(op, Unreachable, err)
+		return nil, redwinghall.NewOpError(op, kindOf(err), err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
@@ -108,3 +111,14 @@
 		return nil, redwinghall.NewOpError(op, BadAnswer, fmt.Errorf("status %d", answer.StatusCode))
 	}
 }
+
+// kindOf tells a process that is gone from silence. A connection that was
+// refused or reset means that the VM is there and its process is not; a
+// time-out may be the network's.
+func kindOf(err error) Kind {
+	gone := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
+	if gone {
+		return Refused
+	}
+	return Unreachable
+}
--- a/endpoint/poller.go
+++ b/endpoint/poller.go
@@ -77,20 +77,22 @@
 
 func (p *Poller) pollGroup(ctx context.Context, t *health.Tracker, now time.Time) {
 	members := t.Group().Members
-	reports := make([]*redwinghall.Report, len(members))
+	reports := make([]redwinghall.Report, len(members))
+	errs := make([]error, len(members))
 	round := kernel.NewGroup(ctx)
 	for i, m := range members {
 		round.Go("endpoint.poll", func(ctx context.Context) error {
-			if r, err := p.engine.Report(ctx, m.Address); err == nil {
-				reports[i] = &r
-			}
+			reports[i], errs[i] = p.engine.Report(ctx, m.Address)
 			return nil
 		})
 	}
 	_ = round.Wait() // the rounds return no errors
-	for i, r := range reports {
-		if r != nil {
-			t.Observe(i, *r, now)
+	for i, err := range errs {
+		switch {
+		case err == nil:
+			t.Observe(i, reports[i], now)
+		case redwinghall.KindOf[Kind](err) == Refused:
+			t.Refused(now)
 		}
 	}
 	p.node.Observe(t.Word())
--- a/group.go
+++ b/group.go
@@ -74,6 +74,8 @@
 	// SeenAt is when the member that was seen longest ago was last seen alive
 	// under this generation with its first start id. Zero: not all were seen.
 	SeenAt time.Time
+	// LostAt is when a member last refused a connection: its process is gone.
+	LostAt time.Time
 	// Broken says that a member was found restarted, or in another group. It
 	// is final for the generation: only a new order can make the group whole.
 	Broken    bool
@@ -88,9 +90,10 @@
 // Guard: a replica that lost a VM answers nothing or garbage, and a router
 // that trusts an old list keeps sending work there; the caller sees a stall.
 // The bound turns silence into absence, and the generation ties the sighting
-// to the very members that the group now has.
+// to the very members that the group now has. A member that refuses a
+// connection is known to be gone, and takes the group out without the wait.
 func (h GroupHealth) Whole(g Group, now time.Time, bound time.Duration) bool {
-	if h.Broken || !h.Ready || h.Generation != g.Generation {
+	if h.Broken || !h.Ready || h.Generation != g.Generation || !h.SeenAt.After(h.LostAt) {
 		return false
 	}
 	return !h.SeenAt.IsZero() && now.Sub(h.SeenAt) <= bound
--- a/health/health.go
+++ b/health/health.go
@@ -14,6 +14,7 @@
 	starts []string // first start id seen of each member; "" until seen
 	seen   []time.Time
 	ready  []bool
+	lost   time.Time // when a member last refused a connection
 	broken bool
 	leader redwinghall.Report
 }
@@ -60,6 +61,14 @@
 	}
 }
 
+// Refused takes note that a member refused the connection of a poll that
+// began at askedAt.
+func (t *Tracker) Refused(askedAt time.Time) {
+	if askedAt.After(t.lost) {
+		t.lost = askedAt
+	}
+}
+
 // notInGroup handles a report under another group or generation. Before the
 // member was first seen in the group the order may still be on its way; after
 // that the member was lost to the group.
@@ -75,7 +84,7 @@
 func (t *Tracker) Word() redwinghall.GroupHealth {
 	word := redwinghall.GroupHealth{
 		Group: t.group.ID, Generation: t.group.Generation,
-		Broken: t.broken, Ready: true,
+		Broken: t.broken, Ready: true, LostAt: t.lost,
 		Running: t.leader.Running, Completed: t.leader.Completed,
 	}
 	oldest := t.seen[0]
--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,128 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/health"
+	"redwinghall/peer"
+)
+
+const bound = 2 * time.Second
+
+var start = time.Date(2026, 1, 14, 5, 0, 0, 0, time.UTC)
+
+func pair() redwinghall.Group {
+	return redwinghall.Group{
+		ID: "g", Generation: 3,
+		Members: []redwinghall.Member{{VM: "a", Address: "a:1"}, {VM: "b", Address: "b:1"}},
+	}
+}
+
+func report(startID string) redwinghall.Report {
+	return redwinghall.Report{StartID: startID, Group: "g", Generation: 3, Ready: true}
+}
+
+func TestTrackerWord(t *testing.T) {
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tests := []struct {
+		name  string
+		polls func(*health.Tracker)
+		now   time.Time
+		whole bool
+	}{
+		{"no member seen", func(*health.Tracker) {}, start, false},
+		{"one member never seen", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+		}, start, false},
+		{"both seen", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+			tr.Observe(1, report("t"), start)
+		}, at(time.Second), true},
+		{"one silent for longer than the bound", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+			tr.Observe(1, report("t"), start)
+			tr.Observe(0, report("s"), at(3*time.Second))
+		}, at(3 * time.Second), false},
+		{"one restarted under the same address", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+			tr.Observe(1, report("t"), start)
+			tr.Observe(1, report("new"), at(time.Second))
+		}, at(time.Second), false},
+		{"one taken into another group", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+			tr.Observe(1, report("t"), start)
+			tr.Observe(1, redwinghall.Report{StartID: "t", Group: "other", Generation: 1, Ready: true}, at(time.Second))
+		}, at(time.Second), false},
+		{"one refuses connections", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+			tr.Observe(1, report("t"), start)
+			tr.Observe(0, report("s"), at(time.Second))
+			tr.Refused(at(time.Second))
+		}, at(time.Second), false},
+		{"one refused connections and answers again", func(tr *health.Tracker) {
+			tr.Observe(0, report("s"), start)
+			tr.Observe(1, report("t"), start)
+			tr.Refused(at(time.Second))
+			tr.Observe(0, report("s"), at(1500*time.Millisecond))
+			tr.Observe(1, report("t"), at(1500*time.Millisecond))
+		}, at(1500 * time.Millisecond), true},
+		{"still loading", func(tr *health.Tracker) {
+			r := report("s")
+			r.Ready = false
+			tr.Observe(0, r, start)
+			tr.Observe(1, report("t"), start)
+		}, start, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker := health.NewTracker(pair())
+			tt.polls(tracker)
+			require.Equal(t, tt.whole, tracker.Word().Whole(pair(), tt.now, bound))
+		})
+	}
+}
+
+// A driver's question goes to a replica whose second VM has just died.
+// Order: both members are seen; one process dies; the next poll is refused;
+// an older word from another router arrives after it.
+// Cause: a group counted as whole until its last sighting grew old.
+func TestRefusedMemberTakesGroupOutAtOnce(t *testing.T) {
+	book := peer.NewHealthBook()
+	tracker := health.NewTracker(pair())
+	tracker.Observe(0, report("s"), start)
+	tracker.Observe(1, report("t"), start)
+	book.Merge(tracker.Word())
+	late := tracker.Word()
+
+	now := start.Add(500 * time.Millisecond)
+	tracker.Observe(0, report("s"), now)
+	tracker.Refused(now)
+	require.True(t, book.Merge(tracker.Word()), "peers must hear at once")
+	book.Merge(late)
+
+	word, ok := book.Get("g")
+	require.True(t, ok)
+	require.False(t, word.Whole(pair(), now, bound))
+}
+
+// A haulier is sent to a replica that misses a VM, after it was known broken.
+// Order: a member restarts and the group is found broken; then a word that
+// was on its way since before the restart arrives from a peer.
+// Cause: the later arrival replaced the newer knowledge.
+func TestBrokenIsFinalForItsGeneration(t *testing.T) {
+	book := peer.NewHealthBook()
+	broken := redwinghall.GroupHealth{Group: "g", Generation: 3, Broken: true, Ready: true, SeenAt: start}
+	require.True(t, book.Merge(broken))
+	require.False(t, book.Merge(broken), "known already")
+	book.Merge(redwinghall.GroupHealth{Group: "g", Generation: 3, Ready: true, SeenAt: start.Add(time.Second)})
+	word, _ := book.Get("g")
+	require.False(t, word.Whole(pair(), start.Add(time.Second), bound))
+
+	book.Merge(redwinghall.GroupHealth{Group: "g", Generation: 4, Ready: true, SeenAt: start.Add(2 * time.Second)})
+	word, _ = book.Get("g")
+	require.True(t, word.Whole(pair().WithGeneration(4), start.Add(2*time.Second), bound))
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -42,22 +42,30 @@
 // neverSeen is the age of a group whose members were not all seen.
 const neverSeen = 1 << 30
 
+// ageOf returns how long ago t was, for a clock that need not agree.
+func ageOf(now, t time.Time) uint32 {
+	return uint32(min(max(now.Sub(t).Milliseconds(), 0), neverSeen))
+}
+
 func toHealth(now time.Time, health []redwinghall.GroupHealth) []*rpc.Health {
 	out := make([]*rpc.Health, 0, len(health))
 	for _, h := range health {
-		age := uint32(neverSeen)
+		word := &rpc.Health{
+			Group: h.Group, Generation: h.Generation, AgeMs: neverSeen, Broken: h.Broken,
+			Ready: h.Ready, Running: uint32(h.Running), Completed: h.Completed,
+		}
 		if !h.SeenAt.IsZero() {
-			age = uint32(min(max(now.Sub(h.SeenAt).Milliseconds(), 0), neverSeen))
+			word.AgeMs = ageOf(now, h.SeenAt)
 		}
-		out = append(out, &rpc.Health{
-			Group: h.Group, Generation: h.Generation, AgeMs: age, Broken: h.Broken,
-			Ready: h.Ready, Running: uint32(h.Running), Completed: h.Completed,
-		})
+		if !h.LostAt.IsZero() {
+			word.LostAgeMs = max(1, ageOf(now, h.LostAt))
+		}
+		out = append(out, word)
 	}
 	return out
 }
 
-// fromHealth turns an age back into a time of this process's clock: the clocks
+// fromHealth turns ages back into times of this process's clock: the clocks
 // of two VMs need not agree.
 func fromHealth(now time.Time, h *rpc.Health) redwinghall.GroupHealth {
 	out := redwinghall.GroupHealth{
@@ -67,5 +75,8 @@
 	if h.AgeMs < neverSeen {
 		out.SeenAt = now.Add(-time.Duration(h.AgeMs) * time.Millisecond)
 	}
+	if h.LostAgeMs > 0 {
+		out.LostAt = now.Add(-time.Duration(h.LostAgeMs) * time.Millisecond)
+	}
 	return out
 }
--- a/peer/health_book.go
+++ b/peer/health_book.go
@@ -19,14 +19,15 @@
 	return &HealthBook{groups: map[string]redwinghall.GroupHealth{}}
 }
 
-// Merge takes a word on a group. It reports whether the group was found
-// broken by it for the first time, which peers must hear at once.
+// Merge takes a word on a group. It reports whether the word takes the group
+// out of service, which peers must hear at once.
 //
 // Guard: a word that is on its way while a member restarts arrives after the
 // word "broken" and would make the group whole again; a caller would then be
 // sent to a replica that misses a VM. Broken is therefore final for its
-// generation, and only a higher generation, a new order, replaces it.
-func (b *HealthBook) Merge(h redwinghall.GroupHealth) (newlyBroken bool) {
+// generation, and only a higher generation, a new order, replaces it. A
+// refused connection counts until all members were asked again later.
+func (b *HealthBook) Merge(h redwinghall.GroupHealth) (newlyOut bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held, ok := b.groups[h.Group]
@@ -34,18 +35,29 @@
 		b.groups[h.Group] = h
 		return h.Broken
 	}
-	if h.Generation < held.Generation || held.Broken {
+	if h.Generation < held.Generation {
 		return false
 	}
-	if h.Broken {
-		held.Broken = true
-		b.groups[h.Group] = held
-		return true
-	}
+	next := held
 	if h.SeenAt.After(held.SeenAt) {
-		b.groups[h.Group] = h
+		next = h
+	}
+	next.Broken = held.Broken || h.Broken
+	next.LostAt = later(held.LostAt, h.LostAt)
+	b.groups[h.Group] = next
+	return (next.Broken && !held.Broken) || (lost(next) && !lost(held))
+}
+
+// lost reports whether a member refused a connection since all were seen.
+func lost(h redwinghall.GroupHealth) bool {
+	return !h.LostAt.IsZero() && !h.SeenAt.After(h.LostAt)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return false
+	return b
 }
 
 // Get returns the freshest word on a group.
@@ -62,7 +74,7 @@
 	defer b.mu.Unlock()
 	var out []redwinghall.GroupHealth
 	for _, h := range b.groups {
-		if h.Broken || now.Sub(h.SeenAt) <= bound {
+		if h.Broken || now.Sub(h.SeenAt) <= bound || now.Sub(h.LostAt) <= bound {
 			out = append(out, h)
 		}
 	}
