Prove at most once and not_run with the service's own count

Cause looked for: each way in which a booking could run twice, or run after it was refused. Tests bring them about against stand-ins over TCP.

--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -44,8 +44,9 @@
 	mu     sync.Mutex
 	runs   map[string]int
 	faults Faults
-	// Ran receives each key that ran, when it is not nil.
-	Ran chan string
+	// Began receives the key of each call that has arrived, before its delay
+	// and its run, when it is not nil. Set it before the first call.
+	Began chan string
 }
 
 // New returns a service that has run nothing.
@@ -94,10 +95,13 @@
 	if f.CutBeforeRun > 0 {
 		panic(http.ErrAbortHandler)
 	}
+	key := r.Header.Get("Idempotency-Key")
+	if s.Began != nil {
+		s.Began <- key
+	}
 	if f.Delay > 0 {
 		time.Sleep(f.Delay.Std())
 	}
-	key := r.Header.Get("Idempotency-Key")
 	run := s.run(key)
 	if f.CutAfterRun > 0 {
 		panic(http.ErrAbortHandler)
@@ -113,11 +117,7 @@
 	s.mu.Lock()
 	s.runs[key]++
 	n := s.runs[key]
-	ran := s.Ran
 	s.mu.Unlock()
-	if ran != nil {
-		ran <- key
-	}
 	return n
 }
 
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -25,6 +25,11 @@
 	// without an answer.
 	LateWrites int                  `json:"late_writes"`
 	LateBy     redwinghall.Duration `json:"late_by"`
+	// Skip is how many commits pass unharmed before answers are lost or late.
+	Skip int `json:"skip"`
+	// HoldAnswers lets operations take effect and holds their answers until
+	// the faults change.
+	HoldAnswers bool `json:"hold_answers"`
 	// Latency is added to each operation.
 	Latency redwinghall.Duration `json:"latency"`
 }
@@ -163,16 +168,38 @@
 	if err := t.enter(ctx, "Table.Commit"); err != nil {
 		return err
 	}
+	err := t.commit(txn)
+	t.hold(ctx)
+	return err
+}
+
+// hold keeps an answer back while the faults say so.
+func (t *Table) hold(ctx context.Context) {
+	t.mu.Lock()
+	held, changed := t.faults.HoldAnswers, t.changed
+	t.mu.Unlock()
+	if !held {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	}
+}
+
+func (t *Table) commit(txn redwinghall.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Commits++
-	if t.faults.LateWrites > 0 {
+	harm := t.faults.Skip == 0
+	t.faults.Skip = max(0, t.faults.Skip-1)
+	if harm && t.faults.LateWrites > 0 {
 		t.faults.LateWrites--
 		t.applyLater(txn, t.faults.LateBy.Std())
 		return redwinghall.NewOpError("Table.Commit", redwinghall.TableUnknown, errSilent)
 	}
 	conflicts := t.apply(txn)
-	if t.faults.LoseAnswers > 0 {
+	if harm && t.faults.LoseAnswers > 0 {
 		t.faults.LoseAnswers--
 		return redwinghall.NewOpError("Table.Commit", redwinghall.TableUnknown, errSilent)
 	}
