Continue cut, silent and shuffled streams until they are whole

Cause 1: the stand-in link lost track of half-closed pairs and a test hung; mended there. Cause 2: four tries within 1 ms were spent on one short disturbance, and a stream that advanced was given up after four cuts. Cause 3: a router that owned no cold group could not serve at all until its owner had warmed it; requests waited for their deadline. They now go to the owner, one hop.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -18,6 +18,30 @@
 	"redwinghall/route"
 )
 
+// backoffStep is the first pause before a try that follows two that brought
+// nothing: the first retry goes to another group at once, later ones give a
+// short disturbance time to pass.
+const backoffStep = 25 * time.Millisecond
+
+// backoff doubles with each fruitless try; half of it is random, so that
+// requests that failed together do not come back together.
+func backoff(fruitless int) time.Duration {
+	full := backoffStep << (fruitless - 2)
+	return full/2 + rand.N(full/2)
+}
+
+// pause waits and reports whether the request still has time.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // avoidAfterFailure keeps a group that failed a request out of the first
 // choice for a while, so that retries do not meet the same straggler again.
 const avoidAfterFailure = 2 * time.Second
@@ -47,18 +71,20 @@
 // target is where one try goes.
 type target struct {
 	address string
-	slot    *route.Slot // nil: a router of another zone
-	zone    string
+	slot    *route.Slot // nil: another router
 }
 
-// run tries until the answer is complete, the deadline passes, the tries or
-// the budget end.
+// run tries until the answer is complete, the deadline passes, the budget is
+// spent, or several tries in a row bring nothing. A try that brought chunks
+// does not count: an answer that advances is worth going on with.
 func (l *relay) run(ctx context.Context, prefix uint64) error {
 	var last error
-	for try := range l.server.config.MaxTries {
+	fruitless := 0 // tries in a row that brought no chunk
+	for try := 0; fruitless < l.server.config.MaxTries; try++ {
 		if try > 0 && !l.server.budget.Spend() {
 			break
 		}
+		from := l.sequence.next
 		where, err := l.choose(ctx, prefix, try)
 		if err != nil {
 			if last == nil {
@@ -76,6 +102,13 @@
 		klog.V(1).InfoS("try_failed", "request_id", l.request.id, "address", where.address,
 			"position", l.sequence.next, "cause", last.Error())
 		l.noteFailure(where)
+		fruitless++
+		if l.sequence.next > from {
+			fruitless = 0
+		}
+		if fruitless > 1 && !pause(ctx, backoff(fruitless)) {
+			break
+		}
 	}
 	return l.giveUp(ctx, last)
 }
@@ -106,11 +139,18 @@
 	return redwinghall.NewOpError("relay.giveUp", redwinghall.CodeEndpointFailed, cause)
 }
 
-// choose returns where to try next: a group of this zone, or a router of
-// another zone when this one is out of service or has no usable group.
+// choose returns where to try next: a group of this zone; the router that
+// feeds the zone's cold groups when all are cold and none is fed from here; or
+// a router of another zone when this one is out of service or has no usable
+// group.
 func (l *relay) choose(ctx context.Context, prefix uint64, try int) (target, error) {
 	s := l.server
 	out := s.board.View().ZoneOut(s.config.AvailabilityZone)
+	if !out && l.request.hops == 0 {
+		if owner := s.board.ColdOwner(l.model.Model.ID, time.Now(), l.tried); owner != "" {
+			return target{address: owner}, nil
+		}
+	}
 	if !out {
 		slot, err := l.chooseSlot(ctx, prefix, try)
 		if err == nil {
@@ -148,7 +188,7 @@
 		}
 		for _, j := range rand.Perm(len(g.Routers)) {
 			if !tried[g.Routers[j]] {
-				return target{address: g.Routers[j], zone: g.AvailabilityZone}, true
+				return target{address: g.Routers[j]}, true
 			}
 		}
 	}
--- /dev/null
+++ b/caller/stream_test.go
@@ -0,0 +1,202 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/caller"
+	"redwinghall/kernel"
+	"redwinghall/rwhtest"
+	"redwinghall/standin/engine"
+	"redwinghall/standin/link"
+)
+
+// streaming starts one zone with three groups of two VMs.
+func streaming(t *testing.T, stall time.Duration) *rwhtest.Deployment {
+	t.Helper()
+	d := rwhtest.Start(t, rwhtest.Options{
+		RoutersPerZone: 2, VMsPerGroup: 2, Replicas: 3, StallTimeout: stall,
+		Engine: engine.Config{TokenDelay: redwinghall.Duration(time.Millisecond)},
+	})
+	d.Submit("v1")
+	return d
+}
+
+// Road crews lose their fitting guidance in the middle of an answer.
+// Order: many answers stream at once; engines cut some after a few chunks,
+// double and reorder others; each goes on at another group.
+// Judge: every answer equals, byte for byte, what the engine must say.
+func TestCutAndShuffledStreamsStayWhole(t *testing.T) {
+	d := streaming(t, 20*time.Second)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i, vm := range d.VMs() {
+		if vm.Service == "" {
+			d.Fleet.VM(vm.ID).SetFaults(engine.StreamFaults{
+				CutEvery: 3, CutAt: 1 + random.IntN(23), Shuffle: i%2 == 0,
+			})
+		}
+	}
+	result := d.Load(1200, 32, 24, 0, 1)
+	require.Equal(t, 1200, result.Whole, result.String())
+}
+
+// A driver's answer stops and never goes on.
+// Order: the engine sends some chunks and falls silent with the connection
+// open. Cause: nothing bounded the time between chunks.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	d := streaming(t, 300*time.Millisecond)
+	for _, vm := range d.VMs() {
+		if vm.Service == "" {
+			d.Fleet.VM(vm.ID).SetFaults(engine.StreamFaults{StallStreams: 1, CutAt: 5})
+		}
+	}
+	result := d.Load(20, 4, 24, 0, 1)
+	require.Equal(t, 20, result.Whole, result.String())
+}
+
+// Every connection to an endpoint that was open goes silent for good, while
+// new ones work: something between the ends has lost track of them.
+func TestForgottenConnectionsAreReplaced(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{
+		VMsPerGroup: 1, Replicas: 2, StallTimeout: 300 * time.Millisecond,
+		Engine: engine.Config{TokenDelay: redwinghall.Duration(time.Millisecond)},
+	})
+	g := kernel.NewGroup(context.Background())
+	t.Cleanup(func() { g.Stop(); _ = g.Wait() })
+	vms := d.VMs()
+	var links []*link.Link
+	for i := range vms {
+		if vms[i].Service != "" {
+			continue
+		}
+		l, err := link.New(g, "127.0.0.1:0", vms[i].Address)
+		require.NoError(t, err)
+		vms[i].Address = l.Address()
+		links = append(links, l)
+	}
+	d.Table.SetVMs(vms)
+	d.Submit("v1")
+	before := d.Load(20, 4, 8, 0)
+	require.Equal(t, 20, before.Whole, before.String())
+	for _, l := range links {
+		l.Set(link.Swallow, 0)
+		l.Set(link.Pass, 0)
+	}
+	result := d.Load(20, 4, 8, 0)
+	require.Equal(t, 20, result.Whole, result.String())
+}
+
+// Callers with equal questions at the same time must each get an answer of
+// their own, whole, also when their chunks have equal positions.
+func TestEqualRequestsAtOnceAreKeptApart(t *testing.T) {
+	d := streaming(t, 20*time.Second)
+	body := `{"model":"` + rwhtest.Model + `","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"same"}]}`
+	replies := make(chan rwhtest.Reply, 50)
+	g := kernel.NewGroup(t.Context())
+	for i := range 50 {
+		g.Go("ask", func(ctx context.Context) error {
+			r, err := d.Call(ctx, http.MethodPost, d.Caller(i%2), "/v1/chat/completions", body, nil)
+			replies <- r
+			return err
+		})
+	}
+	require.NoError(t, g.Wait())
+	close(replies)
+	ids := map[string]bool{}
+	for r := range replies {
+		id := r.Header.Get(caller.HeaderRequestID)
+		require.False(t, ids[id], "an id was given twice")
+		ids[id] = true
+		require.Equal(t, 13, strings.Count(r.Body, "id: "+id+"/"), "every chunk carries the caller's own id")
+		require.True(t, strings.HasSuffix(r.Body, "data: [DONE]\n\n"))
+	}
+}
+
+func TestWholeAnswerEqualsStream(t *testing.T) {
+	d := streaming(t, 20*time.Second)
+	body := `{"model":"` + rwhtest.Model + `","max_tokens":5,"messages":[{"role":"user","content":"x"}]}`
+	r, err := d.Call(t.Context(), http.MethodPost, d.Caller(0), "/v1/chat/completions", body, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, r.Status)
+	request := engine.ChatRequest{Model: rwhtest.Model, MaxTokens: 5, Messages: []json.RawMessage{[]byte(`{"role":"user","content":"x"}`)}}
+	require.Contains(t, r.Body, request.Expected())
+}
+
+func TestChatRequestsAreChecked(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{})
+	d.Submit("v1")
+	tests := []struct {
+		name string
+		body string
+		want redwinghall.Code
+	}{
+		{"not JSON", `{`, redwinghall.CodeBadRequest},
+		{"no model", `{"messages":[1]}`, redwinghall.CodeBadRequest},
+		{"no messages", `{"model":"chain-advice"}`, redwinghall.CodeBadRequest},
+		{"unknown model", `{"model":"none","messages":[1]}`, redwinghall.CodeUnknownModel},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, err := d.Call(t.Context(), http.MethodPost, d.Caller(0), "/v1/chat/completions", tt.body, nil)
+			require.NoError(t, err)
+			require.Equal(t, tt.want, codeOf(t, r))
+		})
+	}
+}
+
+func TestEventReader(t *testing.T) {
+	tests := []struct {
+		name string
+		in   string
+		want []caller.Event
+	}{
+		{"id and data", "id: r/3\ndata: x\n\n", []caller.Event{{RequestID: "r", Position: 3, HasID: true, Data: []byte("x")}}},
+		{"carriage returns", "id: r/0\r\ndata: x\r\n\r\n", []caller.Event{{RequestID: "r", HasID: true, Data: []byte("x")}}},
+		{"two data lines", "data: a\ndata: b\n\n", []caller.Event{{Data: []byte("a\nb")}}},
+		{"comment and empty event", ": hello\n\nid: r/1\n\ndata: x\n\n", []caller.Event{{Data: []byte("x")}}},
+		{"id without position", "id: r\ndata: x\n\n", []caller.Event{{Data: []byte("x")}}},
+		{"negative position", "id: r/-1\ndata: x\n\n", []caller.Event{{Data: []byte("x")}}},
+		{"cut off", "id: r/1\ndata: x\n", nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reader := caller.NewEventReader(strings.NewReader(tt.in))
+			var got []caller.Event
+			for {
+				e, err := reader.Next()
+				if err != nil {
+					break
+				}
+				e.Data = bytes.Clone(e.Data)
+				got = append(got, e)
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: r/3\ndata: x\n\n"))
+	f.Add([]byte("id: /\ndata:\r\n\r\n: c\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		reader := caller.NewEventReader(bytes.NewReader(in))
+		for {
+			e, err := reader.Next()
+			if err != nil {
+				return
+			}
+			if e.HasID && e.Position < 0 {
+				t.Fatalf("position %d", e.Position)
+			}
+		}
+	})
+}
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -91,7 +91,7 @@
 	g.Every("platform.head", r.settings.HeadInterval.Std()/4, r.follower.Tick)
 	g.Every("endpoint.poll", r.settings.PollInterval.Std(), r.Poller.Tick)
 	g.Every("route.refresh", refreshInterval, func(_ context.Context, now time.Time) {
-		r.Board.Refresh(now, r.Node.Health, endpoint.RouterIDs(r.Node))
+		r.Board.Refresh(now, r.Node.Health, r.Node.Live(peer.Router))
 	})
 	g.Go("route.rebuild", r.rebuildLoop)
 	if err := serve(g, "caller.listener", callers, r.settings.MaxConnections); err != nil {
@@ -120,7 +120,7 @@
 			return nil
 		case <-r.Node.Store.Changed():
 			r.Board.Rebuild(r.Node.Store)
-			r.Board.Refresh(time.Now(), r.Node.Health, endpoint.RouterIDs(r.Node))
+			r.Board.Refresh(time.Now(), r.Node.Health, r.Node.Live(peer.Router))
 		}
 	}
 }
--- a/route/board.go
+++ b/route/board.go
@@ -233,9 +233,15 @@
 }
 
 // Refresh hands the newest health to the slots, sets their limits, and lets
-// waiting requests through where room appeared. routers are the ids of the
-// zone's live routers.
-func (b *Board) Refresh(now time.Time, book *peer.HealthBook, routers []string) {
+// waiting requests through where room appeared. routers are the zone's live
+// routers.
+func (b *Board) Refresh(now time.Time, book *peer.HealthBook, routers []peer.Member) {
+	ids := make([]string, len(routers))
+	addresses := make(map[string]string, len(routers))
+	for i, r := range routers {
+		ids[i] = r.ID
+		addresses[r.ID] = r.CallerAddress
+	}
 	for _, model := range b.View().Models {
 		for _, s := range model.Slots {
 			g := s.Group()
@@ -243,16 +249,51 @@
 			if !ok {
 				continue
 			}
+			owner := Owner(g.ID, ids)
+			limit := b.ramp.Share(ramp.Input{
+				Group: g, Completed: h.Completed, Routers: len(routers), Owner: owner == b.self,
+			})
 			s.SetHealth(h)
-			s.SetLimit(b.ramp.Share(ramp.Input{
-				Group: g, Completed: h.Completed, Routers: len(routers),
-				Owner: Owner(g.ID, routers) == b.self,
-			}))
+			s.SetLimit(limit)
+			if limit > 0 {
+				owner = b.self
+			}
+			s.SetOwner(ownerAddress(owner, b.self, addresses))
 		}
 		model.Gate.Wake(now)
 	}
 }
 
+func ownerAddress(owner, self string, addresses map[string]string) string {
+	if owner == self {
+		return ""
+	}
+	return addresses[owner]
+}
+
+// ColdOwner returns the caller address of a router that feeds a cold group of
+// the model when this router may not send to any usable group itself; "" when
+// it may, or when there is none.
+func (b *Board) ColdOwner(model string, now time.Time, tried map[string]bool) string {
+	m, ok := b.View().Models[model]
+	if !ok {
+		return ""
+	}
+	found := ""
+	for _, s := range m.Slots {
+		if !s.Usable(now, b.bound) {
+			continue
+		}
+		if s.Limit() > 0 {
+			return ""
+		}
+		if owner := s.Owner(); owner != "" && !tried[owner] {
+			found = owner
+		}
+	}
+	return found
+}
+
 // Owner returns which of the members owns an item: the one with the highest
 // hash (rendezvous hashing), so that a member's loss moves only its own items.
 func Owner(item string, members []string) string {
--- a/route/route.go
+++ b/route/route.go
@@ -21,6 +21,9 @@
 	// avoidUntil, in nanoseconds since 1970, keeps a group that just failed a
 	// request out of the first choice.
 	avoidUntil atomic.Int64
+	// owner is the caller address of the router that feeds the group while it
+	// is cold; empty when this router may send itself.
+	owner atomic.Pointer[string]
 }
 
 // NewSlot returns a slot of the group that takes no work until it has health
@@ -54,6 +57,18 @@
 // Limit returns how many requests this router may have in the group.
 func (s *Slot) Limit() int { return int(s.limit.Load()) }
 
+// SetOwner names the router that feeds the group while it is cold; empty when
+// this router may send itself.
+func (s *Slot) SetOwner(callerAddress string) { s.owner.Store(&callerAddress) }
+
+// Owner returns the router that feeds the group while it is cold, or "".
+func (s *Slot) Owner() string {
+	if p := s.owner.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
 // InFlight returns how many requests this router has in the group.
 func (s *Slot) InFlight() int { return int(s.inFlight.Load()) }
 
--- a/rwhtest/deployment.go
+++ b/rwhtest/deployment.go
@@ -145,9 +145,22 @@
 	host := ip()
 	d.startStandIns(host)
 	d.startDaemons(host)
+	d.Eventually("every process answers", d.answering)
 	return d
 }
 
+func (d *Deployment) answering() bool {
+	for i := range d.callers {
+		if _, err := d.Operator(i).Status(d.t.Context()); err != nil {
+			return false
+		}
+		if _, err := d.Call(d.t.Context(), http.MethodGet, d.callers[i], "/healthz", "", nil); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Deployment) startStandIns(host string) {
 	d.Fleet = engine.NewFleet(d.options.Engine)
 	for z, zone := range d.options.Zones {
@@ -352,7 +365,7 @@
 	}
 	usable := 0
 	for _, s := range model.Slots {
-		if s.Usable(time.Now(), d.options.AliveBound) && s.Limit() > 0 && s.Group().Version == version {
+		if s.Usable(time.Now(), d.options.AliveBound) && (s.Limit() > 0 || s.Owner() != "") && s.Group().Version == version {
 			usable++
 		}
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -82,6 +82,7 @@
 	die         context.CancelFunc
 	loads       []loadSample
 	faults      StreamFaults
+	streams     int
 }
 
 type loadSample struct {
@@ -91,9 +92,9 @@
 
 // StreamFaults makes coming streams of a VM misbehave.
 type StreamFaults struct {
-	// CutAfter ends that many coming streams after CutAt chunks.
-	CutStreams int `json:"cut_streams"`
-	CutAt      int `json:"cut_at"`
+	// CutEvery ends every so many-th stream after CutAt chunks. 0: none.
+	CutEvery int `json:"cut_every"`
+	CutAt    int `json:"cut_at"`
 	// StallStreams makes that many coming streams silent after CutAt chunks.
 	StallStreams int `json:"stall_streams"`
 	// Shuffle doubles and reorders chunks.
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -112,13 +112,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	f := v.faults
-	switch {
-	case f.CutStreams > 0:
-		v.faults.CutStreams--
-		f.StallStreams = 0
-	case f.StallStreams > 0:
-		v.faults.StallStreams--
+	v.streams++
+	if f.CutEvery > 0 && v.streams%f.CutEvery != 0 {
+		f.CutEvery = 0
 	}
+	v.faults.StallStreams = max(0, v.faults.StallStreams-1)
 	return f
 }
 
@@ -139,7 +137,7 @@
 		return false
 	}
 	for position := from; position <= last; position++ {
-		if s.faults.CutStreams > 0 && position-from >= s.faults.CutAt {
+		if s.faults.CutEvery > 0 && position-from >= s.faults.CutAt {
 			return false
 		}
 		if s.faults.StallStreams > 0 && position-from >= s.faults.CutAt {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -38,6 +38,7 @@
 type pair struct {
 	a, b      net.Conn
 	swallowed bool
+	ended     int // directions; after both the pair is forgotten
 }
 
 // New listens on address and forwards to target until the group stops.
@@ -97,18 +98,31 @@
 			continue
 		}
 		p := &pair{a: conn, b: other}
-		l.mu.Lock()
-		l.conns[p] = true
-		l.mu.Unlock()
-		g.Go("link.copy", func(context.Context) error { return l.copy(p, p.b, p.a) })
-		g.Go("link.copy", func(context.Context) error { return l.copy(p, p.a, p.b) })
+		if !l.add(p) {
+			continue
+		}
+		g.Go("link.copy", func(context.Context) error { l.copy(p, p.b, p.a); return nil })
+		g.Go("link.copy", func(context.Context) error { l.copy(p, p.a, p.b); return nil })
+	}
+}
+
+// add counts a pair in, or closes it when the link was cut in the meantime.
+func (l *Link) add(p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mode == Cut {
+		_ = p.a.Close()
+		_ = p.b.Close()
+		return false
 	}
+	l.conns[p] = true
+	return true
 }
 
 const bufferSize = 32 << 10
 
 // copy moves bytes one way until an end closes.
-func (l *Link) copy(p *pair, to, from net.Conn) error {
+func (l *Link) copy(p *pair, to, from net.Conn) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
@@ -130,10 +144,13 @@
 	}
 	l.mu.Lock()
 	swallowed := p.swallowed
-	delete(l.conns, p)
+	p.ended++
+	if p.ended == 2 {
+		delete(l.conns, p)
+	}
 	l.mu.Unlock()
 	if !swallowed {
 		_ = to.Close()
 	}
-	return from.Close()
+	_ = from.Close() // the other direction may have closed it
 }
