--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -80,6 +80,11 @@
 	metrics.GetOrRegisterCounter("outcomes."+code, m.registry).Inc(1)
 }
 
+// Gauge adds a value that is read whenever the metrics are written.
+func (m *Metrics) Gauge(name string, read func() int64) {
+	metrics.NewRegisteredFunctionalGauge(name, m.registry, read)
+}
+
 func observe(h metrics.Histogram, d time.Duration) { h.Update(d.Microseconds()) }
 
 // ServeHTTP writes all metrics as JSON.
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -18,6 +18,11 @@
 	"redwinghall/route"
 )
 
+// lingerTime is how long an endpoint may take to end its HTTP answer after
+// the end mark. Only a connection that was read to its end can be used again;
+// without it each request would open a new one.
+const lingerTime = 50 * time.Millisecond
+
 // backoffStep is the first pause before a try that follows two that brought
 // nothing: the first retry goes to another group at once, later ones give a
 // short disturbance time to pass.
@@ -260,7 +265,7 @@
 			complete = true
 			return l.sink.done(position)
 		}
-		return l.sink.chunk(position, data)
+		return l.sink.chunk(position, data, events.More())
 	}
 	for !complete {
 		event, err := events.Next()
@@ -276,6 +281,8 @@
 			return errBadStream
 		}
 	}
+	stall.Reset(lingerTime)
+	events.drain()
 	return nil
 }
 
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	HeaderReplayed    = "Idempotency-Replayed"
 	// HeaderHops counts how often routers have forwarded the request.
 	HeaderHops = "X-Redwinghall-Hops"
+	// HeaderGeneration tells, on readyz, which manifest the router has in force.
+	HeaderGeneration = "X-Redwinghall-Generation"
 )
 
 // Handler returns the callers' routes.
@@ -54,6 +57,7 @@
 // not before a manifest is known, and not while the zone is out of service.
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
 	view := s.board.View()
+	w.Header().Set(HeaderGeneration, strconv.FormatUint(view.Accepted.Generation, 10))
 	switch {
 	case s.draining.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -14,7 +14,8 @@
 type sink interface {
 	// position is the first position that the caller still wants.
 	position() int
-	chunk(position int, data []byte) error
+	// chunk takes one chunk; more says that the next one is here already.
+	chunk(position int, data []byte, more bool) error
 	// done ends a complete answer.
 	done(position int) error
 	// abort tells the caller that the answer ends here; it reports false when
@@ -82,14 +83,17 @@
 
 func (k *streamSink) position() int { return k.first }
 
-func (k *streamSink) chunk(position int, data []byte) error {
+// chunk passes a chunk on. It is sent at once unless the next one is here
+// already: then both go in one packet, which costs one system call less and
+// the caller no time.
+func (k *streamSink) chunk(position int, data []byte, more bool) error {
 	k.start()
 	k.clock.tick(time.Now())
 	k.buffer = appendEvent(k.buffer[:0], k.id, position, data)
-	return k.send(k.buffer)
+	return k.send(k.buffer, !more)
 }
 
-func (k *streamSink) done(position int) error { return k.chunk(position, doneData) }
+func (k *streamSink) done(position int) error { return k.chunk(position, doneData, false) }
 
 func (k *streamSink) abort(code redwinghall.Code) bool {
 	if !k.started {
@@ -100,7 +104,7 @@
 	if err != nil {
 		return true
 	}
-	_ = k.send(append(append([]byte("data: "), data...), "\n\n"...)) // the caller may be gone
+	_ = k.send(append(append([]byte("data: "), data...), "\n\n"...), true) // the caller may be gone
 	return true
 }
 
@@ -115,10 +119,13 @@
 	k.w.WriteHeader(http.StatusOK)
 }
 
-func (k *streamSink) send(data []byte) error {
+func (k *streamSink) send(data []byte, flush bool) error {
 	if _, err := k.w.Write(data); err != nil {
 		return errors.Join(errSinkGone, err)
 	}
+	if !flush {
+		return nil
+	}
 	if err := k.flusher.Flush(); err != nil {
 		return errors.Join(errSinkGone, err)
 	}
@@ -176,7 +183,7 @@
 
 func (k *wholeSink) position() int { return 0 }
 
-func (k *wholeSink) chunk(_ int, data []byte) error {
+func (k *wholeSink) chunk(_ int, data []byte, _ bool) error {
 	var c completionChunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return redwinghall.NewOpError("wholeSink.chunk", redwinghall.CodeEndpointFailed, err)
--- a/caller/sse.go
+++ b/caller/sse.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// More reports whether another event may be read without waiting.
+func (e *EventReader) More() bool { return e.r.Buffered() > 0 }
+
+// drain reads what follows the end mark: nothing but the end of the stream.
+func (e *EventReader) drain() {
+	_, _ = io.CopyN(io.Discard, e.r, maxEventLine) // an error ends it as well
+}
+
 func trimEnd(line []byte) []byte {
 	line = bytes.TrimSuffix(line, []byte("\n"))
 	return bytes.TrimSuffix(line, []byte("\r"))
--- a/cmd/standin/examples.go
+++ b/cmd/standin/examples.go
@@ -184,6 +184,7 @@
 		ID: id, AvailabilityZone: zone, PeerAddress: d.address(peerPort), PlatformAddress: d.address(portPlatform),
 		Peers: d.peers(), PeerToken: daemon.Token{Env: "RWH_PEER_TOKEN"},
 		ExchangeInterval: redwinghall.Duration(500 * time.Millisecond),
+		AliveBound:       redwinghall.Duration(2 * time.Second),
 	}
 }
 
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -123,6 +123,11 @@
 // Status implements operator.Backend.
 func (c *Controller) Status(now time.Time) operator.Status {
 	held := c.Manager.Lease()
+	if !held.Holding {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c.Node.AskHealth(ctx, now)
+	}
 	accepted, _ := c.Manifest()
 	out := operator.Status{
 		Controller: c.settings.ID, AvailabilityZone: c.settings.AvailabilityZone,
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -66,9 +67,23 @@
 		return ExitDone
 	}
 	SetupLogs(options.Verbose)
+	tuneMemory()
 	return run(name, options, out, errOut, start)
 }
 
+// A daemon's live heap is a few MiB, so the default of the collector runs it
+// every few thousand requests. It may use more memory instead, up to a limit
+// below the 256 MiB that a node may spend on control.
+const (
+	collectPercent = 400
+	memoryLimit    = 192 << 20
+)
+
+func tuneMemory() {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(memoryLimit)
+}
+
 func run(name string, options Options, out, errOut io.Writer, start func(string, bool) (func(context.Context) error, error)) int {
 	serve, err := start(options.Settings, options.Check)
 	if err != nil {
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -69,12 +69,28 @@
 		StallTimeout: s.StallTimeout.Std(), SettleTimeout: s.SettleTimeout.Std(),
 		MaxTries: s.MaxTries, RetryPercent: s.RetryPercent,
 	}, board, keeper, calls)
-	return &Router{
+	r := &Router{
 		settings: s, Node: node, Board: board, Server: server, Keeper: keeper,
 		Poller:   endpoint.NewPoller(endpoint.NewClient(s.PollInterval.Std()*4/5), node),
 		follower: platform.NewFollower(table, node, s.HeadInterval.Std()),
 		calls:    calls,
-	}, nil
+	}
+	r.addGauges()
+	return r, nil
+}
+
+// addGauges shows what the router spends on control beside what it serves.
+func (r *Router) addGauges() {
+	gauge := r.Server.Metrics().Gauge
+	gauge("peer.bytes_sent", func() int64 { return int64(r.Node.Traffic.Sent.Load()) })
+	gauge("peer.bytes_received", func() int64 { return int64(r.Node.Traffic.Received.Load()) })
+	gauge("endpoint.reports_asked", func() int64 { return int64(r.Poller.Polls()) })
+	gauge("claim.transactions", func() int64 { return int64(r.Keeper.Writer().Counts().Transactions) })
+	gauge("claim.rows", func() int64 { return int64(r.Keeper.Writer().Counts().Rows) })
+	gauge("claim.owed", func() int64 { return int64(r.Keeper.Owed()) })
+	gauge("retries.sent", r.Server.Budget().Spent)
+	gauge("retries.denied", r.Server.Budget().Denied)
+	gauge("manifest.generation", func() int64 { return int64(r.Board.View().Accepted.Generation) })
 }
 
 // Run serves until ctx ends, then drains: it takes no new work, finishes what
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -68,7 +68,7 @@
 func (c Common) withDefaults() Common {
 	c.ExchangeInterval = orDefault(c.ExchangeInterval, time.Second)
 	c.HeadInterval = orDefault(c.HeadInterval, time.Second)
-	c.AliveBound = orDefault(c.AliveBound, 2*time.Second)
+	c.AliveBound = orDefault(c.AliveBound, 3*time.Second)
 	return c
 }
 
--- a/endpoint/poller.go
+++ b/endpoint/poller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"redwinghall"
@@ -23,7 +24,7 @@
 	engine   redwinghall.Engine
 	node     *peer.Node
 	trackers map[string]*health.Tracker
-	polls    uint64
+	polls    atomic.Uint64
 }
 
 // NewPoller returns a poller that tells its words to node.
@@ -32,7 +33,7 @@
 }
 
 // Polls returns how many reports were asked for.
-func (p *Poller) Polls() uint64 { return p.polls }
+func (p *Poller) Polls() uint64 { return p.polls.Load() }
 
 // Tick asks once for the reports of every group that falls to this router.
 // Calls of Tick must not overlap.
@@ -51,7 +52,7 @@
 			continue
 		}
 		tracker := p.tracker(g)
-		p.polls += uint64(len(g.Members))
+		p.polls.Add(uint64(len(g.Members)))
 		round.Go("endpoint.poll_group", func(ctx context.Context) error {
 			p.pollGroup(ctx, tracker, now)
 			return nil
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,99 @@
+// Command measure finds the slopes behind docs/CAPACITY.md and
+// docs/MEASUREMENTS.md on one machine, with small stand-ins, and writes them
+// as JSON and plots. The plain ways that the product's guards replace are here
+// too, so that each can be compared in one run.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"redwinghall/daemon"
+)
+
+const help = `Measures the slopes of docs/CAPACITY.md and writes JSON and plots.
+
+Examples:
+  measure --bin bin --out docs/measurements
+  measure --bin bin --out docs/measurements --only place`
+
+type options struct {
+	Bin  string   `long:"bin" required:"yes" description:"folder with the programs" value-name:"DIR"`
+	Out  string   `long:"out" required:"yes" description:"folder for the results" value-name:"DIR"`
+	Only []string `long:"only" description:"measure only this; may be repeated" value-name:"NAME"`
+}
+
+// measurement is one named run that gives one or more series.
+type measurement struct {
+	name string
+	run  func(o options) ([]Series, error)
+}
+
+func measurements() []measurement {
+	return []measurement{
+		{"exchange", measureExchange},
+		{"poll", measurePoll},
+		{"snapshot", measureSnapshot},
+		{"route", measureRoute},
+		{"claims", measureClaims},
+		{"takeover", measureTakeover},
+		{"place", measurePlace},
+		{"request", measureRequest},
+		{"nodes", measureNodes},
+	}
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	parser := flags.NewNamedParser("measure", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = help
+	if _, err := parser.AddGroup("options", "", &o); err != nil {
+		return fail(err, daemon.ExitUsage)
+	}
+	if _, err := parser.Parse(); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(os.Stdout, flagErr.Message)
+			return daemon.ExitDone
+		}
+		return fail(err, daemon.ExitUsage)
+	}
+	daemon.SetupLogs(0)
+	klog.SetOutput(nullWriter{})
+	for _, m := range measurements() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, m.name) {
+			continue
+		}
+		started := time.Now()
+		series, err := m.run(o)
+		if err != nil {
+			return fail(fmt.Errorf("%s: %w", m.name, err), daemon.ExitRefused)
+		}
+		if err := write(o.Out, m.name, series); err != nil {
+			return fail(err, daemon.ExitRefused)
+		}
+		_, _ = fmt.Fprintf(os.Stdout, "%s (%s)\n", m.name, time.Since(started).Round(time.Second))
+		for _, s := range series {
+			_, _ = fmt.Fprintln(os.Stdout, "  "+s.String())
+		}
+	}
+	return daemon.ExitDone
+}
+
+func fail(err error, code int) int {
+	_, _ = fmt.Fprintln(os.Stderr, "measure:", err)
+	return code
+}
+
+// nullWriter drops the logs of what runs inside this process.
+type nullWriter struct{}
+
+func (nullWriter) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/measure/place.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"redwinghall"
+	"redwinghall/place"
+)
+
+// firstFit is the plain way: each wanted group takes the first VMs of the
+// first domain that has enough, in the order of the wants.
+type firstFit struct{}
+
+// Place implements place.Placer.
+func (firstFit) Place(free redwinghall.VMs, wants []place.Want) []place.Placement {
+	domains := map[string]redwinghall.VMs{}
+	var names []string
+	for _, vm := range free {
+		if domains[vm.FabricDomain] == nil {
+			names = append(names, vm.FabricDomain)
+		}
+		domains[vm.FabricDomain] = append(domains[vm.FabricDomain], vm)
+	}
+	sort.Strings(names)
+	var out []place.Placement
+	for _, w := range wants {
+		for range w.Count {
+			for _, name := range names {
+				vms := domains[name]
+				if len(vms) >= w.Model.VMsPerReplica {
+					domains[name] = vms[w.Model.VMsPerReplica:]
+					out = append(out, place.Placement{Model: w.Model, Domain: name, VMs: vms[:w.Model.VMsPerReplica]})
+					break
+				}
+			}
+		}
+	}
+	return out
+}
+
+// cluster makes VMs in domains of uneven sizes, as losses leave them.
+func cluster(random *rand.Rand, count int) redwinghall.VMs {
+	var out redwinghall.VMs
+	for domain := 0; len(out) < count; domain++ {
+		size := 8 + random.IntN(9)
+		for i := 0; i < size && len(out) < count; i++ {
+			out = append(out, redwinghall.VM{ID: fmt.Sprintf("d%03d-%02d", domain, i), FabricDomain: fmt.Sprintf("d%03d", domain),
+				Accelerators: 8, State: redwinghall.VMLive})
+		}
+	}
+	return out
+}
+
+// wantsOf asks for groups of 4, 3 and 2 VMs that would fill the cluster.
+func wantsOf(vms int) []place.Want {
+	model := func(id string, size int) redwinghall.Model {
+		return redwinghall.Model{ID: id, VMsPerReplica: size, AcceleratorsPerVM: 8}
+	}
+	return []place.Want{
+		{Model: model("two", 2), Count: vms / 8},
+		{Model: model("three", 3), Count: vms / 12},
+		{Model: model("four", 4), Count: vms / 8},
+	}
+}
+
+func measurePlace(options) ([]Series, error) {
+	var whole, one []Point
+	for _, n := range []int{80, 325, 650, 1300} {
+		vms := cluster(rand.New(rand.NewPCG(1, uint64(n))), n)
+		wants := wantsOf(n)
+		whole = append(whole, Point{float64(n), best(func() { place.Packed{}.Place(vms, wants) })})
+		single := []place.Want{{Model: wants[2].Model, Count: 1}}
+		one = append(one, Point{float64(n), best(func() { place.Packed{}.Place(vms, single) })})
+	}
+	out := []Series{
+		newSeries("all groups from nothing", "VMs", "milliseconds to place", whole),
+		newSeries("one group among all VMs free", "VMs", "milliseconds to place", one),
+	}
+	for _, p := range []struct {
+		name   string
+		placer place.Placer
+	}{{"packed", place.Packed{}}, {"first fit", firstFit{}}} {
+		stranded, missing := strandedBySize(p.placer)
+		out = append(out, newSeries(p.name, "VMs", "stranded VMs after seeded losses", stranded),
+			newSeries(p.name, "VMs", "groups that could not be formed", missing))
+	}
+	return out, nil
+}
+
+// best returns the least time of several runs, in milliseconds.
+func best(run func()) float64 {
+	least := time.Hour
+	for range 7 {
+		started := time.Now()
+		run()
+		least = min(least, time.Since(started))
+	}
+	return float64(least.Nanoseconds()) / 1e6
+}
+
+const placeSeeds = 20
+
+// strandedBySize loses one VM in twenty, at random, and places everything on
+// what is left: the mean over the seeds of VMs that serve nothing although a
+// group is wanted, and of groups that found no place.
+func strandedBySize(p place.Placer) (stranded, missing []Point) {
+	for _, n := range []int{65, 325, 1300} {
+		var sumStranded, sumMissing float64
+		for seed := range uint64(placeSeeds) {
+			random := rand.New(rand.NewPCG(seed, uint64(n)))
+			all := cluster(random, n)
+			var left redwinghall.VMs
+			for _, vm := range all {
+				if random.IntN(20) != 0 {
+					left = append(left, vm)
+				}
+			}
+			wants := wantsOf(n)
+			used, wanted := 0, 0
+			placements := p.Place(left, wants)
+			for _, one := range placements {
+				used += len(one.VMs)
+			}
+			for _, w := range wants {
+				wanted += w.Count
+			}
+			sumStranded += float64(len(left) - used)
+			sumMissing += float64(wanted - len(placements))
+		}
+		stranded = append(stranded, Point{float64(n), sumStranded / placeSeeds})
+		missing = append(missing, Point{float64(n), sumMissing / placeSeeds})
+	}
+	return stranded, missing
+}
--- /dev/null
+++ b/measure/snapshot.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"redwinghall"
+	"redwinghall/peer"
+	"redwinghall/ramp"
+	"redwinghall/route"
+)
+
+// world is the registers of one router.
+type world struct {
+	groups, models, accounts int
+}
+
+func (w world) store() *peer.Store {
+	store := peer.NewStore()
+	manifest := redwinghall.Manifest{Name: "measure"}
+	for i := range w.accounts {
+		sum := sha256.Sum256([]byte(fmt.Sprint("key", i)))
+		manifest.ClientAccounts = append(manifest.ClientAccounts,
+			redwinghall.ClientAccount{ID: fmt.Sprintf("account-%d", i), KeySHA256: []string{hex.EncodeToString(sum[:])}})
+	}
+	for i := range w.models {
+		manifest.Models = append(manifest.Models, redwinghall.Model{ID: fmt.Sprintf("model-%d", i), Version: "v1", VMsPerReplica: 4})
+	}
+	put(store, peer.KeyManifest, redwinghall.Accepted{Generation: 1, Manifest: manifest.WithDefaults()})
+	for i := range w.groups {
+		g := redwinghall.Group{ID: groupID(i), AvailabilityZone: "zone-a", Model: fmt.Sprintf("model-%d", i%w.models),
+			Generation: 1, Members: make([]redwinghall.Member, 4), MaxInFlight: 1 << 30, ColdInFlight: 1, WarmAfter: 1}
+		put(store, peer.KeyGroup("zone-a", g.ID), g)
+	}
+	return store
+}
+
+func put(store *peer.Store, key string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a struct of plain fields always marshals
+	}
+	store.Apply(peer.Entry{Key: key, Number: 1, Value: data})
+}
+
+// board returns a router's board over the world, with every group whole.
+func (w world) board(now time.Time) (*route.Board, *peer.Store) {
+	store := w.store()
+	b := route.NewBoard(route.BoardConfig{AvailabilityZone: "zone-a", Router: "router-1", AliveBound: time.Hour,
+		Ramp: ramp.Owned{}, Picker: route.TwoChoices{}})
+	b.Rebuild(store)
+	book := peer.NewHealthBook()
+	for i := range w.groups {
+		book.Merge(redwinghall.GroupHealth{Group: groupID(i), Generation: 1, SeenAt: now, Ready: true, Completed: 10})
+	}
+	b.Refresh(now, book, []peer.Member{{ID: "router-1"}})
+	return b, store
+}
+
+// measureSnapshot times the building of a new view, and its memory.
+func measureSnapshot(options) ([]Series, error) {
+	groups := sweep([]int{20, 80, 325}, func(n int) world { return world{n, 4, 50} })
+	models := sweep([]int{5, 20, 80}, func(n int) world { return world{20, n, 50} })
+	accounts := sweep([]int{10, 100, 1000}, func(n int) world { return world{20, 4, n} })
+	return []Series{
+		newSeries("by groups", "groups", "microseconds to build a view", groups.time),
+		newSeries("by models", "models", "microseconds to build a view", models.time),
+		newSeries("by client accounts", "client accounts", "microseconds to build a view", accounts.time),
+		newSeries("by client accounts", "client accounts", "KiB allocated to build a view", accounts.memory),
+		newSeries("by groups", "groups", "KiB allocated to build a view", groups.memory),
+	}, nil
+}
+
+type swept struct {
+	time, memory []Point
+}
+
+func sweep(sizes []int, of func(int) world) swept {
+	var out swept
+	for _, n := range sizes {
+		b, store := of(n).board(time.Now())
+		r := testing.Benchmark(func(tb *testing.B) {
+			tb.ReportAllocs()
+			for range tb.N {
+				b.Rebuild(store)
+			}
+		})
+		runtime.GC()
+		out.time = append(out.time, Point{float64(n), float64(r.NsPerOp()) / 1e3})
+		out.memory = append(out.memory, Point{float64(n), float64(r.AllocedBytesPerOp()) / 1024})
+	}
+	return out
+}
+
+// measureRoute times one routing decision by the number of groups.
+func measureRoute(options) ([]Series, error) {
+	var decision, refresh []Point
+	for _, n := range []int{20, 80, 160, 325} {
+		now := time.Now()
+		b, _ := world{n, 1, 10}.board(now)
+		r := testing.Benchmark(func(tb *testing.B) {
+			for i := range tb.N {
+				s := b.PickPrefix("model-0", now, uint64(i)*0x9e3779b97f4a7c15+1)
+				if s == nil {
+					tb.Fatal("no group was chosen")
+				}
+				s.Release()
+			}
+		})
+		decision = append(decision, Point{float64(n), float64(r.NsPerOp())})
+		book := peer.NewHealthBook()
+		for i := range n {
+			book.Merge(redwinghall.GroupHealth{Group: groupID(i), Generation: 1, SeenAt: now, Ready: true, Completed: 10})
+		}
+		members := make([]peer.Member, targetNodes)
+		for i := range members {
+			members[i] = peer.Member{ID: fmt.Sprintf("router-%d", i), CallerAddress: "a"}
+		}
+		r = testing.Benchmark(func(tb *testing.B) {
+			for range tb.N {
+				b.Refresh(now, book, members)
+			}
+		})
+		refresh = append(refresh, Point{float64(n), float64(r.NsPerOp()) / 1e3})
+	}
+	return []Series{
+		newSeries("two choices", "groups", "nanoseconds a decision", decision),
+		newSeries("refresh of limits, 22 routers", "groups", "microseconds", refresh),
+	}, nil
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwinghall"
 	"redwinghall/peer/rpc"
 )
@@ -47,11 +49,14 @@
 	return uint32(min(max(now.Sub(t).Milliseconds(), 0), neverSeen))
 }
 
+// groupHash names a group on the wire in 4 bytes.
+func groupHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 func toHealth(now time.Time, health []redwinghall.GroupHealth) []*rpc.Health {
 	out := make([]*rpc.Health, 0, len(health))
 	for _, h := range health {
 		word := &rpc.Health{
-			Group: h.Group, Generation: h.Generation, AgeMs: neverSeen, Broken: h.Broken,
+			Group: groupHash(h.Group), Generation: h.Generation, AgeMs: neverSeen, Broken: h.Broken,
 			Ready: h.Ready, Running: uint32(h.Running), Completed: h.Completed,
 		}
 		if !h.SeenAt.IsZero() {
@@ -67,9 +72,9 @@
 
 // fromHealth turns ages back into times of this process's clock: the clocks
 // of two VMs need not agree.
-func fromHealth(now time.Time, h *rpc.Health) redwinghall.GroupHealth {
+func fromHealth(now time.Time, group string, h *rpc.Health) redwinghall.GroupHealth {
 	out := redwinghall.GroupHealth{
-		Group: h.Group, Generation: h.Generation, Broken: h.Broken,
+		Group: group, Generation: h.Generation, Broken: h.Broken,
 		Ready: h.Ready, Running: int(h.Running), Completed: h.Completed,
 	}
 	if h.AgeMs < neverSeen {
--- a/peer/health_book.go
+++ b/peer/health_book.go
@@ -81,6 +81,29 @@
 	return out
 }
 
+// noticeably is how much newer a word must be to be worth sending.
+const noticeably = 100 * time.Millisecond
+
+// Newer returns the words that tell noticeably more than theirs does, which
+// is keyed by group.
+func (b *HealthBook) Newer(now time.Time, bound time.Duration, theirs map[string]redwinghall.GroupHealth) []redwinghall.GroupHealth {
+	var out []redwinghall.GroupHealth
+	for _, h := range b.Fresh(now, bound) {
+		t, ok := theirs[h.Group]
+		if !ok || tellsMore(h, t) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func tellsMore(h, t redwinghall.GroupHealth) bool {
+	if h.Generation != t.Generation {
+		return h.Generation > t.Generation
+	}
+	return (h.Broken && !t.Broken) || h.SeenAt.Sub(t.SeenAt) > noticeably || h.LostAt.Sub(t.LostAt) > noticeably
+}
+
 // Forget drops groups that no longer exist.
 func (b *HealthBook) Forget(keep func(group string) bool) {
 	b.mu.Lock()
--- a/peer/node.go
+++ b/peer/node.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -41,8 +43,9 @@
 	exchangeTimeout = time.Second
 	zoneFanout      = 3 // pushes of a change inside the zone
 	crossFanout     = 2 // pushes of a global change to other zones
-	crossPerTick    = 2 // exchanges between zones that a whole zone starts in one interval
+	crossPerTick    = 1 // exchanges between zones that a whole zone starts in one interval
 	downAfter       = 2 // failed exchanges until a peer is not counted
+	watchTicks      = 5 // ticks between exchanges of a controller that only watches
 )
 
 // Node is one process's part in the exchange.
@@ -59,12 +62,17 @@
 	token  string
 	client *http.Client
 	seeds  []Member
-
-	mu       sync.Mutex
-	failures map[string]int
-	urgent   []redwinghall.GroupHealth
-	pending  []Entry
-	wake     chan struct{}
+	names  groupNames
+	// wantsHealth says that a controller needs the words on groups.
+	wantsHealth atomic.Bool
+
+	mu        sync.Mutex
+	failures  map[string]int
+	lastRound time.Time // when a round last came by here
+	ticks     int
+	urgent    []redwinghall.GroupHealth
+	pending   []Entry
+	wake      chan struct{}
 }
 
 // NewNode returns a node that knows its seeds. token guards the exchange.
@@ -84,6 +92,7 @@
 // by its start time, so that a restart under the same id is newer.
 func (n *Node) Run(g *kernel.Group, started time.Time) {
 	n.announce(started, n.Self)
+	n.noteRound(started)
 	g.Every("peer.exchange", n.Interval, func(ctx context.Context, now time.Time) { n.tick(ctx, now) })
 	g.Go("peer.push", n.pushLoop)
 }
@@ -198,20 +207,57 @@
 	return out
 }
 
-// tick exchanges with one random process of the zone, and now and then with
-// one of another zone, so that a zone as a whole starts crossPerTick of those
-// in each interval however many processes it has.
+// WantHealth says whether a controller needs the words on groups: the holder
+// of the zone's lease does, those that watch do not.
+func (n *Node) WantHealth(want bool) { n.wantsHealth.Store(want) }
+
+// AskHealth asks one router for the words on groups, for a controller that
+// only watches and is asked for the state.
+func (n *Node) AskHealth(ctx context.Context, now time.Time) {
+	n.exchangeOne(ctx, now, n.routers(), true)
+}
+
+// tick starts this process's periodic exchanges. Among routers the words on
+// groups travel in rounds, see round.go; a controller asks one router.
 func (n *Node) tick(ctx context.Context, now time.Time) {
-	zone := n.others(n.Self.AvailabilityZone)
-	if len(zone) > 0 {
-		_ = n.exchange(ctx, zone[rand.IntN(len(zone))], nil, n.Health.Fresh(now, n.HealthBound))
+	n.mu.Lock()
+	n.ticks++
+	ticks := n.ticks
+	n.mu.Unlock()
+	switch {
+	case n.Self.Program == Router:
+		n.tickRouter(ctx, now)
+	case n.wantsHealth.Load():
+		n.exchangeOne(ctx, now, n.routers(), true)
+	case ticks%watchTicks == 0:
+		n.exchangeOne(ctx, now, n.routers(), false)
 	}
-	foreign := n.foreign()
-	if len(foreign) > 0 && rand.IntN(len(zone)+1) < crossPerTick {
-		_ = n.exchange(ctx, foreign[rand.IntN(len(foreign))], nil, nil)
+	n.tickForeign(ctx, now)
+}
+
+// tickForeign exchanges with another zone now and then, so that a zone as a
+// whole starts crossPerTick of those in each interval however many processes
+// it has.
+func (n *Node) tickForeign(ctx context.Context, now time.Time) {
+	zone := len(n.Members(n.Self.AvailabilityZone))
+	if rand.IntN(max(1, zone)) < crossPerTick {
+		n.exchangeOne(ctx, now, n.foreign(), false)
+	}
+}
+
+// exchangeOne exchanges with a random one of the members.
+func (n *Node) exchangeOne(ctx context.Context, now time.Time, members []Member, health bool) {
+	for _, m := range choose(members, 1) {
+		_ = n.exchange(ctx, m, n.outgoing(now, health)) // the next tick tries another
 	}
 }
 
+// routers returns the zone's routers, this process left out.
+func (n *Node) routers() []Member {
+	members := n.others(n.Self.AvailabilityZone)
+	return slices.DeleteFunc(members, func(m Member) bool { return m.Program != Router })
+}
+
 func (n *Node) pushLoop(ctx context.Context) error {
 	for {
 		select {
@@ -232,14 +278,14 @@
 	pushes := kernel.NewGroup(ctx)
 	for _, m := range choose(n.others(n.Self.AvailabilityZone), zoneFanout) {
 		pushes.Go("peer.push_one", func(ctx context.Context) error {
-			_ = n.exchange(ctx, m, entries, health) // the periodic exchange repairs a lost push
+			_ = n.exchange(ctx, m, outgoing{entries: entries, health: health}) // the periodic exchange repairs a lost push
 			return nil
 		})
 	}
 	if global := globalOnly(entries); len(global) > 0 {
 		for _, m := range choose(n.foreign(), crossFanout) {
 			pushes.Go("peer.push_one", func(ctx context.Context) error {
-				_ = n.exchange(ctx, m, global, nil)
+				_ = n.exchange(ctx, m, outgoing{entries: global})
 				return nil
 			})
 		}
@@ -262,16 +308,31 @@
 	return members[:min(count, len(members))]
 }
 
+// outgoing is what an exchange hands over beside the digest.
+type outgoing struct {
+	entries    []Entry
+	health     []redwinghall.GroupHealth
+	wantHealth bool
+	round      time.Duration // time that the receiver has to hand a round on
+}
+
+func (n *Node) outgoing(now time.Time, health bool) outgoing {
+	out := outgoing{wantHealth: health}
+	if health {
+		out.health = n.Health.Fresh(now, n.HealthBound)
+	}
+	return out
+}
+
 // exchange hands entries and health to a peer, takes what it returns, and
 // when the digests differ sends the marks so that both sides become equal.
-func (n *Node) exchange(ctx context.Context, m Member, entries []Entry, health []redwinghall.GroupHealth) error {
+func (n *Node) exchange(ctx context.Context, m Member, out outgoing) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	scope := ScopeOf(n.Self.AvailabilityZone, m.AvailabilityZone)
 	client := rpc.NewPeerProtobufClient("http://"+m.Address, n.client)
 
-	request := n.request(scope, entries, health)
-	answer, err := client.Exchange(ctx, request)
+	answer, err := client.Exchange(ctx, n.request(scope, out))
 	if err == nil {
 		n.takeAnswer(answer)
 		if answer.Digest != n.Store.Digest(scope) {
@@ -291,7 +352,7 @@
 // reconcile sends the marks; the peer answers with what is newer there, and
 // its own marks tell what is newer here.
 func (n *Node) reconcile(ctx context.Context, client rpc.Peer, scope Scope) error {
-	request := n.request(scope, nil, nil)
+	request := n.request(scope, outgoing{})
 	request.Marks = toMarks(n.Store.Marks(scope))
 	answer, err := client.Exchange(ctx, request)
 	if err != nil {
@@ -302,17 +363,19 @@
 	if len(missing) == 0 {
 		return nil
 	}
-	_, err = client.Exchange(ctx, n.request(scope, missing, nil))
+	_, err = client.Exchange(ctx, n.request(scope, outgoing{entries: missing}))
 	return err
 }
 
-func (n *Node) request(scope Scope, entries []Entry, health []redwinghall.GroupHealth) *rpc.ExchangeRequest {
+func (n *Node) request(scope Scope, out outgoing) *rpc.ExchangeRequest {
 	return &rpc.ExchangeRequest{
 		From:             n.Self.ID,
 		AvailabilityZone: n.Self.AvailabilityZone,
 		Digest:           n.Store.Digest(scope),
-		Entries:          toEntries(entries),
-		Health:           toHealth(time.Now(), health),
+		Entries:          toEntries(out.entries),
+		Health:           toHealth(time.Now(), out.health),
+		WantHealth:       out.wantHealth,
+		RoundMs:          uint32(out.round.Milliseconds()),
 	}
 }
 
@@ -321,13 +384,22 @@
 	n.takeHealth(time.Now(), answer.Health)
 }
 
-func (n *Node) takeHealth(now time.Time, health []*rpc.Health) {
+// takeHealth merges words and returns them by group. A word on a group whose
+// register is not here yet is left out; the next one finds it.
+func (n *Node) takeHealth(now time.Time, health []*rpc.Health) map[string]redwinghall.GroupHealth {
+	taken := make(map[string]redwinghall.GroupHealth, len(health))
 	for _, h := range health {
-		word := fromHealth(now, h)
+		group, ok := n.names.of(n.Store, n.Self.AvailabilityZone, h.Group)
+		if !ok {
+			continue
+		}
+		word := fromHealth(now, group, h)
+		taken[group] = word
 		if n.Health.Merge(word) {
 			n.pushHealth(word)
 		}
 	}
+	return taken
 }
 
 func (n *Node) noteResult(m Member, err error) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,19 +20,24 @@
 	return requireToken(n.token, rpc.NewPeerServer(&server{node: n}))
 }
 
-// Exchange takes what the peer sends and returns what it lacks.
-func (s *server) Exchange(_ context.Context, in *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
+// Exchange takes what the peer sends and returns what it lacks. A round is
+// handed on to this router's children first, so that the answer holds what
+// they know too.
+func (s *server) Exchange(ctx context.Context, in *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
 	n := s.node
 	now := time.Now()
 	scope := ScopeOf(n.Self.AvailabilityZone, in.AvailabilityZone)
-	taken := n.Store.Apply(fromEntries(in.Entries)...)
-	n.push(taken)
-	n.takeHealth(now, in.Health)
+	n.push(n.Store.Apply(fromEntries(in.Entries)...))
+	theirs := n.takeHealth(now, in.Health)
 	n.noteResult(Member{ID: in.From}, nil)
+	if in.RoundMs > 0 {
+		n.noteRound(now)
+		n.handOn(ctx, now, time.Duration(in.RoundMs)*time.Millisecond)
+	}
 
 	out := &rpc.ExchangeResponse{Digest: n.Store.Digest(scope)}
-	if len(in.Health) > 0 && in.AvailabilityZone == n.Self.AvailabilityZone {
-		out.Health = toHealth(now, n.Health.Fresh(now, n.HealthBound))
+	if in.WantHealth && in.AvailabilityZone == n.Self.AvailabilityZone {
+		out.Health = toHealth(time.Now(), n.Health.Newer(now, n.HealthBound, theirs))
 	}
 	if len(in.Marks) > 0 {
 		out.Entries = toEntries(n.Store.Newer(scope, fromMarks(in.Marks)))
--- a/peer/store.go
+++ b/peer/store.go
@@ -81,6 +81,7 @@
 	entries map[string]Entry
 	global  uint64
 	zones   map[string]uint64
+	version uint64 // rises with each change
 	changed chan struct{}
 }
 
@@ -120,6 +121,7 @@
 		taken = append(taken, e)
 	}
 	if len(taken) > 0 {
+		s.version++
 		select {
 		case s.changed <- struct{}{}:
 		default:
@@ -145,6 +147,13 @@
 	s.zones[zone] ^= sum
 }
 
+// Version rises with each change of the contents.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Get returns the entry of a key.
 func (s *Store) Get(key string) (Entry, bool) {
 	s.mu.Lock()
