Test leases, placement, ramp, limits, registers and groups under failure

A manifest without adapters was refused in its own canonical form (TestCanonicalIsStable, FuzzParseManifest failed first): a nil list was written as null. Defaults now fill an empty list.

--- /dev/null
+++ b/admit/gate_test.go
@@ -0,0 +1,195 @@
+package admit_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/admit"
+	"redwinghall/kernel"
+)
+
+// room is a source with a number of units.
+type room struct{ free int }
+
+func (r *room) take() (int, bool) {
+	if r.free == 0 {
+		return 0, false
+	}
+	r.free--
+	return 1, true
+}
+
+func account(id string, weight, queued int) redwinghall.ClientAccount {
+	return redwinghall.ClientAccount{ID: id, Class: redwinghall.ClassInteractive, Weight: weight, MaxQueued: queued}
+}
+
+// waiters enters count requests of an account and notes who gets through.
+func waiters(g *kernel.Group, gate *admit.Gate[int], a redwinghall.ClientAccount, count int, order *[]string) {
+	for range count {
+		g.Go("enter", func(ctx context.Context) error {
+			_, err := gate.Enter(ctx, time.Now(), a)
+			if err == nil {
+				*order = append(*order, a.ID)
+			}
+			return err
+		})
+	}
+}
+
+// let frees one unit and waits until it is used.
+func let(gate *admit.Gate[int], r *room) {
+	r.free++
+	gate.Wake(time.Now())
+	synctest.Wait()
+}
+
+// A reports job floods the router before dawn, and drivers wait behind it.
+// Order: many requests of one account queue, then a few of another.
+// Cause: one queue for all, first in, first out.
+func TestFloodingAccountDoesNotStarveAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &room{}
+		gate := admit.NewGate(r.take)
+		g := kernel.NewGroup(t.Context())
+		var order []string
+		waiters(g, gate, account("flood", 1, 1000), 100, &order)
+		synctest.Wait()
+		waiters(g, gate, account("drivers", 1, 1000), 5, &order)
+		synctest.Wait()
+		for range 12 {
+			let(gate, r)
+		}
+		count := 0
+		for _, id := range order {
+			if id == "drivers" {
+				count++
+			}
+		}
+		require.Equal(t, 5, count, "%v", order)
+		for range 93 {
+			let(gate, r)
+		}
+		require.NoError(t, g.Wait())
+	})
+}
+
+func TestWeightsShareTheRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &room{}
+		gate := admit.NewGate(r.take)
+		g := kernel.NewGroup(t.Context())
+		var order []string
+		waiters(g, gate, account("heavy", 3, 1000), 40, &order)
+		waiters(g, gate, account("light", 1, 1000), 40, &order)
+		synctest.Wait()
+		for range 40 {
+			let(gate, r)
+		}
+		heavy := 0
+		for _, id := range order {
+			if id == "heavy" {
+				heavy++
+			}
+		}
+		require.InDelta(t, 30, heavy, 1)
+		for range 40 {
+			let(gate, r)
+		}
+		require.NoError(t, g.Wait())
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &room{}
+		gate := admit.NewGate(r.take)
+		g := kernel.NewGroup(t.Context())
+		var order []string
+		waiters(g, gate, account("a", 1, 3), 3, &order)
+		synctest.Wait()
+		_, err := gate.Enter(t.Context(), time.Now(), account("a", 1, 3))
+		require.Equal(t, admit.QueueFull, redwinghall.KindOf[admit.Kind](err))
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = gate.Enter(ctx, time.Now(), account("b", 1, 3))
+		require.Equal(t, admit.DeadlinePassed, redwinghall.KindOf[admit.Kind](err))
+		require.Equal(t, 3, gate.Waiting(), "who gave up does not wait")
+		for range 3 {
+			let(gate, r)
+		}
+		require.NoError(t, g.Wait())
+	})
+}
+
+// A road crew waits ten seconds to read that there is no time left.
+// Order: one request passes each second; a request with two seconds left
+// queues behind ten others. Cause: nobody compared the wait with the time left.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &room{}
+		gate := admit.NewGate(r.take)
+		g := kernel.NewGroup(t.Context())
+		var order []string
+		a := account("a", 1, 1000)
+		waiters(g, gate, a, 20, &order)
+		synctest.Wait()
+		for range 5 {
+			time.Sleep(time.Second)
+			let(gate, r)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		before := time.Now()
+		_, err := gate.Enter(ctx, before, a)
+		require.Equal(t, admit.DeadlineTooShort, redwinghall.KindOf[admit.Kind](err))
+		require.Equal(t, before, time.Now(), "at once")
+		require.GreaterOrEqual(t, gate.RetryAfter(before), 10*time.Second)
+		for range 15 {
+			let(gate, r)
+		}
+		require.NoError(t, g.Wait())
+	})
+}
+
+// A lone request after a quiet night must not be refused because requests
+// were rare before.
+func TestQuietTimesSayNothingOfTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &room{}
+		gate := admit.NewGate(r.take)
+		a := account("a", 1, 10)
+		for range 50 {
+			r.free = 1
+			_, err := gate.Enter(t.Context(), time.Now(), a)
+			require.NoError(t, err)
+			time.Sleep(time.Minute)
+		}
+		g := kernel.NewGroup(t.Context())
+		g.Go("enter", func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+			defer cancel()
+			_, err := gate.Enter(ctx, time.Now(), a)
+			return err
+		})
+		synctest.Wait()
+		let(gate, r)
+		require.NoError(t, g.Wait())
+	})
+}
+
+func BenchmarkEnter(b *testing.B) {
+	gate := admit.NewGate(func() (int, bool) { return 1, true })
+	a := account("a", 1, 10)
+	now := time.Now()
+	for b.Loop() {
+		if _, err := gate.Enter(b.Context(), now, a); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/endpoint/manager_test.go
@@ -0,0 +1,216 @@
+package endpoint_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/endpoint"
+	"redwinghall/rwhtest"
+	"redwinghall/standin/engine"
+	"redwinghall/standin/table"
+)
+
+// groups returns the zone's groups as the table has them, and checks that no
+// VM belongs to two of them: each member's row names its group, and no row
+// names a group that does not have it.
+func groups(t *testing.T, d *rwhtest.Deployment, zone string) map[string]redwinghall.Group {
+	t.Helper()
+	var rows, vmRows []redwinghall.Row
+	require.Eventually(t, func() bool {
+		var err, err2 error
+		before, err0 := d.Table.Scan(t.Context(), "group/"+zone+"/")
+		vmRows, err = d.Table.Scan(t.Context(), "vm/"+zone+"/")
+		rows, err2 = d.Table.Scan(t.Context(), "group/"+zone+"/")
+		return err0 == nil && err == nil && err2 == nil && sameRows(before, rows)
+	}, time.Minute, time.Millisecond, "a moment in which nothing changes")
+	out := map[string]redwinghall.Group{}
+	members := map[string]string{}
+	for _, row := range rows {
+		var g redwinghall.Group
+		require.NoError(t, json.Unmarshal(row.Value, &g))
+		out[g.ID] = g
+		for _, m := range g.Members {
+			require.Empty(t, members[m.VM], "%s is in two groups", m.VM)
+			members[m.VM] = g.ID
+		}
+	}
+	for _, row := range vmRows {
+		var b endpoint.Booking
+		require.NoError(t, json.Unmarshal(row.Value, &b))
+		vm := strings.TrimPrefix(row.Key, "vm/"+zone+"/")
+		require.Equal(t, b.Group, members[vm])
+		delete(members, vm)
+	}
+	require.Empty(t, members, "members without a row")
+	return out
+}
+
+func sameRows(a, b []redwinghall.Row) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Key != b[i].Key || a[i].Version != b[i].Version {
+			return false
+		}
+	}
+	return true
+}
+
+func only(t *testing.T, d *rwhtest.Deployment) redwinghall.Group {
+	t.Helper()
+	all := groups(t, d, "tartu")
+	require.Len(t, all, 1)
+	for _, g := range all {
+		return g
+	}
+	return redwinghall.Group{}
+}
+
+// A driver's question goes to a replica whose second VM has just started anew
+// and has nothing loaded.
+// Order: the VM restarts under its old address and answers as before.
+// Cause: an answer was taken for a sign that nothing had changed.
+func TestRestartedMemberIsOrderedAnew(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2})
+	d.Submit("v1")
+	before := only(t, d)
+	d.Fleet.VM(before.Members[1].VM).Restart()
+	d.Eventually("the group is under a new generation and whole", func() bool {
+		g := only(t, d)
+		s := d.Routers[0].Board.View().Models[rwhtest.Model].Slots
+		return g.Generation > before.Generation && len(s) == 1 && s[0].Group().Generation == g.Generation &&
+			s[0].Usable(time.Now(), time.Minute)
+	})
+	begun := d.Fleet.Record().Incomplete
+	require.Equal(t, 10, d.Load(10, 2, 4, 0).Whole)
+	require.Equal(t, begun, d.Fleet.Record().Incomplete, "nothing began in an incomplete group")
+}
+
+// An accelerator stands idle beside a group that waits for a dead VM.
+// Order: a member dies; a spare VM of the same fabric domain is free; another
+// free VM is dead too but the platform's list still calls it live.
+func TestLostMemberIsReplacedByALiveSpare(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, VMsPerZone: 4, LostAfter: time.Second})
+	d.Submit("v1")
+	before := only(t, d)
+	var free []string
+	for _, vm := range d.VMs().Workers("tartu") {
+		if vm.ID != before.Members[0].VM && vm.ID != before.Members[1].VM {
+			free = append(free, vm.ID)
+		}
+	}
+	d.Fleet.VM(free[0]).Kill()
+	d.Fleet.VM(before.Members[1].VM).Kill()
+	d.Eventually("the live spare is a member", func() bool {
+		for _, g := range groups(t, d, "tartu") {
+			for _, m := range g.Members {
+				require.NotEqual(t, free[0], m.VM, "a dead VM joined a group")
+				if m.VM == free[1] {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	d.WaitServing("v1")
+	require.Equal(t, 10, d.Load(10, 2, 4, 0).Whole)
+}
+
+// Two groups form over one VM after the table's answers were lost.
+// Order: twelve transactions in a row take effect without an answer.
+// Cause: the holder believed that nothing had been written and placed again.
+func TestLostTableAnswersFormNoGroupTwice(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, Replicas: 4, VMsPerZone: 9})
+	d.Table.SetFaults(table.Faults{LoseAnswers: 12})
+	d.Submit("v1")
+	require.Len(t, groups(t, d, "tartu"), 4)
+}
+
+// An engine that does not check who orders it is taken into a group that does
+// not exist any more.
+// Order: a holder that was frozen since long sends its last order.
+// Judge: the router never counts the group as whole while the engine says
+// otherwise, and the engine ends up where the table has it.
+func TestStaleOrderToAnEngineThatIgnoresFencing(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, Engine: engine.Config{IgnoreFencing: true}})
+	d.Submit("v1")
+	before := only(t, d)
+	stale := redwinghall.Order{Fencing: 0, Group: "old-group", Generation: 1, Role: redwinghall.RoleMember,
+		Model: rwhtest.Model, Version: "v0", Members: before.Members}
+	client := endpoint.NewClient(10 * time.Second)
+	require.NoError(t, client.Order(t.Context(), before.Members[1].Address, stale))
+	d.Eventually("the engine is back under a new order", func() bool {
+		g := only(t, d)
+		r, err := client.Report(t.Context(), before.Members[1].Address)
+		return err == nil && g.Generation > before.Generation && r.Group == g.ID && r.Generation == g.Generation
+	})
+	d.WaitServing("v1")
+	require.Equal(t, 10, d.Load(10, 2, 4, 0).Whole)
+}
+
+func TestStaleOrderIsRefusedByAnEngineThatChecks(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{})
+	d.Submit("v1")
+	client := endpoint.NewClient(10 * time.Second)
+	err := client.Order(t.Context(), only(t, d).Members[0].Address, redwinghall.Order{Fencing: 0, Group: "old"})
+	require.Equal(t, endpoint.StaleOrder, redwinghall.KindOf[endpoint.Kind](err))
+}
+
+// Drivers wait while a new version loads although the old one could serve.
+// Order: a manifest with a new version comes into force; VMs are free for one
+// group at a time. Judge: every request during the change gets its answer.
+func TestNewVersionIsUpBeforeTheOldLeaves(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, Replicas: 2, VMsPerZone: 6})
+	d.Submit("v1")
+	d.Submit("v2")
+	require.Equal(t, 10, d.Load(10, 2, 4, 0).Whole)
+	d.Eventually("only the new version is left", func() bool {
+		all := groups(t, d, "tartu")
+		for _, g := range all {
+			if g.Version != "v2" {
+				return false
+			}
+		}
+		return len(all) == 2
+	})
+	require.Zero(t, d.Fleet.Record().Incomplete)
+}
+
+// An endpoint that is leaving gets new work after its notice.
+// Order: the platform's list calls a member and a service VM leaving.
+func TestLeavingVMsAreLetGo(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, VMsPerZone: 4})
+	d.Submit("v1")
+	leaving := only(t, d).Members[0].VM
+	vms := d.VMs()
+	for i := range vms {
+		if vms[i].ID == leaving || vms[i].Service != "" {
+			vms[i].State = redwinghall.VMLeaving
+		}
+	}
+	d.Table.SetVMs(vms)
+	d.Eventually("the VM is free and another group serves", func() bool {
+		all := groups(t, d, "tartu")
+		for _, g := range all {
+			for _, m := range g.Members {
+				if m.VM == leaving {
+					return false
+				}
+			}
+		}
+		return len(all) == 1
+	})
+	d.Eventually("the service endpoint takes no more work", func() bool {
+		r, err := d.Book(0, "late")
+		return err == nil && r.Status == http.StatusServiceUnavailable
+	})
+	require.Zero(t, d.Runs("late"))
+	d.Eventually("a whole group serves", func() bool { return d.Load(1, 1, 4, 0).Whole == 1 })
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,181 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"redwinghall"
+	"redwinghall/lease"
+	"redwinghall/standin/table"
+)
+
+const (
+	zone     = "tartu"
+	duration = 10 * time.Second
+	margin   = 3 * time.Second
+)
+
+var start = time.Date(2026, 1, 14, 5, 0, 0, 0, time.UTC)
+
+// controller is one process with a clock of its own.
+type controller struct {
+	id    string
+	skew  time.Duration
+	table *table.Table
+	state lease.State
+}
+
+func newController(tab *table.Table, id string, skew time.Duration) *controller {
+	return &controller{id: id, skew: skew, table: tab,
+		state: lease.NewState(lease.Config{Self: id, Duration: duration, Margin: margin})}
+}
+
+func (c *controller) now(t time.Time) time.Time { return t.Add(c.skew) }
+
+func (c *controller) read() (redwinghall.Row, redwinghall.Row, error) {
+	rows, err := c.table.Read(context.Background(), lease.Key(zone), lease.FenceKey(zone))
+	if err != nil {
+		return redwinghall.Row{}, redwinghall.Row{}, err
+	}
+	return rows[0], rows[1], nil
+}
+
+// step is what a manager does in one tick. A frozen process stops between
+// its parts, which the test models by calling look and act apart.
+func (c *controller) step(t time.Time, nonce string) error {
+	txn, record, ok, err := c.look(t, nonce)
+	if err != nil || !ok {
+		return err
+	}
+	return c.act(t, txn, record)
+}
+
+func (c *controller) look(t time.Time, nonce string) (redwinghall.Txn, lease.Record, bool, error) {
+	a, b, err := c.read()
+	if err != nil {
+		return redwinghall.Txn{}, lease.Record{}, false, err
+	}
+	if c.state, err = c.state.WithRows(c.now(t), a, b); err != nil {
+		return redwinghall.Txn{}, lease.Record{}, false, err
+	}
+	action := c.state.Next(c.now(t))
+	txn, record := c.state.Txn(zone, action, nonce)
+	return txn, record, action != lease.Wait, nil
+}
+
+func (c *controller) act(sentAt time.Time, txn redwinghall.Txn, record lease.Record) error {
+	err := c.table.Commit(context.Background(), txn)
+	if err != nil && redwinghall.KindOf[redwinghall.TableKind](err) != redwinghall.TableUnknown {
+		return nil
+	}
+	a, b, err := c.read()
+	if err != nil {
+		return err
+	}
+	c.state, err = c.state.WithWritten(c.now(sentAt), record, a, b)
+	return err
+}
+
+func TestLeaseIsTakenRenewedAndLapses(t *testing.T) {
+	tab := table.New()
+	a, b := newController(tab, "a", 0), newController(tab, "b", time.Hour)
+	require.NoError(t, a.step(start, "1"))
+	require.True(t, a.state.Holds(start))
+	require.NoError(t, b.step(start, "2"))
+	require.False(t, b.state.Holds(b.now(start)))
+
+	at := start.Add(5 * time.Second)
+	require.NoError(t, a.step(at, "3"))
+	require.NoError(t, b.step(at, "4"))
+	require.True(t, a.state.Holds(at.Add(duration-margin-1)))
+	require.False(t, a.state.Holds(at.Add(duration-margin)))
+
+	at = at.Add(duration + time.Second)
+	require.NoError(t, b.step(at, "5"))
+	require.True(t, b.state.Holds(b.now(at)))
+	require.Equal(t, uint64(2), b.state.Fencing())
+}
+
+// Two controllers order the same VMs into different groups.
+// Order: a holder's answer to its renewal is lost, and it looks again.
+// Cause: it took the row that it wrote itself for another's, or the other way
+// round.
+func TestLostAnswerToTaking(t *testing.T) {
+	tab := table.New()
+	tab.SetFaults(table.Faults{LoseAnswers: 1})
+	a := newController(tab, "a", 0)
+	require.NoError(t, a.step(start, "1"))
+	require.True(t, a.state.Holds(start))
+}
+
+// A frozen holder wakes up and writes a group over its successor's.
+// Order: the holder prepares a transaction and freezes; another takes the
+// lease; the first wakes and commits. Judge: the fence row.
+func TestFenceStopsAFrozenHolder(t *testing.T) {
+	tab := table.New()
+	a, b := newController(tab, "a", 0), newController(tab, "b", 0)
+	require.NoError(t, a.step(start, "1"))
+	group := redwinghall.Txn{Writes: []redwinghall.Write{a.state.FenceCheck(zone), {Key: "group/tartu/g", Value: []byte(`1`)}}}
+
+	require.NoError(t, b.step(start, "2"))
+	require.NoError(t, b.step(start.Add(duration+time.Second), "3"))
+	err := tab.Commit(t.Context(), group)
+	require.Equal(t, redwinghall.TableConflict, redwinghall.KindOf[redwinghall.TableKind](err))
+}
+
+// At no time two processes both believe that they hold the lease, and the
+// fencing number never falls: over random freezes, lost answers, late writes
+// and clocks that differ.
+func TestNeverTwoHolders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tab := table.New()
+		var all []*controller
+		for i := range 3 {
+			skew := time.Duration(rapid.IntRange(-3600, 3600).Draw(rt, "skew")) * time.Second
+			all = append(all, newController(tab, fmt.Sprint("c", i), skew))
+		}
+		frozen := map[int]func() error{}
+		now, fencing := start, uint64(0)
+		for n := range rapid.IntRange(10, 80).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 2).Draw(rt, "who")
+			nonce := fmt.Sprint(n)
+			sentAt := now
+			switch rapid.IntRange(0, 6).Draw(rt, "what") {
+			case 0:
+				tab.SetFaults(table.Faults{LoseAnswers: 1})
+			case 1:
+				tab.SetFaults(table.Faults{LateWrites: 1})
+			case 2:
+				tab.LandLate()
+			case 3: // it looks, and freezes before it writes
+				if txn, record, ok, err := all[i].look(now, nonce); err == nil && ok && frozen[i] == nil {
+					frozen[i] = func() error { return all[i].act(sentAt, txn, record) }
+				}
+			case 4: // it wakes up
+				if wake := frozen[i]; wake != nil {
+					delete(frozen, i)
+					require.NoError(rt, wake())
+				}
+			default:
+				if frozen[i] == nil {
+					require.NoError(rt, all[i].step(now, nonce))
+				}
+			}
+			holders := 0
+			for _, c := range all {
+				if c.state.Holds(c.now(now)) {
+					holders++
+					require.GreaterOrEqual(rt, c.state.Fencing(), fencing)
+					fencing = c.state.Fencing()
+				}
+			}
+			require.LessOrEqual(rt, holders, 1)
+		}
+	})
+}
--- a/model.go
+++ b/model.go
@@ -29,6 +29,9 @@
 
 // WithDefaults returns the model with its empty fields filled.
 func (m Model) WithDefaults() Model {
+	if m.Adapters == nil {
+		m.Adapters = []string{}
+	}
 	if m.AcceleratorsPerVM == 0 {
 		m.AcceleratorsPerVM = 8
 	}
--- /dev/null
+++ b/ramp/ramp_test.go
@@ -0,0 +1,61 @@
+package ramp_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"redwinghall"
+	"redwinghall/ramp"
+)
+
+var group = redwinghall.Group{MaxInFlight: 32, ColdInFlight: 2, WarmAfter: 20}
+
+// A group that has just started falls over, and over again.
+// Order: it becomes ready; every router sends its own small share at once.
+// Cause: each router had a ramp of its own, so N routers sent N times as much.
+// Judge: the sum over all routers stays within what the group bears.
+func TestSumOverRoutersStaysWithinWhatTheGroupBears(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := redwinghall.Group{
+			MaxInFlight: rapid.IntRange(30, 300).Draw(rt, "max"), ColdInFlight: rapid.IntRange(1, 8).Draw(rt, "cold"),
+			WarmAfter: rapid.IntRange(1, 100).Draw(rt, "warm"),
+		}
+		routers := rapid.IntRange(1, 30).Draw(rt, "routers")
+		completed := uint64(rapid.IntRange(0, 200).Draw(rt, "completed"))
+		sum := 0
+		for i := range routers {
+			sum += ramp.Owned{}.Share(ramp.Input{Group: g, Completed: completed, Owner: i == 0, Routers: routers})
+		}
+		bears := g.MaxInFlight
+		if int(completed) < g.WarmAfter {
+			bears = g.ColdInFlight + (g.MaxInFlight-g.ColdInFlight)*int(completed)/g.WarmAfter
+		}
+		require.LessOrEqual(rt, sum, bears)
+		require.Positive(rt, sum)
+	})
+}
+
+func TestShare(t *testing.T) {
+	tests := []struct {
+		name      string
+		completed uint64
+		owner     bool
+		routers   int
+		want      int
+	}{
+		{"cold, the owner", 0, true, 4, 2},
+		{"cold, another", 0, false, 4, 0},
+		{"half way, the owner", 10, true, 4, 17},
+		{"warm, any", 20, false, 4, 8},
+		{"warm, alone", 20, true, 1, 32},
+		{"warm, more routers than room", 20, false, 100, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := ramp.Owned{}.Share(ramp.Input{Group: group, Completed: tt.completed, Owner: tt.owner, Routers: tt.routers})
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,119 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/route"
+)
+
+var (
+	start = time.Date(2026, 1, 14, 5, 0, 0, 0, time.UTC)
+	bound = 2 * time.Second
+)
+
+func slots(n, limit int) []*route.Slot {
+	out := make([]*route.Slot, n)
+	for i := range out {
+		id := fmt.Sprint("g", i)
+		out[i] = route.NewSlot(redwinghall.Group{ID: id, Generation: 1})
+		out[i].SetHealth(redwinghall.GroupHealth{Group: id, Generation: 1, Ready: true, SeenAt: start})
+		out[i].SetLimit(limit)
+	}
+	return out
+}
+
+func query() route.Query { return route.Query{Now: start, Bound: bound} }
+
+func TestPickTakesOnlyUsableSlots(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(*route.Slot)
+	}{
+		{"not seen within the bound", func(s *route.Slot) {
+			s.SetHealth(redwinghall.GroupHealth{Generation: 1, Ready: true, SeenAt: start.Add(-3 * time.Second)})
+		}},
+		{"ordered anew", func(s *route.Slot) { s.SetGroup(s.Group().WithGeneration(2)) }},
+		{"leaving", func(s *route.Slot) { s.SetGroup(s.Group().WithLeaving()) }},
+		{"full", func(s *route.Slot) { s.SetLimit(0) }},
+		{"avoided after a failure", func(s *route.Slot) { s.Avoid(start.Add(time.Second)) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			all := slots(3, 1000)
+			tt.spoil(all[0])
+			tt.spoil(all[1])
+			for range 100 {
+				require.Same(t, all[2], route.TwoChoices{}.Pick(query(), all))
+			}
+		})
+	}
+}
+
+func TestPickAvoidedIsBetterThanNone(t *testing.T) {
+	all := slots(1, 1)
+	all[0].Avoid(start.Add(time.Second))
+	require.Same(t, all[0], route.TwoChoices{}.Pick(query(), all))
+	require.Nil(t, route.TwoChoices{}.Pick(query(), all), "full")
+	all[0].Release()
+	q := query()
+	q.Exclude = all[0]
+	require.Nil(t, route.TwoChoices{}.Pick(q, all))
+}
+
+func TestPrefixHintGivesWayToLoad(t *testing.T) {
+	all := slots(4, 100)
+	q := query()
+	q.Prefix = 6 // the third slot
+	for range 20 {
+		require.Same(t, all[2], route.TwoChoices{}.Pick(q, all))
+	}
+	for range 400 {
+		route.TwoChoices{}.Pick(q, all)
+	}
+	for _, s := range all {
+		require.Positive(t, s.InFlight(), "a hot prefix spreads before its slot is full")
+	}
+}
+
+func TestPickSpreadsLoad(t *testing.T) {
+	all := slots(10, 1000)
+	for range 1000 {
+		require.NotNil(t, route.TwoChoices{}.Pick(query(), all))
+	}
+	for _, s := range all {
+		require.InDelta(t, 100, s.InFlight(), 30)
+	}
+}
+
+func TestOwnerMovesOnlyWithItsRouter(t *testing.T) {
+	routers := []string{"a", "b", "c", "d"}
+	moved := 0
+	for i := range 200 {
+		item := fmt.Sprint("group-", i)
+		owner := route.Owner(item, routers)
+		if without := route.Owner(item, []string{"a", "b", "c"}); owner == "d" {
+			moved++
+		} else {
+			require.Equal(t, owner, without, "an item of a router that stays has not moved")
+		}
+	}
+	require.InDelta(t, 50, moved, 30)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 80, 325} {
+		b.Run(fmt.Sprint("groups=", n), func(b *testing.B) {
+			all := slots(n, 1<<30)
+			q := query()
+			for b.Loop() {
+				q.Prefix += 0x9e3779b97f4a7c15
+				route.TwoChoices{}.Pick(q, all).Release()
+			}
+		})
+	}
+}
