Test with killed and frozen processes; count a read row from its reading

A watcher that froze between sending its transaction and reading back took the row of another holder as unchanged since the sending, and took over at once. Ruled out: the fencing number (it rose as it should), the margin. Also: pauses between probes of a table that is down grow to 8 s, so that hundreds of routers do not ask four times a second; a watching controller reads the lease four times in its duration instead of each step. Processes and layouts of demo and tests share one package each.

--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -23,7 +23,8 @@
 	Bound time.Duration
 	// WriteInterval is the least time between two of the router's transactions.
 	WriteInterval time.Duration
-	// RetryInterval is the time between attempts to record an outcome.
+	// RetryInterval is the first pause between attempts to record an outcome;
+	// it doubles while they fail.
 	RetryInterval time.Duration
 }
 
@@ -196,10 +197,15 @@
 			return nil
 		case <-k.wake:
 		}
-		for k.Owed() > 0 && ctx.Err() == nil {
-			if !k.settleRound(ctx) && !sleep(ctx, k.config.RetryInterval) {
+		for failures := 0; k.Owed() > 0 && ctx.Err() == nil; {
+			if k.settleRound(ctx) {
+				failures = 0
+				continue
+			}
+			if !sleep(ctx, pauseAfter(failures, k.config.RetryInterval)) {
 				return nil
 			}
+			failures++
 		}
 	}
 }
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,9 +14,26 @@
 const (
 	maxBatch       = 200
 	maxQueuedWrite = 20000
-	probeInterval  = 250 * time.Millisecond
 )
 
+// A table that was down is asked first after firstPause, then after twice as
+// long each time up to lastPause, at a random moment of the second half. When
+// an outage ends, hundreds of routers must not all ask at the same moment and
+// again four times a second: that would be most of what the table bears.
+const (
+	firstPause = 250 * time.Millisecond
+	lastPause  = 8 * time.Second
+)
+
+// pauseAfter returns the pause after so many failures in a row.
+func pauseAfter(failures int, first time.Duration) time.Duration {
+	pause := lastPause
+	if failures < 16 {
+		pause = min(lastPause, first<<failures)
+	}
+	return pause/2 + mathrand.N(pause/2+1)
+}
+
 // result is what became of one row's write.
 type result int
 
@@ -122,13 +140,18 @@
 // RunProbe asks the table from time to time while it is down, so that claims
 // are refused at once in the meantime and taken again soon after.
 func (w *Writer) RunProbe(ctx context.Context) error {
-	for sleep(ctx, probeInterval) {
+	failures := 0
+	for sleep(ctx, pauseAfter(failures, firstPause)) {
 		if !w.Down() {
+			failures = 0
 			continue
 		}
-		if _, err := w.table.Read(ctx, "probe"); err == nil {
-			w.setDown(false)
+		if _, err := w.table.Read(ctx, "probe"); err != nil {
+			failures++
+			continue
 		}
+		failures = 0
+		w.setDown(false)
 	}
 	return nil
 }
--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -44,8 +44,8 @@
 	if err != nil {
 		return err
 	}
-	defer s.fleet.stopAll()
-	_, _ = fmt.Fprintf(c.app.out, "\n%s: logs in %s\n", s.deployment.name, logs)
+	defer s.processes.StopAll()
+	_, _ = fmt.Fprintf(c.app.out, "\n%s: logs in %s\n", s.layout.Name, logs)
 	return c.play(s)
 }
 
--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -49,6 +49,7 @@
 	lease      lease.State
 	holding    bool
 	quietUntil time.Time
+	nextLook   time.Time            // when a watching controller reads the lease again
 	seen       map[string]time.Time // when each VM last answered
 	silent     map[string]time.Time // since when each VM does not answer
 	leavingAt  map[string]time.Time // when each group was found leaving
@@ -118,7 +119,16 @@
 	return rows[0], rows[1], nil
 }
 
+// watchParts is how often in a lease's duration a watching controller looks at
+// it. Watching more often would take over hardly sooner, and with hundreds of
+// controllers it would be the largest part of what the platform's table reads.
+const watchParts = 4
+
 func (m *Manager) stepLease(ctx context.Context, now time.Time) error {
+	if !m.lease.Holds(now) && now.Before(m.nextLook) {
+		return nil
+	}
+	m.nextLook = now.Add(m.config.Lease.Duration / watchParts)
 	leaseRow, fenceRow, err := m.readLease(ctx)
 	if err != nil {
 		return err
@@ -140,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	m.lease, err = m.lease.WithWritten(sentAt, record, leaseRow, fenceRow)
+	m.lease, err = m.lease.WithWritten(sentAt, time.Now(), record, leaseRow, fenceRow)
 	return err
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -152,10 +152,15 @@
 }
 
 // WithWritten returns the state after the transaction that was sent at sentAt
-// took effect and the rows were read back. The lease counts from the sending,
-// because a watcher may have seen the row at once.
-func (s State) WithWritten(sentAt time.Time, written Record, leaseRow, fenceRow redwinghall.Row) (State, error) {
-	next, err := s.WithRows(sentAt, leaseRow, fenceRow)
+// took effect and the rows were read back at now. The lease counts from the
+// sending, because a watcher may have seen the row at once.
+//
+// Guard: a process that was frozen between sending and reading back, and whose
+// transaction lost, reads the row of another holder. If that row counted as
+// unchanged since the sending, the process would take the lease over while
+// its holder still holds it. A row counts as unchanged only since it was read.
+func (s State) WithWritten(sentAt, now time.Time, written Record, leaseRow, fenceRow redwinghall.Row) (State, error) {
+	next, err := s.WithRows(now, leaseRow, fenceRow)
 	if err != nil {
 		return s, err
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -63,6 +63,8 @@
 	client *http.Client
 	seeds  []Member
 	names  groupNames
+	// members are looked up many times a second and change rarely.
+	members memberCache
 	// wantsHealth says that a controller needs the words on groups.
 	wantsHealth atomic.Bool
 
@@ -148,27 +150,10 @@
 }
 
 // Members returns the processes of a zone that are known and not leaving,
-// this one included, also those that do not answer now.
+// this one included, also those that do not answer now. The list is shared:
+// callers must not change it.
 func (n *Node) Members(zone string) []Member {
-	byID := map[string]Member{}
-	for _, m := range n.seeds {
-		if m.AvailabilityZone == zone {
-			byID[m.ID] = m
-		}
-	}
-	for _, e := range n.Store.List(PrefixMembers(zone)) {
-		var m Member
-		if json.Unmarshal(e.Value, &m) == nil {
-			byID[m.ID] = m
-		}
-	}
-	out := make([]Member, 0, len(byID))
-	for _, m := range byID {
-		if !m.Leaving {
-			out = append(out, m)
-		}
-	}
-	return out
+	return n.members.of(n.Store, n.seeds, zone)
 }
 
 // Live returns the members of this zone that answered lately, this one
@@ -177,7 +162,7 @@
 	members := n.Members(n.Self.AvailabilityZone)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := members[:0]
+	out := make([]Member, 0, len(members))
 	for _, m := range members {
 		if m.Program == program && (m.ID == n.Self.ID || n.failures[m.ID] < downAfter) {
 			out = append(out, m)
@@ -188,7 +173,7 @@
 
 func (n *Node) others(zone string) []Member {
 	members := n.Members(zone)
-	out := members[:0]
+	out := make([]Member, 0, len(members))
 	for _, m := range members {
 		if m.ID != n.Self.ID {
 			out = append(out, m)
--- a/peer/store_test.go
+++ b/peer/store_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"redwinghall/peer"
+	_ "redwinghall/rwhtest/fixedseed"
 )
 
 // A zone that was taken out gets work again.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -9,6 +9,7 @@
 
 	"redwinghall"
 	"redwinghall/place"
+	_ "redwinghall/rwhtest/fixedseed"
 )
 
 func vms(domains ...int) redwinghall.VMs {
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -8,6 +8,7 @@
 
 	"redwinghall"
 	"redwinghall/ramp"
+	_ "redwinghall/rwhtest/fixedseed"
 )
 
 var group = redwinghall.Group{MaxInFlight: 32, ColdInFlight: 2, WarmAfter: 20}
--- a/rwhtest/deployment.go
+++ b/rwhtest/deployment.go
@@ -74,19 +74,22 @@
 	o.VMsPerGroup = max(1, o.VMsPerGroup)
 	o.Replicas = max(1, o.Replicas)
 	o.VMsPerZone = max(o.VMsPerZone, o.VMsPerGroup*o.Replicas)
-	o.AliveBound = orTime(o.AliveBound, 20*time.Second)
-	o.LostAfter = orTime(o.LostAfter, 20*time.Second)
-	o.ServiceTimeout = orTime(o.ServiceTimeout, 20*time.Second)
-	o.StallTimeout = orTime(o.StallTimeout, 20*time.Second)
+	o.AliveBound = orLong(o.AliveBound)
+	o.LostAfter = orLong(o.LostAfter)
+	o.ServiceTimeout = orLong(o.ServiceTimeout)
+	o.StallTimeout = orLong(o.StallTimeout)
 	if o.MaxInFlight == 0 {
 		o.MaxInFlight = 256
 	}
 	return o
 }
 
-func orTime(d, fallback time.Duration) time.Duration {
+// longTime is more than anything takes in a test that does not ask for less.
+const longTime = 20 * time.Second
+
+func orLong(d time.Duration) time.Duration {
 	if d == 0 {
-		return fallback
+		return longTime
 	}
 	return d
 }
--- /dev/null
+++ b/standin/layout/layout.go
@@ -0,0 +1,268 @@
+// Package layout lays out a deployment on loopback: which processes there are,
+// where they listen, and their settings. The examples, the demo, tests with
+// real processes and the measurements share it.
+package layout
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"redwinghall"
+	"redwinghall/daemon"
+	"redwinghall/peer"
+	"redwinghall/standin/engine"
+)
+
+// Offsets of ports from a layout's base.
+const (
+	portPlatform       = 0
+	portEngineControl  = 1
+	portService        = 10
+	portCaller         = 100
+	portRouterPeer     = 200
+	portOperator       = 300
+	portControllerPeer = 400
+	portEngine         = 500
+)
+
+// Names of the environment variables that carry the tokens.
+const (
+	PeerTokenVariable     = "RWH_PEER_TOKEN"
+	OperatorTokenVariable = "RWH_OPERATOR_TOKEN"
+)
+
+// Layout is one deployment on loopback.
+type Layout struct {
+	Name         string
+	Host         string
+	Base         int // first port
+	Zones        []string
+	Domains      [][]int // VMs in each fabric domain of each zone
+	Model        string
+	Service      string
+	PerGroup     int
+	Replicas     int // in each zone
+	PairsPerZone int // routers, and controllers
+	Accounts     redwinghall.ClientAccounts
+	Engine       engine.Config
+	ModelLimits  redwinghall.Model // its limits are used, nothing else
+	// TuneRouter and TuneController change settings where they are not nil.
+	TuneRouter     func(s *daemon.RouterSettings)
+	TuneController func(s *daemon.ControllerSettings)
+}
+
+// Account returns a client account whose API key is DemoKey of its id.
+func Account(id string, weight int, class redwinghall.Class) redwinghall.ClientAccount {
+	sum := sha256.Sum256([]byte(DemoKey(id)))
+	return redwinghall.ClientAccount{
+		ID: id, KeySHA256: []string{hex.EncodeToString(sum[:])}, Class: class, Weight: weight,
+	}.WithDefaults()
+}
+
+// DemoKey returns the API key of a client account of a layout.
+func DemoKey(account string) string { return "demo-key-" + account }
+
+func (l Layout) address(offset int) string { return fmt.Sprintf("%s:%d", l.Host, l.Base+offset) }
+
+// Platform returns where the platform's stand-in listens.
+func (l Layout) Platform() string { return l.address(portPlatform) }
+
+// EngineControl returns where the engines' controls listen.
+func (l Layout) EngineControl() string { return l.address(portEngineControl) }
+
+// ServiceAddress returns where the service of a zone listens.
+func (l Layout) ServiceAddress(zone int) string { return l.address(portService + zone) }
+
+// Caller returns where the router of a pair takes callers' requests.
+func (l Layout) Caller(pair int) string { return l.address(portCaller + pair) }
+
+// Operator returns where the controller of a pair takes operators' requests.
+func (l Layout) Operator(pair int) string { return l.address(portOperator + pair) }
+
+// Pairs returns how many routers, and controllers, there are.
+func (l Layout) Pairs() int { return l.PairsPerZone * len(l.Zones) }
+
+// ZoneOf returns the zone of a pair.
+func (l Layout) ZoneOf(pair int) string { return l.Zones[pair/l.PairsPerZone] }
+
+// RouterID returns the id of a pair's router.
+func (l Layout) RouterID(pair int) string {
+	return fmt.Sprintf("router-%s-%02d", l.ZoneOf(pair), pair%l.PairsPerZone+1)
+}
+
+// ControllerID returns the id of a pair's controller.
+func (l Layout) ControllerID(pair int) string {
+	return fmt.Sprintf("controller-%s-%02d", l.ZoneOf(pair), pair%l.PairsPerZone+1)
+}
+
+// VMs returns the workers and, where there is a service, its VMs.
+func (l Layout) VMs() redwinghall.VMs {
+	var out redwinghall.VMs
+	port := portEngine
+	for z, zone := range l.Zones {
+		number := 1
+		for i, size := range l.Domains[z] {
+			for range size {
+				out = append(out, redwinghall.VM{
+					ID: fmt.Sprintf("%s-w%02d", zone, number), AvailabilityZone: zone,
+					FabricDomain: fmt.Sprintf("%s-%c", zone, 'a'+i), Address: l.address(port),
+					Accelerators: 8, State: redwinghall.VMLive,
+				})
+				number++
+				port++
+			}
+		}
+		if l.Service != "" {
+			out = append(out, redwinghall.VM{
+				ID: zone + "-s1", AvailabilityZone: zone, FabricDomain: zone + "-s", Address: l.ServiceAddress(z),
+				State: redwinghall.VMLive, Service: l.Service,
+			})
+		}
+	}
+	return out
+}
+
+// Manifest returns a manifest that uses all zones.
+func (l Layout) Manifest(version string) redwinghall.Manifest {
+	var all []string
+	for _, a := range l.Accounts {
+		all = append(all, a.ID)
+	}
+	replicas := map[string]int{}
+	for _, zone := range l.Zones {
+		replicas[zone] = l.Replicas
+	}
+	m := redwinghall.Manifest{
+		Name: l.Name, ClientAccounts: l.Accounts,
+		Models: []redwinghall.Model{{
+			ID: l.Model, Version: version, VMsPerReplica: l.PerGroup, AcceleratorsPerVM: 8, Replicas: replicas,
+			ClientAccounts: all, MaxInFlight: l.ModelLimits.MaxInFlight, ColdInFlight: l.ModelLimits.ColdInFlight,
+			WarmAfter: l.ModelLimits.WarmAfter,
+		}},
+	}
+	if l.Service != "" {
+		m.Services = []redwinghall.Service{{ID: l.Service, ClientAccounts: all, Timeout: redwinghall.Duration(5 * time.Second)}}
+	}
+	return m.WithDefaults()
+}
+
+// Peers returns every router and controller.
+func (l Layout) Peers() []peer.Member {
+	var out []peer.Member
+	for i := range l.Pairs() {
+		out = append(out,
+			peer.Member{ID: l.RouterID(i), AvailabilityZone: l.ZoneOf(i), Address: l.address(portRouterPeer + i),
+				Program: peer.Router, CallerAddress: l.Caller(i)},
+			peer.Member{ID: l.ControllerID(i), AvailabilityZone: l.ZoneOf(i), Address: l.address(portControllerPeer + i),
+				Program: peer.Controller})
+	}
+	return out
+}
+
+func (l Layout) common(id string, pair, peerPort int) daemon.Common {
+	return daemon.Common{
+		ID: id, AvailabilityZone: l.ZoneOf(pair), PeerAddress: l.address(peerPort + pair),
+		PlatformAddress: l.Platform(), Peers: l.Peers(), PeerToken: daemon.Token{Env: PeerTokenVariable},
+	}
+}
+
+// Router returns the settings of a pair's router.
+func (l Layout) Router(pair int) daemon.RouterSettings {
+	s := daemon.RouterSettings{Common: l.common(l.RouterID(pair), pair, portRouterPeer), CallerAddress: l.Caller(pair)}
+	if l.TuneRouter != nil {
+		l.TuneRouter(&s)
+	}
+	return s.WithDefaults()
+}
+
+// Controller returns the settings of a pair's controller.
+func (l Layout) Controller(pair int) daemon.ControllerSettings {
+	s := daemon.ControllerSettings{
+		Common:          l.common(l.ControllerID(pair), pair, portControllerPeer),
+		OperatorAddress: l.Operator(pair), OperatorToken: daemon.Token{Env: OperatorTokenVariable},
+	}
+	if l.TuneController != nil {
+		l.TuneController(&s)
+	}
+	return s.WithDefaults()
+}
+
+// Engines are the settings of the engines' stand-in.
+type Engines struct {
+	ControlAddress string        `json:"control_address"`
+	Engine         engine.Config `json:"engine"`
+	VMs            []EngineVM    `json:"vms"`
+}
+
+// EngineVM is one engine and where it listens.
+type EngineVM struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+// EngineSettings returns the settings of the engines' stand-in.
+func (l Layout) EngineSettings() Engines {
+	out := Engines{ControlAddress: l.EngineControl(), Engine: l.Engine}
+	for _, vm := range l.VMs() {
+		if vm.Service == "" {
+			out.VMs = append(out.VMs, EngineVM{ID: vm.ID, Address: vm.Address})
+		}
+	}
+	return out
+}
+
+// Write writes all settings as JSON files into a folder.
+func (l Layout) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return err
+	}
+	files := map[string]any{"vms": l.VMs(), "engines": l.EngineSettings(), "manifest": l.Manifest("v1")}
+	for i := range l.Pairs() {
+		files[l.RouterID(i)] = l.Router(i)
+		files[l.ControllerID(i)] = l.Controller(i)
+	}
+	for name, v := range files {
+		data, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, name+".json"), append(data, '\n'), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Launch is one process of a deployment.
+type Launch struct {
+	Name    string
+	Program string
+	Args    []string
+}
+
+// Launches returns every process in the order in which to start them; dir
+// holds the settings.
+func (l Layout) Launches(dir string) []Launch {
+	file := func(name string) string { return filepath.Join(dir, name+".json") }
+	out := []Launch{
+		{"platform", "standin", []string{"platform", "--address", l.Platform(), "--vms", file("vms")}},
+		{"engines", "standin", []string{"engines", "--settings", file("engines")}},
+	}
+	if l.Service != "" {
+		for z, zone := range l.Zones {
+			out = append(out, Launch{"service-" + zone, "standin", []string{"service", "--address", l.ServiceAddress(z)}})
+		}
+	}
+	for i := range l.Pairs() {
+		out = append(out, Launch{l.ControllerID(i), "controller", []string{"--settings", file(l.ControllerID(i))}})
+	}
+	for i := range l.Pairs() {
+		out = append(out, Launch{l.RouterID(i), "router", []string{"--settings", file(l.RouterID(i))}})
+	}
+	return out
+}
