Grant cold groups to one router at a time; offer large registers once

Cause 1: routers chose a cold group's owner by hashing over the routers that each saw alive; with differing views two of them could feed it together. Cause 2: a changed manifest was pushed whole to three peers by each process.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -170,9 +170,22 @@
 			return where, nil
 		}
 	}
+	if !out && s.board.Whole(l.model.Model.ID, time.Now()) > 0 {
+		return l.waitForGrant(ctx)
+	}
 	return target{}, redwinghall.NewOpError("relay.choose", redwinghall.CodeNoCapacity, nil)
 }
 
+// waitForGrant waits for a group that is whole but cold, which nobody may feed
+// yet: its owner asks for it within moments.
+func (l *relay) waitForGrant(ctx context.Context) (target, error) {
+	slot, err := l.model.Gate.Enter(ctx, time.Now(), l.request.account)
+	if err != nil {
+		return target{}, err
+	}
+	return target{address: slot.Group().Leader().Address, slot: slot}, nil
+}
+
 func (l *relay) chooseSlot(ctx context.Context, prefix uint64, try int) (*route.Slot, error) {
 	if try > 0 {
 		if slot := l.server.board.PickOther(l.model.Model.ID, time.Now(), l.failed); slot != nil {
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -21,6 +21,7 @@
 const (
 	refreshInterval = 100 * time.Millisecond
 	owedInterval    = 20 * time.Millisecond
+	grantInterval   = ramp.GrantTTL / 4
 )
 
 // Router is an assembled router.
@@ -110,6 +111,7 @@
 		r.Board.Refresh(now, r.Node.Health, r.Node.Live(peer.Router))
 	})
 	g.Go("route.rebuild", r.rebuildLoop)
+	g.Every("route.grants", grantInterval, r.askGrants)
 	if err := serve(g, "caller.listener", callers, r.settings.MaxConnections); err != nil {
 		g.Stop()
 		_ = peers.Close()
@@ -129,6 +131,22 @@
 	return g.Wait()
 }
 
+// askGrants asks the zone's holder for the cold groups that fall to this
+// router. A grant counts from now, before the asking.
+func (r *Router) askGrants(ctx context.Context, now time.Time) {
+	groups := r.Board.WantsGrant(endpoint.RouterIDs(r.Node))
+	if len(groups) == 0 {
+		return
+	}
+	granted, err := r.Node.AskGrant(ctx, groups)
+	if err != nil {
+		klog.V(1).InfoS("no_grant", "cause", err.Error())
+		return
+	}
+	r.Board.Granted(granted, now.Add(ramp.GrantTTL))
+	r.Board.Refresh(time.Now(), r.Node.Health, r.Node.Live(peer.Router))
+}
+
 func (r *Router) rebuildLoop(ctx context.Context) error {
 	for {
 		select {
--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -15,6 +15,7 @@
 	"redwinghall/lease"
 	"redwinghall/peer"
 	"redwinghall/place"
+	"redwinghall/ramp"
 )
 
 // ManagerConfig says how one controller keeps its zone.
@@ -63,8 +64,11 @@
 	Holder  string
 	Fencing uint64
 	Holding bool
+	until   time.Time // when this controller stops to hold it
 }
 
+func (l LeaseStatus) holdsAt(now time.Time) bool { return l.Holding && now.Before(l.until) }
+
 // NewManager returns a manager. Its Tick does all the work.
 func NewManager(c ManagerConfig, table redwinghall.Table, engine redwinghall.Engine, lister redwinghall.VMLister, placer place.Placer, node *peer.Node) *Manager {
 	m := &Manager{
@@ -89,7 +93,7 @@
 	}
 	holds := m.lease.Holds(time.Now())
 	m.node.WantHealth(holds)
-	m.status.Store(&LeaseStatus{Holder: m.lease.Holder(), Fencing: m.lease.Fencing(), Holding: holds})
+	m.status.Store(&LeaseStatus{Holder: m.lease.Holder(), Fencing: m.lease.Fencing(), Holding: holds, until: m.lease.HeldUntil()})
 	if holds != m.holding {
 		m.holding = holds
 		m.ledger.Forget()
@@ -99,6 +103,7 @@
 		m.counter = 0
 		// The last order of the previous holder may still be on its way.
 		m.quietUntil = now.Add(m.config.OrderTimeout)
+		m.node.SetGranter(m.granter(now, holds))
 		klog.InfoS("lease_changed", "holding", holds, "fencing", m.lease.Fencing())
 	}
 	if !holds || now.Before(m.quietUntil) {
@@ -110,6 +115,23 @@
 	}
 }
 
+// granter answers routers that ask for cold groups while this controller
+// holds the lease. It looks at the lease's end at each question, because a
+// frozen controller thaws with a successor beside it.
+func (m *Manager) granter(now time.Time, holds bool) peer.Granter {
+	if !holds {
+		return nil
+	}
+	grants := ramp.NewGrants(now)
+	return func(at time.Time, router string, groups []string) []string {
+		if !m.Lease().holdsAt(at) {
+			return nil
+		}
+		grants.Forget(at)
+		return grants.Ask(at, router, groups)
+	}
+}
+
 func (m *Manager) readLease(ctx context.Context) (leaseRow, fenceRow redwinghall.Row, err error) {
 	zone := m.config.AvailabilityZone
 	rows, err := m.table.Read(ctx, lease.Key(zone), lease.FenceKey(zone))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -125,6 +125,9 @@
 	return s.record.Holder == s.config.Self && now.Before(s.heldUntil)
 }
 
+// HeldUntil returns when this process stops to hold the lease.
+func (s State) HeldUntil() time.Time { return s.heldUntil }
+
 // Fencing returns the fencing number of the present record.
 func (s State) Fencing() uint64 { return s.record.Fencing }
 
--- a/measure/exchange.go
+++ b/measure/exchange.go
@@ -125,14 +125,7 @@
 // sockets; what others start towards it is the same on average, so a node's
 // bytes are twice those that it starts.
 func sampleZone(nodes []*peer.Node, groups int) zoneResult {
-	total := func() float64 {
-		var sum uint64
-		for _, n := range nodes {
-			sum += n.Traffic.Sent.Load() + n.Traffic.Received.Load()
-		}
-		return float64(sum)
-	}
-	before, cpuBefore, started := total(), ownCPU(), time.Now()
+	before, cpuBefore, started := startedBytes(nodes), ownCPU(), time.Now()
 	var oldest time.Duration
 	for time.Since(started) < exchangeTime {
 		time.Sleep(200 * time.Millisecond)
@@ -147,8 +140,46 @@
 	seconds := time.Since(started).Seconds()
 	count := float64(len(nodes))
 	return zoneResult{
-		bytes:      2 * (total() - before) / seconds / count,
+		bytes:      2 * (startedBytes(nodes) - before) / seconds / count,
 		cpuPercent: 100 * (ownCPU() - cpuBefore).Seconds() / seconds / count,
 		age:        oldest,
 	}
 }
+
+const changeRounds = 12
+
+// measureChange publishes large registers one after the other and counts the
+// bytes that each costs a node, by the size of the register.
+func measureChange(options) ([]Series, error) {
+	var points []Point
+	for _, kib := range []int{8, 32, 128} {
+		g := kernel.NewGroup(context.Background())
+		nodes, err := startNodes(g, targetNodes)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(exchangeWarm)
+		before, started := startedBytes(nodes), time.Now()
+		for i := range changeRounds {
+			nodes[i%targetNodes].Publish(peer.Entry{Key: peer.KeyManifest, Number: uint64(i + 1), Value: make([]byte, kib<<10)})
+			time.Sleep(time.Second)
+		}
+		spent := startedBytes(nodes) - before
+		idle := startedBytes(nodes)
+		time.Sleep(time.Since(started))
+		spent -= startedBytes(nodes) - idle // the exchange at rest, in the same time
+		points = append(points, Point{float64(kib), 2 * spent / targetNodes / changeRounds / 1024})
+		g.Stop()
+		_ = g.Wait() // servers end with their listeners
+	}
+	return []Series{newSeries("22 nodes in one zone", "KiB of the register", "KiB a node for each change, in and out", points)}, nil
+}
+
+// startedBytes is what the nodes' own exchanges have moved, both directions.
+func startedBytes(nodes []*peer.Node) float64 {
+	var sum uint64
+	for _, n := range nodes {
+		sum += n.Traffic.Sent.Load() + n.Traffic.Received.Load()
+	}
+	return float64(sum)
+}
--- a/measure/main.go
+++ b/measure/main.go
@@ -38,6 +38,7 @@
 func measurements() []measurement {
 	return []measurement{
 		{"exchange", measureExchange},
+		{"change", measureChange},
 		{"poll", measurePoll},
 		{"snapshot", measureSnapshot},
 		{"route", measureRoute},
@@ -45,6 +46,7 @@
 		{"takeover", measureTakeover},
 		{"place", measurePlace},
 		{"request", measureRequest},
+		{"zone", measureZone},
 		{"nodes", measureNodes},
 	}
 }
--- a/measure/nodes.go
+++ b/measure/nodes.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os/exec"
 	"time"
 
 	"redwinghall"
 	"redwinghall/operator"
+	"redwinghall/standin/process"
 	"redwinghall/standin/table"
 )
 
@@ -18,6 +18,8 @@
 	submitRepeats = 4
 )
 
+var groupSizes = []int{5, 10, 20}
+
 // measureNodes runs real processes, a router and a controller for each node,
 // in three zones, and takes what they spend at rest and how long a decision
 // takes to be in force everywhere.
@@ -29,14 +31,13 @@
 		}
 	}
 	var byGroups nodesResult
-	for _, groups := range []int{5, 10, 20} {
+	for _, groups := range groupSizes {
 		if err := byGroups.runNodes(o.Bin, shape{zones: 1, nodesPerZone: 6, groupsPerZone: groups}); err != nil {
 			return nil, err
 		}
 	}
-	for i, p := range byGroups.holder {
-		byGroups.holder[i].X, byGroups.routerCPU[i].X = []float64{5, 10, 20}[i], []float64{5, 10, 20}[i]
-		byGroups.holder[i].Y = p.Y
+	for i, groups := range groupSizes {
+		byGroups.holder[i].X, byGroups.routerCPU[i].X = float64(groups), float64(groups)
 	}
 	return []Series{
 		newSeries("manifest, slowest of several", "nodes", "milliseconds until in force in every router", r.manifest),
@@ -67,7 +68,7 @@
 		return err
 	}
 	defer d.stop()
-	x := float64(s.nodes())
+	x := float64(d.layout.Pairs())
 	if _, err := d.submit(0); err != nil {
 		return err
 	}
@@ -94,14 +95,14 @@
 
 // zoneOut takes the last zone out through a controller of the first.
 func (d *deployment) zoneOut() (time.Duration, error) {
-	zone := d.zone(d.shape.nodes() - 1)
+	zone := d.layout.Zones[len(d.layout.Zones)-1]
 	if _, err := d.operator(0).SetZone(context.Background(), operator.Submission{SubmitID: "out"}, zone, redwinghall.ZoneOut); err != nil {
 		return 0, err
 	}
 	started := time.Now()
 	err := d.wait("the zone's routers are not ready", func() bool {
-		for i := d.shape.nodes() - d.shape.nodesPerZone; i < d.shape.nodes(); i++ {
-			if d.status(i) != http.StatusServiceUnavailable {
+		for i := d.layout.Pairs() - d.layout.PairsPerZone; i < d.layout.Pairs(); i++ {
+			if status, _ := d.readyz(i); status != http.StatusServiceUnavailable {
 				return false
 			}
 		}
@@ -131,7 +132,7 @@
 	if out.controllers, out.contMem, err = usageOf(d.controllers); err != nil {
 		return out, err
 	}
-	for i := range d.shape.nodes() {
+	for i := range d.layout.Pairs() {
 		status, err := d.operator(i).Status(context.Background())
 		if err != nil {
 			return out, err
@@ -143,7 +144,7 @@
 		}
 		out.bytes += bytes
 	}
-	return out, d.get(address(portPlatform)+table.PathCounts, &out.counts)
+	return out, d.get(d.layout.Platform()+table.PathCounts, &out.counts)
 }
 
 // exchanged returns a router's exchange bytes; what others start towards it is
@@ -152,7 +153,7 @@
 	var metrics map[string]struct {
 		Value float64 `json:"value"`
 	}
-	err := d.get(address(portCaller+i)+"/metrics", &metrics)
+	err := d.get(d.layout.Caller(i)+"/metrics", &metrics)
 	return 2 * (metrics["peer.bytes_sent"].Value + metrics["peer.bytes_received"].Value), err
 }
 
@@ -165,14 +166,14 @@
 	return json.NewDecoder(response.Body).Decode(out)
 }
 
-func usageOf(processes []*exec.Cmd) (cpu []time.Duration, largest float64, err error) {
+func usageOf(processes []*process.Process) (cpu []time.Duration, largest float64, err error) {
 	for _, p := range processes {
-		one, err := cpuOf(p.Process.Pid)
+		one, err := cpuOf(p.PID())
 		if err != nil {
-			return nil, 0, fmt.Errorf("process %d: %w", p.Process.Pid, err)
+			return nil, 0, fmt.Errorf("process %d: %w", p.PID(), err)
 		}
 		cpu = append(cpu, one)
-		memory, err := residentOf(p.Process.Pid)
+		memory, err := residentOf(p.PID())
 		if err != nil {
 			return nil, 0, err
 		}
--- a/measure/request.go
+++ b/measure/request.go
@@ -11,6 +11,7 @@
 
 	"redwinghall/kernel"
 	"redwinghall/standin/engine"
+	"redwinghall/standin/layout"
 	"redwinghall/standin/load"
 )
 
@@ -38,15 +39,15 @@
 	leader := status.Groups[0].Leader().Address
 	var cpu, through, direct []Point
 	for _, tokens := range []int{1, 16, 64, 256} {
-		c := load.Config{Routers: []string{address(portCaller)}, Key: measureKey, Model: measureModel,
+		c := load.Config{Routers: []string{d.layout.Caller(0)}, Key: layout.DemoKey(measureAccount), Model: d.layout.Model,
 			Requests: max(600, 6000/tokens), Workers: requestWorkers, Tokens: tokens, Timeout: waitLimit}
 		load.Run(context.Background(), c) // warm up
-		before, err := cpuOf(d.routers[0].Process.Pid)
+		before, err := cpuOf(d.routers[0].PID())
 		if err != nil {
 			return nil, err
 		}
 		result := load.Run(context.Background(), c)
-		after, err := cpuOf(d.routers[0].Process.Pid)
+		after, err := cpuOf(d.routers[0].PID())
 		if err != nil {
 			return nil, err
 		}
@@ -78,7 +79,7 @@
 		if err != nil {
 			return 0, err
 		}
-		request.Header.Set("Authorization", "Bearer "+measureKey)
+		request.Header.Set("Authorization", "Bearer "+c.Key)
 		started := time.Now()
 		response, err := client.Do(request)
 		if err != nil {
--- /dev/null
+++ b/measure/zone.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwinghall"
+	"redwinghall/kernel"
+	"redwinghall/operator"
+	"redwinghall/standin/engine"
+	"redwinghall/standin/layout"
+	"redwinghall/standin/load"
+)
+
+// The zone measurement: three zones of two groups of one VM that bear four
+// requests at once, each of which takes about 0.15 s.
+const (
+	zoneSeconds  = 24
+	zoneOutAt    = 6
+	zoneInAt     = 16
+	zoneInFlight = 4
+	zoneGroups   = 2
+	zoneTokens   = 24
+	zoneLate     = 500 * time.Millisecond // an answer that takes longer is late
+	zoneDeadline = 2 * time.Second
+	zoneTakes    = 150 * time.Millisecond
+)
+
+// measureZone sends a steady load while operators take one of three zones out
+// and back, as a balancer does: only to routers that say that they are ready.
+// What each second brought is the result.
+func measureZone(o options) ([]Series, error) {
+	var out []Series
+	for _, percent := range []int{70, 95} {
+		r, err := runZoneLoad(o.Bin, percent)
+		if err != nil {
+			return nil, err
+		}
+		name := fmt.Sprintf("%d%% of two zones, out at %d s, in at %d s", percent, zoneOutAt, zoneInAt)
+		out = append(out,
+			newSeries(name+": sent", "second", "requests", points(r.sent[:])),
+			newSeries(name+": whole in time", "second", "requests", points(r.inTime[:])),
+			newSeries(name+": whole, late", "second", "requests", points(r.late[:])),
+			newSeries(name+": refused", "second", "requests", points(r.refused[:])),
+			newSeries(name+": failed", "second", "requests", points(r.failed[:])),
+			newSeries(name+": begun in the zone", "second", "requests there", r.there))
+	}
+	return out, nil
+}
+
+// bySecond counts what became of the requests that were sent in each second.
+type bySecond struct {
+	sent, inTime, late, refused, failed [zoneSeconds]atomic.Int64
+	there                               []Point
+}
+
+func points(counts []atomic.Int64) []Point {
+	var out []Point
+	for i := range counts {
+		out = append(out, Point{float64(i), float64(counts[i].Load())})
+	}
+	return out
+}
+
+func zoneShape() shape {
+	return shape{zones: 3, nodesPerZone: 2, groupsPerZone: zoneGroups, engine: engine.Config{
+		FirstToken: redwinghall.Duration(30 * time.Millisecond), TokenDelay: redwinghall.Duration(5 * time.Millisecond),
+		ColdInFlight: 1, WarmAfter: 10, MaxInFlight: zoneInFlight,
+	}}
+}
+
+func runZoneLoad(bin string, percent int) (*bySecond, error) {
+	s := zoneShape()
+	d, err := startDeploymentOf(bin, s, func(l *layout.Layout) {
+		l.PerGroup = 1
+		l.ModelLimits = redwinghall.Model{MaxInFlight: zoneInFlight, ColdInFlight: 1, WarmAfter: 10}
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer d.stop()
+	if _, err := d.submit(0); err != nil {
+		return nil, err
+	}
+	if err := d.serving(); err != nil {
+		return nil, err
+	}
+	if err := d.warmUp(); err != nil {
+		return nil, err
+	}
+	capacity := float64(2*zoneGroups*zoneInFlight) / zoneTakes.Seconds()
+	return d.steadyLoad(capacity * float64(percent) / 100)
+}
+
+// warmUp serves until no group is cold.
+func (d *deployment) warmUp() error {
+	c := d.loadConfig()
+	for i := range d.layout.Pairs() {
+		c.Routers = []string{d.layout.Caller(i)}
+		c.Requests, c.Workers = 60, 3
+		if r := load.Run(context.Background(), c); r.Whole == 0 {
+			return errors.New(r.String())
+		}
+	}
+	return nil
+}
+
+func (d *deployment) loadConfig() load.Config {
+	return load.Config{Key: layout.DemoKey(measureAccount), Model: d.layout.Model, Tokens: zoneTokens, Timeout: zoneDeadline}
+}
+
+func (d *deployment) steadyLoad(rate float64) (*bySecond, error) {
+	out := &bySecond{}
+	var ready readyRouters
+	d.lookForReady(&ready)
+	g := kernel.NewGroup(context.Background())
+	started := time.Now()
+	g.Go("balancer", func(context.Context) error {
+		for time.Since(started) < zoneSeconds*time.Second {
+			d.lookForReady(&ready)
+			time.Sleep(100 * time.Millisecond)
+		}
+		return nil
+	})
+	g.Go("operator", func(ctx context.Context) error { return d.outAndIn(ctx, started) })
+	g.Go("engines", func(context.Context) error { return d.countThere(started, out) })
+
+	client := load.NewClient()
+	requests := kernel.NewGroup(context.Background())
+	for i := 0; ; i++ {
+		due := started.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		second := int(due.Sub(started).Seconds())
+		if second >= zoneSeconds {
+			break
+		}
+		time.Sleep(time.Until(due))
+		c := d.loadConfig()
+		c.Routers = []string{ready.next(i)}
+		out.sent[second].Add(1)
+		requests.Go("request", func(ctx context.Context) error {
+			began := time.Now()
+			out.add(second, load.Stream(ctx, client, c, i), time.Since(began))
+			return nil
+		})
+	}
+	return out, errors.Join(requests.Wait(), g.Wait())
+}
+
+func (b *bySecond) add(second int, a load.Answer, took time.Duration) {
+	switch {
+	case a.Code != "":
+		b.refused[second].Add(1)
+	case a.Err != nil || a.Text != a.Want:
+		b.failed[second].Add(1)
+	case took > zoneLate:
+		b.late[second].Add(1)
+	default:
+		b.inTime[second].Add(1)
+	}
+}
+
+// readyRouters is what a balancer knows.
+type readyRouters struct {
+	mu        sync.Mutex
+	addresses []string
+}
+
+func (r *readyRouters) next(i int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addresses[i%len(r.addresses)]
+}
+
+func (d *deployment) lookForReady(r *readyRouters) {
+	var found []string
+	for i := range d.layout.Pairs() {
+		if status, _ := d.readyz(i); status == http.StatusOK {
+			found = append(found, d.layout.Caller(i))
+		}
+	}
+	if len(found) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addresses = found
+}
+
+// outAndIn takes the second zone out of service and back.
+func (d *deployment) outAndIn(ctx context.Context, started time.Time) error {
+	zone := d.layout.Zones[1]
+	for _, step := range []struct {
+		at    time.Duration
+		state redwinghall.ZoneState
+		sub   operator.Submission
+	}{
+		{zoneOutAt * time.Second, redwinghall.ZoneOut, operator.Submission{SubmitID: "out"}},
+		{zoneInAt * time.Second, redwinghall.ZoneIn, operator.Submission{SubmitID: "in", Replaces: 1}},
+	} {
+		time.Sleep(time.Until(started.Add(step.at)))
+		if _, err := d.operator(0).SetZone(ctx, step.sub, zone, step.state); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// countThere takes, each second, how many requests the zone's engines began.
+func (d *deployment) countThere(started time.Time, out *bySecond) error {
+	last := -1
+	for second := range zoneSeconds + 1 {
+		time.Sleep(time.Until(started.Add(time.Duration(second) * time.Second)))
+		var record engine.Record
+		if err := d.get(d.layout.EngineControl()+engine.PathRecord, &record); err != nil {
+			return err
+		}
+		total := 0
+		for vm, n := range record.ByVM {
+			if len(vm) > len(d.layout.Zones[1]) && vm[:len(d.layout.Zones[1])] == d.layout.Zones[1] {
+				total += n
+			}
+		}
+		if last >= 0 {
+			out.there = append(out.there, Point{float64(second - 1), float64(total - last)})
+		}
+		last = total
+	}
+	return nil
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -67,9 +67,12 @@
 	members memberCache
 	// wantsHealth says that a controller needs the words on groups.
 	wantsHealth atomic.Bool
+	granter     atomic.Pointer[Granter]
+	holder      atomic.Pointer[string] // the controller that granted last
 
 	mu        sync.Mutex
 	failures  map[string]int
+	asked     map[Mark]time.Time // large registers that a peer was asked for
 	lastRound time.Time // when a round last came by here
 	ticks     int
 	urgent    []redwinghall.GroupHealth
@@ -86,6 +89,7 @@
 		Traffic: traffic,
 		token:   token, client: newClient(traffic, token), seeds: seeds,
 		failures: map[string]int{},
+		asked:    map[Mark]time.Time{},
 		wake:     make(chan struct{}, 1),
 	}
 }
@@ -263,14 +267,14 @@
 	pushes := kernel.NewGroup(ctx)
 	for _, m := range choose(n.others(n.Self.AvailabilityZone), zoneFanout) {
 		pushes.Go("peer.push_one", func(ctx context.Context) error {
-			_ = n.exchange(ctx, m, outgoing{entries: entries, health: health}) // the periodic exchange repairs a lost push
+			_ = n.exchange(ctx, m, news(entries, health)) // the periodic exchange repairs a lost push
 			return nil
 		})
 	}
 	if global := globalOnly(entries); len(global) > 0 {
 		for _, m := range choose(n.foreign(), crossFanout) {
 			pushes.Go("peer.push_one", func(ctx context.Context) error {
-				_ = n.exchange(ctx, m, outgoing{entries: global})
+				_ = n.exchange(ctx, m, news(global, nil))
 				return nil
 			})
 		}
@@ -278,6 +282,50 @@
 	_ = pushes.Wait()
 }
 
+// largeValue is the size from which a register is offered before it is sent.
+const largeValue = 256
+
+// news is what a push hands over. Small registers go at once. A large one, as
+// the manifest, reaches a process from several others: it is only offered,
+// and sent to those that say that they lack it, so that its bytes travel once
+// to each process and not once for each push.
+func news(entries []Entry, health []redwinghall.GroupHealth) outgoing {
+	out := outgoing{health: health}
+	for _, e := range entries {
+		if len(e.Value) < largeValue {
+			out.entries = append(out.entries, e)
+			continue
+		}
+		out.offers = append(out.offers, Mark{Key: e.Key, Number: e.Number})
+	}
+	return out
+}
+
+// askAgainAfter is how long a register that was asked for may take.
+const askAgainAfter = 500 * time.Millisecond
+
+// Wanted returns which offers to take: those that are newer than what is held
+// and that no other peer was asked for lately.
+func (n *Node) Wanted(now time.Time, offers []Mark) []string {
+	lacks := n.Store.Lacks(offers)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for _, m := range offers {
+		if !slices.Contains(lacks, m.Key) || now.Sub(n.asked[m]) < askAgainAfter {
+			continue
+		}
+		n.asked[m] = now
+		out = append(out, m.Key)
+	}
+	for m, at := range n.asked {
+		if now.Sub(at) >= askAgainAfter {
+			delete(n.asked, m)
+		}
+	}
+	return out
+}
+
 func globalOnly(entries []Entry) []Entry {
 	var out []Entry
 	for _, e := range entries {
@@ -296,13 +344,17 @@
 // outgoing is what an exchange hands over beside the digest.
 type outgoing struct {
 	entries    []Entry
+	offers     []Mark
 	health     []redwinghall.GroupHealth
 	wantHealth bool
 	round      time.Duration // time that the receiver has to hand a round on
+	// repair compares the digests afterwards. A push does not: while news is
+	// on its way the digests differ everywhere.
+	repair bool
 }
 
 func (n *Node) outgoing(now time.Time, health bool) outgoing {
-	out := outgoing{wantHealth: health}
+	out := outgoing{wantHealth: health, repair: true}
 	if health {
 		out.health = n.Health.Fresh(now, n.HealthBound)
 	}
@@ -318,9 +370,12 @@
 	client := rpc.NewPeerProtobufClient("http://"+m.Address, n.client)
 
 	answer, err := client.Exchange(ctx, n.request(scope, out))
+	if err == nil && len(answer.Wanted) > 0 {
+		answer, err = client.Exchange(ctx, n.request(scope, outgoing{entries: n.Store.entriesOf(answer.Wanted)}))
+	}
 	if err == nil {
 		n.takeAnswer(answer)
-		if answer.Digest != n.Store.Digest(scope) {
+		if out.repair && answer.Digest != n.Store.Digest(scope) {
 			err = n.reconcile(ctx, client, scope)
 		}
 	}
@@ -358,6 +413,7 @@
 		AvailabilityZone: n.Self.AvailabilityZone,
 		Digest:           n.Store.Digest(scope),
 		Entries:          toEntries(out.entries),
+		Offers:           toMarks(out.offers),
 		Health:           toHealth(time.Now(), out.health),
 		WantHealth:       out.wantHealth,
 		RoundMs:          uint32(out.round.Milliseconds()),
--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -96,6 +96,34 @@
 	return true
 }
 
+// At 8,000 changes of a manifest a day, a copy from each of several peers
+// would spend the whole budget of bytes.
+// Order: three peers offer the same news; one of them never sends it.
+func TestLargeRegisterIsAskedForOnce(t *testing.T) {
+	n := node("a")
+	now := time.Date(2026, 1, 14, 5, 0, 0, 0, time.UTC)
+	offer := []peer.Mark{{Key: peer.KeyManifest, Number: 7}}
+	require.Equal(t, []string{peer.KeyManifest}, n.Wanted(now, offer))
+	require.Empty(t, n.Wanted(now.Add(time.Millisecond), offer), "it is on its way")
+	require.Equal(t, []string{peer.KeyManifest}, n.Wanted(now.Add(time.Second), offer), "it did not come")
+	n.Store.Apply(peer.Entry{Key: peer.KeyManifest, Number: 7})
+	require.Empty(t, n.Wanted(now.Add(time.Minute), offer), "it is held")
+	require.Empty(t, n.Wanted(now.Add(time.Minute), []peer.Mark{{Key: peer.KeyManifest, Number: 6}}), "it is older")
+}
+
+func TestLargeRegisterReachesEveryRouter(t *testing.T) {
+	nodes := zone(t, 9)
+	nodes[2].Publish(peer.Entry{Key: peer.KeyManifest, Number: 1, Value: make([]byte, 1<<20)})
+	eventually(t, "the register is everywhere", func() bool {
+		for _, n := range nodes {
+			if e, ok := n.Store.Get(peer.KeyManifest); !ok || len(e.Value) != 1<<20 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // The first router of the rounds is gone; words must go on travelling.
 func TestRoundsGoOnWithoutTheFirstRouter(t *testing.T) {
 	nodes := zone(t, 5)
--- a/peer/store.go
+++ b/peer/store.go
@@ -200,6 +200,32 @@
 	return out
 }
 
+// Lacks returns the keys of the marks that are newer than what is held.
+func (s *Store) Lacks(marks []Mark) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, m := range marks {
+		if m.Number > s.entries[m.Key].Number {
+			out = append(out, m.Key)
+		}
+	}
+	return out
+}
+
+// entriesOf returns the entries of the keys that are held.
+func (s *Store) entriesOf(keys []string) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Entry
+	for _, key := range keys {
+		if e, ok := s.entries[key]; ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Newer returns the scope's entries that are newer than the marks.
 func (s *Store) Newer(scope Scope, marks []Mark) []Entry {
 	theirs := make(map[string]uint64, len(marks))
--- a/route/board.go
+++ b/route/board.go
@@ -76,9 +76,10 @@
 
 	view atomic.Pointer[View]
 
-	mu    sync.Mutex
-	slots map[string]*Slot
-	gates map[string]*admit.Gate[*Slot]
+	mu     sync.Mutex
+	slots  map[string]*Slot
+	grants map[string]time.Time // until when this router may feed cold groups
+	gates  map[string]*admit.Gate[*Slot]
 }
 
 // BoardConfig says whose board it is and how it decides.
@@ -94,7 +95,7 @@
 func NewBoard(c BoardConfig) *Board {
 	b := &Board{
 		zone: c.AvailabilityZone, self: c.Router, bound: c.AliveBound, ramp: c.Ramp, picker: c.Picker,
-		slots: map[string]*Slot{}, gates: map[string]*admit.Gate[*Slot]{},
+		slots: map[string]*Slot{}, grants: map[string]time.Time{}, gates: map[string]*admit.Gate[*Slot]{},
 	}
 	b.view.Store(&View{})
 	return b
@@ -217,8 +218,25 @@
 	return b.pick(model, Query{Now: now, Bound: b.bound, Prefix: prefix})
 }
 
-// Usable reports how many groups of the model may take work at now.
+// Usable reports how many groups of the model may take work from this router
+// at now.
 func (b *Board) Usable(model string, now time.Time) int {
+	m, ok := b.View().Models[model]
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, s := range m.Slots {
+		if s.Limit() > 0 && s.Usable(now, b.bound) {
+			n++
+		}
+	}
+	return n
+}
+
+// Whole reports how many groups of the model are whole at now, also those that
+// this router may not send to.
+func (b *Board) Whole(model string, now time.Time) int {
 	m, ok := b.View().Models[model]
 	if !ok {
 		return 0
@@ -250,11 +268,15 @@
 				continue
 			}
 			owner := Owner(g.ID, ids)
+			until, granted := b.granted(g.ID, now)
 			limit := b.ramp.Share(ramp.Input{
-				Group: g, Completed: h.Completed, Routers: len(routers), Owner: owner == b.self,
+				Group: g, Completed: h.Completed, Routers: len(routers), Owner: granted,
 			})
+			if int(h.Completed) >= g.WarmAfter {
+				until = time.Time{}
+			}
 			s.SetHealth(h)
-			s.SetLimit(limit)
+			s.SetLimit(limit, until)
 			if limit > 0 {
 				owner = b.self
 			}
@@ -264,6 +286,42 @@
 	}
 }
 
+// granted returns until when this router may feed a cold group.
+func (b *Board) granted(group string, now time.Time) (time.Time, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	until, ok := b.grants[group]
+	if ok && !now.Before(until) {
+		delete(b.grants, group)
+		return time.Time{}, false
+	}
+	return until, ok
+}
+
+// Granted takes note that this router may feed cold groups until a time.
+func (b *Board) Granted(groups []string, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, g := range groups {
+		b.grants[g] = until
+	}
+}
+
+// WantsGrant returns the cold groups that this router owns by hashing, and so
+// should ask to feed.
+func (b *Board) WantsGrant(routers []string) []string {
+	var out []string
+	for _, model := range b.View().Models {
+		for _, s := range model.Slots {
+			g, h := s.Group(), s.Health()
+			if !g.Leaving && h.Generation == g.Generation && int(h.Completed) < g.WarmAfter && Owner(g.ID, routers) == b.self {
+				out = append(out, g.ID)
+			}
+		}
+	}
+	return out
+}
+
 func ownerAddress(owner, self string, addresses map[string]string) string {
 	if owner == self {
 		return ""
--- a/route/route.go
+++ b/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	// owner is the caller address of the router that feeds the group while it
 	// is cold; empty when this router may send itself.
 	owner atomic.Pointer[string]
+	// validUntil, in nanoseconds since 1970, ends the limit: that of a cold
+	// group ends with its grant, whatever this router does in between.
+	validUntil atomic.Int64
 }
 
 // NewSlot returns a slot of the group that takes no work until it has health
@@ -51,8 +55,16 @@
 	return redwinghall.GroupHealth{}
 }
 
-// SetLimit sets how many requests this router may have in the group.
-func (s *Slot) SetLimit(n int) { s.limit.Store(int32(n)) }
+// SetLimit sets how many requests this router may have in the group until a
+// time; the zero time sets no end.
+func (s *Slot) SetLimit(n int, until time.Time) {
+	end := int64(math.MaxInt64)
+	if !until.IsZero() {
+		end = until.UnixNano()
+	}
+	s.validUntil.Store(end)
+	s.limit.Store(int32(n))
+}
 
 // Limit returns how many requests this router may have in the group.
 func (s *Slot) Limit() int { return int(s.limit.Load()) }
@@ -101,6 +113,11 @@
 // Release counts one request less.
 func (s *Slot) Release() { s.inFlight.Add(-1) }
 
+// enter counts a request that may go to the slot, and reports whether it may.
+func (s *Slot) enter(q Query) bool {
+	return s != q.Exclude && q.Now.UnixNano() < s.validUntil.Load() && s.Usable(q.Now, q.Bound) && s.TryAcquire()
+}
+
 func (s *Slot) avoided(now time.Time) bool { return s.avoidUntil.Load() > now.UnixNano() }
 
 // load compares slots by the part of their limit that is used.
@@ -167,7 +184,7 @@
 }
 
 func (TwoChoices) take(q Query, s *Slot) bool {
-	return s != q.Exclude && !s.avoided(q.Now) && s.Usable(q.Now, q.Bound) && s.TryAcquire()
+	return !s.avoided(q.Now) && s.enter(q)
 }
 
 // scan is the way out when both choices were unusable or full: every slot is
@@ -182,7 +199,7 @@
 	}
 	for i := range slots {
 		s := slots[(start+i)%len(slots)]
-		if s != q.Exclude && s.Usable(q.Now, q.Bound) && s.TryAcquire() {
+		if s.enter(q) {
 			return s
 		}
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -22,7 +22,7 @@
 		id := fmt.Sprint("g", i)
 		out[i] = route.NewSlot(redwinghall.Group{ID: id, Generation: 1})
 		out[i].SetHealth(redwinghall.GroupHealth{Group: id, Generation: 1, Ready: true, SeenAt: start})
-		out[i].SetLimit(limit)
+		out[i].SetLimit(limit, time.Time{})
 	}
 	return out
 }
@@ -39,7 +39,8 @@
 		}},
 		{"ordered anew", func(s *route.Slot) { s.SetGroup(s.Group().WithGeneration(2)) }},
 		{"leaving", func(s *route.Slot) { s.SetGroup(s.Group().WithLeaving()) }},
-		{"full", func(s *route.Slot) { s.SetLimit(0) }},
+		{"full", func(s *route.Slot) { s.SetLimit(0, time.Time{}) }},
+		{"grant ended", func(s *route.Slot) { s.SetLimit(1000, start) }},
 		{"avoided after a failure", func(s *route.Slot) { s.Avoid(start.Add(time.Second)) }},
 	}
 	for _, tt := range tests {
