Share one sleep, one row value and one look at failed dials; test rwhctl

Behaviour unchanged, but for rwhctl: a controller that cannot be reached is now controller_unreachable instead of result_unknown, because nothing was sent. measure downtime added; not run yet.

--- a/caller/once.go
+++ b/caller/once.go
@@ -169,8 +169,3 @@
 	a.Body = []byte(`{"detail":"the call ran; its answer was too large to keep"}`)
 	return a
 }
-
-func isDialError(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && opErr.Op == "dial"
-}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/kernel"
 	"redwinghall/route"
 )
 
@@ -35,18 +36,6 @@
 	return full/2 + rand.N(full/2)
 }
 
-// pause waits and reports whether the request still has time.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // avoidAfterFailure keeps a group that failed a request out of the first
 // choice for a while, so that retries do not meet the same straggler again.
 const avoidAfterFailure = 2 * time.Second
@@ -111,7 +100,7 @@
 		if l.sequence.next > from {
 			fruitless = 0
 		}
-		if fruitless > 1 && !pause(ctx, backoff(fruitless)) {
+		if fruitless > 1 && !kernel.Sleep(ctx, backoff(fruitless)) {
 			break
 		}
 	}
--- a/caller/service.go
+++ b/caller/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/dial"
 	"redwinghall/route"
 )
 
@@ -168,7 +169,7 @@
 		if err == nil {
 			return s.copyForward(w, answer)
 		}
-		if !isDialError(err) {
+		if !dial.Failed(err) {
 			// The other router may have claimed the key. The same key finds
 			// out what became of it.
 			return redwinghall.NewOpError("Server.forwardService", redwinghall.CodeInProgress, err)
--- a/claim.go
+++ b/claim.go
@@ -48,11 +48,7 @@
 
 // JSON returns the claim's row value.
 func (c Claim) JSON() json.RawMessage {
-	data, err := json.Marshal(c)
-	if err != nil {
-		panic(err) // a struct of plain fields always marshals
-	}
-	return data
+	return RowValue(c)
 }
 
 // ClaimKey returns the row's key. The account and the service are part of it,
--- a/claim/error.go
+++ b/claim/error.go
@@ -16,8 +16,6 @@
 	// Lost: the answer to the claim was lost and the row could not be read
 	// back, or was not there. The row may still appear; the keeper releases it.
 	Lost Kind = "claim_lost"
-	// Stopped: the keeper is stopping and takes no more.
-	Stopped Kind = "stopped"
 )
 
 // Error is a failed claim.
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -202,7 +202,7 @@
 				failures = 0
 				continue
 			}
-			if !sleep(ctx, pauseAfter(failures, k.config.RetryInterval)) {
+			if !kernel.Sleep(ctx, pauseAfter(failures, k.config.RetryInterval)) {
 				return nil
 			}
 			failures++
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/kernel"
 )
 
 // Limits of one transaction and of the queue before it.
@@ -128,7 +129,7 @@
 		case <-w.wake:
 		}
 		for w.pending() > 0 && ctx.Err() == nil {
-			if wait := w.interval - time.Since(last); wait > 0 && !sleep(ctx, wait) {
+			if wait := w.interval - time.Since(last); wait > 0 && !kernel.Sleep(ctx, wait) {
 				break
 			}
 			last = time.Now()
@@ -141,7 +142,7 @@
 // are refused at once in the meantime and taken again soon after.
 func (w *Writer) RunProbe(ctx context.Context) error {
 	failures := 0
-	for sleep(ctx, pauseAfter(failures, firstPause)) {
+	for kernel.Sleep(ctx, pauseAfter(failures, firstPause)) {
 		if !w.Down() {
 			failures = 0
 			continue
@@ -275,15 +276,3 @@
 		one.done <- r
 	}
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/cmd/standin/process_test.go
+++ b/cmd/standin/process_test.go
@@ -35,7 +35,10 @@
 	account   = "hauliers"
 )
 
-var bin string
+var (
+	bin    string
+	worlds int
+)
 
 // TestMain builds the programs once; these tests run them as an entry VM does.
 func TestMain(m *testing.M) {
@@ -70,6 +73,9 @@
 	t.Helper()
 	l.Name, l.Model, l.Service = "test", "chain-advice", "rental-desk"
 	l.Base = 24000
+	// An address of its own for each run and world: two runs do not meet.
+	worlds++
+	l.Host = fmt.Sprintf("127.%d.%d.%d", 130+os.Getpid()%100, 1+os.Getpid()/100%250, worlds)
 	l.Accounts = redwinghall.ClientAccounts{layout.Account(account, 1, redwinghall.ClassInteractive)}
 	l.ModelLimits = redwinghall.Model{MaxInFlight: 256, ColdInFlight: 256, WarmAfter: 1}
 	l.TuneRouter = func(s *daemon.RouterSettings) {
@@ -217,7 +223,7 @@
 
 func twoZones(t *testing.T) *world {
 	t.Helper()
-	return newWorld(t, layout.Layout{Host: "127.78.1.1", Zones: []string{"tartu", "parnu"}, PairsPerZone: 1,
+	return newWorld(t, layout.Layout{Zones: []string{"tartu", "parnu"}, PairsPerZone: 1,
 		Domains: [][]int{{2}, {2}}, PerGroup: 2, Replicas: 1})
 }
 
@@ -288,7 +294,7 @@
 // Judge: the fencing number rises, groups stay whole, no VM is in two groups,
 // and every answer stays whole all the time.
 func TestHolderFrozenAcrossItsLapse(t *testing.T) {
-	w := newWorld(t, layout.Layout{Host: "127.78.1.2", Zones: []string{"tartu"}, PairsPerZone: 2,
+	w := newWorld(t, layout.Layout{Zones: []string{"tartu"}, PairsPerZone: 2,
 		Domains: [][]int{{7}}, PerGroup: 2, Replicas: 3})
 	var status operator.Status
 	w.eventually("someone holds the lease", func() bool {
@@ -362,7 +368,7 @@
 // nothing but its peers. Judge: the restarted router has generation 1 and
 // knows that its zone is out.
 func TestRestartedRouterLearnsFromPeersWithoutThePlatform(t *testing.T) {
-	w := newWorld(t, layout.Layout{Host: "127.78.1.3", Zones: []string{"tartu", "parnu"}, PairsPerZone: 2,
+	w := newWorld(t, layout.Layout{Zones: []string{"tartu", "parnu"}, PairsPerZone: 2,
 		Domains: [][]int{{2}, {2}}, PerGroup: 2, Replicas: 1})
 	_, err := w.operator(0).SetZone(t.Context(), operator.Submission{SubmitID: "out"}, "parnu", redwinghall.ZoneOut)
 	require.NoError(t, err)
--- a/code.go
+++ b/code.go
@@ -54,6 +54,8 @@
 	CodeOperatorForbidden Code = "operator_forbidden"
 	CodeAccepted          Code = "accepted"
 	CodeSettingsInvalid   Code = "settings_invalid"
+
+	CodeControllerUnreachable Code = "controller_unreachable"
 )
 
 // CodeInfo is what a reader needs to know of a code.
@@ -111,6 +113,7 @@
 	{CodeTableUnavailable, 503, NoRequest, "Nothing was changed, because the platform's table service does not answer.", "The table service is down or cannot be reached.", "Try again after the time in Retry-After.", 2 * time.Second},
 	{CodeResultUnknown, 502, NoRequest, "It is not known whether the change was accepted.", "The table service's answer was lost, and the result could not be read back.", "Run the same command with the same --submit-id. It is accepted at most once.", 2 * time.Second},
 	{CodeOperatorForbidden, 403, NoRequest, "The operator token is missing or wrong.", "The Authorization header does not carry the token from the controller's settings.", "Set the token and try again.", 0},
+	{CodeControllerUnreachable, 503, NoRequest, "The controller does not answer. Nothing was sent.", "No connection to the controller's operator listener could be opened.", "Check the address, or use the controller of another entry VM.", 2 * time.Second},
 	{CodeAccepted, 200, NoRequest, "The change is accepted.", "The change is recorded in the platform's table. Every availability zone receives it within seconds.", "Run 'rwhctl status' to see it in force.", 0},
 	{CodeSettingsInvalid, 422, NoRequest, "The settings are not valid. Nothing was started.", "One or more fields are wrong. Each is listed with its path.", "Correct every listed field and start again.", 0},
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -145,10 +145,10 @@
 	if action == Take {
 		record.Fencing++
 	}
-	writes := []redwinghall.Write{{Key: Key(zone), Expect: s.version, Value: mustJSON(record)}}
+	writes := []redwinghall.Write{{Key: Key(zone), Expect: s.version, Value: redwinghall.RowValue(record)}}
 	if action == Take {
 		writes = append(writes, redwinghall.Write{
-			Key: FenceKey(zone), Expect: s.fenceVersion, Value: mustJSON(Fence{Fencing: record.Fencing}),
+			Key: FenceKey(zone), Expect: s.fenceVersion, Value: redwinghall.RowValue(Fence{Fencing: record.Fencing}),
 		})
 	}
 	return redwinghall.Txn{Writes: writes}, record
@@ -172,11 +172,3 @@
 	}
 	return next, nil
 }
-
-func mustJSON(v any) json.RawMessage {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // a struct of plain fields always marshals
-	}
-	return data
-}
--- a/measure/deployment.go
+++ b/measure/deployment.go
@@ -58,10 +58,25 @@
 	client      *http.Client
 }
 
-func startDeployment(bin string, s shape) (*deployment, error) {
-	return startDeploymentOf(bin, s, func(*layout.Layout) {})
+// startServing starts a deployment and waits until its groups are whole.
+func startServing(bin string, s shape, change func(*layout.Layout)) (*deployment, error) {
+	d, err := startDeploymentOf(bin, s, change)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = d.submit(0); err == nil {
+		err = d.serving()
+	}
+	if err != nil {
+		d.stop()
+		return nil, err
+	}
+	return d, nil
 }
 
+// unchanged leaves a layout as its shape makes it.
+func unchanged(*layout.Layout) {}
+
 // startDeploymentOf starts a deployment whose layout was changed first.
 func startDeploymentOf(bin string, s shape, change func(*layout.Layout)) (*deployment, error) {
 	l := s.layout()
--- a/measure/main.go
+++ b/measure/main.go
@@ -46,6 +46,7 @@
 		{"takeover", measureTakeover},
 		{"place", measurePlace},
 		{"request", measureRequest},
+		{"downtime", measureDowntime},
 		{"zone", measureZone},
 		{"nodes", measureNodes},
 	}
--- a/measure/nodes.go
+++ b/measure/nodes.go
@@ -63,18 +63,12 @@
 }
 
 func (r *nodesResult) runNodes(bin string, s shape) error {
-	d, err := startDeployment(bin, s)
+	d, err := startServing(bin, s, unchanged)
 	if err != nil {
 		return err
 	}
 	defer d.stop()
 	x := float64(d.layout.Pairs())
-	if _, err := d.submit(0); err != nil {
-		return err
-	}
-	if err := d.serving(); err != nil {
-		return err
-	}
 	time.Sleep(2 * time.Second)
 	if err := r.rest(d, x); err != nil {
 		return err
--- a/measure/request.go
+++ b/measure/request.go
@@ -21,17 +21,11 @@
 // and takes the router's own processor time, and the times of a caller beside
 // a direct call to the engine stand-in in the same run.
 func measureRequest(o options) ([]Series, error) {
-	d, err := startDeployment(o.Bin, shape{zones: 1, nodesPerZone: 1, groupsPerZone: 1, engine: engine.Config{}})
+	d, err := startServing(o.Bin, shape{zones: 1, nodesPerZone: 1, groupsPerZone: 1, engine: engine.Config{}}, unchanged)
 	if err != nil {
 		return nil, err
 	}
 	defer d.stop()
-	if _, err := d.submit(0); err != nil {
-		return nil, err
-	}
-	if err := d.serving(); err != nil {
-		return nil, err
-	}
 	status, err := d.operator(0).Status(context.Background())
 	if err != nil {
 		return nil, err
--- a/measure/zone.go
+++ b/measure/zone.go
@@ -76,7 +76,7 @@
 
 func runZoneLoad(bin string, percent int) (*bySecond, error) {
 	s := zoneShape()
-	d, err := startDeploymentOf(bin, s, func(l *layout.Layout) {
+	d, err := startServing(bin, s, func(l *layout.Layout) {
 		l.PerGroup = 1
 		l.ModelLimits = redwinghall.Model{MaxInFlight: zoneInFlight, ColdInFlight: 1, WarmAfter: 10}
 	})
@@ -84,12 +84,6 @@
 		return nil, err
 	}
 	defer d.stop()
-	if _, err := d.submit(0); err != nil {
-		return nil, err
-	}
-	if err := d.serving(); err != nil {
-		return nil, err
-	}
 	if err := d.warmUp(); err != nil {
 		return nil, err
 	}
--- a/operator/acceptor.go
+++ b/operator/acceptor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/kernel"
 	"redwinghall/platform"
 )
 
@@ -102,7 +103,7 @@
 	maySucceedLate := false
 	var last error
 	for try := range a.Tries {
-		if try > 0 && !pause(ctx, a.Pause) {
+		if try > 0 && !kernel.Sleep(ctx, a.Pause) {
 			break
 		}
 		rows, err := a.table.Read(ctx, platform.KeySubmission(sub.SubmitID), platform.KeyHead)
@@ -141,8 +142,8 @@
 
 func (a *Acceptor) commit(ctx context.Context, sub Submission, headVersion int64, next platform.Head, number uint64, extra []redwinghall.Write) error {
 	writes := []redwinghall.Write{
-		{Key: platform.KeyHead, Expect: headVersion, Value: mustJSON(next)},
-		{Key: platform.KeySubmission(sub.SubmitID), Value: mustJSON(record{Number: number})},
+		{Key: platform.KeyHead, Expect: headVersion, Value: redwinghall.RowValue(next)},
+		{Key: platform.KeySubmission(sub.SubmitID), Value: redwinghall.RowValue(record{Number: number})},
 	}
 	extra, err := a.withoutPresent(ctx, extra)
 	if err != nil {
@@ -174,22 +175,3 @@
 	}
 	return Accepted{Code: redwinghall.CodeAccepted, Number: r.Number}, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
-func mustJSON(v any) json.RawMessage {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // a struct of plain fields always marshals
-	}
-	return data
-}
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/dial"
 )
 
 const (
@@ -75,7 +76,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := c.client.Do(request)
 	if err != nil {
-		return redwinghall.NewOpError("Client.do", redwinghall.CodeResultUnknown, err)
+		return redwinghall.NewOpError("Client.do", codeOfSendError(err), err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxClientAnswer))
@@ -91,6 +92,15 @@
 	return nil
 }
 
+// codeOfSendError tells a connection that could not be opened, so that nothing
+// was sent, from an answer that was lost.
+func codeOfSendError(err error) redwinghall.Code {
+	if dial.Failed(err) {
+		return redwinghall.CodeControllerUnreachable
+	}
+	return redwinghall.CodeResultUnknown
+}
+
 func refusalOf(status int, data []byte) error {
 	var r Refusal
 	if err := json.Unmarshal(data, &r); err != nil || r.Code == "" {
--- a/peer/node.go
+++ b/peer/node.go
@@ -73,7 +73,7 @@
 	mu        sync.Mutex
 	failures  map[string]int
 	asked     map[Mark]time.Time // large registers that a peer was asked for
-	lastRound time.Time // when a round last came by here
+	lastRound time.Time          // when a round last came by here
 	ticks     int
 	urgent    []redwinghall.GroupHealth
 	pending   []Entry
