Forget the service rate when the last waiting request gives up; check Last-Event-ID

Cause 1: TestWhoGivesUpLeavesNoTrace: an hour without waiting requests counted as the time of one grant, and the next requests were told to come back in 12 minutes. Cause 2: TestLastEventIDIsChecked: an id that cannot travel in an event was taken, and the answer could then not be continued. Both tests failed before.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -111,6 +111,9 @@
 			break
 		}
 	}
+	if g.waiting == 0 {
+		g.lastGrant = time.Time{}
+	}
 	var none T
 	return none, redwinghall.NewOpError("Gate.wait", DeadlinePassed, ctx.Err())
 }
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -183,6 +183,44 @@
 	})
 }
 
+// After a pause in which nobody waited, a request with seconds left is refused
+// as hopeless.
+// Order: two requests pass a second apart; the third gives up; an hour later
+// others wait. Cause: the hour counted as the time that one request takes.
+func TestWhoGivesUpLeavesNoTrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &room{}
+		gate := admit.NewGate(r.take)
+		a := account("a", 1, 100)
+		g := kernel.NewGroup(t.Context())
+		var order []string
+		waiters(g, gate, a, 2, &order)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		g.Go("gives up", func(context.Context) error {
+			_, err := gate.Enter(ctx, time.Now(), a)
+			require.Equal(t, admit.DeadlinePassed, redwinghall.KindOf[admit.Kind](err))
+			return nil
+		})
+		synctest.Wait()
+		for range 2 {
+			time.Sleep(time.Second)
+			let(gate, r)
+		}
+		require.NoError(t, g.Wait())
+		time.Sleep(time.Hour)
+
+		g = kernel.NewGroup(t.Context())
+		waiters(g, gate, a, 2, &order)
+		synctest.Wait()
+		let(gate, r)
+		require.Less(t, gate.RetryAfter(time.Now()), 5*time.Second)
+		let(gate, r)
+		require.NoError(t, g.Wait())
+	})
+}
+
 func BenchmarkEnter(b *testing.B) {
 	gate := admit.NewGate(func() (int, bool) { return 1, true })
 	a := account("a", 1, 10)
--- a/caller/request.go
+++ b/caller/request.go
@@ -170,17 +170,21 @@
 
 // requestID returns the caller's id when it is plain, and a new one otherwise.
 func requestID(r *http.Request) string {
-	id := r.Header.Get(HeaderRequestID)
-	if id == "" || len(id) > maxRequestID {
-		return rand.Text()
+	if id := r.Header.Get(HeaderRequestID); isPlainID(id) {
+		return id
 	}
+	return rand.Text()
+}
+
+// isPlainID reports whether an id can stand in headers, events and logs.
+func isPlainID(id string) bool {
 	for _, c := range id {
 		plain := c == '-' || c == '_' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
 		if !plain {
-			return rand.Text()
+			return false
 		}
 	}
-	return id
+	return id != "" && len(id) <= maxRequestID
 }
 
 func (s *Server) unknownPath(context.Context, http.ResponseWriter, *request) error {
--- a/caller/sink.go
+++ b/caller/sink.go
@@ -45,7 +45,7 @@
 		return 0, nil
 	}
 	id, position, ok := parseEventID([]byte(last))
-	if !ok {
+	if !ok || !isPlainID(id) {
 		return 0, redwinghall.NewOpError("firstPosition", redwinghall.CodeBadRequest,
 			detail("the Last-Event-ID header is not one that this router sent"))
 	}
--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+func TestLastEventIDIsChecked(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{})
+	d.Submit("v1")
+	body := `{"model":"chain-advice","stream":true,"max_tokens":4,"messages":[1]}`
+	ask := func(last string) rwhtest.Reply {
+		r, err := d.Call(t.Context(), http.MethodPost, d.Caller(0), "/v1/chat/completions", body, map[string]string{caller.HeaderLastEvent: last})
+		require.NoError(t, err)
+		return r
+	}
+	for _, bad := range []string{"x", "a b/1", "a/-1", "/1", strings.Repeat("a", 80) + "/1"} {
+		require.Equal(t, redwinghall.CodeBadRequest, codeOf(t, ask(bad)), bad)
+	}
+	r := ask("ask-1/1")
+	require.Equal(t, http.StatusOK, r.Status)
+	require.True(t, strings.HasPrefix(r.Body, "id: ask-1/2\n"), r.Body)
+}
+
 func TestEventReader(t *testing.T) {
 	tests := []struct {
 		name string
--- a/endpoint/manager_test.go
+++ b/endpoint/manager_test.go
@@ -123,6 +123,30 @@
 	require.Equal(t, 10, d.Load(10, 2, 4, 0).Whole)
 }
 
+// A storm takes a whole fabric domain; drivers wait although another domain
+// has VMs to spare.
+// Order: both VMs of the group's domain die at once; the platform's list still
+// calls them live.
+func TestDarkFabricDomainIsLeft(t *testing.T) {
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, VMsPerZone: 4, DomainSize: 2, LostAfter: time.Second})
+	d.Submit("v1")
+	before := only(t, d)
+	for _, m := range before.Members {
+		d.Fleet.VM(m.VM).Kill()
+	}
+	d.Eventually("a group of the other domain is in the table", func() bool {
+		for _, g := range groups(t, d, "tartu") {
+			if g.FabricDomain != before.FabricDomain {
+				return true
+			}
+		}
+		return false
+	})
+	d.WaitServing("v1")
+	require.Equal(t, 10, d.Load(10, 2, 4, 0).Whole)
+	require.NotEqual(t, before.FabricDomain, only(t, d).FabricDomain)
+}
+
 // Two groups form over one VM after the table's answers were lost.
 // Order: twelve transactions in a row take effect without an answer.
 // Cause: the holder believed that nothing had been written and placed again.
--- a/endpoint/publish.go
+++ b/endpoint/publish.go
@@ -37,6 +37,10 @@
 		}
 	}
 	m.node.Publish(entries...)
+	m.node.Health.Forget(func(id string) bool {
+		_, ok := groups[id]
+		return ok
+	})
 }
 
 func entryOf(key string, number uint64, value any) peer.Entry {
--- a/rwhtest/deployment.go
+++ b/rwhtest/deployment.go
@@ -53,6 +53,7 @@
 	RoutersPerZone int
 	VMsPerZone     int
 	VMsPerGroup    int
+	DomainSize     int // VMs in one fabric domain; 0: all of a zone
 	Replicas       int // in each zone
 	Engine         engine.Config
 	// AliveBound and LostAfter default to times that no busy machine exceeds.
@@ -74,6 +75,9 @@
 	o.VMsPerGroup = max(1, o.VMsPerGroup)
 	o.Replicas = max(1, o.Replicas)
 	o.VMsPerZone = max(o.VMsPerZone, o.VMsPerGroup*o.Replicas)
+	if o.DomainSize == 0 {
+		o.DomainSize = o.VMsPerZone
+	}
 	o.AliveBound = orLong(o.AliveBound)
 	o.LostAfter = orLong(o.LostAfter)
 	o.ServiceTimeout = orLong(o.ServiceTimeout)
@@ -172,7 +176,7 @@
 			vm, err := d.Fleet.Start(d.group, id, fmt.Sprintf("%s:%d", host, portEngine+z*100+i))
 			require.NoError(d.t, err)
 			d.vms = append(d.vms, redwinghall.VM{
-				ID: id, AvailabilityZone: zone, FabricDomain: zone + "-a", Address: vm.Address(),
+				ID: id, AvailabilityZone: zone, FabricDomain: fmt.Sprintf("%s-%d", zone, i/d.options.DomainSize), Address: vm.Address(),
 				Accelerators: 8, State: redwinghall.VMLive,
 			})
 		}
