Give up the zone's lease at a planned stop

The holder now writes the row without a holder once its work has ended; the next takes it at its next look.

--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -60,9 +60,8 @@
 	return c, nil
 }
 
-// Run works until ctx ends, then finishes the operators' requests in progress
-// and stops. Its lease lapses by itself; another controller of the zone takes
-// over.
+// Run works until ctx ends, then finishes the operators' requests in progress,
+// gives up the zone's lease, and stops; another controller takes over.
 func (c *Controller) Run(ctx context.Context) error {
 	g := kernel.NewGroup(context.Background())
 	peers := peerServer(c.settings.PeerAddress, c.Node.Handler())
@@ -93,8 +92,10 @@
 	}
 	g.Stop()
 	_ = peers.Close()
+	err := g.Wait()
+	c.Manager.Release(stopCtx)
 	klog.InfoS("controller_stopped", "id", c.settings.ID)
-	return g.Wait()
+	return err
 }
 
 // Manifest implements operator.Backend.
--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// Release gives the lease up when this controller stops, so that the zone is
+// not without a holder until the lease lapses. Tick must not run any more.
+func (m *Manager) Release(ctx context.Context) {
+	if !m.lease.Holds(time.Now()) {
+		return
+	}
+	txn, state := m.lease.Release(m.config.AvailabilityZone, rand.Text())
+	m.lease = state
+	if err := m.table.Commit(ctx, txn); err != nil {
+		klog.InfoS("lease_not_released", "cause", err.Error())
+		return
+	}
+	klog.InfoS("lease_released", "fencing", state.Fencing())
+}
+
 func (m *Manager) readLease(ctx context.Context) (leaseRow, fenceRow redwinghall.Row, err error) {
 	zone := m.config.AvailabilityZone
 	rows, err := m.table.Read(ctx, lease.Key(zone), lease.FenceKey(zone))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -105,8 +105,8 @@
 		return Wait
 	case s.Holds(now):
 		return Renew
-	case s.version == 0:
-		return Take
+	case s.version == 0 || s.record.Holder == "":
+		return Take // never held, or given up by its holder
 	case now.Sub(s.unchanged) > s.config.Duration:
 		return Take
 	default:
@@ -154,6 +154,16 @@
 	return redwinghall.Txn{Writes: writes}, record
 }
 
+// Release returns the transaction by which a holder that stops gives the lease
+// up, so that another need not wait for its end, and the state after it. The
+// process must have ended all its work as a holder before.
+func (s State) Release(zone, nonce string) (redwinghall.Txn, State) {
+	record := Record{Fencing: s.record.Fencing, Nonce: nonce}
+	txn := redwinghall.Txn{Writes: []redwinghall.Write{{Key: Key(zone), Expect: s.version, Value: redwinghall.RowValue(record)}}}
+	s.heldUntil = time.Time{}
+	return txn, s
+}
+
 // WithWritten returns the state after the transaction that was sent at sentAt
 // took effect and the rows were read back at now. The lease counts from the
 // sending, because a watcher may have seen the row at once.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -129,6 +129,20 @@
 	require.Equal(t, redwinghall.TableConflict, redwinghall.KindOf[redwinghall.TableKind](err))
 }
 
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	tab := table.New()
+	a, b := newController(tab, "a", 0), newController(tab, "b", 0)
+	require.NoError(t, a.step(start, "1"))
+	require.NoError(t, b.step(start, "2"))
+	txn, state := a.state.Release(zone, "3")
+	a.state = state
+	require.NoError(t, tab.Commit(t.Context(), txn))
+	require.False(t, a.state.Holds(start))
+	require.NoError(t, b.step(start.Add(time.Second), "4"))
+	require.True(t, b.state.Holds(start.Add(time.Second)))
+	require.Equal(t, uint64(2), b.state.Fencing())
+}
+
 // Two controllers order the same VMs at the same time.
 // Order: b looks and freezes before it takes a lapsed lease; a renews; b
 // thaws, its transaction is late, and it reads a's new row.
@@ -170,7 +184,7 @@
 			i := rapid.IntRange(0, 2).Draw(rt, "who")
 			nonce := fmt.Sprint(n)
 			sentAt := now
-			switch rapid.IntRange(0, 6).Draw(rt, "what") {
+			switch rapid.IntRange(0, 7).Draw(rt, "what") {
 			case 0:
 				tab.SetFaults(table.Faults{LoseAnswers: 1})
 			case 1:
@@ -186,6 +200,12 @@
 					delete(frozen, i)
 					require.NoError(rt, wake(now))
 				}
+			case 5: // it stops as planned
+				if frozen[i] == nil && all[i].state.Holds(all[i].now(now)) {
+					txn, state := all[i].state.Release(zone, nonce)
+					all[i].state = state
+					_ = tab.Commit(context.Background(), txn) // a lost release only lapses later
+				}
 			default:
 				if frozen[i] == nil {
 					require.NoError(rt, all[i].step(now, nonce))
