--- /dev/null
+++ b/endpoint/holder.go
@@ -0,0 +1,103 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/lease"
+	"redwinghall/peer"
+	"redwinghall/ramp"
+)
+
+// LeaseStatus is what a controller knows of the zone's lease.
+type LeaseStatus struct {
+	Holder  string
+	Fencing uint64
+	Holding bool
+	until   time.Time // when this controller stops to hold it
+}
+
+func (l LeaseStatus) holdsAt(now time.Time) bool { return l.Holding && now.Before(l.until) }
+
+// Lease returns what is known of the lease.
+func (m *Manager) Lease() LeaseStatus { return *m.status.Load() }
+
+// granter answers routers that ask for cold groups while this controller
+// holds the lease. It looks at the lease's end at each question, because a
+// frozen controller thaws with a successor beside it.
+func (m *Manager) granter(now time.Time, holds bool) peer.Granter {
+	if !holds {
+		return nil
+	}
+	grants := ramp.NewGrants(now)
+	return func(at time.Time, router string, groups []string) []string {
+		if !m.Lease().holdsAt(at) {
+			return nil
+		}
+		grants.Forget(at)
+		return grants.Ask(at, router, groups)
+	}
+}
+
+// Release gives the lease up when this controller stops, so that the zone is
+// not without a holder until the lease lapses. Tick must not run any more.
+func (m *Manager) Release(ctx context.Context) {
+	if !m.lease.Holds(time.Now()) {
+		return
+	}
+	txn, state := m.lease.Release(m.config.AvailabilityZone, rand.Text())
+	m.lease = state
+	if err := m.table.Commit(ctx, txn); err != nil {
+		klog.InfoS("lease_not_released", "cause", err.Error())
+		return
+	}
+	klog.InfoS("lease_released", "fencing", state.Fencing())
+}
+
+func (m *Manager) readLease(ctx context.Context) (leaseRow, fenceRow redwinghall.Row, err error) {
+	zone := m.config.AvailabilityZone
+	rows, err := m.table.Read(ctx, lease.Key(zone), lease.FenceKey(zone))
+	if err != nil {
+		return leaseRow, fenceRow, err
+	}
+	return rows[0], rows[1], nil
+}
+
+// watchParts is how often in a lease's duration a watching controller looks at
+// it. Watching more often would take over hardly sooner, and with hundreds of
+// controllers it would be the largest part of what the platform's table reads.
+const watchParts = 4
+
+func (m *Manager) stepLease(ctx context.Context, now time.Time) error {
+	if !m.lease.Holds(now) && now.Before(m.nextLook) {
+		return nil
+	}
+	m.nextLook = now.Add(m.config.Lease.Duration / watchParts)
+	leaseRow, fenceRow, err := m.readLease(ctx)
+	if err != nil {
+		return err
+	}
+	if m.lease, err = m.lease.WithRows(now, leaseRow, fenceRow); err != nil {
+		return err
+	}
+	action := m.lease.Next(now)
+	if action == lease.Wait {
+		return nil
+	}
+	txn, record := m.lease.Txn(m.config.AvailabilityZone, action, rand.Text())
+	sentAt := time.Now()
+	commitErr := m.table.Commit(ctx, txn)
+	if commitErr != nil && redwinghall.KindOf[redwinghall.TableKind](commitErr) != redwinghall.TableUnknown {
+		return commitErr
+	}
+	leaseRow, fenceRow, err = m.readLease(ctx)
+	if err != nil {
+		return err
+	}
+	m.lease, err = m.lease.WithWritten(sentAt, time.Now(), record, leaseRow, fenceRow)
+	return err
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -10,11 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall"
 	"redwinghall/kernel"
-	"redwinghall/peer/rpc"
 )
 
 // Program is the kind of a process.
@@ -118,9 +115,6 @@
 	n.Publish(Entry{Key: KeyMember(self.AvailabilityZone, self.ID), Number: uint64(now.UnixNano()), Value: value})
 }
 
-// Publish takes entries and pushes those that are news.
-func (n *Node) Publish(entries ...Entry) { n.push(n.Store.Apply(entries...)) }
-
 // Observe takes this process's own word on a group, and pushes it when it
 // says that the group is broken.
 func (n *Node) Observe(h redwinghall.GroupHealth) {
@@ -129,30 +123,6 @@
 	}
 }
 
-func (n *Node) push(entries []Entry) {
-	if len(entries) == 0 {
-		return
-	}
-	n.mu.Lock()
-	n.pending = append(n.pending, entries...)
-	n.mu.Unlock()
-	n.signal()
-}
-
-func (n *Node) pushHealth(h redwinghall.GroupHealth) {
-	n.mu.Lock()
-	n.urgent = append(n.urgent, h)
-	n.mu.Unlock()
-	n.signal()
-}
-
-func (n *Node) signal() {
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Members returns the processes of a zone that are known and not leaving,
 // this one included, also those that do not answer now. The list is shared:
 // callers must not change it.
@@ -246,216 +216,3 @@
 	members := n.others(n.Self.AvailabilityZone)
 	return slices.DeleteFunc(members, func(m Member) bool { return m.Program != Router })
 }
-
-func (n *Node) pushLoop(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.wake:
-			n.flush(ctx)
-		}
-	}
-}
-
-func (n *Node) flush(ctx context.Context) {
-	n.mu.Lock()
-	entries, health := n.pending, n.urgent
-	n.pending, n.urgent = nil, nil
-	n.mu.Unlock()
-
-	pushes := kernel.NewGroup(ctx)
-	for _, m := range choose(n.others(n.Self.AvailabilityZone), zoneFanout) {
-		pushes.Go("peer.push_one", func(ctx context.Context) error {
-			_ = n.exchange(ctx, m, news(entries, health)) // the periodic exchange repairs a lost push
-			return nil
-		})
-	}
-	if global := globalOnly(entries); len(global) > 0 {
-		for _, m := range choose(n.foreign(), crossFanout) {
-			pushes.Go("peer.push_one", func(ctx context.Context) error {
-				_ = n.exchange(ctx, m, news(global, nil))
-				return nil
-			})
-		}
-	}
-	_ = pushes.Wait()
-}
-
-// largeValue is the size from which a register is offered before it is sent.
-const largeValue = 256
-
-// news is what a push hands over. Small registers go at once. A large one, as
-// the manifest, reaches a process from several others: it is only offered,
-// and sent to those that say that they lack it, so that its bytes travel once
-// to each process and not once for each push.
-func news(entries []Entry, health []redwinghall.GroupHealth) outgoing {
-	out := outgoing{health: health}
-	for _, e := range entries {
-		if len(e.Value) < largeValue {
-			out.entries = append(out.entries, e)
-			continue
-		}
-		out.offers = append(out.offers, Mark{Key: e.Key, Number: e.Number})
-	}
-	return out
-}
-
-// askAgainAfter is how long a register that was asked for may take.
-const askAgainAfter = 500 * time.Millisecond
-
-// Wanted returns which offers to take: those that are newer than what is held
-// and that no other peer was asked for lately.
-func (n *Node) Wanted(now time.Time, offers []Mark) []string {
-	lacks := n.Store.Lacks(offers)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var out []string
-	for _, m := range offers {
-		if !slices.Contains(lacks, m.Key) || now.Sub(n.asked[m]) < askAgainAfter {
-			continue
-		}
-		n.asked[m] = now
-		out = append(out, m.Key)
-	}
-	for m, at := range n.asked {
-		if now.Sub(at) >= askAgainAfter {
-			delete(n.asked, m)
-		}
-	}
-	return out
-}
-
-func globalOnly(entries []Entry) []Entry {
-	var out []Entry
-	for _, e := range entries {
-		if (Scope{}).has(e.Key) {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-func choose(members []Member, count int) []Member {
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	return members[:min(count, len(members))]
-}
-
-// outgoing is what an exchange hands over beside the digest.
-type outgoing struct {
-	entries    []Entry
-	offers     []Mark
-	health     []redwinghall.GroupHealth
-	wantHealth bool
-	round      time.Duration // time that the receiver has to hand a round on
-	// repair compares the digests afterwards. A push does not: while news is
-	// on its way the digests differ everywhere.
-	repair bool
-}
-
-func (n *Node) outgoing(now time.Time, health bool) outgoing {
-	out := outgoing{wantHealth: health, repair: true}
-	if health {
-		out.health = n.Health.Fresh(now, n.HealthBound)
-	}
-	return out
-}
-
-// exchange hands entries and health to a peer, takes what it returns, and
-// when the digests differ sends the marks so that both sides become equal.
-func (n *Node) exchange(ctx context.Context, m Member, out outgoing) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	scope := ScopeOf(n.Self.AvailabilityZone, m.AvailabilityZone)
-	client := rpc.NewPeerProtobufClient("http://"+m.Address, n.client)
-
-	answer, err := client.Exchange(ctx, n.request(scope, out))
-	if err == nil && len(answer.Wanted) > 0 {
-		answer, err = client.Exchange(ctx, n.request(scope, outgoing{entries: n.Store.entriesOf(answer.Wanted)}))
-	}
-	if err == nil {
-		n.takeAnswer(answer)
-		if out.repair && answer.Digest != n.Store.Digest(scope) {
-			err = n.reconcile(ctx, client, scope)
-		}
-	}
-	n.noteResult(m, err)
-	if err != nil {
-		// A connection that something in between has lost track of stays
-		// silent for good: idle ones to this peer are not trusted again.
-		n.client.CloseIdleConnections()
-		return redwinghall.NewOpError("Node.exchange", Unreachable, err)
-	}
-	return nil
-}
-
-// reconcile sends the marks; the peer answers with what is newer there, and
-// its own marks tell what is newer here.
-func (n *Node) reconcile(ctx context.Context, client rpc.Peer, scope Scope) error {
-	request := n.request(scope, outgoing{})
-	request.Marks = toMarks(n.Store.Marks(scope))
-	answer, err := client.Exchange(ctx, request)
-	if err != nil {
-		return err
-	}
-	n.takeAnswer(answer)
-	missing := n.Store.Newer(scope, fromMarks(answer.Marks))
-	if len(missing) == 0 {
-		return nil
-	}
-	_, err = client.Exchange(ctx, n.request(scope, outgoing{entries: missing}))
-	return err
-}
-
-func (n *Node) request(scope Scope, out outgoing) *rpc.ExchangeRequest {
-	return &rpc.ExchangeRequest{
-		From:             n.Self.ID,
-		AvailabilityZone: n.Self.AvailabilityZone,
-		Digest:           n.Store.Digest(scope),
-		Entries:          toEntries(out.entries),
-		Offers:           toMarks(out.offers),
-		Health:           toHealth(time.Now(), out.health),
-		WantHealth:       out.wantHealth,
-		RoundMs:          uint32(out.round.Milliseconds()),
-	}
-}
-
-func (n *Node) takeAnswer(answer *rpc.ExchangeResponse) {
-	n.push(n.Store.Apply(fromEntries(answer.Entries)...))
-	n.takeHealth(time.Now(), answer.Health)
-}
-
-// takeHealth merges words and returns them by group. A word on a group whose
-// register is not here yet is left out; the next one finds it.
-func (n *Node) takeHealth(now time.Time, health []*rpc.Health) map[string]redwinghall.GroupHealth {
-	taken := make(map[string]redwinghall.GroupHealth, len(health))
-	for _, h := range health {
-		group, ok := n.names.of(n.Store, n.Self.AvailabilityZone, h.Group)
-		if !ok {
-			continue
-		}
-		word := fromHealth(now, group, h)
-		taken[group] = word
-		if n.Health.Merge(word) {
-			n.pushHealth(word)
-		}
-	}
-	return taken
-}
-
-func (n *Node) noteResult(m Member, err error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	before := n.failures[m.ID]
-	if err == nil {
-		delete(n.failures, m.ID)
-	} else {
-		n.failures[m.ID] = before + 1
-	}
-	if err != nil && before+1 == downAfter {
-		klog.InfoS("peer_down", "peer", m.ID, "cause", err.Error())
-	}
-	if err == nil && before >= downAfter {
-		klog.InfoS("peer_up", "peer", m.ID)
-	}
-}
