--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -166,60 +166,80 @@
 	require.False(t, b.state.Holds(thawed))
 }
 
+// interleaving is three controllers whose steps a property test mixes.
+type interleaving struct {
+	table  *table.Table
+	all    []*controller
+	frozen map[int]func(now time.Time) error // what a frozen one does when it thaws
+}
+
+// play lets controller i do one thing, or lets the table fail.
+func (p *interleaving) play(rt *rapid.T, now time.Time, i int, nonce string) {
+	c := p.all[i]
+	switch rapid.IntRange(0, 7).Draw(rt, "what") {
+	case 0:
+		p.table.SetFaults(table.Faults{LoseAnswers: 1})
+	case 1:
+		p.table.SetFaults(table.Faults{LateWrites: 1})
+	case 2:
+		p.table.LandLate()
+	case 3: // it looks, and freezes before it writes
+		if txn, record, ok, err := c.look(now, nonce); err == nil && ok && p.frozen[i] == nil {
+			p.frozen[i] = func(thawed time.Time) error { return c.act(now, thawed, txn, record) }
+		}
+	case 4:
+		p.thaw(rt, now, i)
+	case 5: // it stops as planned
+		if p.frozen[i] == nil && c.state.Holds(c.now(now)) {
+			txn, state := c.state.Release(zone, nonce)
+			c.state = state
+			_ = p.table.Commit(context.Background(), txn) // a lost release only lapses later
+		}
+	default:
+		if p.frozen[i] == nil {
+			require.NoError(rt, c.step(now, nonce))
+		}
+	}
+}
+
+func (p *interleaving) thaw(rt *rapid.T, now time.Time, i int) {
+	if wake := p.frozen[i]; wake != nil {
+		delete(p.frozen, i)
+		require.NoError(rt, wake(now))
+	}
+}
+
+// holders returns those that believe that they hold the lease.
+func (p *interleaving) holders(now time.Time) []*controller {
+	var out []*controller
+	for _, c := range p.all {
+		if c.state.Holds(c.now(now)) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // At no time two processes both believe that they hold the lease, and the
-// fencing number never falls: over random freezes, lost answers, late writes
-// and clocks that differ.
+// fencing number never falls: over random freezes, lost answers, late writes,
+// planned stops and clocks that differ.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		tab := table.New()
-		var all []*controller
+		p := &interleaving{table: table.New(), frozen: map[int]func(time.Time) error{}}
 		for i := range 3 {
 			skew := time.Duration(rapid.IntRange(-3600, 3600).Draw(rt, "skew")) * time.Second
-			all = append(all, newController(tab, fmt.Sprint("c", i), skew))
+			p.all = append(p.all, newController(p.table, fmt.Sprint("c", i), skew))
 		}
-		frozen := map[int]func(now time.Time) error{}
 		now, fencing := start, uint64(0)
 		for n := range rapid.IntRange(10, 80).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
-			i := rapid.IntRange(0, 2).Draw(rt, "who")
-			nonce := fmt.Sprint(n)
-			sentAt := now
-			switch rapid.IntRange(0, 7).Draw(rt, "what") {
-			case 0:
-				tab.SetFaults(table.Faults{LoseAnswers: 1})
-			case 1:
-				tab.SetFaults(table.Faults{LateWrites: 1})
-			case 2:
-				tab.LandLate()
-			case 3: // it looks, and freezes before it writes
-				if txn, record, ok, err := all[i].look(now, nonce); err == nil && ok && frozen[i] == nil {
-					frozen[i] = func(now time.Time) error { return all[i].act(sentAt, now, txn, record) }
-				}
-			case 4: // it wakes up
-				if wake := frozen[i]; wake != nil {
-					delete(frozen, i)
-					require.NoError(rt, wake(now))
-				}
-			case 5: // it stops as planned
-				if frozen[i] == nil && all[i].state.Holds(all[i].now(now)) {
-					txn, state := all[i].state.Release(zone, nonce)
-					all[i].state = state
-					_ = tab.Commit(context.Background(), txn) // a lost release only lapses later
-				}
-			default:
-				if frozen[i] == nil {
-					require.NoError(rt, all[i].step(now, nonce))
-				}
-			}
-			holders := 0
-			for _, c := range all {
-				if c.state.Holds(c.now(now)) {
-					holders++
-					require.GreaterOrEqual(rt, c.state.Fencing(), fencing)
-					fencing = c.state.Fencing()
-				}
+			p.play(rt, now, rapid.IntRange(0, 2).Draw(rt, "who"), fmt.Sprint(n))
+			holders := p.holders(now)
+			require.LessOrEqual(rt, len(holders), 1)
+			for _, c := range holders {
+				require.GreaterOrEqual(rt, c.state.Fencing(), fencing)
+				fencing = c.state.Fencing()
 			}
-			require.LessOrEqual(rt, holders, 1)
 		}
 	})
 }
