--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -51,7 +51,7 @@
 	quietUntil time.Time
 	nextLook   time.Time            // when a watching controller reads the lease again
 	seen       map[string]time.Time // when each VM last answered
-	silent     map[string]time.Time // since when each VM does not answer
+	silent     map[string]silence   // VMs that do not answer
 	leavingAt  map[string]time.Time // when each group was found leaving
 	counter    uint64               // of this holder's registers
 	published  map[string]string    // last value of each counted register
@@ -64,7 +64,7 @@
 		config: c, table: table, engine: engine, lister: lister, placer: placer, node: node,
 		ledger: NewLedger(c.AvailabilityZone, table),
 		lease:  lease.NewState(c.Lease),
-		seen:   map[string]time.Time{}, silent: map[string]time.Time{},
+		seen:   map[string]time.Time{}, silent: map[string]silence{},
 		leavingAt: map[string]time.Time{}, published: map[string]string{},
 	}
 	m.status.Store(&LeaseStatus{})
@@ -202,16 +202,35 @@
 	delete(m.silent, vm)
 }
 
+// silence is how long, and how often, a VM has not answered.
+type silence struct {
+	since time.Time
+	asked int
+}
+
+// minAsked is how often a VM must have left this controller's own question
+// unanswered before it is lost: one lost answer is no loss.
+const minAsked = 2
+
+// unanswered notes a question without an answer. The silence counts from when
+// the VM was last seen alive by anyone, not from when this controller began to
+// ask.
 func (m *Manager) unanswered(vm string, now time.Time) {
-	if _, ok := m.silent[vm]; !ok {
-		m.silent[vm] = now
+	s, ok := m.silent[vm]
+	if !ok {
+		s.since = now
+		if seen, known := m.seen[vm]; known {
+			s.since = seen
+		}
 	}
+	s.asked++
+	m.silent[vm] = s
 }
 
 // lost reports whether a VM has been silent for too long.
 func (m *Manager) lost(vm string, now time.Time) bool {
-	since, ok := m.silent[vm]
-	return ok && now.Sub(since) >= m.config.LostAfter
+	s, ok := m.silent[vm]
+	return ok && s.asked >= minAsked && now.Sub(s.since) >= m.config.LostAfter
 }
 
 // stepMembers replaces lost members, orders anew groups that are broken
