Count a VM's silence from its members' own answers

Cause: a VM counted as seen when its group was last found whole, up to lost_after after it had answered. Before: a frozen member kept its group down for 12 s, a killed one 7 to 8 s.

--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -146,8 +146,9 @@
 func (m *Manager) stepOrders(ctx context.Context, now time.Time, _ redwinghall.VMs, _ redwinghall.Manifest) error {
 	for _, g := range m.ledger.Groups() {
 		if m.whole(g, now) {
+			h, _ := m.node.Health.Get(g.ID)
 			for _, member := range g.Members {
-				m.answered(member.VM, now)
+				m.answered(member.VM, h.SeenAt)
 			}
 			continue
 		}
