--- a/cmd/standin/process_test.go
+++ b/cmd/standin/process_test.go
@@ -21,12 +21,12 @@
 	"redwinghall/daemon"
 	"redwinghall/kernel"
 	"redwinghall/operator"
-	"redwinghall/platform"
 	"redwinghall/standin/layout"
 	"redwinghall/standin/load"
 	"redwinghall/standin/process"
 	"redwinghall/standin/service"
 	"redwinghall/standin/table"
+	"redwinghall/tablehttp"
 )
 
 const (
@@ -212,7 +212,7 @@
 
 func (w *world) claim(key string) redwinghall.Claim {
 	w.t.Helper()
-	rows, err := platform.NewClient(w.layout.Platform()).Read(w.t.Context(), redwinghall.ClaimKey(account, w.layout.Service, key))
+	rows, err := tablehttp.NewClient(w.layout.Platform()).Read(w.t.Context(), redwinghall.ClaimKey(account, w.layout.Service, key))
 	require.NoError(w.t, err)
 	var c redwinghall.Claim
 	if rows[0].Version != 0 {
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -16,7 +16,7 @@
 	"redwinghall/operator"
 	"redwinghall/peer"
 	"redwinghall/place"
-	"redwinghall/platform"
+	"redwinghall/tablehttp"
 )
 
 const shutdownTimeout = 10 * time.Second
@@ -27,7 +27,7 @@
 	Node     *peer.Node
 	Manager  *endpoint.Manager
 	server   *operator.Server
-	follower *platform.Follower
+	follower *tablehttp.Follower
 }
 
 // NewController assembles a controller.
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	table := platform.NewClient(s.PlatformAddress)
+	table := tablehttp.NewClient(s.PlatformAddress)
 	node := peer.NewNode(peer.Member{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Address: s.PeerAddress, Program: peer.Controller,
 	}, s.Peers, peerToken)
@@ -54,7 +54,7 @@
 	}, table, endpoint.NewClient(s.OrderTimeout.Std()), table, place.Packed{}, node)
 	c := &Controller{
 		settings: s, Node: node, Manager: manager,
-		follower: platform.NewFollower(table, node, s.HeadInterval.Std()),
+		follower: tablehttp.NewFollower(table, node, s.HeadInterval.Std()),
 	}
 	c.server = operator.NewServer(operator.NewAcceptor(table), c, operatorToken)
 	return c, nil
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -13,9 +13,9 @@
 	"redwinghall/endpoint"
 	"redwinghall/kernel"
 	"redwinghall/peer"
-	"redwinghall/platform"
 	"redwinghall/ramp"
 	"redwinghall/route"
+	"redwinghall/tablehttp"
 )
 
 const (
@@ -32,7 +32,7 @@
 	Server   *caller.Server
 	Keeper   *claim.Keeper
 	Poller   *endpoint.Poller
-	follower *platform.Follower
+	follower *tablehttp.Follower
 	calls    *kernel.Group
 }
 
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	table := platform.NewClient(s.PlatformAddress)
+	table := tablehttp.NewClient(s.PlatformAddress)
 	node := peer.NewNode(peer.Member{
 		ID: s.ID, AvailabilityZone: s.AvailabilityZone, Address: s.PeerAddress,
 		Program: peer.Router, CallerAddress: s.CallerAddress,
@@ -73,7 +73,7 @@
 	r := &Router{
 		settings: s, Node: node, Board: board, Server: server, Keeper: keeper,
 		Poller:   endpoint.NewPoller(endpoint.NewClient(s.PollInterval.Std()*4/5), node),
-		follower: platform.NewFollower(table, node, s.HeadInterval.Std()),
+		follower: tablehttp.NewFollower(table, node, s.HeadInterval.Std()),
 		calls:    calls,
 	}
 	r.addGauges()
--- a/operator/acceptor.go
+++ b/operator/acceptor.go
@@ -7,7 +7,7 @@
 
 	"redwinghall"
 	"redwinghall/kernel"
-	"redwinghall/platform"
+	"redwinghall/tablehttp"
 )
 
 // Submission is one decision of an operator. SubmitID names it: the same
@@ -48,7 +48,7 @@
 
 // change computes what a decision makes of the head. It returns the number
 // that will be in force, or the code of a refusal.
-type change func(head platform.Head) (next platform.Head, number uint64, extra []redwinghall.Write, refused redwinghall.Code)
+type change func(head tablehttp.Head) (next tablehttp.Head, number uint64, extra []redwinghall.Write, refused redwinghall.Code)
 
 // SubmitManifest accepts the manifest if the generation in force is still the
 // one that it replaces.
@@ -57,14 +57,14 @@
 	if err != nil {
 		return Accepted{}, redwinghall.NewOpError("Acceptor.SubmitManifest", redwinghall.CodeManifestInvalid, err)
 	}
-	accepted, err := a.decide(ctx, sub, func(head platform.Head) (platform.Head, uint64, []redwinghall.Write, redwinghall.Code) {
+	accepted, err := a.decide(ctx, sub, func(head tablehttp.Head) (tablehttp.Head, uint64, []redwinghall.Write, redwinghall.Code) {
 		if head.Generation != sub.Replaces {
 			return head, 0, nil, redwinghall.CodeManifestRace
 		}
 		head.Generation++
 		head.Hash = hash
 		head.SubmitID = sub.SubmitID
-		content := redwinghall.Write{Key: platform.KeyContent(hash), Value: data}
+		content := redwinghall.Write{Key: tablehttp.KeyContent(hash), Value: data}
 		return head, head.Generation, []redwinghall.Write{content}, ""
 	})
 	accepted.Hash = hash
@@ -74,7 +74,7 @@
 // SetZone takes a zone out of service or back if the operators' last decision
 // on it is still the one that the operator saw.
 func (a *Acceptor) SetZone(ctx context.Context, sub Submission, zone string, state redwinghall.ZoneState) (Accepted, error) {
-	return a.decide(ctx, sub, func(head platform.Head) (platform.Head, uint64, []redwinghall.Write, redwinghall.Code) {
+	return a.decide(ctx, sub, func(head tablehttp.Head) (tablehttp.Head, uint64, []redwinghall.Write, redwinghall.Code) {
 		present := head.Zones[zone]
 		if present.Number != sub.Replaces {
 			return head, 0, nil, redwinghall.CodeZoneRace
@@ -106,7 +106,7 @@
 		if try > 0 && !kernel.Sleep(ctx, a.Pause) {
 			break
 		}
-		rows, err := a.table.Read(ctx, platform.KeySubmission(sub.SubmitID), platform.KeyHead)
+		rows, err := a.table.Read(ctx, tablehttp.KeySubmission(sub.SubmitID), tablehttp.KeyHead)
 		if err != nil {
 			last = err
 			continue
@@ -114,7 +114,7 @@
 		if rows[0].Version != 0 {
 			return recorded(op, rows[0])
 		}
-		head, err := platform.ParseHead(rows[1])
+		head, err := tablehttp.ParseHead(rows[1])
 		if err != nil {
 			return Accepted{}, redwinghall.NewOpError(op, redwinghall.CodeTableUnavailable, err)
 		}
@@ -140,10 +140,10 @@
 	return Accepted{}, redwinghall.NewOpError(op, redwinghall.CodeTableUnavailable, last)
 }
 
-func (a *Acceptor) commit(ctx context.Context, sub Submission, headVersion int64, next platform.Head, number uint64, extra []redwinghall.Write) error {
+func (a *Acceptor) commit(ctx context.Context, sub Submission, headVersion int64, next tablehttp.Head, number uint64, extra []redwinghall.Write) error {
 	writes := []redwinghall.Write{
-		{Key: platform.KeyHead, Expect: headVersion, Value: redwinghall.RowValue(next)},
-		{Key: platform.KeySubmission(sub.SubmitID), Value: redwinghall.RowValue(record{Number: number})},
+		{Key: tablehttp.KeyHead, Expect: headVersion, Value: redwinghall.RowValue(next)},
+		{Key: tablehttp.KeySubmission(sub.SubmitID), Value: redwinghall.RowValue(record{Number: number})},
 	}
 	extra, err := a.withoutPresent(ctx, extra)
 	if err != nil {
--- a/operator/acceptor_test.go
+++ b/operator/acceptor_test.go
@@ -11,9 +11,9 @@
 
 	"redwinghall"
 	"redwinghall/operator"
-	"redwinghall/platform"
 	_ "redwinghall/rwhtest/fixedseed"
 	"redwinghall/standin/table"
+	"redwinghall/tablehttp"
 )
 
 func manifest(name string) redwinghall.Manifest {
@@ -26,10 +26,10 @@
 	return a
 }
 
-func head(t require.TestingT, tab *table.Table) platform.Head {
-	rows, err := tab.Read(context.Background(), platform.KeyHead)
+func head(t require.TestingT, tab *table.Table) tablehttp.Head {
+	rows, err := tab.Read(context.Background(), tablehttp.KeyHead)
 	require.NoError(t, err)
-	h, err := platform.ParseHead(rows[0])
+	h, err := tablehttp.ParseHead(rows[0])
 	require.NoError(t, err)
 	return h
 }
--- a/standin/table/server.go
+++ b/standin/table/server.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"redwinghall"
-	"redwinghall/platform"
+	"redwinghall/tablehttp"
 )
 
 // Paths of the stand-in's own controls.
@@ -22,29 +22,29 @@
 // Handler returns the table over HTTP, with its controls.
 func (t *Table) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathRead, func(w http.ResponseWriter, r *http.Request) {
-		var in platform.ReadRequest
+	mux.HandleFunc("POST "+tablehttp.PathRead, func(w http.ResponseWriter, r *http.Request) {
+		var in tablehttp.ReadRequest
 		if decode(w, r, &in) {
 			rows, err := t.Read(r.Context(), in.Keys...)
-			answer(w, platform.RowsResponse{Rows: rows}, err)
+			answer(w, tablehttp.RowsResponse{Rows: rows}, err)
 		}
 	})
-	mux.HandleFunc("POST "+platform.PathScan, func(w http.ResponseWriter, r *http.Request) {
-		var in platform.ScanRequest
+	mux.HandleFunc("POST "+tablehttp.PathScan, func(w http.ResponseWriter, r *http.Request) {
+		var in tablehttp.ScanRequest
 		if decode(w, r, &in) {
 			rows, err := t.Scan(r.Context(), in.Prefix)
-			answer(w, platform.RowsResponse{Rows: rows}, err)
+			answer(w, tablehttp.RowsResponse{Rows: rows}, err)
 		}
 	})
-	mux.HandleFunc("POST "+platform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+tablehttp.PathCommit, func(w http.ResponseWriter, r *http.Request) {
 		var in redwinghall.Txn
 		if decode(w, r, &in) {
 			answer(w, struct{}{}, t.Commit(r.Context(), in))
 		}
 	})
-	mux.HandleFunc("POST "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+tablehttp.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		vms, err := t.VMs(r.Context())
-		answer(w, platform.VMsResponse{VMs: vms}, err)
+		answer(w, tablehttp.VMsResponse{VMs: vms}, err)
 	})
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		var in Faults
@@ -86,7 +86,7 @@
 		status = http.StatusConflict
 		var conflict *redwinghall.ConflictError
 		if errors.As(err, &conflict) {
-			v = platform.ConflictResponse{Keys: conflict.Keys}
+			v = tablehttp.ConflictResponse{Keys: conflict.Keys}
 		}
 	case redwinghall.TableUnavailable:
 		status = http.StatusServiceUnavailable
--- a/platform/head.go
+++ b/tablehttp/head.go
@@ -1,4 +1,4 @@
-package platform
+package tablehttp
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/tablehttp/platform.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's services: the transactional table
+// Package tablehttp speaks to the platform's services: the transactional table
 // and the list of VMs, as JSON over HTTP.
-package platform
+package tablehttp
 
 import (
 	"bytes"
