--- /dev/null
+++ b/balance/choose.go
@@ -0,0 +1,238 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"redwinghall/fleet"
+)
+
+// Thresholds of choosing and refusing.
+const (
+	// nearEnough is the share of the objective within which a group of the
+	// caller's own zone is taken without a look at the other zones: bytes
+	// between zones are priced, and the prediction errs by about as much.
+	nearEnough = 0.6
+	// farPenalty is what a group of another zone must be faster by; a stream
+	// there costs about a twentieth of its worth in bytes between zones.
+	farPenalty = 40 * time.Millisecond
+	// refuseBeyond is how many times the objective the predicted first event
+	// must take before a request is refused: one that is surely late takes
+	// places from others that could be in time.
+	refuseBeyond = 1.5
+	// failurePenalty is how much a surely failing plain endpoint is disliked.
+	failurePenalty = 2 * time.Second
+	// plainFar is the same as farPenalty for plain services, whose answers are small.
+	plainFar = 15 * time.Millisecond
+	// fallbackWork is assumed of an endpoint of which nothing is known.
+	fallbackWork = 50 * time.Millisecond
+)
+
+// Ask is what choosing needs to know of a request.
+type Ask struct {
+	Service   fleet.Service
+	Model     fleet.Model // of a stream at an engine
+	Zone      string      // of this node, which is the caller's
+	Prompt    int
+	Objective time.Duration
+	// Tried holds the endpoints that this request has been sent to.
+	Tried map[string]bool
+	// ColdShare is this node's part of what a cold endpoint bears: a rate a
+	// second, and how many at once.
+	ColdRate, ColdBurst float64
+	// Connections bounds this node's requests at one endpoint.
+	Connections int
+}
+
+// Choice is the endpoint for a request, with what decided it.
+type Choice struct {
+	Endpoint  *fleet.Endpoint
+	Visit     *Visit
+	Predicted time.Duration
+	Running   int
+}
+
+// Refusal says why a request gets no endpoint now.
+type Refusal struct {
+	Reason     string
+	Predicted  time.Duration
+	RetryAfter time.Duration
+}
+
+// Reasons of a refusal.
+const (
+	NoEndpoint  = "no_endpoint"
+	Overloaded  = "overloaded"
+	ColdOnly    = "cold_only"
+	Unreachable = "unreachable"
+)
+
+// Retry times for callers.
+const (
+	retrySoon  = 300 * time.Millisecond
+	retryLater = time.Second
+)
+
+// Usable reports whether an endpoint may get requests at all: it is ready, in
+// a zone that is in service, and heads an open group where it is an engine's.
+func Usable(service *fleet.Service, e *fleet.Endpoint, zonesOut map[string]bool) bool {
+	if e.State != fleet.EndpointReady || zonesOut[e.Zone] {
+		return false
+	}
+	return service.Engine == nil || e.Serves()
+}
+
+// candidate is one endpoint under consideration.
+type candidate struct {
+	endpoint  *fleet.Endpoint
+	state     *State
+	predicted time.Duration
+	running   int
+	score     time.Duration
+	full      bool
+}
+
+// Group chooses the group for a stream, or says why none is.
+func (t *Tracker) Group(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen, cold := 0, 0
+	var best, near *candidate
+	for _, e := range endpoints {
+		if !Usable(&ask.Service, e, zonesOut) || e.Model() != ask.Model.Name || ask.Tried[e.ID] {
+			continue
+		}
+		s := t.of(e.ID, now)
+		if now.Before(s.shunUntil) {
+			continue
+		}
+		seen++
+		if !ask.bears(now, s, e) {
+			cold++
+			continue
+		}
+		c := ask.weigh(now, s, e)
+		best = better(best, c)
+		if e.Zone == ask.Zone {
+			near = better(near, c)
+		}
+	}
+	if near != nil && float64(near.predicted) <= nearEnough*float64(ask.Objective) && !near.full {
+		best = near
+	}
+	if best == nil {
+		return Choice{}, refusalOfNone(seen, cold)
+	}
+	if float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
+		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+	}
+	return t.take(now, best, ask), nil
+}
+
+func refusalOfNone(seen, cold int) *Refusal {
+	switch {
+	case seen == 0:
+		return &Refusal{Reason: NoEndpoint, RetryAfter: retryLater}
+	case cold == seen:
+		return &Refusal{Reason: ColdOnly, RetryAfter: retrySoon}
+	}
+	return &Refusal{Reason: Unreachable, RetryAfter: retrySoon}
+}
+
+func retryAfter(wait time.Duration) time.Duration { return min(max(wait, retrySoon), retryLater) }
+
+func better(a, b *candidate) *candidate {
+	if a == nil || b.score < a.score || (b.score == a.score && rand.N(2) == 0) {
+		return b
+	}
+	return a
+}
+
+// bears reports whether an endpoint that is cold bears one more request now.
+//
+// Guard: a cold endpoint falls over under full load, and all nodes send at
+// once when it appears. Each node spends only its own part of the rate.
+func (a Ask) bears(now time.Time, s *State, e *fleet.Endpoint) bool {
+	if a.Service.ColdPerSecond <= 0 || !e.ColdAt(now) {
+		return true
+	}
+	return s.cold.has(now, a.ColdRate, a.ColdBurst)
+}
+
+func (a Ask) weigh(now time.Time, s *State, e *fleet.Endpoint) *candidate {
+	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slow))
+	running := s.running(now)
+	c := &candidate{endpoint: e, state: s, running: running}
+	c.predicted = pace.FirstEvent(running-s.unstarted, s.unstarted, s.unread, a.Prompt)
+	c.score = c.predicted + pace.Pass(running+1, 0)
+	c.full = a.Connections > 0 && s.own >= a.Connections
+	if e.Zone != a.Zone {
+		c.score += farPenalty
+	}
+	if c.full {
+		c.predicted += time.Hour
+		c.score += time.Hour
+	}
+	return c
+}
+
+func (t *Tracker) take(now time.Time, c *candidate, ask Ask) Choice {
+	if ask.Service.ColdPerSecond > 0 && c.endpoint.ColdAt(now) {
+		c.state.cold.take(now, ask.ColdRate, ask.ColdBurst)
+	}
+	return Choice{
+		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt),
+		Predicted: c.predicted, Running: c.running,
+	}
+}
+
+// Plain chooses the endpoint of a plain service for a request.
+func (t *Tracker) Plain(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen, cold := 0, 0
+	var best *candidate
+	for _, e := range endpoints {
+		if !Usable(&ask.Service, e, zonesOut) || ask.Tried[e.ID] {
+			continue
+		}
+		s := t.of(e.ID, now)
+		if now.Before(s.shunUntil) {
+			continue
+		}
+		seen++
+		if !ask.bears(now, s, e) {
+			cold++
+			continue
+		}
+		best = better(best, ask.weighPlain(now, s, e))
+	}
+	if best == nil {
+		return Choice{}, refusalOfNone(seen, cold)
+	}
+	if best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, fallbackWork)) {
+		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
+	}
+	return t.take(now, best, ask), nil
+}
+
+func (a Ask) weighPlain(now time.Time, s *State, e *fleet.Endpoint) *candidate {
+	running := s.running(now)
+	c := &candidate{endpoint: e, state: s, running: running}
+	work := s.latency
+	if work == 0 {
+		work = fallbackWork
+	}
+	waiting := max(0, running+1-max(1, e.Slots))
+	c.predicted = work + work*time.Duration(waiting)/time.Duration(max(1, e.Slots))
+	c.full = a.Connections > 0 && s.own >= a.Connections
+	c.score = c.predicted + time.Duration(running)*work/time.Duration(max(1, e.Slots))/2 +
+		time.Duration(s.failures*float64(failurePenalty))
+	if e.Zone != a.Zone {
+		c.score += plainFar
+	}
+	if c.full {
+		c.score += time.Hour
+	}
+	return c
+}
--- /dev/null
+++ b/balance/pass.go
@@ -0,0 +1,73 @@
+// Package balance decides which endpoint gets a request, and whether any
+// should. It knows what was sent, what came back and what endpoints say of
+// their load; it does no I/O and is told the time.
+package balance
+
+import (
+	"time"
+
+	"redwinghall/fleet"
+)
+
+// Pace is the model of how a group works: in passes of a few token steps, in
+// which all writing requests advance together and waiting prompts are read.
+type Pace struct {
+	engine *fleet.Engine
+	factor float64 // of the group's model, times what was observed
+}
+
+// NewPace returns the pace of a group that serves a model, slowed by a factor
+// that was observed (1 is as declared).
+func NewPace(engine *fleet.Engine, model fleet.Model, observed float64) Pace {
+	factor := model.Pace
+	if factor <= 0 {
+		factor = 1
+	}
+	return Pace{engine: engine, factor: factor * observed}
+}
+
+// Pass returns the time of one pass in which running requests write and
+// reading prompt tokens are read.
+func (p Pace) Pass(running, reading int) time.Duration {
+	return p.write(running) + p.read(min(reading, p.engine.Stride*p.engine.Chunk))
+}
+
+// write returns the time of the token steps of one pass.
+func (p Pace) write(running int) time.Duration {
+	e := p.engine
+	context := (e.UsualPrompt + e.UsualAnswer/2) / 1000
+	each := float64(e.PerSequence) + context*float64(e.PerThousandContext)
+	step := float64(e.Step) + float64(running)*each
+	return time.Duration(float64(e.Stride) * step * p.factor)
+}
+
+// read returns the time to read prompt tokens, as one prompt.
+func (p Pace) read(tokens int) time.Duration {
+	e := p.engine
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	n := float64(tokens)
+	plain := n / e.ReadPerSecond * float64(time.Second)
+	pairs := min(n, 2*e.UsualPrompt) * n / 2 / 1e6 * float64(e.PerMillionPairs)
+	return time.Duration((plain + pairs) * p.factor)
+}
+
+// residence is how long a usual request stays with the group.
+func (p Pace) residence(running int) time.Duration {
+	passes := p.engine.UsualAnswer/float64(p.engine.Stride) + 1
+	return time.Duration(passes * float64(p.write(running)))
+}
+
+// FirstEvent predicts the time to the first event of a prompt for a group in
+// which running requests write and waiting ones, with unread prompt tokens
+// together, come first.
+func (p Pace) FirstEvent(running, waiting, unread, prompt int) time.Duration {
+	// On average half of a pass is still to go, then the prompts are read, and
+	// the first event comes with the end of the pass.
+	at := p.write(running)/2 + p.read(unread) + p.read(prompt) + p.write(running+1)
+	if beyond := running + waiting + 1 - p.engine.Slots; beyond > 0 {
+		at += time.Duration(float64(beyond) / float64(p.engine.Slots) * float64(p.residence(p.engine.Slots)))
+	}
+	return at
+}
--- /dev/null
+++ b/balance/tracker.go
@@ -0,0 +1,205 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"redwinghall/fleet"
+)
+
+// What is remembered of an endpoint, and for how long.
+const (
+	// loadTrust is how long an endpoint's own word on its load counts; nodes of
+	// a zone hear of a busy group about every 100 ms.
+	loadTrust = 2 * time.Second
+	// smoothing is the weight of one new observation in a mean.
+	smoothing = 0.15
+	// shunFirst is how long an endpoint that refused a connection is left
+	// alone; it doubles up to shunLongest, so that one request in a while
+	// finds out whether it is back.
+	shunFirst   = 400 * time.Millisecond
+	shunLongest = 3 * time.Second
+	// forgetAfter drops what is known of an endpoint without an entry.
+	forgetAfter = 30 * time.Second
+)
+
+// State is what this node knows of one endpoint. The tracker's lock guards it.
+type State struct {
+	id        string
+	own       int // requests of this node that are there
+	unstarted int // of these, streams without a first event
+	unread    int // prompt tokens of the unstarted
+	// told is the endpoint's own count at toldAt, ownThen this node's part of it.
+	told    int
+	ownThen int
+	toldAt  time.Time
+
+	lastEvent time.Time // of any stream
+	// waitingSince is when this node began to wait for an event without a break.
+	waitingSince time.Time
+	slow         float64 // observed pace against the declared one
+	latency      time.Duration
+	failures     float64 // smoothed share of failed requests
+
+	shunUntil time.Time
+	shun      time.Duration
+	usedAt    time.Time
+	cold      bucket
+}
+
+// Tracker keeps the states of all endpoints.
+type Tracker struct {
+	mu     sync.Mutex
+	states map[string]*State
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker { return &Tracker{states: map[string]*State{}} }
+
+// of returns an endpoint's state. The lock is held.
+func (t *Tracker) of(id string, now time.Time) *State {
+	s, ok := t.states[id]
+	if !ok {
+		s = &State{id: id, slow: 1}
+		t.states[id] = s
+	}
+	s.usedAt = now
+	return s
+}
+
+// Forget drops states that were not used for long. Call it now and then.
+func (t *Tracker) Forget(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.states {
+		if s.own == 0 && now.Sub(s.usedAt) > forgetAfter {
+			delete(t.states, id)
+		}
+	}
+}
+
+// running estimates how many requests an endpoint has, from its last word and
+// from what this node sent and finished since.
+func (s *State) running(now time.Time) int {
+	if s.toldAt.IsZero() || now.Sub(s.toldAt) > loadTrust {
+		return s.own
+	}
+	return max(s.own, s.told+s.own-s.ownThen)
+}
+
+// A Visit is one request at one endpoint. Its methods are called by one
+// goroutine; Done is called once.
+type Visit struct {
+	t       *Tracker
+	s       *State
+	sentAt  time.Time
+	prompt  int
+	started bool
+	last    time.Time
+}
+
+// visit notes that a request goes to an endpoint. The lock is held.
+func (t *Tracker) visit(now time.Time, s *State, prompt int) *Visit {
+	s.own++
+	s.unstarted++
+	s.unread += prompt
+	if s.waitingSince.IsZero() {
+		s.waitingSince = now
+	}
+	return &Visit{t: t, s: s, sentAt: now, prompt: prompt, last: now}
+}
+
+// Told takes the endpoint's own word on its load in.
+func (v *Visit) Told(now time.Time, running int) {
+	v.t.mu.Lock()
+	defer v.t.mu.Unlock()
+	v.s.told, v.s.ownThen, v.s.toldAt = running, v.s.own, now
+}
+
+// Event notes an event of a stream. usual is the pause that the pace predicts.
+func (v *Visit) Event(now time.Time, usual func(running int) time.Duration) {
+	v.t.mu.Lock()
+	defer v.t.mu.Unlock()
+	s := v.s
+	if v.started && usual != nil {
+		if want := usual(s.running(now)); want > 0 {
+			s.observe(float64(now.Sub(v.last)) / float64(want))
+		}
+	}
+	v.start()
+	v.last = now
+	s.lastEvent, s.waitingSince = now, now
+	s.shun, s.shunUntil = 0, time.Time{}
+}
+
+// observe takes one pause in, as a multiple of the predicted one. One long
+// pause is a prompt being read, so it counts with a bound.
+func (s *State) observe(ratio float64) {
+	const longest = 8 // times as slow
+	s.slow += smoothing / 4 * (min(ratio, longest) - s.slow)
+}
+
+func (v *Visit) start() {
+	if v.started {
+		return
+	}
+	v.started = true
+	v.s.unstarted--
+	v.s.unread -= v.prompt
+}
+
+// Done ends the visit. ok says whether the endpoint did what was asked.
+func (v *Visit) Done(now time.Time, ok bool) {
+	v.t.mu.Lock()
+	defer v.t.mu.Unlock()
+	s := v.s
+	v.start()
+	s.own--
+	if s.own == 0 {
+		s.waitingSince = time.Time{}
+	}
+	failed := 1.0
+	if ok {
+		failed = 0
+		s.latency += time.Duration(smoothing * float64(now.Sub(v.sentAt)-s.latency))
+	}
+	s.failures += smoothing * (failed - s.failures)
+}
+
+// Unreachable notes that an endpoint didn't take a connection, or that nothing
+// moves there: it gets no request for a while.
+func (t *Tracker) Unreachable(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(id, now)
+	if now.Before(s.shunUntil) {
+		return
+	}
+	s.shun = min(max(2*s.shun, shunFirst), shunLongest)
+	s.shunUntil = now.Add(s.shun)
+}
+
+// Silent returns how long this node has waited for any event of an endpoint.
+func (v *Visit) Silent(now time.Time) time.Duration {
+	v.t.mu.Lock()
+	defer v.t.mu.Unlock()
+	if v.s.waitingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(v.s.waitingSince)
+}
+
+// Snapshot is what the tracker thinks of one endpoint, for logs.
+type Snapshot struct {
+	Own, Running, Unread int
+	Slow                 float64
+	Shunned              bool
+}
+
+// Snapshot returns what is known of an endpoint.
+func (t *Tracker) Snapshot(now time.Time, e *fleet.Endpoint) Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.of(e.ID, now)
+	return Snapshot{Own: s.own, Running: s.running(now), Unread: s.unread, Slow: s.slow, Shunned: now.Before(s.shunUntil)}
+}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -36,10 +36,28 @@
 	Verbose  int    `short:"v" long:"verbose" description:"log level: 0 events, 1 refusals, 2 each request" default:"0"`
 }
 
+// Program is a daemon's command line.
+type Program struct {
+	Name string
+	Help string
+	// DefaultSettings is the settings file where the command line names none.
+	DefaultSettings string
+}
+
+// Start reads the settings at a path. Unless they are only checked, it returns
+// what runs the daemon until its context ends.
+type Start func(path string, check bool) (func(context.Context) error, error)
+
+// Main runs a daemon without a default settings file.
+func Main(name, help string, args []string, out, errOut io.Writer, start Start) int {
+	return Program{Name: name, Help: help}.Main(args, out, errOut, start)
+}
+
 // Main runs a daemon: it reads the command line and the settings, and runs
 // until SIGTERM or SIGINT. It returns the exit code.
-func Main(name, help string, args []string, out, errOut io.Writer, start func(path string, check bool) (func(context.Context) error, error)) int {
-	var options Options
+func (p Program) Main(args []string, out, errOut io.Writer, start Start) int {
+	name, help := p.Name, p.Help
+	options := Options{Settings: p.DefaultSettings}
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = help
 	if _, err := parser.AddGroup("options", "", &options); err != nil {
@@ -84,7 +102,7 @@
 	debug.SetMemoryLimit(memoryLimit)
 }
 
-func run(name string, options Options, out, errOut io.Writer, start func(string, bool) (func(context.Context) error, error)) int {
+func run(name string, options Options, out, errOut io.Writer, start Start) int {
 	serve, err := start(options.Settings, options.Check)
 	if err != nil {
 		WriteFaults(errOut, name, options.Settings, err)
--- /dev/null
+++ b/directory/book.go
@@ -0,0 +1,151 @@
+package directory
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwinghall/fleet"
+)
+
+// LapseGrace is how long an entry that lapsed while the store was away may
+// stay missing after the store's return before its endpoint counts as gone.
+// Endpoints write again within about 2 s of the return.
+const LapseGrace = 2200 * time.Millisecond
+
+// Book gathers changes and publishes views. Its methods may be called from
+// several goroutines.
+type Book struct {
+	mu        sync.Mutex
+	view      atomic.Pointer[View]
+	table     *table
+	endpoints map[string]*fleet.Endpoint
+	lapsed    map[string]time.Time // when a missing entry counts as gone
+	out       map[string]bool
+	// graceUntil is when entries that are missing count as gone at once again.
+	graceUntil time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	b := &Book{endpoints: map[string]*fleet.Endpoint{}, lapsed: map[string]time.Time{}, out: map[string]bool{}}
+	b.view.Store(&View{})
+	return b
+}
+
+// View returns the newest view.
+func (b *Book) View() *View { return b.view.Load() }
+
+// StoreReturned notes that the store answers again after it was away.
+func (b *Book) StoreReturned(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.graceUntil = now.Add(LapseGrace)
+}
+
+// Change is one thing learned. Exactly one of its parts is set.
+type Change struct {
+	Config   *fleet.Configuration
+	Endpoint *fleet.Endpoint
+	Gone     string // id of an endpoint whose entry is missing
+	ZoneOut  string
+	ZoneIn   string
+}
+
+// Apply takes changes in and publishes one new view.
+func (b *Book) Apply(now time.Time, changes ...Change) {
+	if len(changes) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range changes {
+		b.applyOne(now, c)
+	}
+	b.publish()
+}
+
+func (b *Book) applyOne(now time.Time, c Change) {
+	switch {
+	case c.Config != nil:
+		// Guard: an older copy read late would bring back routes and keys that
+		// were taken away. Versions only rise.
+		if b.table == nil || c.Config.Version >= b.table.config.Version {
+			b.table = newTable(c.Config)
+		}
+	case c.Endpoint != nil:
+		b.endpoints[c.Endpoint.ID] = c.Endpoint
+		delete(b.lapsed, c.Endpoint.ID)
+	case c.Gone != "":
+		b.remove(now, c.Gone)
+	case c.ZoneOut != "":
+		b.out[c.ZoneOut] = true
+	case c.ZoneIn != "":
+		delete(b.out, c.ZoneIn)
+	}
+}
+
+// remove drops an endpoint, or lets it stay for the grace that an outage of
+// the store asks for.
+func (b *Book) remove(now time.Time, id string) {
+	if now.Before(b.graceUntil) {
+		if _, known := b.lapsed[id]; !known {
+			b.lapsed[id] = b.graceUntil
+		}
+		return
+	}
+	delete(b.endpoints, id)
+	delete(b.lapsed, id)
+}
+
+// Expire drops endpoints whose entries stayed missing through their grace.
+func (b *Book) Expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := false
+	for id, until := range b.lapsed {
+		if !now.Before(until) {
+			delete(b.endpoints, id)
+			delete(b.lapsed, id)
+			changed = true
+		}
+	}
+	if changed {
+		b.publish()
+	}
+}
+
+// Known returns the ids of all endpoints and the zones that are out, so that
+// a new list can be compared with them.
+func (b *Book) Known() (ids, zonesOut []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.endpoints {
+		ids = append(ids, id)
+	}
+	for zone := range b.out {
+		zonesOut = append(zonesOut, zone)
+	}
+	return ids, zonesOut
+}
+
+func (b *Book) publish() {
+	v := &View{
+		table:     b.table,
+		Endpoints: make(map[string]*fleet.Endpoint, len(b.endpoints)),
+		ByService: map[string][]*fleet.Endpoint{},
+		ZonesOut:  make(map[string]bool, len(b.out)),
+	}
+	for id, e := range b.endpoints {
+		v.Endpoints[id] = e
+		v.ByService[e.Service] = append(v.ByService[e.Service], e)
+	}
+	for _, list := range v.ByService {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	for zone := range b.out {
+		v.ZonesOut[zone] = true
+	}
+	b.view.Store(v)
+}
--- /dev/null
+++ b/directory/follower.go
@@ -0,0 +1,217 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/kernel"
+	"redwinghall/platform"
+)
+
+// How the store is followed. Each call is priced, so a busy table is read at
+// intervals rather than at each change.
+const (
+	// feedWait bounds how long a silent connection to the store goes unseen;
+	// a configuration has to be in force 2 s after it was accepted.
+	feedWait = 1500 * time.Millisecond
+	// operatorsInterval spaces reads of the operators' table, which is mostly quiet.
+	operatorsInterval = 150 * time.Millisecond
+	// endpointsInterval spaces reads of the endpoints' table, which changes all
+	// the time: 1.5 calls a second at the most. Endpoints leave with a notice of 2 s.
+	endpointsInterval = 650 * time.Millisecond
+	// endpointsUrgent is the interval while this node forms groups.
+	endpointsUrgent = 250 * time.Millisecond
+	firstPause      = 100 * time.Millisecond
+	longestPause    = time.Second
+	expireInterval  = 200 * time.Millisecond
+)
+
+// Follower reads the store's tables and keeps a book current.
+type Follower struct {
+	store fleet.Store
+	book  *Book
+	// urgent reports whether this node waits for endpoints to change.
+	urgent func() bool
+}
+
+// NewFollower returns a follower. urgent may be nil.
+func NewFollower(store fleet.Store, book *Book, urgent func() bool) *Follower {
+	if urgent == nil {
+		urgent = func() bool { return false }
+	}
+	return &Follower{store: store, book: book, urgent: urgent}
+}
+
+// Start follows both tables until the group stops.
+func (f *Follower) Start(g *kernel.Group) {
+	g.Go("follow_operators", func(ctx context.Context) error {
+		return f.follow(ctx, &feed{table: platform.TableOperators, decode: f.decodeOperators, missing: f.missingOperators,
+			interval: func() time.Duration { return operatorsInterval }})
+	})
+	g.Go("follow_endpoints", func(ctx context.Context) error {
+		return f.follow(ctx, &feed{table: platform.TableEndpoints, decode: f.decodeEndpoint, missing: f.missingEndpoints,
+			interval: f.endpointsInterval})
+	})
+	g.Every("expire_endpoints", expireInterval, func(_ context.Context, now time.Time) { f.book.Expire(now) })
+}
+
+func (f *Follower) endpointsInterval() time.Duration {
+	if f.urgent() {
+		return endpointsUrgent
+	}
+	return endpointsInterval
+}
+
+// feed is one table that is followed.
+type feed struct {
+	table    string
+	decode   func(row fleet.Row, now time.Time) (Change, bool)
+	missing  func(rows []fleet.Row) []Change // what a new list no longer holds
+	interval func() time.Duration
+
+	version int64
+	listed  bool
+	away    bool // the last call failed
+	pause   time.Duration
+}
+
+// follow reads a table until ctx ends. While the store is away, what is known
+// stays in force.
+func (f *Follower) follow(ctx context.Context, feed *feed) error {
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.step(ctx, feed)
+		if ctx.Err() != nil {
+			return nil
+		}
+		wait := feed.interval() - time.Since(started)
+		if err != nil {
+			wait = f.failed(feed, err)
+		}
+		if wait > 0 && !kernel.Sleep(ctx, wait) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// failed notes a failed call and returns how long to wait before the next.
+func (f *Follower) failed(feed *feed, err error) time.Duration {
+	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
+		klog.InfoS("store_history_gone", "table", feed.table, "after", feed.version)
+		feed.listed = false
+		return 0
+	}
+	if !feed.away {
+		klog.InfoS("store_lost", "table", feed.table, "version", feed.version, "err", err)
+	}
+	feed.away = true
+	feed.pause = min(max(2*feed.pause, firstPause), longestPause)
+	return feed.pause/2 + rand.N(feed.pause/2+1)
+}
+
+func (f *Follower) step(ctx context.Context, feed *feed) error {
+	rows, err := f.read(ctx, feed)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if feed.away {
+		klog.InfoS("store_regained", "table", feed.table, "version", rows.Version)
+		f.book.StoreReturned(now)
+		feed.away, feed.pause = false, 0
+	}
+	var changes []Change
+	if !feed.listed {
+		changes = feed.missing(rows.Rows)
+		feed.listed = true
+	}
+	for _, row := range rows.Rows {
+		if change, ok := feed.decode(row, now); ok {
+			changes = append(changes, change)
+		}
+	}
+	feed.version = max(feed.version, rows.Version)
+	f.book.Apply(now, changes...)
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context, feed *feed) (fleet.Rows, error) {
+	if !feed.listed {
+		return f.store.List(ctx, feed.table)
+	}
+	return f.store.Changes(ctx, feed.table, feed.version, feedWait)
+}
+
+func (f *Follower) decodeOperators(row fleet.Row, _ time.Time) (Change, bool) {
+	if zone, ok := platform.ZoneOut(row.Key); ok {
+		klog.InfoS("zone_decided", "zone", zone, "out", !row.Removed, "version", row.Version)
+		if row.Removed {
+			return Change{ZoneIn: zone}, true
+		}
+		return Change{ZoneOut: zone}, true
+	}
+	if !platform.IsConfiguration(row.Key) || row.Removed {
+		return Change{}, false
+	}
+	config, err := platform.DecodeConfiguration(row.Value)
+	if err != nil {
+		klog.ErrorS(err, "configuration_unreadable", "version", row.Version)
+		return Change{}, false
+	}
+	klog.InfoS("configuration_read", "configuration", config.Version, "routes", len(config.Routes),
+		"accounts", len(config.Accounts), "version", row.Version)
+	return Change{Config: config}, true
+}
+
+func (f *Follower) decodeEndpoint(row fleet.Row, now time.Time) (Change, bool) {
+	if row.Removed {
+		return Change{Gone: row.Key}, true
+	}
+	endpoint, err := platform.DecodeEndpoint(row, now)
+	if err != nil {
+		klog.InfoS("entry_unreadable", "endpoint", row.Key, "version", row.Version, "err", err)
+		return Change{Gone: row.Key}, true
+	}
+	return Change{Endpoint: endpoint}, true
+}
+
+// missingEndpoints returns the endpoints that a new list lacks.
+func (f *Follower) missingEndpoints(rows []fleet.Row) []Change {
+	ids, _ := f.book.Known()
+	var changes []Change
+	for _, id := range without(ids, rows, func(row fleet.Row) string { return row.Key }) {
+		changes = append(changes, Change{Gone: id})
+	}
+	return changes
+}
+
+// missingOperators returns the zones that a new list no longer takes out.
+func (f *Follower) missingOperators(rows []fleet.Row) []Change {
+	_, zones := f.book.Known()
+	var changes []Change
+	for _, zone := range without(zones, rows, func(row fleet.Row) string { z, _ := platform.ZoneOut(row.Key); return z }) {
+		changes = append(changes, Change{ZoneIn: zone})
+	}
+	return changes
+}
+
+// without returns the names that no row stands for.
+func without(names []string, rows []fleet.Row, name func(fleet.Row) string) []string {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[name(row)] = true
+	}
+	var missing []string
+	for _, one := range names {
+		if !listed[one] {
+			missing = append(missing, one)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/directory/view.go
@@ -0,0 +1,88 @@
+// Package directory keeps what a node knows of its deployment: the
+// configuration in force, the endpoints and the zones taken out. Readers get
+// an immutable view by one atomic load.
+package directory
+
+import (
+	"sort"
+	"strings"
+
+	"redwinghall/fleet"
+)
+
+// View is everything known at one moment. It is immutable.
+type View struct {
+	table *table
+	// Endpoints by id, ByService in the order of their ids.
+	Endpoints map[string]*fleet.Endpoint
+	ByService map[string][]*fleet.Endpoint
+	ZonesOut  map[string]bool
+}
+
+// table is the configuration with its indexes, built once for each version.
+type table struct {
+	config *fleet.Configuration
+	byHost map[string][]*fleet.Route // the longest prefix first
+	byKey  map[string]*fleet.Account
+}
+
+func newTable(config *fleet.Configuration) *table {
+	t := &table{config: config, byHost: map[string][]*fleet.Route{}, byKey: map[string]*fleet.Account{}}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		t.byHost[route.Host] = append(t.byHost[route.Host], route)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range config.Accounts {
+		for _, key := range config.Accounts[i].Keys {
+			t.byKey[key] = &config.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Config returns the configuration, or nil before one is known.
+func (v *View) Config() *fleet.Configuration {
+	if v.table == nil {
+		return nil
+	}
+	return v.table.config
+}
+
+// Route returns the route of a request: of its host's routes the one with the
+// longest prefix that begins the path.
+func (v *View) Route(host, path string) (*fleet.Route, bool) {
+	if v.table == nil {
+		return nil, false
+	}
+	name, _, _ := strings.Cut(host, ":")
+	for _, route := range v.table.byHost[name] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the client account that holds a key.
+func (v *View) Account(key string) (*fleet.Account, bool) {
+	if v.table == nil {
+		return nil, false
+	}
+	account, ok := v.table.byKey[key]
+	return account, ok
+}
+
+// AsksForKey reports whether the configuration knows client accounts at all.
+func (v *View) AsksForKey() bool { return v.table != nil && len(v.table.config.Accounts) > 0 }
+
+// Service returns a service of the configuration.
+func (v *View) Service(name string) (fleet.Service, bool) {
+	if v.table == nil {
+		return fleet.Service{}, false
+	}
+	service, ok := v.table.config.Services[name]
+	return service, ok
+}
--- /dev/null
+++ b/fleet/endpoint.go
@@ -0,0 +1,96 @@
+package fleet
+
+import "time"
+
+// EndpointState is what an endpoint says of itself.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	EndpointReady    EndpointState = "ready"
+	EndpointDraining EndpointState = "draining"
+)
+
+// GroupState is the state of an endpoint's membership.
+type GroupState string
+
+// The states of a membership. Only a head (rank 0) is ever open or closing.
+const (
+	Joining GroupState = "joining"
+	Ready   GroupState = "ready"
+	Open    GroupState = "open"
+	Closing GroupState = "closing"
+	Broken  GroupState = "broken"
+)
+
+// Membership is an endpoint's place in a group. The zero value means that it
+// belongs to none.
+type Membership struct {
+	Group string
+	Epoch int64
+	Rank  int // 0 is the head, which takes the requests
+	State GroupState
+}
+
+// Endpoint is one process that serves requests, as it registered itself.
+type Endpoint struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	State   EndpointState
+	Slots   int
+	// Cold is how much longer the endpoint stays cold, as of SeenAt.
+	Cold   time.Duration
+	SeenAt time.Time
+	// Born is when the process started, in Unix milliseconds; 0 if unknown.
+	Born   int64
+	Domain string   // fabric domain; empty for a plain service
+	Staged []string // models in its host's memory
+	Models []string // models that are loaded
+	Member Membership
+	// Revision is the store's version of the entry.
+	Revision int64
+}
+
+// ColdAt reports whether the endpoint is still cold.
+func (e *Endpoint) ColdAt(now time.Time) bool {
+	return e.Cold > 0 && now.Before(e.SeenAt.Add(e.Cold))
+}
+
+// Model returns the model that the endpoint's group serves, or "".
+func (e *Endpoint) Model() string {
+	if len(e.Models) == 0 {
+		return ""
+	}
+	return e.Models[0]
+}
+
+// HasStaged reports whether a model lies in the host's memory.
+func (e *Endpoint) HasStaged(model string) bool {
+	for _, m := range e.Staged {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// Serves reports whether the endpoint is the head of an open group.
+func (e *Endpoint) Serves() bool {
+	return e.State == EndpointReady && e.Member.Rank == 0 && e.Member.Group != "" && e.Member.State == Open
+}
+
+// Report is what an endpoint answers when it is asked directly.
+type Report struct {
+	Member   Membership
+	Models   []string
+	Staged   []string
+	Running  int
+	Waiting  int
+	Orders   int64 // that began something since the process started
+	Pace     float64
+	Busy     bool
+	Born     int64
+	Instance string
+}
--- /dev/null
+++ b/formation/manager.go
@@ -0,0 +1,371 @@
+package formation
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/directory"
+	"redwinghall/fleet"
+	"redwinghall/kernel"
+	"redwinghall/platform"
+)
+
+// Times of the manager.
+const (
+	tick = 100 * time.Millisecond
+	// suspectFor is how long an endpoint that didn't answer stays out of groups.
+	suspectFor = 4 * time.Second
+	// overlayFor is how long an order counts as carried out before its effect
+	// shows in the endpoint's entry, which this node reads every 250 ms.
+	overlayFor = 2 * time.Second
+	// holdMargin is added to the time after which a group without a member is
+	// broken, before its other members join another.
+	holdMargin = 500 * time.Millisecond
+	// probeAgain spaces questions to an endpoint that doesn't answer.
+	probeAgain = 500 * time.Millisecond
+)
+
+// Options are the parts that a manager works with.
+type Options struct {
+	Settings fleet.Settings
+	Book     *directory.Book
+	Orderer  fleet.Orderer
+	// Holds reports whether this node may form the groups of a zone now.
+	Holds func(zone string) bool
+	// Version returns the newest version of the store that this node knows.
+	Version func() int64
+	// Begun reports whether requests have come yet.
+	Begun func() bool
+}
+
+// Manager forms the groups of the zones whose lease this node holds.
+type Manager struct {
+	Options
+	mu      sync.Mutex
+	notes   map[string]*note
+	headers map[string]*headNote // by group
+	epoch   int64
+	loads   map[string]*loadBudget // by zone
+	sending map[string]bool        // endpoints with an order on its way
+	probing map[string]bool
+	pending atomic.Bool
+	stopped bool
+	group   *kernel.Group
+}
+
+// note is what the manager remembers of an endpoint between plans.
+type note struct {
+	worker   Worker
+	born     int64
+	suspect  time.Time // until when
+	overlay  fleet.Membership
+	overlaid time.Time
+	shown    fleet.Membership
+	address  string
+	seenAt   time.Time
+}
+
+// headNote is what is known of a group's head.
+type headNote struct {
+	endpoint *fleet.Endpoint
+	gone     bool
+	askedAt  time.Time
+	seenAt   time.Time
+}
+
+// NewManager returns a manager that has seen nothing.
+func NewManager(options Options) *Manager {
+	return &Manager{
+		Options: options, notes: map[string]*note{}, headers: map[string]*headNote{},
+		loads: map[string]*loadBudget{}, sending: map[string]bool{}, probing: map[string]bool{},
+	}
+}
+
+// Pending reports whether this node waits for endpoints to carry out orders.
+func (m *Manager) Pending() bool { return m.pending.Load() }
+
+// Stop ends planning; orders on their way are not called back.
+func (m *Manager) Stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopped = true
+}
+
+// Start plans until the group stops.
+func (m *Manager) Start(g *kernel.Group) {
+	m.group = g
+	g.Every("formation", tick, m.step)
+}
+
+func (m *Manager) step(ctx context.Context, now time.Time) {
+	view := m.Book.View()
+	config := view.Config()
+	if config == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		m.pending.Store(false)
+		return
+	}
+	pending := false
+	for _, zone := range m.Settings.Zones {
+		if !m.Holds(zone) {
+			delete(m.loads, zone)
+			continue
+		}
+		for name, service := range config.Services {
+			if service.Engine == nil {
+				continue
+			}
+			pending = m.planZone(ctx, now, zone, service.Engine, view.ByService[name]) || pending
+		}
+	}
+	m.pending.Store(pending)
+}
+
+// planZone plans one zone's groups and sends the orders. It reports whether
+// something is under way.
+func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, engine *fleet.Engine, endpoints []*fleet.Endpoint) bool {
+	z := &Zone{Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings.FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
+	pending := false
+	for _, e := range endpoints {
+		if e.Zone != zone {
+			continue
+		}
+		w := m.noted(now, e)
+		z.Workers = append(z.Workers, w)
+		m.epoch = max(m.epoch, w.Member.Epoch, e.Member.Epoch)
+		state := w.Member.State
+		pending = pending || state == fleet.Joining || state == fleet.Closing || w.Member != e.Member
+	}
+	m.markFree(now, z.Workers)
+	m.askHeads(ctx, now, z)
+	budget := m.budgetOf(zone, engine)
+	z.Loads = budget.left(now)
+	steps := z.Plan(now)
+	for _, s := range steps {
+		if s.Loads && !z.Fresh {
+			budget.spend()
+		}
+		m.send(ctx, now, s)
+	}
+	return pending || len(steps) > 0
+}
+
+func (m *Manager) nextEpoch() int64 {
+	m.epoch = max(m.epoch, m.Version()) + 1
+	return m.epoch
+}
+
+// noted returns the worker of an endpoint, with what is remembered of it.
+func (m *Manager) noted(now time.Time, e *fleet.Endpoint) *Worker {
+	n, ok := m.notes[e.ID]
+	if !ok || n.born != e.Born {
+		// A process that starts again under its id knows nothing of before.
+		n = &note{born: e.Born, worker: Worker{OrderedAt: map[fleet.OrderKind]time.Time{}}}
+		m.notes[e.ID] = n
+	}
+	n.seenAt = now
+	n.address = e.Address
+	w := &n.worker
+	w.Endpoint = e
+	w.Suspect = now.Before(n.suspect)
+	if e.State == fleet.EndpointDraining && w.DrainingSince.IsZero() {
+		w.DrainingSince = now
+	}
+	m.noteMember(now, n)
+	return w
+}
+
+// noteMember works out an endpoint's membership from its entry and from the
+// order that it was given last.
+func (m *Manager) noteMember(now time.Time, n *note) {
+	w := &n.worker
+	e := w.Endpoint
+	if e.Member != n.shown {
+		n.shown = e.Member
+		if e.Member.Epoch >= n.overlay.Epoch {
+			n.overlaid = time.Time{}
+		}
+	}
+	member := e.Member
+	if !n.overlaid.IsZero() && now.Sub(n.overlaid) < overlayFor {
+		member = n.overlay
+	}
+	if member != w.Member {
+		w.Member = member
+		w.ChangedAt = now
+	}
+	model, _ := parseName(e.Member.Group)
+	if model != "" && e.Member.State != fleet.Joining {
+		w.LastModel = model
+	}
+	if e.Member.Rank == 0 && e.Member.Group != "" {
+		m.headers[e.Member.Group] = &headNote{endpoint: e, seenAt: now}
+	}
+}
+
+// markFree notes since when each worker belongs to no group that serves or forms.
+func (m *Manager) markFree(now time.Time, workers []*Worker) {
+	serving := map[string]bool{}
+	for _, w := range workers {
+		if _, standby := parseName(w.Member.Group); standby || w.Member.Group == "" {
+			continue
+		}
+		if w.Member.State == fleet.Joining || (w.Member.Rank == 0 && (w.Member.State == fleet.Open || w.Member.State == fleet.Closing)) {
+			serving[w.Member.Group] = true
+		}
+	}
+	for _, w := range workers {
+		switch {
+		case serving[w.Member.Group]:
+			w.FreeSince = time.Time{}
+		case w.FreeSince.IsZero():
+			w.FreeSince = now
+		}
+	}
+}
+
+// askHeads finds out of groups without a head whether its process has ended.
+func (m *Manager) askHeads(ctx context.Context, now time.Time, z *Zone) {
+	present := map[string]bool{}
+	for _, w := range z.Workers {
+		if w.Member.Rank == 0 && !w.Suspect {
+			present[w.Member.Group] = true
+		}
+	}
+	for _, w := range z.Workers {
+		name := w.Member.Group
+		if name == "" || present[name] {
+			continue
+		}
+		h, known := m.headers[name]
+		if !known {
+			continue
+		}
+		z.HeadGone[name] = h.gone
+		if !h.gone && now.Sub(h.askedAt) > probeAgain {
+			h.askedAt = now
+			m.askHead(ctx, name, h)
+		}
+	}
+}
+
+// askHead asks a head that has no entry. A refused connection, or another
+// process at its address, proves that it has ended.
+func (m *Manager) askHead(ctx context.Context, name string, h *headNote) {
+	m.group.Go("ask_head", func(context.Context) error {
+		_, err := m.Orderer.Report(ctx, h.endpoint)
+		gone := redwinghall.KindOf[platform.Kind](err) == platform.Ended
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		h.gone = gone
+		klog.InfoS("head_asked", "group", name, "endpoint", h.endpoint.ID, "gone", gone, "err", err)
+		return nil
+	})
+}
+
+// send gives one order, and notes its expected effect.
+func (m *Manager) send(ctx context.Context, now time.Time, s Step) {
+	id := s.Endpoint.ID
+	if m.sending[id] {
+		return
+	}
+	m.sending[id] = true
+	n := m.notes[id]
+	n.worker.OrderedAt[s.Order.Kind] = now
+	m.overlay(now, n, s.Order)
+	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
+		"entry", s.Endpoint.Revision, "loads", s.Loads)
+	m.group.Go("order", func(context.Context) error {
+		outcome, err := m.Orderer.Order(ctx, s.Endpoint, s.Order)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.sending, id)
+		if err != nil {
+			klog.InfoS("order_failed", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch,
+				"outcome", outcome, "err", err)
+		}
+		if outcome == fleet.Refused {
+			n.overlaid = time.Time{}
+		}
+		if redwinghall.KindOf[platform.Kind](err) == platform.Ended {
+			n.suspect = time.Now().Add(suspectFor)
+		}
+		return nil
+	})
+}
+
+// overlay notes what an order does before the endpoint's entry shows it.
+func (m *Manager) overlay(now time.Time, n *note, order fleet.Order) {
+	next := n.worker.Member
+	switch order.Kind {
+	case fleet.OrderJoin:
+		next = fleet.Membership{Group: order.Group, Epoch: order.Epoch, Rank: rankOf(order.Members, n.worker.Endpoint.ID), State: fleet.Joining}
+	case fleet.OrderOpen:
+		next.State = fleet.Open
+	case fleet.OrderClose:
+		next.State = fleet.Closing
+	case fleet.OrderLeave:
+		next = fleet.Membership{}
+		n.worker.HeldUntil = now.Add(m.Settings.Bounds.Stall + holdMargin)
+	case fleet.OrderStage:
+		return
+	}
+	n.overlay, n.overlaid = next, now
+}
+
+func rankOf(members []string, id string) int {
+	for rank, one := range members {
+		if one == id {
+			return rank
+		}
+	}
+	return -1
+}
+
+// Stalled tells the manager that nothing moves in the group of an endpoint.
+// It asks all members, and those that don't answer count as lost.
+func (m *Manager) Stalled(ctx context.Context, headID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	head, ok := m.notes[headID]
+	if !ok || head.worker.Endpoint == nil || m.group == nil || !m.Holds(head.worker.Endpoint.Zone) {
+		return
+	}
+	name := head.worker.Member.Group
+	for id, n := range m.notes {
+		if n.worker.Endpoint != nil && n.worker.Member.Group == name && name != "" && !m.probing[id] {
+			m.probing[id] = true
+			m.probe(ctx, n)
+		}
+	}
+}
+
+// probe asks one endpoint whether it is alive.
+func (m *Manager) probe(ctx context.Context, n *note) {
+	endpoint := n.worker.Endpoint
+	m.group.Go("probe", func(context.Context) error {
+		_, err := m.Orderer.Report(ctx, endpoint)
+		now := time.Now()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.probing, endpoint.ID)
+		if err == nil {
+			return nil
+		}
+		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
+		n.suspect = now.Add(suspectFor)
+		if h, ok := m.headers[n.worker.Member.Group]; ok && h.endpoint.ID == endpoint.ID {
+			h.gone = redwinghall.KindOf[platform.Kind](err) == platform.Ended
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/formation/plan.go
@@ -0,0 +1,549 @@
+package formation
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"redwinghall/fleet"
+)
+
+// Weights and times of a plan.
+const (
+	// switchTime is the loading time that halves the worth of forming a group:
+	// a group that is there after a second is worth more than one after 16 s.
+	switchTime = 4 * time.Second
+	// convertPatience is how long free VMs wait for a lost member to come back
+	// before they are loaded with another model. VMs that crashed are back
+	// after 4 to 7 s, with their model still in the host's memory.
+	convertPatience = 6 * time.Second
+	// drainGrace is how long a group without a replacement goes on serving
+	// after a member said that it leaves.
+	drainGrace = 2500 * time.Millisecond
+	// orderRepeat is when an order without visible effect is given again.
+	orderRepeat = 1200 * time.Millisecond
+	// stuckClosing is when a group that finishes its work is told to end it.
+	stuckClosing = 1500 * time.Millisecond
+	// stuckJoining bounds how long a member may take to join beyond its load.
+	stuckJoining = 3 * time.Second
+	// instantJoin is the time of a join where the VM's last group had the model.
+	instantJoin = 200 * time.Millisecond
+)
+
+// Step is one order for one endpoint, with why it is given.
+type Step struct {
+	Endpoint *fleet.Endpoint
+	Order    fleet.Order
+	Why      string
+	// Loads says that the order makes the VM load from the weight store.
+	Loads bool
+}
+
+// Worker is an endpoint as the planner sees it: its entry, overlaid with the
+// order that was given last and not yet shown, and with what was found out.
+type Worker struct {
+	Endpoint *fleet.Endpoint
+	Member   fleet.Membership
+	// LastModel is the model of its last group since its start.
+	LastModel string
+	// Suspect says that it didn't answer when it was asked.
+	Suspect bool
+	// HeldUntil is set where it left a group whose head may still be open.
+	HeldUntil time.Time
+	// OrderedAt is when it was last given an order of a kind.
+	OrderedAt map[fleet.OrderKind]time.Time
+	// DrainingSince is when its entry first said that it leaves.
+	DrainingSince time.Time
+	// FreeSince is when it was first seen without a group that serves.
+	FreeSince time.Time
+	// ChangedAt is when its membership last changed.
+	ChangedAt time.Time
+}
+
+func (w *Worker) usable() bool {
+	return !w.Suspect && w.Endpoint.State == fleet.EndpointReady
+}
+
+func (w *Worker) ordered(kind fleet.OrderKind, now time.Time, within time.Duration) bool {
+	at, ok := w.OrderedAt[kind]
+	return ok && now.Sub(at) < within
+}
+
+// joinTime is how long the worker takes to join a group of a model.
+func (w *Worker) joinTime(m fleet.Model) time.Duration {
+	switch {
+	case w.LastModel == m.Name:
+		return instantJoin
+	case w.Endpoint.HasStaged(m.Name):
+		return m.Warm
+	}
+	return m.Load
+}
+
+// Zone is what a plan is made from.
+type Zone struct {
+	Engine  *fleet.Engine
+	Workers []*Worker
+	// HeadGone holds the groups whose head's process is known to have ended.
+	HeadGone map[string]bool
+	// Fresh says that no request has come yet: loads are quick and free.
+	Fresh bool
+	// Loads is how many loads from the weight store may start now.
+	Loads int
+	// NextEpoch returns a new epoch, higher than all before.
+	NextEpoch func() int64
+}
+
+// group is the members of one group that were seen.
+type group struct {
+	name    string
+	epoch   int64
+	model   fleet.Model
+	known   bool
+	standby bool
+	byRank  map[int]*Worker
+}
+
+func (g *group) head() *Worker { return g.byRank[0] }
+
+// whole reports whether every member is there, and usable.
+func (g *group) whole() bool {
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		if w == nil || !w.usable() {
+			return false
+		}
+	}
+	return g.known
+}
+
+func (g *group) size() int {
+	if g.standby {
+		return 1
+	}
+	return g.model.Size
+}
+
+// lost reports whether a member is gone or doesn't answer, as against one that
+// only says that it leaves.
+func (g *group) lost() bool {
+	for rank := range g.size() {
+		if w := g.byRank[rank]; w == nil || w.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// ready reports whether every member itself said that it is ready, under this
+// name and epoch.
+func (g *group) ready() bool {
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		if w == nil || w.Endpoint.Member != w.Member || w.Member.State != fleet.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// Plan returns the orders that bring a zone nearer to serving its models.
+func (z *Zone) Plan(now time.Time) []Step {
+	groups := z.groups()
+	p := &planner{zone: z, now: now, free: map[string][]*Worker{}, serving: map[string]int{}, standby: map[string]map[string]int{}}
+	for _, g := range groups {
+		p.reconcile(g)
+	}
+	for _, w := range z.Workers {
+		if w.Member.Group == "" && w.usable() && !now.Before(w.HeldUntil) {
+			p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
+		}
+	}
+	p.replace(groups)
+	p.form()
+	p.keepStandbys()
+	return p.steps
+}
+
+// groups gathers workers by the group that they belong to, in order of name.
+func (z *Zone) groups() []*group {
+	byName := map[string]*group{}
+	for _, w := range z.Workers {
+		if w.Member.Group == "" {
+			continue
+		}
+		g, ok := byName[w.Member.Group]
+		if !ok {
+			name, standby := parseName(w.Member.Group)
+			model, known := z.Engine.Model(name)
+			g = &group{name: w.Member.Group, epoch: w.Member.Epoch, model: model, known: known, standby: standby, byRank: map[int]*Worker{}}
+			byName[g.name] = g
+		}
+		if w.Member.Epoch > g.epoch {
+			g.epoch, g.byRank = w.Member.Epoch, map[int]*Worker{}
+		}
+		if w.Member.Epoch == g.epoch {
+			g.byRank[w.Member.Rank] = w
+		}
+	}
+	all := make([]*group, 0, len(byName))
+	for _, g := range byName {
+		all = append(all, g)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
+	return all
+}
+
+// planner is a plan in the making.
+type planner struct {
+	zone  *Zone
+	now   time.Time
+	steps []Step
+	// free holds the workers of each domain that may join another group.
+	free map[string][]*Worker
+	// serving counts the workers in groups of each model.
+	serving map[string]int
+	// standby counts the free workers of a domain that have a model loaded.
+	standby map[string]map[string]int
+	// draining are groups that serve until a replacement is there.
+	draining []*group
+}
+
+func (p *planner) give(w *Worker, order fleet.Order, why string) {
+	if w.ordered(order.Kind, p.now, orderRepeat) {
+		return
+	}
+	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why})
+}
+
+// reconcile looks at one group: it opens one that is ready, ends one that lost
+// a member, and sets the members free of one that serves nobody.
+func (p *planner) reconcile(g *group) {
+	switch {
+	case g.standby:
+		p.release(g)
+	case g.head() == nil || g.head().Suspect:
+		p.headless(g)
+	case g.head().Member.State == fleet.Open:
+		p.opened(g)
+	case g.head().Member.State == fleet.Closing:
+		p.closing(g)
+	case g.head().Member.State == fleet.Broken || !g.whole():
+		p.release(g)
+	case g.ready():
+		p.count(g)
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderOpen, Group: g.name, Epoch: g.epoch}, "all_ready")
+	default:
+		p.joining(g)
+	}
+}
+
+func (p *planner) count(g *group) { p.serving[g.model.Name] += g.model.Size }
+
+// opened looks at a group that serves.
+//
+// Guard: a group that lost a member goes on accepting requests, and nothing
+// moves. It is closed at once, so that its callers go elsewhere and its other
+// members are of use again.
+func (p *planner) opened(g *group) {
+	switch {
+	case g.whole():
+		p.count(g)
+	case g.lost() || !g.known:
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "member_lost")
+	default:
+		p.count(g)
+		p.draining = append(p.draining, g)
+	}
+}
+
+func (p *planner) closing(g *group) {
+	since := p.now.Sub(g.head().ChangedAt)
+	if g.lost() || since > stuckClosing {
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "closing_takes_long")
+	}
+}
+
+// joining waits for members, and gives the order again to those that show no
+// sign of it.
+func (p *planner) joining(g *group) {
+	p.count(g)
+	members := g.members()
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		shown := w.Endpoint.Member.Group == g.name && w.Endpoint.Member.Epoch == g.epoch
+		if !shown && members != nil {
+			p.give(w, fleet.Order{Kind: fleet.OrderJoin, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Members: members}, "join_again")
+		}
+	}
+}
+
+// members returns the ids of a whole group in the order of their ranks.
+func (g *group) members() []string {
+	ids := make([]string, 0, g.size())
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		if w == nil {
+			return nil
+		}
+		ids = append(ids, w.Endpoint.ID)
+	}
+	return ids
+}
+
+// headless looks at a group whose head can't be asked.
+//
+// Guard: the head may still serve although its entry lapsed or this node
+// doesn't reach it. If its members joined other groups meanwhile, its callers
+// would wait on a group that stands still. Unless the head's process is known
+// to have ended, the members leave first and are held until the head has
+// noticed.
+func (p *planner) headless(g *group) {
+	if p.zone.HeadGone[g.name] || neverOpened(g) {
+		p.release(g)
+		return
+	}
+	for _, w := range g.byRank {
+		if w.usable() {
+			p.give(w, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "head_unreachable")
+		}
+	}
+}
+
+// neverOpened reports whether a member has not even joined yet: then no head
+// was told to open.
+func neverOpened(g *group) bool {
+	for _, w := range g.byRank {
+		if w.Member.State == fleet.Joining {
+			return true
+		}
+	}
+	return false
+}
+
+// release sets the members of a group free that serves nobody.
+func (p *planner) release(g *group) {
+	for _, w := range g.byRank {
+		if !w.usable() || p.now.Before(w.HeldUntil) {
+			continue
+		}
+		if g.standby && w.Member.State == fleet.Joining && p.now.Sub(w.ChangedAt) < g.model.Load+stuckJoining && p.now.Sub(w.ChangedAt) >= 0 {
+			// It is loading: count it, but leave it alone until it is done.
+			p.standbys(w.Endpoint.Domain)[g.model.Name]++
+			continue
+		}
+		p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
+	}
+}
+
+func (p *planner) standbys(domain string) map[string]int {
+	if p.standby[domain] == nil {
+		p.standby[domain] = map[string]int{}
+	}
+	return p.standby[domain]
+}
+
+// replace closes the groups with a leaving member once a replacement is there,
+// or shortly before the member goes.
+func (p *planner) replace([]*group) {
+	for _, g := range p.draining {
+		domain := g.head().Endpoint.Domain
+		spare := false
+		for _, w := range p.free[domain] {
+			spare = spare || w.LastModel == g.model.Name
+		}
+		since := p.now
+		for _, w := range g.byRank {
+			if !w.DrainingSince.IsZero() && w.DrainingSince.Before(since) {
+				since = w.DrainingSince
+			}
+		}
+		if spare || p.now.Sub(since) > drainGrace {
+			p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "member_leaves")
+		}
+	}
+}
+
+// proposal is a group that could be formed.
+type proposal struct {
+	domain  string
+	model   fleet.Model
+	members []*Worker
+	loads   int
+	time    time.Duration
+	worth   float64
+}
+
+// form joins free workers to groups, the worthiest first.
+func (p *planner) form() {
+	loads := p.zone.Loads
+	for {
+		best := p.bestProposal(loads)
+		if best == nil {
+			return
+		}
+		loads -= best.loads
+		p.zone.Loads = loads
+		p.serving[best.model.Name] += best.model.Size
+		p.join(best)
+	}
+}
+
+func (p *planner) bestProposal(loads int) *proposal {
+	var best *proposal
+	domains := make([]string, 0, len(p.free))
+	for domain := range p.free {
+		domains = append(domains, domain)
+	}
+	sort.Strings(domains)
+	for _, domain := range domains {
+		for _, model := range p.zone.Engine.Models {
+			next := p.propose(domain, model, loads)
+			if next != nil && (best == nil || next.worth > best.worth) {
+				best = next
+			}
+		}
+	}
+	return best
+}
+
+// propose returns the group of a model that a domain's free workers could
+// form, with its worth: what its workers add to the even supply of all models,
+// for each worker, less the longer it takes.
+func (p *planner) propose(domain string, model fleet.Model, loads int) *proposal {
+	free := p.free[domain]
+	if len(free) < model.Size || model.Share <= 0 {
+		return nil
+	}
+	sorted := append([]*Worker(nil), free...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].joinTime(model) < sorted[j].joinTime(model) })
+	next := &proposal{domain: domain, model: model, members: sorted[:model.Size]}
+	for _, w := range next.members {
+		next.time = max(next.time, w.joinTime(model))
+		if w.joinTime(model) == model.Load {
+			next.loads++
+		}
+	}
+	if next.loads > 0 && !p.zone.Fresh && (next.loads > loads || !p.waited(next.members)) {
+		return nil
+	}
+	held := float64(p.serving[model.Name])
+	gain := model.Share * (math.Log(held+float64(model.Size)) - math.Log(max(held, 0.5))) / float64(model.Size)
+	if !p.zone.Fresh {
+		gain /= 1 + next.time.Seconds()/switchTime.Seconds()
+	}
+	next.worth = gain
+	return next
+}
+
+// waited reports whether workers were free for long enough that the members
+// that they lost are not likely to be back soon.
+func (p *planner) waited(workers []*Worker) bool {
+	for _, w := range workers {
+		if w.FreeSince.IsZero() || p.now.Sub(w.FreeSince) < convertPatience {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) join(next *proposal) {
+	epoch := p.zone.NextEpoch()
+	order := fleet.Order{
+		Kind: fleet.OrderJoin, Group: groupName(replicaPrefix, next.model.Name, epoch), Epoch: epoch, Model: next.model.Name,
+	}
+	for _, w := range next.members {
+		order.Members = append(order.Members, w.Endpoint.ID)
+	}
+	for _, w := range next.members {
+		p.steps = append(p.steps, Step{
+			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.joinTime(next.model) == next.model.Load,
+		})
+	}
+	p.free[next.domain] = without(p.free[next.domain], next.members)
+}
+
+func without(all, taken []*Worker) []*Worker {
+	in := map[*Worker]bool{}
+	for _, w := range taken {
+		in[w] = true
+	}
+	var rest []*Worker
+	for _, w := range all {
+		if !in[w] {
+			rest = append(rest, w)
+		}
+	}
+	return rest
+}
+
+// keepStandbys loads the workers that are left over with the models that they
+// may be needed for, so that the loss of a member costs a second instead of a load.
+func (p *planner) keepStandbys() {
+	for _, domain := range sortedKeys(p.free) {
+		groups := p.groupsIn(domain)
+		count := p.standbys(domain)
+		var idle []*Worker
+		for _, w := range p.free[domain] {
+			if w.LastModel != "" && count[w.LastModel] == 0 {
+				count[w.LastModel]++
+				continue
+			}
+			idle = append(idle, w)
+		}
+		for _, w := range idle {
+			p.keepStandby(w, groups, count)
+		}
+	}
+}
+
+// groupsIn counts the workers of a domain by the model of their group.
+func (p *planner) groupsIn(domain string) map[string]int {
+	count := map[string]int{}
+	for _, w := range p.zone.Workers {
+		model, standby := parseName(w.Member.Group)
+		if w.Endpoint.Domain == domain && !standby && model != "" {
+			count[model]++
+		}
+	}
+	return count
+}
+
+func (p *planner) keepStandby(w *Worker, groups, count map[string]int) {
+	var best fleet.Model
+	most := 0.0
+	for _, m := range p.zone.Engine.Models {
+		need := (float64(groups[m.Name]) + 0.1*m.Share) / float64(1+count[m.Name])
+		if w.LastModel == m.Name || w.Endpoint.HasStaged(m.Name) {
+			need *= 1.2 // it is there already
+		}
+		if need > most {
+			best, most = m, need
+		}
+	}
+	count[best.Name]++
+	if best.Name == "" || w.LastModel == best.Name {
+		return
+	}
+	loads := w.joinTime(best) == best.Load
+	if loads && !p.zone.Fresh && p.zone.Loads <= 0 {
+		return
+	}
+	if loads {
+		p.zone.Loads--
+	}
+	epoch := p.zone.NextEpoch()
+	order := fleet.Order{
+		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, best.Name, epoch), Epoch: epoch, Model: best.Name, Members: []string{w.Endpoint.ID},
+	}
+	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: "standby", Loads: loads})
+}
+
+func sortedKeys(m map[string][]*Worker) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// Bounds of one event of a stream.
+const (
+	eventBuffer  = 4 << 10
+	maxEventSize = 1 << 20
+)
+
+var (
+	errEventTooLarge = errors.New("an event is larger than a stream may hold")
+	errHalfEvent     = errors.New("the stream ended inside an event")
+)
+
+// eventSplitter cuts a stream into whole events and keeps their bytes as they
+// are.
+//
+// Guard: an endpoint may stop in the middle of an event. Only whole events are
+// passed on, so that the stream can go on at another endpoint after the last
+// whole one without a doubled or a torn piece.
+type eventSplitter struct {
+	r     io.Reader
+	buf   []byte
+	start int // of what was not yet returned
+	end   int
+	err   error
+}
+
+func newEventSplitter(r io.Reader) *eventSplitter {
+	return &eventSplitter{r: r, buf: make([]byte, eventBuffer)}
+}
+
+// next returns the bytes of the next whole event, valid until the next call.
+// io.EOF means that the stream ended after a whole event.
+func (s *eventSplitter) next() ([]byte, error) {
+	scanned := s.start
+	for {
+		if end := eventEnd(s.buf[scanned:s.end]); end >= 0 {
+			event := s.buf[s.start : scanned+end]
+			s.start = scanned + end
+			return event, nil
+		}
+		// The blank line may be cut by the read: look at the last bytes again.
+		scanned = max(s.start, s.end-3)
+		if s.err != nil {
+			return nil, s.finish()
+		}
+		moved := s.start
+		if err := s.fill(); err != nil {
+			return nil, err
+		}
+		scanned -= moved - s.start
+	}
+}
+
+// buffered reports whether another whole event can be had without a read.
+func (s *eventSplitter) buffered() bool { return eventEnd(s.buf[s.start:s.end]) >= 0 }
+
+func (s *eventSplitter) finish() error {
+	if errors.Is(s.err, io.EOF) && s.end > s.start {
+		return errHalfEvent
+	}
+	return s.err
+}
+
+func (s *eventSplitter) fill() error {
+	if s.start > 0 {
+		copy(s.buf, s.buf[s.start:s.end])
+		s.end -= s.start
+		s.start = 0
+	}
+	if s.end == len(s.buf) {
+		if len(s.buf) >= maxEventSize {
+			return errEventTooLarge
+		}
+		s.buf = append(s.buf, make([]byte, len(s.buf))...)
+	}
+	n, err := s.r.Read(s.buf[s.end:])
+	s.end += n
+	s.err = err
+	return nil
+}
+
+// eventEnd returns the length of the first whole event in b, with its blank
+// line, or -1.
+func eventEnd(b []byte) int {
+	lf := bytes.Index(b, []byte("\n\n"))
+	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+	switch {
+	case lf < 0 && crlf < 0:
+		return -1
+	case crlf < 0 || (lf >= 0 && lf < crlf):
+		return lf + 2
+	}
+	return crlf + 4
+}
+
+// eventID returns the number in an event's id line.
+func eventID(event []byte) (int64, bool) {
+	for len(event) > 0 {
+		var line []byte
+		line, event, _ = bytes.Cut(event, []byte("\n"))
+		value, ok := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/platform"
+)
+
+const (
+	// wholeAnswer is the size up to which an answer is read whole before it is
+	// passed on, so that a broken one can be replaced by a second try.
+	wholeAnswer = 256 << 10
+	// maxDials bounds how many endpoints may refuse a connection to one request.
+	maxDials = 3
+	// tryShare is the part of the time left that one endpoint gets while
+	// another may still be tried.
+	tryShare = 0.4
+)
+
+var errEncoded = errors.New("the answer is not the endpoint's own bytes")
+
+// try is one attempt's end, as far as the next step depends on it.
+type try struct {
+	answer *Answer
+	body   []byte
+	err    error // of kind NotSent or Unknown
+	// notRun: the endpoint promised that it did not run the request.
+	notRun bool
+}
+
+// plainCall is the progress of one request to a plain service.
+type plainCall struct {
+	g     *Gateway
+	r     *Request
+	tried map[string]bool
+	sent  int // endpoints that may have seen the request
+	dials int // connections that were refused
+}
+
+// servePlain answers a request whose answer is one body.
+func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
+	call := &plainCall{g: g, r: r, tried: map[string]bool{}}
+	for {
+		choice, none := g.Tracker.Plain(time.Now(), r.view.ByService[r.Service.Name], r.view.ZonesOut, g.ask(r, call.tried))
+		if none != nil {
+			g.refuse(w, r, call.refusalOfNone(none))
+			return
+		}
+		last := call.once(ctx, choice)
+		if call.again(ctx, last) {
+			r.view = g.Book.View()
+			continue
+		}
+		g.finishPlain(ctx, w, call, last)
+		return
+	}
+}
+
+// refusalOfNone refuses a request for which no endpoint is left. It promises
+// that nothing ran only if nothing was sent.
+func (c *plainCall) refusalOfNone(none *balance.Refusal) refusal {
+	why := ofBalance(none)
+	if c.sent > 0 {
+		why.status = http.StatusBadGateway
+	}
+	return why
+}
+
+// once sends the request to one endpoint and reads the answer.
+func (c *plainCall) once(ctx context.Context, choice balance.Choice) try {
+	c.tried[choice.Endpoint.ID] = true
+	ctx, cancel := context.WithTimeout(ctx, c.tryTime(time.Now()))
+	defer cancel()
+	answer, err := c.g.Upstream.Send(ctx, choice.Endpoint, c.r, c.g.forward(c.r, choice.Endpoint, ""))
+	if err != nil {
+		return c.failed(choice, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	c.sent++
+	if answer.Verdict.Load.Known {
+		choice.Visit.Told(time.Now(), answer.Verdict.Load.Running+answer.Verdict.Load.Waiting)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswer+1))
+	if err == nil && answer.Verdict.Encoded {
+		err = errEncoded
+	}
+	notRun := answer.Verdict.NotRun
+	choice.Visit.Done(time.Now(), err == nil && !notRun && answer.Status < http.StatusInternalServerError)
+	if notRun && answer.Status == http.StatusMisdirectedRequest {
+		c.g.Tracker.Unreachable(time.Now(), choice.Endpoint.ID)
+	}
+	if err != nil && !notRun {
+		return try{err: redwinghall.NewOpError("plainCall.once", Unknown, err)}
+	}
+	klog.V(1).InfoS("answered", "request", c.r.Ask.ID, "endpoint", choice.Endpoint.ID, "status", answer.Status, "not_run", notRun)
+	return try{answer: answer, body: body, notRun: notRun}
+}
+
+// tryTime is how long one endpoint may take.
+func (c *plainCall) tryTime(now time.Time) time.Duration {
+	left := c.r.Left(now)
+	if c.r.Idempotent() && c.sent+1 < c.r.Route.MaxAttempts {
+		return time.Duration(tryShare * float64(left))
+	}
+	return left
+}
+
+// failed ends a visit that brought no answer.
+func (c *plainCall) failed(choice balance.Choice, err error) try {
+	now := time.Now()
+	choice.Visit.Done(now, false)
+	if redwinghall.KindOf[Kind](err) == NotSent {
+		c.dials++
+		c.g.Tracker.Unreachable(now, choice.Endpoint.ID)
+	} else {
+		c.sent++
+	}
+	klog.InfoS("attempt_failed", "request", c.r.Ask.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
+		"kind", redwinghall.KindOf[Kind](err), "running", choice.Running, "err", err)
+	return try{err: err}
+}
+
+// again reports whether another endpoint may get the request.
+func (c *plainCall) again(ctx context.Context, last try) bool {
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case redwinghall.KindOf[Kind](last.err) == NotSent:
+		return c.dials < maxDials && c.r.Left(now) > leastLeft
+	case last.notRun:
+		return c.g.mayRetry(c.r, c.sent, now)
+	case !c.r.Idempotent():
+		return false
+	case last.err != nil || last.answer.Status >= http.StatusInternalServerError:
+		return c.g.mayRetry(c.r, c.sent, now)
+	}
+	return false
+}
+
+// finishPlain gives the caller what the last try brought.
+func (g *Gateway) finishPlain(ctx context.Context, w http.ResponseWriter, call *plainCall, last try) {
+	r := call.r
+	switch {
+	case last.answer != nil && last.notRun:
+		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: "endpoint_busy", retryAfter: retryUnknown})
+	case last.answer != nil:
+		g.pass(w, r, last)
+	case redwinghall.KindOf[Kind](last.err) == NotSent && call.sent == 0 && ctx.Err() == nil:
+		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: retryUnknown})
+	case errors.Is(ctx.Err(), context.Canceled):
+		g.callerGone(r)
+	case ctx.Err() != nil:
+		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+	default:
+		g.refuse(w, r, refusal{status: http.StatusBadGateway, reason: "outcome_unknown"})
+	}
+}
+
+// pass gives the caller the endpoint's answer as it is.
+//
+// Guard: 408, 429 and 503 tell a caller that its request has not run. An
+// endpoint that sends one of them without that promise may have run it, so the
+// caller gets 502, which promises nothing.
+func (g *Gateway) pass(w http.ResponseWriter, r *Request, last try) {
+	status := last.answer.Status
+	if promises(status) || (status < http.StatusMultipleChoices && !whole(r, last.answer)) {
+		g.refuse(w, r, refusal{status: http.StatusBadGateway, reason: "answer_unusable"})
+		return
+	}
+	platform.CopyAnswer(w.Header(), last.answer.Header)
+	w.WriteHeader(status)
+	if _, err := w.Write(last.body); err != nil {
+		klog.V(1).InfoS("caller_gone", "request", r.Ask.ID, "err", err)
+		panic(http.ErrAbortHandler)
+	}
+	g.Metrics.Answered(r, status, time.Since(r.Arrived))
+}
+
+// promises reports whether a status says that nothing ran.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// whole reports whether a success is the endpoint's own: signed, and for this request.
+func whole(r *Request, answer *Answer) bool {
+	return answer.Verdict.Signed && answer.Verdict.RequestID == r.Ask.ID && answer.Length <= wholeAnswer
+}
+
+func (g *Gateway) callerGone(r *Request) {
+	klog.InfoS("caller_gone", "request", r.Ask.ID, "route", r.Route.Name, "after", time.Since(r.Arrived))
+	g.Metrics.CallerGone(r)
+	panic(http.ErrAbortHandler)
+}
+
+// forward returns what is added to a request for an endpoint.
+func (g *Gateway) forward(r *Request, e *fleet.Endpoint, lastEvent string) platform.Forward {
+	return platform.Forward{
+		Left: r.Left(time.Now()), Endpoint: e.ID, Account: r.account(), Priority: r.Priority(), LastEvent: lastEvent,
+	}
+}
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"redwinghall/balance"
+	"redwinghall/platform"
+)
+
+// refusal is an answer of our own. Statuses 429 and 503 say that the request
+// has not run and will not; 502 and 504 say nothing about it.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+	// predicted is the time to the first event that decided, if one did.
+	predicted time.Duration
+}
+
+func ofBalance(r *balance.Refusal) refusal {
+	return refusal{status: http.StatusServiceUnavailable, reason: r.Reason, retryAfter: r.RetryAfter, predicted: r.Predicted}
+}
+
+type refusalBody struct {
+	Error     string `json:"error"`
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// refuse answers at once, so that the caller can go elsewhere in its time.
+func (g *Gateway) refuse(w http.ResponseWriter, r *Request, why refusal) {
+	klog.InfoS("refused", "request", r.Ask.ID, "status", why.status, "reason", why.reason, "account", r.account(),
+		"route", routeName(r), "predicted", why.predicted, "retry_after", why.retryAfter, "held", time.Since(r.Arrived))
+	g.Metrics.Refused(r, why)
+	h := w.Header()
+	platform.SetRequestID(h, r.Ask.ID)
+	h.Set("Content-Type", "application/json")
+	if why.retryAfter > 0 {
+		seconds := math.Ceil(why.retryAfter.Seconds()*1000) / 1000
+		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	body, err := json.Marshal(refusalBody{Error: why.reason, RequestID: r.Ask.ID})
+	if err != nil {
+		klog.ErrorS(err, "refusal_unwritten", "request", r.Ask.ID)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(why.status)
+	if _, err := w.Write(body); err != nil {
+		klog.V(1).InfoS("caller_gone", "request", r.Ask.ID, "err", err)
+	}
+}
+
+func routeName(r *Request) string {
+	if r.Route == nil {
+		return ""
+	}
+	return r.Route.Name
+}
+
+func hash(id string) uint64 { return xxhash.Sum64String(id) }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -59,6 +59,9 @@
 	Duration time.Duration
 	// Margin is how much earlier the holder stops than a watcher may take over.
 	Margin time.Duration
+	// Alone says that only one process of the name Self can live at a time, so
+	// that a record of Self that this process doesn't hold is a dead one's.
+	Alone bool
 }
 
 // State is what one process knows of a lease. Values are immutable.
@@ -107,6 +110,8 @@
 		return Renew
 	case s.version == 0 || s.record.Holder == "":
 		return Take // never held, or given up by its holder
+	case s.config.Alone && s.record.Holder == s.config.Self:
+		return Take // left by an earlier process of this name
 	case now.Sub(s.unchanged) > s.config.Duration:
 		return Take
 	default:
@@ -128,6 +133,9 @@
 // HeldUntil returns when this process stops to hold the lease.
 func (s State) HeldUntil() time.Time { return s.heldUntil }
 
+// FenceVersion returns the version of the fence row as last read.
+func (s State) FenceVersion() int64 { return s.fenceVersion }
+
 // Fencing returns the fencing number of the present record.
 func (s State) Fencing() uint64 { return s.record.Fencing }
 
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,315 @@
+// Package members tells nodes of each other through a table of the store, and
+// holds the leases of availability zones there.
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/kernel"
+	"redwinghall/lease"
+)
+
+// Times of the table. Each call to the store is priced.
+const (
+	// listInterval is how often a node reads the table.
+	listInterval = 1500 * time.Millisecond
+	// renewInterval is how often a holder renews its lease.
+	renewInterval = time.Second
+	// leaseDuration is how long a lease lasts without a renewal, leaseMargin
+	// how much earlier its holder stops. A holder may miss two renewals.
+	leaseDuration = 3500 * time.Millisecond
+	leaseMargin   = 700 * time.Millisecond
+	// foreignDelay is how much longer a node waits before it takes the lease of
+	// a zone that is not its own: the zone's own nodes go first.
+	foreignDelay = 5 * time.Second
+	// announceInterval is how often a node writes its row, and goneAfter how
+	// long an unchanged row still counts.
+	announceInterval = 5 * time.Second
+	goneAfter        = 13 * time.Second
+	tick             = 100 * time.Millisecond
+)
+
+const (
+	tableName  = "redwinghall"
+	nodePrefix = "node/"
+)
+
+// Node is one node as it announced itself.
+type Node struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+// Config tells a node who it is.
+type Config struct {
+	Self  Node
+	Zones []string
+}
+
+// seen is what is known of another node's row.
+type seen struct {
+	node    Node
+	version int64
+	since   time.Time // when this version was first read
+}
+
+// Table is this node's part of the members' table.
+type Table struct {
+	config Config
+	store  fleet.Store
+	nodes  atomic.Pointer[[]Node]
+
+	mu       sync.Mutex
+	leases   map[string]lease.State
+	firstAt  time.Time // when the table was first read
+	seen     map[string]seen
+	lastList time.Time
+	lastRow  time.Time // when this node's row was written
+	renewed  map[string]time.Time
+	stopped  bool
+	// version is the newest version of the store that this node knows.
+	version atomic.Int64
+	// held are the zones whose lease this node has, with the ends of the leases.
+	held atomic.Pointer[map[string]time.Time]
+}
+
+// NewTable returns a table that knows nothing yet.
+func NewTable(config Config, store fleet.Store) *Table {
+	t := &Table{
+		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seen{}, renewed: map[string]time.Time{},
+	}
+	for _, zone := range config.Zones {
+		t.leases[zone] = lease.NewState(lease.Config{
+			Self: config.Self.Name, Duration: leaseDuration, Margin: leaseMargin, Alone: true,
+		})
+	}
+	t.nodes.Store(&[]Node{config.Self})
+	t.held.Store(&map[string]time.Time{})
+	return t
+}
+
+// Nodes returns the nodes that are thought to live, this one included.
+func (t *Table) Nodes() []Node { return *t.nodes.Load() }
+
+// Holds reports whether this node may form groups in a zone at a boot time.
+func (t *Table) Holds(zone string, boot time.Time) bool {
+	until, ok := (*t.held.Load())[zone]
+	return ok && boot.Before(until)
+}
+
+// Version returns the newest version of the store that this node has seen.
+func (t *Table) Version() int64 { return t.version.Load() }
+
+// Start keeps the table until the group stops.
+func (t *Table) Start(g *kernel.Group) {
+	g.Every("members", tick, func(ctx context.Context, _ time.Time) { t.step(ctx, kernel.BootTime()) })
+}
+
+// step does what is due at a boot time, one call to the store at most.
+func (t *Table) step(ctx context.Context, boot time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	if boot.Sub(t.lastList) >= listInterval {
+		t.lastList = boot
+		t.list(ctx)
+		return
+	}
+	if t.firstAt.IsZero() {
+		return
+	}
+	if t.lastRow.IsZero() || boot.Sub(t.lastRow) >= announceInterval {
+		t.announce(ctx, boot)
+		return
+	}
+	for _, zone := range t.config.Zones {
+		if t.stepLease(ctx, zone, boot) {
+			return
+		}
+	}
+}
+
+func (t *Table) list(ctx context.Context) {
+	rows, err := t.store.List(ctx, tableName)
+	if err != nil {
+		klog.V(1).InfoS("members_unread", "err", err)
+		return
+	}
+	boot := kernel.BootTime()
+	if t.firstAt.IsZero() {
+		t.firstAt = boot
+	}
+	t.version.Store(max(t.version.Load(), rows.Version))
+	byKey := map[string]redwinghall.Row{}
+	for _, row := range rows.Rows {
+		byKey[row.Key] = redwinghall.Row{Key: row.Key, Version: row.Version, Value: row.Value}
+	}
+	for zone, state := range t.leases {
+		next, err := state.WithRows(boot, byKey[lease.Key(zone)], byKey[lease.FenceKey(zone)])
+		if err != nil {
+			klog.ErrorS(err, "lease_unreadable", "zone", zone)
+			continue
+		}
+		t.leases[zone] = next
+	}
+	t.takeNodes(boot, byKey)
+	t.publishHeld()
+}
+
+// takeNodes takes in which nodes announced themselves lately.
+func (t *Table) takeNodes(boot time.Time, rows map[string]redwinghall.Row) {
+	next := map[string]seen{}
+	nodes := []Node{t.config.Self}
+	for key, row := range rows {
+		if !strings.HasPrefix(key, nodePrefix) {
+			continue
+		}
+		s := t.seen[key]
+		if s.version != row.Version {
+			s = seen{version: row.Version, since: boot}
+			if err := json.Unmarshal(row.Value, &s.node); err != nil {
+				klog.ErrorS(err, "member_unreadable", "key", key)
+				continue
+			}
+		}
+		next[key] = s
+		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < goneAfter {
+			nodes = append(nodes, s.node)
+		}
+	}
+	t.seen = next
+	if len(nodes) != len(*t.nodes.Load()) {
+		klog.InfoS("members_changed", "nodes", len(nodes), "before", len(*t.nodes.Load()))
+	}
+	t.nodes.Store(&nodes)
+}
+
+func (t *Table) announce(ctx context.Context, boot time.Time) {
+	value, err := json.Marshal(t.config.Self)
+	if err != nil {
+		klog.ErrorS(err, "member_unwritten")
+		return
+	}
+	version, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
+	t.lastRow = boot
+	if err != nil {
+		klog.V(1).InfoS("member_unwritten", "err", err)
+		return
+	}
+	t.version.Store(max(t.version.Load(), version))
+}
+
+// stepLease takes or renews a zone's lease if that is due, and reports whether
+// it called the store.
+func (t *Table) stepLease(ctx context.Context, zone string, boot time.Time) bool {
+	state := t.leases[zone]
+	own := zone == t.config.Self.Zone
+	action := state.Next(boot)
+	if !own && action == lease.Take {
+		// The zone's own nodes go first, also right after all have started.
+		action = state.Next(boot.Add(-foreignDelay))
+		if boot.Sub(t.firstAt) < foreignDelay+leaseDuration {
+			action = lease.Wait
+		}
+	}
+	switch {
+	case action == lease.Wait:
+		return false
+	case boot.Sub(t.renewed[zone]) < renewInterval:
+		return false
+	}
+	t.renewed[zone] = boot
+	t.write(ctx, zone, action, boot)
+	return true
+}
+
+// write takes or renews a lease. The lease counts from the sending.
+func (t *Table) write(ctx context.Context, zone string, action lease.Action, boot time.Time) {
+	state := t.leases[zone]
+	nonce := fmt.Sprintf("%s-%d", t.config.Self.Name, boot.UnixNano())
+	txn, record := state.Txn(zone, action, nonce)
+	version, err := t.store.Commit(ctx, ofLease(txn))
+	if err != nil {
+		// A conflict, a lost answer: the next list tells who holds it.
+		klog.InfoS("lease_unwritten", "zone", zone, "err", err)
+		t.lastList = time.Time{}
+		return
+	}
+	t.version.Store(max(t.version.Load(), version))
+	fence := redwinghall.Row{Version: version}
+	if action == lease.Renew {
+		fence.Version = state.FenceVersion()
+	}
+	next, err := state.WithWritten(boot, kernel.BootTime(), record,
+		redwinghall.Row{Version: version, Value: redwinghall.RowValue(record)}, fence)
+	if err != nil {
+		klog.ErrorS(err, "lease_unreadable", "zone", zone)
+		return
+	}
+	if action == lease.Take {
+		klog.InfoS("lease_taken", "zone", zone, "number", record.Fencing, "version", version)
+	}
+	t.leases[zone] = next
+	t.publishHeld()
+}
+
+// ofLease turns a lease's transaction into one of the store.
+func ofLease(txn redwinghall.Txn) fleet.Txn {
+	var out fleet.Txn
+	for _, w := range txn.Writes {
+		out.Expects = append(out.Expects, fleet.Expect{Table: tableName, Key: w.Key, Version: w.Expect})
+		if !w.CheckOnly {
+			out.Writes = append(out.Writes, fleet.Row{Table: tableName, Key: w.Key, Value: w.Value})
+		}
+	}
+	return out
+}
+
+func (t *Table) publishHeld() {
+	held := map[string]time.Time{}
+	for zone, state := range t.leases {
+		if state.Holder() == t.config.Self.Name && !state.HeldUntil().IsZero() {
+			held[zone] = state.HeldUntil()
+		}
+	}
+	t.held.Store(&held)
+}
+
+// Leave gives up the leases and takes this node's row away, so that others
+// need not wait for their end. The node must have stopped forming groups.
+func (t *Table) Leave(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.held.Store(&map[string]time.Time{})
+	boot := kernel.BootTime()
+	for zone, state := range t.leases {
+		if !state.Holds(boot) {
+			continue
+		}
+		txn, next := state.Release(zone, fmt.Sprintf("%s-leave-%d", t.config.Self.Name, boot.UnixNano()))
+		t.leases[zone] = next
+		if _, err := t.store.Commit(ctx, ofLease(txn)); err != nil {
+			klog.InfoS("lease_not_given_up", "zone", zone, "err", err)
+			continue
+		}
+		klog.InfoS("lease_given_up", "zone", zone)
+	}
+	_, err := t.store.Commit(ctx, fleet.Txn{Deletes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name}}})
+	if err != nil {
+		klog.InfoS("member_not_removed", "err", err)
+	}
+}
--- /dev/null
+++ b/node/logs.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"flag"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall/kernel"
+)
+
+// Bounds of the log.
+const (
+	// logLines is how many lines may wait for a slow reader.
+	logLines = 2048
+	// logRate and logBurst bound the lines of a second; a busy node writes about 60.
+	logRate     = 400
+	logBurst    = 800
+	logInterval = time.Second
+)
+
+// LogSink writes log lines without ever blocking who logs.
+//
+// Guard: a reader of standard output that stops reading fills the pipe, and a
+// process that logs then stands still with all its requests. Lines wait in a
+// bounded queue instead; what finds no place is dropped, and the number of
+// dropped lines is logged once there is room again.
+type LogSink struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	tokens  atomic.Int64
+}
+
+// NewLogSink returns a sink in front of out.
+func NewLogSink(out io.Writer) *LogSink {
+	s := &LogSink{out: out, lines: make(chan []byte, logLines)}
+	s.tokens.Store(logBurst)
+	return s
+}
+
+// Write implements io.Writer for one line. It never fails.
+func (s *LogSink) Write(line []byte) (int, error) {
+	if s.tokens.Add(-1) < 0 {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped since the last call.
+func (s *LogSink) Dropped() int64 { return s.dropped.Swap(0) }
+
+// Start writes lines until the group stops, and refills the rate.
+func (s *LogSink) Start(g *kernel.Group) {
+	g.Go("log", func(ctx context.Context) error {
+		for {
+			select {
+			case line := <-s.lines:
+				s.write(line)
+			case <-ctx.Done():
+				s.drain()
+				return nil
+			}
+		}
+	})
+	g.Every("log_rate", logInterval, func(context.Context, time.Time) {
+		s.tokens.Store(min(logBurst, max(0, s.tokens.Load())+logRate))
+		if n := s.Dropped(); n > 0 {
+			klog.InfoS("log_lines_dropped", "lines", n)
+		}
+	})
+}
+
+func (s *LogSink) drain() {
+	for {
+		select {
+		case line := <-s.lines:
+			s.write(line)
+		default:
+			return
+		}
+	}
+}
+
+// write hands a line on. A log that can't be written has nowhere to say so.
+func (s *LogSink) write(line []byte) { _, _ = s.out.Write(line) }
+
+// UseLogSink sends klog's lines of all levels to a sink.
+func UseLogSink(sink *LogSink, verbose int) {
+	set := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(set)
+	for name, value := range map[string]string{
+		"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true",
+		"v": strconv.Itoa(verbose),
+	} {
+		_ = set.Set(name, value) // these names exist in this version of klog
+	}
+	klog.SetOutput(sink)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,143 @@
+// Package node assembles the one process of an entry VM from the library's
+// parts: it follows the store, serves callers, and forms the groups of its
+// zone while it holds the zone's lease.
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall/balance"
+	"redwinghall/directory"
+	"redwinghall/fleet"
+	"redwinghall/formation"
+	"redwinghall/gateway"
+	"redwinghall/kernel"
+	"redwinghall/members"
+	"redwinghall/platform"
+)
+
+const (
+	// memoryShare is the part of the VM's memory that the collector aims to
+	// stay below; the rest is stacks and buffers of the kernel.
+	memoryShare = 0.6
+	// collectPercent keeps the collector quiet while the live heap is small.
+	collectPercent = 150
+	forgetInterval = 10 * time.Second
+)
+
+// Node is an assembled node.
+type Node struct {
+	settings fleet.Settings
+	book     *directory.Book
+	tracker  *balance.Tracker
+	upstream *gateway.Upstream
+	gateway  *gateway.Gateway
+	table    *members.Table
+	manager  *formation.Manager
+	follower *directory.Follower
+	metrics  *gateway.Metrics
+	stopping atomic.Bool
+	conns    *connections
+}
+
+// New assembles a node.
+func New(s fleet.Settings) *Node {
+	store := platform.NewStore(s.StoreAddress)
+	n := &Node{
+		settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
+		metrics: gateway.NewMetrics(), conns: newConnections(),
+	}
+	n.table = members.NewTable(members.Config{
+		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.InternalFirst))},
+		Zones: s.Zones,
+	}, store)
+	n.manager = formation.NewManager(formation.Options{
+		Settings: s, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
+		Holds: func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
+		Begun: func() bool { return n.gateway.Served() > 0 },
+	})
+	n.gateway = gateway.New(gateway.Options{
+		Settings: s, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
+		Shares:  func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes())} },
+		Stalled: func(id string) { n.manager.Stalled(context.Background(), id) },
+	})
+	n.follower = directory.NewFollower(store, n.book, n.manager.Pending)
+	return n
+}
+
+// RunLogged returns Run with its log on out, for a program's main.
+func (n *Node) RunLogged(out io.Writer) func(context.Context) error {
+	return func(ctx context.Context) error {
+		logs := kernel.NewGroup(context.Background())
+		sink := NewLogSink(out)
+		sink.Start(logs)
+		UseLogSink(sink, 0)
+		err := n.Run(ctx)
+		klog.Flush()
+		logs.Stop()
+		return errors.Join(err, logs.Wait())
+	}
+}
+
+// Run serves until ctx ends, and then stops without breaking requests off.
+func (n *Node) Run(ctx context.Context) error {
+	tune(n.settings)
+	g := kernel.NewGroup(context.Background())
+	servers, err := n.listen(g)
+	if err != nil {
+		g.Stop()
+		return err
+	}
+	klog.InfoS("node_started", "node", n.settings.Node, "zone", n.settings.Zone, "callers", n.settings.Callers,
+		"store", n.settings.StoreAddress, "first_start", n.settings.FirstStart)
+	n.follower.Start(g)
+	n.table.Start(g)
+	n.manager.Start(g)
+	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) { n.tracker.Forget(now) })
+	g.Go("stop", func(running context.Context) error {
+		select {
+		case <-ctx.Done():
+			n.stop(running, servers)
+		case <-running.Done():
+		}
+		g.Stop()
+		return nil
+	})
+	err = g.Wait()
+	klog.InfoS("node_stopped", "node", n.settings.Node, "err", err)
+	return err
+}
+
+// tune fits the runtime to the VM: one thread's worth of work, and a limit
+// that the collector keeps below the VM's memory.
+func tune(s fleet.Settings) {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(collectPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+}
+
+// ready reports whether the balancer should send new connections here.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.book.View().Config() != nil
+}
+
+func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
