Form the first groups once a zone's endpoints have all registered

Cause: endpoints register over about a second; the first plans saw three of a domain and made small groups of them, so the large model had half of its groups.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -26,6 +26,12 @@
 	// holdMargin is added to the time after which a group without a member is
 	// broken, before its other members join another.
 	holdMargin = 500 * time.Millisecond
+	// settleTime is how long the endpoints of a zone must be the same before its
+	// first groups are formed: they register over about a second, and groups
+	// of the first few would leave no domain for the large models. settleBound
+	// is the longest wait.
+	settleTime  = 500 * time.Millisecond
+	settleBound = 3 * time.Second
 	// probeAgain spaces questions to an endpoint that doesn't answer.
 	probeAgain = 500 * time.Millisecond
 )
@@ -46,16 +52,17 @@
 // Manager forms the groups of the zones whose lease this node holds.
 type Manager struct {
 	Options
-	mu      sync.Mutex
-	notes   map[string]*note
-	headers map[string]*headNote // by group
-	epoch   int64
-	loads   map[string]*loadBudget // by zone
-	sending map[string]bool        // endpoints with an order on its way
-	probing map[string]bool
-	pending atomic.Bool
-	stopped bool
-	group   *kernel.Group
+	mu       sync.Mutex
+	notes    map[string]*note
+	headers  map[string]*headNote // by group
+	epoch    int64
+	loads    map[string]*loadBudget // by zone
+	arrivals map[string]*arrival    // by zone
+	sending  map[string]bool        // endpoints with an order on its way
+	probing  map[string]bool
+	pending  atomic.Bool
+	stopped  bool
+	group    *kernel.Group
 }
 
 // note is what the manager remembers of an endpoint between plans.
@@ -70,6 +77,13 @@
 	seenAt   time.Time
 }
 
+// arrival follows how the endpoints of a zone register at the start.
+type arrival struct {
+	count   int
+	first   time.Time
+	changed time.Time
+}
+
 // headNote is what is known of a group's head.
 type headNote struct {
 	endpoint *fleet.Endpoint
@@ -82,7 +96,7 @@
 func NewManager(options Options) *Manager {
 	return &Manager{
 		Options: options, notes: map[string]*note{}, headers: map[string]*headNote{},
-		loads: map[string]*loadBudget{}, sending: map[string]bool{}, probing: map[string]bool{},
+		loads: map[string]*loadBudget{}, arrivals: map[string]*arrival{}, sending: map[string]bool{}, probing: map[string]bool{},
 	}
 }
 
@@ -145,6 +159,9 @@
 		state := w.Member.State
 		pending = pending || state == fleet.Joining || state == fleet.Closing || w.Member != e.Member
 	}
+	if z.Fresh && !m.settled(now, zone, len(z.Workers)) {
+		return true
+	}
 	m.markFree(now, z.Workers)
 	m.askHeads(ctx, now, z)
 	budget := m.budgetOf(zone, engine)
@@ -159,6 +176,19 @@
 	return pending || len(steps) > 0
 }
 
+// settled reports whether a zone's endpoints have all registered, as far as can be told.
+func (m *Manager) settled(now time.Time, zone string, count int) bool {
+	a, ok := m.arrivals[zone]
+	if !ok {
+		a = &arrival{first: now}
+		m.arrivals[zone] = a
+	}
+	if a.count != count {
+		a.count, a.changed = count, now
+	}
+	return count > 0 && (now.Sub(a.changed) >= settleTime || now.Sub(a.first) >= settleBound)
+}
+
 func (m *Manager) nextEpoch() int64 {
 	m.epoch = max(m.epoch, m.Version()) + 1
 	return m.epoch
