--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -30,5 +30,5 @@
 	if err != nil || check {
 		return nil, err
 	}
-	return node.New(settings).RunLogged(os.Stdout), nil
+	return node.New(path, settings).RunLogged(os.Stdout), nil
 }
--- a/formation/loads.go
+++ b/formation/loads.go
@@ -40,7 +40,7 @@
 	b, ok := m.loads[zone]
 	if !ok {
 		// A new holder doesn't know what the last one started: it begins with nothing.
-		b = newLoadBudget(m.Settings.Bounds, engine, len(m.Settings.Zones))
+		b = newLoadBudget(m.Settings().Bounds, engine, len(m.Settings().Zones))
 		m.loads[zone] = b
 	}
 	return b
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -38,7 +38,8 @@
 
 // Options are the parts that a manager works with.
 type Options struct {
-	Settings fleet.Settings
+	// Settings returns the settings in force.
+	Settings func() fleet.Settings
 	Book     *directory.Book
 	Orderer  fleet.Orderer
 	// Holds reports whether this node may form the groups of a zone now.
@@ -129,7 +130,7 @@
 		return
 	}
 	pending := false
-	for _, zone := range m.Settings.Zones {
+	for _, zone := range m.Settings().Zones {
 		if !m.Holds(zone) {
 			delete(m.loads, zone)
 			continue
@@ -147,7 +148,7 @@
 // planZone plans one zone's groups and sends the orders. It reports whether
 // something is under way.
 func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, engine *fleet.Engine, endpoints []*fleet.Endpoint) bool {
-	z := &Zone{Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings.FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
+	z := &Zone{Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
 	pending := false
 	for _, e := range endpoints {
 		if e.Zone != zone {
@@ -345,7 +346,7 @@
 		next.State = fleet.Closing
 	case fleet.OrderLeave:
 		next = fleet.Membership{}
-		n.worker.HeldUntil = now.Add(m.Settings.Bounds.Stall + holdMargin)
+		n.worker.HeldUntil = now.Add(m.Settings().Bounds.Stall + holdMargin)
 	case fleet.OrderStage:
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,8 @@
 
 // Options are the parts that a gateway works with.
 type Options struct {
-	Settings fleet.Settings
+	// Settings returns the settings in force.
+	Settings func() fleet.Settings
 	Book     *directory.Book
 	Tracker  *balance.Tracker
 	Upstream *Upstream
@@ -44,7 +45,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	bounds := options.Settings.Bounds
+	bounds := options.Settings().Bounds
 	return &Gateway{Options: options, budget: balance.NewRetryBudget(bounds.RetryRatio, bounds.RetryWindow)}
 }
 
@@ -147,10 +148,11 @@
 // ask returns what choosing needs to know of a request.
 func (g *Gateway) ask(r *Request, tried map[string]bool) balance.Ask {
 	nodes := max(1, g.Shares().Nodes)
-	bounds := g.Settings.Bounds
+	settings := g.Settings()
+	bounds := settings.Bounds
 	cold := r.Service.ColdPerSecond / float64(nodes)
 	ask := balance.Ask{
-		Service: r.Service, Zone: g.Settings.Zone, Prompt: r.Ask.Prompt, Objective: r.Route.Objective, Tried: tried,
+		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Objective: r.Route.Objective, Tried: tried,
 		ColdRate: cold, ColdBurst: max(1, cold*(bounds.ColdOvershoot-1)+bounds.ColdSlack/float64(nodes)),
 		Connections: connectionShare(r.Service.MaxConnections, nodes),
 	}
@@ -174,7 +176,7 @@
 	if sent >= r.Route.MaxAttempts || r.Left(now) < leastLeft {
 		return false
 	}
-	slack := g.Settings.Bounds.RetrySlack / float64(max(1, g.Shares().Nodes))
+	slack := g.Settings().Bounds.RetrySlack / float64(max(1, g.Shares().Nodes))
 	return g.budget.Spend(now, r.Service.Name, slack)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -38,7 +38,9 @@
 
 // Node is an assembled node.
 type Node struct {
+	path     string // of the settings file; "" if it is never read again
 	settings fleet.Settings
+	current  atomic.Pointer[fleet.Settings]
 	book     *directory.Book
 	tracker  *balance.Tracker
 	upstream *gateway.Upstream
@@ -51,24 +53,25 @@
 	conns    *connections
 }
 
-// New assembles a node.
-func New(s fleet.Settings) *Node {
+// New assembles a node. path is where its settings came from.
+func New(path string, s fleet.Settings) *Node {
 	store := platform.NewStore(s.StoreAddress)
 	n := &Node{
-		settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
+		path: path, settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
 		metrics: gateway.NewMetrics(), conns: newConnections(),
 	}
+	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.InternalFirst))},
 		Zones: s.Zones,
 	}, store)
 	n.manager = formation.NewManager(formation.Options{
-		Settings: s, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
+		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
 		Holds: func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
 		Begun: func() bool { return n.gateway.Served() > 0 },
 	})
 	n.gateway = gateway.New(gateway.Options{
-		Settings: s, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
+		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
 		Shares:  func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes())} },
 		Stalled: func(id string) { n.manager.Stalled(context.Background(), id) },
 	})
@@ -102,6 +105,7 @@
 	klog.InfoS("node_started", "node", n.settings.Node, "zone", n.settings.Zone, "callers", n.settings.Callers,
 		"store", n.settings.StoreAddress, "first_start", n.settings.FirstStart)
 	n.follower.Start(g)
+	n.startReload(g)
 	n.table.Start(g)
 	n.manager.Start(g)
 	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) { n.tracker.Forget(now) })
--- a/node/stop.go
+++ b/node/stop.go
@@ -34,7 +34,7 @@
 	kernel.Sleep(ctx, noticeTime-time.Since(started))
 	callers := servers[0]
 	callers.SetKeepAlivesEnabled(false)
-	left := n.settings.Bounds.Grace - lastMargin - time.Since(started)
+	left := n.inForce().Bounds.Grace - lastMargin - time.Since(started)
 	finish, cancel := context.WithTimeout(ctx, max(left, time.Second))
 	defer cancel()
 	if err := callers.Shutdown(finish); err != nil {
