--- a/balance/choose.go
+++ b/balance/choose.go
@@ -129,6 +129,21 @@
 	return t.take(now, best, ask), nil
 }
 
+// GroupLeft reports whether another group could take a stream over now.
+func (t *Tracker) GroupLeft(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range endpoints {
+		if !Usable(&ask.Service, e, zonesOut) || e.Model() != ask.Model.Name || ask.Tried[e.ID] {
+			continue
+		}
+		if s := t.of(e.ID, now); !now.Before(s.shunUntil) && ask.bears(now, s, e) {
+			return true
+		}
+	}
+	return false
+}
+
 func refusalOfNone(seen, cold int) *Refusal {
 	switch {
 	case seen == 0:
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -26,6 +26,10 @@
 	// holdMargin is added to the time after which a group without a member is
 	// broken, before its other members join another.
 	holdMargin = 500 * time.Millisecond
+	// slowPace is the pace from which a member counts as slow: it makes a whole
+	// group late. It counts so for slowFor, and is asked again then.
+	slowPace = 1.7
+	slowFor  = 10 * time.Second
 	// settleTime is how long the endpoints of a zone must be the same before its
 	// first groups are formed: they register over about a second, and groups
 	// of the first few would leave no domain for the large models. settleBound
@@ -71,6 +75,7 @@
 	worker   Worker
 	born     int64
 	suspect  time.Time // until when
+	slow     time.Time // until when
 	overlay  fleet.Membership
 	overlaid time.Time
 	shown    fleet.Membership
@@ -208,6 +213,7 @@
 	w := &n.worker
 	w.Endpoint = e
 	w.Suspect = now.Before(n.suspect)
+	w.Slow = now.Before(n.slow)
 	if e.State == fleet.EndpointDraining && w.DrainingSince.IsZero() {
 		w.DrainingSince = now
 	}
@@ -384,12 +390,13 @@
 func (m *Manager) probe(ctx context.Context, n *note) {
 	endpoint := n.worker.Endpoint
 	m.group.Go("probe", func(context.Context) error {
-		_, err := m.Orderer.Report(ctx, endpoint)
+		report, err := m.Orderer.Report(ctx, endpoint)
 		now := time.Now()
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.probing, endpoint.ID)
 		if err == nil {
+			m.notePace(now, n, report.Pace)
 			return nil
 		}
 		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
@@ -400,3 +407,13 @@
 		return nil
 	})
 }
+
+// notePace notes an endpoint that says that it works slower than it should.
+func (m *Manager) notePace(now time.Time, n *note, pace float64) {
+	if pace < slowPace {
+		n.slow = time.Time{}
+		return
+	}
+	klog.InfoS("member_slow", "endpoint", n.worker.Endpoint.ID, "group", n.worker.Member.Group, "pace", pace)
+	n.slow = now.Add(slowFor)
+}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -17,6 +17,14 @@
 	// before they are loaded with another model. VMs that crashed are back
 	// after 4 to 7 s, with their model still in the host's memory.
 	convertPatience = 6 * time.Second
+	// loadSettle is how long a worker must be free before it loads a model: VMs
+	// of a domain that was dark come back over half a second, and the first
+	// should not be loaded with what the whole domain doesn't need.
+	loadSettle = time.Second
+	// slowPenalty puts slow workers last when a group is formed.
+	slowPenalty = 10 * time.Second
+	// atHandBonus favours the model that a standby has already.
+	atHandBonus = 1.2
 	// drainGrace is how long a group without a replacement goes on serving
 	// after a member said that it leaves.
 	drainGrace = 2500 * time.Millisecond
@@ -58,6 +66,10 @@
 	FreeSince time.Time
 	// ChangedAt is when its membership last changed.
 	ChangedAt time.Time
+	// Slow says that it works slower than it should.
+	Slow bool
+
+	loading string // the model that it takes in as a standby
 }
 
 func (w *Worker) usable() bool {
@@ -70,16 +82,24 @@
 }
 
 // joinTime is how long the worker takes to join a group of a model.
-func (w *Worker) joinTime(m fleet.Model) time.Duration {
+func (w *Worker) joinTime(m fleet.Model, now time.Time) time.Duration {
 	switch {
-	case w.LastModel == m.Name:
+	case w.loading == m.Name:
+		return max(instantJoin, m.Load-now.Sub(w.ChangedAt)) + m.Warm
+	case w.loading == "" && w.LastModel == m.Name:
 		return instantJoin
-	case w.Endpoint.HasStaged(m.Name):
+	case w.loading == "" && w.Endpoint.HasStaged(m.Name):
 		return m.Warm
 	}
 	return m.Load
 }
 
+// cold reports whether the worker would have to load the model from the
+// weight store, and isn't doing so.
+func (w *Worker) cold(m fleet.Model, now time.Time) bool {
+	return w.loading != m.Name && w.joinTime(m, now) > m.Warm
+}
+
 // Zone is what a plan is made from.
 type Zone struct {
 	Engine  *fleet.Engine
@@ -135,6 +155,16 @@
 	return false
 }
 
+// slow reports whether a member holds the whole group up.
+func (g *group) slow() bool {
+	for _, w := range g.byRank {
+		if w.Slow {
+			return true
+		}
+	}
+	return false
+}
+
 // ready reports whether every member itself said that it is ready, under this
 // name and epoch.
 func (g *group) ready() bool {
@@ -149,8 +179,11 @@
 
 // Plan returns the orders that bring a zone nearer to serving its models.
 func (z *Zone) Plan(now time.Time) []Step {
+	for _, w := range z.Workers {
+		w.loading = ""
+	}
 	groups := z.groups()
-	p := &planner{zone: z, now: now, free: map[string][]*Worker{}, serving: map[string]int{}, standby: map[string]map[string]int{}}
+	p := &planner{zone: z, now: now, free: map[string][]*Worker{}, serving: map[string]int{}}
 	for _, g := range groups {
 		p.reconcile(g)
 	}
@@ -159,7 +192,7 @@
 			p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
 		}
 	}
-	p.replace(groups)
+	p.replace()
 	p.form()
 	p.keepStandbys()
 	return p.steps
@@ -203,8 +236,6 @@
 	free map[string][]*Worker
 	// serving counts the workers in groups of each model.
 	serving map[string]int
-	// standby counts the free workers of a domain that have a model loaded.
-	standby map[string]map[string]int
 	// draining are groups that serve until a replacement is there.
 	draining []*group
 }
@@ -249,6 +280,9 @@
 	switch {
 	case g.whole():
 		p.count(g)
+		if g.slow() {
+			p.draining = append(p.draining, g)
+		}
 	case g.lost() || !g.known:
 		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "member_lost")
 	default:
@@ -327,30 +361,21 @@
 		if !w.usable() || p.now.Before(w.HeldUntil) {
 			continue
 		}
-		if g.standby && w.Member.State == fleet.Joining && p.now.Sub(w.ChangedAt) < g.model.Load+stuckJoining && p.now.Sub(w.ChangedAt) >= 0 {
-			// It is loading: count it, but leave it alone until it is done.
-			p.standbys(w.Endpoint.Domain)[g.model.Name]++
-			continue
+		if g.standby && w.Member.State == fleet.Joining && p.now.Sub(w.ChangedAt) < 2*g.model.Load+stuckJoining {
+			w.loading = g.model.Name
 		}
 		p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
 	}
 }
 
-func (p *planner) standbys(domain string) map[string]int {
-	if p.standby[domain] == nil {
-		p.standby[domain] = map[string]int{}
-	}
-	return p.standby[domain]
-}
-
-// replace closes the groups with a leaving member once a replacement is there,
+// replace closes the groups with a leaving or slow member once a replacement is there,
 // or shortly before the member goes.
-func (p *planner) replace([]*group) {
+func (p *planner) replace() {
 	for _, g := range p.draining {
 		domain := g.head().Endpoint.Domain
 		spare := false
 		for _, w := range p.free[domain] {
-			spare = spare || w.LastModel == g.model.Name
+			spare = spare || (w.LastModel == g.model.Name && w.loading == "" && !w.Slow)
 		}
 		since := p.now
 		for _, w := range g.byRank {
@@ -369,36 +394,36 @@
 	domain  string
 	model   fleet.Model
 	members []*Worker
-	loads   int
-	time    time.Duration
+	time    time.Duration // until the last member has joined
 	worth   float64
 }
 
-// form joins free workers to groups, the worthiest first.
+// form decides what the free workers of each domain are for: the worthiest
+// groups first. A group whose members all have the model at hand is formed at
+// once. For another one, the members that lack the model load it as standbys;
+// the rest stay free meanwhile, so that a member that comes back is of use.
 func (p *planner) form() {
-	loads := p.zone.Loads
 	for {
-		best := p.bestProposal(loads)
+		best := p.bestProposal()
 		if best == nil {
 			return
 		}
-		loads -= best.loads
-		p.zone.Loads = loads
 		p.serving[best.model.Name] += best.model.Size
-		p.join(best)
+		p.free[best.domain] = without(p.free[best.domain], best.members)
+		switch {
+		case best.time <= best.model.Warm || p.zone.Fresh:
+			p.join(best)
+		default:
+			p.load(best)
+		}
 	}
 }
 
-func (p *planner) bestProposal(loads int) *proposal {
+func (p *planner) bestProposal() *proposal {
 	var best *proposal
-	domains := make([]string, 0, len(p.free))
-	for domain := range p.free {
-		domains = append(domains, domain)
-	}
-	sort.Strings(domains)
-	for _, domain := range domains {
+	for _, domain := range sortedKeys(p.free) {
 		for _, model := range p.zone.Engine.Models {
-			next := p.propose(domain, model, loads)
+			next := p.propose(domain, model)
 			if next != nil && (best == nil || next.worth > best.worth) {
 				best = next
 			}
@@ -410,22 +435,16 @@
 // propose returns the group of a model that a domain's free workers could
 // form, with its worth: what its workers add to the even supply of all models,
 // for each worker, less the longer it takes.
-func (p *planner) propose(domain string, model fleet.Model, loads int) *proposal {
+func (p *planner) propose(domain string, model fleet.Model) *proposal {
 	free := p.free[domain]
 	if len(free) < model.Size || model.Share <= 0 {
 		return nil
 	}
 	sorted := append([]*Worker(nil), free...)
-	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].joinTime(model) < sorted[j].joinTime(model) })
+	sort.SliceStable(sorted, func(i, j int) bool { return p.cost(sorted[i], model) < p.cost(sorted[j], model) })
 	next := &proposal{domain: domain, model: model, members: sorted[:model.Size]}
 	for _, w := range next.members {
-		next.time = max(next.time, w.joinTime(model))
-		if w.joinTime(model) == model.Load {
-			next.loads++
-		}
-	}
-	if next.loads > 0 && !p.zone.Fresh && (next.loads > loads || !p.waited(next.members)) {
-		return nil
+		next.time = max(next.time, w.joinTime(model, p.now))
 	}
 	held := float64(p.serving[model.Name])
 	gain := model.Share * (math.Log(held+float64(model.Size)) - math.Log(max(held, 0.5))) / float64(model.Size)
@@ -436,15 +455,13 @@
 	return next
 }
 
-// waited reports whether workers were free for long enough that the members
-// that they lost are not likely to be back soon.
-func (p *planner) waited(workers []*Worker) bool {
-	for _, w := range workers {
-		if w.FreeSince.IsZero() || p.now.Sub(w.FreeSince) < convertPatience {
-			return false
-		}
+// cost orders the workers for a group: those that join soonest, and slow ones last.
+func (p *planner) cost(w *Worker, model fleet.Model) time.Duration {
+	cost := w.joinTime(model, p.now)
+	if w.Slow {
+		cost += slowPenalty
 	}
-	return true
+	return cost
 }
 
 func (p *planner) join(next *proposal) {
@@ -457,10 +474,37 @@
 	}
 	for _, w := range next.members {
 		p.steps = append(p.steps, Step{
-			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.joinTime(next.model) == next.model.Load,
+			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.cold(next.model, p.now),
 		})
 	}
-	p.free[next.domain] = without(p.free[next.domain], next.members)
+}
+
+// load lets the members of a planned group that lack its model load it.
+//
+// Guard: VMs that crash come back after some seconds, with their model in the
+// host's memory. If those that are left were loaded with another model at
+// once, the group that they were would be gone for a load's time. So when most
+// members would have to change, they wait a while first.
+func (p *planner) load(next *proposal) {
+	var cold []*Worker
+	for _, w := range next.members {
+		if w.cold(next.model, p.now) {
+			cold = append(cold, w)
+		}
+	}
+	patience := loadSettle
+	if 2*len(cold) > next.model.Size {
+		patience = convertPatience
+	}
+	for _, w := range cold {
+		if p.freeFor(w, patience) {
+			p.loadStandby(w, next.model, "load_for_group")
+		}
+	}
+}
+
+func (p *planner) freeFor(w *Worker, patience time.Duration) bool {
+	return !w.FreeSince.IsZero() && p.now.Sub(w.FreeSince) >= patience
 }
 
 func without(all, taken []*Worker) []*Worker {
@@ -482,11 +526,15 @@
 func (p *planner) keepStandbys() {
 	for _, domain := range sortedKeys(p.free) {
 		groups := p.groupsIn(domain)
-		count := p.standbys(domain)
+		count := map[string]int{}
 		var idle []*Worker
 		for _, w := range p.free[domain] {
-			if w.LastModel != "" && count[w.LastModel] == 0 {
-				count[w.LastModel]++
+			has := w.LastModel
+			if w.loading != "" {
+				has = w.loading
+			}
+			if has != "" && count[has] == 0 {
+				count[has]++
 				continue
 			}
 			idle = append(idle, w)
@@ -514,29 +562,37 @@
 	most := 0.0
 	for _, m := range p.zone.Engine.Models {
 		need := (float64(groups[m.Name]) + 0.1*m.Share) / float64(1+count[m.Name])
-		if w.LastModel == m.Name || w.Endpoint.HasStaged(m.Name) {
-			need *= 1.2 // it is there already
+		if w.LastModel == m.Name || w.Endpoint.HasStaged(m.Name) || w.loading == m.Name {
+			need *= atHandBonus
 		}
 		if need > most {
 			best, most = m, need
 		}
 	}
 	count[best.Name]++
-	if best.Name == "" || w.LastModel == best.Name {
-		return
+	if best.Name != "" && w.LastModel != best.Name && (p.zone.Fresh || p.freeFor(w, loadSettle)) {
+		p.loadStandby(w, best, "standby")
 	}
-	loads := w.joinTime(best) == best.Load
-	if loads && !p.zone.Fresh && p.zone.Loads <= 0 {
-		return
+}
+
+// loadStandby lets a free worker take a model in, by a group of its own that
+// never opens.
+func (p *planner) loadStandby(w *Worker, model fleet.Model, why string) {
+	if w.loading != "" {
+		return // one load after the other
 	}
-	if loads {
+	loads := w.cold(model, p.now)
+	if loads && !p.zone.Fresh {
+		if p.zone.Loads <= 0 {
+			return
+		}
 		p.zone.Loads--
 	}
 	epoch := p.zone.NextEpoch()
 	order := fleet.Order{
-		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, best.Name, epoch), Epoch: epoch, Model: best.Name, Members: []string{w.Endpoint.ID},
+		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, model.Name, epoch), Epoch: epoch, Model: model.Name, Members: []string{w.Endpoint.ID},
 	}
-	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: "standby", Loads: loads})
+	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why, Loads: loads})
 }
 
 func sortedKeys(m map[string][]*Worker) []string {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,7 +37,7 @@
 	w       http.ResponseWriter
 	flush   *http.ResponseController
 	tried   map[string]bool
-	sent    int
+	sent    atomic.Int64 // groups that may have seen the request
 	dials   int
 	begun   bool  // the caller has the headers
 	lastID  int64 // of the last event that the caller has
@@ -74,6 +75,8 @@
 type streamTry struct {
 	done   bool // the caller has its whole answer
 	notRun bool
+	// paid says that the retry budget was already asked for the next attempt.
+	paid   bool
 	err    error
 	answer *Answer
 }
@@ -87,10 +90,11 @@
 	stop := c.watch(choice, func() { stalled.Store(true); cancel(errStalled) })
 	last := c.exchange(ctx, choice)
 	stop()
+	last.paid = stalled.Load()
 	ok := last.err == nil && !last.notRun
 	now := time.Now()
 	choice.Visit.Done(now, ok || (ctx.Err() != nil && !stalled.Load()))
-	if stalled.Load() || redwinghall.KindOf[Kind](last.err) == NotSent {
+	if redwinghall.KindOf[Kind](last.err) == NotSent && ctx.Err() == nil {
 		c.g.Tracker.Unreachable(now, choice.Endpoint.ID)
 		c.g.Stalled(choice.Endpoint.ID)
 	}
@@ -102,25 +106,72 @@
 	return last
 }
 
-// watch calls end once nothing has moved in the group for too long. The
-// returned function stops it.
+// watch calls end once nothing has moved in the group for too long and the
+// stream may go on elsewhere. The returned function stops it.
+//
+// Guard: a group that lost a member moves nothing for seconds, and its callers
+// leave after two. But an answer is never ended only because it is slow: where
+// no other group can go on with it, the stream waits.
 func (c *streamCall) watch(choice balance.Choice, end func()) func() {
-	var timer *time.Timer
-	var stopped atomic.Bool
-	timer = time.AfterFunc(silenceLimit, func() {
-		if stopped.Load() {
-			return
-		}
-		if silent := choice.Visit.Silent(time.Now()); silent < silenceLimit {
-			timer.Reset(max(silenceCheck, silenceLimit-silent))
-			return
-		}
-		end()
-	})
-	return func() {
-		stopped.Store(true)
-		timer.Stop()
+	w := &silenceWatch{call: c, choice: choice, end: end}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(silenceLimit, w.look)
+	return w.stop
+}
+
+// silenceWatch is the timer of one attempt.
+type silenceWatch struct {
+	mu      sync.Mutex
+	call    *streamCall
+	choice  balance.Choice
+	end     func()
+	timer   *time.Timer
+	stopped bool
+	told    bool
+}
+
+func (w *silenceWatch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	now := time.Now()
+	if silent := w.choice.Visit.Silent(now); silent < silenceLimit {
+		w.timer.Reset(max(silenceCheck, silenceLimit-silent))
+		return
+	}
+	if !w.told {
+		w.told = true
+		w.call.g.Tracker.Unreachable(now, w.choice.Endpoint.ID)
+		w.call.g.Stalled(w.choice.Endpoint.ID)
+	}
+	if w.call.mayMove(now) {
+		w.end()
+		return
+	}
+	w.timer.Reset(silenceCheck)
+}
+
+func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// mayMove reports whether the stream may go on at another group now, and
+// spends the retry for it.
+func (c *streamCall) mayMove(now time.Time) bool {
+	if !c.r.Idempotent() || c.sent.Load() >= int64(c.r.Route.MaxAttempts) {
+		return false
+	}
+	view := c.g.Book.View()
+	if !c.g.Tracker.GroupLeft(now, view.ByService[c.r.Service.Name], view.ZonesOut, c.g.ask(c.r, c.tried)) {
+		return false
 	}
+	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
 }
 
 // exchange sends the request and relays the answer's events.
@@ -129,17 +180,16 @@
 	if c.hasID {
 		lastEvent = strconv.FormatInt(c.lastID, 10)
 	}
+	c.sent.Add(1)
 	answer, err := c.g.Upstream.Send(ctx, choice.Endpoint, c.r, c.g.forward(c.r, choice.Endpoint, lastEvent))
 	if err != nil {
 		if redwinghall.KindOf[Kind](err) == NotSent {
 			c.dials++
-		} else {
-			c.sent++
+			c.sent.Add(-1)
 		}
 		return streamTry{err: err}
 	}
 	defer func() { _ = answer.Body.Close() }()
-	c.sent++
 	if answer.Verdict.Load.Known {
 		choice.Visit.Told(time.Now(), answer.Verdict.Load.Running+answer.Verdict.Load.Waiting)
 	}
@@ -167,7 +217,7 @@
 	if err != nil || c.begun || promises(answer.Status) || answer.Status < http.StatusMultipleChoices {
 		return streamTry{err: redwinghall.NewOpError("streamCall.passFailure", Unknown, errors.Join(errUnusable, err))}
 	}
-	if answer.Status >= http.StatusInternalServerError && c.r.Idempotent() && c.sent < c.r.Route.MaxAttempts {
+	if answer.Status >= http.StatusInternalServerError && c.r.Idempotent() && c.sent.Load() < int64(c.r.Route.MaxAttempts) {
 		return streamTry{err: redwinghall.NewOpError("streamCall.passFailure", Unknown, errUnusable)}
 	}
 	c.g.pass(c.w, c.r, try{answer: answer, body: body})
@@ -260,11 +310,11 @@
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
 		return c.dials < maxDials && c.r.Left(now) > leastLeft
 	case last.notRun:
-		return c.g.mayRetry(c.r, c.sent, now)
+		return c.g.mayRetry(c.r, int(c.sent.Load()), now)
 	case !c.resumable():
 		return false
 	}
-	return c.g.mayRetry(c.r, c.sent, now)
+	return last.paid || c.g.mayRetry(c.r, int(c.sent.Load()), now)
 }
 
 // resumable reports whether the stream may go on at another group from where
@@ -280,7 +330,7 @@
 		c.g.callerGone(c.r)
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
-	case last.notRun && c.sent <= 1, redwinghall.KindOf[Kind](last.err) == NotSent && c.sent == 0:
+	case last.notRun && c.sent.Load() <= 1, redwinghall.KindOf[Kind](last.err) == NotSent && c.sent.Load() == 0:
 		c.refuse(refusal{status: http.StatusServiceUnavailable, reason: "endpoint_busy", retryAfter: retryUnknown})
 	default:
 		c.refuse(refusal{status: http.StatusBadGateway, reason: "stream_lost"})
@@ -295,7 +345,7 @@
 		c.g.Metrics.Refused(c.r, why)
 		panic(http.ErrAbortHandler)
 	}
-	if c.sent > 0 && why.status == http.StatusServiceUnavailable && !c.r.Idempotent() {
+	if c.sent.Load() > 0 && why.status == http.StatusServiceUnavailable && !c.r.Idempotent() {
 		why.status = http.StatusBadGateway
 	}
 	c.g.refuse(c.w, c.r, why)
--- /dev/null
+++ b/node/connections.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// connections knows the callers' connections, and closes idle ones.
+//
+// Guard: a request may arrive in the very moment in which its idle connection
+// is closed. It would be read and passed on to an endpoint, and its caller
+// would see a connection that ends without an answer. Closing marks the
+// connection first, and a request on a marked one is dropped unread, so that
+// the caller knows that it can send it again.
+type connections struct {
+	mu  sync.Mutex
+	all map[net.Conn]*connection
+}
+
+type connection struct {
+	busy   bool
+	since  time.Time // of being idle
+	closed bool
+}
+
+type connectionKey struct{}
+
+func newConnections() *connections { return &connections{all: map[net.Conn]*connection{}} }
+
+// context is a server's ConnContext hook.
+func (c *connections) context(ctx context.Context, conn net.Conn) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := &connection{since: time.Now()}
+	c.all[conn] = state
+	return context.WithValue(ctx, connectionKey{}, state)
+}
+
+// note is a server's ConnState hook.
+func (c *connections) note(conn net.Conn, change http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state, ok := c.all[conn]
+	if !ok {
+		return
+	}
+	switch change {
+	case http.StateActive:
+		state.busy = true
+	case http.StateIdle:
+		state.busy, state.since = false, time.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(c.all, conn)
+	case http.StateNew:
+	}
+}
+
+// guard serves requests on connections that this node has not closed, and
+// ends connections after an answer once closing returns true.
+func (c *connections) guard(next http.Handler, closing func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && c.isClosed(state) {
+			klog.InfoS("request_on_closed_connection")
+			panic(http.ErrAbortHandler)
+		}
+		if closing() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *connections) isClosed(state *connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return state.closed
+}
+
+// closeIdle closes the connections that have been idle for longer than limit,
+// and returns how many are left.
+func (c *connections) closeIdle(now time.Time, limit time.Duration) int {
+	idle, left := c.markIdle(now, limit)
+	for _, conn := range idle {
+		if err := conn.Close(); err != nil {
+			klog.V(1).InfoS("idle_connection_not_closed", "err", err)
+		}
+	}
+	return left
+}
+
+func (c *connections) markIdle(now time.Time, limit time.Duration) (idle []net.Conn, left int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, state := range c.all {
+		if state.busy || state.closed || now.Sub(state.since) < limit {
+			left++
+			continue
+		}
+		state.closed = true
+		idle = append(idle, conn)
+	}
+	return idle, left
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -6,11 +6,9 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
-	"k8s.io/klog/v2"
 
 	"redwinghall/kernel"
 	"redwinghall/platform"
@@ -34,20 +32,20 @@
 )
 
 // listen opens the listeners, so that a taken port is an error at the start.
-func (n *Node) listen(g *kernel.Group) ([]*http.Server, error) {
+func (n *Node) listen(g *kernel.Group) error {
 	callers := &http.Server{
-		Addr: n.settings.Callers, Handler: n.gateway,
-		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.conns.note,
+		Addr: n.settings.Callers, Handler: n.conns.guard(n.gateway, n.leaving.Load),
+		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: n.conns.note, ConnContext: n.conns.context,
 	}
 	readiness := &http.Server{Addr: n.settings.Readiness, Handler: n.smallRoutes(), ReadHeaderTimeout: smallHeaderTimeout}
 	figures := &http.Server{
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
 		Handler: n.smallRoutes(), ReadHeaderTimeout: smallHeaderTimeout,
 	}
-	servers := []*http.Server{callers, readiness, figures}
-	for _, server := range servers {
+	for _, server := range []*http.Server{callers, readiness, figures} {
 		if err := serve(g, server); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	g.Every("idle_connections", idleSweep, func(_ context.Context, now time.Time) {
@@ -55,7 +53,7 @@
 			n.conns.closeIdle(now, config.Limits.IdleTimeout+idleSlack)
 		}
 	})
-	return servers, nil
+	return nil
 }
 
 func (n *Node) smallRoutes() http.Handler {
@@ -87,53 +85,3 @@
 	})
 	return nil
 }
-
-// connections knows since when callers' connections are idle.
-type connections struct {
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-	busy int
-}
-
-func newConnections() *connections { return &connections{idle: map[net.Conn]time.Time{}} }
-
-// note is a server's ConnState hook.
-func (c *connections) note(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch state {
-	case http.StateIdle:
-		c.idle[conn] = time.Now()
-		c.busy--
-	case http.StateActive:
-		c.busy++
-		delete(c.idle, conn)
-	case http.StateClosed, http.StateHijacked:
-		if _, idle := c.idle[conn]; !idle {
-			c.busy--
-		}
-		delete(c.idle, conn)
-	case http.StateNew:
-	}
-}
-
-// closeIdle closes the connections that have been idle for longer than limit.
-func (c *connections) closeIdle(now time.Time, limit time.Duration) {
-	for _, conn := range c.idleFor(now, limit) {
-		if err := conn.Close(); err != nil {
-			klog.V(1).InfoS("idle_connection_not_closed", "err", err)
-		}
-	}
-}
-
-func (c *connections) idleFor(now time.Time, limit time.Duration) []net.Conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var old []net.Conn
-	for conn, since := range c.idle {
-		if now.Sub(since) > limit {
-			old = append(old, conn)
-		}
-	}
-	return old
-}
--- a/node/node.go
+++ b/node/node.go
@@ -49,7 +49,8 @@
 	manager  *formation.Manager
 	follower *directory.Follower
 	metrics  *gateway.Metrics
-	stopping atomic.Bool
+	stopping atomic.Bool // not ready any more
+	leaving  atomic.Bool // callers are sent elsewhere
 	conns    *connections
 }
 
@@ -97,8 +98,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	tune(n.settings)
 	g := kernel.NewGroup(context.Background())
-	servers, err := n.listen(g)
-	if err != nil {
+	if err := n.listen(g); err != nil {
 		g.Stop()
 		return err
 	}
@@ -112,13 +112,13 @@
 	g.Go("stop", func(running context.Context) error {
 		select {
 		case <-ctx.Done():
-			n.stop(running, servers)
+			n.stop(running)
 		case <-running.Done():
 		}
 		g.Stop()
 		return nil
 	})
-	err = g.Wait()
+	err := g.Wait()
 	klog.InfoS("node_stopped", "node", n.settings.Node, "err", err)
 	return err
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,29 +14,31 @@
 	// noticeTime is how long the balancer takes to notice: it asks once a
 	// second, and two misses take a node out.
 	noticeTime = 2400 * time.Millisecond
+	// quietTime is how long callers have after that to hear, with an answer,
+	// that they should connect elsewhere, before idle connections are closed.
+	quietTime = 800 * time.Millisecond
 	// lastMargin is left of the grace for the process to end.
 	lastMargin  = 700 * time.Millisecond
 	leaveBudget = time.Second
+	stopCheck   = 50 * time.Millisecond
 )
 
 // stop ends a node's service without breaking a request off: it first becomes
 // not ready and serves on until the balancer has noticed, then asks callers
 // for new connections elsewhere, and finishes what runs.
-func (n *Node) stop(ctx context.Context, servers []*http.Server) {
+func (n *Node) stop(ctx context.Context) {
 	klog.InfoS("node_stopping", "node", n.settings.Node)
 	n.stopping.Store(true)
 	started := time.Now()
+	end := started.Add(n.inForce().Bounds.Grace - lastMargin)
 	n.manager.Stop()
 	leave, cancel := context.WithTimeout(ctx, leaveBudget)
+	defer cancel()
 	n.table.Leave(leave)
-	cancel()
 	kernel.Sleep(ctx, noticeTime-time.Since(started))
-	callers := servers[0]
-	callers.SetKeepAlivesEnabled(false)
-	left := n.inForce().Bounds.Grace - lastMargin - time.Since(started)
-	finish, cancel := context.WithTimeout(ctx, max(left, time.Second))
-	defer cancel()
-	if err := callers.Shutdown(finish); err != nil {
-		klog.InfoS("requests_unfinished", "err", err)
+	n.leaving.Store(true)
+	kernel.Sleep(ctx, quietTime)
+	for n.conns.closeIdle(time.Now(), 0) > 0 && time.Now().Before(end) {
+		kernel.Sleep(ctx, stopCheck)
 	}
 }
