Replace slow members where the domain has fit spares, and form the group anew

Cause: closed groups with a slow member were opened again as they were; orders that changed nothing kept an assumed state alive.

--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -203,3 +203,20 @@
 	s := t.of(e.ID, now)
 	return Snapshot{Own: s.own, Running: s.running(now), Unread: s.unread, Slow: s.slow, Shunned: now.Before(s.shunUntil)}
 }
+
+// slowFactor is how many times slower than declared a group must work, as
+// observed, to be worth a look at its members.
+const slowFactor = 2.5
+
+// Slow returns the endpoints that work much slower than they should.
+func (t *Tracker) Slow(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var slow []string
+	for id, s := range t.states {
+		if s.own > 0 && s.slow > slowFactor && now.Sub(s.lastEvent) < loadTrust {
+			slow = append(slow, id)
+		}
+	}
+	return slow
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -79,8 +79,8 @@
 	overlay  fleet.Membership
 	overlaid time.Time
 	shown    fleet.Membership
-	address  string
 	seenAt   time.Time
+	probedAt time.Time
 }
 
 // arrival follows how the endpoints of a zone register at the start.
@@ -209,7 +209,6 @@
 		m.notes[e.ID] = n
 	}
 	n.seenAt = now
-	n.address = e.Address
 	w := &n.worker
 	w.Endpoint = e
 	w.Suspect = now.Before(n.suspect)
@@ -330,7 +329,8 @@
 			klog.InfoS("order_failed", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch,
 				"outcome", outcome, "err", err)
 		}
-		if outcome == fleet.Refused {
+		if outcome == fleet.Refused || outcome == fleet.Done {
+			// Nothing changes: the entry already tells how things are.
 			n.overlaid = time.Time{}
 		}
 		if redwinghall.KindOf[platform.Kind](err) == platform.Ended {
@@ -368,8 +368,9 @@
 	return -1
 }
 
-// Stalled tells the manager that nothing moves in the group of an endpoint.
-// It asks all members, and those that don't answer count as lost.
+// Stalled tells the manager that little or nothing moves in the group of an
+// endpoint. It asks all VMs of the domain, so that it knows which members are
+// lost or slow, and which others could replace them.
 func (m *Manager) Stalled(ctx context.Context, headID string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -377,12 +378,18 @@
 	if !ok || head.worker.Endpoint == nil || m.group == nil || !m.Holds(head.worker.Endpoint.Zone) {
 		return
 	}
-	name := head.worker.Member.Group
+	now := time.Now()
 	for id, n := range m.notes {
-		if n.worker.Endpoint != nil && n.worker.Member.Group == name && name != "" && !m.probing[id] {
-			m.probing[id] = true
-			m.probe(ctx, n)
+		e := n.worker.Endpoint
+		if e == nil || e.Domain != head.worker.Endpoint.Domain || e.Zone != head.worker.Endpoint.Zone {
+			continue
+		}
+		if m.probing[id] || now.Sub(n.probedAt) < probeAgain || now.Sub(n.seenAt) > time.Second {
+			continue
 		}
+		m.probing[id] = true
+		n.probedAt = now
+		m.probe(ctx, n)
 	}
 }
 
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -165,6 +165,17 @@
 	return false
 }
 
+// unfit counts the members that hold the group up or are about to leave it.
+func (g *group) unfit() int {
+	n := 0
+	for _, w := range g.byRank {
+		if w.Slow || !w.usable() {
+			n++
+		}
+	}
+	return n
+}
+
 // ready reports whether every member itself said that it is ready, under this
 // name and epoch.
 func (g *group) ready() bool {
@@ -183,7 +194,7 @@
 		w.loading = ""
 	}
 	groups := z.groups()
-	p := &planner{zone: z, now: now, free: map[string][]*Worker{}, serving: map[string]int{}}
+	p := &planner{zone: z, now: now, free: map[string][]*Worker{}, serving: map[string]int{}, reserved: map[string]int{}}
 	for _, g := range groups {
 		p.reconcile(g)
 	}
@@ -193,6 +204,7 @@
 		}
 	}
 	p.replace()
+	p.open()
 	p.form()
 	p.keepStandbys()
 	return p.steps
@@ -236,8 +248,11 @@
 	free map[string][]*Worker
 	// serving counts the workers in groups of each model.
 	serving map[string]int
-	// draining are groups that serve until a replacement is there.
+	// draining are groups that serve until a replacement is there, reserved
+	// counts the workers of each domain that are meant as one.
 	draining []*group
+	idle     []*group // ready to open
+	reserved map[string]int
 }
 
 func (p *planner) give(w *Worker, order fleet.Order, why string) {
@@ -262,8 +277,7 @@
 	case g.head().Member.State == fleet.Broken || !g.whole():
 		p.release(g)
 	case g.ready():
-		p.count(g)
-		p.give(g.head(), fleet.Order{Kind: fleet.OrderOpen, Group: g.name, Epoch: g.epoch}, "all_ready")
+		p.idle = append(p.idle, g)
 	default:
 		p.joining(g)
 	}
@@ -372,11 +386,7 @@
 // or shortly before the member goes.
 func (p *planner) replace() {
 	for _, g := range p.draining {
-		domain := g.head().Endpoint.Domain
-		spare := false
-		for _, w := range p.free[domain] {
-			spare = spare || (w.LastModel == g.model.Name && w.loading == "" && !w.Slow)
-		}
+		spare := p.spares(g) >= g.unfit()
 		since := p.now
 		for _, w := range g.byRank {
 			if !w.DrainingSince.IsZero() && w.DrainingSince.Before(since) {
@@ -384,11 +394,37 @@
 			}
 		}
 		if spare || p.now.Sub(since) > drainGrace {
+			p.reserved[g.head().Endpoint.Domain] += g.unfit()
 			p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "member_leaves")
 		}
 	}
 }
 
+// open opens the groups that are ready, unless a slow member can be replaced.
+func (p *planner) open() {
+	for _, g := range p.idle {
+		if g.slow() && p.spares(g) >= g.unfit() {
+			p.reserved[g.head().Endpoint.Domain] += g.unfit()
+			p.release(g)
+			continue
+		}
+		p.count(g)
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderOpen, Group: g.name, Epoch: g.epoch}, "all_ready")
+	}
+}
+
+// spares counts the free workers that could replace members of a group at once.
+func (p *planner) spares(g *group) int {
+	domain := g.head().Endpoint.Domain
+	n := -p.reserved[domain]
+	for _, w := range p.free[domain] {
+		if w.LastModel == g.model.Name && w.loading == "" && !w.Slow {
+			n++
+		}
+	}
+	return n
+}
+
 // proposal is a group that could be formed.
 type proposal struct {
 	domain  string
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,9 @@
 	// collectPercent keeps the collector quiet while the live heap is small.
 	collectPercent = 150
 	forgetInterval = 10 * time.Second
+	// slowInterval is how often the members of slow groups are asked; each
+	// question is priced.
+	slowInterval = time.Second
 )
 
 // Node is an assembled node.
@@ -108,6 +111,11 @@
 	n.startReload(g)
 	n.table.Start(g)
 	n.manager.Start(g)
+	g.Every("slow_groups", slowInterval, func(ctx context.Context, now time.Time) {
+		for _, id := range n.tracker.Slow(now) {
+			n.manager.Stalled(ctx, id)
+		}
+	})
 	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) { n.tracker.Forget(now) })
 	g.Go("stop", func(running context.Context) error {
 		select {
