Ask endpoints whose entry is missing; learn the bias of predictions; refuse what would be late; leave cut-off zones alone

Causes: (1) groups were closed because members were cut off from the store alone (srv_cut). (2) First events came 70 to 90 ms later than predicted, so that requests were admitted that were late. (3) Another zone's node took over a zone that was cut off and closed its groups when the cut healed.

--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,4 @@
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; the generated code is committed.
 generate:
 	protoc -I peer/rpc --go_out=. --go_opt=module=redwinghall --twirp_out=. --twirp_opt=module=redwinghall peer/rpc/peer.proto
+	protoc -I neighbor/rpc --go_out=. --go_opt=module=redwinghall --twirp_out=. --twirp_opt=module=redwinghall neighbor/rpc/neighbor.proto
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -19,7 +19,7 @@
 	// refuseBeyond is how many times the objective the predicted first event
 	// must take before a request is refused: one that is surely late takes
 	// places from others that could be in time.
-	refuseBeyond = 1.5
+	refuseBeyond = 1.1
 	// failurePenalty is how much a surely failing plain endpoint is disliked.
 	failurePenalty = 2 * time.Second
 	// plainFar is the same as farPenalty for plain services, whose answers are small.
@@ -42,6 +42,8 @@
 	ColdRate, ColdBurst float64
 	// Connections bounds this node's requests at one endpoint.
 	Connections int
+
+	bias time.Duration // of predictions, as observed
 }
 
 // Choice is the endpoint for a request, with what decided it.
@@ -96,6 +98,7 @@
 func (t *Tracker) Group(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	ask.bias = t.bias
 	seen, cold := 0, 0
 	var best, near *candidate
 	for _, e := range endpoints {
@@ -178,7 +181,9 @@
 	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slow))
 	running := s.running(now)
 	c := &candidate{endpoint: e, state: s, running: running}
-	c.predicted = pace.FirstEvent(running-s.unstarted, s.unstarted, s.unread, a.Prompt)
+	others := s.others(now)
+	waiting := s.unstarted + others.Unstarted
+	c.predicted = pace.FirstEvent(running-waiting, waiting, s.unread+others.Unread, a.Prompt) + a.bias
 	c.score = c.predicted + pace.Pass(running+1, 0)
 	c.full = a.Connections > 0 && s.own >= a.Connections
 	if e.Zone != a.Zone {
@@ -196,7 +201,7 @@
 		c.state.cold.take(now, ask.ColdRate, ask.ColdBurst)
 	}
 	return Choice{
-		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt),
+		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted),
 		Predicted: c.predicted, Running: c.running,
 	}
 }
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -12,6 +12,9 @@
 	// loadTrust is how long an endpoint's own word on its load counts; nodes of
 	// a zone hear of a busy group about every 100 ms.
 	loadTrust = 2 * time.Second
+	// shareTrust is how long the other nodes' word on their loads counts; they
+	// give it every 150 ms.
+	shareTrust = 600 * time.Millisecond
 	// smoothing is the weight of one new observation in a mean.
 	smoothing = 0.15
 	// shunFirst is how long an endpoint that refused a connection is left
@@ -34,6 +37,9 @@
 	ownThen int
 	toldAt  time.Time
 
+	shared   Load // what other nodes of the zone have
+	sharedAt time.Time
+
 	lastEvent time.Time // of any stream
 	// waitingSince is when this node began to wait for an event without a break.
 	waitingSince time.Time
@@ -51,6 +57,9 @@
 type Tracker struct {
 	mu     sync.Mutex
 	states map[string]*State
+	// bias is how much later than predicted first events come: what the pace
+	// doesn't describe, as the way to the endpoint and its own start-up.
+	bias time.Duration
 }
 
 // NewTracker returns an empty tracker.
@@ -79,12 +88,60 @@
 }
 
 // running estimates how many requests an endpoint has, from its last word and
-// from what this node sent and finished since.
+// from what this node sent and finished since, and from what the other nodes
+// of the zone say that they have.
 func (s *State) running(now time.Time) int {
+	count := s.own + s.others(now).Requests
 	if s.toldAt.IsZero() || now.Sub(s.toldAt) > loadTrust {
-		return s.own
+		return count
+	}
+	return max(count, s.told+s.own-s.ownThen)
+}
+
+// others returns what other nodes have at the endpoint, as far as known.
+func (s *State) others(now time.Time) Load {
+	if now.Sub(s.sharedAt) > shareTrust {
+		return Load{}
+	}
+	return s.shared
+}
+
+// Load is how much a node has at one endpoint.
+type Load struct {
+	Requests  int
+	Unstarted int // of these, streams without a first event
+	Unread    int // prompt tokens of the unstarted
+}
+
+// With returns the sum of two loads.
+func (l Load) With(more Load) Load {
+	return Load{Requests: l.Requests + more.Requests, Unstarted: l.Unstarted + more.Unstarted, Unread: l.Unread + more.Unread}
+}
+
+// Own returns what this node has at each endpoint.
+func (t *Tracker) Own() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := map[string]Load{}
+	for id, s := range t.states {
+		if s.own > 0 {
+			own[id] = Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}
+		}
+	}
+	return own
+}
+
+// SetOthers takes in what the other nodes of the zone have.
+func (t *Tracker) SetOthers(now time.Time, loads map[string]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.states {
+		s.shared, s.sharedAt = loads[id], now
+	}
+	for id, load := range loads {
+		s := t.of(id, now)
+		s.shared, s.sharedAt = load, now
 	}
-	return max(s.own, s.told+s.own-s.ownThen)
 }
 
 // A Visit is one request at one endpoint. Its methods are called by one
@@ -96,17 +153,19 @@
 	prompt  int
 	started bool
 	last    time.Time
+	// predicted is when the first event should come, after sentAt.
+	predicted time.Duration
 }
 
 // visit notes that a request goes to an endpoint. The lock is held.
-func (t *Tracker) visit(now time.Time, s *State, prompt int) *Visit {
+func (t *Tracker) visit(now time.Time, s *State, prompt int, predicted time.Duration) *Visit {
 	s.own++
 	s.unstarted++
 	s.unread += prompt
 	if s.waitingSince.IsZero() {
 		s.waitingSince = now
 	}
-	return &Visit{t: t, s: s, sentAt: now, prompt: prompt, last: now}
+	return &Visit{t: t, s: s, sentAt: now, prompt: prompt, last: now, predicted: predicted}
 }
 
 // Told takes the endpoint's own word on its load in.
@@ -126,6 +185,9 @@
 			s.observe(float64(now.Sub(v.last)) / float64(want))
 		}
 	}
+	if !v.started && usual != nil {
+		v.t.learn(now.Sub(v.sentAt) - v.predicted)
+	}
 	v.start()
 	v.last = now
 	s.lastEvent, s.waitingSince = now, now
@@ -139,6 +201,23 @@
 	s.slow += smoothing / 4 * (min(ratio, longest) - s.slow)
 }
 
+// Bounds of what is learned from one first event. A late one is mostly due to
+// what the node couldn't know of, so it counts with a bound.
+const (
+	biasWeight  = 0.02
+	biasOneUp   = 300 * time.Millisecond
+	biasOneDown = -300 * time.Millisecond
+	biasLeast   = 0
+	biasMost    = 200 * time.Millisecond
+)
+
+// learn takes in how much later than predicted a first event came.
+func (t *Tracker) learn(late time.Duration) {
+	late = min(max(late, biasOneDown), biasOneUp)
+	t.bias += time.Duration(biasWeight * float64(late))
+	t.bias = min(max(t.bias, biasLeast), biasMost)
+}
+
 func (v *Visit) start() {
 	if v.started {
 		return
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -94,3 +94,17 @@
 	Born     int64
 	Instance string
 }
+
+// WithReport returns the endpoint as it describes itself in a report.
+func (e *Endpoint) WithReport(r Report) *Endpoint {
+	next := *e
+	next.Member, next.Models, next.Staged = r.Member, r.Models, r.Staged
+	return &next
+}
+
+// WithState returns the endpoint in another state.
+func (e *Endpoint) WithState(state EndpointState) *Endpoint {
+	next := *e
+	next.State = state
+	return &next
+}
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -44,4 +44,6 @@
 type Orderer interface {
 	Order(ctx context.Context, endpoint *Endpoint, order Order) (Outcome, error)
 	Report(ctx context.Context, endpoint *Endpoint) (Report, error)
+	// Healthy asks an endpoint whether it considers itself fit and stays.
+	Healthy(ctx context.Context, endpoint *Endpoint, path string) (bool, error)
 }
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -81,6 +81,7 @@
 	shown    fleet.Membership
 	seenAt   time.Time
 	probedAt time.Time
+	unlisted unlisted
 }
 
 // arrival follows how the endpoints of a zone register at the start.
@@ -144,7 +145,7 @@
 			if service.Engine == nil {
 				continue
 			}
-			pending = m.planZone(ctx, now, zone, service.Engine, view.ByService[name]) || pending
+			pending = m.planZone(ctx, now, zone, service, view.ByService[name]) || pending
 		}
 	}
 	m.pending.Store(pending)
@@ -152,7 +153,8 @@
 
 // planZone plans one zone's groups and sends the orders. It reports whether
 // something is under way.
-func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, engine *fleet.Engine, endpoints []*fleet.Endpoint) bool {
+func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, service fleet.Service, endpoints []*fleet.Endpoint) bool {
+	engine := service.Engine
 	z := &Zone{Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
 	pending := false
 	for _, e := range endpoints {
@@ -168,6 +170,7 @@
 	if z.Fresh && !m.settled(now, zone, len(z.Workers)) {
 		return true
 	}
+	m.addUnlisted(ctx, now, z, zone, service.Name, service.HealthPath)
 	m.markFree(now, z.Workers)
 	m.askHeads(ctx, now, z)
 	budget := m.budgetOf(zone, engine)
@@ -209,11 +212,15 @@
 		m.notes[e.ID] = n
 	}
 	n.seenAt = now
+	n.unlisted = unlisted{}
 	w := &n.worker
 	w.Endpoint = e
+	w.Unlisted = false
 	w.Suspect = now.Before(n.suspect)
 	w.Slow = now.Before(n.slow)
-	if e.State == fleet.EndpointDraining && w.DrainingSince.IsZero() {
+	if e.State == fleet.EndpointReady {
+		w.DrainingSince = time.Time{}
+	} else if w.DrainingSince.IsZero() {
 		w.DrainingSince = now
 	}
 	m.noteMember(now, n)
@@ -243,7 +250,7 @@
 	if model != "" && e.Member.State != fleet.Joining {
 		w.LastModel = model
 	}
-	if e.Member.Rank == 0 && e.Member.Group != "" {
+	if e.Member.Rank == 0 && e.Member.Group != "" && !w.Unlisted {
 		m.headers[e.Member.Group] = &headNote{endpoint: e, seenAt: now}
 	}
 }
@@ -279,7 +286,7 @@
 	}
 	for _, w := range z.Workers {
 		name := w.Member.Group
-		if name == "" || present[name] {
+		if name == "" || present[name] || w.Suspect {
 			continue
 		}
 		h, known := m.headers[name]
@@ -294,12 +301,17 @@
 	}
 }
 
+// heads reports whether a membership is that of a group's head that may serve.
+func heads(m fleet.Membership, group string) bool {
+	return m.Group == group && (m.State == fleet.Open || m.State == fleet.Closing)
+}
+
 // askHead asks a head that has no entry. A refused connection, or another
 // process at its address, proves that it has ended.
 func (m *Manager) askHead(ctx context.Context, name string, h *headNote) {
 	m.group.Go("ask_head", func(context.Context) error {
-		_, err := m.Orderer.Report(ctx, h.endpoint)
-		gone := redwinghall.KindOf[platform.Kind](err) == platform.Ended
+		report, err := m.Orderer.Report(ctx, h.endpoint)
+		gone := redwinghall.KindOf[platform.Kind](err) == platform.Ended || (err == nil && !heads(report.Member, name))
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		h.gone = gone
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -23,6 +23,9 @@
 	loadSettle = time.Second
 	// slowPenalty puts slow workers last when a group is formed.
 	slowPenalty = 10 * time.Second
+	// unlistedPenalty puts those without an entry behind equals, so that they
+	// don't become heads.
+	unlistedPenalty = 100 * time.Millisecond
 	// atHandBonus favours the model that a standby has already.
 	atHandBonus = 1.2
 	// drainGrace is how long a group without a replacement goes on serving
@@ -68,6 +71,9 @@
 	ChangedAt time.Time
 	// Slow says that it works slower than it should.
 	Slow bool
+	// Unlisted says that its entry is missing but it answers: it can be a
+	// member, but no head, as requests don't go to it.
+	Unlisted bool
 
 	loading string // the model that it takes in as a standby
 }
@@ -85,13 +91,13 @@
 func (w *Worker) joinTime(m fleet.Model, now time.Time) time.Duration {
 	switch {
 	case w.loading == m.Name:
-		return max(instantJoin, m.Load-now.Sub(w.ChangedAt)) + m.Warm
+		return max(0, m.Load-now.Sub(w.ChangedAt)) + instantJoin
 	case w.loading == "" && w.LastModel == m.Name:
 		return instantJoin
 	case w.loading == "" && w.Endpoint.HasStaged(m.Name):
 		return m.Warm
 	}
-	return m.Load
+	return m.Load + m.Warm
 }
 
 // cold reports whether the worker would have to load the model from the
@@ -181,7 +187,7 @@
 func (g *group) ready() bool {
 	for rank := range g.size() {
 		w := g.byRank[rank]
-		if w == nil || w.Endpoint.Member != w.Member || w.Member.State != fleet.Ready {
+		if w == nil || w.Endpoint.Member != w.Member || w.Member.State != fleet.Ready || w.Suspect {
 			return false
 		}
 	}
@@ -270,11 +276,13 @@
 		p.release(g)
 	case g.head() == nil || g.head().Suspect:
 		p.headless(g)
+	case g.head().Member.State == fleet.Open && g.head().Unlisted:
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "head_unlisted")
 	case g.head().Member.State == fleet.Open:
 		p.opened(g)
 	case g.head().Member.State == fleet.Closing:
 		p.closing(g)
-	case g.head().Member.State == fleet.Broken || !g.whole():
+	case g.head().Member.State == fleet.Broken || !g.whole() || g.head().Unlisted:
 		p.release(g)
 	case g.ready():
 		p.idle = append(p.idle, g)
@@ -478,7 +486,10 @@
 	}
 	sorted := append([]*Worker(nil), free...)
 	sort.SliceStable(sorted, func(i, j int) bool { return p.cost(sorted[i], model) < p.cost(sorted[j], model) })
-	next := &proposal{domain: domain, model: model, members: sorted[:model.Size]}
+	next := &proposal{domain: domain, model: model, members: listedFirst(sorted[:model.Size])}
+	if next.members[0].Unlisted {
+		return nil
+	}
 	for _, w := range next.members {
 		next.time = max(next.time, w.joinTime(model, p.now))
 	}
@@ -491,12 +502,21 @@
 	return next
 }
 
+// listedFirst puts the workers that requests may go to first, as the first is the head.
+func listedFirst(workers []*Worker) []*Worker {
+	sort.SliceStable(workers, func(i, j int) bool { return !workers[i].Unlisted && workers[j].Unlisted })
+	return workers
+}
+
 // cost orders the workers for a group: those that join soonest, and slow ones last.
 func (p *planner) cost(w *Worker, model fleet.Model) time.Duration {
 	cost := w.joinTime(model, p.now)
 	if w.Slow {
 		cost += slowPenalty
 	}
+	if w.Unlisted {
+		cost += unlistedPenalty
+	}
 	return cost
 }
 
--- /dev/null
+++ b/formation/unlisted.go
@@ -0,0 +1,130 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/platform"
+)
+
+// Times of endpoints whose entry is missing.
+const (
+	// unlistedTrust is how long an endpoint without an entry counts after it
+	// last answered; until its first answer, it counts for unlistedGrace.
+	unlistedTrust = 1500 * time.Millisecond
+	unlistedGrace = 900 * time.Millisecond
+	unlistedProbe = 500 * time.Millisecond
+	// unlistedFails is how many questions without an answer make it lost.
+	unlistedFails = 2
+	// unlistedFor is how long an endpoint without an entry is asked at all.
+	unlistedFor = 40 * time.Second
+	notesFor    = 2 * time.Minute
+)
+
+// unlisted is what is known of an endpoint whose entry is missing.
+//
+// Guard: an endpoint that is cut off from the store, and from nothing else,
+// loses its entry while its group serves on. If the group were closed for
+// that, a store's trouble would end the service of good groups. So it is asked
+// itself, and counts as a member while it answers; only requests don't go to it.
+type unlisted struct {
+	since    time.Time
+	askedAt  time.Time
+	answered time.Time
+	fails    int
+	ended    bool
+}
+
+// addUnlisted adds the workers of a zone and service whose entry is missing
+// and that still answer.
+func (m *Manager) addUnlisted(ctx context.Context, now time.Time, z *Zone, zone, service, healthPath string) {
+	for id, n := range m.notes {
+		e := n.worker.Endpoint
+		if e == nil || n.seenAt.Equal(now) || e.Zone != zone || e.Service != service {
+			continue
+		}
+		if now.Sub(n.seenAt) > notesFor {
+			delete(m.notes, id)
+			continue
+		}
+		u := &n.unlisted
+		if u.since.IsZero() {
+			*u = unlisted{since: now}
+			klog.InfoS("entry_missing", "endpoint", id, "group", n.worker.Member.Group, "entry", e.Revision)
+		}
+		if u.ended || now.Sub(u.since) > unlistedFor {
+			continue
+		}
+		m.askUnlisted(ctx, now, n, healthPath)
+		if !u.counts(now) {
+			continue
+		}
+		n.worker.Unlisted = true
+		n.worker.Suspect = now.Before(n.suspect)
+		n.worker.Slow = now.Before(n.slow)
+		m.noteMember(now, n)
+		z.Workers = append(z.Workers, &n.worker)
+	}
+}
+
+func (u *unlisted) counts(now time.Time) bool {
+	if u.answered.IsZero() {
+		return now.Sub(u.since) < unlistedGrace && u.fails < unlistedFails
+	}
+	return now.Sub(u.answered) < unlistedTrust && u.fails < unlistedFails
+}
+
+// askUnlisted asks an endpoint for its state, and once whether it is leaving.
+func (m *Manager) askUnlisted(ctx context.Context, now time.Time, n *note, healthPath string) {
+	id := n.worker.Endpoint.ID
+	if m.probing[id] || now.Sub(n.unlisted.askedAt) < unlistedProbe {
+		return
+	}
+	if n.unlisted.fails >= unlistedFails && now.Sub(n.unlisted.askedAt) < 4*unlistedProbe {
+		return
+	}
+	m.probing[id] = true
+	n.unlisted.askedAt = now
+	endpoint := n.worker.Endpoint
+	first := n.unlisted.answered.IsZero()
+	m.group.Go("ask_unlisted", func(context.Context) error {
+		report, err := m.Orderer.Report(ctx, endpoint)
+		leaving := false
+		if err == nil && first {
+			healthy, healthErr := m.Orderer.Healthy(ctx, endpoint, healthPath)
+			leaving = healthErr == nil && !healthy
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.probing, id)
+		m.noteUnlisted(time.Now(), n, report, leaving, err)
+		return nil
+	})
+}
+
+func (m *Manager) noteUnlisted(now time.Time, n *note, report fleet.Report, leaving bool, err error) {
+	u := &n.unlisted
+	if u.since.IsZero() {
+		return // its entry is back
+	}
+	if err != nil {
+		u.fails++
+		u.ended = redwinghall.KindOf[platform.Kind](err) == platform.Ended
+		if h, ok := m.headers[n.worker.Member.Group]; ok && h.endpoint.ID == n.worker.Endpoint.ID {
+			h.gone = h.gone || u.ended
+		}
+		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "ended", u.ended, "err", err)
+		return
+	}
+	u.fails, u.answered = 0, now
+	n.worker.Endpoint = n.worker.Endpoint.WithReport(report)
+	if leaving && n.worker.DrainingSince.IsZero() {
+		klog.InfoS("unlisted_leaving", "endpoint", n.worker.Endpoint.ID, "group", report.Member.Group)
+		n.worker.DrainingSince = now
+		n.worker.Endpoint = n.worker.Endpoint.WithState(fleet.EndpointDraining)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -206,7 +206,10 @@
 	if err != nil {
 		return streamTry{err: redwinghall.NewOpError("streamCall.exchange", Unknown, err)}
 	}
-	c.g.Metrics.Streamed(c.r, c.started.Sub(c.r.Arrived), c.slowest, time.Since(c.r.Arrived))
+	first, took := c.started.Sub(c.r.Arrived), time.Since(c.r.Arrived)
+	klog.InfoS("streamed", "request", c.r.Ask.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "zone", choice.Endpoint.Zone,
+		"running", choice.Running, "predicted", choice.Predicted, "first", first, "pause", c.slowest, "took", took, "attempts", c.sent.Load())
+	c.g.Metrics.Streamed(c.r, first, c.slowest, took)
 	return streamTry{done: true}
 }
 
--- a/members/members.go
+++ b/members/members.go
@@ -30,8 +30,9 @@
 	leaseDuration = 3500 * time.Millisecond
 	leaseMargin   = 700 * time.Millisecond
 	// foreignDelay is how much longer a node waits before it takes the lease of
-	// a zone that is not its own: the zone's own nodes go first.
-	foreignDelay = 5 * time.Second
+	// a zone that is not its own: the zone's own nodes go first, and a zone that
+	// is cut off for a while is better left as it is.
+	foreignDelay = 15 * time.Second
 	// announceInterval is how often a node writes its row, and goneAfter how
 	// long an unchanged row still counts.
 	announceInterval = 5 * time.Second
@@ -81,7 +82,8 @@
 	// version is the newest version of the store that this node knows.
 	version atomic.Int64
 	// held are the zones whose lease this node has, with the ends of the leases.
-	held atomic.Pointer[map[string]time.Time]
+	held    atomic.Pointer[map[string]time.Time]
+	holders atomic.Pointer[map[string]string] // names, by zone
 }
 
 // NewTable returns a table that knows nothing yet.
@@ -96,6 +98,7 @@
 	}
 	t.nodes.Store(&[]Node{config.Self})
 	t.held.Store(&map[string]time.Time{})
+	t.holders.Store(&map[string]string{})
 	return t
 }
 
@@ -108,6 +111,28 @@
 	return ok && boot.Before(until)
 }
 
+// Holder returns the node that holds a zone's lease, as far as known.
+func (t *Table) Holder(zone string) (Node, bool) {
+	name := (*t.holders.Load())[zone]
+	for _, node := range t.Nodes() {
+		if node.Name == name && name != "" {
+			return node, true
+		}
+	}
+	return Node{}, false
+}
+
+// Zone returns the nodes of this node's zone, itself included.
+func (t *Table) Zone() []Node {
+	var same []Node
+	for _, node := range t.Nodes() {
+		if node.Zone == t.config.Self.Zone {
+			same = append(same, node)
+		}
+	}
+	return same
+}
+
 // Version returns the newest version of the store that this node has seen.
 func (t *Table) Version() int64 { return t.version.Load() }
 
@@ -218,6 +243,10 @@
 	state := t.leases[zone]
 	own := zone == t.config.Self.Zone
 	action := state.Next(boot)
+	if !own && state.Holder() == t.config.Self.Name && (action == lease.Take || t.lives(zone, boot)) {
+		t.release(ctx, zone, boot)
+		return true
+	}
 	if !own && action == lease.Take {
 		// The zone's own nodes go first, also right after all have started.
 		action = state.Next(boot.Add(-foreignDelay))
@@ -236,6 +265,29 @@
 	return true
 }
 
+// lives reports whether a node of a zone announced itself lately.
+func (t *Table) lives(zone string, boot time.Time) bool {
+	for _, s := range t.seen {
+		if s.node.Zone == zone && boot.Sub(s.since) < announceInterval+listInterval {
+			return true
+		}
+	}
+	return false
+}
+
+// release gives a lease up, so that the zone's own nodes need not wait for its end.
+func (t *Table) release(ctx context.Context, zone string, boot time.Time) {
+	txn, next := t.leases[zone].Release(zone, fmt.Sprintf("%s-leave-%d", t.config.Self.Name, boot.UnixNano()))
+	t.leases[zone] = next
+	t.publishHeld()
+	if _, err := t.store.Commit(ctx, ofLease(txn)); err != nil {
+		klog.InfoS("lease_not_given_up", "zone", zone, "err", err)
+	} else {
+		klog.InfoS("lease_given_up", "zone", zone)
+	}
+	t.lastList = time.Time{}
+}
+
 // write takes or renews a lease. The lease counts from the sending.
 func (t *Table) write(ctx context.Context, zone string, action lease.Action, boot time.Time) {
 	state := t.leases[zone]
@@ -279,13 +331,19 @@
 }
 
 func (t *Table) publishHeld() {
-	held := map[string]time.Time{}
+	if t.stopped {
+		t.held.Store(&map[string]time.Time{})
+		return
+	}
+	held, holders := map[string]time.Time{}, map[string]string{}
 	for zone, state := range t.leases {
+		holders[zone] = state.Holder()
 		if state.Holder() == t.config.Self.Name && !state.HeldUntil().IsZero() {
 			held[zone] = state.HeldUntil()
 		}
 	}
 	t.held.Store(&held)
+	t.holders.Store(&holders)
 }
 
 // Leave gives up the leases and takes this node's row away, so that others
@@ -294,19 +352,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
-	t.held.Store(&map[string]time.Time{})
 	boot := kernel.BootTime()
 	for zone, state := range t.leases {
 		if !state.Holds(boot) {
 			continue
 		}
-		txn, next := state.Release(zone, fmt.Sprintf("%s-leave-%d", t.config.Self.Name, boot.UnixNano()))
-		t.leases[zone] = next
-		if _, err := t.store.Commit(ctx, ofLease(txn)); err != nil {
-			klog.InfoS("lease_not_given_up", "zone", zone, "err", err)
-			continue
-		}
-		klog.InfoS("lease_given_up", "zone", zone)
+		t.release(ctx, zone, boot)
 	}
 	_, err := t.store.Commit(ctx, fleet.Txn{Deletes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name}}})
 	if err != nil {
--- /dev/null
+++ b/neighbor/board.go
@@ -0,0 +1,84 @@
+package neighbor
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"redwinghall/balance"
+	"redwinghall/neighbor/rpc"
+)
+
+// boardTrust is how long a node's last word on its loads counts.
+const boardTrust = time.Second
+
+// Board gathers what the nodes of a zone have at each endpoint.
+type Board struct {
+	mu    sync.Mutex
+	nodes map[string]boardEntry
+}
+
+type boardEntry struct {
+	at    time.Time
+	loads map[string]balance.Load
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{nodes: map[string]boardEntry{}} }
+
+// Put notes a node's loads.
+func (b *Board) Put(now time.Time, node string, loads map[string]balance.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes[node] = boardEntry{at: now, loads: loads}
+}
+
+// Others returns the sum of what all nodes but one have, as far as they said so lately.
+func (b *Board) Others(now time.Time, but string) map[string]balance.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := map[string]balance.Load{}
+	for node, entry := range b.nodes {
+		if now.Sub(entry.at) > boardTrust {
+			delete(b.nodes, node)
+			continue
+		}
+		if node == but {
+			continue
+		}
+		for id, load := range entry.loads {
+			sum[id] = sum[id].With(load)
+		}
+	}
+	return sum
+}
+
+func encodeLoads(loads map[string]balance.Load) []*rpc.Load {
+	out := make([]*rpc.Load, 0, len(loads))
+	for id, l := range loads {
+		out = append(out, &rpc.Load{
+			Endpoint: id, Requests: int32(l.Requests), Unstarted: int32(l.Unstarted), UnreadTokens: int32(l.Unread), //nolint:gosec // small counts
+		})
+	}
+	return out
+}
+
+func decodeLoads(loads []*rpc.Load) map[string]balance.Load {
+	out := make(map[string]balance.Load, len(loads))
+	for _, l := range loads {
+		out[l.GetEndpoint()] = balance.Load{
+			Requests: int(l.GetRequests()), Unstarted: int(l.GetUnstarted()), Unread: int(l.GetUnreadTokens()),
+		}
+	}
+	return out
+}
+
+// dialer gives up on a node that doesn't answer, and finds connections that
+// went silent.
+func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	return d.DialContext
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -43,7 +43,7 @@
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
 		Handler: n.smallRoutes(), ReadHeaderTimeout: smallHeaderTimeout,
 	}
-	for _, server := range []*http.Server{callers, readiness, figures} {
+	for _, server := range []*http.Server{callers, readiness, figures, n.neighborServer()} {
 		if err := serve(g, server); err != nil {
 			return err
 		}
--- /dev/null
+++ b/node/neighbors.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall/balance"
+	"redwinghall/kernel"
+	"redwinghall/neighbor"
+	"redwinghall/relay"
+)
+
+// shareInterval is how often a node says how much it has at each endpoint. A
+// node of a large zone sees a small part of the load itself; between two words
+// a group gets about one request that others don't know of.
+const shareInterval = 150 * time.Millisecond
+
+// peers returns the nodes of this zone.
+func (n *Node) peers() []relay.Peer {
+	var peers []relay.Peer
+	for _, one := range n.table.Zone() {
+		peers = append(peers, relay.Peer{Name: one.Name, Address: one.Address})
+	}
+	return peers
+}
+
+func (n *Node) internalAddress() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InternalFirst))
+}
+
+func (n *Node) neighborServer() *http.Server {
+	return &http.Server{
+		Addr: n.internalAddress(), ReadHeaderTimeout: smallHeaderTimeout,
+		Handler: neighbor.NewHandler(neighbor.Parts{
+			Mirror: n.source.Mirror, Board: n.board, Suspect: n.manager.Stalled, StoreAge: n.source.StoreAge,
+		}),
+	}
+}
+
+// startSharing tells the zone's nodes of each other's load. The first in rank
+// gathers it; the others ask it.
+func (n *Node) startSharing(g *kernel.Group) {
+	g.Every("share_loads", shareInterval, func(ctx context.Context, now time.Time) {
+		ranked := relay.Ranked(n.peers())
+		if len(ranked) < 2 {
+			return
+		}
+		own := n.tracker.Own()
+		if ranked[0].Name == n.settings.Node {
+			n.board.Put(now, n.settings.Node, own)
+			n.tracker.SetOthers(now, n.board.Others(now, n.settings.Node))
+			return
+		}
+		others, err := n.shareWith(ctx, ranked, own)
+		if err != nil {
+			klog.V(1).InfoS("loads_not_shared", "err", err)
+			return
+		}
+		n.tracker.SetOthers(time.Now(), others)
+	})
+}
+
+// shareWith tells the first node in rank that answers. A node that is not the
+// first gathers only what is told to it, which is then a part of the whole.
+func (n *Node) shareWith(ctx context.Context, ranked []relay.Peer, own map[string]balance.Load) (map[string]balance.Load, error) {
+	var errs error
+	for _, peer := range ranked[:min(2, len(ranked))] {
+		if peer.Name == n.settings.Node {
+			continue
+		}
+		others, err := n.neighbors.Share(ctx, peer.Address, n.settings.Node, own)
+		if err == nil {
+			return others, nil
+		}
+		errs = errors.Join(errs, err)
+	}
+	return nil, errs
+}
+
+// suspect tells the holder of an endpoint's zone that little moves there.
+func (n *Node) suspect(endpointID string) {
+	e, ok := n.book.View().Endpoints[endpointID]
+	if !ok {
+		return
+	}
+	holder, known := n.table.Holder(e.Zone)
+	if !known || holder.Name == n.settings.Node {
+		n.manager.Stalled(context.Background(), endpointID)
+		return
+	}
+	n.group.Go("suspect", func(ctx context.Context) error {
+		if err := n.neighbors.Suspect(ctx, holder.Address, endpointID); err != nil {
+			klog.InfoS("suspicion_not_told", "endpoint", endpointID, "holder", holder.Name, "err", err)
+		}
+		return nil
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -7,11 +7,9 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +22,9 @@
 	"redwinghall/gateway"
 	"redwinghall/kernel"
 	"redwinghall/members"
+	"redwinghall/neighbor"
 	"redwinghall/platform"
+	"redwinghall/relay"
 )
 
 const (
@@ -52,9 +52,14 @@
 	manager  *formation.Manager
 	follower *directory.Follower
 	metrics  *gateway.Metrics
-	stopping atomic.Bool // not ready any more
-	leaving  atomic.Bool // callers are sent elsewhere
-	conns    *connections
+	// source is the store, read by way of the zone's readers.
+	source    *relay.Source
+	neighbors *neighbor.Client
+	board     *neighbor.Board
+	group     *kernel.Group
+	stopping  atomic.Bool // not ready any more
+	leaving   atomic.Bool // callers are sent elsewhere
+	conns     *connections
 }
 
 // New assembles a node. path is where its settings came from.
@@ -62,13 +67,14 @@
 	store := platform.NewStore(s.StoreAddress)
 	n := &Node{
 		path: path, settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
-		metrics: gateway.NewMetrics(), conns: newConnections(),
+		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), board: neighbor.NewBoard(),
 	}
+	n.source = relay.NewSource(store, n.neighbors, s.Node, n.peers)
 	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
-		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.InternalFirst))},
+		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress()},
 		Zones: s.Zones,
-	}, store)
+	}, n.source)
 	n.manager = formation.NewManager(formation.Options{
 		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
 		Holds: func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
@@ -77,9 +83,9 @@
 	n.gateway = gateway.New(gateway.Options{
 		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
 		Shares:  func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes())} },
-		Stalled: func(id string) { n.manager.Stalled(context.Background(), id) },
+		Stalled: n.suspect,
 	})
-	n.follower = directory.NewFollower(store, n.book, n.manager.Pending)
+	n.follower = directory.NewFollower(n.source, n.book, n.manager.Pending)
 	return n
 }
 
@@ -101,6 +107,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	tune(n.settings)
 	g := kernel.NewGroup(context.Background())
+	n.group = g
 	if err := n.listen(g); err != nil {
 		g.Stop()
 		return err
@@ -111,9 +118,10 @@
 	n.startReload(g)
 	n.table.Start(g)
 	n.manager.Start(g)
-	g.Every("slow_groups", slowInterval, func(ctx context.Context, now time.Time) {
+	n.startSharing(g)
+	g.Every("slow_groups", slowInterval, func(_ context.Context, now time.Time) {
 		for _, id := range n.tracker.Slow(now) {
-			n.manager.Stalled(ctx, id)
+			n.suspect(id)
 		}
 	})
 	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) { n.tracker.Forget(now) })
--- /dev/null
+++ b/relay/mirror.go
@@ -0,0 +1,149 @@
+// Package relay spreads what a few nodes of a zone read from the store to the
+// others, so that the calls to the store don't grow with the number of nodes.
+package relay
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"redwinghall"
+	"redwinghall/fleet"
+)
+
+// keepRemoved is how long a removed row is remembered for those that follow;
+// who is further behind lists again.
+const keepRemoved = time.Minute
+
+// Mirror is one table as this node last read it from the store.
+type Mirror struct {
+	mu      sync.Mutex
+	rows    map[string]fleet.Row
+	removed map[string]time.Time // when a row was seen to be gone
+	version int64
+	// oldest is the version below which removals are forgotten.
+	oldest int64
+	readAt time.Time
+	// whole says that nothing between the last list and version is missing.
+	whole   bool
+	changed chan struct{}
+}
+
+// NewMirror returns a mirror of a table that was never read.
+func NewMirror() *Mirror {
+	return &Mirror{rows: map[string]fleet.Row{}, removed: map[string]time.Time{}, changed: make(chan struct{})}
+}
+
+// Listed takes in a whole table. Rows that it lacks are gone as of its version.
+func (m *Mirror) Listed(now time.Time, rows fleet.Rows) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows = map[string]fleet.Row{}
+	m.removed = map[string]time.Time{}
+	m.oldest = rows.Version
+	m.whole = true
+	m.take(now, rows)
+}
+
+// Follows reports whether changes after a version would leave no gap.
+func (m *Mirror) Follows(after int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.whole && after <= m.version
+}
+
+// Changed takes in changes of the table after a version.
+func (m *Mirror) Changed(now time.Time, after int64, rows fleet.Rows) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.whole = m.whole && after <= m.version
+	m.take(now, rows)
+	for key, at := range m.removed {
+		if now.Sub(at) > keepRemoved {
+			m.oldest = max(m.oldest, m.rows[key].Version)
+			delete(m.removed, key)
+			delete(m.rows, key)
+		}
+	}
+}
+
+// take stores rows and wakes who waits. The lock is held.
+func (m *Mirror) take(now time.Time, rows fleet.Rows) {
+	for _, row := range rows.Rows {
+		m.rows[row.Key] = row
+		delete(m.removed, row.Key)
+		if row.Removed {
+			m.removed[row.Key] = now
+		}
+	}
+	m.version = max(m.version, rows.Version)
+	m.readAt = now
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Answer is what a mirror says, and how long ago the store last confirmed it.
+type Answer struct {
+	Rows fleet.Rows
+	Age  time.Duration
+}
+
+// List returns the table without removed rows.
+func (m *Mirror) List(now time.Time) (Answer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.whole {
+		return Answer{}, redwinghall.NewOpError("Mirror.List", fleet.StoreUnavailable, nil)
+	}
+	answer := Answer{Rows: fleet.Rows{Version: m.version}, Age: now.Sub(m.readAt)}
+	for _, row := range m.rows {
+		if !row.Removed {
+			answer.Rows.Rows = append(answer.Rows.Rows, row)
+		}
+	}
+	sortRows(answer.Rows.Rows)
+	return answer, nil
+}
+
+// Changes returns what changed after a version, and waits up to wait for it.
+func (m *Mirror) Changes(ctx context.Context, after int64, wait time.Duration) (Answer, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		answer, changed, err := m.after(time.Now(), after)
+		if err != nil || len(answer.Rows.Rows) > 0 {
+			return answer, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return answer, nil
+		case <-ctx.Done():
+			return Answer{}, redwinghall.NewOpError("Mirror.Changes", fleet.StoreUnavailable, ctx.Err())
+		}
+	}
+}
+
+func (m *Mirror) after(now time.Time, after int64) (Answer, chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.whole {
+		return Answer{}, nil, redwinghall.NewOpError("Mirror.Changes", fleet.StoreUnavailable, nil)
+	}
+	if after < m.oldest {
+		return Answer{}, nil, redwinghall.NewOpError("Mirror.Changes", fleet.StoreHistoryGone, nil)
+	}
+	answer := Answer{Rows: fleet.Rows{Version: max(after, m.version)}, Age: now.Sub(m.readAt)}
+	for _, row := range m.rows {
+		if row.Version > after {
+			answer.Rows.Rows = append(answer.Rows.Rows, row)
+		}
+	}
+	sortRows(answer.Rows.Rows)
+	return answer, m.changed, nil
+}
+
+func sortRows(rows []fleet.Row) {
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Version < rows[j].Version })
+}
--- /dev/null
+++ b/relay/source.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+)
+
+// Who reads the store, and when others stop trusting a reader.
+const (
+	// ReadersPerZone nodes of a zone read the store themselves. With three, one
+	// may be down and one cut off without the others having to read.
+	ReadersPerZone = 3
+	// staleAfter is the age from which a reader's word is not taken: a reader
+	// that lost the store would keep others from what they could read
+	// themselves, and configurations have to be in force within 2 s.
+	staleAfter = 1200 * time.Millisecond
+	// avoidFor is how long a reader that failed is left alone.
+	avoidFor = 3 * time.Second
+)
+
+// Asker asks another node for what it read.
+type Asker interface {
+	List(ctx context.Context, address, table string) (Answer, error)
+	Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (Answer, error)
+}
+
+// Peer is a node of the same zone.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// Source is a store whose tables are read from the zone's readers where that
+// will do. Transactions always go to the store.
+type Source struct {
+	store fleet.Store
+	asker Asker
+	self  string
+	// peers returns the nodes of this zone, this one included.
+	peers func() []Peer
+
+	mu      sync.Mutex
+	mirrors map[string]*Mirror
+	avoid   map[string]time.Time
+	// answered is when the store last answered this node itself, in Unix nanoseconds.
+	answered atomic.Int64
+}
+
+var _ fleet.Store = (*Source)(nil)
+
+// NewSource returns a source in front of a store.
+func NewSource(store fleet.Store, asker Asker, self string, peers func() []Peer) *Source {
+	return &Source{store: store, asker: asker, self: self, peers: peers, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}}
+}
+
+// Mirror returns what this node read of a table.
+func (s *Source) Mirror(table string) *Mirror {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.mirrors[table]
+	if !ok {
+		m = NewMirror()
+		s.mirrors[table] = m
+	}
+	return m
+}
+
+// StoreAge returns how long ago the store last answered this node itself.
+func (s *Source) StoreAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, s.answered.Load()))
+}
+
+// List implements fleet.Store.
+func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
+	if peer, ok := s.reader(time.Now()); ok {
+		answer, err := s.asker.List(ctx, peer.Address, table)
+		if s.trusts(peer, table, answer, err) {
+			return answer.Rows, nil
+		}
+	}
+	rows, err := s.store.List(ctx, table)
+	if err == nil {
+		s.noteAnswer()
+		s.Mirror(table).Listed(time.Now(), rows)
+	}
+	return rows, err
+}
+
+// Changes implements fleet.Store.
+func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+	if peer, ok := s.reader(time.Now()); ok {
+		answer, err := s.asker.Changes(ctx, peer.Address, table, after, wait)
+		if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
+			return fleet.Rows{}, err
+		}
+		if s.trusts(peer, table, answer, err) {
+			return answer.Rows, nil
+		}
+	} else if s.reads() && !s.Mirror(table).Follows(after) {
+		// Others will ask this node: it needs the whole table first.
+		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
+	}
+	rows, err := s.store.Changes(ctx, table, after, wait)
+	if err == nil {
+		s.noteAnswer()
+		s.Mirror(table).Changed(time.Now(), after, rows)
+	}
+	return rows, err
+}
+
+// Commit implements fleet.Store.
+func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (int64, error) {
+	version, err := s.store.Commit(ctx, txn)
+	if err == nil {
+		s.noteAnswer()
+	}
+	return version, err
+}
+
+func (s *Source) noteAnswer() { s.answered.Store(time.Now().UnixNano()) }
+
+// reader returns the node to ask. There is none where this node is a reader
+// itself, or knows none that works.
+func (s *Source) reader(now time.Time) (Peer, bool) {
+	readers := s.readers()
+	if among(readers, s.self) {
+		return Peer{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	start := int(xxhash.Sum64String(s.self) % uint64(max(1, len(readers))))
+	for i := range readers {
+		one := readers[(start+i)%len(readers)]
+		if now.After(s.avoid[one.Name]) {
+			return one, true
+		}
+	}
+	return Peer{}, false
+}
+
+// readers returns the nodes of the zone that read the store themselves.
+func (s *Source) readers() []Peer {
+	ranked := Ranked(s.peers())
+	return ranked[:min(ReadersPerZone, len(ranked))]
+}
+
+// reads reports whether this node is one of them.
+func (s *Source) reads() bool { return among(s.readers(), s.self) }
+
+func among(peers []Peer, name string) bool {
+	for _, one := range peers {
+		if one.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// trusts reports whether a reader's answer may be used, and avoids the reader
+// for a while if not.
+func (s *Source) trusts(peer Peer, table string, answer Answer, err error) bool {
+	if err == nil && answer.Age <= staleAfter {
+		return true
+	}
+	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoid[peer.Name] = time.Now().Add(avoidFor)
+	return false
+}
+
+// Ranked returns nodes in an order that all nodes agree on and that doesn't
+// change for those that stay when others come and go.
+func Ranked(peers []Peer) []Peer {
+	ranked := append([]Peer(nil), peers...)
+	for i := 1; i < len(ranked); i++ {
+		for j := i; j > 0 && rank(ranked[j]) < rank(ranked[j-1]); j-- {
+			ranked[j], ranked[j-1] = ranked[j-1], ranked[j]
+		}
+	}
+	return ranked
+}
+
+func rank(p Peer) uint64 { return xxhash.Sum64String(p.Name) }
