Read and commit by way of other nodes where the store can't be reached; keep groups open whose streams advance

Cause: four of six nodes were cut off from the store for 10 s, both nodes of a zone among them, so that nobody managed its groups; groups were closed because a silent member without an entry was taken for lost although streams advanced.

--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -342,3 +342,14 @@
 	}
 	return slow
 }
+
+// movesFor is how long after an event a group counts as moving.
+const movesFor = time.Second
+
+// Moves reports whether this node saw an event of an endpoint lately.
+func (t *Tracker) Moves(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.states[id]
+	return ok && now.Sub(s.lastEvent) < movesFor
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -52,6 +52,8 @@
 	Version func() int64
 	// Begun reports whether requests have come yet.
 	Begun func() bool
+	// Moves reports whether this node saw a stream of an endpoint advance lately.
+	Moves func(now time.Time, endpointID string) bool
 }
 
 // Manager forms the groups of the zones whose lease this node holds.
@@ -155,7 +157,7 @@
 // something is under way.
 func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, service fleet.Service, endpoints []*fleet.Endpoint) bool {
 	engine := service.Engine
-	z := &Zone{Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
+	z := &Zone{Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
 	pending := false
 	for _, e := range endpoints {
 		if e.Zone != zone {
@@ -215,7 +217,7 @@
 	n.unlisted = unlisted{}
 	w := &n.worker
 	w.Endpoint = e
-	w.Unlisted = false
+	w.Unlisted, w.Silent = false, false
 	w.Suspect = now.Before(n.suspect)
 	w.Slow = now.Before(n.slow)
 	if e.State == fleet.EndpointReady {
@@ -280,13 +282,13 @@
 func (m *Manager) askHeads(ctx context.Context, now time.Time, z *Zone) {
 	present := map[string]bool{}
 	for _, w := range z.Workers {
-		if w.Member.Rank == 0 && !w.Suspect {
+		if w.Member.Rank == 0 && !w.Suspect && !w.Silent {
 			present[w.Member.Group] = true
 		}
 	}
 	for _, w := range z.Workers {
 		name := w.Member.Group
-		if name == "" || present[name] || w.Suspect {
+		if name == "" || present[name] || w.Suspect || w.Silent {
 			continue
 		}
 		h, known := m.headers[name]
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -74,12 +74,14 @@
 	// Unlisted says that its entry is missing but it answers: it can be a
 	// member, but no head, as requests don't go to it.
 	Unlisted bool
+	// Silent says that it is unlisted and doesn't answer this node.
+	Silent bool
 
 	loading string // the model that it takes in as a standby
 }
 
 func (w *Worker) usable() bool {
-	return !w.Suspect && w.Endpoint.State == fleet.EndpointReady
+	return !w.Suspect && !w.Silent && w.Endpoint.State == fleet.EndpointReady
 }
 
 func (w *Worker) ordered(kind fleet.OrderKind, now time.Time, within time.Duration) bool {
@@ -110,6 +112,8 @@
 type Zone struct {
 	Engine  *fleet.Engine
 	Workers []*Worker
+	// Moves reports whether a head's streams advance.
+	Moves func(endpointID string) bool
 	// HeadGone holds the groups whose head's process is known to have ended.
 	HeadGone map[string]bool
 	// Fresh says that no request has come yet: loads are quick and free.
@@ -154,13 +158,24 @@
 // only says that it leaves.
 func (g *group) lost() bool {
 	for rank := range g.size() {
-		if w := g.byRank[rank]; w == nil || w.Suspect {
+		if w := g.byRank[rank]; w == nil || w.Suspect || w.Silent {
 			return true
 		}
 	}
 	return false
 }
 
+// onlySilent reports whether all that is wrong is that members without an
+// entry don't answer this node.
+func (g *group) onlySilent() bool {
+	for rank := range g.size() {
+		if w := g.byRank[rank]; w == nil || w.Suspect || (!w.Silent && !w.usable()) {
+			return false
+		}
+	}
+	return g.known
+}
+
 // slow reports whether a member holds the whole group up.
 func (g *group) slow() bool {
 	for _, w := range g.byRank {
@@ -274,7 +289,7 @@
 	switch {
 	case g.standby:
 		p.release(g)
-	case g.head() == nil || g.head().Suspect:
+	case g.head() == nil || g.head().Suspect || g.head().Silent:
 		p.headless(g)
 	case g.head().Member.State == fleet.Open && g.head().Unlisted:
 		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "head_unlisted")
@@ -305,6 +320,10 @@
 		if g.slow() {
 			p.draining = append(p.draining, g)
 		}
+	case g.onlySilent() && p.zone.Moves(g.head().Endpoint.ID):
+		// Members that are cut off from here and from the store may still serve
+		// with the others: what the streams show goes first.
+		p.count(g)
 	case g.lost() || !g.known:
 		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "member_lost")
 	default:
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -60,10 +60,8 @@
 			continue
 		}
 		m.askUnlisted(ctx, now, n, healthPath)
-		if !u.counts(now) {
-			continue
-		}
 		n.worker.Unlisted = true
+		n.worker.Silent = !u.counts(now)
 		n.worker.Suspect = now.Before(n.suspect)
 		n.worker.Slow = now.Before(n.slow)
 		m.noteMember(now, n)
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -35,6 +35,8 @@
 	Board    *Board
 	Suspect  func(ctx context.Context, endpointID string)
 	StoreAge func(now time.Time) time.Duration
+	// Commit carries out a transaction at the store itself.
+	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
 }
 
 // Server answers other nodes.
@@ -79,6 +81,48 @@
 	return &rpc.SuspectResponse{}, nil
 }
 
+// Commit implements rpc.Neighbor.
+func (s *Server) Commit(ctx context.Context, in *rpc.CommitRequest) (*rpc.CommitResponse, error) {
+	version, err := s.parts.Commit(ctx, decodeTxn(in))
+	switch redwinghall.KindOf[fleet.StoreKind](err) {
+	case "":
+		return &rpc.CommitResponse{Version: version}, nil
+	case fleet.StoreConflict:
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	case fleet.StoreUnavailable:
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return nil, twirp.NewError(twirp.Unknown, err.Error())
+}
+
+func decodeTxn(in *rpc.CommitRequest) fleet.Txn {
+	var txn fleet.Txn
+	for _, e := range in.GetExpects() {
+		txn.Expects = append(txn.Expects, fleet.Expect{Table: e.GetTable(), Key: e.GetKey(), Version: e.GetVersion()})
+	}
+	for _, w := range in.GetWrites() {
+		txn.Writes = append(txn.Writes, fleet.Row{Table: w.GetTable(), Key: w.GetKey(), Value: w.GetValue()})
+	}
+	for _, d := range in.GetDeletes() {
+		txn.Deletes = append(txn.Deletes, fleet.Row{Table: d.GetTable(), Key: d.GetKey()})
+	}
+	return txn
+}
+
+func encodeTxn(txn fleet.Txn) *rpc.CommitRequest {
+	out := &rpc.CommitRequest{}
+	for _, e := range txn.Expects {
+		out.Expects = append(out.Expects, &rpc.Condition{Table: e.Table, Key: e.Key, Version: e.Version})
+	}
+	for _, w := range txn.Writes {
+		out.Writes = append(out.Writes, &rpc.Write{Table: w.Table, Key: w.Key, Value: w.Value})
+	}
+	for _, d := range txn.Deletes {
+		out.Deletes = append(out.Deletes, &rpc.Write{Table: d.Table, Key: d.Key})
+	}
+	return out
+}
+
 // Reach implements rpc.Neighbor.
 func (s *Server) Reach(context.Context, *rpc.ReachRequest) (*rpc.ReachResponse, error) {
 	return &rpc.ReachResponse{StoreAgeMs: s.parts.StoreAge(time.Now()).Milliseconds()}, nil
@@ -142,6 +186,27 @@
 	return c.decodeAnswer("Client.Changes", table, out, err)
 }
 
+// Commit implements relay.Asker.
+func (c *Client) Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := c.at(address).Commit(ctx, encodeTxn(txn))
+	if err == nil {
+		return out.GetVersion(), nil
+	}
+	kind := fleet.StoreUnknown
+	if twerr, ok := err.(twirp.Error); ok { //nolint:errorlint // the library returns it bare
+		switch twerr.Code() {
+		case twirp.FailedPrecondition:
+			kind = fleet.StoreConflict
+		case twirp.Unavailable:
+			kind = fleet.StoreUnavailable
+		default:
+		}
+	}
+	return 0, redwinghall.NewOpError("Client.Commit", kind, err)
+}
+
 // Share hands over this node's loads and returns the sum of the others'.
 func (c *Client) Share(ctx context.Context, address, node string, loads map[string]balance.Load) (map[string]balance.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -33,6 +33,17 @@
 // peers returns the nodes of this zone.
 func (n *Node) peers() []relay.Peer { return n.peersOf(n.settings.Zone) }
 
+// foreigners returns the nodes of the other zones.
+func (n *Node) foreigners() []relay.Peer {
+	var peers []relay.Peer
+	for _, zone := range n.settings.Zones {
+		if zone != n.settings.Zone {
+			peers = append(peers, n.peersOf(zone)...)
+		}
+	}
+	return peers
+}
+
 // peersOf returns the nodes of a zone.
 func (n *Node) peersOf(zone string) []relay.Peer {
 	var peers []relay.Peer
@@ -53,6 +64,7 @@
 		Addr: n.internalAddress(), ReadHeaderTimeout: smallHeaderTimeout,
 		Handler: neighbor.NewHandler(neighbor.Parts{
 			Mirror: n.source.Mirror, Board: n.board, Suspect: n.manager.Stalled, StoreAge: n.source.StoreAge,
+			Commit: n.source.CommitDirect,
 		}),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -69,7 +69,7 @@
 		path: path, settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), board: neighbor.NewBoard(),
 	}
-	n.source = relay.NewSource(store, n.neighbors, s.Node, n.peers)
+	n.source = relay.NewSource(store, n.neighbors, s.Node, n.peers, n.foreigners)
 	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress()},
@@ -79,6 +79,7 @@
 		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
 		Holds: func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
 		Begun: func() bool { return n.gateway.Served() > 0 },
+		Moves: n.tracker.Moves,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
--- a/relay/source.go
+++ b/relay/source.go
@@ -25,6 +25,8 @@
 	// readerWait is the longest wait of a reader that others follow: its word
 	// is then never older than 0.8 s while it reaches the store.
 	readerWait = 700 * time.Millisecond
+	// awayAfter is the silence of the store from which a node asks for help only.
+	awayAfter = 3 * time.Second
 	// avoidFor is how long a reader that failed is left alone.
 	avoidFor = 3 * time.Second
 )
@@ -33,6 +35,7 @@
 type Asker interface {
 	List(ctx context.Context, address, table string) (Answer, error)
 	Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (Answer, error)
+	Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error)
 }
 
 // Peer is a node of the same zone.
@@ -47,8 +50,10 @@
 	store fleet.Store
 	asker Asker
 	self  string
-	// peers returns the nodes of this zone, this one included.
-	peers func() []Peer
+	// peers returns the nodes of this zone, this one included; others those of
+	// the other zones.
+	peers  func() []Peer
+	others func() []Peer
 
 	mu      sync.Mutex
 	mirrors map[string]*Mirror
@@ -60,8 +65,8 @@
 var _ fleet.Store = (*Source)(nil)
 
 // NewSource returns a source in front of a store.
-func NewSource(store fleet.Store, asker Asker, self string, peers func() []Peer) *Source {
-	return &Source{store: store, asker: asker, self: self, peers: peers, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}}
+func NewSource(store fleet.Store, asker Asker, self string, peers, others func() []Peer) *Source {
+	return &Source{store: store, asker: asker, self: self, peers: peers, others: others, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}}
 }
 
 // Mirror returns what this node read of a table.
@@ -83,16 +88,16 @@
 
 // List implements fleet.Store.
 func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
+	list := func(peer Peer) (Answer, error) { return s.asker.List(ctx, peer.Address, table) }
 	if peer, ok := s.reader(time.Now()); ok {
-		answer, err := s.asker.List(ctx, peer.Address, table)
-		if s.trusts(peer, table, answer, err) {
-			return answer.Rows, nil
+		if rows, err := s.ask(peer, table, list); err == nil {
+			return rows, nil
 		}
 	}
 	rows, err := s.store.List(ctx, table)
 	if err != nil {
 		s.Mirror(table).Lost()
-		return rows, err
+		return s.askOthers(table, err, list)
 	}
 	s.noteAnswer()
 	s.Mirror(table).Listed(time.Now(), rows)
@@ -101,28 +106,113 @@
 
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+	changes := func(peer Peer) (Answer, error) { return s.asker.Changes(ctx, peer.Address, table, after, wait) }
 	if peer, ok := s.reader(time.Now()); ok {
-		answer, err := s.asker.Changes(ctx, peer.Address, table, after, wait)
-		if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
-			return fleet.Rows{}, err
-		}
-		if s.trusts(peer, table, answer, err) {
-			return answer.Rows, nil
+		rows, err := s.ask(peer, table, changes)
+		if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
+			return rows, err
 		}
-	} else if s.reads() && !s.Mirror(table).Follows(after) {
+	} else if s.reads() && !s.away() && !s.Mirror(table).Follows(after) {
 		// Others will ask this node: it needs the whole table first.
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
 	rows, err := s.store.Changes(ctx, table, after, s.wait(wait))
 	if err != nil {
 		s.Mirror(table).Lost()
-		return rows, err
+		return s.askOthers(table, err, changes)
 	}
 	s.noteAnswer()
 	s.Mirror(table).Changed(time.Now(), after, rows)
 	return rows, nil
 }
 
+// Commit implements fleet.Store. A transaction that surely was not carried out
+// goes by way of another node.
+func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (int64, error) {
+	version, err := s.store.Commit(ctx, txn)
+	switch redwinghall.KindOf[fleet.StoreKind](err) {
+	case "", fleet.StoreConflict:
+		s.noteAnswer()
+		return version, err
+	case fleet.StoreUnavailable:
+	default:
+		return version, err
+	}
+	peer, ok := s.helper(time.Now())
+	if !ok {
+		return version, err
+	}
+	version, helped := s.asker.Commit(ctx, peer.Address, txn)
+	if redwinghall.KindOf[fleet.StoreKind](helped) == fleet.StoreUnavailable {
+		s.shun(peer)
+	}
+	return version, helped
+}
+
+// CommitDirect carries out another node's transaction at the store itself.
+func (s *Source) CommitDirect(ctx context.Context, txn fleet.Txn) (int64, error) {
+	return s.store.Commit(ctx, txn)
+}
+
+func (s *Source) noteAnswer() { s.answered.Store(time.Now().UnixNano()) }
+
+// away reports whether the store has not answered this node itself for a while.
+func (s *Source) away() bool { return s.StoreAge(time.Now()) > awayAfter }
+
+// askOthers reads from a node of another zone what this node can't read itself.
+//
+// Guard: some nodes may be turned away by the store, or be cut off from it,
+// while others are not. Without help they would send requests to endpoints
+// that left and to groups that closed, until the store answers them again.
+func (s *Source) askOthers(table string, cause error, read func(Peer) (Answer, error)) (fleet.Rows, error) {
+	if redwinghall.KindOf[fleet.StoreKind](cause) == fleet.StoreHistoryGone {
+		return fleet.Rows{}, cause
+	}
+	peer, ok := s.helper(time.Now())
+	if !ok {
+		return fleet.Rows{}, cause
+	}
+	rows, err := s.ask(peer, table, read)
+	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
+		return rows, err
+	}
+	return fleet.Rows{}, cause
+}
+
+// helper returns a node to ask for help: of this zone first, then of others.
+func (s *Source) helper(now time.Time) (Peer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, group := range [][]Peer{s.peers(), s.others()} {
+		for _, one := range Ranked(group) {
+			if one.Name != s.self && now.After(s.avoid[one.Name]) {
+				return one, true
+			}
+		}
+	}
+	return Peer{}, false
+}
+
+// ask reads from another node, and avoids it for a while if its word can't be used.
+func (s *Source) ask(peer Peer, table string, read func(Peer) (Answer, error)) (fleet.Rows, error) {
+	answer, err := read(peer)
+	switch {
+	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
+		return fleet.Rows{}, err
+	case err == nil && answer.Age <= staleAfter:
+		return answer.Rows, nil
+	}
+	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
+	s.shun(peer)
+	return fleet.Rows{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
+}
+
+func (s *Source) shun(peer Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoid[peer.Name] = time.Now().Add(avoidFor)
+}
+
 // wait bounds how long the store may keep a reader waiting that others follow:
 // its silence must show in time.
 func (s *Source) wait(wait time.Duration) time.Duration {
@@ -132,17 +222,6 @@
 	return wait
 }
 
-// Commit implements fleet.Store.
-func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (int64, error) {
-	version, err := s.store.Commit(ctx, txn)
-	if err == nil {
-		s.noteAnswer()
-	}
-	return version, err
-}
-
-func (s *Source) noteAnswer() { s.answered.Store(time.Now().UnixNano()) }
-
 // reader returns the node to ask. There is none where this node is a reader
 // itself, or knows none that works.
 func (s *Source) reader(now time.Time) (Peer, bool) {
@@ -180,19 +259,6 @@
 	return false
 }
 
-// trusts reports whether a reader's answer may be used, and avoids the reader
-// for a while if not.
-func (s *Source) trusts(peer Peer, table string, answer Answer, err error) bool {
-	if err == nil && answer.Age <= staleAfter {
-		return true
-	}
-	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.avoid[peer.Name] = time.Now().Add(avoidFor)
-	return false
-}
-
 // Ranked returns nodes in an order that all nodes agree on and that doesn't
 // change for those that stay when others come and go.
 func Ranked(peers []Peer) []Peer {
