Keep one spare a model in each domain, never join while a model loads, tell other processes at an address apart

Causes: both spares of a domain held the large model, so the loss of a small model's member took a load of 12 s; a join given just before a load was done began it anew; a report of the next process at an address was taken for the one that had ended, so that its group was closed again and again.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -349,6 +349,7 @@
 		}
 		if redwinghall.KindOf[platform.Kind](err) == platform.Ended {
 			n.suspect = time.Now().Add(suspectFor)
+			n.unlisted.ended = !n.unlisted.since.IsZero()
 		}
 		return nil
 	})
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -93,7 +93,8 @@
 func (w *Worker) joinTime(m fleet.Model, now time.Time) time.Duration {
 	switch {
 	case w.loading == m.Name:
-		return max(0, m.Load-now.Sub(w.ChangedAt)) + instantJoin
+		// Not before it is done: a join would start the load anew.
+		return max(0, m.Load-now.Sub(w.ChangedAt)) + m.Warm + instantJoin
 	case w.loading == "" && w.LastModel == m.Name:
 		return instantJoin
 	case w.loading == "" && w.Endpoint.HasStaged(m.Name):
@@ -636,7 +637,8 @@
 	var best fleet.Model
 	most := 0.0
 	for _, m := range p.zone.Engine.Models {
-		need := (float64(groups[m.Name]) + 0.1*m.Share) / float64(1+count[m.Name])
+		// The first spare covers most of a model's losses, a second one few.
+		need := (float64(groups[m.Name]) + 0.1*m.Share) / math.Pow(float64(1+count[m.Name]), 2)
 		if w.LastModel == m.Name || w.Endpoint.HasStaged(m.Name) || w.loading == m.Name {
 			need *= atHandBonus
 		}
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -20,6 +20,8 @@
 	unlistedProbe = 500 * time.Millisecond
 	// unlistedFails is how many questions without an answer make it lost.
 	unlistedFails = 2
+	// unlistedGone is how many make it not worth asking again.
+	unlistedGone = 6
 	// unlistedFor is how long an endpoint without an entry is asked at all.
 	unlistedFor = 40 * time.Second
 	notesFor    = 2 * time.Minute
@@ -111,7 +113,7 @@
 	}
 	if err != nil {
 		u.fails++
-		u.ended = redwinghall.KindOf[platform.Kind](err) == platform.Ended
+		u.ended = redwinghall.KindOf[platform.Kind](err) == platform.Ended || u.fails >= unlistedGone
 		if h, ok := m.headers[n.worker.Member.Group]; ok && h.endpoint.ID == n.worker.Endpoint.ID {
 			h.gone = h.gone || u.ended
 		}
