Let the head of a dissolved group leave first while an order to open it may still be carried out

Head and members now part in two steps; a head that left is known to have left, so that its members are not held for the stall time.

--- /dev/null
+++ b/formation/farm_test.go
@@ -0,0 +1,288 @@
+package formation_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"redwinghall"
+	"redwinghall/directory"
+	"redwinghall/fleet"
+	"redwinghall/platform"
+)
+
+// farm stands in for the endpoints of one zone, in virtual time. They carry out
+// orders, show their state in their entries with a lag, and watch over what
+// must hold of groups.
+type farm struct {
+	mu      sync.Mutex
+	book    *directory.Book
+	workers map[string]*farmWorker
+	ready   map[string]map[string]bool // workers that were ever ready, by group
+	broken  []string                   // what must not happen and did
+	loads   int
+	random  *rand.Rand
+	// lose is the share of orders that get no answer and are carried out late.
+	lose float64
+	// lag is how long a change takes to show in an entry.
+	lag time.Duration
+}
+
+type farmWorker struct {
+	fleet.Endpoint
+	dead, dark bool // ended; silent
+	unlisted   bool // its entry is missing, it works on
+	slow       float64
+	last       string // model of its last group
+	members    []string
+	highest    int64
+	gen        int
+}
+
+const farmService = "llm"
+
+func farmEngine() *fleet.Engine {
+	return &fleet.Engine{
+		Slots: 26, Stride: 6, LoadsPerSecond: 5.5, LoadsAtOnce: 8, Formation: 300 * time.Millisecond,
+		Models: []fleet.Model{
+			{Name: "large", Size: 6, Share: 0.67, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+			{Name: "small", Size: 3, Share: 0.33, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+		},
+	}
+}
+
+func newFarm(seed uint64, domains, size int) *farm {
+	f := &farm{
+		book: directory.NewBook(), workers: map[string]*farmWorker{}, ready: map[string]map[string]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), lag: 150 * time.Millisecond,
+	}
+	f.book.Apply(time.Now(), directory.Change{Config: &fleet.Configuration{
+		Version: 1, Services: map[string]fleet.Service{farmService: {Name: farmService, Engine: farmEngine()}},
+	}})
+	for d := range domains {
+		for i := range size {
+			f.add(fmt.Sprintf("d%d-%02d", d, i), fmt.Sprintf("d%d", d))
+		}
+	}
+	return f
+}
+
+func (f *farm) add(id, domain string) {
+	w := &farmWorker{Endpoint: fleet.Endpoint{
+		ID: id, Service: farmService, Address: id + ":80", Zone: "z", State: fleet.EndpointReady, Domain: domain, Born: 1,
+	}}
+	f.workers[id] = w
+	f.show(w)
+}
+
+// show writes a worker's entry as it is now, after the lag.
+func (f *farm) show(w *farmWorker) {
+	w.gen++
+	entry := w.Endpoint
+	entry.Revision = int64(w.gen)
+	entry.Staged = append([]string(nil), w.Staged...)
+	entry.Models = append([]string(nil), w.Models...)
+	if w.unlisted || w.dark || w.dead {
+		return
+	}
+	time.AfterFunc(f.lag, func() { f.book.Apply(time.Now(), directory.Change{Endpoint: &entry}) })
+}
+
+// hide takes a worker's entry away, as the store does after three heartbeats.
+func (f *farm) hide(id string, after time.Duration) {
+	time.AfterFunc(after, func() { f.book.Apply(time.Now(), directory.Change{Gone: id}) })
+}
+
+// kill ends a worker: its address refuses connections, or is silent if dark.
+func (f *farm) kill(id string, dark bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].dead, f.workers[id].dark = true, dark
+	f.hide(id, 3600*time.Millisecond)
+}
+
+// cutFromStore lets a worker's entry lapse while it works on.
+func (f *farm) cutFromStore(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].unlisted = true
+	f.hide(id, 3600*time.Millisecond)
+}
+
+var errFarm = errors.New("farm")
+
+func (f *farm) reach(e *fleet.Endpoint) (*farmWorker, error) {
+	w, ok := f.workers[e.ID]
+	switch {
+	case !ok || (w.dead && !w.dark):
+		return nil, redwinghall.NewOpError("farm.reach", platform.Ended, errFarm)
+	case w.dark:
+		return nil, redwinghall.NewOpError("farm.reach", platform.NoAnswer, errFarm)
+	}
+	return w, nil
+}
+
+// Order implements fleet.Orderer.
+func (f *farm) Order(_ context.Context, e *fleet.Endpoint, o fleet.Order) (fleet.Outcome, error) {
+	time.Sleep(3 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(e)
+	if err != nil {
+		return fleet.Refused, err
+	}
+	if f.random.Float64() < f.lose {
+		late := 2*time.Second + time.Duration(f.random.Float64()*10*float64(time.Second))
+		time.AfterFunc(late, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !w.dead {
+				f.carryOut(w, o)
+			}
+		})
+		return fleet.Unanswered, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
+	}
+	if f.carryOut(w, o) {
+		return fleet.Begun, nil
+	}
+	return fleet.Refused, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
+}
+
+func (f *farm) carryOut(w *farmWorker, o fleet.Order) bool {
+	switch o.Kind {
+	case fleet.OrderJoin:
+		return f.join(w, o)
+	case fleet.OrderOpen:
+		if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch || w.Member.Rank != 0 || w.Member.State != fleet.Ready {
+			return false
+		}
+		f.checkWhole(w)
+		w.Member.State = fleet.Open
+	case fleet.OrderClose:
+		if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch || (w.Member.State != fleet.Open && w.Member.State != fleet.Closing) {
+			return false
+		}
+		w.Member.State = fleet.Ready
+	case fleet.OrderLeave:
+		if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch {
+			return false
+		}
+		w.Member, w.members = fleet.Membership{}, nil
+	case fleet.OrderStage:
+	}
+	f.show(w)
+	return true
+}
+
+func (f *farm) join(w *farmWorker, o fleet.Order) bool {
+	if o.Epoch < w.highest {
+		return false
+	}
+	f.checkLeaving(w, o)
+	w.highest = o.Epoch
+	model, _ := farmEngine().Model(o.Model)
+	took := model.Load
+	switch {
+	case w.last == o.Model:
+		took = 200 * time.Millisecond
+	case w.HasStaged(o.Model):
+		took = model.Warm
+	default:
+		f.loads++
+	}
+	w.Member = fleet.Membership{Group: o.Group, Epoch: o.Epoch, State: fleet.Joining}
+	for rank, id := range o.Members {
+		if id == w.ID {
+			w.Member.Rank = rank
+		}
+	}
+	w.members, w.last = o.Members, o.Model
+	w.Models = nil
+	f.show(w)
+	time.AfterFunc(took, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.Member.Group == o.Group && w.Member.State == fleet.Joining && !w.dead {
+			w.Member.State = fleet.Ready
+			f.noteReady(o.Group, w.ID)
+			w.Models, w.Staged = []string{o.Model}, []string{o.Model}
+			f.show(w)
+		}
+	})
+	return true
+}
+
+func (f *farm) noteReady(group, id string) {
+	if f.ready[group] == nil {
+		f.ready[group] = map[string]bool{}
+	}
+	f.ready[group][id] = true
+}
+
+// checkWhole notes a group that opens with a member that was never ready in
+// it. One that was ready and left since may be lost to a late order.
+func (f *farm) checkWhole(head *farmWorker) {
+	for _, id := range head.members {
+		if !f.ready[head.Member.Group][id] {
+			f.broken = append(f.broken, fmt.Sprintf("%s opened while %s was never ready", head.Member.Group, id))
+		}
+	}
+}
+
+// checkLeaving notes a member that joins another group while its head is open.
+func (f *farm) checkLeaving(w *farmWorker, o fleet.Order) {
+	if w.Member.Group == "" || w.Member.Group == o.Group || len(w.members) < 2 {
+		return
+	}
+	head := f.workers[w.members[0]]
+	if head != nil && !head.dead && head.Member.Group == w.Member.Group && head.Member.State == fleet.Open {
+		f.broken = append(f.broken, fmt.Sprintf("%s joined %s while %s was open", w.ID, o.Group, w.Member.Group))
+	}
+}
+
+// Report implements fleet.Orderer.
+func (f *farm) Report(_ context.Context, e *fleet.Endpoint) (fleet.Report, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(e)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	return fleet.Report{Member: w.Member, Models: w.Models, Staged: w.Staged, Pace: max(1, w.slow), Born: w.Born}, nil
+}
+
+// Healthy implements fleet.Orderer.
+func (f *farm) Healthy(_ context.Context, e *fleet.Endpoint, _ string) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(e)
+	if err != nil {
+		return false, err
+	}
+	return w.State == fleet.EndpointReady, nil
+}
+
+// whole returns the open groups of a model whose members all live.
+func (f *farm) whole(model string) []*farmWorker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var heads []*farmWorker
+	for _, w := range f.workers {
+		if w.dead || w.Member.State != fleet.Open || len(w.Models) == 0 || w.Models[0] != model {
+			continue
+		}
+		alive := true
+		for _, id := range w.members {
+			m := f.workers[id]
+			alive = alive && !m.dead && m.Member.Group == w.Member.Group
+		}
+		if alive {
+			heads = append(heads, w)
+		}
+	}
+	return heads
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -36,6 +36,9 @@
 	// is the longest wait.
 	settleTime  = 500 * time.Millisecond
 	settleBound = 3 * time.Second
+	// lateOrders is how long after it was given an order without an answer may
+	// still be carried out.
+	lateOrders = 14 * time.Second
 	// probeAgain spaces questions to an endpoint that doesn't answer.
 	probeAgain = 500 * time.Millisecond
 )
@@ -67,6 +70,7 @@
 	arrivals map[string]*arrival    // by zone
 	sending  map[string]bool        // endpoints with an order on its way
 	probing  map[string]bool
+	formed   map[string]formed // groups that this manager formed
 	pending  atomic.Bool
 	stopped  bool
 	group    *kernel.Group
@@ -93,6 +97,34 @@
 	changed time.Time
 }
 
+// formed is what is known of a group that this manager formed.
+type formed struct {
+	at time.Time
+	// doubtUntil is until when an order to open it may still be carried out.
+	doubtUntil time.Time
+}
+
+// openDoubt reports whether a group's head may yet open. Of groups that an
+// earlier holder formed nothing is known.
+func (m *Manager) openDoubt(now time.Time, group string) bool {
+	f, own := m.formed[group]
+	return !own || now.Before(f.doubtUntil)
+}
+
+// forget drops what is known of groups that are long gone.
+func (m *Manager) forget(now time.Time) {
+	for name, f := range m.formed {
+		if _, known := m.headers[name]; !known && now.Sub(f.at) > notesFor {
+			delete(m.formed, name)
+		}
+	}
+	for name, h := range m.headers {
+		if now.Sub(h.seenAt) > notesFor {
+			delete(m.headers, name)
+		}
+	}
+}
+
 // headNote is what is known of a group's head.
 type headNote struct {
 	endpoint *fleet.Endpoint
@@ -105,7 +137,7 @@
 func NewManager(options Options) *Manager {
 	return &Manager{
 		Options: options, notes: map[string]*note{}, headers: map[string]*headNote{},
-		loads: map[string]*loadBudget{}, arrivals: map[string]*arrival{}, sending: map[string]bool{}, probing: map[string]bool{},
+		loads: map[string]*loadBudget{}, arrivals: map[string]*arrival{}, formed: map[string]formed{}, sending: map[string]bool{}, probing: map[string]bool{},
 	}
 }
 
@@ -137,6 +169,7 @@
 		m.pending.Store(false)
 		return
 	}
+	m.forget(now)
 	pending := false
 	for _, zone := range m.Settings().Zones {
 		if !m.Holds(zone) {
@@ -157,7 +190,7 @@
 // something is under way.
 func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, service fleet.Service, endpoints []*fleet.Endpoint) bool {
 	engine := service.Engine
-	z := &Zone{Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
+	z := &Zone{OpenDoubt: func(group string) bool { return m.openDoubt(now, group) }, Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
 	pending := false
 	for _, e := range endpoints {
 		if e.Zone != zone {
@@ -252,7 +285,7 @@
 	if model != "" && e.Member.State != fleet.Joining {
 		w.LastModel = model
 	}
-	if e.Member.Rank == 0 && e.Member.Group != "" && !w.Unlisted {
+	if e.Member.Rank == 0 && e.Member.Group != "" && !w.Unlisted && member.Group == e.Member.Group {
 		m.headers[e.Member.Group] = &headNote{endpoint: e, seenAt: now}
 	}
 }
@@ -331,7 +364,10 @@
 	m.sending[id] = true
 	n := m.notes[id]
 	n.worker.OrderedAt[s.Order.Kind] = now
-	m.overlay(now, n, s.Order)
+	m.overlay(now, n, s)
+	if s.Order.Kind == fleet.OrderJoin {
+		m.formed[s.Order.Group] = formed{at: now}
+	}
 	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
 		"entry", s.Endpoint.Revision, "loads", s.Loads)
 	m.group.Go("order", func(context.Context) error {
@@ -343,7 +379,13 @@
 			klog.InfoS("order_failed", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch,
 				"outcome", outcome, "err", err)
 		}
-		if outcome == fleet.Refused || outcome == fleet.Done {
+		if (outcome == fleet.Begun || outcome == fleet.Done) && s.Order.Kind == fleet.OrderLeave {
+			m.left(time.Now(), n, s)
+		}
+		if outcome == fleet.Unanswered && s.Order.Kind == fleet.OrderOpen {
+			m.formed[s.Order.Group] = formed{at: m.formed[s.Order.Group].at, doubtUntil: time.Now().Add(lateOrders)}
+		}
+		if outcome == fleet.Refused || (outcome == fleet.Done && s.Order.Kind != fleet.OrderLeave) {
 			// Nothing changes: the entry already tells how things are.
 			n.overlaid = time.Time{}
 		}
@@ -355,8 +397,20 @@
 	})
 }
 
+// left notes that an endpoint left its group.
+func (m *Manager) left(now time.Time, n *note, s Step) {
+	n.overlay, n.overlaid = fleet.Membership{}, now
+	if s.Hold {
+		n.worker.HeldUntil = now.Add(m.Settings().Bounds.Stall + holdMargin)
+	}
+	if h, ok := m.headers[s.Order.Group]; ok && h.endpoint.ID == s.Endpoint.ID {
+		h.gone = true
+	}
+}
+
 // overlay notes what an order does before the endpoint's entry shows it.
-func (m *Manager) overlay(now time.Time, n *note, order fleet.Order) {
+func (m *Manager) overlay(now time.Time, n *note, s Step) {
+	order := s.Order
 	next := n.worker.Member
 	switch order.Kind {
 	case fleet.OrderJoin:
@@ -365,11 +419,8 @@
 		next.State = fleet.Open
 	case fleet.OrderClose:
 		next.State = fleet.Closing
-	case fleet.OrderLeave:
-		next = fleet.Membership{}
-		n.worker.HeldUntil = now.Add(m.Settings().Bounds.Stall + holdMargin)
-	case fleet.OrderStage:
-		return
+	case fleet.OrderLeave, fleet.OrderStage:
+		return // what counts is that it was done
 	}
 	n.overlay, n.overlaid = next, now
 }
--- /dev/null
+++ b/formation/manager_test.go
@@ -0,0 +1,327 @@
+package formation_test
+
+import (
+	"context"
+	"sort"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/directory"
+	"redwinghall/fleet"
+	"redwinghall/formation"
+	"redwinghall/kernel"
+)
+
+// node is a manager of the farm's zone.
+type node struct {
+	manager *formation.Manager
+	group   *kernel.Group
+	holds   bool
+	begun   bool
+	moving  map[string]bool
+	fresh   bool
+}
+
+func manage(f *farm, fresh bool) *node {
+	n := &node{holds: true, fresh: fresh, moving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+	settings := fleet.Settings{Zone: "z", Zones: []string{"z"}, FirstStart: fresh, Bounds: fleet.Bounds{
+		Stall: 4 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1.1,
+	}}
+	n.manager = formation.NewManager(formation.Options{
+		Settings: func() fleet.Settings { return settings }, Book: f.book, Orderer: f,
+		Holds: func(string) bool { return n.holds }, Version: func() int64 { return 1 },
+		Begun: func() bool { return n.begun }, Moves: func(_ time.Time, id string) bool { return n.moving[id] },
+	})
+	n.manager.Start(n.group)
+	return n
+}
+
+func (n *node) stop(t *testing.T) {
+	t.Helper()
+	n.group.Stop()
+	require.NoError(t, n.group.Wait())
+}
+
+// play runs a test over two domains of eleven that have formed their groups.
+func play(t *testing.T, run func(t *testing.T, f *farm, n *node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFarm(1, 2, 11)
+		n := manage(f, true)
+		defer n.stop(t)
+		time.Sleep(40 * time.Second)
+		n.begun = true
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+		run(t, f, n)
+		require.Empty(t, f.broken)
+	})
+}
+
+// memberOf returns a member of some group of a model, and the group's head.
+func memberOf(f *farm, model string, rank int) (member, head string) {
+	w := f.whole(model)[0]
+	return w.members[rank], w.ID
+}
+
+// Endpoints register over about a second. Groups of the first few would leave
+// no domain for the large model, and half of its groups would be missing.
+func TestFirstGroupsWaitForAllEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFarm(1, 0, 0)
+		n := manage(f, true)
+		defer n.stop(t)
+		for i := range 22 {
+			f.add(string(rune('a'+i)), []string{"d0", "d1"}[i%2])
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(30 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+	})
+}
+
+// Callers of a group wait for nothing: a member fell silent, the head goes on
+// accepting, and no event comes. The group is closed as soon as its streams
+// stand still, and a standby that has the model takes the place.
+func TestLostMemberIsReplacedWithinSeconds(t *testing.T) {
+	for _, model := range []string{"large", "small"} {
+		t.Run(model, func(t *testing.T) {
+			play(t, func(t *testing.T, f *farm, n *node) {
+				member, head := memberOf(f, model, 1)
+				loads := f.loads
+				f.kill(member, true)
+				time.Sleep(700 * time.Millisecond)
+				n.manager.Stalled(context.Background(), head)
+				time.Sleep(2500 * time.Millisecond)
+				require.Len(t, f.whole("large"), 2)
+				require.Len(t, f.whole("small"), 2)
+				require.Equal(t, loads, f.loads, "each domain keeps a standby of each model")
+			})
+		})
+	}
+}
+
+// A whole domain goes dark and comes back with the models in its hosts'
+// memory. Its groups are there again within seconds, without a load.
+func TestDomainComesBack(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, _ *node) {
+		loads := f.loads
+		f.mu.Lock()
+		var ids []string
+		for id, w := range f.workers {
+			if w.Domain == "d0" {
+				ids = append(ids, id)
+			}
+		}
+		f.mu.Unlock()
+		for _, id := range ids {
+			f.kill(id, true)
+		}
+		time.Sleep(6 * time.Second)
+		f.mu.Lock()
+		for _, id := range ids {
+			old := f.workers[id]
+			old.dead, old.dark = false, false
+			old.Born, old.last, old.Member, old.members, old.Models = 2, "", fleet.Membership{}, nil, nil
+			f.show(old)
+		}
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+		require.LessOrEqual(t, f.loads-loads, 1)
+	})
+}
+
+// The store's trouble ends the service of good groups: members that are cut
+// off from the store alone lose their entries while they serve on. They are
+// asked, and the group stays open.
+func TestMemberCutOffFromTheStoreStays(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, _ *node) {
+		member, head := memberOf(f, "large", 2)
+		group := f.workers[head].Member
+		f.cutFromStore(member)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, group, f.workers[head].Member)
+	})
+}
+
+// A member that neither the store nor this node reaches may still serve with
+// the others. While the group's streams advance, the group stays.
+func TestSilentMemberOfAMovingGroupStays(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		member, head := memberOf(f, "large", 2)
+		group := f.workers[head].Member
+		n.moving[head] = true
+		f.mu.Lock()
+		f.workers[member].dark = true
+		f.mu.Unlock()
+		f.hide(member, 3600*time.Millisecond)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, group, f.workers[head].Member)
+		n.moving[head] = false
+		time.Sleep(5 * time.Second)
+		require.NotEqual(t, group, f.workers[head].Member)
+	})
+}
+
+// A head that lost its entry gets no requests. The group is formed anew under
+// another head, and the old one stays a member.
+func TestUnlistedHeadIsReplaced(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, _ *node) {
+		_, head := memberOf(f, "small", 1)
+		f.cutFromStore(head)
+		time.Sleep(12 * time.Second)
+		small := f.whole("small")
+		require.Len(t, small, 2)
+		for _, w := range small {
+			require.False(t, w.unlisted)
+		}
+	})
+}
+
+// A slow member makes its whole group late. It is replaced by a standby, and
+// the group isn't opened again as it was.
+func TestSlowMemberIsReplaced(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		member, head := memberOf(f, "large", 3)
+		f.mu.Lock()
+		f.workers[member].slow = 4
+		f.mu.Unlock()
+		n.manager.Stalled(context.Background(), head)
+		time.Sleep(4 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		for _, w := range f.whole("large") {
+			require.NotContains(t, w.members, member)
+		}
+	})
+}
+
+// The head of a group is silent, and nobody knows whether it still serves. Its
+// members must not join other groups before it has noticed that it is alone.
+func TestMembersOfASilentHeadWait(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, _ *node) {
+		w := f.whole("large")[0]
+		f.mu.Lock()
+		w.dark = true // alive and open, but not to be reached
+		f.mu.Unlock()
+		f.hide(w.ID, 3600*time.Millisecond)
+		var leftAt time.Time
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			f.mu.Lock()
+			member := f.workers[w.members[1]].Member
+			f.mu.Unlock()
+			if leftAt.IsZero() && member.Group == "" {
+				leftAt = time.Now()
+			}
+			if !leftAt.IsZero() && member.Group != "" {
+				require.GreaterOrEqual(t, time.Since(leftAt), 4*time.Second)
+				return
+			}
+		}
+		require.False(t, leftAt.IsZero())
+	})
+}
+
+// Orders get no answer and are carried out seconds later, after newer ones.
+// Groups still form, and none opens without its members.
+func TestOrdersCarriedOutLate(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		f.mu.Lock()
+		f.lose = 0.4
+		f.mu.Unlock()
+		member, head := memberOf(f, "large", 1)
+		f.kill(member, true)
+		time.Sleep(700 * time.Millisecond)
+		n.manager.Stalled(context.Background(), head)
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		f.lose = 0
+		f.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+	})
+}
+
+// A new holder of the zone's lease knows only what endpoints say. It goes on
+// where the last one stopped, and breaks up nothing.
+func TestNewHolderTakesOver(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		before := map[string]fleet.Membership{}
+		for id, w := range f.workers {
+			before[id] = w.Member
+		}
+		n.holds = false
+		next := manage(f, false)
+		defer next.stop(t)
+		next.begun = true
+		time.Sleep(20 * time.Second)
+		for id, w := range f.workers {
+			if before[id].State == fleet.Open {
+				require.Equal(t, before[id], w.Member)
+			}
+		}
+	})
+}
+
+// Random losses, cuts and late orders, for many seeds: whatever happens, no
+// group opens without its members, and none is taken apart while it serves.
+func TestRandomTroubleKeepsGroupsWhole(t *testing.T) {
+	for seed := range uint64(25) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFarm(seed, 2, 11)
+			n := manage(f, true)
+			defer n.stop(t)
+			time.Sleep(40 * time.Second)
+			n.begun = true
+			for range 14 {
+				f.trouble(n)
+				time.Sleep(time.Duration(f.random.IntN(3000)) * time.Millisecond)
+			}
+			time.Sleep(30 * time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			require.Empty(t, f.broken, "seed %d", seed)
+		})
+	}
+}
+
+// trouble does one random thing to a random worker.
+func (f *farm) trouble(n *node) {
+	f.mu.Lock()
+	var ids []string
+	for id := range f.workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	id := ids[f.random.IntN(len(ids))]
+	head := ""
+	if w := f.workers[id]; len(w.members) > 0 {
+		head = w.members[0]
+	}
+	kind := f.random.IntN(5)
+	f.lose = []float64{0, 0, 0.3}[f.random.IntN(3)]
+	f.mu.Unlock()
+	switch kind {
+	case 0:
+		f.kill(id, true)
+	case 1:
+		f.kill(id, false)
+	case 2:
+		f.cutFromStore(id)
+	case 3:
+		f.mu.Lock()
+		f.workers[id].slow = 4
+		f.mu.Unlock()
+	case 4:
+		f.book.Apply(time.Now(), directory.Change{Gone: id})
+	}
+	if head != "" {
+		n.manager.Stalled(context.Background(), head)
+	}
+}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -48,6 +48,9 @@
 	Why      string
 	// Loads says that the order makes the VM load from the weight store.
 	Loads bool
+	// Hold says that the VM must wait, after it left, until the group's head
+	// has noticed.
+	Hold bool
 }
 
 // Worker is an endpoint as the planner sees it: its entry, overlaid with the
@@ -115,6 +118,9 @@
 	Workers []*Worker
 	// Moves reports whether a head's streams advance.
 	Moves func(endpointID string) bool
+	// OpenDoubt holds the groups whose head may yet open, by an order that was
+	// not answered or that an earlier holder gave.
+	OpenDoubt func(group string) bool
 	// HeadGone holds the groups whose head's process is known to have ended.
 	HeadGone map[string]bool
 	// Fresh says that no request has come yet: loads are quick and free.
@@ -284,6 +290,14 @@
 	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why})
 }
 
+func (p *planner) giveHeld(w *Worker, order fleet.Order, why string) {
+	before := len(p.steps)
+	p.give(w, order, why)
+	for i := before; i < len(p.steps); i++ {
+		p.steps[i].Hold = true
+	}
+}
+
 // reconcile looks at one group: it opens one that is ready, ends one that lost
 // a member, and sets the members free of one that serves nobody.
 func (p *planner) reconcile(g *group) {
@@ -381,7 +395,7 @@
 	}
 	for _, w := range g.byRank {
 		if w.usable() {
-			p.give(w, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "head_unreachable")
+			p.giveHeld(w, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "head_unreachable")
 		}
 	}
 }
@@ -398,7 +412,15 @@
 }
 
 // release sets the members of a group free that serves nobody.
+//
+// Guard: an order to open that got no answer may be carried out seconds later.
+// If the members had joined other groups by then, the head would accept
+// requests that nobody works on. While that may happen, the head leaves first.
 func (p *planner) release(g *group) {
+	if head := g.head(); !g.standby && head != nil && !head.Suspect && !head.Silent && p.zone.OpenDoubt(g.name) {
+		p.give(head, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "may_open_late")
+		return
+	}
 	for _, w := range g.byRank {
 		if !w.usable() || p.now.Before(w.HeldUntil) {
 			continue
