--- a/formation/plan.go
+++ b/formation/plan.go
@@ -103,13 +103,16 @@
 	case w.loading == "" && w.Endpoint.HasStaged(m.Name):
 		return m.Warm
 	}
-	return m.Load + m.Warm
+	return max(m.Load, instantJoin) + m.Warm
 }
 
 // cold reports whether the worker would have to load the model from the
 // weight store, and isn't doing so.
-func (w *Worker) cold(m fleet.Model, now time.Time) bool {
-	return w.loading != m.Name && w.joinTime(m, now) > m.Warm
+func (w *Worker) cold(m fleet.Model) bool {
+	if w.loading != "" {
+		return w.loading != m.Name
+	}
+	return w.LastModel != m.Name && !w.Endpoint.HasStaged(m.Name)
 }
 
 // Zone is what a plan is made from.
@@ -497,7 +500,7 @@
 		p.serving[best.model.Name] += best.model.Size
 		p.free[best.domain] = without(p.free[best.domain], best.members)
 		switch {
-		case best.time <= best.model.Warm || p.zone.Fresh:
+		case p.zone.Fresh || best.atHand():
 			p.join(best)
 		default:
 			p.load(best)
@@ -505,6 +508,16 @@
 	}
 }
 
+// atHand reports whether all members have the model, and none is loading.
+func (n *proposal) atHand() bool {
+	for _, w := range n.members {
+		if w.loading != "" || w.cold(n.model) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *planner) bestProposal() *proposal {
 	var best *proposal
 	for _, domain := range sortedKeys(p.free) {
@@ -572,7 +585,7 @@
 	}
 	for _, w := range next.members {
 		p.steps = append(p.steps, Step{
-			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.cold(next.model, p.now),
+			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.cold(next.model),
 		})
 	}
 }
@@ -586,7 +599,7 @@
 func (p *planner) load(next *proposal) {
 	var cold []*Worker
 	for _, w := range next.members {
-		if w.cold(next.model, p.now) {
+		if w.cold(next.model) {
 			cold = append(cold, w)
 		}
 	}
@@ -680,7 +693,7 @@
 	if w.loading != "" {
 		return // one load after the other
 	}
-	loads := w.cold(model, p.now)
+	loads := w.cold(model)
 	if loads && !p.zone.Fresh {
 		if p.zone.Loads <= 0 {
 			return
--- a/members/members.go
+++ b/members/members.go
@@ -56,6 +56,8 @@
 type Config struct {
 	Self  Node
 	Zones []string
+	// Now returns the boot time, also while a call was under way.
+	Now func() time.Time
 }
 
 // seen is what is known of another node's row.
@@ -127,11 +129,11 @@
 
 // Start keeps the table until the group stops.
 func (t *Table) Start(g *kernel.Group) {
-	g.Every("members", tick, func(ctx context.Context, _ time.Time) { t.step(ctx, kernel.BootTime()) })
+	g.Every("members", tick, func(ctx context.Context, _ time.Time) { t.Step(ctx, t.config.Now()) })
 }
 
-// step does what is due at a boot time, one call to the store at most.
-func (t *Table) step(ctx context.Context, boot time.Time) {
+// Step does what is due at a boot time, one call to the store at most.
+func (t *Table) Step(ctx context.Context, boot time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped {
@@ -162,7 +164,7 @@
 		klog.V(1).InfoS("members_unread", "err", err)
 		return
 	}
-	boot := kernel.BootTime()
+	boot := t.config.Now()
 	if t.firstAt.IsZero() {
 		t.firstAt = boot
 	}
@@ -294,7 +296,7 @@
 	if action == lease.Renew {
 		fence.Version = state.FenceVersion()
 	}
-	next, err := state.WithWritten(boot, kernel.BootTime(), record,
+	next, err := state.WithWritten(boot, t.config.Now(), record,
 		redwinghall.Row{Version: version, Value: redwinghall.RowValue(record)}, fence)
 	if err != nil {
 		klog.ErrorS(err, "lease_unreadable", "zone", zone)
@@ -341,7 +343,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
-	boot := kernel.BootTime()
+	boot := t.config.Now()
 	for zone, state := range t.leases {
 		if !state.Holds(boot) {
 			continue
--- /dev/null
+++ b/members/members_test.go
@@ -0,0 +1,203 @@
+package members_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/members"
+)
+
+// store keeps rows in memory, with versions as the platform counts them.
+type store struct {
+	mu      sync.Mutex
+	version int64
+	rows    map[string]fleet.Row
+	down    map[string]bool // nodes that it turns away
+	commits int
+}
+
+// view is the store as one node reaches it.
+type view struct {
+	*store
+	node string
+}
+
+func newStore() *store {
+	return &store{rows: map[string]fleet.Row{}, down: map[string]bool{}, version: 1}
+}
+
+func (v view) List(_ context.Context, _ string) (fleet.Rows, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down[v.node] {
+		return fleet.Rows{}, redwinghall.NewOpError("view.List", fleet.StoreUnavailable, nil)
+	}
+	out := fleet.Rows{Version: v.version}
+	for _, r := range v.rows {
+		out.Rows = append(out.Rows, r)
+	}
+	return out, nil
+}
+
+func (v view) Changes(context.Context, string, int64, time.Duration) (fleet.Rows, error) {
+	return fleet.Rows{}, nil
+}
+
+func (v view) Commit(_ context.Context, txn fleet.Txn) (int64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down[v.node] {
+		return 0, redwinghall.NewOpError("view.Commit", fleet.StoreUnavailable, nil)
+	}
+	for _, e := range txn.Expects {
+		if v.rows[e.Key].Version != e.Version {
+			return 0, redwinghall.NewOpError("view.Commit", fleet.StoreConflict, nil)
+		}
+	}
+	v.version++
+	v.commits++
+	for _, w := range txn.Writes {
+		w.Version = v.version
+		v.rows[w.Key] = w
+	}
+	for _, d := range txn.Deletes {
+		delete(v.rows, d.Key)
+	}
+	return v.version, nil
+}
+
+// fleetOf is several nodes that share a store and a clock.
+type fleetOf struct {
+	t     *testing.T
+	store *store
+	now   time.Time
+	nodes map[string]*members.Table
+	dead  map[string]bool
+}
+
+func newFleet(t *testing.T, zones map[string]string) *fleetOf {
+	f := &fleetOf{t: t, store: newStore(), now: time.Unix(1000, 0), nodes: map[string]*members.Table{}, dead: map[string]bool{}}
+	for name, zone := range zones {
+		f.start(name, zone)
+	}
+	return f
+}
+
+func (f *fleetOf) start(name, zone string) {
+	f.dead[name] = false
+	f.nodes[name] = members.NewTable(members.Config{
+		Self: members.Node{Name: name, Zone: zone, Address: name}, Zones: []string{"a", "b"}, Now: func() time.Time { return f.now },
+	}, view{f.store, name})
+}
+
+// run moves the clock on and lets all living nodes do what is due.
+func (f *fleetOf) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+		for name, node := range f.nodes {
+			if !f.dead[name] {
+				node.Step(context.Background(), f.now)
+			}
+		}
+		for _, zone := range []string{"a", "b"} {
+			require.LessOrEqual(f.t, len(f.holders(zone)), 1, "zone %s at %s", zone, f.now)
+		}
+	}
+}
+
+func (f *fleetOf) holders(zone string) []string {
+	var held []string
+	for name, node := range f.nodes {
+		if !f.dead[name] && node.Holds(zone, f.now) {
+			held = append(held, name)
+		}
+	}
+	return held
+}
+
+func TestEachZoneIsHeldByOneOfItsNodes(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	f.run(10 * time.Second)
+	require.Len(t, f.holders("a"), 1)
+	require.Contains(t, []string{"a1", "a2"}, f.holders("a")[0])
+	require.Equal(t, []string{"b1"}, f.holders("b"))
+	require.Len(t, f.nodes["a1"].Nodes(), 3)
+	holder, known := f.nodes["b1"].Holder("a")
+	require.True(t, known)
+	require.Equal(t, f.holders("a")[0], holder.Name)
+}
+
+// Nobody repairs a zone's groups: its holder was killed. Another node of the
+// zone takes over within the lease's time.
+func TestHolderIsKilled(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+	f.run(10 * time.Second)
+	old := f.holders("a")[0]
+	f.dead[old] = true
+	f.run(6 * time.Second)
+	require.Len(t, f.holders("a"), 1)
+	require.NotEqual(t, old, f.holders("a")[0])
+}
+
+// A process that starts again under its name takes its own lease back at
+// once: the earlier process is surely gone.
+func TestHolderStartsAgain(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a"})
+	f.run(5 * time.Second)
+	f.start("a1", "a")
+	f.run(500 * time.Millisecond)
+	require.Equal(t, []string{"a1"}, f.holders("a"))
+}
+
+func TestHolderLeaves(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+	f.run(10 * time.Second)
+	old := f.holders("a")[0]
+	f.nodes[old].Leave(context.Background())
+	f.dead[old] = true
+	f.run(2 * time.Second)
+	require.Len(t, f.holders("a"), 1, "a lease that was given up need not end first")
+}
+
+// The store turns a holder away: it must stop before another may take over.
+// The run itself checks that no zone is held twice.
+func TestHolderLosesTheStore(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+	f.run(10 * time.Second)
+	old := f.holders("a")[0]
+	f.store.down[old] = true
+	f.run(8 * time.Second)
+	require.NotContains(t, f.holders("a"), old)
+	f.store.down[old] = false
+	f.run(8 * time.Second)
+	require.Len(t, f.holders("a"), 1)
+}
+
+// All nodes of a zone are gone for long: a node of another zone keeps its
+// groups, and gives the lease back when a node of the zone is there again.
+func TestZoneWithoutNodes(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "b1": "b"})
+	f.run(10 * time.Second)
+	f.dead["b1"] = true
+	f.run(12 * time.Second)
+	require.Empty(t, f.holders("b"), "a zone that is cut off for a while is left alone")
+	f.run(15 * time.Second)
+	require.Equal(t, []string{"a1"}, f.holders("b"))
+	f.start("b1", "b")
+	f.run(15 * time.Second)
+	require.Equal(t, []string{"b1"}, f.holders("b"))
+}
+
+// Nodes that are gone must not count for long in what each may use.
+func TestNodesThatAreGoneAreForgotten(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	f.run(10 * time.Second)
+	f.dead["b1"] = true
+	f.run(20 * time.Second)
+	require.Len(t, f.nodes["a1"].Nodes(), 2)
+}
--- /dev/null
+++ b/neighbor/neighbor_test.go
@@ -0,0 +1,96 @@
+package neighbor_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/neighbor"
+	"redwinghall/relay"
+)
+
+// other is another node behind a real connection.
+type other struct {
+	mirror    *relay.Mirror
+	board     *neighbor.Board
+	suspected []string
+	commits   []fleet.Txn
+	commitErr error
+}
+
+func serve(t *testing.T) (*other, *neighbor.Client, string) {
+	t.Helper()
+	o := &other{mirror: relay.NewMirror(), board: neighbor.NewBoard()}
+	server := httptest.NewServer(neighbor.NewHandler(neighbor.Parts{
+		Mirror: func(string) *relay.Mirror { return o.mirror }, Board: o.board,
+		Suspect:  func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
+		StoreAge: func(time.Time) time.Duration { return 1500 * time.Millisecond },
+		Commit: func(_ context.Context, txn fleet.Txn) (int64, error) {
+			o.commits = append(o.commits, txn)
+			return 9, o.commitErr
+		},
+	}))
+	t.Cleanup(server.Close)
+	return o, neighbor.NewClient(), server.Listener.Addr().String()
+}
+
+func TestRows(t *testing.T) {
+	o, client, address := serve(t)
+	ctx := context.Background()
+	_, err := client.List(ctx, address, "t")
+	require.Equal(t, fleet.StoreUnavailable, redwinghall.KindOf[fleet.StoreKind](err), "it has read nothing yet")
+	rows := []fleet.Row{{Table: "t", Key: "a", Value: []byte{0, 1}, Version: 4}, {Table: "t", Key: "b", Version: 6, Removed: true}}
+	o.mirror.Listed(time.Now(), fleet.Rows{Version: 5, Rows: rows[:1]})
+	o.mirror.Changed(time.Now(), 5, fleet.Rows{Version: 6, Rows: rows[1:]})
+	list, err := client.List(ctx, address, "t")
+	require.NoError(t, err)
+	require.Equal(t, rows[:1], list.Rows.Rows)
+	changes, err := client.Changes(ctx, address, "t", 5, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, rows[1:], changes.Rows.Rows)
+	require.Equal(t, int64(6), changes.Rows.Version)
+	_, err = client.Changes(ctx, address, "t", 1, time.Second)
+	require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err))
+}
+
+func TestCommit(t *testing.T) {
+	o, client, address := serve(t)
+	txn := fleet.Txn{
+		Expects: []fleet.Expect{{Table: "t", Key: "k", Version: 3}},
+		Writes:  []fleet.Row{{Table: "t", Key: "k", Value: []byte("v")}},
+		Deletes: []fleet.Row{{Table: "t", Key: "d"}},
+	}
+	version, err := client.Commit(context.Background(), address, txn)
+	require.NoError(t, err)
+	require.Equal(t, int64(9), version)
+	require.Equal(t, []fleet.Txn{txn}, o.commits)
+	for _, kind := range []fleet.StoreKind{fleet.StoreConflict, fleet.StoreUnavailable, fleet.StoreUnknown} {
+		o.commitErr = redwinghall.NewOpError("test", kind, nil)
+		_, err = client.Commit(context.Background(), address, txn)
+		require.Equal(t, kind, redwinghall.KindOf[fleet.StoreKind](err), "what is known of the outcome must not change on the way")
+	}
+}
+
+func TestSharesLoadsAndSuspicions(t *testing.T) {
+	o, client, address := serve(t)
+	ctx := context.Background()
+	o.board.Put(time.Now(), "n2", map[string]balance.Load{"e1": {Requests: 3, Unstarted: 1, Unread: 500}})
+	require.NoError(t, client.ShareZone(ctx, address, "zone-b", map[string]balance.Load{"e1": {Requests: 2}, "e2": {Requests: 1}}))
+	others, err := client.Share(ctx, address, "n1", map[string]balance.Load{"e1": {Requests: 7}})
+	require.NoError(t, err)
+	require.Equal(t, map[string]balance.Load{"e1": {Requests: 5, Unstarted: 1, Unread: 500}, "e2": {Requests: 1}}, others)
+	require.Equal(t, 10, o.board.Zone(time.Now())["e1"].Requests, "the zone's own nodes only")
+	require.Empty(t, o.board.Others(time.Now().Add(time.Minute), ""), "old words don't count")
+
+	require.NoError(t, client.Suspect(ctx, address, "e1"))
+	require.Equal(t, []string{"e1"}, o.suspected)
+	age, err := client.Reach(ctx, address)
+	require.NoError(t, err)
+	require.Equal(t, 1500*time.Millisecond, age)
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,263 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
+	"redwinghall/node"
+	"redwinghall/platform"
+	"redwinghall/platform/platformtest"
+)
+
+// deployment is one node before stand-ins of the platform.
+type deployment struct {
+	t        *testing.T
+	store    *platformtest.Store
+	ledger   *platformtest.Ledger
+	engines  []*platformtest.Endpoint
+	settings platformtest.NodeSettings
+	path     string
+	stop     context.CancelFunc
+	done     chan error
+}
+
+const answerEvents = 5
+
+// hosts counts the loopback addresses that tests use: each has its own, as a
+// node's metrics stand on a fixed port.
+var hosts atomic.Int32
+
+// freeAddress returns an address of a host that was free a moment ago.
+func freeAddress(t *testing.T, host string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+func portOf(t *testing.T, address string) int {
+	t.Helper()
+	_, text, err := net.SplitHostPort(address)
+	require.NoError(t, err)
+	var port int
+	_, err = fmt.Sscan(text, &port)
+	require.NoError(t, err)
+	return port
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: platformtest.NewStore(), ledger: platformtest.NewLedger(), done: make(chan error, 1)}
+	t.Cleanup(d.store.Close)
+	require.NoError(t, d.store.Put("op", "config", platformtest.Configuration(1, "key-1")))
+	for i := range 3 {
+		d.add(platformtest.EndpointConfig{
+			ID: fmt.Sprintf("engine-%d", i), Service: "llm", Zone: "a", Domain: "d0", Engine: true,
+			Join: 20 * time.Millisecond, Event: 10 * time.Millisecond, Events: answerEvents,
+		})
+	}
+	d.add(platformtest.EndpointConfig{ID: "desk-1", Service: "desk", Zone: "a"})
+	host := fmt.Sprintf("127.0.3.%d", hosts.Add(1))
+	d.settings = platformtest.NodeSettings{
+		Node: "n1", Zone: "a", Zones: []string{"a"}, Callers: freeAddress(t, host), Readiness: freeAddress(t, host), IP: host,
+		Internal: portOf(t, freeAddress(t, host)), Store: d.store.Address(),
+	}
+	d.path = filepath.Join(t.TempDir(), "node.conf")
+	require.NoError(t, os.WriteFile(d.path, []byte(d.settings.Text()), 0o600))
+	return d
+}
+
+func (d *deployment) add(config platformtest.EndpointConfig) {
+	e, err := platformtest.NewEndpoint(config, d.store, d.ledger)
+	require.NoError(d.t, err)
+	d.t.Cleanup(e.Close)
+	if config.Engine {
+		d.engines = append(d.engines, e)
+	}
+}
+
+// start runs the node until the test ends.
+func (d *deployment) start() {
+	d.t.Helper()
+	settings, err := platform.LoadSettings(d.path)
+	require.NoError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	n := node.New(d.path, settings)
+	g := kernel.NewGroup(context.Background())
+	g.Go("node", func(context.Context) error {
+		d.done <- n.Run(ctx)
+		return nil
+	})
+	d.t.Cleanup(func() {
+		cancel()
+		require.NoError(d.t, g.Wait())
+	})
+}
+
+func (d *deployment) ready() bool {
+	answer, err := http.Get("http://" + d.settings.Readiness + "/redwinghall/readiness")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }() // nothing is read of it
+	return answer.StatusCode == http.StatusOK
+}
+
+func (d *deployment) waitServing() {
+	d.t.Helper()
+	require.Eventually(d.t, d.ready, 10*time.Second, 20*time.Millisecond)
+	require.Eventually(d.t, func() bool {
+		for _, e := range d.engines {
+			if e.Open() {
+				return true
+			}
+		}
+		return false
+	}, 20*time.Second, 20*time.Millisecond)
+	require.Eventually(d.t, func() bool {
+		status, _ := d.ask(http.MethodPost, "/stream/x", "warm-up")
+		return status == http.StatusOK
+	}, 5*time.Second, 50*time.Millisecond)
+}
+
+func (d *deployment) ask(method, path, id string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+d.settings.Callers+path, nil)
+	require.NoError(d.t, err)
+	r.Host = "a.example"
+	r.Header.Set("Authorization", "Bearer key-1")
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Request-Deadline", "5000")
+	r.Header.Set("Model", "m0")
+	r.Header.Set("Token-Counts", "100,30")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = answer.Body.Close() }() // it was read or failed
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, string(body)
+	}
+	return answer.StatusCode, string(body)
+}
+
+func TestNodeServesStreamsAndBookings(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.start()
+	d.waitServing()
+	status, body := d.ask(http.MethodPost, "/stream/x", "ask-1")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, platformtest.WholeAnswer("ask-1", answerEvents), body)
+	status, body = d.ask(http.MethodPost, "/book/x", "book-1")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "done book-1", body)
+	require.Equal(t, 1, d.ledger.Runs("book-1"))
+	metrics, err := http.Get(fmt.Sprintf("http://%s:%d%s", d.settings.IP, node.MetricsPort, node.MetricsPath))
+	require.NoError(t, err)
+	data, err := io.ReadAll(metrics.Body)
+	require.NoError(t, err)
+	require.NoError(t, metrics.Body.Close())
+	require.Contains(t, string(data), "first_event_us.depot.streaming.llm")
+}
+
+// A key is withdrawn while the store forgets its history: it must stop working
+// all the same.
+func TestWithdrawnKeyStopsWorking(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.start()
+	d.waitServing()
+	d.store.Forget()
+	require.NoError(t, d.store.Put("op", "config", platformtest.Configuration(2, "key-2")))
+	require.Eventually(t, func() bool {
+		status, _ := d.ask(http.MethodGet, "/look/x", "look-1")
+		return status == http.StatusUnauthorized
+	}, 4*time.Second, 50*time.Millisecond)
+}
+
+// The store is away: callers are served on what is known.
+func TestNodeServesWithoutTheStore(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"silent": {Silent: true}, "busy": {Refuse: http.StatusServiceUnavailable}, "turned away": {Refuse: http.StatusTooManyRequests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			d.start()
+			d.waitServing()
+			d.store.SetFaults(faults)
+			for i := range 20 {
+				status, body := d.ask(http.MethodPost, "/stream/x", fmt.Sprint("ask-", i))
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, platformtest.WholeAnswer(fmt.Sprint("ask-", i), answerEvents), body)
+				time.Sleep(100 * time.Millisecond)
+			}
+			d.store.SetFaults(platformtest.Faults{})
+		})
+	}
+}
+
+// Operators restart a node while callers use it: no request that it read may
+// end without an answer, and new ones go elsewhere once the balancer knows.
+func TestPlannedStopBreaksNothingOff(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.start()
+	d.waitServing()
+	var mu sync.Mutex
+	broken, answered := 0, 0
+	asking, stopAsking := context.WithCancel(context.Background())
+	g := kernel.NewGroup(asking)
+	for i := range 4 {
+		g.Go("caller", func(ctx context.Context) error {
+			for n := 0; ctx.Err() == nil; n++ {
+				id := fmt.Sprintf("ask-%d-%d", i, n)
+				status, body := d.ask(http.MethodPost, "/stream/x", id)
+				mu.Lock()
+				if status == http.StatusOK && body == platformtest.WholeAnswer(id, answerEvents) {
+					answered++
+				} else if d.ledger.Runs(id) > 0 {
+					broken++
+				}
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	d.stop()
+	require.Eventually(t, func() bool { return !d.ready() }, time.Second, 5*time.Millisecond)
+	require.NoError(t, <-d.done)
+	stopAsking()
+	require.NoError(t, g.Wait())
+	require.Zero(t, broken)
+	require.Greater(t, answered, 20)
+}
+
+// Settings change while the node runs: the new bounds hold, and a file that
+// can't be used changes nothing and ends nothing.
+func TestSettingsThatCannotBeUsedChangeNothing(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.start()
+	d.waitServing()
+	require.NoError(t, os.WriteFile(d.path, []byte("node_name=\n"), 0o600))
+	time.Sleep(3500 * time.Millisecond)
+	status, _ := d.ask(http.MethodGet, "/look/x", "look-1")
+	require.Equal(t, http.StatusOK, status)
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,214 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/relay"
+)
+
+var errDown = errors.New("down")
+
+func row(key string, version int64) fleet.Row {
+	return fleet.Row{Table: "t", Key: key, Value: []byte(key), Version: version}
+}
+
+func keys(rows []fleet.Row) []string {
+	var out []string
+	for _, r := range rows {
+		out = append(out, r.Key)
+	}
+	return out
+}
+
+func TestMirror(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := relay.NewMirror()
+		_, err := m.List(time.Now())
+		require.Equal(t, fleet.StoreUnavailable, redwinghall.KindOf[fleet.StoreKind](err), "nothing was read yet")
+		m.Listed(time.Now(), fleet.Rows{Version: 10, Rows: []fleet.Row{row("a", 3), row("b", 4)}})
+		gone := row("a", 12)
+		gone.Removed = true
+		m.Changed(time.Now(), 10, fleet.Rows{Version: 12, Rows: []fleet.Row{gone, row("c", 11)}})
+		list, err := m.List(time.Now())
+		require.NoError(t, err)
+		require.Equal(t, []string{"b", "c"}, keys(list.Rows.Rows))
+		changes, err := m.Changes(context.Background(), 10, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, []string{"c", "a"}, keys(changes.Rows.Rows), "in the order of their versions, removals too")
+		_, err = m.Changes(context.Background(), 9, time.Second)
+		require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err), "what went before the list is not known")
+	})
+}
+
+// A gap in what was read would never close: whoever follows would miss rows.
+func TestMirrorWithAGapAnswersNothing(t *testing.T) {
+	m := relay.NewMirror()
+	m.Listed(time.Now(), fleet.Rows{Version: 10})
+	m.Changed(time.Now(), 20, fleet.Rows{Version: 21, Rows: []fleet.Row{row("x", 21)}})
+	_, err := m.List(time.Now())
+	require.Error(t, err)
+	require.False(t, m.Follows(21))
+}
+
+// A withdrawn key goes on working at a node: it follows a reader that lost the
+// store, and waits there. The wait must end as soon as the reader knows, and
+// when it doesn't know, before its word is old.
+func TestMirrorEndsWaitsWhenTheStoreIsLost(t *testing.T) {
+	for name, lose := range map[string]bool{"lost": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := relay.NewMirror()
+				m.Listed(time.Now(), fleet.Rows{Version: 10})
+				started := time.Now()
+				if lose {
+					time.AfterFunc(100*time.Millisecond, m.Lost)
+				}
+				_, err := m.Changes(context.Background(), 10, 5*time.Second)
+				require.Equal(t, fleet.StoreUnavailable, redwinghall.KindOf[fleet.StoreKind](err))
+				require.Less(t, time.Since(started), 1500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// store counts calls and may be down.
+type store struct {
+	down         bool
+	calls        int
+	commits      int
+	rows         fleet.Rows
+	commitErrors fleet.StoreKind
+}
+
+func (s *store) List(context.Context, string) (fleet.Rows, error) {
+	s.calls++
+	if s.down {
+		return fleet.Rows{}, redwinghall.NewOpError("store.List", fleet.StoreUnavailable, errDown)
+	}
+	return s.rows, nil
+}
+
+func (s *store) Changes(context.Context, string, int64, time.Duration) (fleet.Rows, error) {
+	return s.List(context.Background(), "")
+}
+
+func (s *store) Commit(context.Context, fleet.Txn) (int64, error) {
+	s.commits++
+	if s.commitErrors != "" {
+		return 0, redwinghall.NewOpError("store.Commit", s.commitErrors, errDown)
+	}
+	return 7, nil
+}
+
+// asker reaches the sources of other nodes by their address.
+type asker map[string]*relay.Source
+
+func (a asker) List(_ context.Context, address, table string) (relay.Answer, error) {
+	s, ok := a[address]
+	if !ok {
+		return relay.Answer{}, redwinghall.NewOpError("asker.List", fleet.StoreUnavailable, errDown)
+	}
+	return s.Mirror(table).List(time.Now())
+}
+
+func (a asker) Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (relay.Answer, error) {
+	s, ok := a[address]
+	if !ok {
+		return relay.Answer{}, redwinghall.NewOpError("asker.Changes", fleet.StoreUnavailable, errDown)
+	}
+	return s.Mirror(table).Changes(ctx, after, wait)
+}
+
+func (a asker) Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error) {
+	s, ok := a[address]
+	if !ok {
+		return 0, redwinghall.NewOpError("asker.Commit", fleet.StoreUnavailable, errDown)
+	}
+	return s.CommitDirect(ctx, txn)
+}
+
+// zone is several sources of one zone, each with a store of its own to count.
+func zone(names ...string) (asker, map[string]*relay.Source, map[string]*store) {
+	var peers []relay.Peer
+	for _, name := range names {
+		peers = append(peers, relay.Peer{Name: name, Address: name})
+	}
+	nodes, sources, stores := asker{}, map[string]*relay.Source{}, map[string]*store{}
+	for _, name := range names {
+		stores[name] = &store{rows: fleet.Rows{Version: 5, Rows: []fleet.Row{row("a", 5)}}}
+		sources[name] = relay.NewSource(stores[name], nodes, name, func() []relay.Peer { return peers }, func() []relay.Peer { return nil })
+		nodes[name] = sources[name]
+	}
+	return nodes, sources, stores
+}
+
+// The calls to the store must not grow with the number of nodes.
+func TestOnlyReadersCallTheStore(t *testing.T) {
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}
+	_, sources, stores := zone(names...)
+	for range 3 {
+		for _, name := range names {
+			if _, err := sources[name].List(context.Background(), "t"); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	calling := 0
+	for _, s := range stores {
+		if s.calls > 1 {
+			calling++
+		}
+	}
+	require.LessOrEqual(t, calling, relay.ReadersPerZone)
+}
+
+// The readers are down or lost the store: a node reads the store itself.
+func TestNodeReadsItselfWithoutReaders(t *testing.T) {
+	nodes, sources, stores := zone("n1", "n2", "n3", "n4", "n5")
+	for name := range sources {
+		delete(nodes, name)
+	}
+	for name, s := range sources {
+		rows, err := s.List(context.Background(), "t")
+		require.NoError(t, err)
+		require.Equal(t, []string{"a"}, keys(rows.Rows))
+		require.Equal(t, 1, stores[name].calls)
+	}
+}
+
+// The store turns one node away and serves the others: it reads, and commits,
+// by way of another one.
+func TestNodeThatTheStoreTurnsAwayIsHelped(t *testing.T) {
+	_, sources, stores := zone("n1", "n2", "n3")
+	_, err := sources["n2"].List(context.Background(), "t")
+	require.NoError(t, err)
+	_, err = sources["n3"].List(context.Background(), "t")
+	require.NoError(t, err)
+	stores["n1"].down = true
+	rows, err := sources["n1"].List(context.Background(), "t")
+	require.NoError(t, err)
+	require.Equal(t, []string{"a"}, keys(rows.Rows))
+
+	stores["n1"].commitErrors = fleet.StoreUnavailable
+	version, err := sources["n1"].Commit(context.Background(), fleet.Txn{})
+	require.NoError(t, err)
+	require.Equal(t, int64(7), version)
+}
+
+// A transaction whose answer was lost may have been carried out. Another node
+// must not send it again.
+func TestUnknownCommitIsNotRepeated(t *testing.T) {
+	_, sources, stores := zone("n1", "n2")
+	stores["n1"].commitErrors = fleet.StoreUnknown
+	_, err := sources["n1"].Commit(context.Background(), fleet.Txn{})
+	require.Equal(t, fleet.StoreUnknown, redwinghall.KindOf[fleet.StoreKind](err))
+	require.Zero(t, stores["n2"].commits)
+}
