--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -152,28 +152,37 @@
 }
 
 func (f *farm) carryOut(w *farmWorker, o fleet.Order) bool {
-	switch o.Kind {
-	case fleet.OrderJoin:
+	if o.Kind == fleet.OrderJoin {
 		return f.join(w, o)
+	}
+	if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch {
+		return false
+	}
+	done := false
+	switch o.Kind {
 	case fleet.OrderOpen:
-		if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch || w.Member.Rank != 0 || w.Member.State != fleet.Ready {
-			return false
-		}
-		f.checkWhole(w)
-		w.Member.State = fleet.Open
+		done = f.open(w)
 	case fleet.OrderClose:
-		if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch || (w.Member.State != fleet.Open && w.Member.State != fleet.Closing) {
-			return false
+		done = w.Member.State == fleet.Open || w.Member.State == fleet.Closing
+		if done {
+			w.Member.State = fleet.Ready
 		}
-		w.Member.State = fleet.Ready
 	case fleet.OrderLeave:
-		if w.Member.Group != o.Group || w.Member.Epoch != o.Epoch {
-			return false
-		}
-		w.Member, w.members = fleet.Membership{}, nil
-	case fleet.OrderStage:
+		w.Member, w.members, done = fleet.Membership{}, nil, true
+	case fleet.OrderJoin, fleet.OrderStage:
 	}
-	f.show(w)
+	if done {
+		f.show(w)
+	}
+	return done
+}
+
+func (f *farm) open(w *farmWorker) bool {
+	if w.Member.Rank != 0 || w.Member.State != fleet.Ready {
+		return false
+	}
+	f.checkWhole(w)
+	w.Member.State = fleet.Open
 	return true
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -66,7 +66,7 @@
 			return
 		}
 		if !call.again(ctx, last) {
-			call.giveUp(ctx, last)
+			call.giveUp(ctx)
 			return
 		}
 		r.view = g.Book.View()
@@ -330,7 +330,7 @@
 }
 
 // giveUp ends a stream that no endpoint will finish.
-func (c *streamCall) giveUp(ctx context.Context, last streamTry) {
+func (c *streamCall) giveUp(ctx context.Context) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		c.g.callerGone(c.r)
