--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -90,6 +90,22 @@
 	require.GreaterOrEqual(t, refusal.RetryAfter, 300*time.Millisecond)
 }
 
+// A stream whose group stands still is taken from there, and then refused,
+// because it will be late: its caller sees it break off. It goes on all the same.
+func TestStreamThatGoesOnIsNotRefused(t *testing.T) {
+	tracker := balance.NewTracker()
+	all := []*fleet.Endpoint{head("only", "a", "large")}
+	for {
+		if _, none := tracker.Group(start, all, nil, ask()); none != nil {
+			break
+		}
+	}
+	moved := ask()
+	moved.GoesOn = true
+	_, none := tracker.Group(start, all, nil, moved)
+	require.Nil(t, none)
+}
+
 // A cold endpoint falls over: all nodes see it appear at the same moment and
 // each sends what it could bear alone. Together, the nodes' parts stay below
 // what it bears.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -43,6 +43,9 @@
 	ColdRate, ColdBurst float64
 	// Nodes is how many nodes there are, ZoneNodes how many in this zone.
 	Nodes, ZoneNodes int
+	// GoesOn says that the stream was taken from another group: it is worth
+	// finishing late, and is not refused for being so.
+	GoesOn bool
 	// Connections bounds this node's requests at one endpoint.
 	Connections int
 
@@ -112,7 +115,7 @@
 	if best == nil {
 		return Choice{}, refusalOfNone(look.seen, look.cold)
 	}
-	if float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
+	if !ask.GoesOn && float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
 		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
 	}
 	return t.take(now, best, ask), nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,7 +56,9 @@
 		call.lastID, call.hasID = id, true
 	}
 	for {
-		choice, none := g.Tracker.Group(time.Now(), r.view.Heads(r.Service.Name, r.Ask.Model), r.view.ZonesOut, g.ask(r, call.tried))
+		ask := g.ask(r, call.tried)
+		ask.GoesOn = call.sent.Load() > 0
+		choice, none := g.Tracker.Group(time.Now(), r.view.Heads(r.Service.Name, r.Ask.Model), r.view.ZonesOut, ask)
 		if none != nil {
 			call.refuse(ofBalance(none))
 			return
--- a/members/members.go
+++ b/members/members.go
@@ -37,7 +37,13 @@
 	// long an unchanged row still counts.
 	announceInterval = 5 * time.Second
 	goneAfter        = 13 * time.Second
-	tick             = 100 * time.Millisecond
+	// announcePerNode stretches both where there are many nodes: together they
+	// announce themselves five times a second at the most.
+	announcePerNode = 200 * time.Millisecond
+	// takeStagger is how much later each next node of a zone takes a lease that
+	// is free, so that they don't all try at once.
+	takeStagger = 150 * time.Millisecond
+	tick        = 100 * time.Millisecond
 )
 
 const (
@@ -80,6 +86,7 @@
 	lastList time.Time
 	lastRow  time.Time // when this node's row was written
 	renewed  map[string]time.Time
+	takeable map[string]time.Time // since when a zone's lease could be taken
 	stopped  bool
 	// version is the newest version of the store that this node knows.
 	version atomic.Int64
@@ -92,6 +99,7 @@
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
 		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seen{}, renewed: map[string]time.Time{},
+		takeable: map[string]time.Time{},
 	}
 	for _, zone := range config.Zones {
 		t.leases[zone] = lease.NewState(lease.Config{
@@ -147,7 +155,7 @@
 	if t.firstAt.IsZero() {
 		return
 	}
-	if t.lastRow.IsZero() || boot.Sub(t.lastRow) >= announceInterval {
+	if t.lastRow.IsZero() || boot.Sub(t.lastRow) >= t.announceEvery() {
 		t.announce(ctx, boot)
 		return
 	}
@@ -202,7 +210,7 @@
 			}
 		}
 		next[key] = s
-		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < goneAfter {
+		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaled(goneAfter) {
 			nodes = append(nodes, s.node)
 		}
 	}
@@ -213,6 +221,32 @@
 	t.nodes.Store(&nodes)
 }
 
+// announceEvery is how often this node writes its row.
+func (t *Table) announceEvery() time.Duration { return t.scaled(announceInterval) }
+
+// scaled stretches a time by the number of nodes.
+func (t *Table) scaled(d time.Duration) time.Duration {
+	many := time.Duration(len(*t.nodes.Load())) * announcePerNode
+	return time.Duration(float64(d) * max(1, float64(many)/float64(announceInterval)))
+}
+
+// staggered reports whether it is this node's turn to take a lease that has
+// been free for some time.
+func (t *Table) staggered(zone string, boot time.Time) bool {
+	since, ok := t.takeable[zone]
+	if !ok {
+		since = boot
+		t.takeable[zone] = boot
+	}
+	rank := 0
+	for _, node := range *t.nodes.Load() {
+		if node.Zone == t.config.Self.Zone && node.Name < t.config.Self.Name {
+			rank++
+		}
+	}
+	return boot.Sub(since) >= time.Duration(rank)*takeStagger
+}
+
 func (t *Table) announce(ctx context.Context, boot time.Time) {
 	value, err := json.Marshal(t.config.Self)
 	if err != nil {
@@ -245,8 +279,11 @@
 			action = lease.Wait
 		}
 	}
+	if action != lease.Take {
+		delete(t.takeable, zone)
+	}
 	switch {
-	case action == lease.Wait:
+	case action == lease.Wait, action == lease.Take && !t.staggered(zone, boot):
 		return false
 	case boot.Sub(t.renewed[zone]) < renewInterval:
 		return false
@@ -259,7 +296,7 @@
 // lives reports whether a node of a zone announced itself lately.
 func (t *Table) lives(zone string, boot time.Time) bool {
 	for _, s := range t.seen {
-		if s.node.Zone == zone && boot.Sub(s.since) < announceInterval+listInterval {
+		if s.node.Zone == zone && boot.Sub(s.since) < t.announceEvery()+listInterval {
 			return true
 		}
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -22,13 +22,18 @@
 	// that lost the store would keep others from what they could read
 	// themselves, and configurations have to be in force within 2 s.
 	staleAfter = 1200 * time.Millisecond
+	// listStaleAfter is the same for whole tables: the members' table, which is
+	// the only one that is listed again and again, is read every 1.5 s.
+	listStaleAfter = 4 * time.Second
 	// readerWait is the longest wait of a reader that others follow: its word
 	// is then never older than 0.8 s while it reaches the store.
 	readerWait = 700 * time.Millisecond
 	// awayAfter is the silence of the store from which a node asks for help only.
 	awayAfter = 3 * time.Second
-	// avoidFor is how long a reader that failed is left alone.
-	avoidFor = 3 * time.Second
+	// avoidFor is how long a reader that failed is left alone; each further
+	// failure doubles it up to avoidLongest.
+	avoidFor     = 3 * time.Second
+	avoidLongest = 30 * time.Second
 )
 
 // Asker asks another node for what it read.
@@ -58,6 +63,7 @@
 	mu      sync.Mutex
 	mirrors map[string]*Mirror
 	avoid   map[string]time.Time
+	pause   map[string]time.Duration // the last time that a node was avoided for
 	// answered is when the store last answered this node itself, in Unix nanoseconds.
 	answered atomic.Int64
 }
@@ -66,7 +72,8 @@
 
 // NewSource returns a source in front of a store.
 func NewSource(store fleet.Store, asker Asker, self string, peers, others func() []Peer) *Source {
-	return &Source{store: store, asker: asker, self: self, peers: peers, others: others, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}}
+	return &Source{store: store, asker: asker, self: self, peers: peers, others: others, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{},
+		pause: map[string]time.Duration{}}
 }
 
 // Mirror returns what this node read of a table.
@@ -90,14 +97,14 @@
 func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
 	list := func(peer Peer) (Answer, error) { return s.asker.List(ctx, peer.Address, table) }
 	if peer, ok := s.reader(time.Now()); ok {
-		if rows, err := s.ask(peer, table, list); err == nil {
+		if rows, err := s.ask(peer, table, listStaleAfter, list); err == nil {
 			return rows, nil
 		}
 	}
 	rows, err := s.store.List(ctx, table)
 	if err != nil {
 		s.Mirror(table).Lost()
-		return s.askOthers(table, err, list)
+		return s.askOthers(table, listStaleAfter, err, list)
 	}
 	s.noteAnswer()
 	s.Mirror(table).Listed(time.Now(), rows)
@@ -108,7 +115,7 @@
 func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) { return s.asker.Changes(ctx, peer.Address, table, after, wait) }
 	if peer, ok := s.reader(time.Now()); ok {
-		rows, err := s.ask(peer, table, changes)
+		rows, err := s.ask(peer, table, staleAfter, changes)
 		if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 			return rows, err
 		}
@@ -119,7 +126,7 @@
 	rows, err := s.store.Changes(ctx, table, after, s.wait(wait))
 	if err != nil {
 		s.Mirror(table).Lost()
-		return s.askOthers(table, err, changes)
+		return s.askOthers(table, staleAfter, err, changes)
 	}
 	s.noteAnswer()
 	s.Mirror(table).Changed(time.Now(), after, rows)
@@ -164,7 +171,7 @@
 // Guard: some nodes may be turned away by the store, or be cut off from it,
 // while others are not. Without help they would send requests to endpoints
 // that left and to groups that closed, until the store answers them again.
-func (s *Source) askOthers(table string, cause error, read func(Peer) (Answer, error)) (fleet.Rows, error) {
+func (s *Source) askOthers(table string, trust time.Duration, cause error, read func(Peer) (Answer, error)) (fleet.Rows, error) {
 	if redwinghall.KindOf[fleet.StoreKind](cause) == fleet.StoreHistoryGone {
 		return fleet.Rows{}, cause
 	}
@@ -172,7 +179,7 @@
 	if !ok {
 		return fleet.Rows{}, cause
 	}
-	rows, err := s.ask(peer, table, read)
+	rows, err := s.ask(peer, table, trust, read)
 	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 		return rows, err
 	}
@@ -194,12 +201,13 @@
 }
 
 // ask reads from another node, and avoids it for a while if its word can't be used.
-func (s *Source) ask(peer Peer, table string, read func(Peer) (Answer, error)) (fleet.Rows, error) {
+func (s *Source) ask(peer Peer, table string, trust time.Duration, read func(Peer) (Answer, error)) (fleet.Rows, error) {
 	answer, err := read(peer)
 	switch {
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
 		return fleet.Rows{}, err
-	case err == nil && answer.Age <= staleAfter:
+	case err == nil && answer.Age <= trust:
+		s.forgive(peer)
 		return answer.Rows, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
@@ -210,7 +218,15 @@
 func (s *Source) shun(peer Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.avoid[peer.Name] = time.Now().Add(avoidFor)
+	s.pause[peer.Name] = min(max(2*s.pause[peer.Name], avoidFor), avoidLongest)
+	s.avoid[peer.Name] = time.Now().Add(s.pause[peer.Name])
+}
+
+// forgive forgets that a node failed before.
+func (s *Source) forgive(peer Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pause, peer.Name)
 }
 
 // wait bounds how long the store may keep a reader waiting that others follow:
