--- a/formation/plan.go
+++ b/formation/plan.go
@@ -492,6 +492,9 @@
 // once. For another one, the members that lack the model load it as standbys;
 // the rest stay free meanwhile, so that a member that comes back is of use.
 func (p *planner) form() {
+	if p.zone.Fresh {
+		p.formFirst()
+	}
 	for {
 		best := p.bestProposal()
 		if best == nil {
@@ -508,6 +511,25 @@
 	}
 }
 
+// formFirst joins the first groups, while every VM may still serve any model.
+func (p *planner) formFirst() {
+	sizes := map[string]int{}
+	for domain, free := range p.free {
+		sizes[domain] = len(free)
+	}
+	for domain, counts := range split(p.zone.Engine.Models, sizes, p.serving) {
+		for i, model := range p.zone.Engine.Models {
+			for range counts[i] {
+				if next := p.propose(domain, model); next != nil {
+					p.serving[model.Name] += model.Size
+					p.free[domain] = without(p.free[domain], next.members)
+					p.join(next)
+				}
+			}
+		}
+	}
+}
+
 // atHand reports whether all members have the model, and none is loading.
 func (n *proposal) atHand() bool {
 	for _, w := range n.members {
