--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"sort"
 	"strconv"
 	"testing"
 	"time"
@@ -33,7 +34,7 @@
 func ask() balance.Ask {
 	return balance.Ask{
 		Service: service(), Model: engine().Models[0], Zone: "a", Prompt: 1500, Objective: 400 * time.Millisecond,
-		Tried: map[string]bool{}, Nodes: 1, ZoneNodes: 1, ColdRate: 5, ColdBurst: 2,
+		Tried: map[string]bool{}, Nodes: 1, ZoneNodes: 1, Node: "n1", ColdNear: 10, ColdFar: 3,
 	}
 }
 
@@ -108,26 +109,48 @@
 
 // A cold endpoint falls over: all nodes see it appear at the same moment and
 // each sends what it could bear alone. Together, the nodes' parts stay below
-// what it bears.
+// what it bears in any second, however many nodes there are.
 func TestColdEndpointGetsNoMoreThanItBears(t *testing.T) {
-	const nodes, perSecond = 6, 36.0
-	cold := head("cold", "a", "large")
-	cold.Cold = 3 * time.Second
-	sent := 0
-	for range nodes {
-		tracker := balance.NewTracker()
-		for ms := range 1000 {
-			a := ask()
-			a.Service.ColdPerSecond = perSecond
-			a.ColdRate, a.ColdBurst = perSecond/nodes, 3
-			a.Objective = time.Hour
-			if _, none := tracker.Group(start.Add(time.Duration(ms)*time.Millisecond), []*fleet.Endpoint{cold}, nil, a); none == nil {
-				sent++
+	const bears = 36*1.5 + 5
+	for _, nodes := range []int{6, 30, 82, 360} {
+		t.Run(strconv.Itoa(nodes), func(t *testing.T) {
+			cold := head("cold", "a", "large")
+			cold.Cold = 3 * time.Second
+			zone := nodes / 3
+			var sentAt []time.Duration
+			for i := range nodes {
+				tracker := balance.NewTracker()
+				for ms := range 2000 {
+					a := ask()
+					a.Service.ColdPerSecond, a.Objective, a.Node = 36, time.Hour, strconv.Itoa(i)
+					a.ColdNear, a.ColdFar = 0.75*0.75*bears/float64(zone), 0.75*0.25*bears/float64(nodes-zone)
+					if i >= zone {
+						a.Zone = "b"
+					}
+					at := time.Duration(ms) * time.Millisecond
+					if choice, none := tracker.Group(start.Add(at), []*fleet.Endpoint{cold}, nil, a); none == nil {
+						sentAt = append(sentAt, at)
+						choice.Visit.Done(start.Add(at), true)
+					}
+				}
 			}
+			require.LessOrEqual(t, float64(most(sentAt, time.Second)), bears)
+			require.Greater(t, len(sentAt), 15)
+		})
+	}
+}
+
+// most returns the highest count in any window.
+func most(at []time.Duration, window time.Duration) int {
+	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
+	best, from := 0, 0
+	for to := range at {
+		for at[to]-at[from] >= window {
+			from++
 		}
+		best = max(best, to-from+1)
 	}
-	require.LessOrEqual(t, float64(sent), perSecond*1.5+5)
-	require.Greater(t, sent, 30)
+	return best
 }
 
 // All nodes see that a group has just opened, and each sends it what it could
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwinghall/fleet"
 )
 
@@ -38,9 +40,12 @@
 	Objective time.Duration
 	// Tried holds the endpoints that this request has been sent to.
 	Tried map[string]bool
-	// ColdShare is this node's part of what a cold endpoint bears: a rate a
-	// second, and how many at once.
-	ColdRate, ColdBurst float64
+	// Node is this node's name.
+	Node string
+	// ColdNear and ColdFar are the most requests that this node may send to a
+	// cold endpoint of its own or another zone in any second. Below 2, some of
+	// the nodes send 2 and the others none.
+	ColdNear, ColdFar float64
 	// Nodes is how many nodes there are, ZoneNodes how many in this zone.
 	Nodes, ZoneNodes int
 	// GoesOn says that the stream was taken from another group: it is worth
@@ -196,7 +201,29 @@
 	if a.Service.ColdPerSecond <= 0 || !e.ColdAt(now) {
 		return true
 	}
-	return s.cold.has(now, a.ColdRate, a.ColdBurst)
+	share := a.coldShare(e)
+	return share > 0 && s.cold.has(now, share/2, share/2)
+}
+
+// leastColdShare is the share of a node below which only some nodes send: a
+// bucket of one that gains one a second lets two through in a second.
+const leastColdShare = 2
+
+// coldShare returns the most requests that this node sends to a cold endpoint
+// in any second: half of it at once, and half of it a second.
+func (a Ask) coldShare(e *fleet.Endpoint) float64 {
+	share := a.ColdFar
+	if e.Zone == a.Zone {
+		share = a.ColdNear
+	}
+	if share >= leastColdShare {
+		return share
+	}
+	const parts = 1 << 16
+	if float64(xxhash.Sum64String(a.Node+"|"+e.ID)%parts) < share/leastColdShare*parts {
+		return leastColdShare
+	}
+	return 0
 }
 
 func (a Ask) weigh(now time.Time, s *State, e *fleet.Endpoint) *candidate {
@@ -225,7 +252,8 @@
 
 func (t *Tracker) take(now time.Time, c *candidate, ask Ask) Choice {
 	if ask.Service.ColdPerSecond > 0 && c.endpoint.ColdAt(now) {
-		c.state.cold.take(now, ask.ColdRate, ask.ColdBurst)
+		share := ask.coldShare(c.endpoint)
+		c.state.cold.take(now, share/2, share/2)
 	}
 	return Choice{
 		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,10 +152,14 @@
 	nodes := max(1, shares.Nodes)
 	settings := g.Settings()
 	bounds := settings.Bounds
-	cold := r.Service.ColdPerSecond / float64(nodes)
+	zone := max(1, shares.Zone)
+	// What a cold endpoint bears in any second, with a margin for nodes that
+	// don't know of each other.
+	cold := coldMargin * (r.Service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
 	ask := balance.Ask{
 		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Objective: r.Route.Objective, Tried: tried,
-		Nodes: nodes, ZoneNodes: max(1, shares.Zone), ColdRate: cold, ColdBurst: max(1, cold*(bounds.ColdOvershoot-1)+bounds.ColdSlack/float64(nodes)),
+		Node: settings.Node, Nodes: nodes, ZoneNodes: zone,
+		ColdNear: coldNear * cold / float64(zone), ColdFar: (1 - coldNear) * cold / float64(max(1, nodes-zone)),
 		Connections: connectionShare(r.Service.MaxConnections, nodes),
 	}
 	if r.Service.Engine != nil {
@@ -164,6 +168,13 @@
 	return ask
 }
 
+// How what a cold endpoint bears is shared: most of it by the nodes of its own
+// zone, which send it most requests.
+const (
+	coldMargin = 0.75
+	coldNear   = 0.75
+)
+
 // connectionShare is this node's part of the connections that an endpoint
 // takes. A tenth stays free for health checks and orders.
 func connectionShare(limit, nodes int) int {
