--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := . cmd/controller cmd/node cmd/router cmd/rwhctl cmd/standin measure
+MODULES := . cmd/controller cmd/node cmd/router cmd/rwhctl cmd/soak cmd/standin measure
 LINT_VERSION := v2.15.0
 BIN := $(CURDIR)/bin
 
@@ -7,7 +7,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	@for p in controller node router rwhctl standin; do (cd cmd/$$p && go build -o $(BIN)/$$p .) || exit 1; done
+	@for p in controller node router rwhctl soak standin; do (cd cmd/$$p && go build -o $(BIN)/$$p .) || exit 1; done
 
 bench:
 	go test ./caller ./route ./admit -run '^$$' -bench . -benchtime 2s
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -22,6 +22,10 @@
 	// Swallow keeps the connections that are open and delivers nothing more on
 	// them, like a middle box that has lost track; new connections work.
 	Swallow Mode = "swallow"
+	// Reset ends all connections with a reset; new ones work.
+	Reset Mode = "reset"
+	// OneWay delivers what callers send, and nothing of what comes back.
+	OneWay Mode = "one_way"
 )
 
 // Link forwards connections to a target.
@@ -72,10 +76,22 @@
 			_ = p.b.Close()
 		case Swallow:
 			p.swallowed = true
+		case Reset:
+			p.reset()
 		}
 	}
 }
 
+// reset ends both connections without a proper close.
+func (p *pair) reset() {
+	for _, conn := range []net.Conn{p.a, p.b} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // closing sends a reset then
+		}
+		_ = conn.Close()
+	}
+}
+
 func (l *Link) accept(ctx context.Context, g *kernel.Group) error {
 	for {
 		conn, err := l.listener.Accept()
@@ -130,7 +146,7 @@
 			break
 		}
 		l.mu.Lock()
-		delay, swallowed := l.delay, p.swallowed
+		delay, swallowed := l.delay, p.swallowed || (l.mode == OneWay && from == p.b)
 		l.mu.Unlock()
 		if swallowed {
 			continue
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -132,6 +132,9 @@
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
 
+// HangUp tells a process that its settings file has changed.
+func (p *Process) HangUp() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 func (p *Process) terminate() error {
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
 	select {
