--- a/balance/choose.go
+++ b/balance/choose.go
@@ -63,6 +63,9 @@
 	Visit     *Visit
 	Predicted time.Duration
 	Running   int
+	// Age is how old the newest word of others on the endpoint's load was;
+	// negative if there was none.
+	Age time.Duration
 }
 
 // Refusal says why a request gets no endpoint now.
@@ -257,7 +260,7 @@
 	}
 	return Choice{
 		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted),
-		Predicted: c.predicted, Running: c.running,
+		Predicted: c.predicted, Running: c.running, Age: c.state.age(now),
 	}
 }
 
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -108,6 +108,18 @@
 	return s.shared
 }
 
+// age returns how old the newest word of others on the endpoint's load is.
+func (s *State) age(now time.Time) time.Duration {
+	newest := s.toldAt
+	if s.sharedAt.After(newest) {
+		newest = s.sharedAt
+	}
+	if newest.IsZero() {
+		return -1
+	}
+	return now.Sub(newest)
+}
+
 // Load is how much a node has at one endpoint.
 type Load struct {
 	Requests  int
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -104,7 +104,9 @@
 	if err != nil && !notRun {
 		return try{err: redwinghall.NewOpError("plainCall.once", Unknown, err)}
 	}
-	klog.V(1).InfoS("answered", "request", c.r.Ask.ID, "endpoint", choice.Endpoint.ID, "status", answer.Status, "not_run", notRun)
+	klog.InfoS("answered", "request", c.r.Ask.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "status", answer.Status,
+		"not_run", notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sent, "took", time.Since(c.r.Arrived),
+		"configuration", c.r.version())
 	return try{answer: answer, body: body, notRun: notRun}
 }
 
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -36,7 +36,8 @@
 // refuse answers at once, so that the caller can go elsewhere in its time.
 func (g *Gateway) refuse(w http.ResponseWriter, r *Request, why refusal) {
 	klog.InfoS("refused", "request", r.Ask.ID, "status", why.status, "reason", why.reason, "account", r.account(),
-		"route", routeName(r), "predicted", why.predicted, "retry_after", why.retryAfter, "held", time.Since(r.Arrived))
+		"route", routeName(r), "predicted", why.predicted, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
+		"configuration", r.version())
 	g.Metrics.Refused(r, why)
 	h := w.Header()
 	platform.SetRequestID(h, r.Ask.ID)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -39,6 +39,14 @@
 	return r.Route.Priority
 }
 
+// version returns the version of the configuration that decided the request, 0 for none.
+func (r *Request) version() int64 {
+	if config := r.view.Config(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
 // account returns the account's name for headers, logs and metrics.
 func (r *Request) account() string {
 	if r.Account == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -213,7 +213,8 @@
 	}
 	first, took := c.started.Sub(c.r.Arrived), time.Since(c.r.Arrived)
 	klog.InfoS("streamed", "request", c.r.Ask.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "zone", choice.Endpoint.Zone,
-		"running", choice.Running, "predicted", choice.Predicted, "first", first, "pause", c.slowest, "took", took, "attempts", c.sent.Load())
+		"running", choice.Running, "load_age", choice.Age, "predicted", choice.Predicted, "first", first, "pause", c.slowest,
+		"took", took, "attempts", c.sent.Load(), "configuration", c.r.version())
 	c.g.Metrics.Streamed(c.r, first, c.slowest, took)
 	return streamTry{done: true}
 }
