--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -12,7 +12,7 @@
 
 const help = `Serves callers on one entry VM of the users' platform, and forms the groups of
 its availability zone while it holds the zone's lease. The settings file is the
-platform's; its path is --settings, or stands in REDWINGHALL_BOOT.
+platform's; its path is --settings, or stands in the variable ` + platform.SettingsVariable + `.
 
 Examples:
   node
--- /dev/null
+++ b/formation/group.go
@@ -0,0 +1,121 @@
+package formation
+
+import (
+	"sort"
+
+	"redwinghall/fleet"
+)
+
+// group is the members of one group that were seen.
+type group struct {
+	name    string
+	epoch   int64
+	model   fleet.Model
+	known   bool
+	standby bool
+	byRank  map[int]*Worker
+}
+
+func (g *group) head() *Worker { return g.byRank[0] }
+
+// whole reports whether every member is there, and usable.
+func (g *group) whole() bool {
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		if w == nil || !w.usable() {
+			return false
+		}
+	}
+	return g.known
+}
+
+func (g *group) size() int {
+	if g.standby {
+		return 1
+	}
+	return g.model.Size
+}
+
+// lost reports whether a member is gone or doesn't answer, as against one that
+// only says that it leaves.
+func (g *group) lost() bool {
+	for rank := range g.size() {
+		if w := g.byRank[rank]; w == nil || w.Suspect || w.Silent {
+			return true
+		}
+	}
+	return false
+}
+
+// onlySilent reports whether all that is wrong is that members without an
+// entry don't answer this node.
+func (g *group) onlySilent() bool {
+	for rank := range g.size() {
+		if w := g.byRank[rank]; w == nil || w.Suspect || (!w.Silent && !w.usable()) {
+			return false
+		}
+	}
+	return g.known
+}
+
+// slow reports whether a member holds the whole group up.
+func (g *group) slow() bool {
+	for _, w := range g.byRank {
+		if w.Slow {
+			return true
+		}
+	}
+	return false
+}
+
+// unfit counts the members that hold the group up or are about to leave it.
+func (g *group) unfit() int {
+	n := 0
+	for _, w := range g.byRank {
+		if w.Slow || !w.usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// ready reports whether every member itself said that it is ready, under this
+// name and epoch.
+func (g *group) ready() bool {
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		if w == nil || w.Endpoint.Member != w.Member || w.Member.State != fleet.Ready || w.Suspect {
+			return false
+		}
+	}
+	return true
+}
+
+// groups gathers workers by the group that they belong to, in order of name.
+func (z *Zone) groups() []*group {
+	byName := map[string]*group{}
+	for _, w := range z.Workers {
+		if w.Member.Group == "" {
+			continue
+		}
+		g, ok := byName[w.Member.Group]
+		if !ok {
+			name, standby := parseName(w.Member.Group)
+			model, known := z.Engine.Model(name)
+			g = &group{name: w.Member.Group, epoch: w.Member.Epoch, model: model, known: known, standby: standby, byRank: map[int]*Worker{}}
+			byName[g.name] = g
+		}
+		if w.Member.Epoch > g.epoch {
+			g.epoch, g.byRank = w.Member.Epoch, map[int]*Worker{}
+		}
+		if w.Member.Epoch == g.epoch {
+			g.byRank[w.Member.Rank] = w
+		}
+	}
+	all := make([]*group, 0, len(byName))
+	for _, g := range byName {
+		all = append(all, g)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
+	return all
+}
--- /dev/null
+++ b/formation/orders.go
@@ -0,0 +1,91 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/platform"
+)
+
+// send gives one order, and notes its expected effect.
+func (m *Manager) send(ctx context.Context, now time.Time, s Step) {
+	id := s.Endpoint.ID
+	if m.sending[id] {
+		return
+	}
+	m.sending[id] = true
+	n := m.notes[id]
+	n.worker.OrderedAt[s.Order.Kind] = now
+	m.overlay(now, n, s)
+	if s.Order.Kind == fleet.OrderJoin {
+		m.formed[s.Order.Group] = formed{at: now}
+	}
+	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
+		"entry", s.Endpoint.Revision, "loads", s.Loads)
+	m.group.Go("order", func(context.Context) error {
+		outcome, err := m.Orderer.Order(ctx, s.Endpoint, s.Order)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.sending, id)
+		if err != nil {
+			klog.InfoS("order_failed", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch,
+				"outcome", outcome, "err", err)
+		}
+		if (outcome == fleet.Begun || outcome == fleet.Done) && s.Order.Kind == fleet.OrderLeave {
+			m.left(time.Now(), n, s)
+		}
+		if outcome == fleet.Unanswered && s.Order.Kind == fleet.OrderOpen {
+			m.formed[s.Order.Group] = formed{at: m.formed[s.Order.Group].at, doubtUntil: time.Now().Add(lateOrders)}
+		}
+		if outcome == fleet.Refused || (outcome == fleet.Done && s.Order.Kind != fleet.OrderLeave) {
+			// Nothing changes: the entry already tells how things are.
+			n.overlaid = time.Time{}
+		}
+		if redwinghall.KindOf[platform.Kind](err) == platform.Ended {
+			n.suspect = time.Now().Add(suspectFor)
+			n.unlisted.ended = !n.unlisted.since.IsZero()
+		}
+		return nil
+	})
+}
+
+// left notes that an endpoint left its group.
+func (m *Manager) left(now time.Time, n *note, s Step) {
+	n.overlay, n.overlaid = fleet.Membership{}, now
+	if s.Hold {
+		n.worker.HeldUntil = now.Add(m.Settings().Bounds.Stall + holdMargin)
+	}
+	if h, ok := m.headers[s.Order.Group]; ok && h.endpoint.ID == s.Endpoint.ID {
+		h.gone = true
+	}
+}
+
+// overlay notes what an order does before the endpoint's entry shows it.
+func (m *Manager) overlay(now time.Time, n *note, s Step) {
+	order := s.Order
+	next := n.worker.Member
+	switch order.Kind {
+	case fleet.OrderJoin:
+		next = fleet.Membership{Group: order.Group, Epoch: order.Epoch, Rank: rankOf(order.Members, n.worker.Endpoint.ID), State: fleet.Joining}
+	case fleet.OrderOpen:
+		next.State = fleet.Open
+	case fleet.OrderClose:
+		next.State = fleet.Closing
+	case fleet.OrderLeave, fleet.OrderStage:
+		return // what counts is that it was done
+	}
+	n.overlay, n.overlaid = next, now
+}
+
+func rankOf(members []string, id string) int {
+	for rank, one := range members {
+		if one == id {
+			return rank
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/formation/probes.go
@@ -0,0 +1,68 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/platform"
+)
+
+// Stalled tells the manager that little or nothing moves in the group of an
+// endpoint. It asks all VMs of the domain, so that it knows which members are
+// lost or slow, and which others could replace them.
+func (m *Manager) Stalled(ctx context.Context, headID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	head, ok := m.notes[headID]
+	if !ok || head.worker.Endpoint == nil || m.group == nil || !m.Holds(head.worker.Endpoint.Zone) {
+		return
+	}
+	now := time.Now()
+	for id, n := range m.notes {
+		e := n.worker.Endpoint
+		if e == nil || e.Domain != head.worker.Endpoint.Domain || e.Zone != head.worker.Endpoint.Zone {
+			continue
+		}
+		if m.probing[id] || now.Sub(n.probedAt) < probeAgain || now.Sub(n.seenAt) > time.Second {
+			continue
+		}
+		m.probing[id] = true
+		n.probedAt = now
+		m.probe(ctx, n)
+	}
+}
+
+// probe asks one endpoint whether it is alive.
+func (m *Manager) probe(ctx context.Context, n *note) {
+	endpoint := n.worker.Endpoint
+	m.group.Go("probe", func(context.Context) error {
+		report, err := m.Orderer.Report(ctx, endpoint)
+		now := time.Now()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.probing, endpoint.ID)
+		if err == nil {
+			m.notePace(now, n, report.Pace)
+			return nil
+		}
+		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
+		n.suspect = now.Add(suspectFor)
+		if h, ok := m.headers[n.worker.Member.Group]; ok && h.endpoint.ID == endpoint.ID {
+			h.gone = redwinghall.KindOf[platform.Kind](err) == platform.Ended
+		}
+		return nil
+	})
+}
+
+// notePace notes an endpoint that says that it works slower than it should.
+func (m *Manager) notePace(now time.Time, n *note, pace float64) {
+	if pace < slowPace {
+		n.slow = time.Time{}
+		return
+	}
+	klog.InfoS("member_slow", "endpoint", n.worker.Endpoint.ID, "group", n.worker.Member.Group, "pace", pace)
+	n.slow = now.Add(slowFor)
+}
--- /dev/null
+++ b/formation/reconcile.go
@@ -0,0 +1,139 @@
+package formation
+
+import (
+	"redwinghall/fleet"
+)
+
+// reconcile looks at one group: it opens one that is ready, ends one that lost
+// a member, and sets the members free of one that serves nobody.
+func (p *planner) reconcile(g *group) {
+	switch {
+	case g.standby:
+		p.release(g)
+	case g.head() == nil || g.head().Suspect || g.head().Silent:
+		p.headless(g)
+	case g.head().Member.State == fleet.Open && g.head().Unlisted:
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "head_unlisted")
+	case g.head().Member.State == fleet.Open:
+		p.opened(g)
+	case g.head().Member.State == fleet.Closing:
+		p.closing(g)
+	case g.head().Member.State == fleet.Broken || !g.whole() || g.head().Unlisted:
+		p.release(g)
+	case g.ready():
+		p.idle = append(p.idle, g)
+	default:
+		p.joining(g)
+	}
+}
+
+func (p *planner) count(g *group) { p.serving[g.model.Name] += g.model.Size }
+
+// opened looks at a group that serves.
+//
+// Guard: a group that lost a member goes on accepting requests, and nothing
+// moves. It is closed at once, so that its callers go elsewhere and its other
+// members are of use again.
+func (p *planner) opened(g *group) {
+	switch {
+	case g.whole():
+		p.count(g)
+		if g.slow() {
+			p.draining = append(p.draining, g)
+		}
+	case g.onlySilent() && p.zone.Moves(g.head().Endpoint.ID):
+		// Members that are cut off from here and from the store may still serve
+		// with the others: what the streams show goes first.
+		p.count(g)
+	case g.lost() || !g.known:
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "member_lost")
+	default:
+		p.count(g)
+		p.draining = append(p.draining, g)
+	}
+}
+
+func (p *planner) closing(g *group) {
+	since := p.now.Sub(g.head().ChangedAt)
+	if g.lost() || since > stuckClosing {
+		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "closing_takes_long")
+	}
+}
+
+// joining waits for members, and gives the order again to those that show no
+// sign of it.
+func (p *planner) joining(g *group) {
+	p.count(g)
+	members := g.members()
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		shown := w.Endpoint.Member.Group == g.name && w.Endpoint.Member.Epoch == g.epoch
+		if !shown && members != nil {
+			p.give(w, fleet.Order{Kind: fleet.OrderJoin, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Members: members}, "join_again")
+		}
+	}
+}
+
+// members returns the ids of a whole group in the order of their ranks.
+func (g *group) members() []string {
+	ids := make([]string, 0, g.size())
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		if w == nil {
+			return nil
+		}
+		ids = append(ids, w.Endpoint.ID)
+	}
+	return ids
+}
+
+// headless looks at a group whose head can't be asked.
+//
+// Guard: the head may still serve although its entry lapsed or this node
+// doesn't reach it. If its members joined other groups meanwhile, its callers
+// would wait on a group that stands still. Unless the head's process is known
+// to have ended, the members leave first and are held until the head has
+// noticed.
+func (p *planner) headless(g *group) {
+	if p.zone.HeadGone[g.name] || neverOpened(g) {
+		p.release(g)
+		return
+	}
+	for _, w := range g.byRank {
+		if w.usable() {
+			p.giveHeld(w, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "head_unreachable")
+		}
+	}
+}
+
+// neverOpened reports whether a member has not even joined yet: then no head
+// was told to open.
+func neverOpened(g *group) bool {
+	for _, w := range g.byRank {
+		if w.Member.State == fleet.Joining {
+			return true
+		}
+	}
+	return false
+}
+
+// release sets the members of a group free that serves nobody.
+//
+// Guard: an order to open that got no answer may be carried out seconds later.
+// If the members had joined other groups by then, the head would accept
+// requests that nobody works on. While that may happen, the head leaves first.
+func (p *planner) release(g *group) {
+	if head := g.head(); !g.standby && head != nil && !head.Suspect && !head.Silent && p.zone.OpenDoubt(g.name) {
+		p.give(head, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "may_open_late")
+		return
+	}
+	for _, w := range g.byRank {
+		if !w.usable() || p.now.Before(w.HeldUntil) {
+			continue
+		}
+		if g.standby && w.Member.State == fleet.Joining && p.now.Sub(w.ChangedAt) < 2*g.model.Load+stuckJoining {
+			w.loading = g.model.Name
+		}
+		p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
+	}
+}
--- /dev/null
+++ b/formation/standby.go
@@ -0,0 +1,82 @@
+package formation
+
+import (
+	"math"
+
+	"redwinghall/fleet"
+)
+
+// keepStandbys loads the workers that are left over with the models that they
+// may be needed for, so that the loss of a member costs a second instead of a load.
+func (p *planner) keepStandbys() {
+	for _, domain := range sortedKeys(p.free) {
+		groups := p.groupsIn(domain)
+		count := map[string]int{}
+		var idle []*Worker
+		for _, w := range p.free[domain] {
+			has := w.LastModel
+			if w.loading != "" {
+				has = w.loading
+			}
+			if has != "" && count[has] == 0 {
+				count[has]++
+				continue
+			}
+			idle = append(idle, w)
+		}
+		for _, w := range idle {
+			p.keepStandby(w, groups, count)
+		}
+	}
+}
+
+// groupsIn counts the workers of a domain by the model of their group.
+func (p *planner) groupsIn(domain string) map[string]int {
+	count := map[string]int{}
+	for _, w := range p.zone.Workers {
+		model, standby := parseName(w.Member.Group)
+		if w.Endpoint.Domain == domain && !standby && model != "" {
+			count[model]++
+		}
+	}
+	return count
+}
+
+func (p *planner) keepStandby(w *Worker, groups, count map[string]int) {
+	var best fleet.Model
+	most := 0.0
+	for _, m := range p.zone.Engine.Models {
+		// The first spare covers most of a model's losses, a second one few.
+		need := (float64(groups[m.Name]) + 0.1*m.Share) / math.Pow(float64(1+count[m.Name]), 2)
+		if w.LastModel == m.Name || w.Endpoint.HasStaged(m.Name) || w.loading == m.Name {
+			need *= atHandBonus
+		}
+		if need > most {
+			best, most = m, need
+		}
+	}
+	count[best.Name]++
+	if best.Name != "" && w.LastModel != best.Name && (p.zone.Fresh || p.freeFor(w, loadSettle)) {
+		p.loadStandby(w, best, "standby")
+	}
+}
+
+// loadStandby lets a free worker take a model in, by a group of its own that
+// never opens.
+func (p *planner) loadStandby(w *Worker, model fleet.Model, why string) {
+	if w.loading != "" {
+		return // one load after the other
+	}
+	loads := w.cold(model)
+	if loads && !p.zone.Fresh {
+		if p.zone.Loads <= 0 {
+			return
+		}
+		p.zone.Loads--
+	}
+	epoch := p.zone.NextEpoch()
+	order := fleet.Order{
+		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, model.Name, epoch), Epoch: epoch, Model: model.Name, Members: []string{w.Endpoint.ID},
+	}
+	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why, Loads: loads})
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
+	"redwinghall/platform/platformtest"
 )
 
 // site is a gateway before stand-in endpoints, over real connections.
@@ -103,14 +104,10 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("amount=50")
 	}
-	r, err := http.NewRequest(method, s.server.URL+path, body)
+	r, err := platformtest.NewRequest(context.Background(), method, s.server.Listener.Addr().String(), path, body, platformtest.Ask{
+		ID: "r-1", Key: "key-1", Model: "m0", Patience: 3 * time.Second, Prompt: 100, Answer: 50,
+	})
 	require.NoError(s.t, err)
-	r.Host = "a.example"
-	r.Header.Set("Authorization", "Bearer key-1")
-	r.Header.Set("Request-Id", "r-1")
-	r.Header.Set("Request-Deadline", "3000")
-	r.Header.Set("Model", "m0")
-	r.Header.Set("Token-Counts", "100,50")
 	return r
 }
 
@@ -132,8 +129,7 @@
 
 // sign marks an answer as the endpoint's own.
 func sign(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Response-Signature", "sig")
+	platformtest.Sign(w, platformtest.Read(r).ID, "sig")
 }
 
 func events(w http.ResponseWriter, from, to int) {
@@ -168,12 +164,11 @@
 	require.Equal(t, http.StatusCreated, got.status)
 	require.Equal(t, "booked", got.body)
 	require.Equal(t, "1", got.header.Get("X-Own"))
-	require.Equal(t, "sig", got.header.Get("Response-Signature"))
+	require.Equal(t, "sig", platformtest.Signature(got.header))
 	require.Equal(t, "/book/a%2Fb?x=1&y=%20", seen.RequestURI)
 	require.Equal(t, "a.example", seen.Host)
 	require.Equal(t, "amount=50", body)
-	require.Equal(t, "depot", seen.Header.Get("Tenant"))
-	require.Equal(t, "e1", seen.Header.Get("Expected-Instance"))
+	require.Equal(t, platformtest.Received{ID: "r-1", Account: "depot", Endpoint: "e1"}, platformtest.Read(seen))
 	require.Empty(t, seen.Header.Get("Authorization"))
 }
 
@@ -226,7 +221,7 @@
 			s := newSite(t)
 			var runs atomic.Int32
 			broken := func(w http.ResponseWriter, r *http.Request) {
-				if r.Header.Get("Request-Id") == "warm" {
+				if platformtest.Read(r).ID == "warm" {
 					sign(w, r)
 					return
 				}
@@ -272,9 +267,9 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
 			s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				platformtest.Echo(w, platformtest.Read(r).ID)
 				if c.notRun {
-					w.Header().Set("Not-Executed", "1")
+					platformtest.PromiseNotRun(w)
 				}
 				w.WriteHeader(http.StatusServiceUnavailable)
 			})
@@ -288,8 +283,7 @@
 func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
 	s := newSite(t)
 	s.endpoint("e1", "desk", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Request-Id", "r-0")
-		w.Header().Set("Response-Signature", "sig")
+		platformtest.Sign(w, "r-0", "sig")
 		_, _ = w.Write([]byte("somebody else's")) // the reader tells what came
 	})
 	got := s.do(s.request(http.MethodPost, "/book/"))
@@ -300,7 +294,7 @@
 func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
 	s := newSite(t)
 	s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		platformtest.Echo(w, platformtest.Read(r).ID)
 		_, _ = w.Write([]byte("?")) // the reader tells what came
 	})
 	require.Equal(t, http.StatusBadGateway, s.do(s.request(http.MethodPost, "/book/")).status)
@@ -339,7 +333,7 @@
 			handler := func(w http.ResponseWriter, r *http.Request) {
 				sign(w, r)
 				mu.Lock()
-				lasts = append(lasts, r.Header.Get("Last-Event-Id"))
+				lasts = append(lasts, platformtest.Read(r).LastEvent)
 				attempt := len(lasts)
 				mu.Unlock()
 				if attempt == 1 {
@@ -417,7 +411,7 @@
 func TestTwoRefusalsAreARefusal(t *testing.T) {
 	s := newSite(t)
 	busy := func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		platformtest.Echo(w, platformtest.Read(r).ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	}
 	s.endpoint("e1", "llm", busy)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -109,7 +109,7 @@
 }
 
 func (d *deployment) ready() bool {
-	answer, err := http.Get("http://" + d.settings.Readiness + "/redwinghall/readiness")
+	answer, err := http.Get("http://" + d.settings.Readiness + platform.PathReadiness)
 	if err != nil {
 		return false
 	}
@@ -135,14 +135,10 @@
 }
 
 func (d *deployment) ask(method, path, id string) (int, string) {
-	r, err := http.NewRequest(method, "http://"+d.settings.Callers+path, nil)
+	r, err := platformtest.NewRequest(context.Background(), method, d.settings.Callers, path, nil, platformtest.Ask{
+		ID: id, Key: "key-1", Model: "m0", Patience: 5 * time.Second, Prompt: 100, Answer: 30,
+	})
 	require.NoError(d.t, err)
-	r.Host = "a.example"
-	r.Header.Set("Authorization", "Bearer key-1")
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Request-Deadline", "5000")
-	r.Header.Set("Model", "m0")
-	r.Header.Set("Token-Counts", "100,30")
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, ""
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -17,6 +17,9 @@
 	callers      = 12
 	callerPause  = 20 * time.Millisecond
 	callerGiveUp = 6 * time.Second
+	// callerPatience is what callers say that they wait.
+	callerPatience = 5 * time.Second
+	answerTokens   = 70
 )
 
 // attempt is what became of one request.
@@ -137,17 +140,13 @@
 		method = http.MethodGet
 	}
 	address := c.world.nodes[c.node].settings.Callers
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/"+a.kind+"/x", nil)
+	r, err := platformtest.NewRequest(ctx, method, address, "/"+a.kind+"/x", nil, platformtest.Ask{
+		ID: a.id, Key: key, Model: "m0", Patience: callerPatience, Prompt: 100, Answer: answerTokens,
+	})
 	if err != nil {
 		a.broken = true
 		return
 	}
-	r.Host = "a.example"
-	r.Header.Set("Authorization", "Bearer "+key)
-	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Request-Deadline", "5000")
-	r.Header.Set("Model", "m0")
-	r.Header.Set("Token-Counts", "100,70")
 	answer, err := c.client.Do(r)
 	if err != nil {
 		return
