--- a/directory/follower.go
+++ b/directory/follower.go
@@ -22,8 +22,8 @@
 	// operatorsInterval spaces reads of the operators' table, which is mostly quiet.
 	operatorsInterval = 150 * time.Millisecond
 	// endpointsInterval spaces reads of the endpoints' table, which changes all
-	// the time: 1.5 calls a second at the most. Endpoints leave with a notice of 2 s.
-	endpointsInterval = 650 * time.Millisecond
+	// the time: 1.25 calls a second at the most. Endpoints leave with a notice of 2 s.
+	endpointsInterval = 800 * time.Millisecond
 	// endpointsUrgent is the interval while this node forms groups.
 	endpointsUrgent = 250 * time.Millisecond
 	firstPause      = 100 * time.Millisecond
--- a/members/members.go
+++ b/members/members.go
@@ -22,9 +22,9 @@
 // Times of the table. Each call to the store is priced.
 const (
 	// listInterval is how often a node reads the table.
-	listInterval = 1500 * time.Millisecond
+	listInterval = 2 * time.Second
 	// renewInterval is how often a holder renews its lease.
-	renewInterval = time.Second
+	renewInterval = 1200 * time.Millisecond
 	// leaseDuration is how long a lease lasts without a renewal, leaseMargin
 	// how much earlier its holder stops. A holder may miss two renewals.
 	leaseDuration = 3500 * time.Millisecond
--- a/relay/source.go
+++ b/relay/source.go
@@ -23,7 +23,7 @@
 	// themselves, and configurations have to be in force within 2 s.
 	staleAfter = 1200 * time.Millisecond
 	// listStaleAfter is the same for whole tables: the members' table, which is
-	// the only one that is listed again and again, is read every 1.5 s.
+	// the only one that is listed again and again, is read every 2 s.
 	listStaleAfter = 4 * time.Second
 	// readerWait is the longest wait of a reader that others follow: its word
 	// is then never older than 0.8 s while it reaches the store.
