--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 
 // site is a gateway before stand-in endpoints, over real connections.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	book    *directory.Book
 	server  *httptest.Server
 	tracker *balance.Tracker
@@ -63,7 +63,7 @@
 	}
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	s := &site{t: t, book: directory.NewBook(), tracker: balance.NewTracker(), config: configuration()}
 	settings := fleet.Settings{Zone: "a", Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}}
