--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -207,6 +207,22 @@
 	require.Less(t, counts["bad"], 10)
 }
 
+// A plain service that answers by long streams is refused as overloaded,
+// because its streams last longer than the objective for the first event.
+func TestLongStreamsOfAPlainServiceAreNoOverload(t *testing.T) {
+	tracker := balance.NewTracker()
+	all := []*fleet.Endpoint{{ID: "feed", Service: "feed", Zone: "a", State: fleet.EndpointReady, Slots: 6}}
+	a := balance.Ask{Service: fleet.Service{Name: "feed"}, Zone: "a", Objective: 300 * time.Millisecond, Nodes: 1, ZoneNodes: 1}
+	now := start
+	for range 50 {
+		choice, none := tracker.Plain(now, all, nil, a)
+		require.Nil(t, none)
+		choice.Visit.Event(now.Add(50*time.Millisecond), nil)
+		now = now.Add(5 * time.Second)
+		choice.Visit.Done(now, true)
+	}
+}
+
 // A service fails, each request is sent a second time, and the doubled load
 // keeps it down. The budget bounds retries to a share of the requests, in any
 // window, and forgets what is past.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -162,19 +162,15 @@
 	}
 }
 
-// GroupLeft reports whether another group could take a stream over now.
-func (t *Tracker) GroupLeft(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) bool {
+// EndpointLeft reports whether another endpoint could take a stream over now.
+func (t *Tracker) EndpointLeft(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range endpoints {
-		if !Usable(&ask.Service, e, zonesOut) || e.Model() != ask.Model.Name || ask.Tried[e.ID] {
-			continue
-		}
-		if s := t.of(e.ID, now); !now.Before(s.shunUntil) && ask.bears(now, s, e) {
-			return true
-		}
-	}
-	return false
+	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: func(_ time.Time, s *State, e *fleet.Endpoint) *candidate {
+		return &candidate{endpoint: e, state: s}
+	}}
+	look.among(t, endpoints, func(*fleet.Endpoint) bool { return true })
+	return look.best != nil
 }
 
 func refusalOfNone(seen, cold int) *Refusal {
@@ -274,7 +270,7 @@
 	if best == nil {
 		return Choice{}, refusalOfNone(look.seen, look.cold)
 	}
-	if best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, fallbackWork)) {
+	if !ask.GoesOn && (best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, fallbackWork))) {
 		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
 	}
 	return t.take(now, best, ask), nil
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -206,6 +206,7 @@
 	sentAt  time.Time
 	prompt  int
 	started bool
+	first   time.Time // event of a stream
 	last    time.Time
 	// predicted is when the first event should come, after sentAt.
 	predicted time.Duration
@@ -243,6 +244,9 @@
 	if !v.started && usual != nil {
 		v.t.learn(now.Sub(v.sentAt) - v.predicted)
 	}
+	if v.first.IsZero() {
+		v.first = now
+	}
 	v.start()
 	v.last = now
 	s.lastEvent, s.waitingSince = now, now
@@ -295,11 +299,20 @@
 	failed := 1.0
 	if ok {
 		failed = 0
-		s.latency += time.Duration(smoothing * float64(now.Sub(v.sentAt)-s.latency))
+		s.latency += time.Duration(smoothing * float64(v.answeredAfter(now)-s.latency))
 	}
 	s.failures += smoothing * (failed - s.failures)
 }
 
+// answeredAfter is how long the caller waited: until the first event of a
+// stream, or until the answer.
+func (v *Visit) answeredAfter(now time.Time) time.Duration {
+	if v.first.IsZero() {
+		return now.Sub(v.sentAt)
+	}
+	return v.first.Sub(v.sentAt)
+}
+
 // Unreachable notes that an endpoint didn't take a connection, or that nothing
 // moves there: it gets no request for a while.
 func (t *Tracker) Unreachable(now time.Time, id string) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	g.budget.Request(now, request.Service.Name)
 	ctx, cancel := context.WithDeadline(in.Context(), request.Deadline)
 	defer cancel()
-	if request.Service.Engine != nil && request.Route.Kind == fleet.Streaming {
+	if request.Route.Kind == fleet.Streaming {
 		g.serveStream(ctx, w, request)
 		return
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -53,6 +53,7 @@
 			route("book", "/book/", "desk", fleet.Unsafe, 1),
 			route("book2", "/book2/", "desk", fleet.Unsafe, 2),
 			route("look", "/look/", "desk", fleet.Safe, 2),
+			route("feed", "/feed/", "desk", fleet.Streaming, 2),
 		},
 		Services: map[string]fleet.Service{
 			"llm":  {Name: "llm", Engine: engine(), MaxConnections: 100},
@@ -463,3 +464,50 @@
 	s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) { sign(w, r) })
 	require.Equal(t, http.StatusRequestEntityTooLarge, s.do(s.request(http.MethodPost, "/book/")).status)
 }
+
+// An answer that is too large to be kept must still arrive whole, and one that
+// breaks off must not look complete.
+func TestLargeAnswer(t *testing.T) {
+	const size = 3 << 20
+	for name, breaks := range map[string]bool{"whole": false, "broken off": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) {
+				sign(w, r)
+				_, _ = w.Write(make([]byte, size)) // the reader tells what came
+				if breaks {
+					w.(http.Flusher).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			})
+			got := s.do(s.request(http.MethodGet, "/look/"))
+			require.Equal(t, breaks, got.err != nil)
+			if !breaks {
+				require.Len(t, got.body, size)
+			}
+		})
+	}
+}
+
+// Events of a plain service arrive one by one, and not when the last is there.
+func TestPlainServiceStreams(t *testing.T) {
+	s := newSite(t)
+	next := make(chan struct{})
+	s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		events(w, 1, 1)
+		<-next
+		events(w, 2, 2)
+	})
+	out, err := http.DefaultTransport.RoundTrip(s.request(http.MethodPost, "/feed/"))
+	require.NoError(t, err)
+	defer func() { _ = out.Body.Close() }() // it is read whole
+	reader := bufio.NewReader(out.Body)
+	line, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\n", line)
+	close(next)
+	rest, err := io.ReadAll(reader)
+	require.NoError(t, err)
+	require.Equal(t, wholeStream(2), line+string(rest))
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -35,6 +35,17 @@
 	err    error // of kind NotSent or Unknown
 	// notRun: the endpoint promised that it did not run the request.
 	notRun bool
+	// rest is what follows body of an answer that is too large to be kept; nil
+	// if body is all. It is closed by end.
+	rest io.Reader
+	end  func()
+}
+
+// close ends the connection of an answer that was not read whole.
+func (t try) close() {
+	if t.end != nil {
+		t.end()
+	}
 }
 
 // plainCall is the progress of one request to a plain service.
@@ -60,9 +71,11 @@
 		last := call.once(ctx, choice)
 		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
 		if call.again(ctx, last) {
+			last.close()
 			r.view = g.Book.View()
 			continue
 		}
+		defer last.close()
 		g.finishPlain(ctx, w, call, last)
 		return
 	}
@@ -78,36 +91,66 @@
 	return why
 }
 
-// once sends the request to one endpoint and reads the answer.
+// once sends the request to one endpoint and reads the answer, a large one in part.
 func (c *plainCall) once(ctx context.Context, choice balance.Choice) try {
 	c.tried[choice.Endpoint.ID] = true
 	ctx, cancel := context.WithTimeout(ctx, c.tryTime(time.Now()))
-	defer cancel()
 	answer, err := c.g.Upstream.Send(ctx, choice.Endpoint, c.r, c.g.forward(c.r, choice.Endpoint, ""))
 	if err != nil {
+		cancel()
 		return c.failed(choice, err)
 	}
-	defer func() { _ = answer.Body.Close() }()
 	c.sent++
-	if answer.Verdict.Load.Known {
-		choice.Visit.Told(time.Now(), answer.Verdict.Load.Running+answer.Verdict.Load.Waiting)
+	last := c.read(answer)
+	last.end = func() {
+		_ = answer.Body.Close() // what was needed of it was read
+		cancel()
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswer+1))
+	c.note(choice, last)
+	if last.rest == nil {
+		last.end()
+		last.end = nil
+	}
+	return last
+}
+
+// read reads an answer as far as it is kept.
+func (c *plainCall) read(answer *Answer) try {
+	last := try{answer: answer, notRun: answer.Verdict.NotRun}
+	var err error
+	last.body, err = io.ReadAll(io.LimitReader(answer.Body, wholeAnswer+1))
 	if err == nil && answer.Verdict.Encoded {
 		err = errEncoded
 	}
-	notRun := answer.Verdict.NotRun
-	choice.Visit.Done(time.Now(), err == nil && !notRun && answer.Status < http.StatusInternalServerError)
-	if notRun && answer.Status == http.StatusMisdirectedRequest {
-		c.g.Tracker.Unreachable(time.Now(), choice.Endpoint.ID)
+	if err != nil && !last.notRun {
+		return try{err: redwinghall.NewOpError("plainCall.read", Unknown, err)}
 	}
-	if err != nil && !notRun {
-		return try{err: redwinghall.NewOpError("plainCall.once", Unknown, err)}
+	if len(last.body) > wholeAnswer {
+		last.rest = answer.Body
 	}
-	klog.InfoS("answered", "request", c.r.Ask.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "status", answer.Status,
-		"not_run", notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sent, "took", time.Since(c.r.Arrived),
+	return last
+}
+
+// note tells the tracker, and the log, how an attempt ended.
+func (c *plainCall) note(choice balance.Choice, last try) {
+	now := time.Now()
+	if last.err != nil {
+		choice.Visit.Done(now, false)
+		klog.InfoS("attempt_failed", "request", c.r.Ask.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
+			"kind", redwinghall.KindOf[Kind](last.err), "running", choice.Running, "err", last.err)
+		return
+	}
+	load := last.answer.Verdict.Load
+	if load.Known {
+		choice.Visit.Told(now, load.Running+load.Waiting)
+	}
+	choice.Visit.Done(now, !last.notRun && last.answer.Status < http.StatusInternalServerError)
+	if last.answer.Status == http.StatusMisdirectedRequest {
+		c.g.Tracker.Unreachable(now, choice.Endpoint.ID)
+	}
+	klog.InfoS("answered", "request", c.r.Ask.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "status", last.answer.Status,
+		"not_run", last.notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sent, "took", now.Sub(c.r.Arrived),
 		"configuration", c.r.version())
-	return try{answer: answer, body: body, notRun: notRun}
 }
 
 // tryTime is how long one endpoint may take.
@@ -184,13 +227,21 @@
 	}
 	platform.CopyAnswer(w.Header(), last.answer.Header)
 	w.WriteHeader(status)
-	if _, err := w.Write(last.body); err != nil {
-		klog.V(1).InfoS("caller_gone", "request", r.Ask.ID, "err", err)
-		panic(http.ErrAbortHandler)
+	if err := passBody(w, last); err != nil {
+		klog.InfoS("answer_broken_off", "request", r.Ask.ID, "status", status, "err", err)
+		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
 	}
 	g.Metrics.Answered(r, status, time.Since(r.Arrived))
 }
 
+func passBody(w io.Writer, last try) error {
+	if _, err := w.Write(last.body); err != nil || last.rest == nil {
+		return err
+	}
+	_, err := io.Copy(w, last.rest)
+	return err
+}
+
 // promises reports whether a status says that nothing ran.
 func promises(status int) bool {
 	switch status {
@@ -202,7 +253,7 @@
 
 // whole reports whether a success is the endpoint's own: signed, and for this request.
 func whole(r *Request, answer *Answer) bool {
-	return answer.Verdict.Signed && answer.Verdict.RequestID == r.Ask.ID && answer.Length <= wholeAnswer
+	return answer.Verdict.Signed && answer.Verdict.RequestID == r.Ask.ID
 }
 
 func (g *Gateway) callerGone(r *Request) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,6 +26,9 @@
 	silenceLimit = 700 * time.Millisecond
 	// silenceCheck is how often that is looked at.
 	silenceCheck = 100 * time.Millisecond
+	// plainPauses is how many of the longest good pauses a plain service's
+	// stream may be silent.
+	plainPauses = 6
 )
 
 var errStalled = errors.New("nothing moves in the group")
@@ -56,9 +59,7 @@
 		call.lastID, call.hasID = id, true
 	}
 	for {
-		ask := g.ask(r, call.tried)
-		ask.GoesOn = call.sent.Load() > 0
-		choice, none := g.Tracker.Group(time.Now(), r.view.Heads(r.Service.Name, r.Ask.Model), r.view.ZonesOut, ask)
+		choice, none := call.choose(time.Now())
 		if none != nil {
 			call.refuse(ofBalance(none))
 			return
@@ -75,6 +76,27 @@
 	}
 }
 
+// choose returns the endpoint for the stream: the head of a group that serves
+// its model, or an endpoint of a plain service.
+func (c *streamCall) choose(now time.Time) (balance.Choice, *balance.Refusal) {
+	view := c.r.view
+	ask := c.g.ask(c.r, c.tried)
+	ask.GoesOn = c.sent.Load() > 0
+	if c.r.Service.Engine == nil {
+		return c.g.Tracker.Plain(now, view.ByService[c.r.Service.Name], view.ZonesOut, ask)
+	}
+	return c.g.Tracker.Group(now, view.Heads(c.r.Service.Name, c.r.Ask.Model), view.ZonesOut, ask)
+}
+
+// silenceOf returns how long nothing may move before the stream goes on
+// elsewhere. Of plain services only the pause is known that operators want.
+func (c *streamCall) silenceOf() time.Duration {
+	if c.r.Service.Engine != nil {
+		return silenceLimit
+	}
+	return max(silenceLimit, plainPauses*c.r.Route.PauseObjective)
+}
+
 // streamTry is how one attempt of a stream ended.
 type streamTry struct {
 	done   bool // the caller has its whole answer
@@ -118,10 +140,10 @@
 // leave after two. But an answer is never ended only because it is slow: where
 // no other group can go on with it, the stream waits.
 func (c *streamCall) watch(choice balance.Choice, end func()) func() {
-	w := &silenceWatch{call: c, choice: choice, end: end}
+	w := &silenceWatch{call: c, choice: choice, end: end, limit: c.silenceOf()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(silenceLimit, w.look)
+	w.timer = time.AfterFunc(w.limit, w.look)
 	return w.stop
 }
 
@@ -131,6 +153,7 @@
 	call    *streamCall
 	choice  balance.Choice
 	end     func()
+	limit   time.Duration
 	timer   *time.Timer
 	stopped bool
 	told    bool
@@ -143,8 +166,8 @@
 		return
 	}
 	now := time.Now()
-	if silent := w.choice.Visit.Silent(now); silent < silenceLimit {
-		w.timer.Reset(max(silenceCheck, silenceLimit-silent))
+	if silent := w.choice.Visit.Silent(now); silent < w.limit {
+		w.timer.Reset(max(silenceCheck, w.limit-silent))
 		return
 	}
 	if !w.told {
@@ -173,7 +196,11 @@
 		return false
 	}
 	view := c.g.Book.View()
-	if !c.g.Tracker.GroupLeft(now, view.Heads(c.r.Service.Name, c.r.Ask.Model), view.ZonesOut, c.g.ask(c.r, c.tried)) {
+	others := view.ByService[c.r.Service.Name]
+	if c.r.Service.Engine != nil {
+		others = view.Heads(c.r.Service.Name, c.r.Ask.Model)
+	}
+	if !c.g.Tracker.EndpointLeft(now, others, view.ZonesOut, c.g.ask(c.r, c.tried)) {
 		return false
 	}
 	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
@@ -302,6 +329,9 @@
 // usualPause returns the pause between events that the engine's figures
 // predict for a number of running requests.
 func (c *streamCall) usualPause() func(int) time.Duration {
+	if c.r.Service.Engine == nil {
+		return nil
+	}
 	model, ok := c.r.Service.Engine.Model(c.r.Ask.Model)
 	if !ok {
 		return nil
