--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 BIN := $(CURDIR)/bin
 
 # Every target works from a fresh clone with Go, make and a module proxy.
-.PHONY: explore build bench measure demo test lint fmt codes examples generate tidy
+.PHONY: explore build bench measure demo soak test lint fmt codes examples generate tidy
 
 build:
 	@mkdir -p $(BIN)
 	@for p in controller node router rwhctl soak standin; do (cd cmd/$$p && go build -o $(BIN)/$$p .) || exit 1; done
 
 bench:
-	go test ./caller ./route ./admit -run '^$$' -bench . -benchtime 2s
+	go test ./caller ./route ./admit ./balance ./gateway -run '^$$' -bench . -benchtime 2s
 
 # Property tests with new random cases, and each fuzz target for a while.
 explore:
@@ -20,6 +20,7 @@
 	go test ./peer -run '^$$' -fuzz FuzzExchange -fuzztime 20s
 	go test ./caller -run '^$$' -fuzz FuzzChatBody -fuzztime 20s
 	go test ./caller -run '^$$' -fuzz FuzzEventReader -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzDecodeEndpoint -fuzztime 20s
 
 measure: build
 	@cd measure && go build -o $(BIN)/measure .
@@ -29,6 +30,13 @@
 	$(BIN)/standin demo --bin $(BIN) --example examples/pohjatee
 	$(BIN)/standin demo --bin $(BIN) --example examples/blue-mahoe
 
+# Real nodes under random faults; SEED, SEEDS and LENGTH can be set.
+SEED := 1
+SEEDS := 50
+LENGTH := 20s
+soak: build
+	$(BIN)/soak --bin $(BIN) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
+
 test:
 	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 		return
 	}
 	request.Body = body
+	request.view = g.Book.View() // a slow caller may have taken its time
 	g.budget.Request(now, request.Service.Name)
 	ctx, cancel := context.WithDeadline(in.Context(), request.Deadline)
 	defer cancel()
