--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -44,11 +44,13 @@
 	Cold   time.Duration
 	SeenAt time.Time
 	// Born is when the process started, in Unix milliseconds; 0 if unknown.
-	Born   int64
-	Domain string   // fabric domain; empty for a plain service
-	Staged []string // models in its host's memory
-	Models []string // models that are loaded
-	Member Membership
+	Born int64
+	// Sequence rises with each entry that one process writes.
+	Sequence int64
+	Domain   string   // fabric domain; empty for a plain service
+	Staged   []string // models in its host's memory
+	Models   []string // models that are loaded
+	Member   Membership
 	// Revision is the store's version of the entry.
 	Revision int64
 }
--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -27,6 +27,8 @@
 	random  *rand.Rand
 	// lose is the share of orders that get no answer and are carried out late.
 	lose float64
+	// closed refuses orders to open.
+	closed bool
 	// lag is how long a change takes to show in an entry.
 	lag time.Duration
 }
@@ -40,6 +42,7 @@
 	members    []string
 	highest    int64
 	gen        int
+	opening    bool // was told to open, and doesn't show it yet
 }
 
 const farmService = "llm"
@@ -146,6 +149,9 @@
 		return fleet.Unanswered, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
 	}
 	if f.carryOut(w, o) {
+		if o.Kind == fleet.OrderOpen {
+			return fleet.Done, nil
+		}
 		return fleet.Begun, nil
 	}
 	return fleet.Refused, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
@@ -163,12 +169,13 @@
 	case fleet.OrderOpen:
 		done = f.open(w)
 	case fleet.OrderClose:
-		done = w.Member.State == fleet.Open || w.Member.State == fleet.Closing
+		done = w.Member.State == fleet.Open || w.Member.State == fleet.Closing || w.opening
+		w.opening = false
 		if done {
 			w.Member.State = fleet.Ready
 		}
 	case fleet.OrderLeave:
-		w.Member, w.members, done = fleet.Membership{}, nil, true
+		w.Member, w.members, w.opening, done = fleet.Membership{}, nil, false, true
 	case fleet.OrderJoin, fleet.OrderStage:
 	}
 	if done {
@@ -178,14 +185,36 @@
 }
 
 func (f *farm) open(w *farmWorker) bool {
-	if w.Member.Rank != 0 || w.Member.State != fleet.Ready {
+	if f.closed || w.Member.Rank != 0 || w.Member.State != fleet.Ready {
 		return false
 	}
 	f.checkWhole(w)
-	w.Member.State = fleet.Open
+	w.opening = true
+	group := w.Member.Group
+	time.AfterFunc(farmEngine().Formation, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.opening && w.Member.Group == group && !w.dead {
+			w.Member.State, w.opening = fleet.Open, false
+			f.show(w)
+		}
+	})
 	return true
 }
 
+// restart begins a worker's next life under its id, which knows nothing of the
+// last one. Its entry stays as it was for now.
+func (f *farm) restart(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	for _, ready := range f.ready {
+		delete(ready, id)
+	}
+	w.Born++
+	w.Member, w.members, w.Models, w.last, w.opening = fleet.Membership{}, nil, nil, "", false
+}
+
 func (f *farm) join(w *farmWorker, o fleet.Order) bool {
 	if o.Epoch < w.highest {
 		return false
@@ -202,7 +231,7 @@
 	default:
 		f.loads++
 	}
-	w.Member = fleet.Membership{Group: o.Group, Epoch: o.Epoch, State: fleet.Joining}
+	w.Member, w.opening = fleet.Membership{Group: o.Group, Epoch: o.Epoch, State: fleet.Joining}, false
 	for rank, id := range o.Members {
 		if id == w.ID {
 			w.Member.Rank = rank
@@ -247,7 +276,7 @@
 		return
 	}
 	head := f.workers[w.members[0]]
-	if head != nil && !head.dead && head.Member.Group == w.Member.Group && head.Member.State == fleet.Open {
+	if head != nil && !head.dead && head.Member.Group == w.Member.Group && (head.Member.State == fleet.Open || head.opening) {
 		f.broken = append(f.broken, fmt.Sprintf("%s joined %s while %s was open", w.ID, o.Group, w.Member.Group))
 	}
 }
--- a/formation/group.go
+++ b/formation/group.go
@@ -58,6 +58,15 @@
 	return g.known
 }
 
+// endpoints returns the members of a whole group in the order of their ranks.
+func (g *group) endpoints() []*fleet.Endpoint {
+	all := make([]*fleet.Endpoint, 0, g.size())
+	for rank := range g.size() {
+		all = append(all, g.byRank[rank].Endpoint)
+	}
+	return all
+}
+
 // slow reports whether a member holds the whole group up.
 func (g *group) slow() bool {
 	for _, w := range g.byRank {
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -248,6 +248,58 @@
 	})
 }
 
+// A member turns out to be slow in the moment in which its group opens: the
+// head was told to open and doesn't show it yet. The group must not be taken
+// apart as if it were closed.
+func TestGroupIsNotTakenApartWhileItOpens(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		for _, model := range []string{"small", "large"} {
+			member, head := memberOf(f, model, 1)
+			f.kill(member, false)
+			n.manager.Stalled(context.Background(), head)
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				f.mu.Lock()
+				for _, w := range f.workers {
+					if w.opening {
+						f.workers[w.members[1]].slow = 4
+					}
+				}
+				f.mu.Unlock()
+				n.manager.Stalled(context.Background(), head)
+			}
+		}
+	})
+}
+
+// A member crashed and came back while its group waited to open. Its entry is
+// old and says that it is ready. The group would serve without it.
+func TestOpenAsksTheMembersThemselves(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		member, head := memberOf(f, "small", 1)
+		f.mu.Lock()
+		f.closed = true
+		f.mu.Unlock()
+		f.kill(member, false)
+		n.manager.Stalled(context.Background(), head)
+		time.Sleep(4 * time.Second)
+		f.mu.Lock()
+		var last string
+		for _, w := range f.workers {
+			if w.Member.State == fleet.Ready && w.Member.Rank == 0 && len(w.members) == 3 {
+				last = w.members[2]
+			}
+		}
+		f.mu.Unlock()
+		require.NotEmpty(t, last, "a group waits to open")
+		f.restart(last)
+		f.mu.Lock()
+		f.closed = false
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // A new holder of the zone's lease knows only what endpoints say. It goes on
 // where the last one stopped, and breaks up nothing.
 func TestNewHolderTakesOver(t *testing.T) {
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -27,6 +27,13 @@
 	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
 		"entry", s.Endpoint.Revision, "loads", s.Loads)
 	m.group.Go("order", func(context.Context) error {
+		if s.Order.Kind == fleet.OrderOpen && !m.confirmReady(ctx, s) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			delete(m.sending, id)
+			n.overlaid = time.Time{}
+			return nil
+		}
 		outcome, err := m.Orderer.Order(ctx, s.Endpoint, s.Order)
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -38,8 +45,8 @@
 		if (outcome == fleet.Begun || outcome == fleet.Done) && s.Order.Kind == fleet.OrderLeave {
 			m.left(time.Now(), n, s)
 		}
-		if outcome == fleet.Unanswered && s.Order.Kind == fleet.OrderOpen {
-			m.formed[s.Order.Group] = formed{at: m.formed[s.Order.Group].at, doubtUntil: time.Now().Add(lateOrders)}
+		if s.Order.Kind == fleet.OrderOpen {
+			m.noteOpen(time.Now(), s.Order.Group, outcome)
 		}
 		if outcome == fleet.Refused || (outcome == fleet.Done && s.Order.Kind != fleet.OrderLeave) {
 			// Nothing changes: the entry already tells how things are.
@@ -53,6 +60,55 @@
 	})
 }
 
+// noteOpen notes until when an order to open may still take effect.
+func (m *Manager) noteOpen(now time.Time, group string, outcome fleet.Outcome) {
+	lasts := openSettle
+	if outcome == fleet.Unanswered {
+		lasts = lateOrders
+	}
+	f := m.formed[group]
+	if until := now.Add(lasts); until.After(f.doubtUntil) && outcome != fleet.Refused {
+		f.doubtUntil = until
+	}
+	m.formed[group] = f
+}
+
+// confirmReady asks all members of a group whether they are ready in it.
+//
+// Guard: entries may be seconds old. A member that crashed and came back looks
+// ready in its old entry, and a group that opens on that word serves without
+// it. So each member is asked itself right before the order to open.
+func (m *Manager) confirmReady(ctx context.Context, s Step) bool {
+	answers := make(chan bool, len(s.Members))
+	for _, e := range s.Members {
+		m.group.Go("confirm_ready", func(context.Context) error {
+			report, err := m.Orderer.Report(ctx, e)
+			ready := err == nil && report.Member.Group == s.Order.Group && report.Member.Epoch == s.Order.Epoch &&
+				report.Member.State == fleet.Ready
+			if !ready {
+				m.noteUnready(e, report, err)
+			}
+			answers <- ready
+			return nil
+		})
+	}
+	all := true
+	for range s.Members {
+		all = <-answers && all
+	}
+	return all
+}
+
+// noteUnready keeps an endpoint that contradicts its entry out of groups for a while.
+func (m *Manager) noteUnready(e *fleet.Endpoint, report fleet.Report, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	klog.InfoS("member_not_ready", "endpoint", e.ID, "entry", e.Revision, "group", report.Member.Group, "state", report.Member.State, "err", err)
+	if n, ok := m.notes[e.ID]; ok {
+		n.suspect = time.Now().Add(suspectFor)
+	}
+}
+
 // left notes that an endpoint left its group.
 func (m *Manager) left(now time.Time, n *note, s Step) {
 	n.overlay, n.overlaid = fleet.Membership{}, now
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -32,6 +32,9 @@
 	drainGrace = 2500 * time.Millisecond
 	// orderRepeat is when an order without visible effect is given again.
 	orderRepeat = 1200 * time.Millisecond
+	// openSettle is how long after an order to open a head may still look as if
+	// it were not open: it takes the formation's time, and the entry's way.
+	openSettle = 2500 * time.Millisecond
 	// stuckClosing is when a group that finishes its work is told to end it.
 	stuckClosing = 1500 * time.Millisecond
 	// stuckJoining bounds how long a member may take to join beyond its load.
@@ -47,6 +50,8 @@
 	Why      string
 	// Loads says that the order makes the VM load from the weight store.
 	Loads bool
+	// Members are, of an order to open, all members of the group.
+	Members []*fleet.Endpoint
 	// Hold says that the VM must wait, after it left, until the group's head
 	// has noticed.
 	Hold bool
@@ -145,13 +150,18 @@
 // open opens the groups that are ready, unless a slow member can be replaced.
 func (p *planner) open() {
 	for _, g := range p.idle {
-		if g.slow() && p.spares(g) >= g.unfit() {
+		opening := g.head().ordered(fleet.OrderOpen, p.now, openSettle)
+		if !opening && g.slow() && p.spares(g) >= g.unfit() {
 			p.reserved[g.head().Endpoint.Domain] += g.unfit()
 			p.release(g)
 			continue
 		}
 		p.count(g)
+		before := len(p.steps)
 		p.give(g.head(), fleet.Order{Kind: fleet.OrderOpen, Group: g.name, Epoch: g.epoch}, "all_ready")
+		for i := before; i < len(p.steps); i++ {
+			p.steps[i].Members = g.endpoints()
+		}
 	}
 }
 
