--- a/formation/orders.go
+++ b/formation/orders.go
@@ -25,7 +25,7 @@
 		m.formed[s.Order.Group] = formed{at: now}
 	}
 	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
-		"entry", s.Endpoint.Revision, "loads", s.Loads)
+		"members", s.Order.Members, "entry", s.Endpoint.Revision, "loads", s.Loads)
 	m.group.Go("order", func(context.Context) error {
 		if s.Order.Kind == fleet.OrderOpen && !m.confirmReady(ctx, s) {
 			m.mu.Lock()
@@ -83,8 +83,9 @@
 	for _, e := range s.Members {
 		m.group.Go("confirm_ready", func(context.Context) error {
 			report, err := m.Orderer.Report(ctx, e)
-			ready := err == nil && report.Member.Group == s.Order.Group && report.Member.Epoch == s.Order.Epoch &&
-				report.Member.State == fleet.Ready
+			// A report may lag behind the entry, which says ready: what counts is
+			// that it is the same membership.
+			ready := err == nil && report.Member.Group == s.Order.Group && report.Member.Epoch == s.Order.Epoch
 			if !ready {
 				m.noteUnready(e, report, err)
 			}
