--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -27,6 +27,8 @@
 	random  *rand.Rand
 	// lose is the share of orders that get no answer and are carried out late.
 	lose float64
+	// taken holds ended workers whose address another one has now.
+	taken map[string]string
 	// closed refuses orders to open.
 	closed bool
 	// lag is how long a change takes to show in an entry.
@@ -59,7 +61,7 @@
 
 func newFarm(seed uint64, domains, size int) *farm {
 	f := &farm{
-		book: directory.NewBook(), workers: map[string]*farmWorker{}, ready: map[string]map[string]bool{},
+		book: directory.NewBook(), workers: map[string]*farmWorker{}, ready: map[string]map[string]bool{}, taken: map[string]string{},
 		random: rand.New(rand.NewPCG(seed, 1)), lag: 150 * time.Millisecond,
 	}
 	f.book.Apply(time.Now(), directory.Change{Config: &fleet.Configuration{
@@ -78,7 +80,11 @@
 		ID: id, Service: farmService, Address: id + ":80", Zone: "z", State: fleet.EndpointReady, Domain: domain, Born: 1,
 	}}
 	f.workers[id] = w
-	f.show(w)
+	time.AfterFunc(f.lag, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.show(w)
+	})
 }
 
 // show writes a worker's entry as it is now, after the lag.
@@ -118,7 +124,11 @@
 var errFarm = errors.New("farm")
 
 func (f *farm) reach(e *fleet.Endpoint) (*farmWorker, error) {
-	w, ok := f.workers[e.ID]
+	id := e.ID
+	if next, ok := f.taken[id]; ok {
+		id = next
+	}
+	w, ok := f.workers[id]
 	switch {
 	case !ok || (w.dead && !w.dark):
 		return nil, redwinghall.NewOpError("farm.reach", platform.Ended, errFarm)
@@ -202,6 +212,21 @@
 	return true
 }
 
+// replace lets a worker fall silent for good; later another one starts at its
+// address.
+func (f *farm) replace(id, by string) {
+	f.kill(id, true)
+	time.AfterFunc(5*time.Second, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		old := f.workers[id]
+		f.add(by, old.Domain)
+		f.workers[by].Address = old.Address
+		f.workers[by].Staged = old.Staged
+		f.taken[id] = by
+	})
+}
+
 // restart begins a worker's next life under its id, which knows nothing of the
 // last one. Its entry stays as it was for now.
 func (f *farm) restart(id string) {
--- a/formation/group.go
+++ b/formation/group.go
@@ -117,7 +117,7 @@
 		if w.Member.Epoch > g.epoch {
 			g.epoch, g.byRank = w.Member.Epoch, map[int]*Worker{}
 		}
-		if w.Member.Epoch == g.epoch {
+		if other := g.byRank[w.Member.Rank]; w.Member.Epoch == g.epoch && (other == nil || !w.Unlisted) {
 			g.byRank[w.Member.Rank] = w
 		}
 	}
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"testing"
 	"testing/synctest"
@@ -300,6 +301,30 @@
 	})
 }
 
+// A member ended, and another process stands at its address under a new id.
+// When the old id is asked there, the new process answers. It must not be taken
+// for two members: the list of a group would then name one that is gone.
+func TestAnotherProcessAtAnAddress(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		for round, model := range []string{"small", "large", "small"} {
+			w := f.whole(model)[0]
+			for i, id := range w.members[1:] {
+				f.replace(id, fmt.Sprintf("new-%d-%d", round, i))
+			}
+			n.manager.Stalled(context.Background(), w.ID)
+			time.Sleep(5 * time.Second)
+			f.mu.Lock()
+			f.lose = 0.6
+			f.mu.Unlock()
+			time.Sleep(6 * time.Second)
+			f.mu.Lock()
+			f.lose = 0
+			f.mu.Unlock()
+			time.Sleep(25 * time.Second)
+		}
+	})
+}
+
 // A new holder of the zone's lease knows only what endpoints say. It goes on
 // where the last one stopped, and breaks up nothing.
 func TestNewHolderTakesOver(t *testing.T) {
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -43,7 +43,12 @@
 
 // addUnlisted adds the workers of a zone and service whose entry is missing
 // and that still answer.
+//
+// Guard: another process may stand at the address of one that ended, and
+// answers when the old one is asked. It would count twice, under both ids. So
+// an endpoint whose address another entry has is gone.
 func (m *Manager) addUnlisted(ctx context.Context, now time.Time, z *Zone, zone, service, healthPath string) {
+	taken := m.addresses()
 	for id, n := range m.notes {
 		e := n.worker.Endpoint
 		if e == nil || n.seenAt.Equal(now) || e.Zone != zone || e.Service != service {
@@ -58,6 +63,7 @@
 			*u = unlisted{since: now}
 			klog.InfoS("entry_missing", "endpoint", id, "group", n.worker.Member.Group, "entry", e.Revision)
 		}
+		u.ended = u.ended || taken[e.Address]
 		if u.ended || now.Sub(u.since) > unlistedFor {
 			continue
 		}
@@ -71,6 +77,15 @@
 	}
 }
 
+// addresses returns the addresses of all endpoints that have an entry.
+func (m *Manager) addresses() map[string]bool {
+	taken := map[string]bool{}
+	for _, e := range m.Book.View().Endpoints {
+		taken[e.Address] = true
+	}
+	return taken
+}
+
 func (u *unlisted) counts(now time.Time) bool {
 	if u.answered.IsZero() {
 		return now.Sub(u.since) < unlistedGrace && u.fails < unlistedFails
