--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -24,6 +24,7 @@
 	ready   map[string]map[string]bool // workers that were ever ready, by group
 	broken  []string                   // what must not happen and did
 	loads   int
+	leases  int64 // that were taken
 	random  *rand.Rand
 	// lose is the share of orders that get no answer and are carried out late.
 	lose float64
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -107,6 +107,12 @@
 	return !own || now.Before(f.doubtUntil)
 }
 
+// own reports whether this manager formed a group.
+func (m *Manager) own(group string) bool {
+	_, own := m.formed[group]
+	return own
+}
+
 // forget drops what is known of groups that are long gone.
 func (m *Manager) forget(now time.Time) {
 	for name, f := range m.formed {
@@ -186,7 +192,7 @@
 // something is under way.
 func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, service fleet.Service, endpoints []*fleet.Endpoint) bool {
 	engine := service.Engine
-	z := &Zone{OpenDoubt: func(group string) bool { return m.openDoubt(now, group) }, Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
+	z := &Zone{Own: m.own, OpenDoubt: func(group string) bool { return m.openDoubt(now, group) }, Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
 	pending := false
 	for _, e := range endpoints {
 		if e.Zone != zone {
@@ -229,8 +235,16 @@
 	return count > 0 && (now.Sub(a.changed) >= settleTime || now.Sub(a.first) >= settleBound)
 }
 
+// epochBits leaves each version of the store room for 4,096 epochs.
+const epochBits = 12
+
+// nextEpoch returns an epoch that is higher than all before.
+//
+// Guard: orders of an earlier holder may be carried out late. Its epochs stem
+// from versions of the store before this holder took the lease, so they are
+// lower, and a VM that has seen a newer epoch refuses them.
 func (m *Manager) nextEpoch() int64 {
-	m.epoch = max(m.epoch, m.Version()) + 1
+	m.epoch = max(m.epoch, m.Version()<<epochBits) + 1
 	return m.epoch
 }
 
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -24,16 +24,18 @@
 	begun   bool
 	moving  map[string]bool
 	fresh   bool
+	version int64 // of the store when it took the lease
 }
 
 func manage(f *farm, fresh bool) *node {
-	n := &node{holds: true, fresh: fresh, moving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+	f.leases++
+	n := &node{version: f.leases, holds: true, fresh: fresh, moving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
 	settings := fleet.Settings{Zone: "z", Zones: []string{"z"}, FirstStart: fresh, Bounds: fleet.Bounds{
 		Stall: 4 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1.1,
 	}}
 	n.manager = formation.NewManager(formation.Options{
 		Settings: func() fleet.Settings { return settings }, Book: f.book, Orderer: f,
-		Holds: func(string) bool { return n.holds }, Version: func() int64 { return 1 },
+		Holds: func(string) bool { return n.holds }, Version: func() int64 { return n.version },
 		Begun: func() bool { return n.begun }, Moves: func(_ time.Time, id string) bool { return n.moving[id] },
 	})
 	n.manager.Start(n.group)
@@ -346,6 +348,42 @@
 	})
 }
 
+// Holders follow each other while orders are carried out late. What one
+// ordered must not undo, later, what the next one formed.
+func TestHoldersChangeWhileOrdersAreLate(t *testing.T) {
+	for seed := range uint64(15) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFarm(seed, 2, 11)
+			first := manage(f, true)
+			defer first.stop(t)
+			time.Sleep(40 * time.Second)
+			first.begun = true
+			holder := first
+			for range 4 {
+				member, head := memberOf(f, "small", 1)
+				f.mu.Lock()
+				f.lose = 0.6
+				f.mu.Unlock()
+				f.kill(member, false)
+				holder.manager.Stalled(context.Background(), head)
+				time.Sleep(time.Duration(500+f.random.IntN(1500)) * time.Millisecond)
+				holder.holds = false
+				holder = manage(f, false)
+				defer holder.stop(t)
+				holder.begun = true
+				time.Sleep(2 * time.Second)
+				f.mu.Lock()
+				f.lose = 0
+				f.mu.Unlock()
+				time.Sleep(20 * time.Second)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			require.Empty(t, f.broken, "seed %d", seed)
+		})
+	}
+}
+
 // Random losses, cuts and late orders, for many seeds: whatever happens, no
 // group opens without its members, and none is taken apart while it serves.
 func TestRandomTroubleKeepsGroupsWhole(t *testing.T) {
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -63,6 +63,8 @@
 	Workers []*Worker
 	// Moves reports whether a head's streams advance.
 	Moves func(endpointID string) bool
+	// Own reports whether this holder formed a group.
+	Own func(group string) bool
 	// OpenDoubt holds the groups whose head may yet open, by an order that was
 	// not answered or that an earlier holder gave.
 	OpenDoubt func(group string) bool
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -20,6 +20,10 @@
 		p.closing(g)
 	case g.head().Member.State == fleet.Broken || !g.whole() || g.head().Unlisted:
 		p.release(g)
+	case g.ready() && !p.zone.Own(g.name):
+		// An earlier holder's orders may still be carried out, under higher
+		// epochs than this group's. A group of our own outlasts them.
+		p.release(g)
 	case g.ready():
 		p.idle = append(p.idle, g)
 	default:
--- a/members/members.go
+++ b/members/members.go
@@ -238,6 +238,10 @@
 		since = boot
 		t.takeable[zone] = boot
 	}
+	if zone != t.config.Self.Zone {
+		// The zone's own nodes go first, also when its holder gave the lease up.
+		return boot.Sub(since) >= foreignDelay
+	}
 	rank := 0
 	for _, node := range *t.nodes.Load() {
 		if node.Zone == t.config.Self.Zone && node.Name < t.config.Self.Name {
@@ -272,13 +276,6 @@
 		t.release(ctx, zone, boot)
 		return true
 	}
-	if !own && action == lease.Take {
-		// The zone's own nodes go first, also right after all have started.
-		action = state.Next(boot.Add(-foreignDelay))
-		if boot.Sub(t.firstAt) < foreignDelay+leaseDuration {
-			action = lease.Wait
-		}
-	}
 	if action != lease.Take {
 		delete(t.takeable, zone)
 	}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -164,6 +164,23 @@
 	require.Len(t, f.holders("a"), 1, "a lease that was given up need not end first")
 }
 
+// The holder stops as planned, and nodes of other zones take the lease in turn
+// before its own nodes do, each giving orders for a moment.
+func TestLeaseThatWasGivenUpStaysInItsZone(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"})
+	f.run(25 * time.Second)
+	old := f.holders("a")[0]
+	f.nodes[old].Leave(context.Background())
+	f.dead[old] = true
+	for range 60 {
+		f.run(100 * time.Millisecond)
+		for _, holder := range f.holders("a") {
+			require.Contains(t, []string{"a1", "a2"}, holder)
+		}
+	}
+	require.Len(t, f.holders("a"), 1)
+}
+
 // The store turns a holder away: it must stop before another may take over.
 // The run itself checks that no zone is held twice.
 func TestHolderLosesTheStore(t *testing.T) {
