--- a/node/listen.go
+++ b/node/listen.go
@@ -43,8 +43,13 @@
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
 		Handler: n.smallRoutes(), ReadHeaderTimeout: smallHeaderTimeout,
 	}
-	for _, server := range []*http.Server{callers, readiness, figures, n.neighborServer()} {
-		if err := serve(g, server); err != nil {
+	listener, err := serve(g, callers)
+	if err != nil {
+		return err
+	}
+	n.callers = listener
+	for _, server := range []*http.Server{readiness, figures, n.neighborServer()} {
+		if _, err := serve(g, server); err != nil {
 			return err
 		}
 	}
@@ -68,20 +73,23 @@
 	metrics.WriteJSONOnce(n.metrics.Registry(), w)
 }
 
-func serve(g *kernel.Group, server *http.Server) error {
+// serve runs a server until the group stops. Closing its listener only ends
+// the taking of new connections.
+func serve(g *kernel.Group, server *http.Server) (net.Listener, error) {
 	listener, err := net.Listen("tcp", server.Addr)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	g.Go("serve "+server.Addr, func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+			return nil
 		}
-		return nil
+		return err
 	})
 	g.Go("close "+server.Addr, func(ctx context.Context) error {
 		<-ctx.Done()
 		return server.Close()
 	})
-	return nil
+	return listener, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -60,6 +61,7 @@
 	stopping  atomic.Bool // not ready any more
 	leaving   atomic.Bool // callers are sent elsewhere
 	conns     *connections
+	callers   net.Listener
 }
 
 // New assembles a node. path is where its settings came from.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -35,7 +35,7 @@
 
 const answerEvents = 5
 
-// hosts counts the loopback addresses that tests use: each has its own, as a
+// hosts counts the loopback addresses that tests use: each of a run has its own, as a
 // node's metrics stand on a fixed port.
 var hosts atomic.Int32
 
@@ -70,7 +70,7 @@
 		})
 	}
 	d.add(platformtest.EndpointConfig{ID: "desk-1", Service: "desk", Zone: "a"})
-	host := fmt.Sprintf("127.0.3.%d", hosts.Add(1))
+	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%100, 1+os.Getpid()/100%250, hosts.Add(1))
 	d.settings = platformtest.NodeSettings{
 		Node: "n1", Zone: "a", Zones: []string{"a"}, Callers: freeAddress(t, host), Readiness: freeAddress(t, host), IP: host,
 		Internal: portOf(t, freeAddress(t, host)), Store: d.store.Address(),
--- a/node/stop.go
+++ b/node/stop.go
@@ -38,6 +38,13 @@
 	kernel.Sleep(ctx, noticeTime-time.Since(started))
 	n.leaving.Store(true)
 	kernel.Sleep(ctx, quietTime)
+	// Guard: a connection that is taken after the last one was seen to be idle
+	// would be cut with its request. So none is taken any more, and those that
+	// were taken just before have time to be counted.
+	if err := n.callers.Close(); err != nil {
+		klog.ErrorS(err, "listener_not_closed")
+	}
+	kernel.Sleep(ctx, stopCheck)
 	for n.conns.closeIdle(time.Now(), 0) > 0 && time.Now().Before(end) {
 		kernel.Sleep(ctx, stopCheck)
 	}
