--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -255,26 +255,35 @@
 // head was told to open and doesn't show it yet. The group must not be taken
 // apart as if it were closed.
 func TestGroupIsNotTakenApartWhileItOpens(t *testing.T) {
-	play(t, func(t *testing.T, f *farm, n *node) {
-		for _, model := range []string{"small", "large"} {
-			member, head := memberOf(f, model, 1)
-			f.kill(member, false)
-			n.manager.Stalled(context.Background(), head)
-			for range 40 {
-				time.Sleep(100 * time.Millisecond)
-				f.mu.Lock()
-				for _, w := range f.workers {
-					if w.opening {
-						f.workers[w.members[1]].slow = 4
-					}
-				}
-				f.mu.Unlock()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFarm(1, 2, 11)
+		n := manage(f, true)
+		defer n.stop(t)
+		for range 800 {
+			time.Sleep(50 * time.Millisecond)
+			for _, head := range f.slowOpening() {
 				n.manager.Stalled(context.Background(), head)
 			}
 		}
+		require.Empty(t, f.broken)
 	})
 }
 
+// slowOpening makes a member of each group slow that was told to open, and
+// returns the groups' heads.
+func (f *farm) slowOpening() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var heads []string
+	for _, w := range f.workers {
+		if w.opening {
+			f.workers[w.members[1]].slow = 4
+			heads = append(heads, w.ID)
+		}
+	}
+	return heads
+}
+
 // A member crashed and came back while its group waited to open. Its entry is
 // old and says that it is ready. The group would serve without it.
 func TestOpenAsksTheMembersThemselves(t *testing.T) {
