Read a feed again at once while its answers are full

Cause: an answer of the store's feed holds 500 rows. The holders didn't see that orders were carried out. Ruled out: orders refused (0), a lag of the endpoints' own entries (the rows stand in the feed on time).

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -203,3 +204,49 @@
 		require.Len(t, book.View().Endpoints, 1)
 	})
 }
+
+// busyStore is a store in which many endpoints write all the time: an answer
+// of its feed holds at most page rows, the oldest first.
+type busyStore struct {
+	script
+	started   time.Time
+	perSecond int
+}
+
+const page = 500
+
+func (s *busyStore) newest() int64 {
+	return int64(time.Since(s.started).Seconds() * float64(s.perSecond))
+}
+
+func (s *busyStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+	if table != "servers" {
+		return s.script.Changes(ctx, table, after, wait)
+	}
+	kernel.Sleep(ctx, 5*time.Millisecond)
+	newest := min(s.newest(), after+page)
+	value := []byte(`{"service":"s","address":"e:80","state":"ready"}`)
+	var rows []fleet.Row
+	for version := after + 1; version <= newest; version++ {
+		rows = append(rows, fleet.Row{Table: table, Key: "e" + strconv.FormatInt(version%3000, 10), Value: value, Version: version})
+	}
+	return fleet.Rows{Rows: rows, Version: newest, More: len(rows) == page}, nil
+}
+
+// 3,000 endpoints write every 1.2 s. A node that reads one answer of the feed
+// at each interval falls behind by 3 s in every 4: its holder doesn't see that
+// its orders were carried out, and gives them again and again, eleven times each.
+func TestFollowerKeepsUpWithABusyTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &busyStore{started: time.Now(), perSecond: 2500}
+		store.set(0, "")
+		book, stop := follow(t, store)
+		defer stop()
+		time.Sleep(20 * time.Second)
+		newest := int64(0)
+		for _, e := range book.View().Endpoints {
+			newest = max(newest, e.Revision)
+		}
+		require.Less(t, store.newest()-newest, int64(store.perSecond), "the view is less than a second old")
+	})
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -85,13 +85,19 @@
 func (f *Follower) follow(ctx context.Context, feed *feed) error {
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := f.step(ctx, feed)
+		more, err := f.step(ctx, feed)
 		if ctx.Err() != nil {
 			return nil
 		}
 		wait := feed.interval() - time.Since(started)
-		if err != nil {
+		switch {
+		case err != nil:
 			wait = f.failed(feed, err)
+		case more:
+			// Guard: an answer holds 500 changes at most. With 3,000 endpoints that
+			// write every 1.2 s, one answer an interval falls behind by the minute,
+			// and whoever forms groups gives each order eleven times.
+			wait = 0
 		}
 		if wait > 0 && !kernel.Sleep(ctx, wait) {
 			return nil
@@ -115,10 +121,11 @@
 	return feed.pause/2 + rand.N(feed.pause/2+1)
 }
 
-func (f *Follower) step(ctx context.Context, feed *feed) error {
+// step reads a table once. It reports whether the store knows more changes.
+func (f *Follower) step(ctx context.Context, feed *feed) (more bool, err error) {
 	rows, err := f.read(ctx, feed)
 	if err != nil {
-		return err
+		return false, err
 	}
 	now := time.Now()
 	if feed.away {
@@ -138,7 +145,7 @@
 	}
 	feed.version = max(feed.version, rows.Version)
 	f.book.Apply(now, changes...)
-	return nil
+	return rows.More, nil
 }
 
 func (f *Follower) read(ctx context.Context, feed *feed) (fleet.Rows, error) {
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -22,6 +22,8 @@
 type Rows struct {
 	Rows    []Row
 	Version int64
+	// More says of changes that the store knew newer ones than the answer holds.
+	More bool
 }
 
 // Expect is a condition of a transaction: the version that a row must have,
