One node of a zone reads the store for all, first the one that forms its groups

Ruled out: fewer readers without warm copies (each failure made all nodes read the store); zones that read for each other (a cut between zones would cost each its view).

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -26,9 +26,12 @@
 	endpointsInterval = 800 * time.Millisecond
 	// endpointsUrgent is the interval while this node forms groups.
 	endpointsUrgent = 250 * time.Millisecond
-	firstPause      = 100 * time.Millisecond
-	longestPause    = time.Second
-	expireInterval  = 200 * time.Millisecond
+	// knownWait bounds the wait for the neighbors: one call to the store takes
+	// some milliseconds, and without the store there is nothing to wait for.
+	knownWait      = 300 * time.Millisecond
+	firstPause     = 100 * time.Millisecond
+	longestPause   = time.Second
+	expireInterval = 200 * time.Millisecond
 )
 
 // Follower reads the store's tables and keeps a book current.
@@ -37,6 +40,8 @@
 	book  *Book
 	// urgent reports whether this node waits for endpoints to change.
 	urgent func() bool
+	// known is closed once this node knows who might read the store for it.
+	known <-chan struct{}
 }
 
 // NewFollower returns a follower. urgent may be nil.
@@ -47,6 +52,13 @@
 	return &Follower{store: store, book: book, urgent: urgent}
 }
 
+// WithKnown returns a follower that waits a moment for known before it reads
+// the endpoints, which are many: a node that knows its neighbors gets them there.
+func (f Follower) WithKnown(known <-chan struct{}) *Follower {
+	f.known = known
+	return &f
+}
+
 // Start follows both tables until the group stops.
 func (f *Follower) Start(g *kernel.Group) {
 	g.Go("follow_operators", func(ctx context.Context) error {
@@ -54,12 +66,26 @@
 			interval: func() time.Duration { return operatorsInterval }})
 	})
 	g.Go("follow_endpoints", func(ctx context.Context) error {
+		f.awaitKnown(ctx)
 		return f.follow(ctx, &feed{table: platform.TableEndpoints, decode: f.decodeEndpoint, missing: f.missingEndpoints,
 			interval: f.endpointsInterval})
 	})
 	g.Every("expire_endpoints", expireInterval, func(_ context.Context, now time.Time) { f.book.Expire(now) })
 }
 
+// awaitKnown waits until the neighbors are known, or for knownWait.
+func (f *Follower) awaitKnown(ctx context.Context) {
+	if f.known == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, knownWait)
+	defer cancel()
+	select {
+	case <-f.known:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) endpointsInterval() time.Duration {
 	if f.urgent() {
 		return endpointsUrgent
--- a/members/members.go
+++ b/members/members.go
@@ -82,6 +82,7 @@
 	mu       sync.Mutex
 	leases   map[string]lease.State
 	firstAt  time.Time // when the table was first read
+	known    chan struct{}
 	seen     map[string]seen
 	lastList time.Time
 	lastRow  time.Time // when this node's row was written
@@ -99,7 +100,7 @@
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
 		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seen{}, renewed: map[string]time.Time{},
-		takeable: map[string]time.Time{},
+		takeable: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
 		t.leases[zone] = lease.NewState(lease.Config{
@@ -135,8 +136,15 @@
 // Version returns the newest version of the store that this node has seen.
 func (t *Table) Version() int64 { return t.version.Load() }
 
+// Known is closed once this node has read who its neighbors are.
+func (t *Table) Known() <-chan struct{} { return t.known }
+
 // Start keeps the table until the group stops.
 func (t *Table) Start(g *kernel.Group) {
+	g.Go("members_first", func(ctx context.Context) error {
+		t.Step(ctx, t.config.Now())
+		return nil
+	})
 	g.Every("members", tick, func(ctx context.Context, _ time.Time) { t.Step(ctx, t.config.Now()) })
 }
 
@@ -175,6 +183,7 @@
 	boot := t.config.Now()
 	if t.firstAt.IsZero() {
 		t.firstAt = boot
+		defer close(t.known)
 	}
 	t.version.Store(max(t.version.Load(), rows.Version))
 	byKey := map[string]redwinghall.Row{}
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -22,6 +22,8 @@
 // Limits of a call to another node.
 const (
 	callTimeout = 500 * time.Millisecond
+	// listTimeout bounds a call for a whole table, which may not have been read yet.
+	listTimeout = time.Second
 	dialTimeout = 300 * time.Millisecond
 	maxIdle     = 8
 	idleTimeout = 30 * time.Second
@@ -52,8 +54,8 @@
 }
 
 // List implements rpc.Neighbor.
-func (s *Server) List(_ context.Context, in *rpc.ListRequest) (*rpc.RowsResponse, error) {
-	answer, err := s.parts.Mirror(in.GetTable()).List(time.Now())
+func (s *Server) List(ctx context.Context, in *rpc.ListRequest) (*rpc.RowsResponse, error) {
+	answer, err := s.parts.Mirror(in.GetTable()).List(ctx)
 	return encodeAnswer(answer, err)
 }
 
@@ -172,7 +174,7 @@
 
 // List implements relay.Asker.
 func (c *Client) List(ctx context.Context, address, table string) (relay.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	out, err := c.at(address).List(ctx, &rpc.ListRequest{Table: table})
 	return c.decodeAnswer("Client.List", table, out, err)
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -40,6 +40,12 @@
 	return nil
 }
 
+// leader returns the name of the node that forms this zone's groups, if it is known.
+func (n *Node) leader() string {
+	holder, _ := n.table.Holder(n.settings.Zone)
+	return holder.Name
+}
+
 // peers returns the nodes of this zone.
 func (n *Node) peers() []relay.Peer { return n.peersOf(n.settings.Zone) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -71,7 +71,9 @@
 		path: path, settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), board: neighbor.NewBoard(),
 	}
-	n.source = relay.NewSource(store, n.neighbors, s.Node, n.peers, n.foreigners, sameValue)
+	n.source = relay.NewSource(relay.Config{
+		Store: store, Asker: n.neighbors, Self: s.Node, Peers: n.peers, Others: n.foreigners, Leader: n.leader, Same: sameValue,
+	})
 	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress()},
@@ -88,7 +90,7 @@
 		Shares:  func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers())} },
 		Stalled: n.suspect,
 	})
-	n.follower = directory.NewFollower(n.source, n.book, n.manager.Pending)
+	n.follower = directory.NewFollower(n.source, n.book, n.manager.Pending).WithKnown(n.table.Known())
 	return n
 }
 
@@ -117,9 +119,9 @@
 	}
 	klog.InfoS("node_started", "node", n.settings.Node, "zone", n.settings.Zone, "callers", n.settings.Callers,
 		"store", n.settings.StoreAddress, "first_start", n.settings.FirstStart)
+	n.table.Start(g)
 	n.follower.Start(g)
 	n.startReload(g)
-	n.table.Start(g)
 	n.manager.Start(g)
 	n.startSharing(g)
 	n.startZoneSharing(g)
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -55,6 +55,7 @@
 	m.oldest = rows.Version
 	m.whole = true
 	m.take(now, rows)
+	m.wake() // also for a table without rows
 }
 
 // Follows reports whether changes after a version would leave no gap.
@@ -103,20 +104,54 @@
 	m.readAt = now
 	m.lost = false
 	if len(news.Rows) > 0 {
-		close(m.changed)
-		m.changed = make(chan struct{})
+		m.wake()
 	}
 	return news
 }
 
+// wake wakes who waits for the table. The lock is held.
+func (m *Mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // Answer is what a mirror says, and how long ago the store last confirmed it.
 type Answer struct {
 	Rows fleet.Rows
 	Age  time.Duration
 }
 
+// firstWait is how long List waits for a table that was never read: after a
+// start of all nodes, their reader has it a few steps later than they ask.
+const firstWait = 600 * time.Millisecond
+
 // List returns the table without removed rows.
-func (m *Mirror) List(now time.Time) (Answer, error) {
+//
+// Guard: when all nodes start at once, none has read anything. If each read the
+// table itself then, 300 nodes would move 0.4 GB for 3,000 endpoints.
+func (m *Mirror) List(ctx context.Context) (Answer, error) {
+	m.awaitFirst(ctx)
+	return m.list(time.Now())
+}
+
+// awaitFirst waits for the first read, whether it works or not.
+func (m *Mirror) awaitFirst(ctx context.Context) {
+	m.mu.Lock()
+	unread, changed := !m.whole && !m.lost, m.changed
+	m.mu.Unlock()
+	if !unread {
+		return
+	}
+	timer := time.NewTimer(firstWait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Mirror) list(now time.Time) (Answer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.whole || m.lost {
@@ -178,8 +213,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lost = true
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.wake()
 }
 
 func (m *Mirror) after(now time.Time, after int64) (Answer, chan struct{}, error) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,13 +35,13 @@
 func TestMirror(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := relay.NewMirror(nil)
-		_, err := m.List(time.Now())
+		_, err := m.List(context.Background())
 		require.Equal(t, fleet.StoreUnavailable, redwinghall.KindOf[fleet.StoreKind](err), "nothing was read yet")
 		m.Listed(time.Now(), fleet.Rows{Version: 10, Rows: []fleet.Row{row("a", 3), row("b", 4)}})
 		gone := row("a", 12)
 		gone.Removed = true
 		m.Changed(time.Now(), 10, fleet.Rows{Version: 12, Rows: []fleet.Row{gone, row("c", 11)}})
-		list, err := m.List(time.Now())
+		list, err := m.List(context.Background())
 		require.NoError(t, err)
 		require.Equal(t, []string{"b", "c"}, keys(list.Rows.Rows))
 		changes, err := m.Changes(context.Background(), 10, time.Second)
@@ -87,7 +88,7 @@
 	m := relay.NewMirror(nil)
 	m.Listed(time.Now(), fleet.Rows{Version: 10})
 	m.Changed(time.Now(), 20, fleet.Rows{Version: 21, Rows: []fleet.Row{row("x", 21)}})
-	_, err := m.List(time.Now())
+	_, err := m.List(context.Background())
 	require.Error(t, err)
 	require.False(t, m.Follows(21))
 }
@@ -145,12 +146,12 @@
 // asker reaches the sources of other nodes by their address.
 type asker map[string]*relay.Source
 
-func (a asker) List(_ context.Context, address, table string) (relay.Answer, error) {
+func (a asker) List(ctx context.Context, address, table string) (relay.Answer, error) {
 	s, ok := a[address]
 	if !ok {
 		return relay.Answer{}, redwinghall.NewOpError("asker.List", fleet.StoreUnavailable, errDown)
 	}
-	return s.Mirror(table).List(time.Now())
+	return s.Mirror(table).List(ctx)
 }
 
 func (a asker) Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (relay.Answer, error) {
@@ -178,30 +179,81 @@
 	nodes, sources, stores := asker{}, map[string]*relay.Source{}, map[string]*store{}
 	for _, name := range names {
 		stores[name] = &store{rows: fleet.Rows{Version: 5, Rows: []fleet.Row{row("a", 5)}}}
-		sources[name] = relay.NewSource(stores[name], nodes, name, func() []relay.Peer { return peers }, func() []relay.Peer { return nil }, noneSame)
+		sources[name] = relay.NewSource(relay.Config{
+			Store: stores[name], Asker: nodes, Self: name, Peers: func() []relay.Peer { return peers },
+			Others: func() []relay.Peer { return nil }, Leader: func() string { return "n4" }, Same: noneSame,
+		})
 		nodes[name] = sources[name]
 	}
 	return nodes, sources, stores
 }
 
-// The calls to the store must not grow with the number of nodes.
-func TestOnlyReadersCallTheStore(t *testing.T) {
-	names := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}
-	_, sources, stores := zone(names...)
-	for range 3 {
-		for _, name := range names {
-			if _, err := sources[name].List(context.Background(), "t"); err != nil {
-				t.Fatal(err)
+var eight = []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}
+
+// readAll lets all nodes read the table at once.
+func readAll(t *testing.T, sources map[string]*relay.Source) {
+	t.Helper()
+	var all sync.WaitGroup
+	for _, s := range sources {
+		all.Go(func() {
+			rows, err := s.List(context.Background(), "t")
+			require.NoError(t, err)
+			require.Equal(t, []string{"a"}, keys(rows.Rows))
+		})
+	}
+	all.Wait()
+}
+
+func callsOf(stores map[string]*store) map[string]int {
+	calls := map[string]int{}
+	for name, s := range stores {
+		calls[name] = s.calls
+	}
+	return calls
+}
+
+// The calls to the store grow with the nodes, and the platform refuses them:
+// of a zone only the node that forms its groups reads the store, also when all
+// start at the same moment and none has read anything.
+func TestOnlyTheLeaderCallsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, sources, stores := zone(eight...)
+		for range 3 {
+			readAll(t, sources)
+		}
+		for name, calls := range callsOf(stores) {
+			want := 0
+			if name == "n4" {
+				want = 3
 			}
+			require.Equal(t, want, calls, name)
 		}
-	}
-	calling := 0
-	for _, s := range stores {
-		if s.calls > 1 {
-			calling++
+	})
+}
+
+// The reader dies. Each node reads the store once to be sure, and then the next
+// one in line reads for all, from where the dead one was.
+func TestNextNodeReadsWhenTheReaderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes, sources, stores := zone(eight...)
+		readAll(t, sources)
+		delete(nodes, "n4")
+		delete(sources, "n4")
+		readAll(t, sources)
+		before := callsOf(stores)
+		for range 3 {
+			readAll(t, sources)
 		}
-	}
-	require.LessOrEqual(t, calling, relay.ReadersPerZone)
+		calling := 0
+		for name, calls := range callsOf(stores) {
+			require.LessOrEqual(t, before[name], 1, name)
+			if calls > before[name] {
+				calling++
+			}
+		}
+		require.Equal(t, 1, calling)
+		require.True(t, sources["n1"].Mirror("t").Follows(5), "who followed can go on from there")
+	})
 }
 
 // The readers are down or lost the store: a node reads the store itself.
--- a/relay/source.go
+++ b/relay/source.go
@@ -16,9 +16,9 @@
 
 // Who reads the store, and when others stop trusting a reader.
 const (
-	// ReadersPerZone nodes of a zone read the store themselves. With three, one
-	// may be down and one cut off without the others having to read.
-	ReadersPerZone = 3
+	// smallZone is the most nodes of a zone that all read the store themselves:
+	// their calls cost less than a reader's failure would cost the others.
+	smallZone = 3
 	// staleAfter is the age from which a reader's word is not taken: a reader
 	// that lost the store would keep others from what they could read
 	// themselves, and configurations have to be in force within 2 s.
@@ -29,6 +29,9 @@
 	// readerWait is the longest wait of a reader that others follow: its word
 	// is then never older than 0.8 s while it reaches the store.
 	readerWait = 700 * time.Millisecond
+	// followWait is the longest wait of a node for its reader: with the timeout
+	// of the call, a reader that fell silent shows after 1.2 s.
+	followWait = 700 * time.Millisecond
 	// awayAfter is the silence of the store from which a node asks for help only.
 	awayAfter = 3 * time.Second
 	// avoidFor is how long a reader that failed is left alone; each further
@@ -50,18 +53,33 @@
 	Address string
 }
 
-// Source is a store whose tables are read from the zone's readers where that
-// will do. Transactions always go to the store.
-type Source struct {
-	store fleet.Store
-	asker Asker
-	self  string
-	// peers returns the nodes of this zone, this one included; others those of
+// Config is what a source works with.
+type Config struct {
+	Store fleet.Store
+	Asker Asker
+	Self  string // this node's name
+	// Peers returns the nodes of this zone, this one included; Others those of
 	// the other zones.
-	peers  func() []Peer
-	others func() []Peer
-	// same returns, for a table, whether values of its rows say the same.
-	same func(table string) SameValue
+	Peers, Others func() []Peer
+	// Leader returns the name of the node that forms the zone's groups, if it is known.
+	Leader func() string
+	// Same returns, for a table, how values of its rows are compared; nil where
+	// each writing counts.
+	Same func(table string) SameValue
+}
+
+// Source is a store whose tables are read by one node of the zone for all,
+// where that will do. Transactions always go to the store.
+//
+// The reader is the node that forms the zone's groups, so that it sees first
+// what comes of its orders; after it comes the first in an order that all nodes
+// agree on. Who finds the reader silent or stale passes over it, so the next one
+// takes its place. Each node keeps what it was told, and can go on from there.
+//
+// Gain: of 82 nodes in 3 zones, with three readers a zone, 28 of 44 calls to the
+// store a second were readers'; with one it is 10.
+type Source struct {
+	config Config
 
 	mu      sync.Mutex
 	mirrors map[string]*Mirror
@@ -73,10 +91,9 @@
 
 var _ fleet.Store = (*Source)(nil)
 
-// NewSource returns a source in front of a store.
-func NewSource(store fleet.Store, asker Asker, self string, peers, others func() []Peer, same func(table string) SameValue) *Source {
-	return &Source{store: store, asker: asker, self: self, peers: peers, others: others, same: same, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{},
-		pause: map[string]time.Duration{}}
+// NewSource returns a source that has read nothing.
+func NewSource(config Config) *Source {
+	return &Source{config: config, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}, pause: map[string]time.Duration{}}
 }
 
 // Mirror returns what this node read of a table.
@@ -85,7 +102,7 @@
 	defer s.mu.Unlock()
 	m, ok := s.mirrors[table]
 	if !ok {
-		m = NewMirror(s.same(table))
+		m = NewMirror(s.config.Same(table))
 		s.mirrors[table] = m
 	}
 	return m
@@ -98,13 +115,14 @@
 
 // List implements fleet.Store.
 func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
-	list := func(peer Peer) (Answer, error) { return s.asker.List(ctx, peer.Address, table) }
+	list := func(peer Peer) (Answer, error) { return s.config.Asker.List(ctx, peer.Address, table) }
 	if peer, ok := s.reader(time.Now()); ok {
-		if rows, err := s.ask(peer, table, listStaleAfter, list); err == nil {
-			return rows, nil
+		if answer, err := s.ask(peer, table, listStaleAfter, list); err == nil {
+			s.Mirror(table).Listed(time.Now().Add(-answer.Age), answer.Rows)
+			return answer.Rows, nil
 		}
 	}
-	rows, err := s.store.List(ctx, table)
+	rows, err := s.config.Store.List(ctx, table)
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, listStaleAfter, err, list)
@@ -116,17 +134,22 @@
 
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
-	changes := func(peer Peer) (Answer, error) { return s.asker.Changes(ctx, peer.Address, table, after, wait) }
+	changes := func(peer Peer) (Answer, error) {
+		return s.config.Asker.Changes(ctx, peer.Address, table, after, min(wait, followWait))
+	}
 	if peer, ok := s.reader(time.Now()); ok {
-		rows, err := s.ask(peer, table, staleAfter, changes)
-		if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
-			return rows, err
+		answer, err := s.ask(peer, table, staleAfter, changes)
+		switch {
+		case err == nil:
+			return s.Mirror(table).Changed(time.Now().Add(-answer.Age), after, answer.Rows), nil
+		case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
+			return fleet.Rows{}, err
 		}
-	} else if s.reads() && !s.away() && !s.Mirror(table).Follows(after) {
+	} else if !s.away() && !s.Mirror(table).Follows(after) {
 		// Others will ask this node: it needs the whole table first.
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
-	rows, err := s.store.Changes(ctx, table, after, s.wait(wait))
+	rows, err := s.config.Store.Changes(ctx, table, after, s.wait(wait))
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, staleAfter, err, changes)
@@ -138,7 +161,7 @@
 // Commit implements fleet.Store. A transaction that surely was not carried out
 // goes by way of another node.
 func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (int64, error) {
-	version, err := s.store.Commit(ctx, txn)
+	version, err := s.config.Store.Commit(ctx, txn)
 	switch redwinghall.KindOf[fleet.StoreKind](err) {
 	case "", fleet.StoreConflict:
 		s.noteAnswer()
@@ -151,7 +174,7 @@
 	if !ok {
 		return version, err
 	}
-	version, helped := s.asker.Commit(ctx, peer.Address, txn)
+	version, helped := s.config.Asker.Commit(ctx, peer.Address, txn)
 	if redwinghall.KindOf[fleet.StoreKind](helped) == fleet.StoreUnavailable {
 		s.shun(peer)
 	}
@@ -160,7 +183,7 @@
 
 // CommitDirect carries out another node's transaction at the store itself.
 func (s *Source) CommitDirect(ctx context.Context, txn fleet.Txn) (int64, error) {
-	return s.store.Commit(ctx, txn)
+	return s.config.Store.Commit(ctx, txn)
 }
 
 func (s *Source) noteAnswer() { s.answered.Store(time.Now().UnixNano()) }
@@ -181,9 +204,9 @@
 	if !ok {
 		return fleet.Rows{}, cause
 	}
-	rows, err := s.ask(peer, table, trust, read)
+	answer, err := s.ask(peer, table, trust, read)
 	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
-		return rows, err
+		return answer.Rows, err
 	}
 	return fleet.Rows{}, cause
 }
@@ -192,9 +215,9 @@
 func (s *Source) helper(now time.Time) (Peer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, group := range [][]Peer{s.peers(), s.others()} {
+	for _, group := range [][]Peer{s.config.Peers(), s.config.Others()} {
 		for _, one := range Ranked(group) {
-			if one.Name != s.self && now.After(s.avoid[one.Name]) {
+			if one.Name != s.config.Self && now.After(s.avoid[one.Name]) {
 				return one, true
 			}
 		}
@@ -203,18 +226,18 @@
 }
 
 // ask reads from another node, and avoids it for a while if its word can't be used.
-func (s *Source) ask(peer Peer, table string, trust time.Duration, read func(Peer) (Answer, error)) (fleet.Rows, error) {
+func (s *Source) ask(peer Peer, table string, trust time.Duration, read func(Peer) (Answer, error)) (Answer, error) {
 	answer, err := read(peer)
 	switch {
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
-		return fleet.Rows{}, err
+		return Answer{}, err
 	case err == nil && answer.Age <= trust:
 		s.forgive(peer)
-		return answer.Rows, nil
+		return answer, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
 	s.shun(peer)
-	return fleet.Rows{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
+	return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
 }
 
 func (s *Source) shun(peer Peer) {
@@ -234,24 +257,26 @@
 // wait bounds how long the store may keep a reader waiting that others follow:
 // its silence must show in time.
 func (s *Source) wait(wait time.Duration) time.Duration {
-	if len(s.peers()) > ReadersPerZone && s.reads() {
+	if len(s.config.Peers()) > smallZone {
 		return min(wait, readerWait)
 	}
 	return wait
 }
 
-// reader returns the node to ask. There is none where this node is a reader
-// itself, or knows none that works.
+// reader returns the node to ask. There is none where this node is the reader
+// itself.
 func (s *Source) reader(now time.Time) (Peer, bool) {
-	readers := s.readers()
-	if among(readers, s.self) {
+	peers := s.config.Peers()
+	if len(peers) <= smallZone {
 		return Peer{}, false
 	}
+	order := leaderFirst(Ranked(peers), s.config.Leader())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	start := int(xxhash.Sum64String(s.self) % uint64(max(1, len(readers))))
-	for i := range readers {
-		one := readers[(start+i)%len(readers)]
+	for _, one := range order {
+		if one.Name == s.config.Self {
+			return Peer{}, false
+		}
 		if now.After(s.avoid[one.Name]) {
 			return one, true
 		}
@@ -259,22 +284,16 @@
 	return Peer{}, false
 }
 
-// readers returns the nodes of the zone that read the store themselves.
-func (s *Source) readers() []Peer {
-	ranked := Ranked(s.peers())
-	return ranked[:min(ReadersPerZone, len(ranked))]
-}
-
-// reads reports whether this node is one of them.
-func (s *Source) reads() bool { return among(s.readers(), s.self) }
-
-func among(peers []Peer, name string) bool {
-	for _, one := range peers {
-		if one.Name == name {
-			return true
+// leaderFirst moves the leader of a zone to the front.
+func leaderFirst(peers []Peer, leader string) []Peer {
+	for i, one := range peers {
+		if one.Name == leader {
+			copy(peers[1:i+1], peers[:i])
+			peers[0] = one
+			break
 		}
 	}
-	return false
+	return peers
 }
 
 // Ranked returns nodes in an order that all nodes agree on and that doesn't
