Wait longer for endpoints that keep registering before the first groups are formed

Cause: the platform registers about 40 endpoints a second, so 169 take 4.2 s; after 3 s the first groups were formed of half-filled domains.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -27,11 +27,12 @@
 	slowPace = 1.7
 	slowFor  = 10 * time.Second
 	// settleTime is how long the endpoints of a zone must be the same before its
-	// first groups are formed: they register over about a second, and groups
-	// of the first few would leave no domain for the large models. settleBound
-	// is the longest wait.
+	// first groups are formed: groups of the first few would leave no domain for
+	// the large models. settleBound is the longest wait: the platform registers
+	// 40 endpoints a second, so 240 of them have come by then, and about 4 s are
+	// left before the first requests.
 	settleTime  = 500 * time.Millisecond
-	settleBound = 3 * time.Second
+	settleBound = 6 * time.Second
 	// lateOrders is how long after it was given an order without an answer may
 	// still be carried out.
 	lateOrders = 14 * time.Second
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -87,6 +87,25 @@
 	})
 }
 
+// Of many endpoints only so many register in a second. Groups that are formed
+// while they still come find half-filled domains: a zone of two domains of 27
+// that fill for 4 s got one large group instead of two, and half of the large
+// model's callers were refused all day.
+func TestFirstGroupsWaitWhileEndpointsKeepComing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFarm(1, 0, 0)
+		n := manage(f, true)
+		defer n.stop(t)
+		for i := range 22 {
+			f.add(fmt.Sprintf("w%02d", i), []string{"d0", "d1"}[i/11])
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(30 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+	})
+}
+
 // Callers of a group wait for nothing: a member fell silent, the head goes on
 // accepting, and no event comes. The group is closed as soon as its streams
 // stand still, and a standby that has the model takes the place.
