Call a store that doesn't answer less often, and try no lease before the members are read again

A node that the reader answers, but without the store, no longer shuns it, as all are alike in an outage. Ruled out: longer pauses for the reader itself (a configuration must be in force soon after the store is back).

--- a/members/members.go
+++ b/members/members.go
@@ -86,9 +86,12 @@
 	seen     map[string]seen
 	lastList time.Time
 	lastRow  time.Time // when this node's row was written
+	listedAt time.Time // when the table was last read
 	renewed  map[string]time.Time
-	takeable map[string]time.Time // since when a zone's lease could be taken
-	stopped  bool
+	// unwritten is when this node last failed to write a zone's lease.
+	unwritten map[string]time.Time
+	takeable  map[string]time.Time // since when a zone's lease could be taken
+	stopped   bool
 	// version is the newest version of the store that this node knows.
 	version atomic.Int64
 	// held are the zones whose lease this node has, with the ends of the leases.
@@ -100,7 +103,7 @@
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
 		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seen{}, renewed: map[string]time.Time{},
-		takeable: map[string]time.Time{}, known: make(chan struct{}),
+		takeable: map[string]time.Time{}, unwritten: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
 		t.leases[zone] = lease.NewState(lease.Config{
@@ -181,6 +184,7 @@
 		return
 	}
 	boot := t.config.Now()
+	t.listedAt = boot
 	if t.firstAt.IsZero() {
 		t.firstAt = boot
 		defer close(t.known)
@@ -291,6 +295,10 @@
 	switch {
 	case action == lease.Wait, action == lease.Take && !t.staggered(zone, boot):
 		return false
+	case action == lease.Take && !t.listedAt.After(t.unwritten[zone]):
+		// Guard: while the store is away all leases seem free, and each node of a
+		// zone would try to take one every 1.2 s. First the table must be read again.
+		return false
 	case boot.Sub(t.renewed[zone]) < renewInterval:
 		return false
 	}
@@ -331,6 +339,7 @@
 	if err != nil {
 		// A conflict, a lost answer: the next list tells who holds it.
 		klog.InfoS("lease_unwritten", "zone", zone, "err", err)
+		t.unwritten[zone] = t.config.Now()
 		t.lastList = time.Time{}
 		return
 	}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -20,6 +20,7 @@
 	rows    map[string]fleet.Row
 	down    map[string]bool // nodes that it turns away
 	commits int
+	tries   int // to commit
 }
 
 // view is the store as one node reaches it.
@@ -52,6 +53,7 @@
 func (v view) Commit(_ context.Context, txn fleet.Txn) (int64, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.tries++
 	if v.down[v.node] {
 		return 0, redwinghall.NewOpError("view.Commit", fleet.StoreUnavailable, nil)
 	}
@@ -195,6 +197,28 @@
 	require.Len(t, f.holders("a"), 1)
 }
 
+// The store is away for 20 s. All leases end, and each node tries to take one
+// again and again: a call of each node every second, all in vain.
+func TestLeasesAreNotTriedInAnOutage(t *testing.T) {
+	zones := map[string]string{}
+	for _, name := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"} {
+		zones[name] = "a"
+	}
+	f := newFleet(t, zones)
+	f.run(10 * time.Second)
+	for name := range zones {
+		f.store.down[name] = true
+	}
+	before := f.store.tries
+	f.run(20 * time.Second)
+	require.LessOrEqual(t, f.store.tries-before, 60, "an announcement of each node every 5 s, a try or two of each, the holder's renewals")
+	for name := range zones {
+		f.store.down[name] = false
+	}
+	f.run(4 * time.Second)
+	require.Len(t, f.holders("a"), 1)
+}
+
 // All nodes of a zone are gone for long: a node of another zone keeps its
 // groups, and gives the lease back when a node of the zone is there again.
 func TestZoneWithoutNodes(t *testing.T) {
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -134,6 +134,8 @@
 	switch redwinghall.KindOf[fleet.StoreKind](err) {
 	case fleet.StoreHistoryGone:
 		return nil, twirp.NewError(twirp.OutOfRange, err.Error())
+	case fleet.StoreAway:
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	case "":
 	default:
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
@@ -197,14 +199,12 @@
 		return out.GetVersion(), nil
 	}
 	kind := fleet.StoreUnknown
-	if twerr, ok := err.(twirp.Error); ok { //nolint:errorlint // the library returns it bare
-		switch twerr.Code() {
-		case twirp.FailedPrecondition:
-			kind = fleet.StoreConflict
-		case twirp.Unavailable:
-			kind = fleet.StoreUnavailable
-		default:
-		}
+	switch codeOf(err) {
+	case twirp.FailedPrecondition:
+		kind = fleet.StoreConflict
+	case twirp.Unavailable:
+		kind = fleet.StoreUnavailable
+	default:
 	}
 	return 0, redwinghall.NewOpError("Client.Commit", kind, err)
 }
@@ -251,6 +251,14 @@
 	return time.Duration(out.GetStoreAgeMs()) * time.Millisecond, nil
 }
 
+// codeOf returns what another node's error says, "" where it said nothing.
+func codeOf(err error) twirp.ErrorCode {
+	if answered, ok := err.(twirp.Error); ok { //nolint:errorlint // the library returns it bare
+		return answered.Code()
+	}
+	return ""
+}
+
 // failed wraps an error, and drops kept connections: one that went silent must
 // not swallow the next call too.
 func (c *Client) failed(op string, err error) error {
@@ -260,10 +268,14 @@
 
 func (c *Client) decodeAnswer(op, table string, out *rpc.RowsResponse, err error) (relay.Answer, error) {
 	if err != nil {
-		if twerr, ok := err.(twirp.Error); ok && twerr.Code() == twirp.OutOfRange { //nolint:errorlint // the library returns it bare
+		switch codeOf(err) {
+		case twirp.OutOfRange:
 			return relay.Answer{}, redwinghall.NewOpError(op, fleet.StoreHistoryGone, err)
+		case twirp.FailedPrecondition:
+			return relay.Answer{}, redwinghall.NewOpError(op, fleet.StoreAway, err)
+		default:
+			return relay.Answer{}, c.failed(op, err)
 		}
-		return relay.Answer{}, c.failed(op, err)
 	}
 	answer := relay.Answer{Age: time.Duration(out.GetAgeMs()) * time.Millisecond, Rows: fleet.Rows{Version: out.GetVersion()}}
 	for _, r := range out.GetRows() {
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -154,8 +154,8 @@
 func (m *Mirror) list(now time.Time) (Answer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.whole || m.lost {
-		return Answer{}, redwinghall.NewOpError("Mirror.List", fleet.StoreUnavailable, nil)
+	if err := m.unusable("Mirror.List"); err != nil {
+		return Answer{}, err
 	}
 	answer := Answer{Rows: fleet.Rows{Version: m.version}, Age: now.Sub(m.readAt)}
 	for _, row := range m.rows {
@@ -167,6 +167,17 @@
 	return answer, nil
 }
 
+// unusable says why the mirror answers nothing, if so. The lock is held.
+func (m *Mirror) unusable(op string) error {
+	switch {
+	case m.lost:
+		return redwinghall.NewOpError(op, fleet.StoreAway, nil)
+	case !m.whole:
+		return redwinghall.NewOpError(op, fleet.StoreUnavailable, nil)
+	}
+	return nil
+}
+
 // Changes returns what changed after a version, and waits up to wait for it. A
 // wait ends with an error as soon as the store has not confirmed the table for
 // too long.
@@ -188,7 +199,7 @@
 			stale.Stop()
 		case <-stale.C:
 			if m.age(time.Now()) >= staleAfter {
-				return Answer{}, redwinghall.NewOpError("Mirror.Changes", fleet.StoreUnavailable, errStale)
+				return Answer{}, redwinghall.NewOpError("Mirror.Changes", fleet.StoreAway, errStale)
 			}
 		case <-timer.C:
 			stale.Stop()
@@ -219,8 +230,8 @@
 func (m *Mirror) after(now time.Time, after int64) (Answer, chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.whole || m.lost {
-		return Answer{}, nil, redwinghall.NewOpError("Mirror.Changes", fleet.StoreUnavailable, nil)
+	if err := m.unusable("Mirror.Changes"); err != nil {
+		return Answer{}, nil, err
 	}
 	if after < m.oldest {
 		return Answer{}, nil, redwinghall.NewOpError("Mirror.Changes", fleet.StoreHistoryGone, nil)
--- a/relay/source.go
+++ b/relay/source.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -34,6 +36,11 @@
 	followWait = 700 * time.Millisecond
 	// awayAfter is the silence of the store from which a node asks for help only.
 	awayAfter = 3 * time.Second
+	// probePause is the least time between two calls of a node that isn't the
+	// zone's reader to a store that doesn't answer it. The reader asks on, so a
+	// store that returns is known to all within 2 s.
+	probePause  = 1500 * time.Millisecond
+	probeSpread = 500 * time.Millisecond
 	// avoidFor is how long a reader that failed is left alone; each further
 	// failure doubles it up to avoidLongest.
 	avoidFor     = 3 * time.Second
@@ -87,13 +94,16 @@
 	pause   map[string]time.Duration // the last time that a node was avoided for
 	// answered is when the store last answered this node itself, in Unix nanoseconds.
 	answered atomic.Int64
+	// probeAt is, by table, when this node may call a store again that didn't answer it.
+	probeAt map[string]time.Time
 }
 
 var _ fleet.Store = (*Source)(nil)
 
 // NewSource returns a source that has read nothing.
 func NewSource(config Config) *Source {
-	return &Source{config: config, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}, pause: map[string]time.Duration{}}
+	return &Source{config: config, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}, pause: map[string]time.Duration{},
+		probeAt: map[string]time.Time{}}
 }
 
 // Mirror returns what this node read of a table.
@@ -116,45 +126,95 @@
 // List implements fleet.Store.
 func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
 	list := func(peer Peer) (Answer, error) { return s.config.Asker.List(ctx, peer.Address, table) }
-	if peer, ok := s.reader(time.Now()); ok {
-		if answer, err := s.ask(peer, table, listStaleAfter, list); err == nil {
+	peer, follows := s.reader(time.Now())
+	var asked error
+	if follows {
+		var answer Answer
+		if answer, asked = s.ask(peer, table, listStaleAfter, list); asked == nil {
 			s.Mirror(table).Listed(time.Now().Add(-answer.Age), answer.Rows)
 			return answer.Rows, nil
 		}
 	}
-	rows, err := s.config.Store.List(ctx, table)
+	rows, err := s.call(time.Now(), table, func() (fleet.Rows, error) { return s.config.Store.List(ctx, table) })
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, listStaleAfter, err, list)
 	}
-	s.noteAnswer()
+	s.passOver(peer, asked)
 	s.Mirror(table).Listed(time.Now(), rows)
 	return rows, nil
 }
 
+// call calls the store itself, unless it didn't answer this node just now.
+//
+// Guard: in an outage each node would ask on and on, since no reader has
+// anything to tell: 82 nodes made 250 calls a second, all in vain, and more when
+// the store came back and was busy with the rest.
+func (s *Source) call(now time.Time, table string, read func() (fleet.Rows, error)) (fleet.Rows, error) {
+	if !s.mayCall(now, table) {
+		return fleet.Rows{}, redwinghall.NewOpError("Source.call", fleet.StoreUnavailable, errNotNow)
+	}
+	rows, err := read()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch redwinghall.KindOf[fleet.StoreKind](err) {
+	case "", fleet.StoreHistoryGone:
+		delete(s.probeAt, table)
+		s.noteAnswer()
+	default:
+		s.probeAt[table] = time.Now().Add(probePause + rand.N(probeSpread))
+	}
+	return rows, err
+}
+
+var errNotNow = errors.New("the store didn't answer this node just now")
+
+func (s *Source) mayCall(now time.Time, table string) bool {
+	peers := s.config.Peers()
+	if len(peers) <= smallZone || leaderFirst(Ranked(peers), s.config.Leader())[0].Name == s.config.Self {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !now.Before(s.probeAt[table])
+}
+
+// passOver avoids a node that doesn't reach a store that others may reach.
+func (s *Source) passOver(reader Peer, asked error) {
+	if redwinghall.KindOf[fleet.StoreKind](asked) == fleet.StoreAway {
+		s.shun(reader)
+	}
+}
+
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) {
 		return s.config.Asker.Changes(ctx, peer.Address, table, after, min(wait, followWait))
 	}
-	if peer, ok := s.reader(time.Now()); ok {
-		answer, err := s.ask(peer, table, staleAfter, changes)
-		switch {
-		case err == nil:
+	peer, follows := s.reader(time.Now())
+	var asked error
+	if follows {
+		var answer Answer
+		answer, asked = s.ask(peer, table, staleAfter, changes)
+		switch redwinghall.KindOf[fleet.StoreKind](asked) {
+		case "":
 			return s.Mirror(table).Changed(time.Now().Add(-answer.Age), after, answer.Rows), nil
-		case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
-			return fleet.Rows{}, err
+		case fleet.StoreHistoryGone:
+			return fleet.Rows{}, asked
+		default:
 		}
 	} else if !s.away() && !s.Mirror(table).Follows(after) {
 		// Others will ask this node: it needs the whole table first.
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
-	rows, err := s.config.Store.Changes(ctx, table, after, s.wait(wait))
+	rows, err := s.call(time.Now(), table, func() (fleet.Rows, error) {
+		return s.config.Store.Changes(ctx, table, after, s.wait(wait))
+	})
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, staleAfter, err, changes)
 	}
-	s.noteAnswer()
+	s.passOver(peer, asked)
 	return s.Mirror(table).Changed(time.Now(), after, rows), nil
 }
 
@@ -205,6 +265,7 @@
 		return fleet.Rows{}, cause
 	}
 	answer, err := s.ask(peer, table, trust, read)
+	s.passOver(peer, err)
 	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 		return answer.Rows, err
 	}
@@ -236,6 +297,10 @@
 		return answer, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
+	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreAway || err == nil {
+		// It works, but the store doesn't answer it: perhaps nobody.
+		return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreAway, err)
+	}
 	s.shun(peer)
 	return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
 }
