--- a/balance/choose.go
+++ b/balance/choose.go
@@ -48,6 +48,8 @@
 	ColdNear, ColdFar float64
 	// Nodes is how many nodes there are, ZoneNodes how many in this zone.
 	Nodes, ZoneNodes int
+	// ZonesFull holds the zones that said that they can't serve the stream in time.
+	ZonesFull map[string]bool
 	// GoesOn says that the stream was taken from another group: it is worth
 	// finishing late, and is not refused for being so.
 	GoesOn bool
@@ -57,6 +59,16 @@
 	bias time.Duration // of predictions, as observed
 }
 
+// WithZoneFull returns the ask without the groups of a zone.
+func (a Ask) WithZoneFull(zone string) Ask {
+	full := map[string]bool{zone: true}
+	for one := range a.ZonesFull {
+		full[one] = true
+	}
+	a.ZonesFull = full
+	return a
+}
+
 // Choice is the endpoint for a request, with what decided it.
 type Choice struct {
 	Endpoint  *fleet.Endpoint
@@ -143,7 +155,7 @@
 // among looks through the endpoints that are wanted.
 func (l *search) among(t *Tracker, endpoints []*fleet.Endpoint, wanted func(*fleet.Endpoint) bool) {
 	for _, e := range endpoints {
-		if !wanted(e) || !Usable(&l.ask.Service, e, l.zonesOut) || l.ask.Tried[e.ID] {
+		if !wanted(e) || !Usable(&l.ask.Service, e, l.zonesOut) || l.ask.Tried[e.ID] || l.ask.ZonesFull[e.Zone] {
 			continue
 		}
 		if l.ask.Service.Engine != nil && e.Model() != l.ask.Model.Name {
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -41,6 +41,7 @@
 	shared   Load // what other nodes have
 	sharedAt time.Time
 	lately   recent // what this node sent
+	reserved []reservation
 
 	lastEvent time.Time // of any stream
 	// waitingSince is when this node began to wait for an event without a break.
@@ -103,9 +104,9 @@
 // others returns what other nodes have at the endpoint, as far as known.
 func (s *State) others(now time.Time) Load {
 	if now.Sub(s.sharedAt) > shareTrust {
-		return Load{}
+		return s.held(now)
 	}
-	return s.shared
+	return s.shared.With(s.held(now))
 }
 
 // age returns how old the newest word of others on the endpoint's load is.
@@ -172,14 +173,16 @@
 	return Load{Requests: n, Unstarted: n, Unread: int(others * r.tokens)}
 }
 
-// Own returns what this node has at each endpoint.
-func (t *Tracker) Own() map[string]Load {
+// Own returns what this node has at each endpoint, and what it has promised
+// to others there.
+func (t *Tracker) Own(now time.Time) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := map[string]Load{}
 	for id, s := range t.states {
-		if s.own > 0 {
-			own[id] = Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}
+		load := Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}.With(s.held(now))
+		if load.Requests > 0 {
+			own[id] = load
 		}
 	}
 	return own
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,9 +34,17 @@
 	Shares func() Shares
 	// Stalled is told of a group in which nothing moves.
 	Stalled func(endpointID string)
+	// Desk asks other zones before streams go there; it may be nil.
+	Desk    Desk
 	Metrics *Metrics
 }
 
+// Desk asks another zone to choose one of its groups for a stream. ok is false
+// if the zone gave no answer.
+type Desk interface {
+	Ask(ctx context.Context, zone string, wish fleet.Wish) (offer fleet.Offer, ok bool)
+}
+
 // Gateway serves callers.
 type Gateway struct {
 	Options
--- /dev/null
+++ b/gateway/place_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// far adds a stand-in group of another zone.
+func (s *site) far(zone, id string) {
+	s.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Served-By", id)
+		sign(w, r)
+		events(w, 1, 3)
+	}))
+	s.t.Cleanup(server.Close)
+	s.registerIn(zone, id, "llm", server.Listener.Addr().String())
+}
+
+// The nearest zone with a group is cut off, or has no room, or would rather
+// use another of its groups: the caller gets its answer in each case, from
+// where it is served, and is refused only when no zone has room.
+func TestStreamAsksTheOtherZone(t *testing.T) {
+	for name, c := range map[string]struct {
+		offers map[string]string
+		status int
+		served []string
+	}{
+		"its choice is taken":      {map[string]string{"b": "b2", "c": "c1"}, 200, []string{"b2", "c1"}},
+		"no answer":                {map[string]string{}, 200, []string{"b1", "b2", "c1"}},
+		"an endpoint unknown here": {map[string]string{"b": "b9", "c": "c9"}, 200, []string{"b1", "b2", "c1"}},
+		"one zone is full":         {map[string]string{"b": "", "c": "c1"}, 200, []string{"c1"}},
+		"all zones are full":       {map[string]string{"b": "", "c": ""}, 503, []string{""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.far("b", "b1")
+			s.far("b", "b2")
+			s.far("c", "c1")
+			s.desk.offers = c.offers
+			got := s.do(s.request(http.MethodPost, "/stream/x"))
+			require.Equal(t, c.status, got.status)
+			require.Contains(t, c.served, got.header.Get("Served-By"))
+			require.NotEmpty(t, s.desk.asked)
+			if c.status != http.StatusOK {
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// A stream that stays in its zone asks nobody: that would cost each caller the
+// way to another node and back.
+func TestStreamOfTheOwnZoneAsksNobody(t *testing.T) {
+	s := newSite(t)
+	s.endpoint("near", "llm", func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		events(w, 1, 3)
+	})
+	s.far("b", "b1")
+	require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, "/stream/x")).status)
+	require.Empty(t, s.desk.asked)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,7 +59,7 @@
 		call.lastID, call.hasID = id, true
 	}
 	for {
-		choice, none := call.choose(time.Now())
+		choice, none := call.choose(ctx, time.Now())
 		if none != nil {
 			call.refuse(ofBalance(none))
 			return
@@ -78,14 +78,14 @@
 
 // choose returns the endpoint for the stream: the head of a group that serves
 // its model, or an endpoint of a plain service.
-func (c *streamCall) choose(now time.Time) (balance.Choice, *balance.Refusal) {
+func (c *streamCall) choose(ctx context.Context, now time.Time) (balance.Choice, *balance.Refusal) {
 	view := c.r.view
 	ask := c.g.ask(c.r, c.tried)
 	ask.GoesOn = c.sent.Load() > 0
 	if c.r.Service.Engine == nil {
 		return c.g.Tracker.Plain(now, view.ByService[c.r.Service.Name], view.ZonesOut, ask)
 	}
-	return c.g.Tracker.Group(now, view.Heads(c.r.Service.Name, c.r.Ask.Model), view.ZonesOut, ask)
+	return c.chooseGroup(ctx, now, ask)
 }
 
 // silenceOf returns how long nothing may move before the stream goes on
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -24,9 +24,12 @@
 	callTimeout = 500 * time.Millisecond
 	// listTimeout bounds a call for a whole table, which may not have been read yet.
 	listTimeout = time.Second
-	dialTimeout = 300 * time.Millisecond
-	maxIdle     = 8
-	idleTimeout = 30 * time.Second
+	// reserveTimeout bounds what a caller waits for another zone's word: an
+	// eighth of the strictest objective, and many times the way there and back.
+	reserveTimeout = 40 * time.Millisecond
+	dialTimeout    = 300 * time.Millisecond
+	maxIdle        = 8
+	idleTimeout    = 30 * time.Second
 	// longestWait bounds how long a caller may wait for changes.
 	longestWait = 5 * time.Second
 )
@@ -37,6 +40,8 @@
 	Board    *Board
 	Suspect  func(ctx context.Context, endpointID string)
 	StoreAge func(now time.Time) time.Duration
+	// Reserve chooses a group of this zone for a stream of another one.
+	Reserve func(now time.Time, wish fleet.Wish) fleet.Offer
 	// Commit carries out a transaction at the store itself.
 	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
 }
@@ -77,6 +82,15 @@
 	return &rpc.ShareResponse{Loads: encodeLoads(s.parts.Board.Others(now, in.GetNode()))}, nil
 }
 
+// Reserve implements rpc.Neighbor.
+func (s *Server) Reserve(_ context.Context, in *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	offer := s.parts.Reserve(time.Now(), fleet.Wish{
+		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
+		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), GoesOn: in.GetGoesOn(),
+	})
+	return &rpc.ReserveResponse{Endpoint: offer.Endpoint, PredictedUs: offer.Predicted.Microseconds()}, nil
+}
+
 // Suspect implements rpc.Neighbor.
 func (s *Server) Suspect(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
 	s.parts.Suspect(context.Background(), in.GetEndpoint())
@@ -230,6 +244,21 @@
 	return nil
 }
 
+// Reserve asks a node of another zone to choose a group there. A caller waits
+// meanwhile, so the answer must come within reserveTimeout.
+func (c *Client) Reserve(ctx context.Context, address string, wish fleet.Wish) (fleet.Offer, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	out, err := c.at(address).Reserve(ctx, &rpc.ReserveRequest{
+		Service: wish.Service, Model: wish.Model, PromptTokens: int32(wish.Prompt), //nolint:gosec // a count of tokens
+		ObjectiveMs: wish.Objective.Milliseconds(), Tried: wish.Tried, GoesOn: wish.GoesOn,
+	})
+	if err != nil {
+		return fleet.Offer{}, c.failed("Client.Reserve", err)
+	}
+	return fleet.Offer{Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond}, nil
+}
+
 // Suspect tells a node that little or nothing moves at an endpoint.
 func (c *Client) Suspect(ctx context.Context, address, endpointID string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	suspected []string
 	commits   []fleet.Txn
 	commitErr error
+	wishes    []fleet.Wish
 }
 
 func serve(t *testing.T) (*other, *neighbor.Client, string) {
@@ -31,6 +33,10 @@
 		Mirror: func(string) *relay.Mirror { return o.mirror }, Board: o.board,
 		Suspect:  func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
 		StoreAge: func(time.Time) time.Duration { return 1500 * time.Millisecond },
+		Reserve: func(_ time.Time, wish fleet.Wish) fleet.Offer {
+			o.wishes = append(o.wishes, wish)
+			return fleet.Offer{Endpoint: "e1", Predicted: 123 * time.Millisecond}
+		},
 		Commit: func(_ context.Context, txn fleet.Txn) (int64, error) {
 			o.commits = append(o.commits, txn)
 			return 9, o.commitErr
@@ -77,6 +83,26 @@
 	}
 }
 
+func TestReserve(t *testing.T) {
+	o, client, address := serve(t)
+	wish := fleet.Wish{Service: "llm", Model: "large", Prompt: 1500, Objective: 400 * time.Millisecond, Tried: []string{"e7"}, GoesOn: true}
+	offer, err := client.Reserve(context.Background(), address, wish)
+	require.NoError(t, err)
+	require.Equal(t, fleet.Offer{Endpoint: "e1", Predicted: 123 * time.Millisecond}, offer)
+	require.Equal(t, []fleet.Wish{wish}, o.wishes)
+}
+
+// The other zone was cut off: the caller must not wait for its word for long.
+func TestReserveGivesUpSoon(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	started := time.Now()
+	_, err = neighbor.NewClient().Reserve(context.Background(), listener.Addr().String(), fleet.Wish{})
+	require.Error(t, err)
+	require.Less(t, time.Since(started), 2*time.Second, "a bound that a busy machine keeps too")
+}
+
 func TestSharesLoadsAndSuspicions(t *testing.T) {
 	o, client, address := serve(t)
 	ctx := context.Background()
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -80,7 +80,7 @@
 		Addr: n.internalAddress(), ReadHeaderTimeout: smallHeaderTimeout,
 		Handler: neighbor.NewHandler(neighbor.Parts{
 			Mirror: n.source.Mirror, Board: n.board, Suspect: n.manager.Stalled, StoreAge: n.source.StoreAge,
-			Commit: n.source.CommitDirect,
+			Commit: n.source.CommitDirect, Reserve: n.reserve,
 		}),
 	}
 }
@@ -95,7 +95,7 @@
 			return
 		}
 		last = now
-		own := n.tracker.Own()
+		own := n.tracker.Own(now)
 		if ranked[0].Name == n.settings.Node {
 			n.board.Put(now, n.settings.Node, own)
 			n.tracker.SetOthers(now, n.board.Others(now, n.settings.Node))
