--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -250,3 +250,31 @@
 		require.Less(t, store.newest()-newest, int64(store.perSecond), "the view is less than a second old")
 	})
 }
+
+// relayed is a store whose tables another node reads for this one.
+type relayed struct{ script }
+
+func (s *relayed) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+	rows, err := s.script.Changes(ctx, table, after, wait)
+	rows.Relayed = true
+	return rows, err
+}
+
+// A group closes, and requests go there for most of a second more, because the
+// node reads on at the pace that spares the store, though it doesn't call it.
+func TestFollowerReadsRelayedChangesSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &relayed{}
+		store.set(10, "", entry(t, "a", 3))
+		book, stop := follow(t, store)
+		defer stop()
+		time.Sleep(time.Second)
+		store.set(11, "", entry(t, "a", 3), entry(t, "b", 11))
+		for book.View().Endpoints["b"] == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+		store.set(12, "", entry(t, "c", 12))
+		time.Sleep(200 * time.Millisecond)
+		require.Contains(t, book.View().Endpoints, "c")
+	})
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -26,6 +26,9 @@
 	endpointsInterval = 800 * time.Millisecond
 	// endpointsUrgent is the interval while this node forms groups.
 	endpointsUrgent = 250 * time.Millisecond
+	// relayedInterval spaces reads from another node, which cost the store
+	// nothing: a group that opened or closes is known 0.3 s sooner on average.
+	relayedInterval = 150 * time.Millisecond
 	// knownWait bounds the wait for the neighbors: one call to the store takes
 	// some milliseconds, and without the store there is nothing to wait for.
 	knownWait      = 300 * time.Millisecond
@@ -111,7 +114,7 @@
 func (f *Follower) follow(ctx context.Context, feed *feed) error {
 	for ctx.Err() == nil {
 		started := time.Now()
-		more, err := f.step(ctx, feed)
+		rows, err := f.step(ctx, feed)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -119,7 +122,9 @@
 		switch {
 		case err != nil:
 			wait = f.failed(feed, err)
-		case more:
+		case rows.Relayed:
+			wait = relayedInterval - time.Since(started)
+		case rows.More:
 			// Guard: an answer holds 500 changes at most. With 3,000 endpoints that
 			// write every 1.2 s, one answer an interval falls behind by the minute,
 			// and whoever forms groups gives each order eleven times.
@@ -147,11 +152,11 @@
 	return feed.pause/2 + rand.N(feed.pause/2+1)
 }
 
-// step reads a table once. It reports whether the store knows more changes.
-func (f *Follower) step(ctx context.Context, feed *feed) (more bool, err error) {
+// step reads a table once and takes in what came.
+func (f *Follower) step(ctx context.Context, feed *feed) (fleet.Rows, error) {
 	rows, err := f.read(ctx, feed)
 	if err != nil {
-		return false, err
+		return rows, err
 	}
 	now := time.Now()
 	if feed.away {
@@ -171,7 +176,7 @@
 	}
 	feed.version = max(feed.version, rows.Version)
 	f.book.Apply(now, changes...)
-	return rows.More, nil
+	return rows, nil
 }
 
 func (f *Follower) read(ctx context.Context, feed *feed) (fleet.Rows, error) {
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -24,6 +24,8 @@
 	Version int64
 	// More says of changes that the store knew newer ones than the answer holds.
 	More bool
+	// Relayed says that another node read them: the store was not called.
+	Relayed bool
 }
 
 // Expect is a condition of a transaction: the version that a row must have,
--- a/relay/source.go
+++ b/relay/source.go
@@ -198,7 +198,9 @@
 		answer, asked = s.ask(peer, table, staleAfter, changes)
 		switch redwinghall.KindOf[fleet.StoreKind](asked) {
 		case "":
-			return s.Mirror(table).Changed(time.Now().Add(-answer.Age), after, answer.Rows), nil
+			news := s.Mirror(table).Changed(time.Now().Add(-answer.Age), after, answer.Rows)
+			news.Relayed = true
+			return news, nil
 		case fleet.StoreHistoryGone:
 			return fleet.Rows{}, asked
 		default:
