Take a join that holds already for what it is, also where the entry doesn't show it

Ruled out: the head's process (it answered), the order's epoch. The test that plays it (entries 1.8 s late) fails without the change.

--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -159,6 +159,9 @@
 		})
 		return fleet.Unanswered, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
 	}
+	if o.Kind == fleet.OrderJoin && w.Member.Group == o.Group && w.Member.Epoch == o.Epoch {
+		return fleet.Done, nil
+	}
 	if f.carryOut(w, o) {
 		if o.Kind == fleet.OrderOpen {
 			return fleet.Done, nil
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// The store is slow, and entries show what was ordered after 2 s. A member that
+// answers that it has joined already must not be taken for one that has not:
+// its group would be dissolved, and its members wait for seconds.
+func TestSlowEntriesDissolveNoGroup(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		member, head := memberOf(f, "large", 1)
+		f.mu.Lock()
+		f.lag = 1800 * time.Millisecond
+		f.mu.Unlock()
+		f.kill(member, true)
+		time.Sleep(700 * time.Millisecond)
+		n.manager.Stalled(context.Background(), head)
+		time.Sleep(8 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+	})
+}
+
 // A whole domain goes dark and comes back with the models in its hosts'
 // memory. Its groups are there again within seconds, without a load.
 func TestDomainComesBack(t *testing.T) {
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -48,10 +48,7 @@
 		if s.Order.Kind == fleet.OrderOpen {
 			m.noteOpen(time.Now(), s.Order.Group, outcome)
 		}
-		if outcome == fleet.Refused || (outcome == fleet.Done && s.Order.Kind != fleet.OrderLeave) {
-			// Nothing changes: the entry already tells how things are.
-			n.overlaid = time.Time{}
-		}
+		m.noteUnchanged(time.Now(), n, s.Order.Kind, outcome)
 		if redwinghall.KindOf[platform.Kind](err) == platform.Ended {
 			n.suspect = time.Now().Add(suspectFor)
 			n.unlisted.ended = !n.unlisted.since.IsZero()
@@ -60,6 +57,22 @@
 	})
 }
 
+// noteUnchanged takes in that an order changed nothing: the entry already tells
+// how things are.
+//
+// Guard: of a join it may not tell yet. Where the store is slow, an endpoint
+// answers that it has joined before its entry shows it; taken for the truth, the
+// old entry dissolves the group, and its members wait for seconds.
+func (m *Manager) noteUnchanged(now time.Time, n *note, kind fleet.OrderKind, outcome fleet.Outcome) {
+	switch {
+	case outcome == fleet.Done && kind == fleet.OrderJoin:
+		n.overlaid = now
+	case outcome == fleet.Done && kind == fleet.OrderLeave:
+	case outcome == fleet.Refused || outcome == fleet.Done:
+		n.overlaid = time.Time{}
+	}
+}
+
 // noteOpen notes until when an order to open may still take effect.
 func (m *Manager) noteOpen(now time.Time, group string, outcome fleet.Outcome) {
 	lasts := openSettle
