--- /dev/null
+++ b/formation/muted_test.go
@@ -0,0 +1,70 @@
+package formation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/fleet"
+	"redwinghall/formation"
+)
+
+// joiningGroup returns the workers of a large group that was told to join long
+// enough ago, of which the first shown show it in their entries, and a spare.
+func joiningGroup(now time.Time, shown int) []*formation.Worker {
+	var workers []*formation.Worker
+	for rank := range 7 {
+		e := &fleet.Endpoint{ID: fmt.Sprintf("e%d", rank), Zone: "z", Domain: "d0", State: fleet.EndpointReady}
+		w := &formation.Worker{
+			Endpoint: e, LastModel: "large", ChangedAt: now.Add(-time.Second), FreeSince: now.Add(-time.Minute),
+			OrderedAt: map[fleet.OrderKind]time.Time{},
+		}
+		if rank < 6 {
+			w.Member = fleet.Membership{Group: "replica|large|9", Epoch: 9, Rank: rank, State: fleet.Joining}
+		}
+		if rank >= 6-shown {
+			e.Member = w.Member
+		}
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+// The head of a new group is cut off from the store as it joins. The others
+// wait for its entry to show it, and a whole group serves nobody for six
+// seconds. The group is formed anew without it, from the spare. Where most
+// entries are late, the store is slow, and the group must wait.
+func TestMemberWhoseEntryStandsStillIsLeftOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		shown   int
+		without string
+	}{
+		"one is late":   {5, "e0"},
+		"most are late": {2, ""},
+		"none is late":  {6, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			zone := &formation.Zone{
+				Engine: farmEngine(), Workers: joiningGroup(now, c.shown), HeadGone: map[string]bool{},
+				Moves: func(string) bool { return false }, Own: func(string) bool { return true },
+				OpenDoubt: func(string) bool { return false }, NextEpoch: func() int64 { return 10 },
+			}
+			var members []string
+			for _, step := range zone.Plan(now) {
+				if step.Order.Kind == fleet.OrderJoin && step.Order.Epoch == 10 && len(step.Order.Members) == 6 {
+					members = step.Order.Members
+				}
+				require.NotEqual(t, fleet.OrderLeave, step.Order.Kind)
+			}
+			if c.without == "" {
+				require.Empty(t, members)
+				return
+			}
+			require.Len(t, members, 6)
+			require.NotContains(t, members, c.without)
+		})
+	}
+}
--- a/formation/notes.go
+++ b/formation/notes.go
@@ -19,7 +19,7 @@
 	w := &n.worker
 	w.Endpoint = e
 	w.Unlisted, w.Silent = false, false
-	w.Suspect = now.Before(n.suspect)
+	w.Suspect = now.Before(n.suspect) || now.Before(w.Mute)
 	w.Slow = now.Before(n.slow)
 	if e.State == fleet.EndpointReady {
 		w.DrainingSince = time.Time{}
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -32,6 +32,9 @@
 	drainGrace = 2500 * time.Millisecond
 	// orderRepeat is when an order without visible effect is given again.
 	orderRepeat = 1200 * time.Millisecond
+	// entryLate is how much later than those of the others of its group a
+	// member's entry may show that it joined: entries show it within 0.5 s.
+	entryLate = 900 * time.Millisecond
 	// openSettle is how long after an order to open a head may still look as if
 	// it were not open: it takes the formation's time, and the entry's way.
 	openSettle = 2500 * time.Millisecond
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -67,6 +67,10 @@
 // joining waits for members, and gives the order again to those that show no
 // sign of it.
 func (p *planner) joining(g *group) {
+	if p.muted(g) {
+		p.release(g)
+		return
+	}
 	p.count(g)
 	members := g.members()
 	for rank := range g.size() {
@@ -78,6 +82,34 @@
 	}
 }
 
+// muted reports whether a member's entry doesn't show that it joined, although
+// the entries of most others do, and leaves that member out for a while.
+//
+// Guard: an endpoint that is cut off from the store, and from nothing else,
+// takes the order, and its entry stays as it was until it lapses after 3.6 s.
+// The group waits for it, and those of its members that are fit serve nobody.
+func (p *planner) muted(g *group) bool {
+	var late []*Worker
+	shown := 0
+	for rank := range g.size() {
+		w := g.byRank[rank]
+		switch {
+		case w.Endpoint.Member.Group == g.name && w.Endpoint.Member.Epoch == g.epoch:
+			shown++
+		case p.now.Sub(w.ChangedAt) > entryLate:
+			late = append(late, w)
+		}
+	}
+	if len(late) == 0 || 2*shown < g.size() {
+		return false // where most are late, the store is slow
+	}
+	for _, w := range late {
+		w.Mute = p.now.Add(suspectFor)
+		w.Suspect = true
+	}
+	return true
+}
+
 // members returns the ids of a whole group in the order of their ranks.
 func (g *group) members() []string {
 	ids := make([]string, 0, g.size())
--- a/formation/worker.go
+++ b/formation/worker.go
@@ -33,6 +33,9 @@
 	// Silent says that it is unlisted and doesn't answer this node.
 	Silent bool
 
+	// Mute is until when its entry is known not to show what it does.
+	Mute time.Time
+
 	loading string // the model that it takes in as a standby
 }
 
