--- a/gateway/place.go
+++ b/gateway/place.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"redwinghall/balance"
 	"redwinghall/fleet"
 )
@@ -27,6 +29,8 @@
 		offered, known := view.Endpoints[offer.Endpoint]
 		switch {
 		case offer.Endpoint == "":
+			klog.InfoS("zone_has_no_room", "request", c.r.Ask.ID, "zone", choice.Endpoint.Zone, "there", offer.Predicted,
+				"predicted_here", choice.Predicted, "load_age", choice.Age)
 			choice.Visit.Withdraw()
 			ask = ask.WithZoneFull(choice.Endpoint.Zone)
 		case !known || offered.ID == choice.Endpoint.ID || !balance.Usable(&ask.Service, offered, view.ZonesOut):
