Keep what is known of a head's process while its entry stays

The other members left and were held 4.5 s as for a silent head, and the address was asked ten times a second. Ruled out: late entries (the head was asked and answered 'ended' 60 times in the log). The field that holds the heads of groups has their name now.

--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -24,6 +24,7 @@
 	ready   map[string]map[string]bool // workers that were ever ready, by group
 	broken  []string                   // what must not happen and did
 	loads   int
+	reports int   // that were asked for
 	leases  int64 // that were taken
 	random  *rand.Rand
 	// lose is the share of orders that get no answer and are carried out late.
@@ -315,6 +316,7 @@
 	time.Sleep(2 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reports++
 	w, err := f.reach(e)
 	if err != nil {
 		return fleet.Report{}, err
--- a/formation/heads.go
+++ b/formation/heads.go
@@ -24,7 +24,7 @@
 		if name == "" || present[name] || w.Suspect || w.Silent {
 			continue
 		}
-		h, known := m.headers[name]
+		h, known := m.heads[name]
 		if !known {
 			continue
 		}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -61,7 +61,7 @@
 	Options
 	mu       sync.Mutex
 	notes    map[string]*note
-	headers  map[string]*headNote // by group
+	heads    map[string]*headNote // by group
 	epoch    int64
 	loads    map[string]*loadBudget // by zone
 	arrivals map[string]*arrival    // by zone
@@ -117,13 +117,13 @@
 // forget drops what is known of groups that are long gone.
 func (m *Manager) forget(now time.Time) {
 	for name, f := range m.formed {
-		if _, known := m.headers[name]; !known && now.Sub(f.at) > notesFor {
+		if _, known := m.heads[name]; !known && now.Sub(f.at) > notesFor {
 			delete(m.formed, name)
 		}
 	}
-	for name, h := range m.headers {
+	for name, h := range m.heads {
 		if now.Sub(h.seenAt) > notesFor {
-			delete(m.headers, name)
+			delete(m.heads, name)
 		}
 	}
 }
@@ -139,7 +139,7 @@
 // NewManager returns a manager that has seen nothing.
 func NewManager(options Options) *Manager {
 	return &Manager{
-		Options: options, notes: map[string]*note{}, headers: map[string]*headNote{},
+		Options: options, notes: map[string]*note{}, heads: map[string]*headNote{},
 		loads: map[string]*loadBudget{}, arrivals: map[string]*arrival{}, formed: map[string]formed{}, sending: map[string]bool{}, probing: map[string]bool{},
 	}
 }
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -267,6 +267,21 @@
 	})
 }
 
+// A head's process has ended: its address refuses connections, while its entry
+// stays for some seconds. Its members need not wait as for a silent one, and
+// its address need not be asked at each step.
+func TestMembersOfAnEndedHeadDoNotWait(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		w := f.whole("large")[0]
+		f.kill(w.ID, false)
+		n.manager.Stalled(context.Background(), w.ID)
+		asked := f.reports
+		time.Sleep(2500 * time.Millisecond)
+		require.Len(t, f.whole("large"), 2)
+		require.LessOrEqual(t, f.reports-asked, 40, "11 of the domain at once, the members before the group opens")
+	})
+}
+
 // Orders get no answer and are carried out seconds later, after newer ones.
 // Groups still form, and none opens without its members.
 func TestOrdersCarriedOutLate(t *testing.T) {
--- a/formation/notes.go
+++ b/formation/notes.go
@@ -54,6 +54,21 @@
 		w.LastModel = model
 	}
 	if e.Member.Rank == 0 && e.Member.Group != "" && !w.Unlisted && member.Group == e.Member.Group {
-		m.headers[e.Member.Group] = &headNote{endpoint: e, seenAt: now}
+		m.noteHead(now, e)
 	}
 }
+
+// noteHead notes which endpoint heads a group. What was found out of its
+// process stays as long as it is the same.
+//
+// Guard: the entry of a process that has ended stays for 3.6 s. If it undid
+// what the process's address told, the group's other members would wait for
+// 4.5 s as for a silent head, and the address would be asked ten times a second.
+func (m *Manager) noteHead(now time.Time, e *fleet.Endpoint) {
+	h, known := m.heads[e.Member.Group]
+	if !known || h.endpoint.ID != e.ID || h.endpoint.Born != e.Born {
+		h = &headNote{}
+		m.heads[e.Member.Group] = h
+	}
+	h.endpoint, h.seenAt = e, now
+}
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -129,7 +129,7 @@
 	if s.Hold {
 		n.worker.HeldUntil = now.Add(m.Settings().Bounds.Stall + holdMargin)
 	}
-	if h, ok := m.headers[s.Order.Group]; ok && h.endpoint.ID == s.Endpoint.ID {
+	if h, ok := m.heads[s.Order.Group]; ok && h.endpoint.ID == s.Endpoint.ID {
 		h.gone = true
 	}
 }
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -50,7 +50,7 @@
 		}
 		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
 		n.suspect = now.Add(suspectFor)
-		if h, ok := m.headers[n.worker.Member.Group]; ok && h.endpoint.ID == endpoint.ID {
+		if h, ok := m.heads[n.worker.Member.Group]; ok && h.endpoint.ID == endpoint.ID {
 			h.gone = redwinghall.KindOf[platform.Kind](err) == platform.Ended
 		}
 		return nil
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		u.fails++
 		u.ended = redwinghall.KindOf[platform.Kind](err) == platform.Ended || u.fails >= unlistedGone
-		if h, ok := m.headers[n.worker.Member.Group]; ok && h.endpoint.ID == n.worker.Endpoint.ID {
+		if h, ok := m.heads[n.worker.Member.Group]; ok && h.endpoint.ID == n.worker.Endpoint.ID {
 			h.gone = h.gone || u.ended
 		}
 		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "ended", u.ended, "err", err)
