--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -36,10 +36,9 @@
 
 // Parts are what a node tells others of.
 type Parts struct {
-	Mirror   func(table string) *relay.Mirror
-	Board    *Board
-	Suspect  func(ctx context.Context, endpointID string)
-	StoreAge func(now time.Time) time.Duration
+	Mirror  func(table string) *relay.Mirror
+	Board   *Board
+	Suspect func(ctx context.Context, endpointID string)
 	// Reserve chooses a group of this zone for a stream of another one.
 	Reserve func(now time.Time, wish fleet.Wish) fleet.Offer
 	// Commit carries out a transaction at the store itself.
@@ -143,11 +142,6 @@
 	return out
 }
 
-// Reach implements rpc.Neighbor.
-func (s *Server) Reach(context.Context, *rpc.ReachRequest) (*rpc.ReachResponse, error) {
-	return &rpc.ReachResponse{StoreAgeMs: s.parts.StoreAge(time.Now()).Milliseconds()}, nil
-}
-
 func encodeAnswer(answer relay.Answer, err error) (*rpc.RowsResponse, error) {
 	switch redwinghall.KindOf[fleet.StoreKind](err) {
 	case fleet.StoreHistoryGone:
@@ -279,17 +273,6 @@
 	return nil
 }
 
-// Reach returns how long ago the store last answered a node.
-func (c *Client) Reach(ctx context.Context, address string) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	out, err := c.at(address).Reach(ctx, &rpc.ReachRequest{})
-	if err != nil {
-		return 0, c.failed("Client.Reach", err)
-	}
-	return time.Duration(out.GetStoreAgeMs()) * time.Millisecond, nil
-}
-
 // codeOf returns what another node's error says, "" where it said nothing.
 func codeOf(err error) twirp.ErrorCode {
 	if answered, ok := err.(twirp.Error); ok { //nolint:errorlint // the library returns it bare
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -31,8 +31,7 @@
 	o := &other{mirror: relay.NewMirror(nil), board: neighbor.NewBoard()}
 	server := httptest.NewServer(neighbor.NewHandler(neighbor.Parts{
 		Mirror: func(string) *relay.Mirror { return o.mirror }, Board: o.board,
-		Suspect:  func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
-		StoreAge: func(time.Time) time.Duration { return 1500 * time.Millisecond },
+		Suspect: func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
 		Reserve: func(_ time.Time, wish fleet.Wish) fleet.Offer {
 			o.wishes = append(o.wishes, wish)
 			return fleet.Offer{Endpoint: "e1", Predicted: 123 * time.Millisecond}
@@ -121,7 +120,4 @@
 
 	require.NoError(t, client.Suspect(ctx, address, "e1"))
 	require.Equal(t, []string{"e1"}, o.suspected)
-	age, err := client.Reach(ctx, address)
-	require.NoError(t, err)
-	require.Equal(t, 1500*time.Millisecond, age)
 }
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -85,7 +85,7 @@
 	return &http.Server{
 		Addr: n.internalAddress(), ReadHeaderTimeout: smallHeaderTimeout,
 		Handler: neighbor.NewHandler(neighbor.Parts{
-			Mirror: n.source.Mirror, Board: n.board, Suspect: n.manager.Stalled, StoreAge: n.source.StoreAge,
+			Mirror: n.source.Mirror, Board: n.board, Suspect: n.manager.Stalled,
 			Commit: n.source.CommitDirect, Reserve: n.reserve,
 		}),
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -118,11 +118,6 @@
 	return m
 }
 
-// StoreAge returns how long ago the store last answered this node itself.
-func (s *Source) StoreAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, s.answered.Load()))
-}
-
 // List implements fleet.Store.
 func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
 	list := func(peer Peer) (Answer, error) { return s.config.Asker.List(ctx, peer.Address, table) }
@@ -196,16 +191,10 @@
 	peer, follows := s.reader(time.Now())
 	var asked error
 	if follows {
-		var answer Answer
-		answer, asked = s.ask(peer, table, staleAfter, changes)
-		switch redwinghall.KindOf[fleet.StoreKind](asked) {
-		case "":
-			news := s.Mirror(table).Changed(time.Now().Add(-answer.Age), after, answer.Rows)
-			news.Relayed = true
-			return news, nil
-		case fleet.StoreHistoryGone:
-			return fleet.Rows{}, asked
-		default:
+		var rows fleet.Rows
+		rows, asked = s.changesFrom(peer, table, after, changes)
+		if asked == nil || redwinghall.KindOf[fleet.StoreKind](asked) == fleet.StoreHistoryGone {
+			return rows, asked
 		}
 	} else if !s.away() && !s.Mirror(table).Follows(after) {
 		// Others will ask this node: it needs the whole table first.
@@ -222,6 +211,17 @@
 	return s.Mirror(table).Changed(time.Now(), after, rows), nil
 }
 
+// changesFrom takes changes in that the zone's reader passes on.
+func (s *Source) changesFrom(peer Peer, table string, after int64, changes func(Peer) (Answer, error)) (fleet.Rows, error) {
+	answer, err := s.ask(peer, table, staleAfter, changes)
+	if err != nil {
+		return fleet.Rows{}, err
+	}
+	news := s.Mirror(table).Changed(time.Now().Add(-answer.Age), after, answer.Rows)
+	news.Relayed = true
+	return news, nil
+}
+
 // Commit implements fleet.Store. A transaction that surely was not carried out
 // goes by way of another node.
 func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (int64, error) {
@@ -253,7 +253,7 @@
 func (s *Source) noteAnswer() { s.answered.Store(time.Now().UnixNano()) }
 
 // away reports whether the store has not answered this node itself for a while.
-func (s *Source) away() bool { return s.StoreAge(time.Now()) > awayAfter }
+func (s *Source) away() bool { return time.Since(time.Unix(0, s.answered.Load())) > awayAfter }
 
 // askOthers reads from a node of another zone what this node can't read itself.
 //
