--- a/balance/reserve_test.go
+++ b/balance/reserve_test.go
@@ -18,7 +18,7 @@
 func TestReserveSpreadsAndRefuses(t *testing.T) {
 	const nodes = 27
 	heads := []*fleet.Endpoint{head("one", "b", "large"), head("two", "b", "large")}
-	desk := balance.NewTracker()
+	zone := balance.NewTracker()
 	reserved := map[string]int{}
 	unasked := 0
 	for i := range nodes {
@@ -27,10 +27,10 @@
 		if _, none := balance.NewTracker().Group(start, heads, nil, far); none == nil {
 			unasked++
 		}
-		wish := ask()
-		wish.Zone, wish.ZoneNodes = "b", nodes
-		if choice, none := desk.Reserve(start.Add(time.Duration(i)*time.Millisecond), heads, nil, wish); none == nil {
-			require.LessOrEqual(t, choice.Predicted, wish.Objective)
+		request := ask()
+		request.Zone, request.ZoneNodes = "b", nodes
+		if choice, none := zone.Reserve(start.Add(time.Duration(i)*time.Millisecond), heads, nil, request); none == nil {
+			require.LessOrEqual(t, choice.Predicted, request.Objective)
 			reserved[choice.Endpoint.ID]++
 		}
 	}
@@ -43,10 +43,10 @@
 // counted for longer, a group would look full of streams that are long gone.
 func TestReservationEnds(t *testing.T) {
 	heads := []*fleet.Endpoint{head("one", "a", "large")}
-	desk := balance.NewTracker()
+	zone := balance.NewTracker()
 	taken := func(at time.Time) (n int) {
 		for {
-			if _, none := desk.Reserve(at, heads, nil, ask()); none != nil {
+			if _, none := zone.Reserve(at, heads, nil, ask()); none != nil {
 				return n
 			}
 			n++
@@ -54,7 +54,7 @@
 	}
 	first := taken(start)
 	require.Positive(t, first)
-	require.Equal(t, first, desk.Own(start)["one"].Requests, "the zone's other nodes hear of it")
+	require.Equal(t, first, zone.Own(start)["one"].Requests, "the zone's other nodes hear of it")
 	require.Zero(t, taken(start.Add(300*time.Millisecond)))
 	require.Equal(t, first, taken(start.Add(500*time.Millisecond)))
 }
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Wish is a stream that a zone is asked to take.
-type Wish struct {
+// PlacementRequest is a stream that a zone is asked to take.
+type PlacementRequest struct {
 	Service   string
 	Model     string
 	Prompt    int // tokens
@@ -14,8 +14,8 @@
 	GoesOn bool
 }
 
-// Offer is a zone's answer to a wish.
-type Offer struct {
+// Placement is a zone's answer to a request.
+type Placement struct {
 	// Endpoint is the head of the chosen group, "" if none serves the stream in time.
 	Endpoint  string
 	Predicted time.Duration // until the first event
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,15 +34,15 @@
 	Shares func() Shares
 	// Stalled is told of a group in which nothing moves.
 	Stalled func(endpointID string)
-	// Desk asks other zones before streams go there; it may be nil.
-	Desk    Desk
+	// Placer asks other zones before streams go there; it may be nil.
+	Placer  Placer
 	Metrics *Metrics
 }
 
-// Desk asks another zone to choose one of its groups for a stream. ok is false
+// Placer asks another zone to choose one of its groups for a stream. ok is false
 // if the zone gave no answer.
-type Desk interface {
-	Ask(ctx context.Context, zone string, wish fleet.Wish) (offer fleet.Offer, ok bool)
+type Placer interface {
+	Place(ctx context.Context, zone string, request fleet.PlacementRequest) (placement fleet.Placement, ok bool)
 }
 
 // Gateway serves callers.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -30,19 +30,19 @@
 	server  *httptest.Server
 	tracker *balance.Tracker
 	config  *fleet.Configuration
-	desk    desk
+	placer  placer
 }
 
-// desk is what other zones say when they are asked.
-type desk struct {
+// placer is what other zones say when they are asked.
+type placer struct {
 	offers map[string]string // endpoints, by zone; a zone without one gives no answer
 	asked  []string
 }
 
-func (d *desk) Ask(_ context.Context, zone string, _ fleet.Wish) (fleet.Offer, bool) {
-	d.asked = append(d.asked, zone)
-	id, ok := d.offers[zone]
-	return fleet.Offer{Endpoint: id, Predicted: 100 * time.Millisecond}, ok
+func (p *placer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
+	p.asked = append(p.asked, zone)
+	id, ok := p.offers[zone]
+	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond}, ok
 }
 
 func engine() *fleet.Engine {
@@ -84,7 +84,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return settings }, Book: s.book, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{Nodes: 1, Zone: 1} }, Stalled: func(string) {},
-		Desk: &s.desk,
+		Placer: &s.placer,
 	})
 	s.server = httptest.NewServer(g)
 	t.Cleanup(s.server.Close)
@@ -104,10 +104,10 @@
 	return server
 }
 
-func (s *site) register(id, service, address string) { s.registerIn("a", id, service, address) }
+func (s *site) register(id, service, address string) { s.registerIn("a", id, service, address, 0) }
 
-func (s *site) registerIn(zone, id, service, address string) {
-	e := &fleet.Endpoint{ID: id, Service: service, Address: address, Zone: zone, State: fleet.EndpointReady, Slots: 6}
+func (s *site) registerIn(zone, id, service, address string, cold time.Duration) {
+	e := &fleet.Endpoint{ID: id, Service: service, Address: address, Zone: zone, Cold: cold, SeenAt: time.Now(), State: fleet.EndpointReady, Slots: 6}
 	if service == "llm" {
 		e.Models = []string{"m0"}
 		e.Member = fleet.Membership{Group: "g-" + id, Epoch: 1, State: fleet.Open}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -18,36 +18,39 @@
 	heads := view.Heads(c.r.Service.Name, c.r.Ask.Model)
 	for {
 		choice, none := c.g.Tracker.Group(now, heads, view.ZonesOut, ask)
-		if none != nil || c.g.Desk == nil || choice.Endpoint.Zone == ask.Zone || choice.Endpoint.ColdAt(now) {
+		if none != nil || c.g.Placer == nil || choice.Endpoint.Zone == ask.Zone || choice.Endpoint.ColdAt(now) {
 			return choice, none
 		}
-		offer, ok := c.g.Desk.Ask(ctx, choice.Endpoint.Zone, c.wish(ask))
+		placement, ok := c.g.Placer.Place(ctx, choice.Endpoint.Zone, c.placement(ask))
 		if !ok {
 			return choice, nil // by what this node knows itself
 		}
 		now = time.Now()
-		offered, known := view.Endpoints[offer.Endpoint]
+		placed, known := view.Endpoints[placement.Endpoint]
 		switch {
-		case offer.Endpoint == "":
-			klog.InfoS("zone_has_no_room", "request", c.r.Ask.ID, "zone", choice.Endpoint.Zone, "there", offer.Predicted,
+		case placement.Endpoint == "":
+			klog.InfoS("zone_has_no_room", "request", c.r.Ask.ID, "zone", choice.Endpoint.Zone, "there", placement.Predicted,
 				"predicted_here", choice.Predicted, "load_age", choice.Age)
 			choice.Visit.Withdraw()
 			ask = ask.WithZoneFull(choice.Endpoint.Zone)
-		case !known || offered.ID == choice.Endpoint.ID || !balance.Usable(&ask.Service, offered, view.ZonesOut):
+		case !known || placed.ID == choice.Endpoint.ID || placed.ColdAt(now) || !balance.Usable(&ask.Service, placed, view.ZonesOut):
+			// Where views differ, this node's own decides: it may know of a group
+			// that turned cold or closed since.
 			return choice, nil
 		default:
 			choice.Visit.Withdraw()
-			return c.g.Tracker.Take(now, offered, ask, offer.Predicted), nil
+			return c.g.Tracker.Take(now, placed, ask, placement.Predicted), nil
 		}
 	}
 }
 
-func (c *streamCall) wish(ask balance.Ask) fleet.Wish {
-	wish := fleet.Wish{
+// placement returns what another zone needs to know of the stream.
+func (c *streamCall) placement(ask balance.Ask) fleet.PlacementRequest {
+	request := fleet.PlacementRequest{
 		Service: ask.Service.Name, Model: ask.Model.Name, Prompt: ask.Prompt, Objective: ask.Objective, GoesOn: ask.GoesOn,
 	}
 	for id := range ask.Tried {
-		wish.Tried = append(wish.Tried, id)
+		request.Tried = append(request.Tried, id)
 	}
-	return wish
+	return request
 }
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -4,12 +4,13 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-// far adds a stand-in group of another zone.
-func (s *site) far(zone, id string) {
+// far adds a stand-in group of another zone, which stays cold for a while.
+func (s *site) far(zone, id string, cold time.Duration) {
 	s.t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Served-By", id)
@@ -17,7 +18,7 @@
 		events(w, 1, 3)
 	}))
 	s.t.Cleanup(server.Close)
-	s.registerIn(zone, id, "llm", server.Listener.Addr().String())
+	s.registerIn(zone, id, "llm", server.Listener.Addr().String(), cold)
 }
 
 // The nearest zone with a group is cut off, or has no room, or would rather
@@ -37,14 +38,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
-			s.far("b", "b1")
-			s.far("b", "b2")
-			s.far("c", "c1")
-			s.desk.offers = c.offers
+			s.far("b", "b1", 0)
+			s.far("b", "b2", 0)
+			s.far("c", "c1", 0)
+			s.placer.offers = c.offers
 			got := s.do(s.request(http.MethodPost, "/stream/x"))
 			require.Equal(t, c.status, got.status)
 			require.Contains(t, c.served, got.header.Get("Served-By"))
-			require.NotEmpty(t, s.desk.asked)
+			require.NotEmpty(t, s.placer.asked)
 			if c.status != http.StatusOK {
 				require.NotEmpty(t, got.header.Get("Retry-After"))
 			}
@@ -52,6 +53,24 @@
 	}
 }
 
+// A group turned cold, and the zone that chose it doesn't know that yet. What
+// all nodes may send to a cold group is shared out, and this stream has no part
+// in it: more than the group bears would make it fall over.
+func TestStreamGoesToNoGroupThatTurnedCold(t *testing.T) {
+	s := newSite(t)
+	service := s.config.Services["llm"]
+	service.ColdPerSecond = 1
+	s.config.Services["llm"] = service
+	s.far("b", "warm", 0)
+	s.far("b", "cold", time.Hour)
+	s.placer.offers = map[string]string{"b": "cold"}
+	for range 5 {
+		got := s.do(s.request(http.MethodPost, "/stream/x"))
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "warm", got.header.Get("Served-By"))
+	}
+}
+
 // A stream that stays in its zone asks nobody: that would cost each caller the
 // way to another node and back.
 func TestStreamOfTheOwnZoneAsksNobody(t *testing.T) {
@@ -60,7 +79,7 @@
 		sign(w, r)
 		events(w, 1, 3)
 	})
-	s.far("b", "b1")
+	s.far("b", "b1", 0)
 	require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, "/stream/x")).status)
-	require.Empty(t, s.desk.asked)
+	require.Empty(t, s.placer.asked)
 }
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -40,7 +40,7 @@
 	Board   *Board
 	Suspect func(ctx context.Context, endpointID string)
 	// Reserve chooses a group of this zone for a stream of another one.
-	Reserve func(now time.Time, wish fleet.Wish) fleet.Offer
+	Reserve func(now time.Time, request fleet.PlacementRequest) fleet.Placement
 	// Commit carries out a transaction at the store itself.
 	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
 }
@@ -87,11 +87,11 @@
 
 // Reserve implements rpc.Neighbor.
 func (s *Server) Reserve(_ context.Context, in *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
-	offer := s.parts.Reserve(time.Now(), fleet.Wish{
+	placement := s.parts.Reserve(time.Now(), fleet.PlacementRequest{
 		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
 		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), GoesOn: in.GetGoesOn(),
 	})
-	return &rpc.ReserveResponse{Endpoint: offer.Endpoint, PredictedUs: offer.Predicted.Microseconds()}, nil
+	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds()}, nil
 }
 
 // Suspect implements rpc.Neighbor.
@@ -250,17 +250,17 @@
 
 // Reserve asks a node of another zone to choose a group there. A caller waits
 // meanwhile, so the answer must come within reserveTimeout.
-func (c *Client) Reserve(ctx context.Context, address string, wish fleet.Wish) (fleet.Offer, error) {
+func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest) (fleet.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	out, err := c.at(address).Reserve(ctx, &rpc.ReserveRequest{
-		Service: wish.Service, Model: wish.Model, PromptTokens: int32(wish.Prompt), //nolint:gosec // a count of tokens
-		ObjectiveMs: wish.Objective.Milliseconds(), Tried: wish.Tried, GoesOn: wish.GoesOn,
+		Service: request.Service, Model: request.Model, PromptTokens: int32(request.Prompt), //nolint:gosec // a count of tokens
+		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, GoesOn: request.GoesOn,
 	})
 	if err != nil {
-		return fleet.Offer{}, c.failed("Client.Reserve", err)
+		return fleet.Placement{}, c.failed("Client.Reserve", err)
 	}
-	return fleet.Offer{Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond}, nil
+	return fleet.Placement{Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond}, nil
 }
 
 // Suspect tells a node that little or nothing moves at an endpoint.
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -23,7 +23,7 @@
 	suspected []string
 	commits   []fleet.Txn
 	commitErr error
-	wishes    []fleet.Wish
+	requests  []fleet.PlacementRequest
 }
 
 func serve(t *testing.T) (*other, *neighbor.Client, string) {
@@ -32,9 +32,9 @@
 	server := httptest.NewServer(neighbor.NewHandler(neighbor.Parts{
 		Mirror: func(string) *relay.Mirror { return o.mirror }, Board: o.board,
 		Suspect: func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
-		Reserve: func(_ time.Time, wish fleet.Wish) fleet.Offer {
-			o.wishes = append(o.wishes, wish)
-			return fleet.Offer{Endpoint: "e1", Predicted: 123 * time.Millisecond}
+		Reserve: func(_ time.Time, request fleet.PlacementRequest) fleet.Placement {
+			o.requests = append(o.requests, request)
+			return fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond}
 		},
 		Commit: func(_ context.Context, txn fleet.Txn) (int64, error) {
 			o.commits = append(o.commits, txn)
@@ -84,11 +84,11 @@
 
 func TestReserve(t *testing.T) {
 	o, client, address := serve(t)
-	wish := fleet.Wish{Service: "llm", Model: "large", Prompt: 1500, Objective: 400 * time.Millisecond, Tried: []string{"e7"}, GoesOn: true}
-	offer, err := client.Reserve(context.Background(), address, wish)
+	request := fleet.PlacementRequest{Service: "llm", Model: "large", Prompt: 1500, Objective: 400 * time.Millisecond, Tried: []string{"e7"}, GoesOn: true}
+	placement, err := client.Reserve(context.Background(), address, request)
 	require.NoError(t, err)
-	require.Equal(t, fleet.Offer{Endpoint: "e1", Predicted: 123 * time.Millisecond}, offer)
-	require.Equal(t, []fleet.Wish{wish}, o.wishes)
+	require.Equal(t, fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond}, placement)
+	require.Equal(t, []fleet.PlacementRequest{request}, o.requests)
 }
 
 // The other zone was cut off: the caller must not wait for its word for long.
@@ -97,7 +97,7 @@
 	require.NoError(t, err)
 	defer func() { require.NoError(t, listener.Close()) }()
 	started := time.Now()
-	_, err = neighbor.NewClient().Reserve(context.Background(), listener.Addr().String(), fleet.Wish{})
+	_, err = neighbor.NewClient().Reserve(context.Background(), listener.Addr().String(), fleet.PlacementRequest{})
 	require.Error(t, err)
 	require.Less(t, time.Since(started), 2*time.Second, "a bound that a busy machine keeps too")
 }
--- a/node/node.go
+++ b/node/node.go
@@ -89,7 +89,7 @@
 		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
 		Shares:  func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers())} },
 		Stalled: n.suspect,
-		Desk:    newDesk(n),
+		Placer:  newZonePlacer(n),
 	})
 	n.follower = directory.NewFollower(n.source, n.book, n.manager.Pending).WithKnown(n.table.Known())
 	return n
