--- /dev/null
+++ b/balance/load.go
@@ -0,0 +1,102 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// Load is how much a node has at one endpoint.
+type Load struct {
+	Requests  int
+	Unstarted int // of these, streams without a first event
+	Unread    int // prompt tokens of the unstarted
+}
+
+// With returns the sum of two loads.
+func (l Load) With(more Load) Load {
+	return Load{Requests: l.Requests + more.Requests, Unstarted: l.Unstarted + more.Unstarted, Unread: l.Unread + more.Unread}
+}
+
+// recent counts what this node sent to an endpoint lately, fading with time.
+type recent struct {
+	requests, tokens float64
+	at               time.Time
+}
+
+// shareLag is how old the other nodes' word on their loads is, on average over
+// those of this zone and of others.
+const shareLag = 150 * time.Millisecond
+
+// faded returns the counts as of now.
+func (r recent) faded(now time.Time) recent {
+	if r.at.IsZero() {
+		return recent{at: now}
+	}
+	left := math.Exp(-now.Sub(r.at).Seconds() / shareLag.Seconds())
+	return recent{requests: r.requests * left, tokens: r.tokens * left, at: now}
+}
+
+// With returns the counts after one more request.
+func (r recent) With(now time.Time, tokens int) recent {
+	next := r.faded(now)
+	next.requests++
+	next.tokens += float64(tokens)
+	return next
+}
+
+// unheard estimates what other nodes sent to an endpoint that they have not
+// told of yet: each as much as this node did.
+//
+// Guard: when a group opens, or one is emptier than the others, all nodes see
+// that at the same moment, and each sends what the group could bear alone. Its
+// prompts are then read one after the other, and all of them are late.
+func (s *State) unheard(now time.Time, nodes int) Load {
+	r := s.lately.faded(now)
+	others := float64(max(0, nodes-1))
+	n := int(others*r.requests + 0.5)
+	return Load{Requests: n, Unstarted: n, Unread: int(others * r.tokens)}
+}
+
+// Own returns what this node has at each endpoint, and what it has promised
+// to others there.
+func (t *Tracker) Own(now time.Time) map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := map[string]Load{}
+	for id, s := range t.states {
+		load := Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}.With(s.held(now))
+		if load.Requests > 0 {
+			own[id] = load
+		}
+	}
+	return own
+}
+
+// SetOthers takes in what the other nodes of the zone have.
+func (t *Tracker) SetOthers(now time.Time, loads map[string]Load) {
+	t.setLoads(now, loads, func(s *State, load Load) { s.shared, s.sharedAt = load, now })
+}
+
+// SetZones takes in what the nodes of the other zones have.
+func (t *Tracker) SetZones(now time.Time, loads map[string]Load) {
+	t.setLoads(now, loads, func(s *State, load Load) { s.zones, s.zonesAt = load, now })
+}
+
+// LooksFar reports whether this node lately considered groups of other zones.
+func (t *Tracker) LooksFar(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.lookedFar) < farInterest
+}
+
+// setLoads sets the load of each endpoint that is known or named.
+func (t *Tracker) setLoads(now time.Time, loads map[string]Load, set func(*State, Load)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.states {
+		set(s, loads[id])
+	}
+	for id, load := range loads {
+		set(t.of(id, now), load)
+	}
+}
--- a/members/members.go
+++ b/members/members.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -279,100 +278,6 @@
 	t.version.Store(max(t.version.Load(), version))
 }
 
-// stepLease takes or renews a zone's lease if that is due, and reports whether
-// it called the store.
-func (t *Table) stepLease(ctx context.Context, zone string, boot time.Time) bool {
-	state := t.leases[zone]
-	own := zone == t.config.Self.Zone
-	action := state.Next(boot)
-	if !own && state.Holder() == t.config.Self.Name && (action == lease.Take || t.lives(zone, boot)) {
-		t.release(ctx, zone, boot)
-		return true
-	}
-	if action != lease.Take {
-		delete(t.takeable, zone)
-	}
-	switch {
-	case action == lease.Wait, action == lease.Take && !t.staggered(zone, boot):
-		return false
-	case action == lease.Take && !t.listedAt.After(t.unwritten[zone]):
-		// Guard: while the store is away all leases seem free, and each node of a
-		// zone would try to take one every 1.2 s. First the table must be read again.
-		return false
-	case boot.Sub(t.renewed[zone]) < renewInterval:
-		return false
-	}
-	t.renewed[zone] = boot
-	t.write(ctx, zone, action, boot)
-	return true
-}
-
-// lives reports whether a node of a zone announced itself lately.
-func (t *Table) lives(zone string, boot time.Time) bool {
-	for _, s := range t.seen {
-		if s.node.Zone == zone && boot.Sub(s.since) < t.announceEvery()+listInterval {
-			return true
-		}
-	}
-	return false
-}
-
-// release gives a lease up, so that the zone's own nodes need not wait for its end.
-func (t *Table) release(ctx context.Context, zone string, boot time.Time) {
-	txn, next := t.leases[zone].Release(zone, fmt.Sprintf("%s-leave-%d", t.config.Self.Name, boot.UnixNano()))
-	t.leases[zone] = next
-	t.publishHeld()
-	if _, err := t.store.Commit(ctx, ofLease(txn)); err != nil {
-		klog.InfoS("lease_not_given_up", "zone", zone, "err", err)
-	} else {
-		klog.InfoS("lease_given_up", "zone", zone)
-	}
-	t.lastList = time.Time{}
-}
-
-// write takes or renews a lease. The lease counts from the sending.
-func (t *Table) write(ctx context.Context, zone string, action lease.Action, boot time.Time) {
-	state := t.leases[zone]
-	nonce := fmt.Sprintf("%s-%d", t.config.Self.Name, boot.UnixNano())
-	txn, record := state.Txn(zone, action, nonce)
-	version, err := t.store.Commit(ctx, ofLease(txn))
-	if err != nil {
-		// A conflict, a lost answer: the next list tells who holds it.
-		klog.InfoS("lease_unwritten", "zone", zone, "err", err)
-		t.unwritten[zone] = t.config.Now()
-		t.lastList = time.Time{}
-		return
-	}
-	t.version.Store(max(t.version.Load(), version))
-	fence := redwinghall.Row{Version: version}
-	if action == lease.Renew {
-		fence.Version = state.FenceVersion()
-	}
-	next, err := state.WithWritten(boot, t.config.Now(), record,
-		redwinghall.Row{Version: version, Value: redwinghall.RowValue(record)}, fence)
-	if err != nil {
-		klog.ErrorS(err, "lease_unreadable", "zone", zone)
-		return
-	}
-	if action == lease.Take {
-		klog.InfoS("lease_taken", "zone", zone, "number", record.Fencing, "version", version)
-	}
-	t.leases[zone] = next
-	t.publishHeld()
-}
-
-// ofLease turns a lease's transaction into one of the store.
-func ofLease(txn redwinghall.Txn) fleet.Txn {
-	var out fleet.Txn
-	for _, w := range txn.Writes {
-		out.Expects = append(out.Expects, fleet.Expect{Table: tableName, Key: w.Key, Version: w.Expect})
-		if !w.CheckOnly {
-			out.Writes = append(out.Writes, fleet.Row{Table: tableName, Key: w.Key, Value: w.Value})
-		}
-	}
-	return out
-}
-
 func (t *Table) publishHeld() {
 	if t.stopped {
 		t.held.Store(&map[string]time.Time{})
