Log which requests a stopping node takes and cuts, and what it drops

The logs could not tell whether a request that was taken late came on a new or a kept connection, how much time the node had left, which requests the stop cut (their line said caller_gone), or what was dropped on a connection that was just closed.

--- a/node/connections.go
+++ b/node/connections.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"redwinghall/platform"
 )
 
 // connections knows the callers' connections, and closes idle ones.
@@ -26,6 +28,19 @@
 	busy   bool
 	since  time.Time // of being idle
 	closed bool
+
+	opened  time.Time
+	taken   int    // requests so far
+	request string // that runs or ran last
+	takenAt time.Time
+}
+
+// kind says for logs whether a request came on a new or a kept connection.
+func (c *connection) kind() string {
+	if c.taken > 1 {
+		return "kept"
+	}
+	return "new"
 }
 
 type connectionKey struct{}
@@ -36,7 +51,8 @@
 func (c *connections) context(ctx context.Context, conn net.Conn) context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	state := &connection{since: time.Now()}
+	now := time.Now()
+	state := &connection{since: now, opened: now}
 	c.all[conn] = state
 	return context.WithValue(ctx, connectionKey{}, state)
 }
@@ -61,11 +77,11 @@
 }
 
 // guard serves requests on connections that this node has not closed, and
-// ends connections after an answer once closing returns true.
-func (c *connections) guard(next http.Handler, closing func() bool) http.Handler {
+// ends connections after an answer once closing returns true. stop returns the
+// planned stop that is under way, nil if there is none.
+func (c *connections) guard(next http.Handler, closing func() bool, stop func() *plannedStop) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && c.isClosed(state) {
-			klog.InfoS("request_on_closed_connection")
+		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.take(state, r, stop()) {
 			panic(http.ErrAbortHandler)
 		}
 		if closing() {
@@ -75,10 +91,35 @@
 	})
 }
 
-func (c *connections) isClosed(state *connection) bool {
+// take notes that a request came on a connection. It reports false if this
+// node has closed the connection.
+func (c *connections) take(state *connection, r *http.Request, stop *plannedStop) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return state.closed
+	now := time.Now()
+	state.taken++
+	state.request, state.takenAt = platform.DecodeAsk(r.Header).ID, now
+	if state.closed {
+		klog.InfoS("request_on_closed_connection", "request", state.request, "connection", state.kind(),
+			"open_for", now.Sub(state.opened), "idle_since", now.Sub(state.since))
+		return false
+	}
+	if stop != nil {
+		klog.InfoS("taken_while_stopping", "request", state.request, "connection", state.kind(),
+			"stopping_for", now.Sub(stop.begun), "left", stop.end.Sub(now))
+	}
+	return true
+}
+
+// logCut names the requests that end with the process.
+func (c *connections) logCut(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.all {
+		if state.busy {
+			klog.InfoS("cut_by_stop", "request", state.request, "connection", state.kind(), "ran_for", now.Sub(state.takenAt))
+		}
+	}
 }
 
 // closeIdle closes the connections that have been idle for longer than limit,
--- a/node/node.go
+++ b/node/node.go
@@ -58,8 +58,8 @@
 	neighbors *neighbor.Client
 	board     *neighbor.Board
 	group     *kernel.Group
-	stopping  atomic.Bool // not ready any more
-	leaving   atomic.Bool // callers are sent elsewhere
+	stopping  atomic.Pointer[plannedStop] // not ready any more
+	leaving   atomic.Bool                 // callers are sent elsewhere
 	conns     *connections
 	callers   net.Listener
 }
@@ -158,7 +158,7 @@
 
 // ready reports whether the balancer should send new connections here.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.book.View().Config() != nil
+	return n.stopping.Load() == nil && n.book.View().Config() != nil
 }
 
 func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -23,14 +23,20 @@
 	stopCheck   = 50 * time.Millisecond
 )
 
+// plannedStop is a stop that is under way.
+type plannedStop struct {
+	begun time.Time
+	end   time.Time // what still runs then is cut
+}
+
 // stop ends a node's service without breaking a request off: it first becomes
 // not ready and serves on until the balancer has noticed, then asks callers
 // for new connections elsewhere, and finishes what runs.
 func (n *Node) stop(ctx context.Context) {
 	klog.InfoS("node_stopping", "node", n.settings.Node)
-	n.stopping.Store(true)
 	started := time.Now()
 	end := started.Add(n.inForce().Bounds.Grace - lastMargin)
+	n.stopping.Store(&plannedStop{begun: started, end: end})
 	n.manager.Stop()
 	leave, cancel := context.WithTimeout(ctx, leaveBudget)
 	defer cancel()
@@ -45,7 +51,9 @@
 		klog.ErrorS(err, "listener_not_closed")
 	}
 	kernel.Sleep(ctx, stopCheck)
+	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(started))
 	for n.conns.closeIdle(time.Now(), 0) > 0 && time.Now().Before(end) {
 		kernel.Sleep(ctx, stopCheck)
 	}
+	n.conns.logCut(time.Now())
 }
