Show that a stopping node takes requests that it can't finish (known red)

Twelve callers with a kept connection each ask for streams of 4.4 s, one after the other; the node is stopped.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -59,6 +59,13 @@
 }
 
 func deploy(t *testing.T) *deployment {
+	t.Helper()
+	return deployWith(t, platformtest.EndpointConfig{Event: 10 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{})
+}
+
+// deployWith lays a deployment out whose engines answer with the events of
+// engine, and whose booking desk takes as long as desk says.
+func deployWith(t *testing.T, engine, desk platformtest.EndpointConfig) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: platformtest.NewStore(), ledger: platformtest.NewLedger(), done: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
@@ -66,10 +73,10 @@
 	for i := range 3 {
 		d.add(platformtest.EndpointConfig{
 			ID: fmt.Sprintf("engine-%d", i), Service: "llm", Zone: "a", Domain: "d0", Engine: true,
-			Join: 20 * time.Millisecond, Event: 10 * time.Millisecond, Events: answerEvents,
+			Join: 20 * time.Millisecond, Event: engine.Event, Events: engine.Events,
 		})
 	}
-	d.add(platformtest.EndpointConfig{ID: "desk-1", Service: "desk", Zone: "a"})
+	d.add(platformtest.EndpointConfig{ID: "desk-1", Service: "desk", Zone: "a", Work: desk.Work})
 	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%100, 1+os.Getpid()/100%250, hosts.Add(1))
 	d.settings = platformtest.NodeSettings{
 		Node: "n1", Zone: "a", Zones: []string{"a"}, Callers: freeAddress(t, host), Readiness: freeAddress(t, host), IP: host,
@@ -117,7 +124,8 @@
 	return answer.StatusCode == http.StatusOK
 }
 
-func (d *deployment) waitServing() {
+// waitOpen waits until a group may serve.
+func (d *deployment) waitOpen() {
 	d.t.Helper()
 	require.Eventually(d.t, d.ready, 10*time.Second, 20*time.Millisecond)
 	require.Eventually(d.t, func() bool {
@@ -128,6 +136,12 @@
 		}
 		return false
 	}, 20*time.Second, 20*time.Millisecond)
+}
+
+// waitServing waits until a stream was served.
+func (d *deployment) waitServing() {
+	d.t.Helper()
+	d.waitOpen()
 	require.Eventually(d.t, func() bool {
 		status, _ := d.ask(http.MethodPost, "/stream/x", "warm-up")
 		return status == http.StatusOK
@@ -139,16 +153,21 @@
 		ID: id, Key: "key-1", Model: "m0", Patience: 5 * time.Second, Prompt: 100, Answer: 30,
 	})
 	require.NoError(d.t, err)
-	answer, err := http.DefaultClient.Do(r)
+	return d.send(http.DefaultClient, r)
+}
+
+// send returns what a caller gets: status 0 if the answer is missing or isn't whole.
+func (d *deployment) send(client *http.Client, r *http.Request) (status int, body string) {
+	answer, err := client.Do(r)
 	if err != nil {
 		return 0, ""
 	}
 	defer func() { _ = answer.Body.Close() }() // it was read or failed
-	body, err := io.ReadAll(answer.Body)
+	data, err := io.ReadAll(answer.Body)
 	if err != nil {
-		return 0, string(body)
+		return 0, string(data)
 	}
-	return answer.StatusCode, string(body)
+	return answer.StatusCode, string(data)
 }
 
 func TestNodeServesStreamsAndBookings(t *testing.T) {
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,160 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
+)
+
+// The stream of the stop tests takes more than half of what a node has once
+// it is stopped: one that begins late in a stop can't end in time.
+const (
+	longEvents = 44
+	longPause  = 100 * time.Millisecond
+	longTokens = longEvents * 6
+	// slowWork is how long the slow booking desk works on one call.
+	slowWork = 1500 * time.Millisecond
+)
+
+// stopCaller asks over one kept connection until the node is gone.
+type stopCaller struct {
+	d      *deployment
+	name   string
+	path   string
+	pause  time.Duration // between an answer and the next request
+	client *http.Client
+
+	mu   sync.Mutex
+	seen []stopAttempt
+}
+
+// stopAttempt is what a caller saw of one request.
+type stopAttempt struct {
+	id     string
+	sent   time.Time
+	status int
+	whole  bool
+}
+
+func newStopCaller(d *deployment, name, path string, pause time.Duration) *stopCaller {
+	return &stopCaller{d: d, name: name, path: path, pause: pause, client: &http.Client{Transport: &http.Transport{}}}
+}
+
+// run asks until ctx ends. A caller that finds no node any more tries again a
+// while later, as it would at another node.
+func (c *stopCaller) run(ctx context.Context) error {
+	defer c.client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		a := stopAttempt{id: fmt.Sprintf("%s-%d", c.name, n), sent: time.Now()}
+		a.status, a.whole = c.ask(ctx, a.id)
+		c.mu.Lock()
+		c.seen = append(c.seen, a)
+		c.mu.Unlock()
+		if a.status != http.StatusOK {
+			kernel.Sleep(ctx, 20*time.Millisecond)
+		}
+		kernel.Sleep(ctx, c.pause)
+	}
+	return nil
+}
+
+func (c *stopCaller) ask(ctx context.Context, id string) (status int, whole bool) {
+	r, err := platformtest.NewRequest(ctx, http.MethodPost, c.d.settings.Callers, c.path, nil, platformtest.Ask{
+		ID: id, Key: "key-1", Model: "m0", Patience: 8 * time.Second, Prompt: 100, Answer: longTokens,
+	})
+	require.NoError(c.d.t, err)
+	status, body := c.d.send(c.client, r)
+	want := "done " + id
+	if c.path == "/stream/x" {
+		want = platformtest.WholeAnswer(id, longEvents)
+	}
+	return status, body == want
+}
+
+// cutOff returns the requests that an endpoint ran and whose callers got no
+// whole answer, with the time after the signal at which they were sent.
+func (c *stopCaller) cutOff(stopped time.Time) (cut []string, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.seen {
+		switch {
+		case a.status == http.StatusOK && a.whole:
+			served++
+		case c.d.ledger.Runs(a.id) > 0:
+			cut = append(cut, fmt.Sprintf("%s, sent %s after the signal: status %d", a.id, a.sent.Sub(stopped).Round(time.Millisecond), a.status))
+		}
+	}
+	return cut, served
+}
+
+// Operators stop a node, and callers see answers that end in the middle and
+// bookings without an answer, of requests that were sent seconds after the
+// signal. Callers go on using the connections that they have, whatever the
+// balancer does with new ones; the node takes their requests up to its end,
+// however little time it has left, and cuts them when its grace is over.
+func TestStoppingNodeTakesNothingThatItCannotFinish(t *testing.T) {
+	t.Parallel()
+	d := deployWith(t, platformtest.EndpointConfig{Event: longPause, Events: longEvents}, platformtest.EndpointConfig{Work: slowWork})
+	d.start()
+	d.waitOpen()
+	callers := startStopCallers(t, d)
+	time.Sleep(6 * time.Second) // each connection has brought a stream or two
+	stopped := time.Now()
+	d.stop()
+	require.NoError(t, <-d.done)
+	callers.stop()
+	cut, served := callers.cutOff(stopped)
+	require.Empty(t, cut)
+	require.Greater(t, served, len(callers.all))
+}
+
+// stopCallers are the callers of one test.
+type stopCallers struct {
+	all  []*stopCaller
+	stop func()
+}
+
+// startStopCallers starts callers whose streams end one after the other, so
+// that at any moment of the stop one of them has just become free, and some
+// that make bookings.
+func startStopCallers(t *testing.T, d *deployment) *stopCallers {
+	t.Helper()
+	const streams, bookings = 12, 4
+	callers := &stopCallers{}
+	asking, cancel := context.WithCancel(context.Background())
+	g := kernel.NewGroup(asking)
+	start := func(c *stopCaller, after time.Duration) {
+		callers.all = append(callers.all, c)
+		g.Go(c.name, func(ctx context.Context) error {
+			kernel.Sleep(ctx, after)
+			return c.run(ctx)
+		})
+	}
+	for i := range streams {
+		start(newStopCaller(d, fmt.Sprint("stream-", i), "/stream/x", 0), time.Duration(i)*longEvents*longPause/streams)
+	}
+	for i := range bookings {
+		start(newStopCaller(d, fmt.Sprint("book-", i), "/book/x", 30*time.Millisecond), time.Duration(i)*slowWork/bookings)
+	}
+	callers.stop = func() {
+		cancel()
+		require.NoError(t, g.Wait())
+	}
+	return callers
+}
+
+func (s *stopCallers) cutOff(stopped time.Time) (cut []string, served int) {
+	for _, c := range s.all {
+		more, n := c.cutOff(stopped)
+		cut, served = append(cut, more...), served+n
+	}
+	return cut, served
+}
