Take on a stopping node only what it can finish

Callers saw answers that ended in the middle, and bookings whose connection closed without an answer, of requests that they had sent 3 to 7 s after their node was told to stop.

Cause: what a stopping node takes was not held against the time that it has. The stop waited for the balancer (2.4 s), then let 0.8 s pass, closed its listener and what was idle, and cut what ran at the end of its grace; nothing compared a request's length with the time left. The balancer only steers new connections, and callers keep theirs: their requests came at an unchanged rate until the node closed what was idle at 3.25 s. After that they came on connections whose answer had begun before 2.4 s and so didn't say that its connection ends: the caller sent the next one at once, before the next look at idle connections. While stops overlap, the balancer besides uses all nodes of a zone of which fewer than half are ready. Class: work admitted without regard to a known end (no deadline on the server's own life).

Ruled out: a stop that is late or slow (each line of it came within 2 ms of its time); new connections alone (of 38 requests that stops cut, 37 had come on kept ones).

Change: gateway.Stop has the one end of the stop, and Takes holds each request against it: by its own deadline, or by the longest answer that it may get at the group's observed pace, with a reserve. What doesn't fit is refused unrun and at once. Each answer from the signal on is the last on its connection; one that began before is followed by the close itself. The listener stays open until nothing runs, so a caller that is still sent here gets an answer and not a closed port. Idle connections are closed last. The process keeps 0.4 s of its grace for itself instead of 0.7.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -293,3 +293,51 @@
 		})
 	}
 }
+
+// A node that is about to stop takes what it expects to finish. What it expects
+// must be the longest that may come: of a stream its tokens at the group's own
+// pace, of a call far more than its usual time. Where nobody knows, it says so.
+func TestExpectedIsTheLongestAnswer(t *testing.T) {
+	t.Parallel()
+	heads := []*fleet.Endpoint{head("only", "a", "large")}
+	expected := func(slow bool, change func(*balance.Ask)) time.Duration {
+		tracker := balance.NewTracker()
+		if slow {
+			slowDown(t, tracker, heads)
+		}
+		one := ask()
+		one.Stream = true
+		change(&one)
+		choice, none := tracker.Group(start.Add(time.Minute), heads, nil, one)
+		require.Nil(t, none)
+		return choice.Expected
+	}
+	short := expected(false, func(a *balance.Ask) { a.Answer = 60 })
+	long := expected(false, func(a *balance.Ask) { a.Answer = 600 })
+	require.Greater(t, short, 10*ask().Service.Engine.Step*6)
+	require.Greater(t, long, 9*short/2)
+	require.Greater(t, expected(true, func(a *balance.Ask) { a.Answer = 600 }), 2*long)
+	require.Zero(t, expected(false, func(*balance.Ask) {}), "the tokens aren't known")
+
+	desk := &fleet.Endpoint{ID: "desk", Service: "desk", Zone: "a", State: fleet.EndpointReady, Slots: 4}
+	call := balance.Ask{Service: fleet.Service{Name: "desk"}, Zone: "a", Objective: time.Second}
+	choice, none := balance.NewTracker().Plain(start, []*fleet.Endpoint{desk}, nil, call)
+	require.Nil(t, none)
+	require.Greater(t, choice.Expected, 4*choice.Predicted)
+	call.Stream = true
+	choice, none = balance.NewTracker().Plain(start, []*fleet.Endpoint{desk}, nil, call)
+	require.Nil(t, none)
+	require.Zero(t, choice.Expected, "nobody says how long such a stream is")
+}
+
+// slowDown lets a tracker see a group whose events come at a third of the declared pace.
+func slowDown(t *testing.T, tracker *balance.Tracker, heads []*fleet.Endpoint) {
+	t.Helper()
+	choice, none := tracker.Group(start, heads, nil, ask())
+	require.Nil(t, none)
+	usual := func(int) time.Duration { return 40 * time.Millisecond }
+	for i := range 400 {
+		choice.Visit.Event(start.Add(time.Duration(i)*120*time.Millisecond), usual)
+	}
+	choice.Visit.Done(start.Add(50*time.Second), true)
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -33,10 +33,14 @@
 
 // Ask is what choosing needs to know of a request.
 type Ask struct {
-	Service   fleet.Service
-	Model     fleet.Model // of a stream at an engine
-	Zone      string      // of this node, which is the caller's
-	Prompt    int
+	Service fleet.Service
+	Model   fleet.Model // of a stream at an engine
+	Zone    string      // of this node, which is the caller's
+	Prompt  int
+	// Answer is how many tokens the answer has at most, 0 if that isn't known.
+	Answer int
+	// Stream says that the answer is a series of events.
+	Stream    bool
 	Objective time.Duration
 	// Tried holds the endpoints that this request has been sent to.
 	Tried map[string]bool
@@ -71,10 +75,15 @@
 
 // Choice is the endpoint for a request, with what decided it.
 type Choice struct {
-	Endpoint  *fleet.Endpoint
-	Visit     *Visit
+	Endpoint *fleet.Endpoint
+	Visit    *Visit
+	// Predicted is the time to the first event, or to the answer of a plain
+	// service.
 	Predicted time.Duration
-	Running   int
+	// Expected is the time to the end of the longest answer that the request may
+	// get, 0 if that isn't known.
+	Expected time.Duration
+	Running  int
 	// Age is how old the newest word of others on the endpoint's load was;
 	// negative if there was none.
 	Age time.Duration
@@ -269,10 +278,31 @@
 	}
 	return Choice{
 		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted),
-		Predicted: c.predicted, Running: c.running, Age: c.state.age(now),
+		Predicted: c.predicted, Expected: ask.longest(c), Running: c.running, Age: c.state.age(now),
 	}
 }
 
+// plainTail is how many times the usual time of a plain service its longest
+// calls take.
+const plainTail = 8
+
+// longest returns how long the longest answer takes that the request may get,
+// 0 if that isn't known: of streams only those of an engine say how long they
+// are.
+func (a Ask) longest(c *candidate) time.Duration {
+	engine := a.Service.Engine
+	switch {
+	case engine == nil && a.Stream:
+		return 0
+	case engine == nil:
+		return plainTail * c.predicted
+	case a.Answer <= 0 || engine.Stride <= 0:
+		return 0
+	}
+	passes := (a.Answer + engine.Stride - 1) / engine.Stride
+	return c.predicted + time.Duration(passes)*NewPace(engine, a.Model, max(1, c.state.slow)).Pass(c.running+1, 0)
+}
+
 // Plain chooses the endpoint of a plain service for a request.
 func (t *Tracker) Plain(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
 	t.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// Placer asks other zones before streams go there; it may be nil.
 	Placer  Placer
 	Metrics *Metrics
+	// Stopping returns the planned stop of this node; nil stands for a node that
+	// never stops.
+	Stopping func() Stop
 }
 
 // Placer asks another zone to choose one of its groups for a stream. ok is false
@@ -166,7 +169,7 @@
 	// don't know of each other.
 	cold := coldMargin * (r.Service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
 	ask := balance.Ask{
-		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Objective: r.Route.Objective, Tried: tried,
+		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Answer: r.Ask.MaxAnswer, Stream: r.Route.Kind == fleet.Streaming, Objective: r.Route.Objective, Tried: tried,
 		Node: settings.Node, Nodes: nodes, ZoneNodes: zone,
 		ColdNear: coldNear * cold / float64(zone), ColdFar: (1 - coldNear) * cold / float64(max(1, nodes-zone)),
 		Connections: connectionShare(r.Service.MaxConnections, nodes),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,8 @@
 	tracker *balance.Tracker
 	config  *fleet.Configuration
 	placer  placer
+	// stop is the planned stop that is under way; it is set before requests come.
+	stop gateway.Stop
 }
 
 // placer is what other zones say when they are asked.
@@ -84,7 +86,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return settings }, Book: s.book, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{Nodes: 1, Zone: 1} }, Stalled: func(string) {},
-		Placer: &s.placer,
+		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop },
 	})
 	s.server = httptest.NewServer(g)
 	t.Cleanup(s.server.Close)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -68,6 +68,11 @@
 			g.refuse(w, r, call.refusalOfNone(none))
 			return
 		}
+		if call.sent == 0 && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
+			choice.Visit.Withdraw()
+			g.refuse(w, r, nodeStops(choice.Expected))
+			return
+		}
 		last := call.once(ctx, choice)
 		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
 		if call.again(ctx, last) {
--- /dev/null
+++ b/gateway/stop.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Stop is a planned stop of this node, as far as it decides which requests are
+// still taken. The zero value is a node that isn't stopping.
+type Stop struct {
+	Begun time.Time
+	// Noticed is from when on callers that look for a node find another one.
+	Noticed time.Time
+	// End is when the process ends, and what still runs is cut.
+	End time.Time
+}
+
+// Under reports whether the node is stopping.
+func (s Stop) Under() bool { return !s.End.IsZero() }
+
+// What a request must be expected to leave of the node's time, as a part of the
+// time that it is expected to take: answers take longer where prompts of others
+// are read meanwhile.
+const (
+	// noticedReserve holds once callers can find another node.
+	noticedReserve = 0.6
+	// unnoticedReserve is smaller: until then, who is refused may well come to
+	// a node that stops too, or back to this one.
+	unnoticedReserve = 0.1
+)
+
+// Takes reports whether the node takes a request now that is expected to take so
+// long at most (0: unknown), and surely ends by its deadline.
+//
+// Guard: a stopping node that takes what it can't finish cuts it when its grace
+// is over, and the caller sees an answer that ends in the middle. Callers keep
+// their connections and go on using them, whatever the balancer does with new
+// ones, so a stop that only waits for the balancer takes requests up to its
+// end. What is taken here either ends in time by its own deadline, or is
+// expected to, by the longest answer that it may get.
+func (s Stop) Takes(now time.Time, expected time.Duration, deadline time.Time) bool {
+	if !s.Under() || !deadline.After(s.End) {
+		return true
+	}
+	if expected <= 0 {
+		return false
+	}
+	reserve := unnoticedReserve
+	if !now.Before(s.Noticed) {
+		reserve = noticedReserve
+	}
+	return !now.Add(expected + time.Duration(reserve*float64(expected))).After(s.End)
+}
+
+// retryElsewhere is when a caller may ask another node: at once.
+const retryElsewhere = 20 * time.Millisecond
+
+// nodeStops refuses a request that this node has no time for.
+func nodeStops(expected time.Duration) refusal {
+	return refusal{status: http.StatusServiceUnavailable, reason: "node_stops", retryAfter: retryElsewhere, predicted: expected}
+}
+
+// stop returns the planned stop that is under way.
+func (g *Gateway) stop() Stop {
+	if g.Stopping == nil {
+		return Stop{}
+	}
+	return g.Stopping()
+}
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/gateway"
+	"redwinghall/platform/platformtest"
+)
+
+// A stopping node is asked for streams, bookings and look-ups up to its end.
+// Whatever it takes and can't finish, its callers see cut. So what it takes
+// must end in time by its own deadline or by what is expected of it, with a
+// reserve that is larger once callers can find another node.
+func TestStopTakesOnlyWhatEndsInTime(t *testing.T) {
+	t.Parallel()
+	begun := time.Unix(1000, 0)
+	stop := gateway.Stop{Begun: begun, Noticed: begun.Add(2 * time.Second), End: begun.Add(7 * time.Second)}
+	const long = 20 * time.Second
+	for _, one := range []struct {
+		name               string
+		at, expected, left time.Duration
+		takes              bool
+	}{
+		{"at once, with time enough", 0, 4 * time.Second, long, true},
+		{"at once, of unknown length", 0, 0, long, false},
+		{"at once, longer than the node has", 0, 8 * time.Second, long, false},
+		{"at once, hardly in time", 0, 6900 * time.Millisecond, long, false},
+		{"before the notice, in time with a small reserve", 1900 * time.Millisecond, 4 * time.Second, long, true},
+		{"after the notice, the same", 2100 * time.Millisecond, 4 * time.Second, long, false},
+		{"after the notice, in time with a large reserve", 2100 * time.Millisecond, 3 * time.Second, long, true},
+		{"after the notice, by its deadline", 2100 * time.Millisecond, 0, 4900 * time.Millisecond, true},
+		{"after the notice, past the end by its deadline", 2100 * time.Millisecond, 0, 4901 * time.Millisecond, false},
+		{"at the end", 7 * time.Second, time.Millisecond, long, false},
+	} {
+		now := begun.Add(one.at)
+		require.Equal(t, one.takes, stop.Takes(now, one.expected, now.Add(one.left)), one.name)
+	}
+	require.True(t, gateway.Stop{}.Takes(begun, 0, begun.Add(long)), "no stop is under way")
+}
+
+// Callers of a node that stops: a stream that would outlast it is refused
+// unrun and at once, so that its caller has its whole time elsewhere; short
+// streams, and calls whose deadline is near, are served as ever.
+func TestStoppingGatewayRefusesWhatOutlastsIt(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	var ran sync.Map // request ids
+	answering := func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(platformtest.Read(r).ID, true)
+		sign(w, r)
+		events(w, 1, 3)
+	}
+	s.endpoint("engine-1", "llm", answering)
+	s.endpoint("desk-1", "desk", answering)
+	now := time.Now()
+	s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(2 * time.Second)}
+	for _, one := range []struct {
+		path     string
+		answer   int // tokens
+		patience time.Duration
+		status   int
+	}{
+		{"/stream/x", 60, 3 * time.Second, http.StatusOK},
+		{"/stream/x", 6000, 3 * time.Second, http.StatusServiceUnavailable},
+		{"/stream/x", 0, 3 * time.Second, http.StatusServiceUnavailable},
+		{"/stream/x", 6000, time.Second, http.StatusOK},
+		{"/feed/x", 0, 3 * time.Second, http.StatusServiceUnavailable},
+		{"/book/x", 0, 3 * time.Second, http.StatusOK},
+		{"/look/x", 0, time.Second, http.StatusOK},
+	} {
+		id := fmt.Sprintf("%s, %d tokens, %s", one.path, one.answer, one.patience)
+		r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), one.path, nil, platformtest.Ask{
+			ID: id, Key: "key-1", Model: "m0", Patience: one.patience, Prompt: 100, Answer: one.answer,
+		})
+		require.NoError(t, err)
+		asked := time.Now()
+		got := s.do(r)
+		require.Equal(t, one.status, got.status, id)
+		_, hasRun := ran.Load(id)
+		require.Equal(t, one.status == http.StatusOK, hasRun, id)
+		if one.status == http.StatusServiceUnavailable {
+			require.Less(t, time.Since(asked), 500*time.Millisecond, id)
+			require.NotEmpty(t, got.header.Get("Retry-After"), id)
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,6 +64,11 @@
 			call.refuse(ofBalance(none))
 			return
 		}
+		if call.sent.Load() == 0 && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
+			choice.Visit.Withdraw()
+			call.refuse(nodeStops(choice.Expected))
+			return
+		}
 		last := call.once(ctx, choice)
 		if last.done {
 			return
@@ -240,7 +245,7 @@
 	}
 	first, took := c.started.Sub(c.r.Arrived), time.Since(c.r.Arrived)
 	klog.InfoS("streamed", "request", c.r.Ask.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "zone", choice.Endpoint.Zone,
-		"running", choice.Running, "load_age", choice.Age, "predicted", choice.Predicted, "first", first, "pause", c.slowest,
+		"running", choice.Running, "load_age", choice.Age, "predicted", choice.Predicted, "first", first, "expected", choice.Expected, "pause", c.slowest,
 		"took", took, "attempts", c.sent.Load(), "configuration", c.r.version())
 	c.g.Metrics.Streamed(c.r, first, c.slowest, took)
 	return streamTry{done: true}
--- a/node/connections.go
+++ b/node/connections.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/gateway"
 	"redwinghall/platform"
 )
 
@@ -22,6 +23,8 @@
 type connections struct {
 	mu  sync.Mutex
 	all map[net.Conn]*connection
+	// ending says that the answer that runs is the last one on each connection.
+	ending bool
 }
 
 type connection struct {
@@ -59,32 +62,54 @@
 
 // note is a server's ConnState hook.
 func (c *connections) note(conn net.Conn, change http.ConnState) {
+	if c.noteState(conn, change, time.Now()) {
+		closeConnection(conn)
+	}
+}
+
+// noteState reports whether the connection must be closed now.
+//
+// Guard: the headers of an answer that began before the stop don't say that
+// its connection ends, and its caller sends the next request on it as soon as
+// it has the answer. So the connection is closed right behind the answer, and
+// not at some later look at idle connections.
+func (c *connections) noteState(conn net.Conn, change http.ConnState, now time.Time) (ends bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state, ok := c.all[conn]
 	if !ok {
-		return
+		return false
 	}
 	switch change {
 	case http.StateActive:
 		state.busy = true
 	case http.StateIdle:
-		state.busy, state.since = false, time.Now()
+		state.busy, state.since = false, now
+		state.closed = state.closed || c.ending
+		return c.ending
 	case http.StateClosed, http.StateHijacked:
 		delete(c.all, conn)
 	case http.StateNew:
 	}
+	return false
 }
 
-// guard serves requests on connections that this node has not closed, and
-// ends connections after an answer once closing returns true. stop returns the
-// planned stop that is under way, nil if there is none.
-func (c *connections) guard(next http.Handler, closing func() bool, stop func() *plannedStop) http.Handler {
+// endAfterAnswers makes each answer from now on the last one on its connection.
+func (c *connections) endAfterAnswers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+}
+
+// guard serves requests on connections that this node has not closed. While a
+// planned stop is under way, answers say that their connection ends.
+func (c *connections) guard(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.take(state, r, stop()) {
+		stop := plannedStop()
+		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.take(state, r, stop) {
 			panic(http.ErrAbortHandler)
 		}
-		if closing() {
+		if stop.Under() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -93,7 +118,7 @@
 
 // take notes that a request came on a connection. It reports false if this
 // node has closed the connection.
-func (c *connections) take(state *connection, r *http.Request, stop *plannedStop) bool {
+func (c *connections) take(state *connection, r *http.Request, stop gateway.Stop) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -104,9 +129,9 @@
 			"open_for", now.Sub(state.opened), "idle_since", now.Sub(state.since))
 		return false
 	}
-	if stop != nil {
+	if stop.Under() {
 		klog.InfoS("taken_while_stopping", "request", state.request, "connection", state.kind(),
-			"stopping_for", now.Sub(stop.begun), "left", stop.end.Sub(now))
+			"stopping_for", now.Sub(stop.Begun), "left", stop.End.Sub(now))
 	}
 	return true
 }
@@ -122,28 +147,45 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than limit,
-// and returns how many are left.
-func (c *connections) closeIdle(now time.Time, limit time.Duration) int {
-	idle, left := c.markIdle(now, limit)
-	for _, conn := range idle {
-		if err := conn.Close(); err != nil {
-			klog.V(1).InfoS("idle_connection_not_closed", "err", err)
+// firstRequestTime is what a new connection has to bring its request, before it
+// counts as idle.
+const firstRequestTime = 200 * time.Millisecond
+
+// working returns how many connections have a request that runs, or have just
+// been opened for one.
+func (c *connections) working(now time.Time) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.all {
+		if state.busy || (state.taken == 0 && now.Sub(state.opened) < firstRequestTime) {
+			n++
 		}
 	}
-	return left
+	return n
+}
+
+// closeIdle closes the connections that have been idle for longer than limit.
+func (c *connections) closeIdle(now time.Time, limit time.Duration) {
+	for _, conn := range c.markIdle(now, limit) {
+		closeConnection(conn)
+	}
+}
+
+func closeConnection(conn net.Conn) {
+	if err := conn.Close(); err != nil {
+		klog.V(1).InfoS("idle_connection_not_closed", "err", err)
+	}
 }
 
-func (c *connections) markIdle(now time.Time, limit time.Duration) (idle []net.Conn, left int) {
+func (c *connections) markIdle(now time.Time, limit time.Duration) (idle []net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, state := range c.all {
 		if state.busy || state.closed || now.Sub(state.since) < limit {
-			left++
 			continue
 		}
 		state.closed = true
 		idle = append(idle, conn)
 	}
-	return idle, left
+	return idle
 }
--- a/node/node.go
+++ b/node/node.go
@@ -58,8 +58,7 @@
 	neighbors *neighbor.Client
 	board     *neighbor.Board
 	group     *kernel.Group
-	stopping  atomic.Pointer[plannedStop] // not ready any more
-	leaving   atomic.Bool                 // callers are sent elsewhere
+	stopping  atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
 	conns     *connections
 	callers   net.Listener
 }
@@ -87,9 +86,10 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
-		Shares:  func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers())} },
-		Stalled: n.suspect,
-		Placer:  newZonePlacer(n),
+		Shares:   func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers())} },
+		Stalled:  n.suspect,
+		Placer:   newZonePlacer(n),
+		Stopping: n.plannedStop,
 	})
 	n.follower = directory.NewFollower(n.source, n.book, n.manager.Pending).WithKnown(n.table.Known())
 	return n
--- a/node/stop.go
+++ b/node/stop.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/gateway"
 	"redwinghall/kernel"
 )
 
@@ -14,46 +15,63 @@
 	// noticeTime is how long the balancer takes to notice: it asks once a
 	// second, and two misses take a node out.
 	noticeTime = 2400 * time.Millisecond
-	// quietTime is how long callers have after that to hear, with an answer,
-	// that they should connect elsewhere, before idle connections are closed.
-	quietTime = 800 * time.Millisecond
 	// lastMargin is left of the grace for the process to end.
-	lastMargin  = 700 * time.Millisecond
+	lastMargin  = 400 * time.Millisecond
 	leaveBudget = time.Second
 	stopCheck   = 50 * time.Millisecond
 )
 
-// plannedStop is a stop that is under way.
-type plannedStop struct {
-	begun time.Time
-	end   time.Time // what still runs then is cut
+// plannedStop returns the stop that is under way, the zero value if there is none.
+func (n *Node) plannedStop() gateway.Stop {
+	if stop := n.stopping.Load(); stop != nil {
+		return *stop
+	}
+	return gateway.Stop{}
+}
+
+// newStop returns a stop that begins now and must be over within a grace.
+func newStop(now time.Time, grace time.Duration) gateway.Stop {
+	lasts := max(0, grace-lastMargin)
+	return gateway.Stop{Begun: now, Noticed: now.Add(min(noticeTime, lasts)), End: now.Add(lasts)}
 }
 
-// stop ends a node's service without breaking a request off: it first becomes
-// not ready and serves on until the balancer has noticed, then asks callers
-// for new connections elsewhere, and finishes what runs.
+// stop ends a node's service without breaking a request off: it becomes not
+// ready, answers what comes until the balancer has noticed, lets each answer be
+// the last on its connection, takes from then on only what it surely finishes,
+// and ends once nothing runs any more.
 func (n *Node) stop(ctx context.Context) {
-	klog.InfoS("node_stopping", "node", n.settings.Node)
-	started := time.Now()
-	end := started.Add(n.inForce().Bounds.Grace - lastMargin)
-	n.stopping.Store(&plannedStop{begun: started, end: end})
+	begun := time.Now()
+	stop := newStop(begun, n.inForce().Bounds.Grace)
+	n.stopping.Store(&stop)
+	n.conns.endAfterAnswers()
+	klog.InfoS("node_stopping", "node", n.settings.Node, "grace_left", stop.End.Sub(begun))
 	n.manager.Stop()
 	leave, cancel := context.WithTimeout(ctx, leaveBudget)
 	defer cancel()
 	n.table.Leave(leave)
-	kernel.Sleep(ctx, noticeTime-time.Since(started))
-	n.leaving.Store(true)
-	kernel.Sleep(ctx, quietTime)
-	// Guard: a connection that is taken after the last one was seen to be idle
-	// would be cut with its request. So none is taken any more, and those that
-	// were taken just before have time to be counted.
+	kernel.Sleep(ctx, time.Until(stop.Noticed))
+	n.finish(ctx, stop)
+	// Guard: a connection that is taken after the last one was seen to end would
+	// be cut with its request. So none is taken any more, and those that were
+	// taken just before have time to be served.
 	if err := n.callers.Close(); err != nil {
 		klog.ErrorS(err, "listener_not_closed")
 	}
+	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(begun))
 	kernel.Sleep(ctx, stopCheck)
-	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(started))
-	for n.conns.closeIdle(time.Now(), 0) > 0 && time.Now().Before(end) {
-		kernel.Sleep(ctx, stopCheck)
+	n.finish(ctx, stop)
+	now := time.Now()
+	n.conns.logCut(now)
+	n.conns.closeIdle(now, 0)
+}
+
+// finish waits until no request runs. Connections that bring none stay open
+// meanwhile: each close of one may cross a request that its caller then
+// believes to be under way.
+func (n *Node) finish(ctx context.Context, stop gateway.Stop) {
+	for n.conns.working(time.Now()) > 0 && time.Now().Before(stop.End) {
+		if !kernel.Sleep(ctx, stopCheck) {
+			return
+		}
 	}
-	n.conns.logCut(time.Now())
 }
