Soak planned stops in series, and judge requests that are cut off (red)

The soak never showed it: its streams were far shorter than the grace, its check passed over answers that end early, and its stops were rare and single.

A mistake is an answer that ends early, or a request that ran and got none; besides, nine of ten requests must be served in the end, with one retry elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -30,12 +30,14 @@
 	$(BIN)/standin demo --bin $(BIN) --example examples/pohjatee
 	$(BIN)/standin demo --bin $(BIN) --example examples/blue-mahoe
 
-# Real nodes under random faults; SEED, SEEDS and LENGTH can be set.
+# Real nodes under random faults, or planned stops (PLAN=stops); all can be set.
+PLAN := faults
+NODES := 4
 SEED := 1
 SEEDS := 50
 LENGTH := 20s
 soak: build
-	$(BIN)/soak --bin $(BIN) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
+	$(BIN)/soak --bin $(BIN) --plan $(PLAN) --nodes $(NODES) --seed $(SEED) --seeds $(SEEDS) --length $(LENGTH)
 
 test:
 	@for m in $(MODULES); do (cd $$m && go test ./...) || exit 1; done
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,8 +19,15 @@
 random faults from outside, and checks what callers and endpoints see. Logs of
 a run that fails stay in its folder.
 
-Example:
+Plans:
+  faults  random faults of nodes, links, endpoints and the store
+  stops   no fault at all: operators stop nodes one after another, sooner than
+          a stop ends, and start each again; streams last for seconds. No
+          request may be cut off, and nine of ten must be served in the end.
+
+Examples:
   soak --bin bin --seed 1 --seeds 50 --length 30s
+  soak --bin bin --plan stops --nodes 12 --length 60s
 
 Exit codes: 0 nothing was wrong, 1 something was, 2 wrong usage.`
 
@@ -35,7 +42,8 @@
 	Bin    string        `long:"bin" description:"folder with the node's program" default:"bin"`
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"how many seeds to play" default:"1"`
-	Length time.Duration `long:"length" description:"how long faults come" default:"20s"`
+	Length time.Duration `long:"length" description:"how long faults or stops come" default:"20s"`
+	Plan   string        `long:"plan" description:"what happens in a run" choice:"faults" choice:"stops" default:"faults"`
 	Nodes  int           `long:"nodes" description:"how many nodes run" default:"4"`
 	Dir    string        `long:"dir" description:"where logs and settings go; a new one if empty"`
 }
@@ -77,14 +85,14 @@
 		return false
 	}
 	report, err := soak.Run(context.Background(), soak.Config{
-		Seed: seed, Bin: o.Bin, Dir: dir, Length: o.Length, Nodes: o.Nodes, Host: hostOf(seed),
+		Seed: seed, Bin: o.Bin, Dir: dir, Plan: soak.Plan(o.Plan), Length: o.Length, Nodes: o.Nodes, Host: hostOf(seed),
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "seed %d: %v\n", seed, err)
 		return false
 	}
-	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d served, %d faults, %d wrong\n",
-		seed, report.Made, report.Served, len(report.Faults), len(report.Mistakes))
+	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts refused, %d without an answer, %d faults, %d wrong\n",
+		seed, report.Made, report.Served, report.Refused, report.Unanswered, len(report.Faults), len(report.Mistakes))
 	if len(report.Mistakes) == 0 {
 		return os.RemoveAll(dir) == nil
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,7 @@
 type attempt struct {
 	id     string
 	kind   string
+	events int // of the whole answer, of a stream
 	status int // 0 if there was no answer
 	body   string
 	broken bool // the answer ended early
@@ -33,12 +34,13 @@
 
 // tally gathers attempts and what was wrong with them.
 type tally struct {
-	mu       sync.Mutex
-	made     int
-	served   int
-	refused  []attempt // that say that they have not run
-	booked   []string
-	mistakes []string
+	mu         sync.Mutex
+	made       int
+	served     int
+	unanswered int
+	refused    []attempt // that say that they have not run
+	booked     []string
+	mistakes   []string
 }
 
 // add judges one attempt.
@@ -50,6 +52,8 @@
 		t.booked = append(t.booked, a.id)
 	}
 	switch a.status {
+	case 0:
+		t.unanswered++
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		t.refused = append(t.refused, a)
 	case http.StatusNotFound, http.StatusUnauthorized:
@@ -62,7 +66,7 @@
 func (t *tally) judgeAnswer(a attempt) {
 	want := "done " + a.id
 	if a.kind == "stream" {
-		want = platformtest.WholeAnswer(a.id, answerEvents)
+		want = platformtest.WholeAnswer(a.id, a.events)
 	}
 	switch {
 	case !a.broken && a.body == want:
@@ -91,6 +95,13 @@
 	return t.mistakes
 }
 
+// fill reports what was counted.
+func (t *tally) fill(report *Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report.Made, report.Served, report.Refused, report.Unanswered = t.made, t.served, len(t.refused), t.unanswered
+}
+
 func (t *tally) counts() (made, served int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -120,7 +131,7 @@
 func (c *caller) run(ctx context.Context) error {
 	kinds := []string{"stream", "stream", "book", "look"}
 	for n := 0; ctx.Err() == nil; n++ {
-		a := attempt{id: fmt.Sprintf("%s-%d", c.name, n), kind: kinds[n%len(kinds)]}
+		a := attempt{id: fmt.Sprintf("%s-%d", c.name, n), kind: kinds[n%len(kinds)], events: answerEvents}
 		c.ask(ctx, &a, stableKey)
 		if ctx.Err() == nil || a.status != 0 {
 			c.tally.add(a)
--- a/soak/run.go
+++ b/soak/run.go
@@ -22,11 +22,14 @@
 
 // Report is what a run saw.
 type Report struct {
-	Seed     uint64
-	Made     int // requests
-	Served   int
-	Mistakes []string
-	Faults   []string
+	Seed   uint64
+	Made   int // requests
+	Served int
+	// Refused counts attempts that were refused with a promise that they have
+	// not run, Unanswered those that got no answer at all.
+	Refused, Unanswered int
+	Mistakes            []string
+	Faults              []string
 }
 
 // Run plays one seed. The error is about the run itself; what the nodes did
@@ -42,16 +45,33 @@
 		report.Mistakes = append(report.Mistakes, "no node served before the first fault")
 		return report, nil
 	}
+	play := w.playFaults
+	if config.Plan == PlanStops {
+		play = w.playStops
+	}
+	if err := play(ctx, &report); err != nil {
+		return report, err
+	}
+	if err := w.set.Failed(); err != nil {
+		report.Mistakes = append(report.Mistakes, err.Error())
+	}
+	report.Faults = w.faults
+	return report, nil
+}
+
+// playFaults injects faults while callers ask, and checks that all is well
+// again after the last one.
+func (w *world) playFaults(ctx context.Context, report *Report) error {
 	t := &tally{}
 	calling, stop := context.WithCancel(ctx)
 	defer stop()
 	called := make(chan error, 1)
 	w.group.Go("callers", func(context.Context) error {
-		called <- w.call(calling, t, fmt.Sprintf("s%d", config.Seed))
+		called <- w.call(calling, t, fmt.Sprintf("s%d", w.config.Seed))
 		return nil
 	})
 	if err := w.inject(ctx); err != nil {
-		return report, err
+		return err
 	}
 	time.Sleep(quietTime)
 	made, served := t.counts()
@@ -59,19 +79,15 @@
 	madeCalm, servedCalm := t.counts()
 	stop()
 	if err := <-called; err != nil {
-		return report, err
+		return err
 	}
-	report.Made, report.Served = t.counts()
 	report.Mistakes = t.close(w.ledger)
+	t.fill(report)
 	if calm := madeCalm - made; calm == 0 || float64(servedCalm-served) < leastServed*float64(calm) {
 		report.Mistakes = append(report.Mistakes, fmt.Sprintf("after the faults %d of %d requests were served", servedCalm-served, calm))
 	}
 	report.Mistakes = append(report.Mistakes, w.checkWithdrawnKey(ctx)...)
-	if err := w.set.Failed(); err != nil {
-		report.Mistakes = append(report.Mistakes, err.Error())
-	}
-	report.Faults = w.faults
-	return report, nil
+	return nil
 }
 
 // waitServing waits until each node has served a stream.
--- a/soak/world.go
+++ b/soak/world.go
@@ -37,7 +37,9 @@
 	Seed uint64
 	// Bin is the folder with the node's program, Dir one for settings and logs.
 	Bin, Dir string
-	// Length is how long faults come; a quiet time follows.
+	// Plan says what happens; empty is PlanFaults.
+	Plan Plan
+	// Length is how long faults or stops come; a quiet time follows faults.
 	Length time.Duration
 	// Host is a loopback address of this run's own.
 	Host string
@@ -45,6 +47,17 @@
 	Nodes int
 }
 
+// Plan names what happens in a run.
+type Plan string
+
+// Plans of a run.
+const (
+	// PlanFaults mixes random faults of all parts.
+	PlanFaults Plan = "faults"
+	// PlanStops only stops nodes, as planned by operators, in series.
+	PlanStops Plan = "stops"
+)
+
 // nodeProcess is one node, its settings and its link to the store.
 type nodeProcess struct {
 	settings platformtest.NodeSettings
@@ -52,6 +65,8 @@
 	toStore  *link.Link
 	running  *process.Process
 	busy     bool // a fault that ends and starts it is under way
+	// stopped is when it last got SIGTERM in a planned stop.
+	stopped time.Time
 }
 
 // world is the whole deployment of one run.
@@ -131,6 +146,9 @@
 		ID: fmt.Sprintf("%s-%s-%d", service, zone, w.made), Service: service, Zone: zone, Engine: service == "llm",
 		Join: joinTime, Event: eventPause, Events: answerEvents,
 	}}
+	if w.config.Plan == PlanStops {
+		live.config.Event, live.config.EventTokens, live.config.Work = longEventPause, longEventTokens, deskWork
+	}
 	if service == "llm" {
 		live.config.Domain = "domain-" + zone
 	}
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -20,6 +20,9 @@
 // stopTimeout is how long a process may take after SIGTERM.
 const stopTimeout = 60 * time.Second
 
+// ErrKilled says that a process outlasted its grace.
+var ErrKilled = errors.New("killed")
+
 // Process is one process that was started.
 type Process struct {
 	Name    string
@@ -114,9 +117,13 @@
 }
 
 // Stop ends a process by SIGTERM and waits for it.
-func (s *Set) Stop(p *Process) error {
+func (s *Set) Stop(p *Process) error { return s.StopWithin(p, stopTimeout) }
+
+// StopWithin ends a process by SIGTERM, or by SIGKILL when it still runs after
+// the grace, which is ErrKilled.
+func (s *Set) StopWithin(p *Process, grace time.Duration) error {
 	s.forget(p)
-	return p.terminate()
+	return p.terminate(grace)
 }
 
 // Kill ends a process at once, as a lost VM does, and waits for it.
@@ -135,15 +142,15 @@
 // HangUp tells a process that its settings file has changed.
 func (p *Process) HangUp() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
 
-func (p *Process) terminate() error {
+func (p *Process) terminate(grace time.Duration) error {
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
 	select {
 	case <-p.exited:
 		return p.err
-	case <-time.After(stopTimeout):
-		_ = p.cmd.Process.Kill()
+	case <-time.After(grace):
+		_ = p.cmd.Process.Kill() // it may have ended
 		<-p.exited
-		return fmt.Errorf("%s did not stop within %s", p.Name, stopTimeout)
+		return fmt.Errorf("%s did not stop within %s: %w", p.Name, grace, ErrKilled)
 	}
 }
 
@@ -161,7 +168,7 @@
 			_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
 		}
 		for _, p := range all[first:end] {
-			_ = p.terminate()
+			_ = p.terminate(stopTimeout)
 		}
 		end = first
 	}
