Take figures and tuning out of the code's comments

A comment says what a guard holds against and why a bound is needed; figures drift away from the constants that they explain (the intervals at which loads are shared had changed, and the comments in balance/tracker.go told the old ones).

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -15,9 +15,9 @@
 	// caller's own zone is taken without a look at the other zones: bytes
 	// between zones are priced, and what is known of other zones is older.
 	nearEnough = 0.9
-	// farPenalty is what a group of another zone must be faster by; a stream
-	// there costs about a twentieth of its worth in bytes between zones, and
-	// several nodes may choose the same group before they hear of each other.
+	// farPenalty is what a group of another zone must be faster by: bytes
+	// between zones are priced, and several nodes may choose the same group
+	// before they hear of each other.
 	farPenalty = 60 * time.Millisecond
 	// refuseBeyond is how many times the objective the predicted first event
 	// must take before a request is refused: one that is surely late takes
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -6,9 +6,8 @@
 	"redwinghall/fleet"
 )
 
-// reserveFor is how long a reservation counts. Then the other zone has told of
-// the stream itself: zones tell each other every 250 ms what their nodes said
-// up to 135 ms before.
+// reserveFor is how long a reservation counts. By then the other zone has
+// shared the stream as a part of its load.
 const reserveFor = 400 * time.Millisecond
 
 // reservation is a stream that a node of another zone sends to a group here.
@@ -21,11 +20,10 @@
 // zone has, and counts the stream, or says why none will do. Groups that are
 // cold aren't offered: who sends to them spends its own part of what they bear.
 //
-// Guard: what a node knows of another zone is a quarter of a second old. When a
-// zone loses its groups, all its nodes choose the same group elsewhere at the
-// same time, and its prompts wait for each other. Of the streams that went to
-// another zone three in ten were late, of the others one in sixteen (82 nodes,
-// a domain of 27 VMs dark). The zone that is asked knows what it has.
+// Guard: what a node knows of another zone's load is old. When a zone loses its
+// groups, all its nodes choose the same group elsewhere at the same time, and
+// its prompts wait for each other: their first events come late. The zone that
+// is asked knows what it has.
 func (t *Tracker) Reserve(now time.Time, heads []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -9,13 +9,12 @@
 
 // What is remembered of an endpoint, and for how long.
 const (
-	// loadTrust is how long an endpoint's own word on its load counts; nodes of
-	// a zone hear of a busy group about every 100 ms.
+	// loadTrust is how long an endpoint's own count of its load is used.
 	loadTrust = 2 * time.Second
-	// shareTrust is how long the other nodes' word on their loads counts; they
-	// give it every 150 ms.
+	// shareTrust is how long the loads that other nodes of the zone share are
+	// used; it outlasts a few of their messages that are lost.
 	shareTrust = 600 * time.Millisecond
-	// zonesTrust is the same of the other zones, of which nodes hear every 500 ms.
+	// zonesTrust is the same of the other zones, which share theirs less often.
 	zonesTrust = 1500 * time.Millisecond
 	// farInterest is how long after a look at groups of other zones this node
 	// wants to hear of their loads.
--- a/claim/judge.go
+++ b/claim/judge.go
@@ -34,11 +34,9 @@
 //
 // Guard: the holder of an old claim may be frozen, not dead. If another router
 // took the claim over and sent the call, the holder would send it too when it
-// thaws, and a customer would be charged twice. (The lease on a claim with a
-// takeover after 60 s, as in "Idempotency Keys Are How You Make Retries Safe
-// in Distributed Systems", has this fault unless the service itself removes
-// duplicates; docs/MEASUREMENTS.md sets both side by side.) An old claim is
-// answered with outcome_unknown instead.
+// thaws, and a customer would be charged twice. A lease on the claim, which
+// lets a retry take it over, has this fault unless the service itself removes
+// duplicates. An old claim is answered with outcome_unknown instead.
 type Never struct{}
 
 // Judge implements Judge.
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -20,7 +20,7 @@
 // A table that was down is asked first after firstPause, then after twice as
 // long each time up to lastPause, at a random moment of the second half. When
 // an outage ends, hundreds of routers must not all ask at the same moment and
-// again four times a second: that would be most of what the table bears.
+// again at the shortest interval: that would be most of what the table bears.
 const (
 	firstPause = 250 * time.Millisecond
 	lastPause  = 8 * time.Second
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -89,9 +89,9 @@
 	return run(name, options, out, errOut, start)
 }
 
-// A daemon's live heap is a few MiB, so the default of the collector runs it
-// every few thousand requests. It may use more memory instead, up to a limit
-// below the 256 MiB that a node may spend on control.
+// A daemon's live heap is small, so by default the collector would run very
+// often. It may use more memory instead, up to a limit below what a node may
+// spend on control.
 const (
 	collectPercent = 400
 	memoryLimit    = 192 << 20
--- a/directory/book.go
+++ b/directory/book.go
@@ -10,8 +10,8 @@
 )
 
 // LapseGrace is how long an entry that lapsed while the store was away may
-// stay missing after the store's return before its endpoint counts as gone.
-// Endpoints write again within about 2 s of the return.
+// stay missing after the store's return before its endpoint counts as gone:
+// endpoints need a while to write again.
 const LapseGrace = 2200 * time.Millisecond
 
 // Book gathers changes and publishes views. Its methods may be called from
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -16,22 +16,20 @@
 // How the store is followed. Each call is priced, so a busy table is read at
 // intervals rather than at each change.
 const (
-	// feedWait bounds how long a silent connection to the store goes unseen;
-	// a configuration has to be in force 2 s after it was accepted.
+	// feedWait bounds how long a silent connection to the store goes unseen,
+	// and so how late a configuration is in force.
 	feedWait = 1500 * time.Millisecond
 	// operatorsInterval spaces reads of the operators' table, which is mostly quiet.
 	operatorsInterval = 150 * time.Millisecond
 	// endpointsInterval spaces reads of the endpoints' table, which changes all
-	// the time: 1.25 calls a second at the most. Endpoints leave with a notice of 2 s.
+	// the time. It is shorter than the notice with which endpoints leave.
 	endpointsInterval = 800 * time.Millisecond
 	// endpointsUrgent is the interval while this node forms groups.
 	endpointsUrgent = 250 * time.Millisecond
-	// relayedInterval spaces reads from another node, which cost the store
-	// nothing. A group that opened or closed is known 0.3 s sooner on average, by
-	// the pauses alone.
+	// relayedInterval spaces reads from another node, which cost the store nothing.
 	relayedInterval = 150 * time.Millisecond
-	// knownWait bounds the wait for the neighbors: one call to the store takes
-	// some milliseconds, and without the store there is nothing to wait for.
+	// knownWait bounds the wait for the neighbors: without the store there is
+	// nothing to wait for.
 	knownWait      = 300 * time.Millisecond
 	firstPause     = 100 * time.Millisecond
 	longestPause   = time.Second
@@ -126,9 +124,9 @@
 		case rows.Relayed:
 			wait = relayedInterval - time.Since(started)
 		case rows.More:
-			// Guard: an answer holds 500 changes at most. With 3,000 endpoints that
-			// write every 1.2 s, one answer an interval falls behind by the minute,
-			// and whoever forms groups gives each order eleven times.
+			// Guard: an answer holds a bounded number of changes. With thousands of
+			// endpoints, one answer an interval falls behind more and more, and the
+			// node that forms groups gives the same orders again and again.
 			wait = 0
 		}
 		if wait > 0 && !kernel.Sleep(ctx, wait) {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, redwinghall.NewOpError(op, Unreachable, err)
 	}
-	request.Header.Set("User-Agent", "") // 32 bytes that nobody reads, in each poll
+	request.Header.Set("User-Agent", "") // nobody reads it, and polls are many
 	answer, err := c.client.Do(request)
 	if err != nil {
 		return nil, redwinghall.NewOpError(op, kindOf(err), err)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -20,12 +20,12 @@
 // Limits of the connections to endpoints.
 const (
 	// connectTimeout is far above a round trip between zones, and short enough
-	// to try another endpoint within an objective of 250 ms.
+	// to try another endpoint within a strict objective.
 	connectTimeout = 150 * time.Millisecond
 	// idleTimeout closes connections that are no longer needed.
 	idleTimeout = 12 * time.Second
 	idlePerHost = 64
-	// keepAlive finds idle connections that went silent within about 3 s.
+	// The keep-alive probes find idle connections that went silent.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
--- a/measure/deployment.go
+++ b/measure/deployment.go
@@ -77,7 +77,7 @@
 // unchanged leaves a layout as its shape makes it.
 func unchanged(*layout.Layout) {}
 
-// startDeploymentOf starts a deployment whose layout was changed first.
+// startDeploymentOf starts a deployment of a shape, with its layout adapted by change.
 func startDeploymentOf(bin string, s shape, change func(*layout.Layout)) (*deployment, error) {
 	l := s.layout()
 	change(&l)
--- a/measure/zone.go
+++ b/measure/zone.go
@@ -18,7 +18,7 @@
 )
 
 // The zone measurement: three zones of two groups of one VM that bear four
-// requests at once, each of which takes about 0.15 s.
+// requests at once.
 const (
 	zoneSeconds  = 24
 	zoneOutAt    = 6
--- a/members/leases.go
+++ b/members/leases.go
@@ -30,7 +30,7 @@
 		return false
 	case action == lease.Take && !t.listedAt.After(t.unwritten[zone]):
 		// Guard: while the store is away all leases seem free, and each node of a
-		// zone would try to take one every 1.2 s. First the table must be read again.
+		// zone would try to take one again and again. First the table must be read.
 		return false
 	case boot.Sub(t.renewed[zone]) < renewInterval:
 		return false
--- a/members/members.go
+++ b/members/members.go
@@ -36,8 +36,8 @@
 	// long an unchanged row still counts.
 	announceInterval = 5 * time.Second
 	goneAfter        = 13 * time.Second
-	// announcePerNode stretches both where there are many nodes: together they
-	// announce themselves five times a second at the most.
+	// announcePerNode stretches both where there are many nodes: it is the least
+	// time between two announcements of any nodes, on average.
 	announcePerNode = 200 * time.Millisecond
 	// takeStagger is how much later each next node of a zone takes a lease that
 	// is free, so that they don't all try at once.
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -24,8 +24,8 @@
 	callTimeout = 500 * time.Millisecond
 	// listTimeout bounds a call for a whole table, which may not have been read yet.
 	listTimeout = time.Second
-	// reserveTimeout bounds what a caller waits for another zone's word: an
-	// eighth of the strictest objective, and many times the way there and back.
+	// reserveTimeout bounds how long a caller waits for another zone's answer: a
+	// small part of an objective, and many times the round trip.
 	reserveTimeout = 40 * time.Millisecond
 	dialTimeout    = 300 * time.Millisecond
 	maxIdle        = 8
--- a/peer/client.go
+++ b/peer/client.go
@@ -64,7 +64,7 @@
 func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.token)
-	r.Header.Set("User-Agent", "") // 32 bytes that nobody reads, in each exchange
+	r.Header.Set("User-Agent", "") // nobody reads it, and exchanges are many
 	return t.next.RoundTrip(r)
 }
 
--- a/peer/round.go
+++ b/peer/round.go
@@ -14,8 +14,8 @@
 // answers bring back up what each subtree knows better. So a word reaches the
 // first router within the round in which it is observed, and every router
 // with the next, over one exchange for each router and interval. Random
-// exchanges of the same cost need about log2(routers) intervals, and words
-// were older than alive_bound before they arrived (docs/MEASUREMENTS.md).
+// exchanges of the same cost need about log2(routers) intervals, which can be
+// longer than alive_bound.
 const (
 	roundChildren = 2
 	roundTime     = 800 * time.Millisecond // that the first router waits
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -68,9 +68,8 @@
 // Changed takes in changes of the table after a version. It returns those that
 // say something new.
 //
-// Gain: endpoints write their entries every 1.2 s, and nearly always only to
-// show that they live. Among 300 nodes and 3,000 endpoints the middle node moved
-// 252 KB a second when all of that was passed on, and 162 KB without it.
+// Gain: endpoints rewrite their entries as heartbeats, nearly always with nothing
+// new. Those writes are not passed on, which saves bytes between nodes.
 func (m *Mirror) Changed(now time.Time, after int64, rows fleet.Rows) fleet.Rows {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -128,7 +127,7 @@
 // List returns the table without removed rows.
 //
 // Guard: when all nodes start at once, none has read anything. If each read the
-// table itself then, 300 nodes would move 0.4 GB for 3,000 endpoints of 450 bytes.
+// table itself then, the store would send the whole table to every node.
 func (m *Mirror) List(ctx context.Context) (Answer, error) {
 	m.awaitFirst(ctx)
 	return m.list(time.Now())
--- a/relay/source.go
+++ b/relay/source.go
@@ -21,24 +21,24 @@
 	// smallZone is the most nodes of a zone that all read the store themselves:
 	// their calls cost less than a reader's failure would cost the others.
 	smallZone = 3
-	// staleAfter is the age from which a reader's word is not taken: a reader
+	// staleAfter is the age from which a reader's answer is not used: a reader
 	// that lost the store would keep others from what they could read
-	// themselves, and configurations have to be in force within 2 s.
+	// themselves, and new configurations would be in force late.
 	staleAfter = 1200 * time.Millisecond
-	// listStaleAfter is the same for whole tables: the members' table, which is
-	// the only one that is listed again and again, is read every 2 s.
+	// listStaleAfter is the same for whole tables: it is above the interval of
+	// the members' table, the only one that is listed again and again.
 	listStaleAfter = 4 * time.Second
-	// readerWait is the longest wait of a reader that others follow: its word
-	// is then never older than 0.8 s while it reaches the store.
+	// readerWait is the longest wait of a reader that others follow: while it
+	// reaches the store, its answers stay well below staleAfter.
 	readerWait = 700 * time.Millisecond
-	// followWait is the longest wait of a node for its reader: with the timeout
-	// of the call, a reader that fell silent shows after 1.2 s.
+	// followWait is the longest wait of a node for its reader; after it and the
+	// timeout of the call, a reader that fell silent is noticed.
 	followWait = 700 * time.Millisecond
 	// awayAfter is the silence of the store from which a node asks for help only.
 	awayAfter = 3 * time.Second
 	// probePause is the least time between two calls of a node that isn't the
-	// zone's reader to a store that doesn't answer it. The reader asks on, so a
-	// store that returns is known to all within 2 s.
+	// zone's reader to a store that doesn't answer it. The reader asks on, and
+	// the others hear from it when the store returns.
 	probePause  = 1500 * time.Millisecond
 	probeSpread = 500 * time.Millisecond
 	// avoidFor is how long a reader that failed is left alone; each further
@@ -83,8 +83,7 @@
 // agree on. Who finds the reader silent or stale passes over it, so the next one
 // takes its place. Each node keeps what it was told, and can go on from there.
 //
-// Gain: 82 nodes in 3 zones made 2,944 calls to the store in 55 s of a quiet day
-// with three readers a zone, and 1,924 with one, counted by the store.
+// Gain: reads of the store grow with the number of zones, not of nodes.
 type Source struct {
 	config Config
 
@@ -142,9 +141,8 @@
 
 // call calls the store itself, unless it didn't answer this node just now.
 //
-// Guard: in an outage each node would ask on and on, since no reader has
-// anything to tell. 82 nodes made 8,261 calls on a day with two outages of 8 and
-// 2 s; with this pause, and leases left alone meanwhile, 5,340.
+// Guard: in an outage no reader has anything to tell, so each node would call
+// the store on and on, and the store would return to a load of all nodes.
 func (s *Source) call(now time.Time, table string, read func() (fleet.Rows, error)) (fleet.Rows, error) {
 	if !s.mayCall(now, table) {
 		return fleet.Rows{}, redwinghall.NewOpError("Source.call", fleet.StoreUnavailable, errNotNow)
