--- a/availability_zone.go
+++ b/availability_zone.go
@@ -9,7 +9,7 @@
 	ZoneOut ZoneState = "out"
 )
 
-// AvailabilityZone is the operators' word on one zone. Number rises by one
+// AvailabilityZone is the operators' decision on one zone. Number rises by one
 // with each decision, so that an old message never undoes a newer one.
 type AvailabilityZone struct {
 	ID     string    `json:"id"`
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -23,12 +23,12 @@
 	// must take before a request is refused: one that is surely late takes
 	// places from others that could be in time.
 	refuseBeyond = 1.1
-	// failurePenalty is how much a surely failing plain endpoint is disliked.
+	// failurePenalty is added for a plain endpoint all of whose requests fail.
 	failurePenalty = 2 * time.Second
-	// plainFar is the same as farPenalty for plain services, whose answers are small.
-	plainFar = 15 * time.Millisecond
-	// fallbackWork is assumed of an endpoint of which nothing is known.
-	fallbackWork = 50 * time.Millisecond
+	// plainFarPenalty is the same as farPenalty for plain services, whose answers are small.
+	plainFarPenalty = 15 * time.Millisecond
+	// defaultLatency is assumed of an endpoint of which nothing is known.
+	defaultLatency = 50 * time.Millisecond
 )
 
 // Ask is what choosing needs to know of a request.
@@ -75,8 +75,8 @@
 	Visit     *Visit
 	Predicted time.Duration
 	Running   int
-	// Age is how old the newest word of others on the endpoint's load was;
-	// negative if there was none.
+	// Age is how old the newest report of the endpoint's load was; negative if
+	// there was none.
 	Age time.Duration
 }
 
@@ -126,11 +126,11 @@
 	defer t.mu.Unlock()
 	ask.bias = t.bias
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weigh}
-	look.among(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone })
+	look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone })
 	near := look.best
 	if near == nil || near.full || float64(near.predicted) > nearEnough*float64(ask.Objective) {
 		t.lookedFar = now
-		look.among(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != ask.Zone })
+		look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != ask.Zone })
 	}
 	best := look.best
 	if best == nil {
@@ -142,7 +142,7 @@
 	return t.take(now, best, ask), nil
 }
 
-// search is a look for the best endpoint.
+// search holds what a choice asks for and the best endpoint found so far.
 type search struct {
 	ask      Ask
 	now      time.Time
@@ -150,11 +150,11 @@
 	weigh    func(time.Time, *State, *fleet.Endpoint) *candidate
 
 	best       *candidate
-	seen, cold int // endpoints that could be reached, and those that bear no more now
+	seen, cold int // endpoints that could be reached, and those of them too cold for one more
 }
 
-// among looks through the endpoints that are wanted.
-func (l *search) among(t *Tracker, endpoints []*fleet.Endpoint, wanted func(*fleet.Endpoint) bool) {
+// consider weighs the usable ones among the endpoints that are wanted.
+func (l *search) consider(t *Tracker, endpoints []*fleet.Endpoint, wanted func(*fleet.Endpoint) bool) {
 	for _, e := range endpoints {
 		if !wanted(e) || !Usable(&l.ask.Service, e, l.zonesOut) || l.ask.Tried[e.ID] || l.ask.ZonesFull[e.Zone] {
 			continue
@@ -162,12 +162,12 @@
 		if l.ask.Service.Engine != nil && e.Model() != l.ask.Model.Name {
 			continue
 		}
-		s := t.of(e.ID, l.now)
-		if l.now.Before(s.shunUntil) {
+		s := t.state(e.ID, l.now)
+		if l.now.Before(s.backoffUntil) {
 			continue
 		}
 		l.seen++
-		if !l.ask.bears(l.now, s, e) {
+		if !l.ask.admits(l.now, s, e) {
 			l.cold++
 			continue
 		}
@@ -182,7 +182,7 @@
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: func(_ time.Time, s *State, e *fleet.Endpoint) *candidate {
 		return &candidate{endpoint: e, state: s}
 	}}
-	look.among(t, endpoints, func(*fleet.Endpoint) bool { return true })
+	look.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
 	return look.best != nil
 }
 
@@ -205,11 +205,12 @@
 	return a
 }
 
-// bears reports whether an endpoint that is cold bears one more request now.
+// admits reports whether an endpoint can take one more request now, as far as
+// its being cold limits it.
 //
 // Guard: a cold endpoint falls over under full load, and all nodes send at
 // once when it appears. Each node spends only its own part of the rate.
-func (a Ask) bears(now time.Time, s *State, e *fleet.Endpoint) bool {
+func (a Ask) admits(now time.Time, s *State, e *fleet.Endpoint) bool {
 	if a.Service.ColdPerSecond <= 0 || !e.ColdAt(now) {
 		return true
 	}
@@ -217,9 +218,9 @@
 	return share > 0 && s.cold.has(now, share/2, share/2)
 }
 
-// leastColdShare is the share of a node below which only some nodes send: a
+// minColdShare is the share of a node below which only some nodes send: a
 // bucket of one that gains one a second lets two through in a second.
-const leastColdShare = 2
+const minColdShare = 2
 
 // coldShare returns the most requests that this node sends to a cold endpoint
 // in any second: half of it at once, and half of it a second.
@@ -228,24 +229,24 @@
 	if e.Zone == a.Zone {
 		share = a.ColdNear
 	}
-	if share >= leastColdShare {
+	if share >= minColdShare {
 		return share
 	}
 	const parts = 1 << 16
-	if float64(xxhash.Sum64String(a.Node+"|"+e.ID)%parts) < share/leastColdShare*parts {
-		return leastColdShare
+	if float64(xxhash.Sum64String(a.Node+"|"+e.ID)%parts) < share/minColdShare*parts {
+		return minColdShare
 	}
 	return 0
 }
 
 func (a Ask) weigh(now time.Time, s *State, e *fleet.Endpoint) *candidate {
-	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slow))
+	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slowdown))
 	c := &candidate{endpoint: e, state: s}
 	nodes := a.ZoneNodes
 	if e.Zone != a.Zone {
 		nodes = a.Nodes
 	}
-	others := s.others(now).With(s.unheard(now, nodes))
+	others := s.others(now).With(s.unshared(now, nodes))
 	running := s.running(now) + others.Requests - s.others(now).Requests
 	waiting := s.unstarted + others.Unstarted
 	c.running = running
@@ -278,12 +279,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weighPlain}
-	look.among(t, endpoints, func(*fleet.Endpoint) bool { return true })
+	look.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
 	best := look.best
 	if best == nil {
 		return Choice{}, refusalOfNone(look.seen, look.cold)
 	}
-	if !ask.GoesOn && (best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, fallbackWork))) {
+	if !ask.GoesOn && (best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, defaultLatency))) {
 		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
 	}
 	return t.take(now, best, ask), nil
@@ -294,7 +295,7 @@
 	c := &candidate{endpoint: e, state: s, running: running}
 	work := s.latency
 	if work == 0 {
-		work = fallbackWork
+		work = defaultLatency
 	}
 	waiting := max(0, running+1-max(1, e.Slots))
 	c.predicted = work + work*time.Duration(waiting)/time.Duration(max(1, e.Slots))
@@ -302,7 +303,7 @@
 	c.score = c.predicted + time.Duration(running)*work/time.Duration(max(1, e.Slots))/2 +
 		time.Duration(s.failures*float64(failurePenalty))
 	if e.Zone != a.Zone {
-		c.score += plainFar
+		c.score += plainFarPenalty
 	}
 	if c.full {
 		c.score += time.Hour
--- a/balance/load.go
+++ b/balance/load.go
@@ -23,7 +23,7 @@
 	at               time.Time
 }
 
-// shareLag is how old the other nodes' word on their loads is, on average over
+// shareLag is how old the shared loads of other nodes are, on average over
 // those of this zone and of others.
 const shareLag = 150 * time.Millisecond
 
@@ -44,14 +44,14 @@
 	return next
 }
 
-// unheard estimates what other nodes sent to an endpoint that they have not
-// told of yet: each as much as this node did.
+// unshared estimates what other nodes sent to an endpoint but have not shared
+// yet: each as much as this node did.
 //
 // Guard: when a group opens, or one is emptier than the others, all nodes see
 // that at the same moment, and each sends what the group could bear alone. Its
 // prompts are then read one after the other, and all of them are late.
-func (s *State) unheard(now time.Time, nodes int) Load {
-	r := s.lately.faded(now)
+func (s *State) unshared(now time.Time, nodes int) Load {
+	r := s.sent.faded(now)
 	others := float64(max(0, nodes-1))
 	n := int(others*r.requests + 0.5)
 	return Load{Requests: n, Unstarted: n, Unread: int(others * r.tokens)}
@@ -64,7 +64,7 @@
 	defer t.mu.Unlock()
 	own := map[string]Load{}
 	for id, s := range t.states {
-		load := Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}.With(s.held(now))
+		load := Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}.With(s.reservedLoad(now))
 		if load.Requests > 0 {
 			own[id] = load
 		}
@@ -97,6 +97,6 @@
 		set(s, loads[id])
 	}
 	for id, load := range loads {
-		set(t.of(id, now), load)
+		set(t.state(id, now), load)
 	}
 }
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -29,7 +29,7 @@
 	defer t.mu.Unlock()
 	ask.bias = t.bias
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weigh}
-	look.among(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone && !e.ColdAt(now) })
+	look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone && !e.ColdAt(now) })
 	best := look.best
 	if best == nil {
 		return Choice{}, refusalOfNone(look.seen, look.cold)
@@ -41,8 +41,8 @@
 	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.age(now)}, nil
 }
 
-// held returns what is reserved at the endpoint.
-func (s *State) held(now time.Time) Load {
+// reservedLoad returns what is reserved at the endpoint.
+func (s *State) reservedLoad(now time.Time) Load {
 	var sum Load
 	kept := s.reserved[:0]
 	for _, r := range s.reserved {
@@ -59,7 +59,7 @@
 func (t *Tracker) Take(now time.Time, e *fleet.Endpoint, ask Ask, predicted time.Duration) Choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.of(e.ID, now)
+	s := t.state(e.ID, now)
 	return t.take(now, &candidate{endpoint: e, state: s, predicted: predicted, running: s.running(now)}, ask)
 }
 
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -21,11 +21,11 @@
 	farInterest = 3 * time.Second
 	// smoothing is the weight of one new observation in a mean.
 	smoothing = 0.15
-	// shunFirst is how long an endpoint that refused a connection is left
-	// alone; it doubles up to shunLongest, so that one request in a while
+	// backoffFirst is how long an endpoint that refused a connection is left
+	// alone; it doubles up to backoffLongest, so that one request in a while
 	// finds out whether it is back.
-	shunFirst   = 400 * time.Millisecond
-	shunLongest = 3 * time.Second
+	backoffFirst   = 400 * time.Millisecond
+	backoffLongest = 3 * time.Second
 	// forgetAfter drops what is known of an endpoint without an entry.
 	forgetAfter = 30 * time.Second
 )
@@ -36,29 +36,30 @@
 	own       int // requests of this node that are there
 	unstarted int // of these, streams without a first event
 	unread    int // prompt tokens of the unstarted
-	// told is the endpoint's own count at toldAt, ownThen this node's part of it.
-	told    int
-	ownThen int
-	toldAt  time.Time
+	// reported is the endpoint's own count at reportedAt, ownAtReport this
+	// node's part of it.
+	reported    int
+	ownAtReport int
+	reportedAt  time.Time
 
 	shared   Load // what other nodes of the zone have
 	sharedAt time.Time
 	zones    Load // what the nodes of other zones have
 	zonesAt  time.Time
-	lately   recent // what this node sent
+	sent     recent // what this node sent
 	reserved []reservation
 
 	lastEvent time.Time // of any stream
 	// waitingSince is when this node began to wait for an event without a break.
 	waitingSince time.Time
-	slow         float64 // observed pace against the declared one
+	slowdown     float64 // observed pace against the declared one
 	latency      time.Duration
 	failures     float64 // smoothed share of failed requests
 
-	shunUntil time.Time
-	shun      time.Duration
-	usedAt    time.Time
-	cold      bucket
+	backoffUntil time.Time
+	backoff      time.Duration
+	usedAt       time.Time
+	cold         bucket
 }
 
 // Tracker keeps the states of all endpoints.
@@ -75,11 +76,11 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker { return &Tracker{states: map[string]*State{}} }
 
-// of returns an endpoint's state. The lock is held.
-func (t *Tracker) of(id string, now time.Time) *State {
+// state returns an endpoint's state. The lock is held.
+func (t *Tracker) state(id string, now time.Time) *State {
 	s, ok := t.states[id]
 	if !ok {
-		s = &State{id: id, slow: 1}
+		s = &State{id: id, slowdown: 1}
 		t.states[id] = s
 	}
 	s.usedAt = now
@@ -97,20 +98,20 @@
 	}
 }
 
-// running estimates how many requests an endpoint has, from its last word and
+// running estimates how many requests an endpoint has, from its last report and
 // from what this node sent and finished since, and from what the other nodes
 // of the zone say that they have.
 func (s *State) running(now time.Time) int {
 	count := s.own + s.others(now).Requests
-	if s.toldAt.IsZero() || now.Sub(s.toldAt) > loadTrust {
+	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > loadTrust {
 		return count
 	}
-	return max(count, s.told+s.own-s.ownThen)
+	return max(count, s.reported+s.own-s.ownAtReport)
 }
 
 // others returns what other nodes have at the endpoint, as far as known.
 func (s *State) others(now time.Time) Load {
-	sum := s.held(now)
+	sum := s.reservedLoad(now)
 	if now.Sub(s.sharedAt) <= shareTrust {
 		sum = sum.With(s.shared)
 	}
@@ -120,9 +121,10 @@
 	return sum
 }
 
-// age returns how old the newest word of others on the endpoint's load is.
+// age returns how old the newest report of the endpoint's load is, from itself
+// or other nodes; negative if there was none.
 func (s *State) age(now time.Time) time.Duration {
-	newest := s.toldAt
+	newest := s.reportedAt
 	if s.sharedAt.After(newest) {
 		newest = s.sharedAt
 	}
@@ -151,21 +153,21 @@
 	s.own++
 	s.unstarted++
 	s.unread += prompt
-	s.lately = s.lately.With(now, prompt)
+	s.sent = s.sent.With(now, prompt)
 	if s.waitingSince.IsZero() {
 		s.waitingSince = now
 	}
 	return &Visit{t: t, s: s, sentAt: now, prompt: prompt, last: now, predicted: predicted}
 }
 
-// Told takes the endpoint's own word on its load in.
+// Told takes in the endpoint's own report of its load.
 func (v *Visit) Told(now time.Time, running int) {
 	v.t.mu.Lock()
 	defer v.t.mu.Unlock()
-	v.s.told, v.s.ownThen, v.s.toldAt = running, v.s.own, now
+	v.s.reported, v.s.ownAtReport, v.s.reportedAt = running, v.s.own, now
 }
 
-// Event notes an event of a stream. usual is the pause that the pace predicts.
+// Event notes an event of a stream. usual returns the pause that the pace predicts.
 func (v *Visit) Event(now time.Time, usual func(running int) time.Duration) {
 	v.t.mu.Lock()
 	defer v.t.mu.Unlock()
@@ -184,14 +186,14 @@
 	v.start()
 	v.last = now
 	s.lastEvent, s.waitingSince = now, now
-	s.shun, s.shunUntil = 0, time.Time{}
+	s.backoff, s.backoffUntil = 0, time.Time{}
 }
 
 // observe takes one pause in, as a multiple of the predicted one. One long
 // pause is a prompt being read, so it counts with a bound.
 func (s *State) observe(ratio float64) {
 	const longest = 8 // times as slow
-	s.slow += smoothing / 4 * (min(ratio, longest) - s.slow)
+	s.slowdown += smoothing / 4 * (min(ratio, longest) - s.slowdown)
 }
 
 // Bounds of what is learned from one first event. A late one is mostly due to
@@ -252,12 +254,12 @@
 func (t *Tracker) Unreachable(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.of(id, now)
-	if now.Before(s.shunUntil) {
+	s := t.state(id, now)
+	if now.Before(s.backoffUntil) {
 		return
 	}
-	s.shun = min(max(2*s.shun, shunFirst), shunLongest)
-	s.shunUntil = now.Add(s.shun)
+	s.backoff = min(max(2*s.backoff, backoffFirst), backoffLongest)
+	s.backoffUntil = now.Add(s.backoff)
 }
 
 // Silent returns how long this node has waited for any event of an endpoint.
@@ -281,8 +283,8 @@
 func (t *Tracker) Snapshot(now time.Time, e *fleet.Endpoint) Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.of(e.ID, now)
-	return Snapshot{Own: s.own, Running: s.running(now), Unread: s.unread, Slow: s.slow, Shunned: now.Before(s.shunUntil)}
+	s := t.state(e.ID, now)
+	return Snapshot{Own: s.own, Running: s.running(now), Unread: s.unread, Slow: s.slowdown, Shunned: now.Before(s.backoffUntil)}
 }
 
 // slowFactor is how many times slower than declared a group must work, as
@@ -295,7 +297,7 @@
 	defer t.mu.Unlock()
 	var slow []string
 	for id, s := range t.states {
-		if s.own > 0 && s.slow > slowFactor && now.Sub(s.lastEvent) < loadTrust {
+		if s.own > 0 && s.slowdown > slowFactor && now.Sub(s.lastEvent) < loadTrust {
 			slow = append(slow, id)
 		}
 	}
--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -38,8 +38,8 @@
 	return &Metrics{registry: metrics.NewRegistry(), byKey: map[string]*series{}}
 }
 
-// of returns the series of an account; accounts beyond the bound share one.
-func (m *Metrics) of(a redwinghall.ClientAccount) *series {
+// seriesOf returns the series of an account; accounts beyond the bound share one.
+func (m *Metrics) seriesOf(a redwinghall.ClientAccount) *series {
 	key := a.ID + "." + string(a.Class)
 	m.mu.RLock()
 	s, ok := m.byKey[key]
--- a/caller/request.go
+++ b/caller/request.go
@@ -71,7 +71,7 @@
 		return 0, redwinghall.NewOpError("Server.prepare", redwinghall.CodeUnknownKey, nil)
 	}
 	r.account = account
-	r.series = s.metrics.of(account)
+	r.series = s.metrics.seriesOf(account)
 	if text := r.http.Header.Get(HeaderHops); text != "" {
 		hops, err := strconv.Atoi(text)
 		if err != nil || hops < 0 {
--- a/directory/book.go
+++ b/directory/book.go
@@ -19,7 +19,7 @@
 type Book struct {
 	mu        sync.Mutex
 	view      atomic.Pointer[View]
-	table     *table
+	indexed   *indexedConfig
 	endpoints map[string]*fleet.Endpoint
 	lapsed    map[string]time.Time // when a missing entry counts as gone
 	out       map[string]bool
@@ -71,8 +71,8 @@
 	case c.Config != nil:
 		// Guard: an older copy read late would bring back routes and keys that
 		// were taken away. Versions only rise.
-		if b.table == nil || c.Config.Version >= b.table.config.Version {
-			b.table = newTable(c.Config)
+		if b.indexed == nil || c.Config.Version >= b.indexed.config.Version {
+			b.indexed = newIndexedConfig(c.Config)
 		}
 	case c.Endpoint != nil:
 		b.endpoints[c.Endpoint.ID] = c.Endpoint
@@ -132,11 +132,11 @@
 
 func (b *Book) publish() {
 	v := &View{
-		table:     b.table,
+		indexed:   b.indexed,
 		Endpoints: make(map[string]*fleet.Endpoint, len(b.endpoints)),
 		ByService: map[string][]*fleet.Endpoint{},
 		ZonesOut:  make(map[string]bool, len(b.out)),
-		heads:     map[serving][]*fleet.Endpoint{},
+		heads:     map[served][]*fleet.Endpoint{},
 	}
 	for id, e := range b.endpoints {
 		v.Endpoints[id] = e
@@ -148,7 +148,7 @@
 	for service, list := range v.ByService {
 		for _, e := range list {
 			if e.Serves() {
-				key := serving{service, e.Model()}
+				key := served{service, e.Model()}
 				v.heads[key] = append(v.heads[key], e)
 			}
 		}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -222,7 +222,7 @@
 func (f *Follower) missingEndpoints(rows []fleet.Row) []Change {
 	ids, _ := f.book.Known()
 	var changes []Change
-	for _, id := range without(ids, rows, func(row fleet.Row) string { return row.Key }) {
+	for _, id := range missingNames(ids, rows, func(row fleet.Row) string { return row.Key }) {
 		changes = append(changes, Change{Gone: id})
 	}
 	return changes
@@ -232,14 +232,14 @@
 func (f *Follower) missingOperators(rows []fleet.Row) []Change {
 	_, zones := f.book.Known()
 	var changes []Change
-	for _, zone := range without(zones, rows, func(row fleet.Row) string { z, _ := platform.ZoneOut(row.Key); return z }) {
+	for _, zone := range missingNames(zones, rows, func(row fleet.Row) string { z, _ := platform.ZoneOut(row.Key); return z }) {
 		changes = append(changes, Change{ZoneIn: zone})
 	}
 	return changes
 }
 
-// without returns the names that no row stands for.
-func without(names []string, rows []fleet.Row, name func(fleet.Row) string) []string {
+// missingNames returns the names that no row stands for.
+func missingNames(names []string, rows []fleet.Row, name func(fleet.Row) string) []string {
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		listed[name(row)] = true
--- a/endpoint/poller.go
+++ b/endpoint/poller.go
@@ -27,7 +27,7 @@
 	polls    atomic.Uint64
 }
 
-// NewPoller returns a poller that tells its words to node.
+// NewPoller returns a poller that reports the health it observes to node.
 func NewPoller(engine redwinghall.Engine, node *peer.Node) *Poller {
 	return &Poller{engine: engine, node: node, trackers: map[string]*health.Tracker{}}
 }
--- a/endpoint/publish.go
+++ b/endpoint/publish.go
@@ -15,7 +15,7 @@
 // maxGateways is how many of a zone's routers take forwarded work.
 const maxGateways = 3
 
-// publishGroups hands the zone's groups to the peers, and the last word on
+// publishGroups hands the zone's groups to the peers, and the final record of
 // groups that the table no longer has.
 func (m *Manager) publishGroups() {
 	if !m.ledger.Loaded() {
@@ -53,7 +53,7 @@
 
 // publishCounted publishes a register that has no row of its own when its
 // value has changed. Its number begins with the fencing number, so that a new
-// holder's word is newer than any of the old one.
+// holder's value is newer than any of the old one.
 func (m *Manager) publishCounted(key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil || m.published[key] == string(data) {
--- a/group.go
+++ b/group.go
@@ -67,7 +67,7 @@
 	return n
 }
 
-// GroupHealth is one observer's word on a whole group.
+// GroupHealth is a whole group's health, as one process observed it.
 type GroupHealth struct {
 	Group      string
 	Generation uint64
--- a/health/health.go
+++ b/health/health.go
@@ -1,4 +1,4 @@
-// Package health turns the reports of a group's members into one word on the
+// Package health turns the reports of a group's members into the health of the
 // whole group. It does no I/O.
 package health
 
@@ -80,9 +80,9 @@
 	}
 }
 
-// Word returns the tracker's present word on the group.
+// Word returns the group's health as observed so far.
 func (t *Tracker) Word() redwinghall.GroupHealth {
-	word := redwinghall.GroupHealth{
+	health := redwinghall.GroupHealth{
 		Group: t.group.ID, Generation: t.group.Generation,
 		Broken: t.broken, Ready: true, LostAt: t.lost,
 		Running: t.leader.Running, Completed: t.leader.Completed,
@@ -92,8 +92,8 @@
 		if t.seen[i].Before(oldest) {
 			oldest = t.seen[i]
 		}
-		word.Ready = word.Ready && t.ready[i]
+		health.Ready = health.Ready && t.ready[i]
 	}
-	word.SeenAt = oldest
-	return word
+	health.SeenAt = oldest
+	return health
 }
--- a/members/leases.go
+++ b/members/leases.go
@@ -18,7 +18,7 @@
 	state := t.leases[zone]
 	own := zone == t.config.Self.Zone
 	action := state.Next(boot)
-	if !own && state.Holder() == t.config.Self.Name && (action == lease.Take || t.lives(zone, boot)) {
+	if !own && state.Holder() == t.config.Self.Name && (action == lease.Take || t.hasLiveNode(zone, boot)) {
 		t.release(ctx, zone, boot)
 		return true
 	}
@@ -26,7 +26,7 @@
 		delete(t.takeable, zone)
 	}
 	switch {
-	case action == lease.Wait, action == lease.Take && !t.staggered(zone, boot):
+	case action == lease.Wait, action == lease.Take && !t.isTurn(zone, boot):
 		return false
 	case action == lease.Take && !t.listedAt.After(t.unwritten[zone]):
 		// Guard: while the store is away all leases seem free, and each node of a
@@ -40,8 +40,8 @@
 	return true
 }
 
-// lives reports whether a node of a zone announced itself lately.
-func (t *Table) lives(zone string, boot time.Time) bool {
+// hasLiveNode reports whether a node of a zone announced itself lately.
+func (t *Table) hasLiveNode(zone string, boot time.Time) bool {
 	for _, s := range t.seen {
 		if s.node.Zone == zone && boot.Sub(s.since) < t.announceEvery()+listInterval {
 			return true
@@ -55,12 +55,12 @@
 	txn, next := t.leases[zone].Release(zone, fmt.Sprintf("%s-leave-%d", t.config.Self.Name, boot.UnixNano()))
 	t.leases[zone] = next
 	t.publishHeld()
-	if _, err := t.store.Commit(ctx, ofLease(txn)); err != nil {
+	if _, err := t.store.Commit(ctx, storeTxn(txn)); err != nil {
 		klog.InfoS("lease_not_given_up", "zone", zone, "err", err)
 	} else {
 		klog.InfoS("lease_given_up", "zone", zone)
 	}
-	t.lastList = time.Time{}
+	t.listTriedAt = time.Time{}
 }
 
 // write takes or renews a lease. The lease counts from the sending.
@@ -68,12 +68,12 @@
 	state := t.leases[zone]
 	nonce := fmt.Sprintf("%s-%d", t.config.Self.Name, boot.UnixNano())
 	txn, record := state.Txn(zone, action, nonce)
-	version, err := t.store.Commit(ctx, ofLease(txn))
+	version, err := t.store.Commit(ctx, storeTxn(txn))
 	if err != nil {
 		// A conflict, a lost answer: the next list tells who holds it.
 		klog.InfoS("lease_unwritten", "zone", zone, "err", err)
 		t.unwritten[zone] = t.config.Now()
-		t.lastList = time.Time{}
+		t.listTriedAt = time.Time{}
 		return
 	}
 	t.version.Store(max(t.version.Load(), version))
@@ -94,8 +94,8 @@
 	t.publishHeld()
 }
 
-// ofLease turns a lease's transaction into one of the store.
-func ofLease(txn redwinghall.Txn) fleet.Txn {
+// storeTxn turns a lease's transaction into one of the store.
+func storeTxn(txn redwinghall.Txn) fleet.Txn {
 	var out fleet.Txn
 	for _, w := range txn.Writes {
 		out.Expects = append(out.Expects, fleet.Expect{Table: tableName, Key: w.Key, Version: w.Expect})
--- a/members/members.go
+++ b/members/members.go
@@ -65,8 +65,8 @@
 	Now func() time.Time
 }
 
-// seen is what is known of another node's row.
-type seen struct {
+// seenNode is what is known of another node's row.
+type seenNode struct {
 	node    Node
 	version int64
 	since   time.Time // when this version was first read
@@ -78,15 +78,15 @@
 	store  fleet.Store
 	nodes  atomic.Pointer[[]Node]
 
-	mu       sync.Mutex
-	leases   map[string]lease.State
-	firstAt  time.Time // when the table was first read
-	known    chan struct{}
-	seen     map[string]seen
-	lastList time.Time
-	lastRow  time.Time // when this node's row was written
-	listedAt time.Time // when the table was last read
-	renewed  map[string]time.Time
+	mu          sync.Mutex
+	leases      map[string]lease.State
+	firstAt     time.Time // when the table was first read
+	known       chan struct{}
+	seen        map[string]seenNode
+	listTriedAt time.Time
+	announcedAt time.Time // when this node's row was written
+	listedAt    time.Time // when the table was last read
+	renewed     map[string]time.Time
 	// unwritten is when this node last failed to write a zone's lease.
 	unwritten map[string]time.Time
 	takeable  map[string]time.Time // since when a zone's lease could be taken
@@ -101,7 +101,7 @@
 // NewTable returns a table that knows nothing yet.
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
-		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seen{}, renewed: map[string]time.Time{},
+		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seenNode{}, renewed: map[string]time.Time{},
 		takeable: map[string]time.Time{}, unwritten: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
@@ -157,15 +157,15 @@
 	if t.stopped {
 		return
 	}
-	if boot.Sub(t.lastList) >= listInterval {
-		t.lastList = boot
+	if boot.Sub(t.listTriedAt) >= listInterval {
+		t.listTriedAt = boot
 		t.list(ctx)
 		return
 	}
 	if t.firstAt.IsZero() {
 		return
 	}
-	if t.lastRow.IsZero() || boot.Sub(t.lastRow) >= t.announceEvery() {
+	if t.announcedAt.IsZero() || boot.Sub(t.announcedAt) >= t.announceEvery() {
 		t.announce(ctx, boot)
 		return
 	}
@@ -201,13 +201,13 @@
 		}
 		t.leases[zone] = next
 	}
-	t.takeNodes(boot, byKey)
+	t.updateNodes(boot, byKey)
 	t.publishHeld()
 }
 
-// takeNodes takes in which nodes announced themselves lately.
-func (t *Table) takeNodes(boot time.Time, rows map[string]redwinghall.Row) {
-	next := map[string]seen{}
+// updateNodes takes in which nodes announced themselves lately.
+func (t *Table) updateNodes(boot time.Time, rows map[string]redwinghall.Row) {
+	next := map[string]seenNode{}
 	nodes := []Node{t.config.Self}
 	for key, row := range rows {
 		if !strings.HasPrefix(key, nodePrefix) {
@@ -215,14 +215,14 @@
 		}
 		s := t.seen[key]
 		if s.version != row.Version {
-			s = seen{version: row.Version, since: boot}
+			s = seenNode{version: row.Version, since: boot}
 			if err := json.Unmarshal(row.Value, &s.node); err != nil {
 				klog.ErrorS(err, "member_unreadable", "key", key)
 				continue
 			}
 		}
 		next[key] = s
-		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaled(goneAfter) {
+		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaledByNodes(goneAfter) {
 			nodes = append(nodes, s.node)
 		}
 	}
@@ -234,17 +234,17 @@
 }
 
 // announceEvery is how often this node writes its row.
-func (t *Table) announceEvery() time.Duration { return t.scaled(announceInterval) }
+func (t *Table) announceEvery() time.Duration { return t.scaledByNodes(announceInterval) }
 
-// scaled stretches a time by the number of nodes.
-func (t *Table) scaled(d time.Duration) time.Duration {
+// scaledByNodes stretches a time by the number of nodes.
+func (t *Table) scaledByNodes(d time.Duration) time.Duration {
 	many := time.Duration(len(*t.nodes.Load())) * announcePerNode
 	return time.Duration(float64(d) * max(1, float64(many)/float64(announceInterval)))
 }
 
-// staggered reports whether it is this node's turn to take a lease that has
+// isTurn reports whether it is this node's turn to take a lease that has
 // been free for some time.
-func (t *Table) staggered(zone string, boot time.Time) bool {
+func (t *Table) isTurn(zone string, boot time.Time) bool {
 	since, ok := t.takeable[zone]
 	if !ok {
 		since = boot
@@ -270,7 +270,7 @@
 		return
 	}
 	version, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
-	t.lastRow = boot
+	t.announcedAt = boot
 	if err != nil {
 		klog.V(1).InfoS("member_unwritten", "err", err)
 		return
--- a/neighbor/board.go
+++ b/neighbor/board.go
@@ -10,46 +10,47 @@
 	"redwinghall/neighbor/rpc"
 )
 
-// boardTrust is how long a node's last word on its loads counts.
+// boardTrust is how long the loads that a node last reported are used.
 const boardTrust = time.Second
 
 // Board gathers what the nodes of a zone, and the other zones, have at each endpoint.
 type Board struct {
 	mu    sync.Mutex
-	nodes map[string]boardEntry
-	zones map[string]boardEntry
+	nodes map[string]reportedLoads
+	zones map[string]reportedLoads
 }
 
-type boardEntry struct {
+// reportedLoads are the loads that one node or zone last reported.
+type reportedLoads struct {
 	at    time.Time
 	loads map[string]balance.Load
 }
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{nodes: map[string]boardEntry{}, zones: map[string]boardEntry{}}
+	return &Board{nodes: map[string]reportedLoads{}, zones: map[string]reportedLoads{}}
 }
 
 // Put notes a node's loads.
 func (b *Board) Put(now time.Time, node string, loads map[string]balance.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes[node] = boardEntry{at: now, loads: loads}
+	b.nodes[node] = reportedLoads{at: now, loads: loads}
 }
 
 // PutZone notes another zone's loads.
 func (b *Board) PutZone(now time.Time, zone string, loads map[string]balance.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.zones[zone] = boardEntry{at: now, loads: loads}
+	b.zones[zone] = reportedLoads{at: now, loads: loads}
 }
 
 // Others returns the sum of what all but one node of this zone have, as far as
 // they said so lately.
-func (b *Board) Others(now time.Time, but string) map[string]balance.Load {
+func (b *Board) Others(now time.Time, except string) map[string]balance.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return sumOf(now, b.nodes, but)
+	return sumOf(now, b.nodes, except)
 }
 
 // Zone returns the sum of what the nodes of this zone have.
@@ -62,14 +63,14 @@
 	return sumOf(now, b.zones, "")
 }
 
-func sumOf(now time.Time, entries map[string]boardEntry, but string) map[string]balance.Load {
+func sumOf(now time.Time, entries map[string]reportedLoads, except string) map[string]balance.Load {
 	sum := map[string]balance.Load{}
 	for name, entry := range entries {
 		if now.Sub(entry.at) > boardTrust {
 			delete(entries, name)
 			continue
 		}
-		if name == but {
+		if name == except {
 			continue
 		}
 		for id, load := range entry.loads {
--- a/neighbor/neighbor.go
+++ b/neighbor/neighbor.go
@@ -1,6 +1,6 @@
 // Package neighbor speaks to the other nodes of a deployment: it hands on what
-// a node read from the store, how much it has at each endpoint, and where
-// little moves.
+// a node read from the store, how much it has at each endpoint, and which
+// endpoints make little progress.
 package neighbor
 
 import (
@@ -161,27 +161,27 @@
 
 // Client asks other nodes.
 type Client struct {
-	http *http.Client
-	mu   sync.Mutex
-	by   map[string]rpc.Neighbor // by address
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[string]rpc.Neighbor // by address
 }
 
 var _ relay.Asker = (*Client)(nil)
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{by: map[string]rpc.Neighbor{}, http: &http.Client{Transport: &http.Transport{
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
 }
 
-func (c *Client) at(address string) rpc.Neighbor {
+func (c *Client) clientOf(address string) rpc.Neighbor {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	one, ok := c.by[address]
+	one, ok := c.clients[address]
 	if !ok {
 		one = rpc.NewNeighborProtobufClient((&url.URL{Scheme: "http", Host: address}).String(), c.http)
-		c.by[address] = one
+		c.clients[address] = one
 	}
 	return one
 }
@@ -190,7 +190,7 @@
 func (c *Client) List(ctx context.Context, address, table string) (relay.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	out, err := c.at(address).List(ctx, &rpc.ListRequest{Table: table})
+	out, err := c.clientOf(address).List(ctx, &rpc.ListRequest{Table: table})
 	return c.decodeAnswer("Client.List", table, out, err)
 }
 
@@ -198,7 +198,7 @@
 func (c *Client) Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (relay.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	out, err := c.at(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after, WaitMs: wait.Milliseconds()})
+	out, err := c.clientOf(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after, WaitMs: wait.Milliseconds()})
 	return c.decodeAnswer("Client.Changes", table, out, err)
 }
 
@@ -206,12 +206,12 @@
 func (c *Client) Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	out, err := c.at(address).Commit(ctx, encodeTxn(txn))
+	out, err := c.clientOf(address).Commit(ctx, encodeTxn(txn))
 	if err == nil {
 		return out.GetVersion(), nil
 	}
 	kind := fleet.StoreUnknown
-	switch codeOf(err) {
+	switch twirpCode(err) {
 	case twirp.FailedPrecondition:
 		kind = fleet.StoreConflict
 	case twirp.Unavailable:
@@ -231,7 +231,7 @@
 func (c *Client) Share(ctx context.Context, address, node string, loads map[string]balance.Load, withZones bool) (Shared, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	out, err := c.at(address).Share(ctx, &rpc.ShareRequest{Node: node, Loads: encodeLoads(loads), WithZones: withZones})
+	out, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{Node: node, Loads: encodeLoads(loads), WithZones: withZones})
 	if err != nil {
 		return Shared{}, c.failed("Client.Share", err)
 	}
@@ -242,7 +242,7 @@
 func (c *Client) ShareZone(ctx context.Context, address, zone string, loads map[string]balance.Load) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := c.at(address).Share(ctx, &rpc.ShareRequest{Node: zone, Loads: encodeLoads(loads), Zone: true}); err != nil {
+	if _, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{Node: zone, Loads: encodeLoads(loads), Zone: true}); err != nil {
 		return c.failed("Client.ShareZone", err)
 	}
 	return nil
@@ -253,7 +253,7 @@
 func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest) (fleet.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	out, err := c.at(address).Reserve(ctx, &rpc.ReserveRequest{
+	out, err := c.clientOf(address).Reserve(ctx, &rpc.ReserveRequest{
 		Service: request.Service, Model: request.Model, PromptTokens: int32(request.Prompt), //nolint:gosec // a count of tokens
 		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, GoesOn: request.GoesOn,
 	})
@@ -263,18 +263,18 @@
 	return fleet.Placement{Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond}, nil
 }
 
-// Suspect tells a node that little or nothing moves at an endpoint.
+// Suspect tells a node that an endpoint makes little or no progress.
 func (c *Client) Suspect(ctx context.Context, address, endpointID string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := c.at(address).Suspect(ctx, &rpc.SuspectRequest{Endpoint: endpointID}); err != nil {
+	if _, err := c.clientOf(address).Suspect(ctx, &rpc.SuspectRequest{Endpoint: endpointID}); err != nil {
 		return c.failed("Client.Suspect", err)
 	}
 	return nil
 }
 
-// codeOf returns what another node's error says, "" where it said nothing.
-func codeOf(err error) twirp.ErrorCode {
+// twirpCode returns what another node's error says, "" where it said nothing.
+func twirpCode(err error) twirp.ErrorCode {
 	if answered, ok := err.(twirp.Error); ok { //nolint:errorlint // the library returns it bare
 		return answered.Code()
 	}
@@ -290,7 +290,7 @@
 
 func (c *Client) decodeAnswer(op, table string, out *rpc.RowsResponse, err error) (relay.Answer, error) {
 	if err != nil {
-		switch codeOf(err) {
+		switch twirpCode(err) {
 		case twirp.OutOfRange:
 			return relay.Answer{}, redwinghall.NewOpError(op, fleet.StoreHistoryGone, err)
 		case twirp.FailedPrecondition:
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -94,19 +94,19 @@
 	n.takeHealth(time.Now(), answer.Health)
 }
 
-// takeHealth merges words and returns them by group. A word on a group whose
-// register is not here yet is left out; the next one finds it.
+// takeHealth merges observations of groups and returns them by group. One of a
+// group whose register is not here yet is left out; the next one finds it.
 func (n *Node) takeHealth(now time.Time, health []*rpc.Health) map[string]redwinghall.GroupHealth {
 	taken := make(map[string]redwinghall.GroupHealth, len(health))
 	for _, h := range health {
-		group, ok := n.names.of(n.Store, n.Self.AvailabilityZone, h.Group)
+		group, ok := n.names.id(n.Store, n.Self.AvailabilityZone, h.Group)
 		if !ok {
 			continue
 		}
-		word := fromHealth(now, group, h)
-		taken[group] = word
-		if n.Health.Merge(word) {
-			n.pushHealth(word)
+		observed := fromHealth(now, group, h)
+		taken[group] = observed
+		if n.Health.Merge(observed) {
+			n.pushHealth(observed)
 		}
 	}
 	return taken
--- a/peer/health_book.go
+++ b/peer/health_book.go
@@ -7,7 +7,7 @@
 	"redwinghall"
 )
 
-// HealthBook holds the freshest word on each group of the zone, from this
+// HealthBook holds the newest health of each group of the zone, from this
 // process's own polls and from its peers.
 type HealthBook struct {
 	mu     sync.Mutex
@@ -19,12 +19,12 @@
 	return &HealthBook{groups: map[string]redwinghall.GroupHealth{}}
 }
 
-// Merge takes a word on a group. It reports whether the word takes the group
-// out of service, which peers must hear at once.
+// Merge takes in an observation of a group. It reports whether this takes the
+// group out of service, which peers must hear at once.
 //
-// Guard: a word that is on its way while a member restarts arrives after the
-// word "broken" and would make the group whole again; a caller would then be
-// sent to a replica that misses a VM. Broken is therefore final for its
+// Guard: an observation that is on its way while a member restarts arrives
+// after the one that says broken, and would make the group whole again; a caller
+// would then be sent to a replica that misses a VM. Broken is therefore final for its
 // generation, and only a higher generation, a new order, replaces it. A
 // refused connection counts until all members were asked again later.
 func (b *HealthBook) Merge(h redwinghall.GroupHealth) (newlyOut bool) {
@@ -60,7 +60,7 @@
 	return b
 }
 
-// Get returns the freshest word on a group.
+// Get returns the newest health of a group.
 func (b *HealthBook) Get(group string) (redwinghall.GroupHealth, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -68,7 +68,8 @@
 	return h, ok
 }
 
-// Fresh returns the words that are not older than bound, and the broken ones.
+// Fresh returns the observations that are not older than bound, and the broken
+// ones.
 func (b *HealthBook) Fresh(now time.Time, bound time.Duration) []redwinghall.GroupHealth {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -81,11 +82,11 @@
 	return out
 }
 
-// noticeably is how much newer a word must be to be worth sending.
-const noticeably = 100 * time.Millisecond
+// minAdvance is how much newer an observation must be to be worth sending.
+const minAdvance = 100 * time.Millisecond
 
-// Newer returns the words that tell noticeably more than theirs does, which
-// is keyed by group.
+// Newer returns the observations that are worth sending to a peer that has
+// theirs, which is keyed by group.
 func (b *HealthBook) Newer(now time.Time, bound time.Duration, theirs map[string]redwinghall.GroupHealth) []redwinghall.GroupHealth {
 	var out []redwinghall.GroupHealth
 	for _, h := range b.Fresh(now, bound) {
@@ -101,7 +102,7 @@
 	if h.Generation != t.Generation {
 		return h.Generation > t.Generation
 	}
-	return (h.Broken && !t.Broken) || h.SeenAt.Sub(t.SeenAt) > noticeably || h.LostAt.Sub(t.LostAt) > noticeably
+	return (h.Broken && !t.Broken) || h.SeenAt.Sub(t.SeenAt) > minAdvance || h.LostAt.Sub(t.LostAt) > minAdvance
 }
 
 // Forget drops groups that no longer exist.
--- a/peer/members.go
+++ b/peer/members.go
@@ -13,8 +13,8 @@
 	zones   map[string][]Member
 }
 
-// of returns a zone's members that are not leaving, in the order of their ids.
-func (c *memberCache) of(store *Store, seeds []Member, zone string) []Member {
+// zone returns a zone's members that are not leaving, in the order of their ids.
+func (c *memberCache) zone(store *Store, seeds []Member, zone string) []Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if version := store.Version(); c.zones == nil || version != c.version {
--- a/peer/names.go
+++ b/peer/names.go
@@ -13,7 +13,8 @@
 	ids     map[uint32]string
 }
 
-func (g *groupNames) of(store *Store, zone string, hash uint32) (string, bool) {
+// id returns the id of the group that a hash stands for in a zone.
+func (g *groupNames) id(store *Store, zone string, hash uint32) (string, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if version := store.Version(); g.ids == nil || version != g.version {
--- a/peer/node.go
+++ b/peer/node.go
@@ -52,7 +52,7 @@
 	Health *HealthBook
 	// Interval between periodic exchanges.
 	Interval time.Duration
-	// HealthBound is the age at which a word on a group is no longer passed on.
+	// HealthBound is the age at which an observation of a group is no longer passed on.
 	HealthBound time.Duration
 	Traffic     *Traffic
 
@@ -62,7 +62,7 @@
 	names  groupNames
 	// members are looked up many times a second and change rarely.
 	members memberCache
-	// wantsHealth says that a controller needs the words on groups.
+	// wantsHealth says that a controller needs the health of groups.
 	wantsHealth atomic.Bool
 	granter     atomic.Pointer[Granter]
 	holder      atomic.Pointer[string] // the controller that granted last
@@ -115,8 +115,8 @@
 	n.Publish(Entry{Key: KeyMember(self.AvailabilityZone, self.ID), Number: uint64(now.UnixNano()), Value: value})
 }
 
-// Observe takes this process's own word on a group, and pushes it when it
-// says that the group is broken.
+// Observe takes in this process's own observation of a group, and pushes it when
+// it says that the group is broken.
 func (n *Node) Observe(h redwinghall.GroupHealth) {
 	if n.Health.Merge(h) {
 		n.pushHealth(h)
@@ -127,7 +127,7 @@
 // this one included, also those that do not answer now. The list is shared:
 // callers must not change it.
 func (n *Node) Members(zone string) []Member {
-	return n.members.of(n.Store, n.seeds, zone)
+	return n.members.zone(n.Store, n.seeds, zone)
 }
 
 // Live returns the members of this zone that answered lately, this one
@@ -166,18 +166,18 @@
 	return out
 }
 
-// WantHealth says whether a controller needs the words on groups: the holder
+// WantHealth says whether a controller needs the health of groups: the holder
 // of the zone's lease does, those that watch do not.
 func (n *Node) WantHealth(want bool) { n.wantsHealth.Store(want) }
 
-// AskHealth asks one router for the words on groups, for a controller that
+// AskHealth asks one router for the health of groups, for a controller that
 // only watches and is asked for the state.
 func (n *Node) AskHealth(ctx context.Context, now time.Time) {
 	n.exchangeOne(ctx, now, n.routers(), true)
 }
 
-// tick starts this process's periodic exchanges. Among routers the words on
-// groups travel in rounds, see round.go; a controller asks one router.
+// tick starts this process's periodic exchanges. Among routers the health of
+// groups travels in rounds, see round.go; a controller asks one router.
 func (n *Node) tick(ctx context.Context, now time.Time) {
 	n.mu.Lock()
 	n.ticks++
--- a/peer/round.go
+++ b/peer/round.go
@@ -8,12 +8,12 @@
 	"redwinghall/kernel"
 )
 
-// The words on a zone's groups travel among its routers in rounds. The
+// The health of a zone's groups travels among its routers in rounds. The
 // routers, in the order of their ids, form a tree; in each interval the first
-// one hands all words to its children, who hand them on to theirs, and the
-// answers bring back up what each subtree knows better. So a word reaches the
-// first router within the round in which it is observed, and every router
-// with the next, over one exchange for each router and interval. Random
+// one hands all it knows to its children, which hand it on to theirs, and the
+// answers bring back up what each subtree knows better. So an observation
+// reaches the first router within the round in which it is made, and every
+// router with the next, over one exchange for each router and interval. Random
 // exchanges of the same cost need about log2(routers) intervals, which can be
 // longer than alive_bound.
 const (
--- a/peer/store.go
+++ b/peer/store.go
@@ -20,7 +20,7 @@
 	gatewayPrefix = "gateway/"
 )
 
-// KeyZoneState returns the register of the operators' word on a zone.
+// KeyZoneState returns the register of the operators' decision on a zone.
 func KeyZoneState(zone string) string { return azPrefix + zone }
 
 // KeyGateway returns the register of a zone's routers that take forwarded work.
--- a/ramp/grants.go
+++ b/ramp/grants.go
@@ -8,8 +8,8 @@
 // GrantTTL is how long a router may feed a cold group after it asked.
 const GrantTTL = 2 * time.Second
 
-// Grants is the word of a zone's holder on which router feeds which cold
-// group. Each grant ends by itself.
+// Grants says which router the zone's holder lets feed which cold group. Each
+// grant ends by itself.
 //
 // Guard: routers choose a cold group's owner by hashing over the routers that
 // they see alive. When a router joins, dies or is cut off, two of them may
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -13,8 +13,8 @@
 	"redwinghall/fleet"
 )
 
-// keepRemoved is how long a removed row is remembered for those that follow;
-// who is further behind lists again.
+// keepRemoved is how long a removed row is remembered for the nodes that
+// follow; one that is further behind lists again.
 const keepRemoved = time.Minute
 
 // Mirror is one table as this node last read it from the store.
@@ -85,7 +85,8 @@
 	return news
 }
 
-// take stores rows, wakes who waits for news and returns these. The lock is held.
+// take stores rows, wakes the waiting calls if any are new, and returns the new
+// ones. The lock is held.
 func (m *Mirror) take(now time.Time, rows fleet.Rows) fleet.Rows {
 	news := fleet.Rows{Version: rows.Version, More: rows.More}
 	for _, row := range rows.Rows {
@@ -108,7 +109,7 @@
 	return news
 }
 
-// wake wakes who waits for the table. The lock is held.
+// wake wakes the calls that wait for a change. The lock is held.
 func (m *Mirror) wake() {
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -218,7 +219,7 @@
 	return now.Sub(m.readAt)
 }
 
-// Lost notes that the store could not be read: who waits hears of it at once.
+// Lost notes that the store could not be read, and ends all waits.
 func (m *Mirror) Lost() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/relay/source.go
+++ b/relay/source.go
@@ -16,11 +16,11 @@
 	"redwinghall/fleet"
 )
 
-// Who reads the store, and when others stop trusting a reader.
+// Which nodes read the store, and when others stop trusting a reader.
 const (
-	// smallZone is the most nodes of a zone that all read the store themselves:
+	// maxDirectReaders is up to how many nodes of a zone all read the store themselves:
 	// their calls cost less than a reader's failure would cost the others.
-	smallZone = 3
+	maxDirectReaders = 3
 	// staleAfter is the age from which a reader's answer is not used: a reader
 	// that lost the store would keep others from what they could read
 	// themselves, and new configurations would be in force late.
@@ -41,10 +41,10 @@
 	// the others hear from it when the store returns.
 	probePause  = 1500 * time.Millisecond
 	probeSpread = 500 * time.Millisecond
-	// avoidFor is how long a reader that failed is left alone; each further
-	// failure doubles it up to avoidLongest.
-	avoidFor     = 3 * time.Second
-	avoidLongest = 30 * time.Second
+	// backoffFirst is how long a reader that failed is left alone; each further
+	// failure doubles it up to backoffLongest.
+	backoffFirst   = 3 * time.Second
+	backoffLongest = 30 * time.Second
 )
 
 // Asker asks another node for what it read.
@@ -80,17 +80,17 @@
 //
 // The reader is the node that forms the zone's groups, so that it sees first
 // what comes of its orders; after it comes the first in an order that all nodes
-// agree on. Who finds the reader silent or stale passes over it, so the next one
-// takes its place. Each node keeps what it was told, and can go on from there.
+// agree on. A node that finds the reader silent or stale skips it, so the next
+// one takes its place. Each node keeps what it was told, and can go on from there.
 //
 // Gain: reads of the store grow with the number of zones, not of nodes.
 type Source struct {
 	config Config
 
-	mu      sync.Mutex
-	mirrors map[string]*Mirror
-	avoid   map[string]time.Time
-	pause   map[string]time.Duration // the last time that a node was avoided for
+	mu         sync.Mutex
+	mirrors    map[string]*Mirror
+	avoidUntil map[string]time.Time
+	backoff    map[string]time.Duration // the last time that a node was avoided for
 	// answered is when the store last answered this node itself, in Unix nanoseconds.
 	answered atomic.Int64
 	// probeAt is, by table, when this node may call a store again that didn't answer it.
@@ -101,7 +101,7 @@
 
 // NewSource returns a source that has read nothing.
 func NewSource(config Config) *Source {
-	return &Source{config: config, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}, pause: map[string]time.Duration{},
+	return &Source{config: config, mirrors: map[string]*Mirror{}, avoidUntil: map[string]time.Time{}, backoff: map[string]time.Duration{},
 		probeAt: map[string]time.Time{}}
 }
 
@@ -134,7 +134,7 @@
 		s.Mirror(table).Lost()
 		return s.askOthers(table, listStaleAfter, err, list)
 	}
-	s.passOver(peer, asked)
+	s.avoidIfAway(peer, asked)
 	s.Mirror(table).Listed(time.Now(), rows)
 	return rows, nil
 }
@@ -166,7 +166,7 @@
 // reader always, others if it didn't fail them just now.
 func (s *Source) mayCall(now time.Time, table string) bool {
 	peers := s.config.Peers()
-	if len(peers) <= smallZone || leaderFirst(Ranked(peers), s.config.Leader())[0].Name == s.config.Self {
+	if len(peers) <= maxDirectReaders || leaderFirst(Ranked(peers), s.config.Leader())[0].Name == s.config.Self {
 		return true
 	}
 	s.mu.Lock()
@@ -174,10 +174,10 @@
 	return !now.Before(s.probeAt[table])
 }
 
-// passOver avoids a node that doesn't reach a store that others may reach.
-func (s *Source) passOver(reader Peer, asked error) {
+// avoidIfAway avoids a node that doesn't reach a store that others may reach.
+func (s *Source) avoidIfAway(reader Peer, asked error) {
 	if redwinghall.KindOf[fleet.StoreKind](asked) == fleet.StoreAway {
-		s.shun(reader)
+		s.backOff(reader)
 	}
 }
 
@@ -199,13 +199,13 @@
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
 	rows, err := s.call(time.Now(), table, func() (fleet.Rows, error) {
-		return s.config.Store.Changes(ctx, table, after, s.wait(wait))
+		return s.config.Store.Changes(ctx, table, after, s.boundedWait(wait))
 	})
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, staleAfter, err, changes)
 	}
-	s.passOver(peer, asked)
+	s.avoidIfAway(peer, asked)
 	return s.Mirror(table).Changed(time.Now(), after, rows), nil
 }
 
@@ -238,7 +238,7 @@
 	}
 	version, helped := s.config.Asker.Commit(ctx, peer.Address, txn)
 	if redwinghall.KindOf[fleet.StoreKind](helped) == fleet.StoreUnavailable {
-		s.shun(peer)
+		s.backOff(peer)
 	}
 	return version, helped
 }
@@ -267,7 +267,7 @@
 		return fleet.Rows{}, cause
 	}
 	answer, err := s.ask(peer, table, trust, read)
-	s.passOver(peer, err)
+	s.avoidIfAway(peer, err)
 	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 		return answer.Rows, err
 	}
@@ -280,7 +280,7 @@
 	defer s.mu.Unlock()
 	for _, group := range [][]Peer{s.config.Peers(), s.config.Others()} {
 		for _, one := range Ranked(group) {
-			if one.Name != s.config.Self && now.After(s.avoid[one.Name]) {
+			if one.Name != s.config.Self && now.After(s.avoidUntil[one.Name]) {
 				return one, true
 			}
 		}
@@ -288,14 +288,15 @@
 	return Peer{}, false
 }
 
-// ask reads from another node, and avoids it for a while if its word can't be used.
+// ask reads from another node, and avoids it for a while if its answer can't be
+// used.
 func (s *Source) ask(peer Peer, table string, trust time.Duration, read func(Peer) (Answer, error)) (Answer, error) {
 	answer, err := read(peer)
 	switch {
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
 		return Answer{}, err
 	case err == nil && answer.Age <= trust:
-		s.forgive(peer)
+		s.resetBackoff(peer)
 		return answer, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
@@ -303,28 +304,29 @@
 		// It works, but the store doesn't answer it: perhaps nobody.
 		return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreAway, err)
 	}
-	s.shun(peer)
+	s.backOff(peer)
 	return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
 }
 
-func (s *Source) shun(peer Peer) {
+// backOff avoids a node that failed, longer each time.
+func (s *Source) backOff(peer Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pause[peer.Name] = min(max(2*s.pause[peer.Name], avoidFor), avoidLongest)
-	s.avoid[peer.Name] = time.Now().Add(s.pause[peer.Name])
+	s.backoff[peer.Name] = min(max(2*s.backoff[peer.Name], backoffFirst), backoffLongest)
+	s.avoidUntil[peer.Name] = time.Now().Add(s.backoff[peer.Name])
 }
 
-// forgive forgets that a node failed before.
-func (s *Source) forgive(peer Peer) {
+// resetBackoff forgets that a node failed before.
+func (s *Source) resetBackoff(peer Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.pause, peer.Name)
+	delete(s.backoff, peer.Name)
 }
 
-// wait bounds how long the store may keep a reader waiting that others follow:
+// boundedWait bounds how long the store may keep a reader waiting that others follow:
 // its silence must show in time.
-func (s *Source) wait(wait time.Duration) time.Duration {
-	if len(s.config.Peers()) > smallZone {
+func (s *Source) boundedWait(wait time.Duration) time.Duration {
+	if len(s.config.Peers()) > maxDirectReaders {
 		return min(wait, readerWait)
 	}
 	return wait
@@ -334,7 +336,7 @@
 // itself.
 func (s *Source) reader(now time.Time) (Peer, bool) {
 	peers := s.config.Peers()
-	if len(peers) <= smallZone {
+	if len(peers) <= maxDirectReaders {
 		return Peer{}, false
 	}
 	order := leaderFirst(Ranked(peers), s.config.Leader())
@@ -344,7 +346,7 @@
 		if one.Name == s.config.Self {
 			return Peer{}, false
 		}
-		if now.After(s.avoid[one.Name]) {
+		if now.After(s.avoidUntil[one.Name]) {
 			return one, true
 		}
 	}
