Mend logic that stands twice

Ending a visit, refusing a stream as late, counting a model's groups, noting the store's version and serving HTTP until a group stops each have one place now. A server that runs in a group is kernel.Group.Serve; the daemons keep their own, as they drain before they close. The two loops of manifest.go, the two that read JSON in cmd/standin and measure, and the ends of rwhctl and standin are alike but differ in type, module or text, and stay.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -137,7 +137,7 @@
 		return Choice{}, refusalOfNone(look.seen, look.cold)
 	}
 	if !ask.GoesOn && float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
-		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+		return Choice{}, refusalOfLate(best, ask)
 	}
 	return t.take(now, best, ask), nil
 }
@@ -196,6 +196,11 @@
 	return &Refusal{Reason: Unreachable, RetryAfter: retrySoon}
 }
 
+// refusalOfLate refuses a stream that even the best group would serve late.
+func refusalOfLate(best *candidate, ask Ask) *Refusal {
+	return &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+}
+
 func retryAfter(wait time.Duration) time.Duration { return min(max(wait, retrySoon), retryLater) }
 
 func better(a, b *candidate) *candidate {
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -35,7 +35,7 @@
 		return Choice{}, refusalOfNone(look.seen, look.cold)
 	}
 	if !ask.GoesOn && best.predicted > ask.Objective {
-		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+		return Choice{}, refusalOfLate(best, ask)
 	}
 	best.state.reserved = append(best.state.reserved, reservation{until: now.Add(reserveFor), prompt: ask.Prompt})
 	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.age(now)}, nil
@@ -62,14 +62,3 @@
 	s := t.state(e.ID, now)
 	return t.take(now, &candidate{endpoint: e, state: s, predicted: predicted, running: s.running(now)}, ask)
 }
-
-// Withdraw ends a visit that was not made.
-func (v *Visit) Withdraw() {
-	v.t.mu.Lock()
-	defer v.t.mu.Unlock()
-	v.start()
-	v.s.own--
-	if v.s.own == 0 {
-		v.s.waitingSince = time.Time{}
-	}
-}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -222,16 +222,28 @@
 	v.s.unread -= v.prompt
 }
 
+// leave takes the request off the endpoint's counts. The lock is held.
+func (v *Visit) leave() {
+	v.start()
+	v.s.own--
+	if v.s.own == 0 {
+		v.s.waitingSince = time.Time{}
+	}
+}
+
+// Withdraw ends a visit that was not made.
+func (v *Visit) Withdraw() {
+	v.t.mu.Lock()
+	defer v.t.mu.Unlock()
+	v.leave()
+}
+
 // Done ends the visit. ok says whether the endpoint did what was asked.
 func (v *Visit) Done(now time.Time, ok bool) {
 	v.t.mu.Lock()
 	defer v.t.mu.Unlock()
 	s := v.s
-	v.start()
-	s.own--
-	if s.own == 0 {
-		s.waitingSince = time.Time{}
-	}
+	v.leave()
 	failed := 1.0
 	if ok {
 		failed = 0
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -18,16 +16,6 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	g.Go("standin.serve", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go("standin.stop", func(ctx context.Context) error {
-		<-ctx.Done()
-		return server.Close()
-	})
+	g.Serve("standin.serve", &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener)
 	return nil
 }
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // EndpointState is what an endpoint says of itself.
 type EndpointState string
@@ -70,12 +73,7 @@
 
 // HasStaged reports whether a model lies in the host's memory.
 func (e *Endpoint) HasStaged(model string) bool {
-	for _, m := range e.Staged {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(e.Staged, model)
 }
 
 // Serves reports whether the endpoint is the head of an open group.
--- /dev/null
+++ b/kernel/serve.go
@@ -0,0 +1,23 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+)
+
+// Serve runs an HTTP server on a listener until the group stops, and then
+// closes it with its connections.
+func (g *Group) Serve(name string, server *http.Server, listener net.Listener) {
+	g.Go(name, func(context.Context) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(name+".stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		return server.Close()
+	})
+}
--- a/members/leases.go
+++ b/members/leases.go
@@ -76,7 +76,7 @@
 		t.listTriedAt = time.Time{}
 		return
 	}
-	t.version.Store(max(t.version.Load(), version))
+	t.noteVersion(version)
 	fence := redwinghall.Row{Version: version}
 	if action == lease.Renew {
 		fence.Version = state.FenceVersion()
--- a/members/members.go
+++ b/members/members.go
@@ -138,6 +138,9 @@
 // Version returns the newest version of the store that this node has seen.
 func (t *Table) Version() int64 { return t.version.Load() }
 
+// noteVersion notes a version of the store that was seen. The lock is held.
+func (t *Table) noteVersion(version int64) { t.version.Store(max(t.version.Load(), version)) }
+
 // Known is closed once this node has read who its neighbors are.
 func (t *Table) Known() <-chan struct{} { return t.known }
 
@@ -188,7 +191,7 @@
 		t.firstAt = boot
 		defer close(t.known)
 	}
-	t.version.Store(max(t.version.Load(), rows.Version))
+	t.noteVersion(rows.Version)
 	byKey := map[string]redwinghall.Row{}
 	for _, row := range rows.Rows {
 		byKey[row.Key] = redwinghall.Row{Key: row.Key, Version: row.Version, Value: row.Value}
@@ -275,7 +278,7 @@
 		klog.V(1).InfoS("member_unwritten", "err", err)
 		return
 	}
-	t.version.Store(max(t.version.Load(), version))
+	t.noteVersion(version)
 }
 
 func (t *Table) publishHeld() {
--- a/route/board.go
+++ b/route/board.go
@@ -221,29 +221,23 @@
 // Usable reports how many groups of the model may take work from this router
 // at now.
 func (b *Board) Usable(model string, now time.Time) int {
-	m, ok := b.View().Models[model]
-	if !ok {
-		return 0
-	}
-	n := 0
-	for _, s := range m.Slots {
-		if s.Limit() > 0 && s.Usable(now, b.bound) {
-			n++
-		}
-	}
-	return n
+	return b.countSlots(model, func(s *Slot) bool { return s.Limit() > 0 && s.Usable(now, b.bound) })
 }
 
 // Whole reports how many groups of the model are whole at now, also those that
 // this router may not send to.
 func (b *Board) Whole(model string, now time.Time) int {
+	return b.countSlots(model, func(s *Slot) bool { return s.Usable(now, b.bound) })
+}
+
+func (b *Board) countSlots(model string, counts func(*Slot) bool) int {
 	m, ok := b.View().Models[model]
 	if !ok {
 		return 0
 	}
 	n := 0
 	for _, s := range m.Slots {
-		if s.Usable(now, b.bound) {
+		if counts(s) {
 			n++
 		}
 	}
--- a/rwhtest/deployment.go
+++ b/rwhtest/deployment.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -195,17 +194,7 @@
 func (d *Deployment) serve(address string, handler http.Handler) {
 	listener, err := net.Listen("tcp", address)
 	require.NoError(d.t, err)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: waitLimit}
-	d.group.Go("rwhtest.serve", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	d.group.Go("rwhtest.close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return server.Close()
-	})
+	d.group.Serve("rwhtest.serve", &http.Server{Handler: handler, ReadHeaderTimeout: waitLimit}, listener)
 }
 
 func (d *Deployment) startDaemons(host string) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -65,7 +64,6 @@
 type VM struct {
 	ID      string
 	fleet   *Fleet
-	server  *http.Server
 	address string
 
 	mu          sync.Mutex
@@ -136,20 +134,11 @@
 	}
 	vm := &VM{ID: id, fleet: f, address: listener.Addr().String()}
 	vm.reset()
-	vm.server = &http.Server{Handler: vm.handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: vm.handler(), ReadHeaderTimeout: 5 * time.Second}
 	f.mu.Lock()
 	f.vms[id] = vm
 	f.mu.Unlock()
-	g.Go("engine."+id, func(context.Context) error {
-		if err := vm.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go("engine.stop."+id, func(ctx context.Context) error {
-		<-ctx.Done()
-		return vm.server.Close()
-	})
+	g.Serve("engine."+id, server, listener)
 	return vm, nil
 }
 
