--- a/balance/choose.go
+++ b/balance/choose.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"redwinghall/fleet"
 )
 
@@ -23,12 +21,6 @@
 	// must take before a request is refused: one that is surely late takes
 	// places from others that could be in time.
 	refuseBeyond = 1.1
-	// failurePenalty is added for a plain endpoint all of whose requests fail.
-	failurePenalty = 2 * time.Second
-	// plainFarPenalty is the same as farPenalty for plain services, whose answers are small.
-	plainFarPenalty = 15 * time.Millisecond
-	// defaultLatency is assumed of an endpoint of which nothing is known.
-	defaultLatency = 50 * time.Millisecond
 )
 
 // Ask is what choosing needs to know of a request.
@@ -210,40 +202,6 @@
 	return a
 }
 
-// admits reports whether an endpoint can take one more request now, as far as
-// its being cold limits it.
-//
-// Guard: a cold endpoint falls over under full load, and all nodes send at
-// once when it appears. Each node spends only its own part of the rate.
-func (a Ask) admits(now time.Time, s *State, e *fleet.Endpoint) bool {
-	if a.Service.ColdPerSecond <= 0 || !e.ColdAt(now) {
-		return true
-	}
-	share := a.coldShare(e)
-	return share > 0 && s.cold.has(now, share/2, share/2)
-}
-
-// minColdShare is the share of a node below which only some nodes send: a
-// bucket of one that gains one a second lets two through in a second.
-const minColdShare = 2
-
-// coldShare returns the most requests that this node sends to a cold endpoint
-// in any second: half of it at once, and half of it a second.
-func (a Ask) coldShare(e *fleet.Endpoint) float64 {
-	share := a.ColdFar
-	if e.Zone == a.Zone {
-		share = a.ColdNear
-	}
-	if share >= minColdShare {
-		return share
-	}
-	const parts = 1 << 16
-	if float64(xxhash.Sum64String(a.Node+"|"+e.ID)%parts) < share/minColdShare*parts {
-		return minColdShare
-	}
-	return 0
-}
-
 func (a Ask) weigh(now time.Time, s *State, e *fleet.Endpoint) *candidate {
 	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slowdown))
 	c := &candidate{endpoint: e, state: s}
@@ -278,40 +236,3 @@
 		Predicted: c.predicted, Running: c.running, Age: c.state.age(now),
 	}
 }
-
-// Plain chooses the endpoint of a plain service for a request.
-func (t *Tracker) Plain(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weighPlain}
-	look.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
-	best := look.best
-	if best == nil {
-		return Choice{}, refusalOfNone(look.seen, look.cold)
-	}
-	if !ask.GoesOn && (best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, defaultLatency))) {
-		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
-	}
-	return t.take(now, best, ask), nil
-}
-
-func (a Ask) weighPlain(now time.Time, s *State, e *fleet.Endpoint) *candidate {
-	running := s.running(now)
-	c := &candidate{endpoint: e, state: s, running: running}
-	work := s.latency
-	if work == 0 {
-		work = defaultLatency
-	}
-	waiting := max(0, running+1-max(1, e.Slots))
-	c.predicted = work + work*time.Duration(waiting)/time.Duration(max(1, e.Slots))
-	c.full = a.Connections > 0 && s.own >= a.Connections
-	c.score = c.predicted + time.Duration(running)*work/time.Duration(max(1, e.Slots))/2 +
-		time.Duration(s.failures*float64(failurePenalty))
-	if e.Zone != a.Zone {
-		c.score += plainFarPenalty
-	}
-	if c.full {
-		c.score += time.Hour
-	}
-	return c
-}
--- a/members/members.go
+++ b/members/members.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,13 +48,6 @@
 	nodePrefix = "node/"
 )
 
-// Node is one node as it announced itself.
-type Node struct {
-	Name    string `json:"name"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-}
-
 // Config tells a node who it is.
 type Config struct {
 	Self  Node
@@ -65,13 +56,6 @@
 	Now func() time.Time
 }
 
-// seenNode is what is known of another node's row.
-type seenNode struct {
-	node    Node
-	version int64
-	since   time.Time // when this version was first read
-}
-
 // Table is this node's part of the members' table.
 type Table struct {
 	config Config
@@ -115,9 +99,6 @@
 	return t
 }
 
-// Nodes returns the nodes that are thought to live, this one included.
-func (t *Table) Nodes() []Node { return *t.nodes.Load() }
-
 // Holds reports whether this node may form groups in a zone at a boot time.
 func (t *Table) Holds(zone string, boot time.Time) bool {
 	until, ok := (*t.held.Load())[zone]
@@ -208,43 +189,6 @@
 	t.publishHeld()
 }
 
-// updateNodes takes in which nodes announced themselves lately.
-func (t *Table) updateNodes(boot time.Time, rows map[string]redwinghall.Row) {
-	next := map[string]seenNode{}
-	nodes := []Node{t.config.Self}
-	for key, row := range rows {
-		if !strings.HasPrefix(key, nodePrefix) {
-			continue
-		}
-		s := t.seen[key]
-		if s.version != row.Version {
-			s = seenNode{version: row.Version, since: boot}
-			if err := json.Unmarshal(row.Value, &s.node); err != nil {
-				klog.ErrorS(err, "member_unreadable", "key", key)
-				continue
-			}
-		}
-		next[key] = s
-		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaledByNodes(goneAfter) {
-			nodes = append(nodes, s.node)
-		}
-	}
-	t.seen = next
-	if len(nodes) != len(*t.nodes.Load()) {
-		klog.InfoS("members_changed", "nodes", len(nodes), "before", len(*t.nodes.Load()))
-	}
-	t.nodes.Store(&nodes)
-}
-
-// announceEvery is how often this node writes its row.
-func (t *Table) announceEvery() time.Duration { return t.scaledByNodes(announceInterval) }
-
-// scaledByNodes stretches a time by the number of nodes.
-func (t *Table) scaledByNodes(d time.Duration) time.Duration {
-	many := time.Duration(len(*t.nodes.Load())) * announcePerNode
-	return time.Duration(float64(d) * max(1, float64(many)/float64(announceInterval)))
-}
-
 // isTurn reports whether it is this node's turn to take a lease that has
 // been free for some time.
 func (t *Table) isTurn(zone string, boot time.Time) bool {
@@ -266,21 +210,6 @@
 	return boot.Sub(since) >= time.Duration(rank)*takeStagger
 }
 
-func (t *Table) announce(ctx context.Context, boot time.Time) {
-	value, err := json.Marshal(t.config.Self)
-	if err != nil {
-		klog.ErrorS(err, "member_unwritten")
-		return
-	}
-	version, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
-	t.announcedAt = boot
-	if err != nil {
-		klog.V(1).InfoS("member_unwritten", "err", err)
-		return
-	}
-	t.noteVersion(version)
-}
-
 func (t *Table) publishHeld() {
 	if t.stopped {
 		t.held.Store(&map[string]time.Time{})
--- a/neighbor/board.go
+++ b/neighbor/board.go
@@ -1,13 +1,10 @@
 package neighbor
 
 import (
-	"context"
-	"net"
 	"sync"
 	"time"
 
 	"redwinghall/balance"
-	"redwinghall/neighbor/rpc"
 )
 
 // boardTrust is how long the loads that a node last reported are used.
@@ -79,32 +76,3 @@
 	}
 	return sum
 }
-
-func encodeLoads(loads map[string]balance.Load) []*rpc.Load {
-	out := make([]*rpc.Load, 0, len(loads))
-	for id, l := range loads {
-		out = append(out, &rpc.Load{
-			Endpoint: id, Requests: int32(l.Requests), Unstarted: int32(l.Unstarted), UnreadTokens: int32(l.Unread), //nolint:gosec // small counts
-		})
-	}
-	return out
-}
-
-func decodeLoads(loads []*rpc.Load) map[string]balance.Load {
-	out := make(map[string]balance.Load, len(loads))
-	for _, l := range loads {
-		out[l.GetEndpoint()] = balance.Load{
-			Requests: int(l.GetRequests()), Unstarted: int(l.GetUnstarted()), Unread: int(l.GetUnreadTokens()),
-		}
-	}
-	return out
-}
-
-// dialer gives up on a node that doesn't answer, and finds connections that
-// went silent.
-func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}}
-	return d.DialContext
-}
--- a/neighbor/neighbor.go
+++ b/neighbor/client.go
@@ -1,10 +1,8 @@
-// Package neighbor speaks to the other nodes of a deployment: it hands on what
-// a node read from the store, how much it has at each endpoint, and which
-// endpoints make little progress.
 package neighbor
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -30,135 +28,8 @@
 	dialTimeout    = 300 * time.Millisecond
 	maxIdle        = 8
 	idleTimeout    = 30 * time.Second
-	// longestWait bounds how long a caller may wait for changes.
-	longestWait = 5 * time.Second
 )
 
-// Parts are what a node tells others of.
-type Parts struct {
-	Mirror  func(table string) *relay.Mirror
-	Board   *Board
-	Suspect func(ctx context.Context, endpointID string)
-	// Reserve chooses a group of this zone for a stream of another one.
-	Reserve func(now time.Time, request fleet.PlacementRequest) fleet.Placement
-	// Commit carries out a transaction at the store itself.
-	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
-}
-
-// Server answers other nodes.
-type Server struct {
-	parts Parts
-}
-
-var _ rpc.Neighbor = (*Server)(nil)
-
-// NewHandler returns the handler of a node's internal address.
-func NewHandler(parts Parts) http.Handler {
-	return rpc.NewNeighborServer(&Server{parts: parts})
-}
-
-// List implements rpc.Neighbor.
-func (s *Server) List(ctx context.Context, in *rpc.ListRequest) (*rpc.RowsResponse, error) {
-	answer, err := s.parts.Mirror(in.GetTable()).List(ctx)
-	return encodeAnswer(answer, err)
-}
-
-// Changes implements rpc.Neighbor.
-func (s *Server) Changes(ctx context.Context, in *rpc.ChangesRequest) (*rpc.RowsResponse, error) {
-	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, longestWait)
-	answer, err := s.parts.Mirror(in.GetTable()).Changes(ctx, in.GetAfter(), wait)
-	return encodeAnswer(answer, err)
-}
-
-// Share implements rpc.Neighbor.
-func (s *Server) Share(_ context.Context, in *rpc.ShareRequest) (*rpc.ShareResponse, error) {
-	now := time.Now()
-	if in.GetZone() {
-		s.parts.Board.PutZone(now, in.GetNode(), decodeLoads(in.GetLoads()))
-		return &rpc.ShareResponse{}, nil
-	}
-	s.parts.Board.Put(now, in.GetNode(), decodeLoads(in.GetLoads()))
-	out := &rpc.ShareResponse{Loads: encodeLoads(s.parts.Board.Others(now, in.GetNode()))}
-	if in.GetWithZones() {
-		out.Zones = encodeLoads(s.parts.Board.Zones(now))
-	}
-	return out, nil
-}
-
-// Reserve implements rpc.Neighbor.
-func (s *Server) Reserve(_ context.Context, in *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
-	placement := s.parts.Reserve(time.Now(), fleet.PlacementRequest{
-		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
-		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), GoesOn: in.GetGoesOn(),
-	})
-	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds()}, nil
-}
-
-// Suspect implements rpc.Neighbor.
-func (s *Server) Suspect(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
-	s.parts.Suspect(context.Background(), in.GetEndpoint())
-	return &rpc.SuspectResponse{}, nil
-}
-
-// Commit implements rpc.Neighbor.
-func (s *Server) Commit(ctx context.Context, in *rpc.CommitRequest) (*rpc.CommitResponse, error) {
-	version, err := s.parts.Commit(ctx, decodeTxn(in))
-	switch redwinghall.KindOf[fleet.StoreKind](err) {
-	case "":
-		return &rpc.CommitResponse{Version: version}, nil
-	case fleet.StoreConflict:
-		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
-	case fleet.StoreUnavailable:
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
-	}
-	return nil, twirp.NewError(twirp.Unknown, err.Error())
-}
-
-func decodeTxn(in *rpc.CommitRequest) fleet.Txn {
-	var txn fleet.Txn
-	for _, e := range in.GetExpects() {
-		txn.Expects = append(txn.Expects, fleet.Expect{Table: e.GetTable(), Key: e.GetKey(), Version: e.GetVersion()})
-	}
-	for _, w := range in.GetWrites() {
-		txn.Writes = append(txn.Writes, fleet.Row{Table: w.GetTable(), Key: w.GetKey(), Value: w.GetValue()})
-	}
-	for _, d := range in.GetDeletes() {
-		txn.Deletes = append(txn.Deletes, fleet.Row{Table: d.GetTable(), Key: d.GetKey()})
-	}
-	return txn
-}
-
-func encodeTxn(txn fleet.Txn) *rpc.CommitRequest {
-	out := &rpc.CommitRequest{}
-	for _, e := range txn.Expects {
-		out.Expects = append(out.Expects, &rpc.Condition{Table: e.Table, Key: e.Key, Version: e.Version})
-	}
-	for _, w := range txn.Writes {
-		out.Writes = append(out.Writes, &rpc.Write{Table: w.Table, Key: w.Key, Value: w.Value})
-	}
-	for _, d := range txn.Deletes {
-		out.Deletes = append(out.Deletes, &rpc.Write{Table: d.Table, Key: d.Key})
-	}
-	return out
-}
-
-func encodeAnswer(answer relay.Answer, err error) (*rpc.RowsResponse, error) {
-	switch redwinghall.KindOf[fleet.StoreKind](err) {
-	case fleet.StoreHistoryGone:
-		return nil, twirp.NewError(twirp.OutOfRange, err.Error())
-	case fleet.StoreAway:
-		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
-	case "":
-	default:
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
-	}
-	out := &rpc.RowsResponse{Version: answer.Rows.Version, AgeMs: answer.Age.Milliseconds()}
-	for _, r := range answer.Rows.Rows {
-		out.Rows = append(out.Rows, &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
-	}
-	return out, nil
-}
-
 // Client asks other nodes.
 type Client struct {
 	http    *http.Client
@@ -273,14 +144,6 @@
 	return nil
 }
 
-// twirpCode returns what another node's error says, "" where it said nothing.
-func twirpCode(err error) twirp.ErrorCode {
-	if answered, ok := err.(twirp.Error); ok { //nolint:errorlint // the library returns it bare
-		return answered.Code()
-	}
-	return ""
-}
-
 // failed wraps an error, and drops kept connections: one that went silent must
 // not swallow the next call too.
 func (c *Client) failed(op string, err error) error {
@@ -307,3 +170,12 @@
 	}
 	return answer, nil
 }
+
+// dialer gives up on a node that doesn't answer, and finds connections that
+// went silent.
+func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	return d.DialContext
+}
--- /dev/null
+++ b/neighbor/server.go
@@ -0,0 +1,97 @@
+package neighbor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/neighbor/rpc"
+	"redwinghall/relay"
+)
+
+// longestWait bounds how long a caller may wait for changes.
+const longestWait = 5 * time.Second
+
+// Parts are what a node tells others of.
+type Parts struct {
+	Mirror  func(table string) *relay.Mirror
+	Board   *Board
+	Suspect func(ctx context.Context, endpointID string)
+	// Reserve chooses a group of this zone for a stream of another one.
+	Reserve func(now time.Time, request fleet.PlacementRequest) fleet.Placement
+	// Commit carries out a transaction at the store itself.
+	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
+}
+
+// Server answers other nodes.
+type Server struct {
+	parts Parts
+}
+
+var _ rpc.Neighbor = (*Server)(nil)
+
+// NewHandler returns the handler of a node's internal address.
+func NewHandler(parts Parts) http.Handler {
+	return rpc.NewNeighborServer(&Server{parts: parts})
+}
+
+// List implements rpc.Neighbor.
+func (s *Server) List(ctx context.Context, in *rpc.ListRequest) (*rpc.RowsResponse, error) {
+	answer, err := s.parts.Mirror(in.GetTable()).List(ctx)
+	return encodeAnswer(answer, err)
+}
+
+// Changes implements rpc.Neighbor.
+func (s *Server) Changes(ctx context.Context, in *rpc.ChangesRequest) (*rpc.RowsResponse, error) {
+	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, longestWait)
+	answer, err := s.parts.Mirror(in.GetTable()).Changes(ctx, in.GetAfter(), wait)
+	return encodeAnswer(answer, err)
+}
+
+// Share implements rpc.Neighbor.
+func (s *Server) Share(_ context.Context, in *rpc.ShareRequest) (*rpc.ShareResponse, error) {
+	now := time.Now()
+	if in.GetZone() {
+		s.parts.Board.PutZone(now, in.GetNode(), decodeLoads(in.GetLoads()))
+		return &rpc.ShareResponse{}, nil
+	}
+	s.parts.Board.Put(now, in.GetNode(), decodeLoads(in.GetLoads()))
+	out := &rpc.ShareResponse{Loads: encodeLoads(s.parts.Board.Others(now, in.GetNode()))}
+	if in.GetWithZones() {
+		out.Zones = encodeLoads(s.parts.Board.Zones(now))
+	}
+	return out, nil
+}
+
+// Reserve implements rpc.Neighbor.
+func (s *Server) Reserve(_ context.Context, in *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	placement := s.parts.Reserve(time.Now(), fleet.PlacementRequest{
+		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
+		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), GoesOn: in.GetGoesOn(),
+	})
+	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds()}, nil
+}
+
+// Suspect implements rpc.Neighbor.
+func (s *Server) Suspect(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
+	s.parts.Suspect(context.Background(), in.GetEndpoint())
+	return &rpc.SuspectResponse{}, nil
+}
+
+// Commit implements rpc.Neighbor.
+func (s *Server) Commit(ctx context.Context, in *rpc.CommitRequest) (*rpc.CommitResponse, error) {
+	version, err := s.parts.Commit(ctx, decodeTxn(in))
+	switch redwinghall.KindOf[fleet.StoreKind](err) {
+	case "":
+		return &rpc.CommitResponse{Version: version}, nil
+	case fleet.StoreConflict:
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	case fleet.StoreUnavailable:
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return nil, twirp.NewError(twirp.Unknown, err.Error())
+}
--- a/relay/source.go
+++ b/relay/source.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"redwinghall"
@@ -54,12 +52,6 @@
 	Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error)
 }
 
-// Peer is a node of the same zone.
-type Peer struct {
-	Name    string
-	Address string
-}
-
 // Config is what a source works with.
 type Config struct {
 	Store fleet.Store
@@ -174,13 +166,6 @@
 	return !now.Before(s.probeAt[table])
 }
 
-// avoidIfAway avoids a node that doesn't reach a store that others may reach.
-func (s *Source) avoidIfAway(reader Peer, asked error) {
-	if redwinghall.KindOf[fleet.StoreKind](asked) == fleet.StoreAway {
-		s.backOff(reader)
-	}
-}
-
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) {
@@ -274,20 +259,6 @@
 	return fleet.Rows{}, cause
 }
 
-// helper returns a node to ask for help: of this zone first, then of others.
-func (s *Source) helper(now time.Time) (Peer, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, group := range [][]Peer{s.config.Peers(), s.config.Others()} {
-		for _, one := range Ranked(group) {
-			if one.Name != s.config.Self && now.After(s.avoidUntil[one.Name]) {
-				return one, true
-			}
-		}
-	}
-	return Peer{}, false
-}
-
 // ask reads from another node, and avoids it for a while if its answer can't be
 // used.
 func (s *Source) ask(peer Peer, table string, trust time.Duration, read func(Peer) (Answer, error)) (Answer, error) {
@@ -308,21 +279,6 @@
 	return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
 }
 
-// backOff avoids a node that failed, longer each time.
-func (s *Source) backOff(peer Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.backoff[peer.Name] = min(max(2*s.backoff[peer.Name], backoffFirst), backoffLongest)
-	s.avoidUntil[peer.Name] = time.Now().Add(s.backoff[peer.Name])
-}
-
-// resetBackoff forgets that a node failed before.
-func (s *Source) resetBackoff(peer Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.backoff, peer.Name)
-}
-
 // boundedWait bounds how long the store may keep a reader waiting that others follow:
 // its silence must show in time.
 func (s *Source) boundedWait(wait time.Duration) time.Duration {
@@ -331,46 +287,3 @@
 	}
 	return wait
 }
-
-// reader returns the node to ask. There is none where this node is the reader
-// itself.
-func (s *Source) reader(now time.Time) (Peer, bool) {
-	peers := s.config.Peers()
-	if len(peers) <= maxDirectReaders {
-		return Peer{}, false
-	}
-	order := leaderFirst(Ranked(peers), s.config.Leader())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, one := range order {
-		if one.Name == s.config.Self {
-			return Peer{}, false
-		}
-		if now.After(s.avoidUntil[one.Name]) {
-			return one, true
-		}
-	}
-	return Peer{}, false
-}
-
-// leaderFirst moves the leader of a zone to the front.
-func leaderFirst(peers []Peer, leader string) []Peer {
-	for i, one := range peers {
-		if one.Name == leader {
-			copy(peers[1:i+1], peers[:i])
-			peers[0] = one
-			break
-		}
-	}
-	return peers
-}
-
-// Ranked returns nodes in an order that all nodes agree on and that doesn't
-// change for those that stay when others come and go.
-func Ranked(peers []Peer) []Peer {
-	ranked := append([]Peer(nil), peers...)
-	sort.Slice(ranked, func(i, j int) bool { return rank(ranked[i]) < rank(ranked[j]) })
-	return ranked
-}
-
-func rank(p Peer) uint64 { return xxhash.Sum64String(p.Name) }
