Name lookups and steps for what they return or do

endpoint.Manager's put, drop, leave, free, lost and whole say now what they act on or ask; balance's times are called times; a push and a periodic exchange are told apart by their names.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -233,6 +233,6 @@
 	}
 	return Choice{
 		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted),
-		Predicted: c.predicted, Running: c.running, Age: c.state.age(now),
+		Predicted: c.predicted, Running: c.running, Age: c.state.reportAge(now),
 	}
 }
--- a/balance/pass.go
+++ b/balance/pass.go
@@ -29,11 +29,11 @@
 // Pass returns the time of one pass in which running requests write and
 // reading prompt tokens are read.
 func (p Pace) Pass(running, reading int) time.Duration {
-	return p.write(running) + p.read(min(reading, p.engine.Stride*p.engine.Chunk))
+	return p.writeTime(running) + p.readTime(min(reading, p.engine.Stride*p.engine.Chunk))
 }
 
-// write returns the time of the token steps of one pass.
-func (p Pace) write(running int) time.Duration {
+// writeTime returns the time of the token steps of one pass.
+func (p Pace) writeTime(running int) time.Duration {
 	e := p.engine
 	context := (e.UsualPrompt + e.UsualAnswer/2) / 1000
 	each := float64(e.PerSequence) + context*float64(e.PerThousandContext)
@@ -41,8 +41,8 @@
 	return time.Duration(float64(e.Stride) * step * p.factor)
 }
 
-// read returns the time to read prompt tokens, as one prompt.
-func (p Pace) read(tokens int) time.Duration {
+// readTime returns the time to read prompt tokens, as one prompt.
+func (p Pace) readTime(tokens int) time.Duration {
 	e := p.engine
 	if e.ReadPerSecond <= 0 {
 		return 0
@@ -53,10 +53,10 @@
 	return time.Duration((plain + pairs) * p.factor)
 }
 
-// residence is how long a usual request stays with the group.
-func (p Pace) residence(running int) time.Duration {
+// residenceTime is how long a usual request stays with the group.
+func (p Pace) residenceTime(running int) time.Duration {
 	passes := p.engine.UsualAnswer/float64(p.engine.Stride) + 1
-	return time.Duration(passes * float64(p.write(running)))
+	return time.Duration(passes * float64(p.writeTime(running)))
 }
 
 // slotsUnsure is how many more requests a group may have than this node knows
@@ -69,9 +69,9 @@
 func (p Pace) FirstEvent(running, waiting, unread, prompt int) time.Duration {
 	// On average half of a pass is still to go, then the prompts are read, and
 	// the first event comes with the end of the pass.
-	at := p.write(running)/2 + p.read(unread) + p.read(prompt) + p.write(running+1)
+	at := p.writeTime(running)/2 + p.readTime(unread) + p.readTime(prompt) + p.writeTime(running+1)
 	if beyond := running + waiting + 1 + slotsUnsure - p.engine.Slots; beyond > 0 {
-		at += time.Duration(float64(beyond) / float64(p.engine.Slots) * float64(p.residence(p.engine.Slots)))
+		at += time.Duration(float64(beyond) / float64(p.engine.Slots) * float64(p.residenceTime(p.engine.Slots)))
 	}
 	return at
 }
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -38,7 +38,7 @@
 		return Choice{}, refusalOfLate(best, ask)
 	}
 	best.state.reserved = append(best.state.reserved, reservation{until: now.Add(reserveFor), prompt: ask.Prompt})
-	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.age(now)}, nil
+	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now)}, nil
 }
 
 // reservedLoad returns what is reserved at the endpoint.
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -121,9 +121,9 @@
 	return sum
 }
 
-// age returns how old the newest report of the endpoint's load is, from itself
+// reportAge returns how old the newest report of the endpoint's load is, from itself
 // or other nodes; negative if there was none.
-func (s *State) age(now time.Time) time.Duration {
+func (s *State) reportAge(now time.Time) time.Duration {
 	newest := s.reportedAt
 	if s.sharedAt.After(newest) {
 		newest = s.sharedAt
--- a/caller/sequence.go
+++ b/caller/sequence.go
@@ -6,8 +6,8 @@
 // sequence puts the chunks of one answer in order.
 //
 // Guard: after a resume, chunks of the first endpoint may arrive late, twice
-// or out of order beside those of the second; a road crew would read a line
-// twice or miss one. A chunk counts only under this request's id, once, and
+// or out of order beside those of the second; the caller would read a
+// chunk twice or miss one. A chunk counts only under this request's id, once, and
 // at its position.
 type sequence struct {
 	requestID string
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -61,7 +61,7 @@
 	wake chan struct{}
 }
 
-// NewKeeper returns a keeper that judges by judge.
+// NewKeeper returns a keeper; judge decides what rows of earlier attempts mean.
 func NewKeeper(config Config, table redwinghall.Table, judge Judge) *Keeper {
 	config = config.WithDefaults()
 	return &Keeper{
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -165,7 +165,7 @@
 //
 // Guard: a router that closes its listener at once cuts off requests that the
 // balancer still sends to it, and one that exits before its outcomes are
-// recorded leaves bookings that nobody can look up.
+// recorded leaves calls whose outcome nobody can look up.
 func (r *Router) drain(callers *http.Server) {
 	klog.InfoS("router_draining", "id", r.settings.ID)
 	r.Server.Drain()
--- a/endpoint/ask.go
+++ b/endpoint/ask.go
@@ -23,9 +23,9 @@
 	_ = round.Wait() // the rounds return no errors
 	for i, member := range members {
 		if reports[i] != nil {
-			m.answered(member.VM, now)
+			m.noteAnswered(member.VM, now)
 		} else {
-			m.unanswered(member.VM, now)
+			m.noteUnanswered(member.VM, now)
 		}
 	}
 	return reports
--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -133,13 +133,13 @@
 	return nil
 }
 
-// whole reports whether a group was seen whole lately, by any router.
-func (m *Manager) whole(g redwinghall.Group, now time.Time) bool {
+// isWhole reports whether a group was seen whole lately, by any router.
+func (m *Manager) isWhole(g redwinghall.Group, now time.Time) bool {
 	h, ok := m.node.Health.Get(g.ID)
 	return ok && h.Whole(g, now, m.config.LostAfter)
 }
 
-func (m *Manager) put(ctx context.Context, g redwinghall.Group) error {
+func (m *Manager) putGroup(ctx context.Context, g redwinghall.Group) error {
 	if err := m.ledger.Put(ctx, m.lease.FenceCheck(m.config.AvailabilityZone), g); err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 	return nil
 }
 
-func (m *Manager) drop(ctx context.Context, g redwinghall.Group) error {
+func (m *Manager) dropGroup(ctx context.Context, g redwinghall.Group) error {
 	if err := m.ledger.Drop(ctx, m.lease.FenceCheck(m.config.AvailabilityZone), g.ID); err != nil {
 		return err
 	}
@@ -156,10 +156,10 @@
 	return nil
 }
 
-func (m *Manager) leave(ctx context.Context, now time.Time, g redwinghall.Group) error {
+func (m *Manager) startLeaving(ctx context.Context, now time.Time, g redwinghall.Group) error {
 	klog.InfoS("group_leaving", "group", g.ID, "version", g.Version)
 	m.leavingAt[g.ID] = now
-	return m.put(ctx, g.WithLeaving())
+	return m.putGroup(ctx, g.WithLeaving())
 }
 
 // newGroupID names a group for good: the fencing number keeps two holders
--- a/endpoint/members.go
+++ b/endpoint/members.go
@@ -20,15 +20,15 @@
 // unanswered before it is lost: one lost answer is no loss.
 const minAsked = 2
 
-func (m *Manager) answered(vm string, now time.Time) {
+func (m *Manager) noteAnswered(vm string, now time.Time) {
 	m.seen[vm] = now
 	delete(m.silent, vm)
 }
 
-// unanswered notes a question without an answer. The silence counts from when
+// noteUnanswered notes a question without an answer. The silence counts from when
 // the VM was last seen alive by anyone, not from when this controller began to
 // ask.
-func (m *Manager) unanswered(vm string, now time.Time) {
+func (m *Manager) noteUnanswered(vm string, now time.Time) {
 	s, ok := m.silent[vm]
 	if !ok {
 		s.since = now
@@ -40,8 +40,8 @@
 	m.silent[vm] = s
 }
 
-// lost reports whether a VM has been silent for too long.
-func (m *Manager) lost(vm string, now time.Time) bool {
+// isLost reports whether a VM has been silent for too long.
+func (m *Manager) isLost(vm string, now time.Time) bool {
 	s, ok := m.silent[vm]
 	return ok && s.asked >= minAsked && now.Sub(s.since) >= m.config.LostAfter
 }
@@ -56,7 +56,7 @@
 		}
 		lost, leaving := 0, 0
 		for _, member := range g.Members {
-			if m.lost(member.VM, now) {
+			if m.isLost(member.VM, now) {
 				lost++
 			}
 			if vm, ok := byID[member.VM]; ok && vm.State == redwinghall.VMLeaving {
@@ -68,9 +68,9 @@
 		case lost > 0:
 			err = m.replaceLost(ctx, now, g, vms)
 		case leaving > 0:
-			err = m.leave(ctx, now, g)
-		case m.broken(g):
-			err = m.put(ctx, g.WithGeneration(g.Generation+1))
+			err = m.startLeaving(ctx, now, g)
+		case m.isBroken(g):
+			err = m.putGroup(ctx, g.WithGeneration(g.Generation+1))
 		}
 		if err != nil {
 			return err
@@ -79,7 +79,7 @@
 	return nil
 }
 
-func (m *Manager) broken(g redwinghall.Group) bool {
+func (m *Manager) isBroken(g redwinghall.Group) bool {
 	h, ok := m.node.Health.Get(g.ID)
 	return ok && h.Broken && h.Generation == g.Generation
 }
@@ -88,27 +88,27 @@
 // members. Without enough spares the group is dissolved, so that its other
 // VMs can serve elsewhere.
 func (m *Manager) replaceLost(ctx context.Context, now time.Time, g redwinghall.Group, vms redwinghall.VMs) error {
-	spares := m.free(ctx, now, vms, g.FabricDomain)
+	spares := m.freeVMs(ctx, now, vms, g.FabricDomain)
 	members := slices.Clone(g.Members)
 	for i, member := range members {
-		if !m.lost(member.VM, now) {
+		if !m.isLost(member.VM, now) {
 			continue
 		}
 		if len(spares) == 0 {
 			klog.InfoS("group_lost", "group", g.ID, "vm", member.VM)
-			return m.drop(ctx, g)
+			return m.dropGroup(ctx, g)
 		}
 		klog.InfoS("member_replaced", "group", g.ID, "lost", member.VM, "by", spares[0].ID)
 		members[i] = redwinghall.Member{VM: spares[0].ID, Address: spares[0].Address}
 		spares = spares[1:]
 	}
 	g.Members = members
-	return m.put(ctx, g.WithGeneration(g.Generation+1))
+	return m.putGroup(ctx, g.WithGeneration(g.Generation+1))
 }
 
-// free returns the VMs of a domain ("" for all) that belong to no group and
+// freeVMs returns the VMs of a domain ("" for all) that belong to no group and
 // answer now. The platform's list lags, so each is asked.
-func (m *Manager) free(ctx context.Context, now time.Time, vms redwinghall.VMs, domain string) redwinghall.VMs {
+func (m *Manager) freeVMs(ctx context.Context, now time.Time, vms redwinghall.VMs, domain string) redwinghall.VMs {
 	var candidates redwinghall.VMs
 	var members []redwinghall.Member
 	for _, vm := range vms.Workers(m.config.AvailabilityZone) {
--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -14,10 +14,10 @@
 // left alone: its routers ask its members already.
 func (m *Manager) stepOrders(ctx context.Context, now time.Time, _ redwinghall.VMs, _ redwinghall.Manifest) error {
 	for _, g := range m.ledger.Groups() {
-		if m.whole(g, now) {
+		if m.isWhole(g, now) {
 			h, _ := m.node.Health.Get(g.ID)
 			for _, member := range g.Members {
-				m.answered(member.VM, h.SeenAt)
+				m.noteAnswered(member.VM, h.SeenAt)
 			}
 			continue
 		}
@@ -37,7 +37,7 @@
 			Fencing: m.lease.Fencing(), Group: g.ID, Generation: g.Generation,
 			Role: roleOf(i), Members: g.Members, Model: g.Model, Version: g.Version, Adapters: g.Adapters,
 		}
-		m.give(ctx, member, order)
+		m.giveOrder(ctx, member, order)
 	}
 }
 
@@ -48,7 +48,7 @@
 	return redwinghall.RoleMember
 }
 
-// give sends one order if the lease is still held.
+// giveOrder sends one order if the lease is still held.
 //
 // Guard: a controller that was frozen since its last look at the lease would
 // order endpoints beside its successor. It looks again right before each
@@ -56,7 +56,7 @@
 // number; for those that do not, routers serve only what an endpoint itself
 // reports under the group's present generation, and the holder orders anew
 // every endpoint that reports something else.
-func (m *Manager) give(ctx context.Context, member redwinghall.Member, order redwinghall.Order) {
+func (m *Manager) giveOrder(ctx context.Context, member redwinghall.Member, order redwinghall.Order) {
 	if !m.lease.Holds(time.Now()) {
 		return
 	}
--- a/endpoint/versions.go
+++ b/endpoint/versions.go
@@ -19,8 +19,8 @@
 	}
 	for id, groups := range m.byModel() {
 		model, ok := wanted[id]
-		for _, g := range surplus(model, ok, groups, m.config.AvailabilityZone, func(g redwinghall.Group) bool { return m.whole(g, now) }) {
-			if err := m.leave(ctx, now, g); err != nil {
+		for _, g := range surplus(model, ok, groups, m.config.AvailabilityZone, func(g redwinghall.Group) bool { return m.isWhole(g, now) }) {
+			if err := m.startLeaving(ctx, now, g); err != nil {
 				return err
 			}
 		}
@@ -89,9 +89,9 @@
 	if len(wants) == 0 {
 		return nil
 	}
-	placements := m.placer.Place(m.free(ctx, now, vms, ""), wants)
+	placements := m.placer.Place(m.freeVMs(ctx, now, vms, ""), wants)
 	for _, p := range placements[:min(room, len(placements))] {
-		if err := m.put(ctx, m.newGroup(p)); err != nil {
+		if err := m.putGroup(ctx, m.newGroup(p)); err != nil {
 			return err
 		}
 	}
@@ -105,7 +105,7 @@
 func (m *Manager) loading(now time.Time) int {
 	n := 0
 	for _, g := range m.ledger.Groups() {
-		if !g.Leaving && !m.whole(g, now) {
+		if !g.Leaving && !m.isWhole(g, now) {
 			n++
 		}
 	}
@@ -150,7 +150,7 @@
 			}
 		}
 		if len(old) > 0 && model.Replicas[m.config.AvailabilityZone] > len(byModel[model.ID])-len(old) {
-			return m.leave(ctx, now, old[0])
+			return m.startLeaving(ctx, now, old[0])
 		}
 	}
 	return nil
@@ -180,24 +180,24 @@
 			m.leavingAt[g.ID] = now
 			continue
 		}
-		if now.Sub(since) < m.config.SettleTime || (m.busy(ctx, g) && now.Sub(since) < m.config.DrainTimeout) {
+		if now.Sub(since) < m.config.SettleTime || (m.isBusy(ctx, g) && now.Sub(since) < m.config.DrainTimeout) {
 			continue
 		}
 		for i, member := range g.Members {
-			m.give(ctx, member, redwinghall.Order{
+			m.giveOrder(ctx, member, redwinghall.Order{
 				Fencing: m.lease.Fencing(), Generation: g.Generation, Role: redwinghall.RoleIdle, Members: g.Members[i : i+1],
 			})
 		}
-		if err := m.drop(ctx, g); err != nil {
+		if err := m.dropGroup(ctx, g); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// busy reports whether the leader has requests in progress; one that does not
+// isBusy reports whether the leader has requests in progress; one that does not
 // answer has none that could still end.
-func (m *Manager) busy(ctx context.Context, g redwinghall.Group) bool {
+func (m *Manager) isBusy(ctx context.Context, g redwinghall.Group) bool {
 	r, err := m.engine.Report(ctx, g.Leader().Address)
 	return err == nil && r.Group == g.ID && r.Running > 0
 }
--- a/group.go
+++ b/group.go
@@ -46,7 +46,8 @@
 	return g
 }
 
-// WithDissolved returns the group's last word.
+// WithDissolved returns the final record of the group, by which peers hear that
+// it is gone.
 func (g Group) WithDissolved() Group {
 	g.Leaving = true
 	g.Dissolved = true
--- a/measure/place.go
+++ b/measure/place.go
@@ -71,9 +71,9 @@
 	for _, n := range []int{80, 325, 650, 1300} {
 		vms := cluster(rand.New(rand.NewPCG(1, uint64(n))), n)
 		wants := wantsOf(n)
-		whole = append(whole, Point{float64(n), best(func() { place.Packed{}.Place(vms, wants) })})
+		whole = append(whole, Point{float64(n), fastest(func() { place.Packed{}.Place(vms, wants) })})
 		single := []place.Want{{Model: wants[2].Model, Count: 1}}
-		one = append(one, Point{float64(n), best(func() { place.Packed{}.Place(vms, single) })})
+		one = append(one, Point{float64(n), fastest(func() { place.Packed{}.Place(vms, single) })})
 	}
 	out := []Series{
 		newSeries("all groups from nothing", "VMs", "milliseconds to place", whole),
@@ -90,8 +90,8 @@
 	return out, nil
 }
 
-// best returns the least time of several runs, in milliseconds.
-func best(run func()) float64 {
+// fastest returns the least time of several runs, in milliseconds.
+func fastest(run func()) float64 {
 	least := time.Hour
 	for range 7 {
 		started := time.Now()
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -16,7 +16,7 @@
 // longestWait bounds how long a caller may wait for changes.
 const longestWait = 5 * time.Second
 
-// Parts are what a node tells others of.
+// Parts are what answers the calls of other nodes.
 type Parts struct {
 	Mirror  func(table string) *relay.Mirror
 	Board   *Board
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -55,17 +55,17 @@
 func toHealth(now time.Time, health []redwinghall.GroupHealth) []*rpc.Health {
 	out := make([]*rpc.Health, 0, len(health))
 	for _, h := range health {
-		word := &rpc.Health{
+		encoded := &rpc.Health{
 			Group: groupHash(h.Group), Generation: h.Generation, AgeMs: neverSeen, Broken: h.Broken,
 			Ready: h.Ready, Running: uint32(h.Running), Completed: h.Completed,
 		}
 		if !h.SeenAt.IsZero() {
-			word.AgeMs = ageOf(now, h.SeenAt)
+			encoded.AgeMs = ageOf(now, h.SeenAt)
 		}
 		if !h.LostAt.IsZero() {
-			word.LostAgeMs = max(1, ageOf(now, h.LostAt))
+			encoded.LostAgeMs = max(1, ageOf(now, h.LostAt))
 		}
-		out = append(out, word)
+		out = append(out, encoded)
 	}
 	return out
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -22,7 +22,8 @@
 	repair bool
 }
 
-func (n *Node) outgoing(now time.Time, health bool) outgoing {
+// periodicExchange returns what an exchange hands over that is not a push.
+func (n *Node) periodicExchange(now time.Time, health bool) outgoing {
 	out := outgoing{wantHealth: health, repair: true}
 	if health {
 		out.health = n.Health.Fresh(now, n.HealthBound)
--- a/peer/node.go
+++ b/peer/node.go
@@ -207,7 +207,7 @@
 // exchangeOne exchanges with a random one of the members.
 func (n *Node) exchangeOne(ctx context.Context, now time.Time, members []Member, health bool) {
 	for _, m := range choose(members, 1) {
-		_ = n.exchange(ctx, m, n.outgoing(now, health)) // the next tick tries another
+		_ = n.exchange(ctx, m, n.periodicExchange(now, health)) // the next tick tries another
 	}
 }
 
--- a/peer/push.go
+++ b/peer/push.go
@@ -57,14 +57,14 @@
 	pushes := kernel.NewGroup(ctx)
 	for _, m := range choose(n.others(n.Self.AvailabilityZone), zoneFanout) {
 		pushes.Go("peer.push_one", func(ctx context.Context) error {
-			_ = n.exchange(ctx, m, news(entries, health)) // the periodic exchange repairs a lost push
+			_ = n.exchange(ctx, m, pushOf(entries, health)) // the periodic exchange repairs a lost push
 			return nil
 		})
 	}
 	if global := globalOnly(entries); len(global) > 0 {
 		for _, m := range choose(n.foreign(), crossFanout) {
 			pushes.Go("peer.push_one", func(ctx context.Context) error {
-				_ = n.exchange(ctx, m, news(global, nil))
+				_ = n.exchange(ctx, m, pushOf(global, nil))
 				return nil
 			})
 		}
@@ -75,11 +75,11 @@
 // largeValue is the size from which a register is offered before it is sent.
 const largeValue = 256
 
-// news is what a push hands over. Small registers go at once. A large one, as
+// pushOf returns what a push hands over. Small registers go at once. A large one, as
 // the manifest, reaches a process from several others: it is only offered,
 // and sent to those that say that they lack it, so that its bytes travel once
 // to each process and not once for each push.
-func news(entries []Entry, health []redwinghall.GroupHealth) outgoing {
+func pushOf(entries []Entry, health []redwinghall.GroupHealth) outgoing {
 	out := outgoing{health: health}
 	for _, e := range entries {
 		if len(e.Value) < largeValue {
--- a/peer/round.go
+++ b/peer/round.go
@@ -40,7 +40,7 @@
 		return
 	}
 	if len(live) > 0 {
-		_ = n.exchange(ctx, live[0], n.outgoing(now, true)) // its failure counts towards down
+		_ = n.exchange(ctx, live[0], n.periodicExchange(now, true)) // its failure counts towards down
 	}
 	n.exchangeOne(ctx, now, n.routers(), true)
 }
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	live := n.ordered()
-	out := n.outgoing(now, true)
+	out := n.periodicExchange(now, true)
 	out.round = max(time.Millisecond, left-roundStep)
 	calls := kernel.NewGroup(ctx)
 	for _, child := range childrenOf(live, n.Self.ID) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -211,7 +211,7 @@
 	for _, m := range order.Members {
 		other := v.fleet.VM(m.VM)
 		if other == nil {
-			continue // the judge knows only its own fleet
+			continue // the record covers only the engines of this fleet
 		}
 		other.mu.Lock()
 		away := other.dead || other.frozen != nil || other.order.Group != order.Group
--- a/standin/engine/fleet.go
+++ b/standin/engine/fleet.go
@@ -37,7 +37,7 @@
 	record Record
 }
 
-// Record is what the fleet's judge counts.
+// Record counts what the engines were asked to do, and in what state they did it.
 type Record struct {
 	Requests  int `json:"requests"`
 	Completed int `json:"completed"`
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -52,7 +52,8 @@
 	}
 }
 
-// begin admits a request, or says why not. It is where the judge looks.
+// begin admits a request, or says why not, and records whether the group was
+// complete.
 func (v *VM) begin(request ChatRequest) (context.Context, string) {
 	v.mu.Lock()
 	order := v.order
--- a/strictjson/strictjson.go
+++ b/strictjson/strictjson.go
@@ -64,11 +64,11 @@
 func checkUnmarshaler(path string, doc any, want reflect.Type) []Problem {
 	raw, err := json.Marshal(doc)
 	if err != nil {
-		return one(path, err.Error())
+		return oneProblem(path, err.Error())
 	}
 	value := reflect.New(want).Interface().(json.Unmarshaler)
 	if err := value.UnmarshalJSON(raw); err != nil {
-		return one(path, err.Error())
+		return oneProblem(path, err.Error())
 	}
 	return nil
 }
@@ -76,7 +76,7 @@
 func checkStruct(path string, doc any, want reflect.Type) []Problem {
 	object, ok := doc.(map[string]any)
 	if !ok {
-		return one(path, "want an object, got "+describe(doc))
+		return oneProblem(path, "want an object, got "+describe(doc))
 	}
 	fields := map[string]reflect.Type{}
 	addFields(fields, want)
@@ -112,7 +112,7 @@
 func checkSlice(path string, doc any, want reflect.Type) []Problem {
 	list, ok := doc.([]any)
 	if !ok {
-		return one(path, "want a list, got "+describe(doc))
+		return oneProblem(path, "want a list, got "+describe(doc))
 	}
 	var problems []Problem
 	for i, item := range list {
@@ -124,7 +124,7 @@
 func checkMap(path string, doc any, want reflect.Type) []Problem {
 	object, ok := doc.(map[string]any)
 	if !ok {
-		return one(path, "want an object, got "+describe(doc))
+		return oneProblem(path, "want an object, got "+describe(doc))
 	}
 	var problems []Problem
 	for _, name := range sortedKeys(object) {
@@ -135,14 +135,14 @@
 
 func checkScalar(path string, doc any, want reflect.Type) []Problem {
 	if doc == nil {
-		return one(path, "want a value, got null")
+		return oneProblem(path, "want a value, got null")
 	}
 	raw, err := json.Marshal(doc)
 	if err != nil {
-		return one(path, err.Error())
+		return oneProblem(path, err.Error())
 	}
 	if err := json.Unmarshal(raw, reflect.New(want).Interface()); err != nil {
-		return one(path, fmt.Sprintf("want %s, got %s", scalarName(want), describe(doc)))
+		return oneProblem(path, fmt.Sprintf("want %s, got %s", scalarName(want), describe(doc)))
 	}
 	return nil
 }
@@ -175,7 +175,7 @@
 	}
 }
 
-func one(path, message string) []Problem {
+func oneProblem(path, message string) []Problem {
 	if path == "" {
 		path = "$"
 	}
