--- a/balance/choose.go
+++ b/balance/choose.go
@@ -11,10 +11,10 @@
 const (
 	// nearEnough is the share of the objective within which a group of the
 	// caller's own zone is taken without a look at the other zones: bytes
-	// between zones are priced, and what is known of other zones is older.
+	// between zones are costly, and what is known of other zones is older.
 	nearEnough = 0.9
 	// farPenalty is what a group of another zone must be faster by: bytes
-	// between zones are priced, and several nodes may choose the same group
+	// between zones are costly, and several nodes may choose the same group
 	// before they hear of each other.
 	farPenalty = 60 * time.Millisecond
 	// refuseBeyond is how many times the objective the predicted first event
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -121,8 +121,8 @@
 	return sum
 }
 
-// reportAge returns how old the newest report of the endpoint's load is, from itself
-// or other nodes; negative if there was none.
+// reportAge returns how old the newest report of the endpoint's load is, from
+// itself or other nodes; negative if there was none.
 func (s *State) reportAge(now time.Time) time.Duration {
 	newest := s.reportedAt
 	if s.sharedAt.After(newest) {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -13,7 +13,7 @@
 	"redwinghall/platform"
 )
 
-// How the store is followed. Each call is priced, so a busy table is read at
+// How the store is followed. Each call is costly, so a busy table is read at
 // intervals rather than at each change.
 const (
 	// feedWait bounds how long a silent connection to the store goes unseen,
--- a/members/members.go
+++ b/members/members.go
@@ -16,7 +16,7 @@
 	"redwinghall/lease"
 )
 
-// Times of the table. Each call to the store is priced.
+// Times of the table. Calls to the store are costly, so they are few.
 const (
 	// listInterval is how often a node reads the table.
 	listInterval = 2 * time.Second
--- a/relay/source.go
+++ b/relay/source.go
@@ -16,8 +16,8 @@
 
 // Which nodes read the store, and when others stop trusting a reader.
 const (
-	// maxDirectReaders is up to how many nodes of a zone all read the store themselves:
-	// their calls cost less than a reader's failure would cost the others.
+	// maxDirectReaders is the most nodes with which a zone needs no reader: all read
+	// the store themselves, as their calls cost less than a reader's failure would cost the others.
 	maxDirectReaders = 3
 	// staleAfter is the age from which a reader's answer is not used: a reader
 	// that lost the store would keep others from what they could read
@@ -27,7 +27,7 @@
 	// the members' table, the only one that is listed again and again.
 	listStaleAfter = 4 * time.Second
 	// readerWait is the longest wait of a reader that others follow: while it
-	// reaches the store, its answers stay well below staleAfter.
+	// reaches the store, its answers are younger than staleAfter.
 	readerWait = 700 * time.Millisecond
 	// followWait is the longest wait of a node for its reader; after it and the
 	// timeout of the call, a reader that fell silent is noticed.
