--- a/group.go
+++ b/group.go
@@ -46,7 +46,8 @@
 	return g
 }
 
-// WithDissolved returns the group's last word.
+// WithDissolved returns the final record of the group, by which peers hear that
+// it is gone.
 func (g Group) WithDissolved() Group {
 	g.Leaving = true
 	g.Dissolved = true
@@ -67,7 +68,7 @@
 	return n
 }
 
-// GroupHealth is one observer's word on a whole group.
+// GroupHealth is a whole group's health, as one process observed it.
 type GroupHealth struct {
 	Group      string
 	Generation uint64
--- a/members/members.go
+++ b/members/members.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +16,7 @@
 	"redwinghall/lease"
 )
 
-// Times of the table. Each call to the store is priced.
+// Times of the table. Calls to the store are costly, so they are few.
 const (
 	// listInterval is how often a node reads the table.
 	listInterval = 2 * time.Second
@@ -36,8 +34,8 @@
 	// long an unchanged row still counts.
 	announceInterval = 5 * time.Second
 	goneAfter        = 13 * time.Second
-	// announcePerNode stretches both where there are many nodes: together they
-	// announce themselves five times a second at the most.
+	// announcePerNode stretches both where there are many nodes: it is the least
+	// time between two announcements of any nodes, on average.
 	announcePerNode = 200 * time.Millisecond
 	// takeStagger is how much later each next node of a zone takes a lease that
 	// is free, so that they don't all try at once.
@@ -50,13 +48,6 @@
 	nodePrefix = "node/"
 )
 
-// Node is one node as it announced itself.
-type Node struct {
-	Name    string `json:"name"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-}
-
 // Config tells a node who it is.
 type Config struct {
 	Self  Node
@@ -65,28 +56,21 @@
 	Now func() time.Time
 }
 
-// seen is what is known of another node's row.
-type seen struct {
-	node    Node
-	version int64
-	since   time.Time // when this version was first read
-}
-
 // Table is this node's part of the members' table.
 type Table struct {
 	config Config
 	store  fleet.Store
 	nodes  atomic.Pointer[[]Node]
 
-	mu       sync.Mutex
-	leases   map[string]lease.State
-	firstAt  time.Time // when the table was first read
-	known    chan struct{}
-	seen     map[string]seen
-	lastList time.Time
-	lastRow  time.Time // when this node's row was written
-	listedAt time.Time // when the table was last read
-	renewed  map[string]time.Time
+	mu          sync.Mutex
+	leases      map[string]lease.State
+	firstAt     time.Time // when the table was first read
+	known       chan struct{}
+	seen        map[string]seenNode
+	listTriedAt time.Time
+	announcedAt time.Time // when this node's row was written
+	listedAt    time.Time // when the table was last read
+	renewed     map[string]time.Time
 	// unwritten is when this node last failed to write a zone's lease.
 	unwritten map[string]time.Time
 	takeable  map[string]time.Time // since when a zone's lease could be taken
@@ -101,7 +85,7 @@
 // NewTable returns a table that knows nothing yet.
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
-		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seen{}, renewed: map[string]time.Time{},
+		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seenNode{}, renewed: map[string]time.Time{},
 		takeable: map[string]time.Time{}, unwritten: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
@@ -115,9 +99,6 @@
 	return t
 }
 
-// Nodes returns the nodes that are thought to live, this one included.
-func (t *Table) Nodes() []Node { return *t.nodes.Load() }
-
 // Holds reports whether this node may form groups in a zone at a boot time.
 func (t *Table) Holds(zone string, boot time.Time) bool {
 	until, ok := (*t.held.Load())[zone]
@@ -138,6 +119,9 @@
 // Version returns the newest version of the store that this node has seen.
 func (t *Table) Version() int64 { return t.version.Load() }
 
+// noteVersion notes a version of the store that was seen. The lock is held.
+func (t *Table) noteVersion(version int64) { t.version.Store(max(t.version.Load(), version)) }
+
 // Known is closed once this node has read who its neighbors are.
 func (t *Table) Known() <-chan struct{} { return t.known }
 
@@ -157,15 +141,15 @@
 	if t.stopped {
 		return
 	}
-	if boot.Sub(t.lastList) >= listInterval {
-		t.lastList = boot
+	if boot.Sub(t.listTriedAt) >= listInterval {
+		t.listTriedAt = boot
 		t.list(ctx)
 		return
 	}
 	if t.firstAt.IsZero() {
 		return
 	}
-	if t.lastRow.IsZero() || boot.Sub(t.lastRow) >= t.announceEvery() {
+	if t.announcedAt.IsZero() || boot.Sub(t.announcedAt) >= t.announceEvery() {
 		t.announce(ctx, boot)
 		return
 	}
@@ -188,7 +172,7 @@
 		t.firstAt = boot
 		defer close(t.known)
 	}
-	t.version.Store(max(t.version.Load(), rows.Version))
+	t.noteVersion(rows.Version)
 	byKey := map[string]redwinghall.Row{}
 	for _, row := range rows.Rows {
 		byKey[row.Key] = redwinghall.Row{Key: row.Key, Version: row.Version, Value: row.Value}
@@ -201,50 +185,13 @@
 		}
 		t.leases[zone] = next
 	}
-	t.takeNodes(boot, byKey)
+	t.updateNodes(boot, byKey)
 	t.publishHeld()
 }
 
-// takeNodes takes in which nodes announced themselves lately.
-func (t *Table) takeNodes(boot time.Time, rows map[string]redwinghall.Row) {
-	next := map[string]seen{}
-	nodes := []Node{t.config.Self}
-	for key, row := range rows {
-		if !strings.HasPrefix(key, nodePrefix) {
-			continue
-		}
-		s := t.seen[key]
-		if s.version != row.Version {
-			s = seen{version: row.Version, since: boot}
-			if err := json.Unmarshal(row.Value, &s.node); err != nil {
-				klog.ErrorS(err, "member_unreadable", "key", key)
-				continue
-			}
-		}
-		next[key] = s
-		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaled(goneAfter) {
-			nodes = append(nodes, s.node)
-		}
-	}
-	t.seen = next
-	if len(nodes) != len(*t.nodes.Load()) {
-		klog.InfoS("members_changed", "nodes", len(nodes), "before", len(*t.nodes.Load()))
-	}
-	t.nodes.Store(&nodes)
-}
-
-// announceEvery is how often this node writes its row.
-func (t *Table) announceEvery() time.Duration { return t.scaled(announceInterval) }
-
-// scaled stretches a time by the number of nodes.
-func (t *Table) scaled(d time.Duration) time.Duration {
-	many := time.Duration(len(*t.nodes.Load())) * announcePerNode
-	return time.Duration(float64(d) * max(1, float64(many)/float64(announceInterval)))
-}
-
-// staggered reports whether it is this node's turn to take a lease that has
+// isTurn reports whether it is this node's turn to take a lease that has
 // been free for some time.
-func (t *Table) staggered(zone string, boot time.Time) bool {
+func (t *Table) isTurn(zone string, boot time.Time) bool {
 	since, ok := t.takeable[zone]
 	if !ok {
 		since = boot
@@ -263,21 +210,6 @@
 	return boot.Sub(since) >= time.Duration(rank)*takeStagger
 }
 
-func (t *Table) announce(ctx context.Context, boot time.Time) {
-	value, err := json.Marshal(t.config.Self)
-	if err != nil {
-		klog.ErrorS(err, "member_unwritten")
-		return
-	}
-	version, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
-	t.lastRow = boot
-	if err != nil {
-		klog.V(1).InfoS("member_unwritten", "err", err)
-		return
-	}
-	t.version.Store(max(t.version.Load(), version))
-}
-
 func (t *Table) publishHeld() {
 	if t.stopped {
 		t.held.Store(&map[string]time.Time{})
--- /dev/null
+++ b/neighbor/client.go
@@ -0,0 +1,181 @@
+package neighbor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"redwinghall"
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/neighbor/rpc"
+	"redwinghall/relay"
+)
+
+// Limits of a call to another node.
+const (
+	callTimeout = 500 * time.Millisecond
+	// listTimeout bounds a call for a whole table, which may not have been read yet.
+	listTimeout = time.Second
+	// reserveTimeout bounds how long a caller waits for another zone's answer: a
+	// small part of an objective, and many times the round trip.
+	reserveTimeout = 40 * time.Millisecond
+	dialTimeout    = 300 * time.Millisecond
+	maxIdle        = 8
+	idleTimeout    = 30 * time.Second
+)
+
+// Client asks other nodes.
+type Client struct {
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[string]rpc.Neighbor // by address
+}
+
+var _ relay.Asker = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}}
+}
+
+func (c *Client) clientOf(address string) rpc.Neighbor {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	one, ok := c.clients[address]
+	if !ok {
+		one = rpc.NewNeighborProtobufClient((&url.URL{Scheme: "http", Host: address}).String(), c.http)
+		c.clients[address] = one
+	}
+	return one
+}
+
+// List implements relay.Asker.
+func (c *Client) List(ctx context.Context, address, table string) (relay.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	out, err := c.clientOf(address).List(ctx, &rpc.ListRequest{Table: table})
+	return c.decodeAnswer("Client.List", table, out, err)
+}
+
+// Changes implements relay.Asker.
+func (c *Client) Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (relay.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	out, err := c.clientOf(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after, WaitMs: wait.Milliseconds()})
+	return c.decodeAnswer("Client.Changes", table, out, err)
+}
+
+// Commit implements relay.Asker.
+func (c *Client) Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := c.clientOf(address).Commit(ctx, encodeTxn(txn))
+	if err == nil {
+		return out.GetVersion(), nil
+	}
+	kind := fleet.StoreUnknown
+	switch twirpCode(err) {
+	case twirp.FailedPrecondition:
+		kind = fleet.StoreConflict
+	case twirp.Unavailable:
+		kind = fleet.StoreUnavailable
+	default:
+	}
+	return 0, redwinghall.NewOpError("Client.Commit", kind, err)
+}
+
+// Shared is what a node is told of loads.
+type Shared struct {
+	Others map[string]balance.Load // of the other nodes of the zone
+	Zones  map[string]balance.Load // of the other zones, if it asked for them
+}
+
+// Share hands over this node's loads and returns the sums of the others'.
+func (c *Client) Share(ctx context.Context, address, node string, loads map[string]balance.Load, withZones bool) (Shared, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{Node: node, Loads: encodeLoads(loads), WithZones: withZones})
+	if err != nil {
+		return Shared{}, c.failed("Client.Share", err)
+	}
+	return Shared{Others: decodeLoads(out.GetLoads()), Zones: decodeLoads(out.GetZones())}, nil
+}
+
+// ShareZone tells a node of another zone what the nodes of this zone have.
+func (c *Client) ShareZone(ctx context.Context, address, zone string, loads map[string]balance.Load) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{Node: zone, Loads: encodeLoads(loads), Zone: true}); err != nil {
+		return c.failed("Client.ShareZone", err)
+	}
+	return nil
+}
+
+// Reserve asks a node of another zone to choose a group there. A caller waits
+// meanwhile, so the answer must come within reserveTimeout.
+func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest) (fleet.Placement, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	out, err := c.clientOf(address).Reserve(ctx, &rpc.ReserveRequest{
+		Service: request.Service, Model: request.Model, PromptTokens: int32(request.Prompt), //nolint:gosec // a count of tokens
+		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, GoesOn: request.GoesOn,
+	})
+	if err != nil {
+		return fleet.Placement{}, c.failed("Client.Reserve", err)
+	}
+	return fleet.Placement{Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond}, nil
+}
+
+// Suspect tells a node that an endpoint makes little or no progress.
+func (c *Client) Suspect(ctx context.Context, address, endpointID string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := c.clientOf(address).Suspect(ctx, &rpc.SuspectRequest{Endpoint: endpointID}); err != nil {
+		return c.failed("Client.Suspect", err)
+	}
+	return nil
+}
+
+// failed wraps an error, and drops kept connections: one that went silent must
+// not swallow the next call too.
+func (c *Client) failed(op string, err error) error {
+	c.http.CloseIdleConnections()
+	return redwinghall.NewOpError(op, fleet.StoreUnavailable, err)
+}
+
+func (c *Client) decodeAnswer(op, table string, out *rpc.RowsResponse, err error) (relay.Answer, error) {
+	if err != nil {
+		switch twirpCode(err) {
+		case twirp.OutOfRange:
+			return relay.Answer{}, redwinghall.NewOpError(op, fleet.StoreHistoryGone, err)
+		case twirp.FailedPrecondition:
+			return relay.Answer{}, redwinghall.NewOpError(op, fleet.StoreAway, err)
+		default:
+			return relay.Answer{}, c.failed(op, err)
+		}
+	}
+	answer := relay.Answer{Age: time.Duration(out.GetAgeMs()) * time.Millisecond, Rows: fleet.Rows{Version: out.GetVersion()}}
+	for _, r := range out.GetRows() {
+		answer.Rows.Rows = append(answer.Rows.Rows, fleet.Row{
+			Table: table, Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
+		})
+	}
+	return answer, nil
+}
+
+// dialer gives up on a node that doesn't answer, and finds connections that
+// went silent.
+func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	return d.DialContext
+}
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -13,8 +13,8 @@
 	"redwinghall/fleet"
 )
 
-// keepRemoved is how long a removed row is remembered for those that follow;
-// who is further behind lists again.
+// keepRemoved is how long a removed row is remembered for the nodes that
+// follow; one that is further behind lists again.
 const keepRemoved = time.Minute
 
 // Mirror is one table as this node last read it from the store.
@@ -68,9 +68,8 @@
 // Changed takes in changes of the table after a version. It returns those that
 // say something new.
 //
-// Gain: endpoints write their entries every 1.2 s, and nearly always only to
-// show that they live. Among 300 nodes and 3,000 endpoints the middle node moved
-// 252 KB a second when all of that was passed on, and 162 KB without it.
+// Gain: endpoints rewrite their entries as heartbeats, nearly always with nothing
+// new. Those writes are not passed on, which saves bytes between nodes.
 func (m *Mirror) Changed(now time.Time, after int64, rows fleet.Rows) fleet.Rows {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -86,7 +85,8 @@
 	return news
 }
 
-// take stores rows, wakes who waits for news and returns these. The lock is held.
+// take stores rows, wakes the waiting calls if any are new, and returns the new
+// ones. The lock is held.
 func (m *Mirror) take(now time.Time, rows fleet.Rows) fleet.Rows {
 	news := fleet.Rows{Version: rows.Version, More: rows.More}
 	for _, row := range rows.Rows {
@@ -109,7 +109,7 @@
 	return news
 }
 
-// wake wakes who waits for the table. The lock is held.
+// wake wakes the calls that wait for a change. The lock is held.
 func (m *Mirror) wake() {
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -128,7 +128,7 @@
 // List returns the table without removed rows.
 //
 // Guard: when all nodes start at once, none has read anything. If each read the
-// table itself then, 300 nodes would move 0.4 GB for 3,000 endpoints of 450 bytes.
+// table itself then, the store would send the whole table to every node.
 func (m *Mirror) List(ctx context.Context) (Answer, error) {
 	m.awaitFirst(ctx)
 	return m.list(time.Now())
@@ -219,7 +219,7 @@
 	return now.Sub(m.readAt)
 }
 
-// Lost notes that the store could not be read: who waits hears of it at once.
+// Lost notes that the store could not be read, and ends all waits.
 func (m *Mirror) Lost() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/relay/source.go
+++ b/relay/source.go
@@ -4,47 +4,45 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"redwinghall"
 	"redwinghall/fleet"
 )
 
-// Who reads the store, and when others stop trusting a reader.
+// Which nodes read the store, and when others stop trusting a reader.
 const (
-	// smallZone is the most nodes of a zone that all read the store themselves:
-	// their calls cost less than a reader's failure would cost the others.
-	smallZone = 3
-	// staleAfter is the age from which a reader's word is not taken: a reader
+	// maxDirectReaders is the most nodes with which a zone needs no reader: all read
+	// the store themselves, as their calls cost less than a reader's failure would cost the others.
+	maxDirectReaders = 3
+	// staleAfter is the age from which a reader's answer is not used: a reader
 	// that lost the store would keep others from what they could read
-	// themselves, and configurations have to be in force within 2 s.
+	// themselves, and new configurations would be in force late.
 	staleAfter = 1200 * time.Millisecond
-	// listStaleAfter is the same for whole tables: the members' table, which is
-	// the only one that is listed again and again, is read every 2 s.
+	// listStaleAfter is the same for whole tables: it is above the interval of
+	// the members' table, the only one that is listed again and again.
 	listStaleAfter = 4 * time.Second
-	// readerWait is the longest wait of a reader that others follow: its word
-	// is then never older than 0.8 s while it reaches the store.
+	// readerWait is the longest wait of a reader that others follow: while it
+	// reaches the store, its answers are younger than staleAfter.
 	readerWait = 700 * time.Millisecond
-	// followWait is the longest wait of a node for its reader: with the timeout
-	// of the call, a reader that fell silent shows after 1.2 s.
+	// followWait is the longest wait of a node for its reader; after it and the
+	// timeout of the call, a reader that fell silent is noticed.
 	followWait = 700 * time.Millisecond
 	// awayAfter is the silence of the store from which a node asks for help only.
 	awayAfter = 3 * time.Second
 	// probePause is the least time between two calls of a node that isn't the
-	// zone's reader to a store that doesn't answer it. The reader asks on, so a
-	// store that returns is known to all within 2 s.
+	// zone's reader to a store that doesn't answer it. The reader asks on, and
+	// the others hear from it when the store returns.
 	probePause  = 1500 * time.Millisecond
 	probeSpread = 500 * time.Millisecond
-	// avoidFor is how long a reader that failed is left alone; each further
-	// failure doubles it up to avoidLongest.
-	avoidFor     = 3 * time.Second
-	avoidLongest = 30 * time.Second
+	// backoffFirst is how long a reader that failed is left alone; each further
+	// failure doubles it up to backoffLongest.
+	backoffFirst   = 3 * time.Second
+	backoffLongest = 30 * time.Second
 )
 
 // Asker asks another node for what it read.
@@ -54,12 +52,6 @@
 	Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error)
 }
 
-// Peer is a node of the same zone.
-type Peer struct {
-	Name    string
-	Address string
-}
-
 // Config is what a source works with.
 type Config struct {
 	Store fleet.Store
@@ -80,18 +72,17 @@
 //
 // The reader is the node that forms the zone's groups, so that it sees first
 // what comes of its orders; after it comes the first in an order that all nodes
-// agree on. Who finds the reader silent or stale passes over it, so the next one
-// takes its place. Each node keeps what it was told, and can go on from there.
+// agree on. A node that finds the reader silent or stale skips it, so the next
+// one takes its place. Each node keeps what it was told, and can go on from there.
 //
-// Gain: 82 nodes in 3 zones made 2,944 calls to the store in 55 s of a quiet day
-// with three readers a zone, and 1,924 with one, counted by the store.
+// Gain: reads of the store grow with the number of zones, not of nodes.
 type Source struct {
 	config Config
 
-	mu      sync.Mutex
-	mirrors map[string]*Mirror
-	avoid   map[string]time.Time
-	pause   map[string]time.Duration // the last time that a node was avoided for
+	mu         sync.Mutex
+	mirrors    map[string]*Mirror
+	avoidUntil map[string]time.Time
+	backoff    map[string]time.Duration // the last time that a node was avoided for
 	// answered is when the store last answered this node itself, in Unix nanoseconds.
 	answered atomic.Int64
 	// probeAt is, by table, when this node may call a store again that didn't answer it.
@@ -102,7 +93,7 @@
 
 // NewSource returns a source that has read nothing.
 func NewSource(config Config) *Source {
-	return &Source{config: config, mirrors: map[string]*Mirror{}, avoid: map[string]time.Time{}, pause: map[string]time.Duration{},
+	return &Source{config: config, mirrors: map[string]*Mirror{}, avoidUntil: map[string]time.Time{}, backoff: map[string]time.Duration{},
 		probeAt: map[string]time.Time{}}
 }
 
@@ -135,16 +126,15 @@
 		s.Mirror(table).Lost()
 		return s.askOthers(table, listStaleAfter, err, list)
 	}
-	s.passOver(peer, asked)
+	s.avoidIfAway(peer, asked)
 	s.Mirror(table).Listed(time.Now(), rows)
 	return rows, nil
 }
 
 // call calls the store itself, unless it didn't answer this node just now.
 //
-// Guard: in an outage each node would ask on and on, since no reader has
-// anything to tell. 82 nodes made 8,261 calls on a day with two outages of 8 and
-// 2 s; with this pause, and leases left alone meanwhile, 5,340.
+// Guard: in an outage no reader has anything to tell, so each node would call
+// the store on and on, and the store would return to a load of all nodes.
 func (s *Source) call(now time.Time, table string, read func() (fleet.Rows, error)) (fleet.Rows, error) {
 	if !s.mayCall(now, table) {
 		return fleet.Rows{}, redwinghall.NewOpError("Source.call", fleet.StoreUnavailable, errNotNow)
@@ -168,7 +158,7 @@
 // reader always, others if it didn't fail them just now.
 func (s *Source) mayCall(now time.Time, table string) bool {
 	peers := s.config.Peers()
-	if len(peers) <= smallZone || leaderFirst(Ranked(peers), s.config.Leader())[0].Name == s.config.Self {
+	if len(peers) <= maxDirectReaders || leaderFirst(Ranked(peers), s.config.Leader())[0].Name == s.config.Self {
 		return true
 	}
 	s.mu.Lock()
@@ -176,13 +166,6 @@
 	return !now.Before(s.probeAt[table])
 }
 
-// passOver avoids a node that doesn't reach a store that others may reach.
-func (s *Source) passOver(reader Peer, asked error) {
-	if redwinghall.KindOf[fleet.StoreKind](asked) == fleet.StoreAway {
-		s.shun(reader)
-	}
-}
-
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) {
@@ -201,13 +184,13 @@
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
 	rows, err := s.call(time.Now(), table, func() (fleet.Rows, error) {
-		return s.config.Store.Changes(ctx, table, after, s.wait(wait))
+		return s.config.Store.Changes(ctx, table, after, s.boundedWait(wait))
 	})
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, staleAfter, err, changes)
 	}
-	s.passOver(peer, asked)
+	s.avoidIfAway(peer, asked)
 	return s.Mirror(table).Changed(time.Now(), after, rows), nil
 }
 
@@ -240,7 +223,7 @@
 	}
 	version, helped := s.config.Asker.Commit(ctx, peer.Address, txn)
 	if redwinghall.KindOf[fleet.StoreKind](helped) == fleet.StoreUnavailable {
-		s.shun(peer)
+		s.backOff(peer)
 	}
 	return version, helped
 }
@@ -269,35 +252,22 @@
 		return fleet.Rows{}, cause
 	}
 	answer, err := s.ask(peer, table, trust, read)
-	s.passOver(peer, err)
+	s.avoidIfAway(peer, err)
 	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 		return answer.Rows, err
 	}
 	return fleet.Rows{}, cause
 }
 
-// helper returns a node to ask for help: of this zone first, then of others.
-func (s *Source) helper(now time.Time) (Peer, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, group := range [][]Peer{s.config.Peers(), s.config.Others()} {
-		for _, one := range Ranked(group) {
-			if one.Name != s.config.Self && now.After(s.avoid[one.Name]) {
-				return one, true
-			}
-		}
-	}
-	return Peer{}, false
-}
-
-// ask reads from another node, and avoids it for a while if its word can't be used.
+// ask reads from another node, and avoids it for a while if its answer can't be
+// used.
 func (s *Source) ask(peer Peer, table string, trust time.Duration, read func(Peer) (Answer, error)) (Answer, error) {
 	answer, err := read(peer)
 	switch {
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
 		return Answer{}, err
 	case err == nil && answer.Age <= trust:
-		s.forgive(peer)
+		s.resetBackoff(peer)
 		return answer, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
@@ -305,72 +275,15 @@
 		// It works, but the store doesn't answer it: perhaps nobody.
 		return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreAway, err)
 	}
-	s.shun(peer)
+	s.backOff(peer)
 	return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
 }
 
-func (s *Source) shun(peer Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pause[peer.Name] = min(max(2*s.pause[peer.Name], avoidFor), avoidLongest)
-	s.avoid[peer.Name] = time.Now().Add(s.pause[peer.Name])
-}
-
-// forgive forgets that a node failed before.
-func (s *Source) forgive(peer Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.pause, peer.Name)
-}
-
-// wait bounds how long the store may keep a reader waiting that others follow:
+// boundedWait bounds how long the store may keep a reader waiting that others follow:
 // its silence must show in time.
-func (s *Source) wait(wait time.Duration) time.Duration {
-	if len(s.config.Peers()) > smallZone {
+func (s *Source) boundedWait(wait time.Duration) time.Duration {
+	if len(s.config.Peers()) > maxDirectReaders {
 		return min(wait, readerWait)
 	}
 	return wait
 }
-
-// reader returns the node to ask. There is none where this node is the reader
-// itself.
-func (s *Source) reader(now time.Time) (Peer, bool) {
-	peers := s.config.Peers()
-	if len(peers) <= smallZone {
-		return Peer{}, false
-	}
-	order := leaderFirst(Ranked(peers), s.config.Leader())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, one := range order {
-		if one.Name == s.config.Self {
-			return Peer{}, false
-		}
-		if now.After(s.avoid[one.Name]) {
-			return one, true
-		}
-	}
-	return Peer{}, false
-}
-
-// leaderFirst moves the leader of a zone to the front.
-func leaderFirst(peers []Peer, leader string) []Peer {
-	for i, one := range peers {
-		if one.Name == leader {
-			copy(peers[1:i+1], peers[:i])
-			peers[0] = one
-			break
-		}
-	}
-	return peers
-}
-
-// Ranked returns nodes in an order that all nodes agree on and that doesn't
-// change for those that stay when others come and go.
-func Ranked(peers []Peer) []Peer {
-	ranked := append([]Peer(nil), peers...)
-	sort.Slice(ranked, func(i, j int) bool { return rank(ranked[i]) < rank(ranked[j]) })
-	return ranked
-}
-
-func rank(p Peer) uint64 { return xxhash.Sum64String(p.Name) }
