--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,9 +20,8 @@
 
 const (
 	// silenceLimit is how long nothing may move in a group before its streams
-	// go on elsewhere. A pass that reads prompts at every step takes 270 ms; a
-	// group that lost a member moves nothing for seconds, and callers leave a
-	// stream after 2 s without an event.
+	// go on elsewhere: longer than a pass that reads prompts at every step, and
+	// short enough that callers have not left yet.
 	silenceLimit = 700 * time.Millisecond
 	// silenceCheck is how often that is looked at.
 	silenceCheck = 100 * time.Millisecond
--- a/node/logs.go
+++ b/node/logs.go
@@ -17,7 +17,7 @@
 const (
 	// logLines is how many lines may wait for a slow reader.
 	logLines = 2048
-	// logRate and logBurst bound the lines of a second; a busy node writes about 60.
+	// logRate and logBurst bound the lines of a second, far above what a busy node writes.
 	logRate     = 400
 	logBurst    = 800
 	logInterval = time.Second
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -26,9 +26,9 @@
 	sharePerNode  = 5 * time.Millisecond
 )
 
-// zoneInterval is how often the zones tell each other. Bytes between zones are
-// priced: at 4 words a second, 3 zones of 12 groups spend 0.1% of a quiet
-// day's worth, and streams that go to another zone are late a third less often.
+// zoneInterval is how often the zones tell each other their loads. Bytes between
+// zones cost, and a load that is older sends streams to a group that has filled
+// up since.
 const zoneInterval = 250 * time.Millisecond
 
 // sameValue returns how values of a table's rows are compared. In the members'
@@ -47,9 +47,8 @@
 }
 
 // hearZones is how often a node hears of the other zones' loads while it looks
-// for groups there. They only say which zone to ask first. Told each time, they
-// are most of what nodes of many zones tell each other: 325 groups in 16 zones
-// are 11 KB, and 20 of them are near.
+// for groups there. They only say which zone to ask first; told each time, they
+// would be most of what the nodes of many zones tell each other.
 const hearZones = 250 * time.Millisecond
 
 // peers returns the nodes of this zone.
