Test that a stopping node holds retries against its end (red)

A stopping node takes a call with 1.0 s left and a stream with 1.1 s. The first endpoint keeps it for 0.6 s and promises that it has not run it. The node then sends it to the second one with less time left than it expects it to take (0.64 s and 0.67 s, reserve included), though nothing has run and 503 would be true: servePlain and serveStream ask Stop.Takes only while nothing was sent.

--- /dev/null
+++ b/gateway/stop_retry_test.go
@@ -0,0 +1,58 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/gateway"
+	"redwinghall/platform/platformtest"
+)
+
+// A stopping node takes a request that it can finish. The first endpoint keeps
+// it for a while and promises that it didn't run it; by then a second try can't
+// end in time. The node sends it to the second endpoint all the same, and cuts
+// it there at its end: callers see a broken answer, or a booking without one,
+// instead of an honest 503. Cause: only the first try is held against the stop.
+func TestStoppingGatewayHoldsRetriesAgainstItsEnd(t *testing.T) {
+	t.Parallel()
+	for _, one := range []struct {
+		path, service string
+		left          time.Duration // of the node's time, when the request comes
+	}{
+		{"/book2/x", "desk", 1000 * time.Millisecond},
+		{"/stream/x", "llm", 1100 * time.Millisecond},
+	} {
+		t.Run(one.service, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			var tries atomic.Int32
+			answering := func(w http.ResponseWriter, r *http.Request) {
+				if tries.Add(1) > 1 {
+					sign(w, r)
+					events(w, 1, 3)
+					return
+				}
+				time.Sleep(600 * time.Millisecond)
+				w.Header().Set("Request-Id", platformtest.Read(r).ID)
+				platformtest.PromiseNotRun(w)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			s.endpoint("one", one.service, answering)
+			s.endpoint("other", one.service, answering)
+			now := time.Now()
+			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(one.left)}
+			r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), one.path, nil, platformtest.Ask{
+				ID: "r-1", Key: "key-1", Model: "m0", Patience: 3 * time.Second, Prompt: 100, Answer: 60,
+			})
+			require.NoError(t, err)
+			got := s.do(r)
+			require.EqualValues(t, 1, tries.Load(), "the second try began with less time left than it is expected to take")
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+		})
+	}
+}
