Test that a stopping node expects a call by its route (red)

A desk answers look-ups at once and bookings in 2 s. A node with 1.5 s left takes a booking: the mean over all calls to the endpoint (smoothing 0.15) falls to a few ms after 40 look-ups, and eight times that is far less than a booking takes.

--- /dev/null
+++ b/gateway/stop_expected_test.go
@@ -0,0 +1,50 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/gateway"
+	"redwinghall/platform/platformtest"
+)
+
+// A service answers look-ups at once and bookings in two seconds. A node that
+// has 1.5 s left takes a booking, and cuts it at its end: the caller must not
+// repeat it and doesn't know whether it ran. Cause: how long a call may take is
+// expected from the mean of all calls to its endpoint, and look-ups are most of them.
+func TestStoppingGatewayExpectsACallByItsRoute(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	const bookingTime = 2 * time.Second
+	var late atomic.Int32
+	s.endpoint("desk-1", "desk", func(w http.ResponseWriter, r *http.Request) {
+		if platformtest.Read(r).ID == "late" {
+			late.Add(1)
+		}
+		if r.URL.Path == "/book/x" {
+			time.Sleep(bookingTime)
+		}
+		sign(w, r)
+	})
+	ask := func(path, id string) answer {
+		r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), path, nil, platformtest.Ask{
+			ID: id, Key: "key-1", Patience: 3 * time.Second,
+		})
+		require.NoError(t, err)
+		return s.do(r)
+	}
+	require.Equal(t, http.StatusOK, ask("/book/x", "early").status)
+	for range 40 {
+		require.Equal(t, http.StatusOK, ask("/look/x", "look").status)
+	}
+	now := time.Now()
+	s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(1500 * time.Millisecond)}
+	got := ask("/book/x", "late")
+	require.Zero(t, late.Load(), "a booking takes %s, and the node had 1.5 s", bookingTime)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+}
