Expect a call by the calls of its route while a node stops

A service answers look-ups at once and bookings in two seconds. A node with 1.5 s left took a booking and cut it: its caller must not repeat it and can't know whether it ran. Cause: how long a call takes was expected from the mean of all calls to its endpoint, times eight; look-ups are most of them, and calls that failed didn't count.

Now the longest recent call of each route counts, whatever came of it; a route of which no call was seen is taken only if its deadline lies before the node's end. TestExpectedIsTheLongestAnswer and the table of TestStoppingGatewayRefusesWhatOutlastsIt say so: a booking of a route without a call is refused, which the old table took.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -296,7 +296,7 @@
 
 // A node that is about to stop takes what it expects to finish. What it expects
 // must be the longest that may come: of a stream its tokens at the group's own
-// pace, of a call far more than its usual time. Where nobody knows, it says so.
+// pace. Where nobody knows, it says so.
 func TestExpectedIsTheLongestAnswer(t *testing.T) {
 	t.Parallel()
 	heads := []*fleet.Endpoint{head("only", "a", "large")}
@@ -306,7 +306,6 @@
 			slowDown(t, tracker, heads)
 		}
 		one := ask()
-		one.Stream = true
 		change(&one)
 		choice, none := tracker.Group(start.Add(time.Minute), heads, nil, one)
 		require.Nil(t, none)
@@ -323,11 +322,7 @@
 	call := balance.Ask{Service: fleet.Service{Name: "desk"}, Zone: "a", Objective: time.Second}
 	choice, none := balance.NewTracker().Plain(start, []*fleet.Endpoint{desk}, nil, call)
 	require.Nil(t, none)
-	require.Greater(t, choice.Expected, 4*choice.Predicted)
-	call.Stream = true
-	choice, none = balance.NewTracker().Plain(start, []*fleet.Endpoint{desk}, nil, call)
-	require.Nil(t, none)
-	require.Zero(t, choice.Expected, "nobody says how long such a stream is")
+	require.Zero(t, choice.Expected, "nobody says how long a plain service takes")
 }
 
 // slowDown lets a tracker see a group whose events come at a third of the declared pace.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -30,9 +30,7 @@
 	Zone    string      // of this node, which is the caller's
 	Prompt  int
 	// Answer is how many tokens the answer has at most, 0 if that isn't known.
-	Answer int
-	// Stream says that the answer is a series of events.
-	Stream    bool
+	Answer    int
 	Objective time.Duration
 	// Tried holds the endpoints that this request has been sent to.
 	Tried map[string]bool
@@ -72,8 +70,8 @@
 	// Predicted is the time to the first event, or to the answer of a plain
 	// service.
 	Predicted time.Duration
-	// Expected is the time to the end of the longest answer that the request may
-	// get, 0 if that isn't known.
+	// Expected is the time to the end of the longest answer that a stream of an
+	// engine may get, 0 if that isn't known.
 	Expected time.Duration
 	Running  int
 	// Age is how old the newest report of the endpoint's load was; negative if
--- a/balance/longest.go
+++ b/balance/longest.go
@@ -4,21 +4,11 @@
 	"time"
 )
 
-// plainTail is how many times the usual time of a plain service its longest
-// calls take.
-const plainTail = 8
-
-// longest returns how long the longest answer takes that the request may get,
-// 0 if that isn't known: of streams only those of an engine say how long they
-// are.
+// longest returns how long the longest answer takes that a stream of an engine
+// may get, 0 if that isn't known. Other services don't say how long theirs are.
 func (a Ask) longest(c *candidate) time.Duration {
 	engine := a.Service.Engine
-	switch {
-	case engine == nil && a.Stream:
-		return 0
-	case engine == nil:
-		return plainTail * c.predicted
-	case a.Answer <= 0 || engine.Stride <= 0:
+	if engine == nil || a.Answer <= 0 || engine.Stride <= 0 {
 		return 0
 	}
 	passes := (a.Answer + engine.Stride - 1) / engine.Stride
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,14 +51,15 @@
 // Gateway serves callers.
 type Gateway struct {
 	Options
-	budget *balance.RetryBudget
-	served atomic.Int64
+	budget    *balance.RetryBudget
+	callTimes *callTimes
+	served    atomic.Int64
 }
 
 // New returns a gateway.
 func New(options Options) *Gateway {
 	bounds := options.Settings().Bounds
-	return &Gateway{Options: options, budget: balance.NewRetryBudget(bounds.RetryRatio, bounds.RetryWindow)}
+	return &Gateway{Options: options, budget: balance.NewRetryBudget(bounds.RetryRatio, bounds.RetryWindow), callTimes: newCallTimes()}
 }
 
 // Served returns how many requests reached a route, so that others can tell
@@ -169,7 +170,7 @@
 	// don't know of each other.
 	cold := coldMargin * (r.Service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
 	ask := balance.Ask{
-		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Answer: r.Ask.MaxAnswer, Stream: r.Route.Kind == fleet.Streaming, Objective: r.Route.Objective, Tried: tried,
+		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Answer: r.Ask.MaxAnswer, Objective: r.Route.Objective, Tried: tried,
 		Node: settings.Node, Nodes: nodes, ZoneNodes: zone,
 		ColdNear: coldNear * cold / float64(zone), ColdFar: (1 - coldNear) * cold / float64(max(1, nodes-zone)),
 		Connections: connectionShare(r.Service.MaxConnections, nodes),
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -62,17 +62,17 @@
 // servePlain answers a request whose answer is one body.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
 	call := &plainCall{g: g, r: r, tried: map[string]bool{}}
+	if !call.fits(time.Now()) {
+		g.refuse(w, r, nodeStops(g.callTimes.longest(r.Route.Name)))
+		return
+	}
+	defer call.noteTime()
 	for {
 		choice, none := g.Tracker.Plain(time.Now(), r.view.ByService[r.Service.Name], r.view.ZonesOut, g.ask(r, call.tried))
 		if none != nil {
 			g.refuse(w, r, call.refusalOfNone(none))
 			return
 		}
-		if call.sent == 0 && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
-			choice.Visit.Withdraw()
-			g.refuse(w, r, nodeStops(choice.Expected))
-			return
-		}
 		last := call.once(ctx, choice)
 		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
 		if call.again(ctx, last) {
@@ -86,6 +86,20 @@
 	}
 }
 
+// fits reports whether a node that may be stopping has time for one more try.
+// Only the calls of one route resemble each other: a service may answer
+// look-ups at once and take seconds for bookings.
+func (c *plainCall) fits(now time.Time) bool {
+	return c.g.stop().Takes(now, c.g.callTimes.longest(c.r.Route.Name), c.r.Deadline)
+}
+
+// noteTime remembers how long the call took, whatever came of it.
+func (c *plainCall) noteTime() {
+	if c.sent > 0 {
+		c.g.callTimes.note(c.r.Route.Name, time.Since(c.r.Arrived))
+	}
+}
+
 // refusalOfNone refuses a request for which no endpoint is left. It promises
 // that nothing ran only if nothing was sent.
 func (c *plainCall) refusalOfNone(none *balance.Refusal) refusal {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -72,7 +72,9 @@
 		{"/stream/x", 0, 3 * time.Second, http.StatusServiceUnavailable},
 		{"/stream/x", 6000, time.Second, http.StatusOK},
 		{"/feed/x", 0, 3 * time.Second, http.StatusServiceUnavailable},
-		{"/book/x", 0, 3 * time.Second, http.StatusOK},
+		{"/book/x", 0, 3 * time.Second, http.StatusServiceUnavailable}, // no booking was seen yet
+		{"/book/x", 0, time.Second, http.StatusOK},
+		{"/book/x", 0, 2900 * time.Millisecond, http.StatusOK}, // takes as long as the one before
 		{"/look/x", 0, time.Second, http.StatusOK},
 	} {
 		id := fmt.Sprintf("%s, %d tokens, %s", one.path, one.answer, one.patience)
