Hold each try of a request against the stop, not only the first

A stopping node took a request in time; its endpoint kept it for a while and promised that it hadn't run it, and the node sent it to a second one, with less time left than that was expected to take. Its caller saw a cut answer, or a booking without one, where a true refusal was due. Cause: the stop was asked only before the first try.

The test's first version took a node for granted that takes a call of a route which it hasn't seen. It now brings an earlier call of the length that the second try is expected to have; without this change both of its cases fail.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -200,7 +200,7 @@
 func (c *plainCall) again(ctx context.Context, last try) bool {
 	now := time.Now()
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || !c.fits(now):
 		return false
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
 		return c.dials < maxDials && c.r.Left(now) > leastLeft
--- a/gateway/stop_retry_test.go
+++ b/gateway/stop_retry_test.go
@@ -32,25 +32,31 @@
 			s := newSite(t)
 			var tries atomic.Int32
 			answering := func(w http.ResponseWriter, r *http.Request) {
-				if tries.Add(1) > 1 {
-					sign(w, r)
-					events(w, 1, 3)
+				if platformtest.Read(r).ID == "earlier" {
+					time.Sleep(300 * time.Millisecond) // which is what a call is expected to take
+				} else if tries.Add(1) == 1 {
+					time.Sleep(600 * time.Millisecond)
+					w.Header().Set("Request-Id", platformtest.Read(r).ID)
+					platformtest.PromiseNotRun(w)
+					w.WriteHeader(http.StatusServiceUnavailable)
 					return
 				}
-				time.Sleep(600 * time.Millisecond)
-				w.Header().Set("Request-Id", platformtest.Read(r).ID)
-				platformtest.PromiseNotRun(w)
-				w.WriteHeader(http.StatusServiceUnavailable)
+				sign(w, r)
+				events(w, 1, 3)
 			}
 			s.endpoint("one", one.service, answering)
 			s.endpoint("other", one.service, answering)
+			ask := func(id string) answer {
+				r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), one.path, nil, platformtest.Ask{
+					ID: id, Key: "key-1", Model: "m0", Patience: 3 * time.Second, Prompt: 100, Answer: 60,
+				})
+				require.NoError(t, err)
+				return s.do(r)
+			}
+			require.Equal(t, http.StatusOK, ask("earlier").status, "a node takes no call of a route of which it has seen none")
 			now := time.Now()
 			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(one.left)}
-			r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), one.path, nil, platformtest.Ask{
-				ID: "r-1", Key: "key-1", Model: "m0", Patience: 3 * time.Second, Prompt: 100, Answer: 60,
-			})
-			require.NoError(t, err)
-			got := s.do(r)
+			got := ask("r-1")
 			require.EqualValues(t, 1, tries.Load(), "the second try began with less time left than it is expected to take")
 			require.Equal(t, http.StatusServiceUnavailable, got.status)
 		})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,7 +63,7 @@
 			call.refuse(ofBalance(none))
 			return
 		}
-		if call.sent.Load() == 0 && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
+		if !call.begun && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
 			choice.Visit.Withdraw()
 			call.refuse(nodeStops(choice.Expected))
 			return
