Test that a stop keeps the grace that the settings file names (red)

The grace is shortened from 8 s to 2 s in the file and the node is stopped right away: the stop takes 2.45 s. The file is read every 3 s and on SIGHUP, but not at the stop.

--- a/node/stop_grace_test.go
+++ b/node/stop_grace_test.go
@@ -41,3 +41,16 @@
 	d.store.SetFaults(platformtest.Faults{Silent: true})
 	require.Less(t, d.stopTakes(), time.Second)
 }
+
+// Operators shorten the grace in the settings file and stop the node right
+// away. The node stops by the old grace: it takes requests for longer than it
+// has, and is killed. Cause: the file is read every few seconds and on SIGHUP,
+// but not when the stop begins, which is when the grace counts.
+func TestStopKeepsTheGraceOfTheSettingsFile(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	d.start()
+	d.waitOpen()
+	d.withGrace("2")
+	require.Less(t, d.stopTakes(), 2*time.Second)
+}
