Say with the headers of an answer that its connection ends

A booking of 1.5 s was under way when its node was told to stop. Its answer came 1 s after the signal without Connection: close, and the connection was closed right behind it: the caller's next request on it got no answer. Cause: whether an answer is the last one was decided when its request came.

--- a/node/connections.go
+++ b/node/connections.go
@@ -105,14 +105,10 @@
 // planned stop is under way, answers say that their connection ends.
 func (c *connections) guard(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		stop := plannedStop()
-		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.take(state, r, stop) {
+		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.take(state, r, plannedStop()) {
 			panic(http.ErrAbortHandler)
 		}
-		if stop.Under() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(lastAnswer{ResponseWriter: w, plannedStop: plannedStop}, r)
 	})
 }
 
