Hold giving up the lease against the end of a stop

With a grace of 1 s and a store that doesn't answer, a stop took 1.05 s: giving the lease up had a second whatever the grace, and the node was killed with what still ran.

--- a/node/stop.go
+++ b/node/stop.go
@@ -46,7 +46,7 @@
 	n.conns.endAfterAnswers()
 	klog.InfoS("node_stopping", "node", n.settings.Node, "grace_left", stop.End.Sub(begun))
 	n.manager.Stop()
-	leave, cancel := context.WithTimeout(ctx, leaveBudget)
+	leave, cancel := context.WithTimeout(ctx, min(leaveBudget, time.Until(stop.End)))
 	defer cancel()
 	n.table.Leave(leave)
 	kernel.Sleep(ctx, time.Until(stop.Noticed))
