Read the grace again when a stop begins

Operators shortened the grace from 8 s to 2 s and stopped the node right away; it stopped by the old one, took requests for longer than it had, and was killed: the settings file is read every 3 s and on SIGHUP, but wasn't at the stop.

--- a/node/reload.go
+++ b/node/reload.go
@@ -50,6 +50,9 @@
 
 // reload puts changed settings in force. A file that can't be used changes nothing.
 func (n *Node) reload() {
+	if n.path == "" {
+		return
+	}
 	next, err := platform.LoadSettings(n.path)
 	if err != nil {
 		klog.ErrorS(err, "settings_not_reloaded", "path", n.path)
--- a/node/stop.go
+++ b/node/stop.go
@@ -41,6 +41,7 @@
 // and ends once nothing runs any more.
 func (n *Node) stop(ctx context.Context) {
 	begun := time.Now()
+	n.reload() // the grace counts as it stands in the file now
 	stop := newStop(begun, n.inForce().Bounds.Grace)
 	n.stopping.Store(&stop)
 	n.conns.endAfterAnswers()
