Test that a draining router takes nothing that it can't finish (red)

Router.drain knows its end; caller.Server.Drain only makes answers ask for closed connections. By default drain_timeout is as long as max_timeout, so that this needs shorter settings.

--- /dev/null
+++ b/daemon/stop_test.go
@@ -0,0 +1,85 @@
+package daemon_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/daemon"
+	"redwinghall/kernel"
+	"redwinghall/peer"
+	"redwinghall/rwhtest"
+	"redwinghall/standin/service"
+)
+
+// A haulier's deposit reaches a router just after its signal to stop, while the
+// balancer still sends callers there. The service works on it for longer than
+// the router's drain may take: the router calls it, and when the drain is over
+// closes the connection without an answer. Cause: a draining router takes
+// requests without regard to the end of its drain, though it knows that end.
+func TestDrainingRouterTakesNothingThatItCannotFinish(t *testing.T) {
+	var platform string
+	d := rwhtest.Start(t, rwhtest.Options{PlatformVia: func(address string) string {
+		platform = address
+		return address
+	}})
+	d.Submit("v1")
+	router, address := newDrainingRouter(t, platform, d.Controllers[0].Node.Members("tartu"))
+	stopping, stop := context.WithCancel(context.Background())
+	g := kernel.NewGroup(context.Background())
+	g.Go("router", func(context.Context) error { return router.Run(stopping) })
+	d.Eventually("the router books", func() bool {
+		r, err := book(t, d, address, "warm")
+		return err == nil && r.Status == http.StatusOK
+	})
+	for _, s := range d.Services {
+		s.SetFaults(service.Faults{Delay: redwinghall.Duration(4 * time.Second)})
+	}
+	d.Client.CloseIdleConnections() // Go's client sends a request again if a kept connection ends
+	stop()
+	time.Sleep(100 * time.Millisecond)
+	asked := time.Now()
+	_, err := book(t, d, address, "late")
+	took := time.Since(asked).Round(100 * time.Millisecond)
+	require.NoError(t, g.Wait())
+	require.NoError(t, err, "sent 0.1 s after the signal; its connection closed without an answer after %s", took)
+}
+
+// newDrainingRouter returns a router that drains for 0.5 s and 1 s, and where
+// callers reach it.
+func newDrainingRouter(t *testing.T, platform string, peers []peer.Member) (*daemon.Router, string) {
+	t.Helper()
+	const token = "RWH_TEST_PEER_TOKEN"
+	settings := daemon.RouterSettings{
+		Common: daemon.Common{
+			ID: "router-late", AvailabilityZone: "tartu", PeerAddress: freeAddress(t), PlatformAddress: platform, PeerToken: daemon.Token{Env: token},
+			Peers: peers, ExchangeInterval: redwinghall.Duration(50 * time.Millisecond), HeadInterval: redwinghall.Duration(50 * time.Millisecond),
+		},
+		CallerAddress: freeAddress(t),
+		DrainDelay:    redwinghall.Duration(500 * time.Millisecond), DrainTimeout: redwinghall.Duration(time.Second),
+	}.WithDefaults()
+	require.Empty(t, settings.Validate())
+	router, err := daemon.NewRouter(settings)
+	require.NoError(t, err)
+	return router, settings.CallerAddress
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+func book(t *testing.T, d *rwhtest.Deployment, address, key string) (rwhtest.Reply, error) {
+	t.Helper()
+	return d.Call(t.Context(), http.MethodPost, address, "/v1/services/"+rwhtest.Service+"/deposits", `{"amount":50}`,
+		map[string]string{"Idempotency-Key": key})
+}
