Take on a draining router only what ends before its drain

Router.drain knew its end, and nothing that is taken was held against it. By default a drain lasts as long as the longest request may, so that only shorter settings showed it.

Now a request whose deadline lies behind the end of the drain is refused at once with shutting_down, which no code had sent before.

--- a/caller/request.go
+++ b/caller/request.go
@@ -41,7 +41,7 @@
 		started := time.Now()
 		r := &request{id: requestID(hr), started: started, view: s.board.View(), http: hr}
 		w.Header().Set(HeaderRequestID, r.id)
-		if s.draining.Load() {
+		if s.draining() {
 			w.Header().Set("Connection", "close")
 		}
 		if s.inProgress.Add(1) > int64(s.config.MaxRequests) {
@@ -52,6 +52,9 @@
 		defer s.inProgress.Add(-1)
 
 		timeout, err := s.prepare(w, r)
+		if err == nil && s.outlasts(time.Now().Add(timeout)) {
+			err = redwinghall.NewOpError("Server.guarded", redwinghall.CodeShuttingDown, nil)
+		}
 		if err == nil {
 			ctx, cancel := context.WithTimeout(hr.Context(), timeout)
 			defer cancel()
--- a/caller/routes.go
+++ b/caller/routes.go
@@ -59,7 +59,7 @@
 	view := s.board.View()
 	w.Header().Set(HeaderGeneration, strconv.FormatUint(view.Accepted.Generation, 10))
 	switch {
-	case s.draining.Load():
+	case s.draining():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	case view.Accepted.Generation == 0:
 		http.Error(w, "no manifest yet", http.StatusServiceUnavailable)
--- a/caller/server.go
+++ b/caller/server.go
@@ -73,7 +73,7 @@
 
 	inProgress atomic.Int64
 	sent       atomic.Int64 // attempts at calls that may not be repeated
-	draining   atomic.Bool
+	drainEnd   atomic.Pointer[time.Time] // nil unless the router drains
 }
 
 const (
@@ -101,8 +101,21 @@
 }
 
 // Drain makes readyz fail and answers ask for closed connections, so that the
-// balancer sends new work elsewhere while requests in progress finish.
-func (s *Server) Drain() { s.draining.Store(true) }
+// balancer sends new work elsewhere while requests in progress finish. From now
+// on only requests are taken whose deadline is before end.
+func (s *Server) Drain(end time.Time) { s.drainEnd.Store(&end) }
+
+func (s *Server) draining() bool { return s.drainEnd.Load() != nil }
+
+// outlasts reports whether a request may still run when a drain ends.
+//
+// Guard: a draining router that takes such a request closes its connection
+// without an answer, and nobody knows whether a call that may not be repeated
+// ran. Refused at once, it has not run, and goes to another router.
+func (s *Server) outlasts(deadline time.Time) bool {
+	end := s.drainEnd.Load()
+	return end != nil && deadline.After(*end)
+}
 
 // CallsDone reports whether no call that may not be repeated is in progress,
 // with or without its caller.
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -168,10 +168,12 @@
 // recorded leaves calls whose outcome nobody can look up.
 func (r *Router) drain(callers *http.Server) {
 	klog.InfoS("router_draining", "id", r.settings.ID)
-	r.Server.Drain()
-	r.Node.Leave(time.Now())
+	begun := time.Now()
+	end := begun.Add(r.settings.DrainDelay.Std() + r.settings.DrainTimeout.Std())
+	r.Server.Drain(end)
+	r.Node.Leave(begun)
 	time.Sleep(r.settings.DrainDelay.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.DrainTimeout.Std())
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.ErrorS(err, "drain_incomplete")
