Log what is known of the group that a VM is joined away from

Cause of the change: in the incident of the VMs in two groups no line told on what a group's members were set free. A join that takes a VM out of another group now logs that group, its head's last state, whether the head counts as gone, whether its streams advance at this node, and whether this holder formed the group.

--- a/formation/orders.go
+++ b/formation/orders.go
@@ -19,6 +19,7 @@
 	}
 	m.sending[id] = true
 	n := m.notes[id]
+	m.logTaken(now, n, s)
 	n.worker.OrderedAt[s.Order.Kind] = now
 	m.overlay(now, n, s)
 	if s.Order.Kind == fleet.OrderJoin {
@@ -57,6 +58,18 @@
 	})
 }
 
+// logTaken tells what is known of the group that a VM is joined away from.
+func (m *Manager) logTaken(now time.Time, n *note, s Step) {
+	from := n.worker.Member
+	h, known := m.heads[from.Group]
+	if s.Order.Kind != fleet.OrderJoin || from.Group == s.Order.Group || !known {
+		return
+	}
+	klog.InfoS("taken_from_group", "endpoint", s.Endpoint.ID, "group", from.Group, "state", from.State, "head", h.endpoint.ID,
+		"head_state", h.endpoint.Member.State, "head_gone", h.gone, "head_moves", m.Moves(now, h.endpoint.ID),
+		"seen_ago", now.Sub(h.seenAt), "own", m.own(from.Group), "open_doubt", m.openDoubt(now, from.Group))
+}
+
 // noteUnchanged takes in that an order changed nothing: the entry already tells
 // how things are.
 //
