A failing test: members of a head that has stopped listening join another group while it serves

Cause: a refused connection is taken for the proof that a head's process has ended. A process that leaves stops listening first and then works off what it has; where the store is away, its entry goes on saying that it is open. What callers saw: their streams stood still in the moment in which the group's other members were joined to another one. Ruled out: the new holder's want of knowledge (the test fails with the holder that formed the group, and with a new one).

The farm's workers can now stop listening.

--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -41,6 +41,7 @@
 	fleet.Endpoint
 	dead, dark bool // ended; silent
 	unlisted   bool // its entry is missing, it works on
+	deaf       bool // it stopped listening and finishes its work
 	slow       float64
 	last       string // model of its last group
 	members    []string
@@ -123,6 +124,14 @@
 	f.hide(id, 3600*time.Millisecond)
 }
 
+// deafen lets a worker leave while the store is away: it stops listening, its
+// entry stays as it was, and it works on what it has.
+func (f *farm) deafen(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].deaf = true
+}
+
 var errFarm = errors.New("farm")
 
 func (f *farm) reach(e *fleet.Endpoint) (*farmWorker, error) {
@@ -132,7 +141,7 @@
 	}
 	w, ok := f.workers[id]
 	switch {
-	case !ok || (w.dead && !w.dark):
+	case !ok || w.deaf || (w.dead && !w.dark):
 		return nil, redwinghall.NewOpError("farm.reach", platform.Ended, errFarm)
 	case w.dark:
 		return nil, redwinghall.NewOpError("farm.reach", platform.NoAnswer, errFarm)
