Join a VM to another group only on words that tell of its membership

Cause: a head that can't be reached was taken for one that ended. A refused connection counted as the proof, as did six questions without an answer, another state in a report however old, and a member whose entry said that it was still joining. A head that leaves stops listening and works off what it has; where the store was away, its entry goes on saying open. Its members were joined to another group at once. What callers saw: streams at that head stood still, and went on elsewhere 0.7 s later. Found on the way, each by a test that fails on the code before: a new holder whose copy of the entries is older than its lease joins members of a group that the last holder had just opened; a ready group whose members were told to join another one is opened again and loses them to the late orders; members of a silent head count as free after six unanswered questions though their orders to leave were lost. Ruled out: the new holder's want of knowledge of heads (the holder that had formed the group decided the same); a cut that resets connections (streams that were open went on, and nodes of all zones were refused).

The change: one pure function, told the time (formation.Standing.Proof), decides why a VM may join another group; setFree alone makes VMs free by it, and each order to join logs the proof. How a head is reached proves nothing, nor does any time. Where nothing is proven, the head leaves first if it is reached, else each member leaves and is free by its own word. Heads are not asked any more.

A test is replaced: TestMembersOfASilentHeadWait asked that members of a silent head wait 4 s after they left. The rule speaks of the head of a VM's own group, and a VM that left has none, so the wait protected nobody; and it was no protection for a member that had not left. The new one, TestMembersOfASilentHeadJoinOnlyOnceTheyLeft, asks that a member whose order to leave is lost is never joined elsewhere, for 20 s; it fails on the code before. The farm's order to a silent endpoint is now unanswered instead of refused, as platform.Engines has it.

--- a/directory/book.go
+++ b/directory/book.go
@@ -25,6 +25,7 @@
 	out       map[string]bool
 	// graceUntil is when entries that are missing count as gone at once again.
 	graceUntil time.Time
+	read       atomic.Int64
 }
 
 // NewBook returns an empty book.
@@ -44,6 +45,16 @@
 	b.graceUntil = now.Add(LapseGrace)
 }
 
+// NoteRead notes up to which version of the store the endpoints' entries were read.
+func (b *Book) NoteRead(version int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.read.Store(max(b.read.Load(), version))
+}
+
+// Read returns up to which version of the store the endpoints' entries are known.
+func (b *Book) Read() int64 { return b.read.Load() }
+
 // Change is one thing learned. Exactly one of its parts is set.
 type Change struct {
 	Config   *fleet.Configuration
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -156,6 +156,25 @@
 	}
 }
 
+// A holder gives orders once it has read the entries up to the version of its
+// lease. Versions that were read count also where no entry changed.
+func TestFollowerTellsHowFarItRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &script{}
+		store.set(7, "", entry(t, "a", 5))
+		book, stop := follow(t, store)
+		defer stop()
+		time.Sleep(time.Second)
+		require.EqualValues(t, 7, book.Read())
+		store.set(9, "", entry(t, "a", 5))
+		time.Sleep(4 * time.Second)
+		require.EqualValues(t, 9, book.Read())
+		store.set(3, fleet.StoreHistoryGone)
+		time.Sleep(4 * time.Second)
+		require.EqualValues(t, 9, book.Read(), "an older copy takes nothing back")
+	})
+}
+
 // The store drops its history while a node is behind: what changed in between
 // can't be had. The node lists the table again, and what the list lacks is gone.
 func TestFollowerListsAgainWhenHistoryIsGone(t *testing.T) {
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -177,6 +177,9 @@
 	}
 	feed.version = max(feed.version, rows.Version)
 	f.book.Apply(now, changes...)
+	if feed.table == platform.TableEndpoints {
+		f.book.NoteRead(rows.Version)
+	}
 	return rows, nil
 }
 
--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -23,12 +23,22 @@
 	workers map[string]*farmWorker
 	ready   map[string]map[string]bool // workers that were ever ready, by group
 	broken  []string                   // what must not happen and did
+	two     []string                   // of that, VMs in two groups
+	joins   int                        // that were taken
+	left    int                        // orders to leave that were taken
 	loads   int
 	reports int   // that were asked for
 	leases  int64 // that were taken
 	random  *rand.Rand
 	// lose is the share of orders that get no answer and are carried out late.
 	lose float64
+	// twice is the share of orders that are carried out once more, late.
+	twice float64
+	// stored are the entries in the store, version the store's newest, and
+	// copies those that nodes have, which lag behind.
+	stored  map[string]*fleet.Endpoint
+	version int64
+	copies  []*follower
 	// taken holds ended workers whose address another one has now.
 	taken map[string]string
 	// closed refuses orders to open.
@@ -39,9 +49,10 @@
 
 type farmWorker struct {
 	fleet.Endpoint
-	dead, dark bool // ended; silent
-	unlisted   bool // its entry is missing, it works on
-	deaf       bool // it stopped listening and finishes its work
+	dead, dark bool            // ended; silent
+	unlisted   bool            // its entry is missing, it works on
+	deaf       bool            // it stopped listening and finishes its work
+	ignores    fleet.OrderKind // orders of this kind never arrive
 	slow       float64
 	last       string // model of its last group
 	members    []string
@@ -52,6 +63,9 @@
 
 const farmService = "llm"
 
+// lapse is how long an entry outlives its endpoint's last word.
+const lapse = 3600 * time.Millisecond
+
 func farmEngine() *fleet.Engine {
 	return &fleet.Engine{
 		Slots: 26, Stride: 6, LoadsPerSecond: 5.5, LoadsAtOnce: 8, Formation: 300 * time.Millisecond,
@@ -66,7 +80,9 @@
 	f := &farm{
 		book: directory.NewBook(), workers: map[string]*farmWorker{}, ready: map[string]map[string]bool{}, taken: map[string]string{},
 		random: rand.New(rand.NewPCG(seed, 1)), lag: 150 * time.Millisecond,
+		stored: map[string]*fleet.Endpoint{},
 	}
+	f.copies = []*follower{{book: f.book}}
 	f.book.Apply(time.Now(), directory.Change{Config: &fleet.Configuration{
 		Version: 1, Services: map[string]fleet.Service{farmService: {Name: farmService, Engine: farmEngine()}},
 	}})
@@ -100,20 +116,82 @@
 	if w.unlisted || w.dark || w.dead {
 		return
 	}
-	time.AfterFunc(f.lag, func() { f.book.Apply(time.Now(), directory.Change{Endpoint: &entry}) })
+	f.stored[w.ID] = &entry
+	f.write(directory.Change{Endpoint: &entry})
+}
+
+// write changes the store. All copies hear of it, in order.
+func (f *farm) write(changes ...directory.Change) {
+	f.version++
+	version := f.version
+	for _, c := range f.copies {
+		if due := time.Now().Add(f.lag); due.After(c.due) {
+			c.due = due
+		}
+		time.AfterFunc(time.Until(c.due), func() {
+			c.book.Apply(time.Now(), changes...)
+			c.book.NoteRead(version)
+		})
+	}
+}
+
+// follower is a holder's copy of the entries, which lags behind.
+type follower struct {
+	book *directory.Book
+	due  time.Time // of the last change that is on its way
+}
+
+// follow returns a copy of the entries as they are now, that follows them.
+func (f *farm) follow() *directory.Book {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	c := &follower{book: directory.NewBook()}
+	c.book.Apply(now, directory.Change{Config: f.book.View().Config()})
+	for _, e := range f.stored {
+		c.book.Apply(now, directory.Change{Endpoint: e})
+	}
+	c.book.NoteRead(f.version)
+	f.copies = append(f.copies, c)
+	return c.book
 }
 
 // hide takes a worker's entry away, as the store does after three heartbeats.
 func (f *farm) hide(id string, after time.Duration) {
-	time.AfterFunc(after, func() { f.book.Apply(time.Now(), directory.Change{Gone: id}) })
+	time.AfterFunc(after, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.stored, id)
+		f.write(directory.Change{Gone: id})
+	})
+}
+
+// silence cuts a worker off from everybody for a while. It serves on, and its
+// entry lapses if that lasts.
+func (f *farm) silence(id string, lasts time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.dark = true
+	if lasts > lapse {
+		f.hide(id, lapse)
+	}
+	time.AfterFunc(lasts, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !w.dead {
+			w.dark = false
+			f.show(w)
+		}
+	})
 }
 
 // kill ends a worker: its address refuses connections, or is silent if dark.
 func (f *farm) kill(id string, dark bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].dead, f.workers[id].dark = true, dark
-	f.hide(id, 3600*time.Millisecond)
+	f.workers[id].dead, f.workers[id].dark, f.workers[id].deaf = true, dark, false
+	f.hide(id, lapse)
 }
 
 // cutFromStore lets a worker's entry lapse while it works on.
@@ -142,7 +220,7 @@
 	w, ok := f.workers[id]
 	switch {
 	case !ok || w.deaf || (w.dead && !w.dark):
-		return nil, redwinghall.NewOpError("farm.reach", platform.Ended, errFarm)
+		return nil, redwinghall.NewOpError("farm.reach", platform.Absent, errFarm)
 	case w.dark:
 		return nil, redwinghall.NewOpError("farm.reach", platform.NoAnswer, errFarm)
 	}
@@ -155,20 +233,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w, err := f.reach(e)
-	if err != nil {
+	switch {
+	case redwinghall.KindOf[platform.Kind](err) == platform.NoAnswer:
+		return fleet.Unanswered, err
+	case err != nil:
 		return fleet.Refused, err
+	case o.Kind == w.ignores:
+		return fleet.Unanswered, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
 	}
 	if f.random.Float64() < f.lose {
-		late := 2*time.Second + time.Duration(f.random.Float64()*10*float64(time.Second))
-		time.AfterFunc(late, func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if !w.dead {
-				f.carryOut(w, o)
-			}
-		})
+		f.carryOutLate(w, o)
 		return fleet.Unanswered, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
 	}
+	if f.twice > 0 && f.random.Float64() < f.twice {
+		f.carryOutLate(w, o)
+	}
 	if o.Kind == fleet.OrderJoin && w.Member.Group == o.Group && w.Member.Epoch == o.Epoch {
 		return fleet.Done, nil
 	}
@@ -181,6 +260,18 @@
 	return fleet.Refused, redwinghall.NewOpError("farm.Order", platform.NoAnswer, errFarm)
 }
 
+// carryOutLate lets a worker's process carry an order out 2 to 12 s later.
+func (f *farm) carryOutLate(w *farmWorker, o fleet.Order) {
+	late, born := 2*time.Second+time.Duration(f.random.Float64()*10*float64(time.Second)), w.Born
+	time.AfterFunc(late, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !w.dead && w.Born == born {
+			f.carryOut(w, o)
+		}
+	})
+}
+
 func (f *farm) carryOut(w *farmWorker, o fleet.Order) bool {
 	if o.Kind == fleet.OrderJoin {
 		return f.join(w, o)
@@ -200,6 +291,7 @@
 		}
 	case fleet.OrderLeave:
 		w.Member, w.members, w.opening, done = fleet.Membership{}, nil, false, true
+		f.left++
 	case fleet.OrderJoin, fleet.OrderStage:
 	}
 	if done {
@@ -252,13 +344,18 @@
 	}
 	w.Born++
 	w.Member, w.members, w.Models, w.last, w.opening = fleet.Membership{}, nil, nil, "", false
+	w.highest = 0
 }
 
 func (f *farm) join(w *farmWorker, o fleet.Order) bool {
 	if o.Epoch < w.highest {
 		return false
 	}
+	if w.Member.Group == o.Group && w.Member.Epoch == o.Epoch {
+		return true // it holds already
+	}
 	f.checkLeaving(w, o)
+	f.joins++
 	w.highest = o.Epoch
 	model, _ := farmEngine().Model(o.Model)
 	took := model.Load
@@ -316,7 +413,8 @@
 	}
 	head := f.workers[w.members[0]]
 	if head != nil && !head.dead && head.Member.Group == w.Member.Group && (head.Member.State == fleet.Open || head.opening) {
-		f.broken = append(f.broken, fmt.Sprintf("%s joined %s while %s was open", w.ID, o.Group, w.Member.Group))
+		broke := fmt.Sprintf("%s joined %s while %s was open", w.ID, o.Group, w.Member.Group)
+		f.broken, f.two = append(f.broken, broke), append(f.two, broke)
 	}
 }
 
--- a/formation/form.go
+++ b/formation/form.go
@@ -137,7 +137,7 @@
 	}
 	for _, w := range next.members {
 		p.steps = append(p.steps, Step{
-			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.cold(next.model),
+			Endpoint: w.Endpoint, Order: order, Why: "form", Loads: w.cold(next.model), Proof: w.proof,
 		})
 	}
 }
--- a/formation/group.go
+++ b/formation/group.go
@@ -18,6 +18,21 @@
 
 func (g *group) head() *Worker { return g.byRank[0] }
 
+// reached reports whether the head is there and answers, as far as known.
+func (g *group) reached() bool {
+	head := g.head()
+	return head != nil && !head.Suspect && !head.Silent
+}
+
+// standing returns how the group's members stand to it.
+func (g *group) standing(z *Zone) Standing {
+	s := Standing{Standby: g.standby, Past: z.Past(g.name)}
+	if head := g.head(); head != nil {
+		s.Head, s.HeadSince = head.Endpoint.Member, head.ShownAt
+	}
+	return s
+}
+
 // whole reports whether every member is there, and usable.
 func (g *group) whole() bool {
 	for rank := range g.size() {
--- /dev/null
+++ b/formation/handover_test.go
@@ -0,0 +1,48 @@
+package formation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/directory"
+	"redwinghall/fleet"
+)
+
+// Callers' streams stand still right after a node was stopped. The old holder
+// had opened a group and given the lease up; the new one's copy of the entries
+// was older than that. It saw the members without a group and joined them to
+// others while their head served.
+func TestNewHolderWaitsForTheEntriesOfItsTime(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		n.holds = false
+		current := f.book
+		old := directory.NewBook()
+		old.Apply(time.Now(), directory.Change{Config: current.View().Config()})
+		for _, e := range current.View().Endpoints {
+			free := *e
+			free.Member, free.Models = fleet.Membership{}, nil
+			old.Apply(time.Now(), directory.Change{Endpoint: &free})
+		}
+		old.NoteRead(99)
+		f.mu.Lock()
+		f.book = old
+		f.mu.Unlock()
+		next := manage(f, false)
+		defer next.stop(t)
+		next.begun, next.heldFrom = true, 100
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		require.Empty(t, f.broken)
+		f.mu.Unlock()
+		require.True(t, next.manager.Pending(), "its node reads the entries sooner")
+		for _, e := range current.View().Endpoints {
+			old.Apply(time.Now(), directory.Change{Endpoint: e})
+		}
+		old.NoteRead(100)
+		time.Sleep(10 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+	})
+}
--- a/formation/leaving_head_test.go
+++ b/formation/leaving_head_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinghall/fleet"
 )
 
 // Callers' streams stand still from one moment to the next. Their group's head
@@ -37,3 +41,64 @@
 		}
 	}
 }
+
+// Members of a ready group were told to join another one, and these orders are
+// late. The other group comes to nothing, and the old one is whole again. If it
+// opened, it would lose its members to the late orders while it serves.
+func TestGroupWhoseMembersWereToldToJoinAnotherDoesNotOpen(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) { lateOrdersToAReadyGroup(t, seed) })
+	}
+}
+
+func lateOrdersToAReadyGroup(t *testing.T, seed uint64) {
+	t.Helper()
+	f := newFarm(seed, 1, 4)
+	f.closed = true
+	n := manage(f, true)
+	defer n.stop(t)
+	time.Sleep(40 * time.Second)
+	n.begun = true
+	group, spare := f.readyGroup()
+	require.Len(t, group, 3)
+	f.mu.Lock()
+	f.workers[spare].Staged = []string{"small"}
+	f.show(f.workers[spare])
+	f.mu.Unlock()
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	f.lose = 1
+	f.mu.Unlock()
+	f.silence(group[2], time.Second)
+	n.manager.Stalled(context.Background(), group[0])
+	time.Sleep(600 * time.Millisecond)
+	f.silence(spare, 6*time.Second)
+	n.manager.Stalled(context.Background(), group[0])
+	time.Sleep(3 * time.Second)
+	f.mu.Lock()
+	f.lose, f.closed = 0, false
+	f.mu.Unlock()
+	time.Sleep(20 * time.Second)
+	f.mu.Lock()
+	require.Empty(t, f.broken, "seed %d", seed)
+	f.mu.Unlock()
+	require.Len(t, f.whole("small"), 1)
+}
+
+// readyGroup returns the members of the only ready group, its head first, and
+// an endpoint that isn't in it.
+func (f *farm) readyGroup() (members []string, spare string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		if len(w.members) > 1 && w.Member.Rank == 0 && w.Member.State == fleet.Ready {
+			members = w.members
+		}
+	}
+	for id := range f.workers {
+		if !slices.Contains(members, id) {
+			spare = id
+		}
+	}
+	return members, spare
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -19,9 +19,6 @@
 	// overlayFor is how long an order counts as carried out before its effect
 	// shows in the endpoint's entry, which this node reads every 250 ms.
 	overlayFor = 2 * time.Second
-	// holdMargin is added to the time after which a group without a member is
-	// broken, before its other members join another.
-	holdMargin = 500 * time.Millisecond
 	// slowPace is the pace from which a member counts as slow: it makes a whole
 	// group late. It counts so for slowFor, and is asked again then.
 	slowPace = 1.7
@@ -46,8 +43,10 @@
 	Settings func() fleet.Settings
 	Book     *directory.Book
 	Orderer  fleet.Orderer
-	// Holds reports whether this node may form the groups of a zone now.
-	Holds func(zone string) bool
+	// Holds reports whether this node may form the groups of a zone now, and
+	// HeldFrom at which version of the store it took the zone's lease.
+	Holds    func(zone string) bool
+	HeldFrom func(zone string) int64
 	// Version returns the newest version of the store that this node knows.
 	Version func() int64
 	// Begun reports whether requests have come yet.
@@ -61,13 +60,12 @@
 	Options
 	mu       sync.Mutex
 	notes    map[string]*note
-	heads    map[string]*headNote // by group
+	groups   map[string]*groupNote
 	epoch    int64
 	loads    map[string]*loadBudget // by zone
 	arrivals map[string]*arrival    // by zone
 	sending  map[string]bool        // endpoints with an order on its way
 	probing  map[string]bool
-	formed   map[string]formed // groups that this manager formed
 	pending  atomic.Bool
 	stopped  bool
 	group    *kernel.Group
@@ -85,6 +83,10 @@
 	seenAt   time.Time
 	probedAt time.Time
 	unlisted unlisted
+	// late is the group of the last order to join that got no answer, and
+	// lateUntil is until when that may be carried out.
+	late      string
+	lateUntil time.Time
 }
 
 // arrival follows how the endpoints of a zone register at the start.
@@ -94,53 +96,11 @@
 	changed time.Time
 }
 
-// formed is what is known of a group that this manager formed.
-type formed struct {
-	at time.Time
-	// doubtUntil is until when an order to open it may still be carried out.
-	doubtUntil time.Time
-}
-
-// openDoubt reports whether a group's head may yet open. Of groups that an
-// earlier holder formed nothing is known.
-func (m *Manager) openDoubt(now time.Time, group string) bool {
-	f, own := m.formed[group]
-	return !own || now.Before(f.doubtUntil)
-}
-
-// own reports whether this manager formed a group.
-func (m *Manager) own(group string) bool {
-	_, own := m.formed[group]
-	return own
-}
-
-// forget drops what is known of groups that are long gone.
-func (m *Manager) forget(now time.Time) {
-	for name, f := range m.formed {
-		if _, known := m.heads[name]; !known && now.Sub(f.at) > notesFor {
-			delete(m.formed, name)
-		}
-	}
-	for name, h := range m.heads {
-		if now.Sub(h.seenAt) > notesFor {
-			delete(m.heads, name)
-		}
-	}
-}
-
-// headNote is what is known of a group's head.
-type headNote struct {
-	endpoint *fleet.Endpoint
-	gone     bool
-	askedAt  time.Time
-	seenAt   time.Time
-}
-
 // NewManager returns a manager that has seen nothing.
 func NewManager(options Options) *Manager {
 	return &Manager{
-		Options: options, notes: map[string]*note{}, heads: map[string]*headNote{},
-		loads: map[string]*loadBudget{}, arrivals: map[string]*arrival{}, formed: map[string]formed{}, sending: map[string]bool{}, probing: map[string]bool{},
+		Options: options, notes: map[string]*note{}, groups: map[string]*groupNote{},
+		loads: map[string]*loadBudget{}, arrivals: map[string]*arrival{}, sending: map[string]bool{}, probing: map[string]bool{},
 	}
 }
 
@@ -179,6 +139,10 @@
 			delete(m.loads, zone)
 			continue
 		}
+		if !m.caughtUp(zone) {
+			pending = true
+			continue
+		}
 		for name, service := range config.Services {
 			if service.Engine == nil {
 				continue
@@ -189,11 +153,19 @@
 	m.pending.Store(pending)
 }
 
+// caughtUp reports whether this node has read the endpoints' entries as they
+// were when it took a zone's lease.
+//
+// Guard: the last holder opens a group on its members' entries and may stop
+// right after. Who takes the lease with an older copy of the entries sees the
+// members without a group and joins them to others while they serve.
+func (m *Manager) caughtUp(zone string) bool { return m.Book.Read() >= m.HeldFrom(zone) }
+
 // planZone plans one zone's groups and sends the orders. It reports whether
 // something is under way.
 func (m *Manager) planZone(ctx context.Context, now time.Time, zone string, service fleet.Service, endpoints []*fleet.Endpoint) bool {
 	engine := service.Engine
-	z := &Zone{Own: m.own, OpenDoubt: func(group string) bool { return m.openDoubt(now, group) }, Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, HeadGone: map[string]bool{}, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
+	z := &Zone{Past: m.past, Moves: func(id string) bool { return m.Moves(now, id) }, Engine: engine, Fresh: m.Settings().FirstStart && !m.Begun(), NextEpoch: m.nextEpoch}
 	pending := false
 	for _, e := range endpoints {
 		if e.Zone != zone {
@@ -210,7 +182,6 @@
 	}
 	m.addUnlisted(ctx, now, z, zone, service.Name, service.HealthPath)
 	m.markFree(now, z.Workers)
-	m.askHeads(ctx, now, z)
 	budget := m.budgetOf(zone, engine)
 	z.Loads = budget.left(now)
 	steps := z.Plan(now)
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -25,21 +25,29 @@
 	moving  map[string]bool
 	fresh   bool
 	version int64 // of the store when it took the lease
+	// heldFrom is the version from which the entries must have been read.
+	heldFrom int64
 }
 
 func manage(f *farm, fresh bool) *node {
 	f.leases++
 	n := &node{version: f.leases, holds: true, fresh: fresh, moving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
-	settings := fleet.Settings{Zone: "z", Zones: []string{"z"}, FirstStart: fresh, Bounds: fleet.Bounds{
+	n.start(f.book, f)
+	return n
+}
+
+// start lets a node form groups by its copy of the entries and its way to the
+// endpoints.
+func (n *node) start(book *directory.Book, orderer fleet.Orderer) {
+	settings := fleet.Settings{Zone: "z", Zones: []string{"z"}, FirstStart: n.fresh, Bounds: fleet.Bounds{
 		Stall: 4 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1.1,
 	}}
 	n.manager = formation.NewManager(formation.Options{
-		Settings: func() fleet.Settings { return settings }, Book: f.book, Orderer: f,
+		Settings: func() fleet.Settings { return settings }, Book: book, Orderer: orderer, HeldFrom: func(string) int64 { return n.heldFrom },
 		Holds: func(string) bool { return n.holds }, Version: func() int64 { return n.version },
 		Begun: func() bool { return n.begun }, Moves: func(_ time.Time, id string) bool { return n.moving[id] },
 	})
 	n.manager.Start(n.group)
-	return n
 }
 
 func (n *node) stop(t *testing.T) {
@@ -241,29 +249,33 @@
 }
 
 // The head of a group is silent, and nobody knows whether it still serves. Its
-// members must not join other groups before it has noticed that it is alone.
-func TestMembersOfASilentHeadWait(t *testing.T) {
+// members are told to leave, and some of the orders never arrive. A member that
+// was joined to another group before it said itself that it left would be in
+// two groups at once, however long ago the head fell silent.
+func TestMembersOfASilentHeadJoinOnlyOnceTheyLeft(t *testing.T) {
 	play(t, func(t *testing.T, f *farm, _ *node) {
 		w := f.whole("large")[0]
+		group, stays := w.Member.Group, w.members[1:3]
 		f.mu.Lock()
 		w.dark = true // alive and open, but not to be reached
+		for _, id := range stays {
+			f.workers[id].ignores = fleet.OrderLeave
+		}
 		f.mu.Unlock()
 		f.hide(w.ID, 3600*time.Millisecond)
-		var leftAt time.Time
-		for range 200 {
+		for range 400 {
 			time.Sleep(50 * time.Millisecond)
 			f.mu.Lock()
-			member := f.workers[w.members[1]].Member
-			f.mu.Unlock()
-			if leftAt.IsZero() && member.Group == "" {
-				leftAt = time.Now()
-			}
-			if !leftAt.IsZero() && member.Group != "" {
-				require.GreaterOrEqual(t, time.Since(leftAt), 4*time.Second)
-				return
+			for _, id := range stays {
+				require.Equal(t, group, f.workers[id].Member.Group)
 			}
+			require.Equal(t, fleet.Open, w.Member.State)
+			require.Empty(t, f.broken)
+			f.mu.Unlock()
 		}
-		require.False(t, leftAt.IsZero())
+		f.mu.Lock()
+		require.NotEqual(t, group, f.workers[w.members[3]].Member.Group, "who left is of use again")
+		f.mu.Unlock()
 	})
 }
 
--- a/formation/muted_test.go
+++ b/formation/muted_test.go
@@ -48,9 +48,9 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			zone := &formation.Zone{
-				Engine: farmEngine(), Workers: joiningGroup(now, c.shown), HeadGone: map[string]bool{},
-				Moves: func(string) bool { return false }, Own: func(string) bool { return true },
-				OpenDoubt: func(string) bool { return false }, NextEpoch: func() int64 { return 10 },
+				Engine: farmEngine(), Workers: joiningGroup(now, c.shown),
+				Moves: func(string) bool { return false }, Past: func(string) formation.Past { return formation.Past{Own: true} },
+				NextEpoch: func() int64 { return 10 },
 			}
 			var members []string
 			for _, step := range zone.Plan(now) {
--- a/formation/notes.go
+++ b/formation/notes.go
@@ -11,6 +11,9 @@
 	n, ok := m.notes[e.ID]
 	if !ok || n.born != e.Born {
 		// A process that starts again under its id knows nothing of before.
+		if ok && e.Born > n.born {
+			m.noteWord(now, n.shown, fleet.Membership{})
+		}
 		n = &note{born: e.Born, worker: Worker{OrderedAt: map[fleet.OrderKind]time.Time{}}}
 		m.notes[e.ID] = n
 	}
@@ -36,7 +39,11 @@
 	w := &n.worker
 	e := w.Endpoint
 	if e.Member != n.shown {
-		n.shown = e.Member
+		m.noteWord(now, n.shown, e.Member)
+		if e.Member.Group == "" {
+			n.holdFor(n.shown.Group)
+		}
+		n.shown, w.ShownAt = e.Member, now
 		if e.Member.Epoch >= n.overlay.Epoch {
 			n.overlaid = time.Time{}
 		}
@@ -53,22 +60,18 @@
 	if model != "" && e.Member.State != fleet.Joining {
 		w.LastModel = model
 	}
-	if e.Member.Rank == 0 && e.Member.Group != "" && !w.Unlisted && member.Group == e.Member.Group {
-		m.noteHead(now, e)
+	if g, known := m.groups[e.Member.Group]; known {
+		g.seenAt = now
 	}
 }
 
-// noteHead notes which endpoint heads a group. What was found out of its
-// process stays as long as it is the same.
+// holdFor keeps an endpoint that left a group from joining another one while an
+// order to join the old one may be on its way.
 //
-// Guard: the entry of a process that has ended stays for 3.6 s. If it undid
-// what the process's address told, the group's other members would wait for
-// 4.5 s as for a silent head, and the address would be asked ten times a second.
-func (m *Manager) noteHead(now time.Time, e *fleet.Endpoint) {
-	h, known := m.heads[e.Member.Group]
-	if !known || h.endpoint.ID != e.ID || h.endpoint.Born != e.Born {
-		h = &headNote{}
-		m.heads[e.Member.Group] = h
+// Guard: an order that got no answer may be carried out late, and puts the
+// endpoint back into the group that it left, whose head may still be open.
+func (n *note) holdFor(group string) {
+	if group != "" && n.late == group {
+		n.worker.RejoinUntil = n.lateUntil
 	}
-	h.endpoint, h.seenAt = e, now
 }
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -19,20 +19,19 @@
 	}
 	m.sending[id] = true
 	n := m.notes[id]
-	m.logTaken(now, n, s)
+	from, before := n.worker.Member, m.past(s.Order.Group)
 	n.worker.OrderedAt[s.Order.Kind] = now
+	m.notePast(now, from, s.Order)
 	m.overlay(now, n, s)
-	if s.Order.Kind == fleet.OrderJoin {
-		m.formed[s.Order.Group] = formed{at: now}
-	}
 	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
-		"members", s.Order.Members, "entry", s.Endpoint.Revision, "loads", s.Loads)
+		"members", s.Order.Members, "entry", s.Endpoint.Revision, "loads", s.Loads, "from", from.Group, "proof", s.Proof)
 	m.group.Go("order", func(context.Context) error {
 		if s.Order.Kind == fleet.OrderOpen && !m.confirmReady(ctx, s) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			delete(m.sending, id)
 			n.overlaid = time.Time{}
+			m.noteOpened(time.Now(), s.Order.Group, before, fleet.Refused)
 			return nil
 		}
 		outcome, err := m.Orderer.Order(ctx, s.Endpoint, s.Order)
@@ -43,31 +42,32 @@
 			klog.InfoS("order_failed", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch,
 				"outcome", outcome, "err", err)
 		}
-		if (outcome == fleet.Begun || outcome == fleet.Done) && s.Order.Kind == fleet.OrderLeave {
-			m.left(time.Now(), n, s)
-		}
-		if s.Order.Kind == fleet.OrderOpen {
-			m.noteOpen(time.Now(), s.Order.Group, outcome)
-		}
+		m.noteOutcome(time.Now(), n, s.Order, from, before, outcome)
 		m.noteUnchanged(time.Now(), n, s.Order.Kind, outcome)
-		if redwinghall.KindOf[platform.Kind](err) == platform.Ended {
+		if redwinghall.KindOf[platform.Kind](err) == platform.Absent {
 			n.suspect = time.Now().Add(suspectFor)
-			n.unlisted.ended = !n.unlisted.since.IsZero()
+			n.unlisted.absent = !n.unlisted.since.IsZero()
 		}
 		return nil
 	})
 }
 
-// logTaken tells what is known of the group that a VM is joined away from.
-func (m *Manager) logTaken(now time.Time, n *note, s Step) {
-	from := n.worker.Member
-	h, known := m.heads[from.Group]
-	if s.Order.Kind != fleet.OrderJoin || from.Group == s.Order.Group || !known {
-		return
+// noteOutcome takes in what came of an order for the groups. from is the
+// endpoint's membership, and before its group's past, when the order was given.
+func (m *Manager) noteOutcome(now time.Time, n *note, order fleet.Order, from fleet.Membership, before Past, outcome fleet.Outcome) {
+	switch order.Kind {
+	case fleet.OrderLeave:
+		if outcome == fleet.Begun || outcome == fleet.Done {
+			m.left(now, n, from)
+		}
+	case fleet.OrderJoin:
+		if outcome == fleet.Unanswered {
+			n.late, n.lateUntil = order.Group, now.Add(lateOrders)
+		}
+	case fleet.OrderOpen:
+		m.noteOpened(now, order.Group, before, outcome)
+	case fleet.OrderClose, fleet.OrderStage:
 	}
-	klog.InfoS("taken_from_group", "endpoint", s.Endpoint.ID, "group", from.Group, "state", from.State, "head", h.endpoint.ID,
-		"head_state", h.endpoint.Member.State, "head_gone", h.gone, "head_moves", m.Moves(now, h.endpoint.ID),
-		"seen_ago", now.Sub(h.seenAt), "own", m.own(from.Group), "open_doubt", m.openDoubt(now, from.Group))
 }
 
 // noteUnchanged takes in that an order changed nothing: the entry already tells
@@ -86,19 +86,6 @@
 	}
 }
 
-// noteOpen notes until when an order to open may still take effect.
-func (m *Manager) noteOpen(now time.Time, group string, outcome fleet.Outcome) {
-	lasts := openSettle
-	if outcome == fleet.Unanswered {
-		lasts = lateOrders
-	}
-	f := m.formed[group]
-	if until := now.Add(lasts); until.After(f.doubtUntil) && outcome != fleet.Refused {
-		f.doubtUntil = until
-	}
-	m.formed[group] = f
-}
-
 // confirmReady asks all members of a group whether they are ready in it.
 //
 // Guard: entries may be seconds old. A member that crashed and came back looks
@@ -136,14 +123,12 @@
 	}
 }
 
-// left notes that an endpoint left its group.
-func (m *Manager) left(now time.Time, n *note, s Step) {
+// left notes that an endpoint answered that it left its group.
+func (m *Manager) left(now time.Time, n *note, from fleet.Membership) {
 	n.overlay, n.overlaid = fleet.Membership{}, now
-	if s.Hold {
-		n.worker.HeldUntil = now.Add(m.Settings().Bounds.Stall + holdMargin)
-	}
-	if h, ok := m.heads[s.Order.Group]; ok && h.endpoint.ID == s.Endpoint.ID {
-		h.gone = true
+	n.holdFor(from.Group)
+	if headed(from) {
+		m.groupOf(now, from.Group).HeadLeft = true
 	}
 }
 
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -55,9 +55,8 @@
 	Loads bool
 	// Members are, of an order to open, all members of the group.
 	Members []*fleet.Endpoint
-	// Hold says that the VM must wait, after it left, until the group's head
-	// has noticed.
-	Hold bool
+	// Proof is, of an order to join, why the VM may join another group.
+	Proof Proof
 }
 
 // Zone is what a plan is made from.
@@ -66,13 +65,8 @@
 	Workers []*Worker
 	// Moves reports whether a head's streams advance.
 	Moves func(endpointID string) bool
-	// Own reports whether this holder formed a group.
-	Own func(group string) bool
-	// OpenDoubt holds the groups whose head may yet open, by an order that was
-	// not answered or that an earlier holder gave.
-	OpenDoubt func(group string) bool
-	// HeadGone holds the groups whose head's process is known to have ended.
-	HeadGone map[string]bool
+	// Past returns what this holder knows of a group beside its members' words.
+	Past func(group string) Past
 	// Fresh says that no request has come yet: loads are quick and free.
 	Fresh bool
 	// Loads is how many loads from the weight store may start now.
@@ -92,8 +86,8 @@
 		p.reconcile(g)
 	}
 	for _, w := range z.Workers {
-		if w.Member.Group == "" && w.usable() && !now.Before(w.HeldUntil) {
-			p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
+		if w.Member.Group == "" && w.usable() {
+			p.setFree(w, Standing{})
 		}
 	}
 	p.replace()
@@ -126,12 +120,16 @@
 	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why})
 }
 
-func (p *planner) giveHeld(w *Worker, order fleet.Order, why string) {
-	before := len(p.steps)
-	p.give(w, order, why)
-	for i := before; i < len(p.steps); i++ {
-		p.steps[i].Hold = true
+// setFree lets a worker join another group if that is proven to be safe, and
+// reports whether it is. Nothing else makes workers free.
+func (p *planner) setFree(w *Worker, s Standing) bool {
+	s.Member, s.RejoinUntil = w.Member, w.RejoinUntil
+	w.proof = s.Proof(p.now)
+	if w.proof == Unproven {
+		return false
 	}
+	p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
+	return true
 }
 
 // replace closes the groups with a leaving or slow member once a replacement is there,
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -5,9 +5,6 @@
 	"time"
 
 	"k8s.io/klog/v2"
-
-	"redwinghall"
-	"redwinghall/platform"
 )
 
 // Stalled tells the manager that little or nothing moves in the group of an
@@ -50,9 +47,6 @@
 		}
 		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
 		n.suspect = now.Add(suspectFor)
-		if h, ok := m.heads[n.worker.Member.Group]; ok && h.endpoint.ID == endpoint.ID {
-			h.gone = redwinghall.KindOf[platform.Kind](err) == platform.Ended
-		}
 		return nil
 	})
 }
--- /dev/null
+++ b/formation/proof_test.go
@@ -0,0 +1,50 @@
+package formation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/fleet"
+	"redwinghall/formation"
+)
+
+// Callers wait on a head whose members were joined elsewhere. What seems to
+// prove that a head serves no longer is often older than an order that makes it
+// serve, or is no word of the head at all.
+func TestWhatProvesThatAVMMayJoin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before, after := now.Add(-10*time.Second), now.Add(-time.Second)
+	in := fleet.Membership{Group: "g", Epoch: 7, Rank: 1, State: fleet.Ready}
+	head := func(state fleet.GroupState) fleet.Membership {
+		return fleet.Membership{Group: "g", Epoch: 7, State: state}
+	}
+	told := formation.Past{Own: true, Told: true, OpenUntil: now.Add(-5 * time.Second)}
+	for name, c := range map[string]struct {
+		standing formation.Standing
+		proof    formation.Proof
+	}{
+		"belongs to no group":                {formation.Standing{}, formation.ProofNoGroup},
+		"may be put back into one":           {formation.Standing{RejoinUntil: now.Add(time.Second)}, formation.Unproven},
+		"could have been put back":           {formation.Standing{RejoinUntil: now}, formation.ProofNoGroup},
+		"standby":                            {formation.Standing{Member: in, Standby: true}, formation.ProofNeverOpen},
+		"own, never told to open":            {formation.Standing{Member: in, Past: formation.Past{Own: true}}, formation.ProofNeverOpen},
+		"nothing known":                      {formation.Standing{Member: in}, formation.Unproven},
+		"of another holder, head ready":      {formation.Standing{Member: in, Head: head(fleet.Ready), HeadSince: after}, formation.Unproven},
+		"of another holder, head broken":     {formation.Standing{Member: in, Head: head(fleet.Broken), HeadSince: after}, formation.Unproven},
+		"of another holder, head left":       {formation.Standing{Member: in, Past: formation.Past{HeadLeft: true}}, formation.ProofHeadLeft},
+		"head open":                          {formation.Standing{Member: in, Head: head(fleet.Open), HeadSince: after, Past: told}, formation.Unproven},
+		"head closing":                       {formation.Standing{Member: in, Head: head(fleet.Closing), HeadSince: after, Past: told}, formation.Unproven},
+		"head ready since it was opened":     {formation.Standing{Member: in, Head: head(fleet.Ready), HeadSince: after, Past: told}, formation.ProofHeadIdle},
+		"head broken since it was opened":    {formation.Standing{Member: in, Head: head(fleet.Broken), HeadSince: after, Past: told}, formation.ProofHeadIdle},
+		"head ready before it was opened":    {formation.Standing{Member: in, Head: head(fleet.Ready), HeadSince: before, Past: told}, formation.Unproven},
+		"head ready under another epoch":     {formation.Standing{Member: in, Head: fleet.Membership{Group: "g", Epoch: 6, State: fleet.Ready}, HeadSince: after, Past: told}, formation.Unproven},
+		"head unknown, told to open":         {formation.Standing{Member: in, Past: told}, formation.Unproven},
+		"an order to open may be on its way": {formation.Standing{Member: in, Head: head(fleet.Ready), HeadSince: after, Past: formation.Past{Own: true, Told: true, OpenUntil: now}}, formation.Unproven},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.proof, c.standing.Proof(now))
+		})
+	}
+}
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -10,8 +10,8 @@
 	switch {
 	case g.standby:
 		p.release(g)
-	case g.head() == nil || g.head().Suspect || g.head().Silent:
-		p.headless(g)
+	case !g.reached():
+		p.release(g)
 	case g.head().Member.State == fleet.Open && g.head().Unlisted:
 		p.give(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "head_unlisted")
 	case g.head().Member.State == fleet.Open:
@@ -20,7 +20,11 @@
 		p.closing(g)
 	case g.head().Member.State == fleet.Broken || !g.whole() || g.head().Unlisted:
 		p.release(g)
-	case g.ready() && !p.zone.Own(g.name):
+	case p.zone.Past(g.name).Parted:
+		// An order that takes a member away may still be carried out: a group
+		// that opened again would lose it while it serves.
+		p.release(g)
+	case g.ready() && !p.zone.Past(g.name).Own:
 		// An earlier holder's orders may still be carried out, under higher
 		// epochs than this group's. A group of our own outlasts them.
 		p.release(g)
@@ -123,53 +127,40 @@
 	return ids
 }
 
-// headless looks at a group whose head can't be asked.
-//
-// Guard: the head may still serve although its entry lapsed or this node
-// doesn't reach it. If its members joined other groups meanwhile, its callers
-// would wait on a group that stands still. Unless the head's process is known
-// to have ended, the members leave first and are held until the head has
-// noticed.
-func (p *planner) headless(g *group) {
-	if p.zone.HeadGone[g.name] || neverOpened(g) {
-		p.release(g)
-		return
-	}
-	for _, w := range g.byRank {
-		if w.usable() {
-			p.giveHeld(w, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "head_unreachable")
-		}
-	}
-}
-
-// neverOpened reports whether a member has not even joined yet: then no head
-// was told to open.
-func neverOpened(g *group) bool {
-	for _, w := range g.byRank {
-		if w.Member.State == fleet.Joining {
-			return true
-		}
-	}
-	return false
-}
-
-// release sets the members of a group free that serves nobody.
+// release takes a group apart that serves nobody, or whose head can't be
+// reached. Members that are proven to be free may join another one; the others
+// are told to leave, and are free once they have said that they did.
 //
 // Guard: an order to open that got no answer may be carried out seconds later.
 // If the members had joined other groups by then, the head would accept
-// requests that nobody works on. While that may happen, the head leaves first.
+// requests that nobody works on. So the head leaves first where it is reached:
+// its word frees all others at once.
 func (p *planner) release(g *group) {
-	if head := g.head(); !g.standby && head != nil && !head.Suspect && !head.Silent && p.zone.OpenDoubt(g.name) {
-		p.give(head, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "may_open_late")
+	standing := g.standing(p.zone)
+	if p.ended(g, standing) || !g.reached() {
+		p.releaseMembers(g, standing)
 		return
 	}
+	p.give(g.head(), fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "may_open_late")
+}
+
+func (p *planner) releaseMembers(g *group, standing Standing) {
 	for _, w := range g.byRank {
-		if !w.usable() || p.now.Before(w.HeldUntil) {
+		if !w.usable() {
+			continue
+		}
+		if !p.setFree(w, standing) {
+			p.give(w, fleet.Order{Kind: fleet.OrderLeave, Group: g.name, Epoch: g.epoch}, "head_unreachable")
 			continue
 		}
 		if g.standby && w.Member.State == fleet.Joining && p.now.Sub(w.ChangedAt) < 2*g.model.Load+stuckJoining {
 			w.loading = g.model.Name
 		}
-		p.free[w.Endpoint.Domain] = append(p.free[w.Endpoint.Domain], w)
 	}
 }
+
+// ended reports whether a group is proven to serve no longer.
+func (p *planner) ended(g *group, standing Standing) bool {
+	standing.Member = fleet.Membership{Group: g.name, Epoch: g.epoch}
+	return standing.Proof(p.now) != Unproven
+}
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -78,5 +78,5 @@
 	order := fleet.Order{
 		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, model.Name, epoch), Epoch: epoch, Model: model.Name, Members: []string{w.Endpoint.ID},
 	}
-	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why, Loads: loads})
+	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why, Loads: loads, Proof: w.proof})
 }
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -38,7 +38,8 @@
 	askedAt  time.Time
 	answered time.Time
 	fails    int
-	ended    bool
+	// absent says that nobody answers for it at its address: it isn't asked again.
+	absent bool
 }
 
 // addUnlisted adds the workers of a zone and service whose entry is missing
@@ -46,7 +47,8 @@
 //
 // Guard: another process may stand at the address of one that ended, and
 // answers when the old one is asked. It would count twice, under both ids. So
-// an endpoint whose address another entry has is gone.
+// an endpoint whose address another entry has counts no longer. That its own
+// group has ended isn't concluded from it.
 func (m *Manager) addUnlisted(ctx context.Context, now time.Time, z *Zone, zone, service, healthPath string) {
 	taken := m.addresses()
 	for id, n := range m.notes {
@@ -63,8 +65,8 @@
 			*u = unlisted{since: now}
 			klog.InfoS("entry_missing", "endpoint", id, "group", n.worker.Member.Group, "entry", e.Revision)
 		}
-		u.ended = u.ended || taken[e.Address]
-		if u.ended || now.Sub(u.since) > unlistedFor {
+		u.absent = u.absent || taken[e.Address]
+		if u.absent || now.Sub(u.since) > unlistedFor {
 			continue
 		}
 		m.askUnlisted(ctx, now, n, healthPath)
@@ -128,11 +130,8 @@
 	}
 	if err != nil {
 		u.fails++
-		u.ended = redwinghall.KindOf[platform.Kind](err) == platform.Ended || u.fails >= unlistedGone
-		if h, ok := m.heads[n.worker.Member.Group]; ok && h.endpoint.ID == n.worker.Endpoint.ID {
-			h.gone = h.gone || u.ended
-		}
-		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "ended", u.ended, "err", err)
+		u.absent = redwinghall.KindOf[platform.Kind](err) == platform.Absent || u.fails >= unlistedGone
+		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "absent", u.absent, "err", err)
 		return
 	}
 	u.fails, u.answered = 0, now
--- a/formation/worker.go
+++ b/formation/worker.go
@@ -15,16 +15,19 @@
 	LastModel string
 	// Suspect says that it didn't answer when it was asked.
 	Suspect bool
-	// HeldUntil is set where it left a group whose head may still be open.
-	HeldUntil time.Time
+	// RejoinUntil is until when an order that got no answer may put it back into
+	// a group that it left.
+	RejoinUntil time.Time
 	// OrderedAt is when it was last given an order of a kind.
 	OrderedAt map[fleet.OrderKind]time.Time
 	// DrainingSince is when its entry first said that it leaves.
 	DrainingSince time.Time
 	// FreeSince is when it was first seen without a group that serves.
 	FreeSince time.Time
-	// ChangedAt is when its membership last changed.
+	// ChangedAt is when its membership last changed, and ShownAt when its own
+	// word of it last did.
 	ChangedAt time.Time
+	ShownAt   time.Time
 	// Slow says that it works slower than it should.
 	Slow bool
 	// Unlisted says that its entry is missing but it answers: it can be a
@@ -37,6 +40,7 @@
 	Mute time.Time
 
 	loading string // the model that it takes in as a standby
+	proof   Proof  // why it may join another group
 }
 
 func (w *Worker) usable() bool {
--- a/members/members.go
+++ b/members/members.go
@@ -72,6 +72,13 @@
 	since   time.Time // when this version was first read
 }
 
+// tenure is a lease that this node has: until when, and since which version of
+// the store.
+type tenure struct {
+	until time.Time
+	from  int64
+}
+
 // Table is this node's part of the members' table.
 type Table struct {
 	config Config
@@ -93,8 +100,8 @@
 	stopped   bool
 	// version is the newest version of the store that this node knows.
 	version atomic.Int64
-	// held are the zones whose lease this node has, with the ends of the leases.
-	held    atomic.Pointer[map[string]time.Time]
+	// held are the zones whose lease this node has.
+	held    atomic.Pointer[map[string]tenure]
 	holders atomic.Pointer[map[string]string] // names, by zone
 }
 
@@ -110,7 +117,7 @@
 		})
 	}
 	t.nodes.Store(&[]Node{config.Self})
-	t.held.Store(&map[string]time.Time{})
+	t.held.Store(&map[string]tenure{})
 	t.holders.Store(&map[string]string{})
 	return t
 }
@@ -120,10 +127,13 @@
 
 // Holds reports whether this node may form groups in a zone at a boot time.
 func (t *Table) Holds(zone string, boot time.Time) bool {
-	until, ok := (*t.held.Load())[zone]
-	return ok && boot.Before(until)
+	held, ok := (*t.held.Load())[zone]
+	return ok && boot.Before(held.until)
 }
 
+// HeldFrom returns the version of the store at which this node took a zone's lease.
+func (t *Table) HeldFrom(zone string) int64 { return (*t.held.Load())[zone].from }
+
 // Holder returns the node that holds a zone's lease, as far as known.
 func (t *Table) Holder(zone string) (Node, bool) {
 	name := (*t.holders.Load())[zone]
@@ -280,14 +290,15 @@
 
 func (t *Table) publishHeld() {
 	if t.stopped {
-		t.held.Store(&map[string]time.Time{})
+		t.held.Store(&map[string]tenure{})
 		return
 	}
-	held, holders := map[string]time.Time{}, map[string]string{}
+	held, holders := map[string]tenure{}, map[string]string{}
 	for zone, state := range t.leases {
 		holders[zone] = state.Holder()
 		if state.Holder() == t.config.Self.Name && !state.HeldUntil().IsZero() {
-			held[zone] = state.HeldUntil()
+			// The fence changes only when a lease is taken.
+			held[zone] = tenure{until: state.HeldUntil(), from: state.FenceVersion()}
 		}
 	}
 	t.held.Store(&held)
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -146,6 +146,23 @@
 	require.NotEqual(t, old, f.holders("a")[0])
 }
 
+// A new holder reads the endpoints' entries up to the moment in which it took the
+// lease. That moment is the taking, not a later renewal: it would wait for ever.
+func TestHeldFromTheTakingOfTheLease(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+	f.run(3 * time.Second)
+	old := f.holders("a")[0]
+	from := f.nodes[old].HeldFrom("a")
+	require.Positive(t, from)
+	f.run(20 * time.Second)
+	require.Equal(t, []string{old}, f.holders("a"))
+	require.Equal(t, from, f.nodes[old].HeldFrom("a"))
+	f.dead[old] = true
+	written := f.store.version
+	f.run(6 * time.Second)
+	require.Greater(t, f.nodes[f.holders("a")[0]].HeldFrom("a"), written)
+}
+
 // A process that starts again under its name takes its own lease back at
 // once: the earlier process is surely gone.
 func TestHolderStartsAgain(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -81,9 +81,10 @@
 	}, n.source)
 	n.manager = formation.NewManager(formation.Options{
 		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
-		Holds: func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
-		Begun: func() bool { return n.gateway.Served() > 0 },
-		Moves: n.tracker.Moves,
+		Holds:    func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
+		HeldFrom: n.table.HeldFrom,
+		Begun:    func() bool { return n.gateway.Served() > 0 },
+		Moves:    n.tracker.Moves,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
