Test joining under random trouble, and hand the lease over at each step of a group's life

Each node has its own copy of the entries; one that holds no lease lags 0.8 s more. TestLeaseChangesHandsAtEachStep hands the lease over in four ways at 24 moments of a group's life, with six fates of a head.

The wait for an order that may put a VM back is tested as a pure decision only.

--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -125,7 +125,7 @@
 	f.version++
 	version := f.version
 	for _, c := range f.copies {
-		if due := time.Now().Add(f.lag); due.After(c.due) {
+		if due := time.Now().Add(f.lag + c.behind); due.After(c.due) {
 			c.due = due
 		}
 		time.AfterFunc(time.Until(c.due), func() {
@@ -139,21 +139,23 @@
 type follower struct {
 	book *directory.Book
 	due  time.Time // of the last change that is on its way
+	// behind is how much later than a holder the node reads.
+	behind time.Duration
 }
 
 // follow returns a copy of the entries as they are now, that follows them.
-func (f *farm) follow() *directory.Book {
+func (f *farm) follow(behind time.Duration) *follower {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	c := &follower{book: directory.NewBook()}
+	c := &follower{book: directory.NewBook(), behind: behind}
 	c.book.Apply(now, directory.Change{Config: f.book.View().Config()})
 	for _, e := range f.stored {
 		c.book.Apply(now, directory.Change{Endpoint: e})
 	}
 	c.book.NoteRead(f.version)
 	f.copies = append(f.copies, c)
-	return c.book
+	return c
 }
 
 // hide takes a worker's entry away, as the store does after three heartbeats.
