--- a/caller/server.go
+++ b/caller/server.go
@@ -72,7 +72,7 @@
 	calls   *kernel.Group // service calls that may outlive their caller
 
 	inProgress atomic.Int64
-	sent       atomic.Int64 // attempts at calls that may not be repeated
+	sent       atomic.Int64              // attempts at calls that may not be repeated
 	drainEnd   atomic.Pointer[time.Time] // nil unless the router drains
 }
 
