Look for the last request and close the idle connections in one step; plainer names of the stop

A request that came between the last look at running requests and the closing of idle connections was cut with the process. No other logic changes.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -63,7 +63,7 @@
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
 	call := &plainCall{g: g, r: r, tried: map[string]bool{}}
 	if !call.fits(time.Now()) {
-		g.refuse(w, r, nodeStops(g.callTimes.longest(r.Route.Name)))
+		g.refuse(w, r, stopRefusal(g.callTimes.longest(r.Route.Name)))
 		return
 	}
 	defer call.noteTime()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,18 +9,18 @@
 // still taken. The zero value is a node that isn't stopping.
 type Stop struct {
 	Begun time.Time
-	// Noticed is from when on callers that look for a node find another one.
+	// Noticed is when the balancer has noticed the stop, and sends new connections
+	// to other nodes as long as enough of them are ready.
 	Noticed time.Time
 	// End is when the process ends, and what still runs is cut.
 	End time.Time
 }
 
-// Under reports whether the node is stopping.
-func (s Stop) Under() bool { return !s.End.IsZero() }
+// Active reports whether the node is stopping.
+func (s Stop) Active() bool { return !s.End.IsZero() }
 
-// What a request must be expected to leave of the node's time, as a part of the
-// time that it is expected to take: answers take longer where prompts of others
-// are read meanwhile.
+// How much more time than a request is expected to take the node must have, as a
+// part of that: answers take longer where prompts of others are read meanwhile.
 const (
 	// noticedReserve holds once callers can find another node.
 	noticedReserve = 0.6
@@ -39,7 +39,7 @@
 // end. What is taken here either ends in time by its own deadline, or is
 // expected to, by the longest answer that it may get.
 func (s Stop) Takes(now time.Time, expected time.Duration, deadline time.Time) bool {
-	if !s.Under() || !deadline.After(s.End) {
+	if !s.Active() || !deadline.After(s.End) {
 		return true
 	}
 	if expected <= 0 {
@@ -55,8 +55,8 @@
 // retryElsewhere is when a caller may ask another node: at once.
 const retryElsewhere = 20 * time.Millisecond
 
-// nodeStops refuses a request that this node has no time for.
-func nodeStops(expected time.Duration) refusal {
+// stopRefusal refuses a request that this node has no time for.
+func stopRefusal(expected time.Duration) refusal {
 	return refusal{status: http.StatusServiceUnavailable, reason: "node_stops", retryAfter: retryElsewhere, predicted: expected}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,7 +65,7 @@
 		}
 		if !call.begun && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
 			choice.Visit.Withdraw()
-			call.refuse(nodeStops(choice.Expected))
+			call.refuse(stopRefusal(choice.Expected))
 			return
 		}
 		last := call.once(ctx, choice)
--- a/node/connections.go
+++ b/node/connections.go
@@ -23,14 +23,15 @@
 type connections struct {
 	mu  sync.Mutex
 	all map[net.Conn]*connection
-	// ending says that the answer that runs is the last one on each connection.
+	// ending says that each connection is closed behind the answer that runs on
+	// it; a planned stop sets it.
 	ending bool
 }
 
 type connection struct {
 	busy   bool
 	since  time.Time // of being idle
-	closed bool
+	closed bool      // marked by this node, which closes it or has done so
 
 	opened  time.Time
 	taken   int    // requests so far
@@ -38,7 +39,7 @@
 	takenAt time.Time
 }
 
-// kind says for logs whether a request came on a new or a kept connection.
+// kind says for logs whether its last request came on a new or a kept connection.
 func (c *connection) kind() string {
 	if c.taken > 1 {
 		return "kept"
@@ -62,18 +63,19 @@
 
 // note is a server's ConnState hook.
 func (c *connections) note(conn net.Conn, change http.ConnState) {
-	if c.noteState(conn, change, time.Now()) {
+	if c.endsWith(conn, change, time.Now()) {
 		closeConnection(conn)
 	}
 }
 
-// noteState reports whether the connection must be closed now.
+// endsWith notes a change of a connection's state, and reports whether the
+// connection must be closed now.
 //
 // Guard: the headers of an answer that began before the stop don't say that
 // its connection ends, and its caller sends the next request on it as soon as
 // it has the answer. So the connection is closed right behind the answer, and
 // not at some later look at idle connections.
-func (c *connections) noteState(conn net.Conn, change http.ConnState, now time.Time) (ends bool) {
+func (c *connections) endsWith(conn net.Conn, change http.ConnState, now time.Time) (ends bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state, ok := c.all[conn]
@@ -125,8 +127,8 @@
 			"open_for", now.Sub(state.opened), "idle_since", now.Sub(state.since))
 		return false
 	}
-	if stop.Under() {
-		klog.InfoS("taken_while_stopping", "request", state.request, "connection", state.kind(),
+	if stop.Active() {
+		klog.InfoS("request_while_stopping", "request", state.request, "connection", state.kind(),
 			"stopping_for", now.Sub(stop.Begun), "left", stop.End.Sub(now))
 	}
 	return true
@@ -147,22 +149,47 @@
 // counts as idle.
 const firstRequestTime = 200 * time.Millisecond
 
-// working returns how many connections have a request that runs, or have just
+// working reports whether a connection has a request that runs, or has just
 // been opened for one.
-func (c *connections) working(now time.Time) (n int) {
+func (c *connections) working(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.workingLocked(now)
+}
+
+func (c *connections) workingLocked(now time.Time) bool {
 	for _, state := range c.all {
 		if state.busy || (state.taken == 0 && now.Sub(state.opened) < firstRequestTime) {
-			n++
+			return true
 		}
 	}
-	return n
+	return false
+}
+
+// closeUnlessWorking closes all connections if none is working, and reports
+// whether it did. Both are one step, so that no request comes between them.
+func (c *connections) closeUnlessWorking(now time.Time) bool {
+	c.mu.Lock()
+	if c.workingLocked(now) {
+		c.mu.Unlock()
+		return false
+	}
+	idle := c.markIdleLocked(now, 0)
+	c.mu.Unlock()
+	closeConnections(idle)
+	return true
 }
 
 // closeIdle closes the connections that have been idle for longer than limit.
 func (c *connections) closeIdle(now time.Time, limit time.Duration) {
-	for _, conn := range c.markIdle(now, limit) {
+	c.mu.Lock()
+	idle := c.markIdleLocked(now, limit)
+	c.mu.Unlock()
+	closeConnections(idle)
+}
+
+func closeConnections(all []net.Conn) {
+	for _, conn := range all {
 		closeConnection(conn)
 	}
 }
@@ -173,9 +200,7 @@
 	}
 }
 
-func (c *connections) markIdle(now time.Time, limit time.Duration) (idle []net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *connections) markIdleLocked(now time.Time, limit time.Duration) (idle []net.Conn) {
 	for conn, state := range c.all {
 		if state.busy || state.closed || now.Sub(state.since) < limit {
 			continue
--- a/node/last_answer.go
+++ b/node/last_answer.go
@@ -19,7 +19,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (a lastAnswer) WriteHeader(status int) {
-	if a.plannedStop().Under() {
+	if a.plannedStop().Active() {
 		a.Header().Set("Connection", "close")
 	}
 	a.ResponseWriter.WriteHeader(status)
--- a/node/stop.go
+++ b/node/stop.go
@@ -16,9 +16,12 @@
 	// second, and two misses take a node out.
 	noticeTime = 2400 * time.Millisecond
 	// lastMargin is left of the grace for the process to end.
-	lastMargin  = 400 * time.Millisecond
+	lastMargin = 400 * time.Millisecond
+	// leaveBudget bounds how long the store may take over giving the lease up;
+	// without its answer the lease ends by itself.
 	leaveBudget = time.Second
-	stopCheck   = 50 * time.Millisecond
+	// stopCheck is how often a stopping node looks whether a request still runs.
+	stopCheck = 50 * time.Millisecond
 )
 
 // plannedStop returns the stop that is under way, the zero value if there is none.
@@ -36,9 +39,9 @@
 }
 
 // stop ends a node's service without breaking a request off: it becomes not
-// ready, answers what comes until the balancer has noticed, lets each answer be
-// the last on its connection, takes from then on only what it surely finishes,
-// and ends once nothing runs any more.
+// ready, takes from now on only what it expects to finish, lets each answer be
+// the last on its connection, and ends once the balancer has noticed and nothing
+// runs any more.
 func (n *Node) stop(ctx context.Context) {
 	begun := time.Now()
 	n.reload() // the grace counts as it stands in the file now
@@ -51,7 +54,8 @@
 	defer cancel()
 	n.table.Leave(leave)
 	kernel.Sleep(ctx, time.Until(stop.Noticed))
-	n.finish(ctx, stop)
+	for n.conns.working(time.Now()) && untilNextLook(ctx, stop) {
+	}
 	// Guard: a connection that is taken after the last one was seen to end would
 	// be cut with its request. So none is taken any more, and those that were
 	// taken just before have time to be served.
@@ -60,19 +64,14 @@
 	}
 	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(begun))
 	kernel.Sleep(ctx, stopCheck)
-	n.finish(ctx, stop)
-	now := time.Now()
-	n.conns.logCut(now)
-	n.conns.closeIdle(now, 0)
+	// Connections that bring no request stay open until now: each close of one may
+	// cross a request that its caller then believes to be under way.
+	for !n.conns.closeUnlessWorking(time.Now()) && untilNextLook(ctx, stop) {
+	}
+	n.conns.logCut(time.Now())
 }
 
-// finish waits until no request runs. Connections that bring none stay open
-// meanwhile: each close of one may cross a request that its caller then
-// believes to be under way.
-func (n *Node) finish(ctx context.Context, stop gateway.Stop) {
-	for n.conns.working(time.Now()) > 0 && time.Now().Before(stop.End) {
-		if !kernel.Sleep(ctx, stopCheck) {
-			return
-		}
-	}
+// untilNextLook waits a while, and reports false when the stop is over.
+func untilNextLook(ctx context.Context, stop gateway.Stop) bool {
+	return time.Now().Before(stop.End) && kernel.Sleep(ctx, stopCheck)
 }
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -101,7 +101,7 @@
 // balancer does with new ones; the node takes their requests up to its end,
 // however little time it has left, and cuts them when its grace is over.
 // Evidence: nearly all requests that a stop cut had come on kept connections
-// (taken_while_stopping and cut_by_stop in the logs), at the same rate until
+// (request_while_stopping and cut_by_stop in the logs), at the same rate until
 // the node closed what was idle, and right behind an answer even after that.
 func TestStoppingNodeTakesNothingThatItCannotFinish(t *testing.T) {
 	t.Parallel()
