Tell callers that endpoints are full or out of reach, not that there is none

Cause: a search counted what it passed by as if it weren't there. Test and change; the test fails without the change.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -133,7 +133,7 @@
 	}
 	best := look.best
 	if best == nil {
-		return Choice{}, refusalOfNone(look.seen, look.cold)
+		return Choice{}, look.refusal()
 	}
 	if !ask.GoesOn && float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
 		return Choice{}, refusalOfLate(best, ask)
@@ -148,29 +148,32 @@
 	zonesOut map[string]bool
 	weigh    func(time.Time, *State, *fleet.Endpoint) *candidate
 
-	best       *candidate
-	seen, cold int // endpoints that could be reached, and those of them too cold for one more
+	best *candidate
+	// Endpoints that fit but were passed by: in zones without room now, left
+	// alone after failed connections, and too cold for one more.
+	full, backedOff, cold int
 }
 
 // consider weighs the usable ones among the endpoints that are wanted.
 func (l *search) consider(t *Tracker, endpoints []*fleet.Endpoint, wanted func(*fleet.Endpoint) bool) {
 	for _, e := range endpoints {
-		if !wanted(e) || !Usable(&l.ask.Service, e, l.zonesOut) || l.ask.Tried[e.ID] || l.ask.ZonesFull[e.Zone] {
+		if !wanted(e) || !Usable(&l.ask.Service, e, l.zonesOut) || l.ask.Tried[e.ID] {
 			continue
 		}
 		if l.ask.Service.Engine != nil && e.Model() != l.ask.Model.Name {
 			continue
 		}
 		s := t.state(e.ID, l.now)
-		if l.now.Before(s.backoffUntil) {
-			continue
-		}
-		l.seen++
-		if !l.ask.admits(l.now, s, e) {
+		switch {
+		case l.ask.ZonesFull[e.Zone]:
+			l.full++
+		case l.now.Before(s.backoffUntil):
+			l.backedOff++
+		case !l.ask.admits(l.now, s, e):
 			l.cold++
-			continue
+		default:
+			l.best = better(l.best, l.weigh(l.now, s, e))
 		}
-		l.best = better(l.best, l.weigh(l.now, s, e))
 	}
 }
 
@@ -185,14 +188,18 @@
 	return look.best != nil
 }
 
-func refusalOfNone(seen, cold int) *Refusal {
+// refusal says why no endpoint was found. Where some were passed by, their
+// callers may come back soon; where there is none, one has to come first.
+func (l *search) refusal() *Refusal {
 	switch {
-	case seen == 0:
-		return &Refusal{Reason: NoEndpoint, RetryAfter: retryLater}
-	case cold == seen:
+	case l.cold > 0:
 		return &Refusal{Reason: ColdOnly, RetryAfter: retrySoon}
+	case l.full > 0:
+		return &Refusal{Reason: Overloaded, RetryAfter: retrySoon}
+	case l.backedOff > 0:
+		return &Refusal{Reason: Unreachable, RetryAfter: retrySoon}
 	}
-	return &Refusal{Reason: Unreachable, RetryAfter: retrySoon}
+	return &Refusal{Reason: NoEndpoint, RetryAfter: retryLater}
 }
 
 // refusalOfLate refuses a stream that even the best group would serve late.
--- a/balance/plain.go
+++ b/balance/plain.go
@@ -25,7 +25,7 @@
 	look.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
 	best := look.best
 	if best == nil {
-		return Choice{}, refusalOfNone(look.seen, look.cold)
+		return Choice{}, look.refusal()
 	}
 	if !ask.GoesOn && (best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, defaultLatency))) {
 		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -32,7 +32,7 @@
 	look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone && !e.ColdAt(now) })
 	best := look.best
 	if best == nil {
-		return Choice{}, refusalOfNone(look.seen, look.cold)
+		return Choice{}, look.refusal()
 	}
 	if !ask.GoesOn && best.predicted > ask.Objective {
 		return Choice{}, refusalOfLate(best, ask)
--- a/balance/reserve_test.go
+++ b/balance/reserve_test.go
@@ -91,3 +91,30 @@
 	_, none = tracker.Group(start, heads, nil, ask().WithZoneFull("b").WithZoneFull("c"))
 	require.NotNil(t, none)
 }
+
+// A zone has no group of a model, and the other zones have no room. Callers were
+// told that no endpoint exists, and to stay away for longer than where one is
+// merely busy; those who explain it looked for lost groups. Cause: endpoints
+// that were passed by didn't count as endpoints. The same where all were left
+// alone after failed connections.
+func TestRefusalTellsWhyNothingWasFound(t *testing.T) {
+	heads := []*fleet.Endpoint{head("one", "b", "large"), head("two", "c", "large")}
+	refusal := func(tracker *balance.Tracker, heads []*fleet.Endpoint, one balance.Ask) *balance.Refusal {
+		_, none := tracker.Group(start, heads, nil, one)
+		require.NotNil(t, none)
+		return none
+	}
+	full := refusal(balance.NewTracker(), heads, ask().WithZoneFull("b").WithZoneFull("c"))
+	require.Equal(t, balance.Overloaded, full.Reason)
+
+	silent := balance.NewTracker()
+	silent.Unreachable(start, "one")
+	silent.Unreachable(start, "two")
+	unreachable := refusal(silent, heads, ask())
+	require.Equal(t, balance.Unreachable, unreachable.Reason)
+
+	missing := refusal(balance.NewTracker(), nil, ask())
+	require.Equal(t, balance.NoEndpoint, missing.Reason)
+	require.Less(t, full.RetryAfter, missing.RetryAfter)
+	require.Less(t, unreachable.RetryAfter, missing.RetryAfter)
+}
