--- a/balance/choose.go
+++ b/balance/choose.go
@@ -84,6 +84,11 @@
 	Reason     string
 	Predicted  time.Duration
 	RetryAfter time.Duration
+	// Best is the id of the endpoint that would have been chosen, "" if none was
+	// found; Running and Age say what was known of it, as in Choice.
+	Best    string
+	Running int
+	Age     time.Duration
 }
 
 // Reasons of a refusal.
@@ -136,7 +141,7 @@
 		return Choice{}, look.refusal()
 	}
 	if !ask.GoesOn && float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
-		return Choice{}, refusalOfLate(best, ask)
+		return Choice{}, refusalOfLate(now, best, ask)
 	}
 	return t.take(now, best, ask), nil
 }
@@ -203,8 +208,11 @@
 }
 
 // refusalOfLate refuses a stream that even the best group would serve late.
-func refusalOfLate(best *candidate, ask Ask) *Refusal {
-	return &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+func refusalOfLate(now time.Time, best *candidate, ask Ask) *Refusal {
+	return &Refusal{
+		Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective),
+		Best: best.endpoint.ID, Running: best.running, Age: best.state.reportAge(now),
+	}
 }
 
 func retryAfter(wait time.Duration) time.Duration { return min(max(wait, retrySoon), retryLater) }
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -35,7 +35,7 @@
 		return Choice{}, look.refusal()
 	}
 	if !ask.GoesOn && best.predicted > ask.Objective {
-		return Choice{}, refusalOfLate(best, ask)
+		return Choice{}, refusalOfLate(now, best, ask)
 	}
 	best.state.reserved = append(best.state.reserved, reservation{until: now.Add(reserveFor), prompt: ask.Prompt})
 	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now)}, nil
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -63,7 +63,7 @@
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
 	call := &plainCall{g: g, r: r, tried: map[string]bool{}}
 	if !call.fits(time.Now()) {
-		g.refuse(w, r, stopRefusal(g.callTimes.longest(r.Route.Name)))
+		g.refuse(w, r, g.stop().refusal(time.Now(), g.callTimes.longest(r.Route.Name)))
 		return
 	}
 	defer call.noteTime()
@@ -276,7 +276,7 @@
 }
 
 func (g *Gateway) callerGone(r *Request) {
-	klog.InfoS("caller_gone", "request", r.Ask.ID, "route", r.Route.Name, "after", time.Since(r.Arrived))
+	klog.InfoS("caller_gone", "request", r.Ask.ID, "route", r.Route.Name, "after", time.Since(r.Arrived), "node_stopping", g.stop().Active())
 	g.Metrics.CallerGone(r)
 	panic(http.ErrAbortHandler)
 }
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -20,12 +20,23 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
-	// predicted is the time to the first event that decided, if one did.
+	// predicted is the time to the first event that decided, or of a stopping
+	// node to the end of the answer, if one did.
 	predicted time.Duration
+	// best is the endpoint that would have been chosen, "" if there was none;
+	// running and loadAge say what was known of it.
+	best    string
+	running int
+	loadAge time.Duration
+	// nodeLeft is how much time a stopping node has, 0 if it isn't stopping.
+	nodeLeft time.Duration
 }
 
 func ofBalance(r *balance.Refusal) refusal {
-	return refusal{status: http.StatusServiceUnavailable, reason: r.Reason, retryAfter: r.RetryAfter, predicted: r.Predicted}
+	return refusal{
+		status: http.StatusServiceUnavailable, reason: r.Reason, retryAfter: r.RetryAfter, predicted: r.Predicted,
+		best: r.Best, running: r.Running, loadAge: r.Age,
+	}
 }
 
 type refusalBody struct {
@@ -36,7 +47,8 @@
 // refuse answers at once, so that the caller can go elsewhere in its time.
 func (g *Gateway) refuse(w http.ResponseWriter, r *Request, why refusal) {
 	klog.InfoS("refused", "request", r.Ask.ID, "status", why.status, "reason", why.reason, "account", r.account(),
-		"route", routeName(r), "predicted", why.predicted, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
+		"route", routeName(r), "predicted", why.predicted, "objective", objectiveOf(r), "best", why.best, "running", why.running,
+		"load_age", why.loadAge, "node_left", why.nodeLeft, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
 		"configuration", r.version())
 	g.Metrics.Refused(r, why)
 	h := w.Header()
@@ -64,4 +76,11 @@
 	return r.Route.Name
 }
 
+func objectiveOf(r *Request) time.Duration {
+	if r.Route == nil {
+		return 0
+	}
+	return r.Route.Objective
+}
+
 func hash(id string) uint64 { return xxhash.Sum64String(id) }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -55,9 +55,12 @@
 // retryElsewhere is when a caller may ask another node: at once.
 const retryElsewhere = 20 * time.Millisecond
 
-// stopRefusal refuses a request that this node has no time for.
-func stopRefusal(expected time.Duration) refusal {
-	return refusal{status: http.StatusServiceUnavailable, reason: "node_stops", retryAfter: retryElsewhere, predicted: expected}
+// refusal refuses a request that this node has no time for.
+func (s Stop) refusal(now time.Time, expected time.Duration) refusal {
+	return refusal{
+		status: http.StatusServiceUnavailable, reason: "node_stops", retryAfter: retryElsewhere,
+		predicted: expected, nodeLeft: s.End.Sub(now),
+	}
 }
 
 // stop returns the planned stop that is under way.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,9 +63,9 @@
 			call.refuse(ofBalance(none))
 			return
 		}
-		if !call.begun && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
+		if now, stop := time.Now(), g.stop(); !call.begun && !stop.Takes(now, choice.Expected, r.Deadline) {
 			choice.Visit.Withdraw()
-			call.refuse(stopRefusal(choice.Expected))
+			call.refuse(stop.refusal(now, choice.Expected))
 			return
 		}
 		last := call.once(ctx, choice)
@@ -384,7 +384,9 @@
 // answer that ends early must not look complete.
 func (c *streamCall) refuse(why refusal) {
 	if c.begun {
-		klog.InfoS("stream_broken_off", "request", c.r.Ask.ID, "reason", why.reason, "last_event", c.lastID, "held", time.Since(c.r.Arrived))
+		now := time.Now()
+		klog.InfoS("stream_broken_off", "request", c.r.Ask.ID, "reason", why.reason, "last_event", c.lastID, "attempts", c.sent.Load(),
+			"attempts_allowed", c.r.Route.MaxAttempts, "left", c.r.Left(now), "held", now.Sub(c.r.Arrived))
 		c.g.Metrics.Refused(c.r, why)
 		panic(http.ErrAbortHandler)
 	}
