Count a stop's time on the clock that counts suspended time

A VM that is suspended while its node stops would have taken what it can't finish, and been killed with it: the steady clock stands still meanwhile, and the operators' grace goes on.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,6 +9,8 @@
 // still taken. The zero value is a node that isn't stopping.
 type Stop struct {
 	Begun time.Time
+	// Boot is the boot clock at that moment, which counts suspended time.
+	Boot time.Time
 	// Noticed is when the balancer has noticed the stop, and sends new connections
 	// to other nodes as long as enough of them are ready.
 	Noticed time.Time
@@ -19,6 +21,21 @@
 // Active reports whether the node is stopping.
 func (s Stop) Active() bool { return !s.End.IsZero() }
 
+// At returns the stop as it stands at a moment, which is told by both clocks.
+//
+// Guard: the steady clock stands still while the VM is suspended, and the
+// operators' grace goes on. A stop that counted by that clock alone would take
+// what it can't finish, and be killed. What the boot clock ran ahead is taken
+// off.
+func (s Stop) At(now, boot time.Time) Stop {
+	if !s.Active() || s.Boot.IsZero() {
+		return s
+	}
+	suspended := max(0, boot.Sub(s.Boot)-now.Sub(s.Begun))
+	s.Noticed, s.End = s.Noticed.Add(-suspended), s.End.Add(-suspended)
+	return s
+}
+
 // How much more time than a request is expected to take the node must have, as a
 // part of that: answers take longer where prompts of others are read meanwhile.
 const (
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -45,6 +45,23 @@
 	require.True(t, gateway.Stop{}.Takes(begun, 0, begun.Add(long)), "no stop is under way")
 }
 
+// A VM is suspended for two seconds while its node stops, and the operators'
+// grace goes on. Counted by the steady clock the node would have two seconds
+// more than it has, take a stream, and be killed with it.
+func TestStopCountsSuspendedTime(t *testing.T) {
+	t.Parallel()
+	begun, boot := time.Unix(1000, 0), time.Unix(50, 0)
+	stop := gateway.Stop{Begun: begun, Boot: boot, Noticed: begun.Add(2 * time.Second), End: begun.Add(7 * time.Second)}
+	now := begun.Add(time.Second)
+	awake, suspended := stop.At(now, boot.Add(time.Second)), stop.At(now, boot.Add(3*time.Second))
+	require.Equal(t, stop, awake)
+	require.Equal(t, stop.End.Add(-2*time.Second), suspended.End)
+	const stream, patience = 5 * time.Second, 20 * time.Second
+	require.True(t, awake.Takes(now, stream, now.Add(patience)))
+	require.False(t, suspended.Takes(now, stream, now.Add(patience)))
+	require.Equal(t, stop, stop.At(now, boot), "clocks that are read one after the other differ a little")
+}
+
 // Callers of a node that stops: a stream that would outlast it is refused
 // unrun and at once, so that its caller has its whole time elsewhere; short
 // streams, and calls whose deadline is near, are served as ever.
--- a/node/stop.go
+++ b/node/stop.go
@@ -27,15 +27,15 @@
 // plannedStop returns the stop that is under way, the zero value if there is none.
 func (n *Node) plannedStop() gateway.Stop {
 	if stop := n.stopping.Load(); stop != nil {
-		return *stop
+		return stop.At(time.Now(), kernel.BootTime())
 	}
 	return gateway.Stop{}
 }
 
 // newStop returns a stop that begins now and must be over within a grace.
-func newStop(now time.Time, grace time.Duration) gateway.Stop {
+func newStop(now, boot time.Time, grace time.Duration) gateway.Stop {
 	lasts := max(0, grace-lastMargin)
-	return gateway.Stop{Begun: now, Noticed: now.Add(min(noticeTime, lasts)), End: now.Add(lasts)}
+	return gateway.Stop{Begun: now, Boot: boot, Noticed: now.Add(min(noticeTime, lasts)), End: now.Add(lasts)}
 }
 
 // stop ends a node's service without breaking a request off: it becomes not
@@ -45,7 +45,7 @@
 func (n *Node) stop(ctx context.Context) {
 	begun := time.Now()
 	n.reload() // the grace counts as it stands in the file now
-	stop := newStop(begun, n.inForce().Bounds.Grace)
+	stop := newStop(begun, kernel.BootTime(), n.inForce().Bounds.Grace)
 	n.stopping.Store(&stop)
 	n.conns.endAfterAnswers()
 	klog.InfoS("node_stopping", "node", n.settings.Node, "grace_left", stop.End.Sub(begun))
@@ -54,7 +54,7 @@
 	defer cancel()
 	n.table.Leave(leave)
 	kernel.Sleep(ctx, time.Until(stop.Noticed))
-	for n.conns.working(time.Now()) && untilNextLook(ctx, stop) {
+	for n.conns.working(time.Now()) && n.untilNextLook(ctx) {
 	}
 	// Guard: a connection that is taken after the last one was seen to end would
 	// be cut with its request. So none is taken any more, and those that were
@@ -66,12 +66,12 @@
 	kernel.Sleep(ctx, stopCheck)
 	// Connections that bring no request stay open until now: each close of one may
 	// cross a request that its caller then believes to be under way.
-	for !n.conns.closeUnlessWorking(time.Now()) && untilNextLook(ctx, stop) {
+	for !n.conns.closeUnlessWorking(time.Now()) && n.untilNextLook(ctx) {
 	}
 	n.conns.logCut(time.Now())
 }
 
 // untilNextLook waits a while, and reports false when the stop is over.
-func untilNextLook(ctx context.Context, stop gateway.Stop) bool {
-	return time.Now().Before(stop.End) && kernel.Sleep(ctx, stopCheck)
+func (n *Node) untilNextLook(ctx context.Context) bool {
+	return time.Now().Before(n.plannedStop().End) && kernel.Sleep(ctx, stopCheck)
 }
