Say in the soak what the calm time and the least share are for

The comment on the calm time told nothing of what is counted in it, and the one on the least share left out the plan of planned stops, which uses it too. Comments only: make lint without findings, go test ./cmd/soak green.

--- a/soak/run.go
+++ b/soak/run.go
@@ -13,8 +13,9 @@
 const (
 	formingTime = 25 * time.Second // until the first groups must serve
 	quietTime   = 8 * time.Second  // after the last fault, before service must be whole again
-	calmTime    = 3 * time.Second  // in which it is measured
-	// leastServed is the share that must be served once all is quiet.
+	calmTime    = 3 * time.Second  // the rest of the run, whose share of served requests counts
+	// leastServed is the share that must be served during planned stops, and
+	// once all is quiet after faults.
 	leastServed = 0.9
 	// keyBound is how long a withdrawn key may still work.
 	keyBound = 2500 * time.Millisecond
