--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,9 +20,8 @@
 
 const (
 	// silenceLimit is how long nothing may move in a group before its streams
-	// go on elsewhere. A pass that reads prompts at every step takes 270 ms; a
-	// group that lost a member moves nothing for seconds, and callers leave a
-	// stream after 2 s without an event.
+	// go on elsewhere: longer than a pass that reads prompts at every step, and
+	// short enough that callers have not left yet.
 	silenceLimit = 700 * time.Millisecond
 	// silenceCheck is how often that is looked at.
 	silenceCheck = 100 * time.Millisecond
@@ -64,9 +63,9 @@
 			call.refuse(ofBalance(none))
 			return
 		}
-		if call.sent.Load() == 0 && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
+		if !call.begun && !g.stop().Takes(time.Now(), choice.Expected, r.Deadline) {
 			choice.Visit.Withdraw()
-			call.refuse(nodeStops(choice.Expected))
+			call.refuse(stopRefusal(choice.Expected))
 			return
 		}
 		last := call.once(ctx, choice)
