Count a node that outlasts its grace as a mistake of its stop in the soak

It was only noted in the list of what was done, so that a node that overran without cutting a request passed.

--- a/soak/promise.go
+++ b/soak/promise.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// outlasted notes that a node didn't end within its grace.
+func (p *promise) outlasted(n *nodeProcess) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mistakes = append(p.mistakes, n.settings.Node+" outlasted its grace and was killed")
+}
+
 // end notes that a request and its retry are over.
 func (p *promise) end(served bool) {
 	p.mu.Lock()
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -28,7 +28,7 @@
 		s := newSession(w, b, p, i)
 		asking.Go(s.name, s.run)
 	}
-	if err := w.stopInSeries(ctx); err != nil {
+	if err := w.stopInSeries(ctx, p); err != nil {
 		return err
 	}
 	asking.Stop()
@@ -41,21 +41,22 @@
 
 // stopInSeries stops each node in turn, round after round, until the run's
 // length is over, and waits until all have started again.
-func (w *world) stopInSeries(ctx context.Context) error {
+func (w *world) stopInSeries(ctx context.Context, p *promise) error {
 	g := kernel.NewGroup(ctx)
 	order := w.random.Perm(len(w.nodes))
 	end := time.Now().Add(w.config.Length)
 	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		n := w.nodes[order[i%len(order)]]
-		g.Go("stop "+n.settings.Node, func(ctx context.Context) error { return w.stopAndStart(ctx, n) })
+		g.Go("stop "+n.settings.Node, func(ctx context.Context) error { return w.stopAndStart(ctx, p, n) })
 		kernel.Sleep(ctx, stopGap)
 	}
 	return g.Wait()
 }
 
-// stopAndStart stops a node as the platform does. A node that a stop of the
-// round before still holds is left alone.
-func (w *world) stopAndStart(ctx context.Context, n *nodeProcess) error {
+// stopAndStart stops a node as the platform does. A node that outlasts its grace
+// is killed, which breaks the promise also where it cuts no request. A node that
+// a stop of the round before still holds is left alone.
+func (w *world) stopAndStart(ctx context.Context, p *promise, n *nodeProcess) error {
 	if !w.beginStop(n, time.Now()) {
 		return nil
 	}
@@ -65,6 +66,7 @@
 	switch {
 	case errors.Is(err, process.ErrKilled):
 		w.note("%s gets SIGKILL", n.settings.Node)
+		p.outlasted(n)
 	case err != nil:
 		return err
 	}
