--- a/formation/manager.go
+++ b/formation/manager.go
@@ -17,7 +17,7 @@
 	// suspectFor is how long an endpoint that didn't answer stays out of groups.
 	suspectFor = 4 * time.Second
 	// overlayFor is how long an order counts as carried out before its effect
-	// shows in the endpoint's entry, which this node reads every 250 ms.
+	// shows in the endpoint's entry.
 	overlayFor = 2 * time.Second
 	// slowPace is the pace from which a member counts as slow: it makes a whole
 	// group late. It counts so for slowFor, and is asked again then.
@@ -25,9 +25,8 @@
 	slowFor  = 10 * time.Second
 	// settleTime is how long the endpoints of a zone must be the same before its
 	// first groups are formed: groups of the first few would leave no domain for
-	// the large models. settleBound is the longest wait: the platform registers
-	// 40 endpoints a second, so 240 of them have come by then, and about 4 s are
-	// left before the first requests.
+	// the large models. settleBound is the longest wait: groups must be open when
+	// the first requests come.
 	settleTime  = 500 * time.Millisecond
 	settleBound = 6 * time.Second
 	// lateOrders is how long after it was given an order without an answer may
--- a/formation/plan.go
+++ b/formation/plan.go
@@ -9,12 +9,11 @@
 
 // Weights and times of a plan.
 const (
-	// switchTime is the loading time that halves the worth of forming a group:
-	// a group that is there after a second is worth more than one after 16 s.
+	// switchTime is the loading time that halves the worth of forming a group.
 	switchTime = 4 * time.Second
 	// convertPatience is how long free VMs wait for a lost member to come back
-	// before they are loaded with another model. VMs that crashed are back
-	// after 4 to 7 s, with their model still in the host's memory.
+	// before they are loaded with another model. VMs that crashed come
+	// back with their model still in the host's memory.
 	convertPatience = 6 * time.Second
 	// loadSettle is how long a worker must be free before it loads a model: VMs
 	// of a domain that was dark come back over half a second, and the first
@@ -33,7 +32,7 @@
 	// orderRepeat is when an order without visible effect is given again.
 	orderRepeat = 1200 * time.Millisecond
 	// entryLate is how much later than those of the others of its group a
-	// member's entry may show that it joined: entries show it within 0.5 s.
+	// member's entry may show that it joined.
 	entryLate = 900 * time.Millisecond
 	// openSettle is how long after an order to open a head may still look as if
 	// it were not open: it takes the formation's time, and the entry's way.
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -90,7 +90,7 @@
 // the entries of most others do, and leaves that member out for a while.
 //
 // Guard: an endpoint that is cut off from the store, and from nothing else,
-// takes the order, and its entry stays as it was until it lapses after 3.6 s.
+// takes the order, and its entry stays as it was until it lapses.
 // The group waits for it, and those of its members that are fit serve nobody.
 func (p *planner) muted(g *group) bool {
 	var late []*Worker
--- a/formation/split.go
+++ b/formation/split.go
@@ -16,9 +16,8 @@
 // share x log(VMs) is highest. Domains are improved one after the other, given
 // what the others have.
 //
-// Taking one group after the other, the worthiest first, was not as good: with
-// domains of 27 and groups of 12 and 6 it gave both models the same number of
-// VMs, where their shares are 2 to 1.
+// Taking one group after the other, the worthiest first, would give models the
+// same number of VMs where their shares differ.
 func split(models []fleet.Model, sizes map[string]int, serving map[string]int) map[string][]int {
 	domains := make([]string, 0, len(sizes))
 	for domain := range sizes {
