--- a/balance/choose.go
+++ b/balance/choose.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"redwinghall/fleet"
 )
 
@@ -13,22 +11,16 @@
 const (
 	// nearEnough is the share of the objective within which a group of the
 	// caller's own zone is taken without a look at the other zones: bytes
-	// between zones are priced, and what is known of other zones is older.
+	// between zones are costly, and what is known of other zones is older.
 	nearEnough = 0.9
-	// farPenalty is what a group of another zone must be faster by; a stream
-	// there costs about a twentieth of its worth in bytes between zones, and
-	// several nodes may choose the same group before they hear of each other.
+	// farPenalty is what a group of another zone must be faster by: bytes
+	// between zones are costly, and several nodes may choose the same group
+	// before they hear of each other.
 	farPenalty = 60 * time.Millisecond
 	// refuseBeyond is how many times the objective the predicted first event
 	// must take before a request is refused: one that is surely late takes
 	// places from others that could be in time.
 	refuseBeyond = 1.1
-	// failurePenalty is how much a surely failing plain endpoint is disliked.
-	failurePenalty = 2 * time.Second
-	// plainFar is the same as farPenalty for plain services, whose answers are small.
-	plainFar = 15 * time.Millisecond
-	// fallbackWork is assumed of an endpoint of which nothing is known.
-	fallbackWork = 50 * time.Millisecond
 )
 
 // Ask is what choosing needs to know of a request.
@@ -84,8 +76,8 @@
 	// get, 0 if that isn't known.
 	Expected time.Duration
 	Running  int
-	// Age is how old the newest word of others on the endpoint's load was;
-	// negative if there was none.
+	// Age is how old the newest report of the endpoint's load was; negative if
+	// there was none.
 	Age time.Duration
 }
 
@@ -135,23 +127,23 @@
 	defer t.mu.Unlock()
 	ask.bias = t.bias
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weigh}
-	look.among(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone })
+	look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == ask.Zone })
 	near := look.best
 	if near == nil || near.full || float64(near.predicted) > nearEnough*float64(ask.Objective) {
 		t.lookedFar = now
-		look.among(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != ask.Zone })
+		look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != ask.Zone })
 	}
 	best := look.best
 	if best == nil {
 		return Choice{}, refusalOfNone(look.seen, look.cold)
 	}
 	if !ask.GoesOn && float64(best.predicted) > refuseBeyond*float64(ask.Objective) {
-		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+		return Choice{}, refusalOfLate(best, ask)
 	}
 	return t.take(now, best, ask), nil
 }
 
-// search is a look for the best endpoint.
+// search holds what a choice asks for and the best endpoint found so far.
 type search struct {
 	ask      Ask
 	now      time.Time
@@ -159,11 +151,11 @@
 	weigh    func(time.Time, *State, *fleet.Endpoint) *candidate
 
 	best       *candidate
-	seen, cold int // endpoints that could be reached, and those that bear no more now
+	seen, cold int // endpoints that could be reached, and those of them too cold for one more
 }
 
-// among looks through the endpoints that are wanted.
-func (l *search) among(t *Tracker, endpoints []*fleet.Endpoint, wanted func(*fleet.Endpoint) bool) {
+// consider weighs the usable ones among the endpoints that are wanted.
+func (l *search) consider(t *Tracker, endpoints []*fleet.Endpoint, wanted func(*fleet.Endpoint) bool) {
 	for _, e := range endpoints {
 		if !wanted(e) || !Usable(&l.ask.Service, e, l.zonesOut) || l.ask.Tried[e.ID] || l.ask.ZonesFull[e.Zone] {
 			continue
@@ -171,12 +163,12 @@
 		if l.ask.Service.Engine != nil && e.Model() != l.ask.Model.Name {
 			continue
 		}
-		s := t.of(e.ID, l.now)
-		if l.now.Before(s.shunUntil) {
+		s := t.state(e.ID, l.now)
+		if l.now.Before(s.backoffUntil) {
 			continue
 		}
 		l.seen++
-		if !l.ask.bears(l.now, s, e) {
+		if !l.ask.admits(l.now, s, e) {
 			l.cold++
 			continue
 		}
@@ -191,7 +183,7 @@
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: func(_ time.Time, s *State, e *fleet.Endpoint) *candidate {
 		return &candidate{endpoint: e, state: s}
 	}}
-	look.among(t, endpoints, func(*fleet.Endpoint) bool { return true })
+	look.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
 	return look.best != nil
 }
 
@@ -205,6 +197,11 @@
 	return &Refusal{Reason: Unreachable, RetryAfter: retrySoon}
 }
 
+// refusalOfLate refuses a stream that even the best group would serve late.
+func refusalOfLate(best *candidate, ask Ask) *Refusal {
+	return &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retryAfter(best.predicted - ask.Objective)}
+}
+
 func retryAfter(wait time.Duration) time.Duration { return min(max(wait, retrySoon), retryLater) }
 
 func better(a, b *candidate) *candidate {
@@ -214,47 +211,14 @@
 	return a
 }
 
-// bears reports whether an endpoint that is cold bears one more request now.
-//
-// Guard: a cold endpoint falls over under full load, and all nodes send at
-// once when it appears. Each node spends only its own part of the rate.
-func (a Ask) bears(now time.Time, s *State, e *fleet.Endpoint) bool {
-	if a.Service.ColdPerSecond <= 0 || !e.ColdAt(now) {
-		return true
-	}
-	share := a.coldShare(e)
-	return share > 0 && s.cold.has(now, share/2, share/2)
-}
-
-// leastColdShare is the share of a node below which only some nodes send: a
-// bucket of one that gains one a second lets two through in a second.
-const leastColdShare = 2
-
-// coldShare returns the most requests that this node sends to a cold endpoint
-// in any second: half of it at once, and half of it a second.
-func (a Ask) coldShare(e *fleet.Endpoint) float64 {
-	share := a.ColdFar
-	if e.Zone == a.Zone {
-		share = a.ColdNear
-	}
-	if share >= leastColdShare {
-		return share
-	}
-	const parts = 1 << 16
-	if float64(xxhash.Sum64String(a.Node+"|"+e.ID)%parts) < share/leastColdShare*parts {
-		return leastColdShare
-	}
-	return 0
-}
-
 func (a Ask) weigh(now time.Time, s *State, e *fleet.Endpoint) *candidate {
-	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slow))
+	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slowdown))
 	c := &candidate{endpoint: e, state: s}
 	nodes := a.ZoneNodes
 	if e.Zone != a.Zone {
 		nodes = a.Nodes
 	}
-	others := s.others(now).With(s.unheard(now, nodes))
+	others := s.others(now).With(s.unshared(now, nodes))
 	running := s.running(now) + others.Requests - s.others(now).Requests
 	waiting := s.unstarted + others.Unstarted
 	c.running = running
@@ -278,64 +242,6 @@
 	}
 	return Choice{
 		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted),
-		Predicted: c.predicted, Expected: ask.longest(c), Running: c.running, Age: c.state.age(now),
+		Predicted: c.predicted, Expected: ask.longest(c), Running: c.running, Age: c.state.reportAge(now),
 	}
 }
-
-// plainTail is how many times the usual time of a plain service its longest
-// calls take.
-const plainTail = 8
-
-// longest returns how long the longest answer takes that the request may get,
-// 0 if that isn't known: of streams only those of an engine say how long they
-// are.
-func (a Ask) longest(c *candidate) time.Duration {
-	engine := a.Service.Engine
-	switch {
-	case engine == nil && a.Stream:
-		return 0
-	case engine == nil:
-		return plainTail * c.predicted
-	case a.Answer <= 0 || engine.Stride <= 0:
-		return 0
-	}
-	passes := (a.Answer + engine.Stride - 1) / engine.Stride
-	return c.predicted + time.Duration(passes)*NewPace(engine, a.Model, max(1, c.state.slow)).Pass(c.running+1, 0)
-}
-
-// Plain chooses the endpoint of a plain service for a request.
-func (t *Tracker) Plain(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weighPlain}
-	look.among(t, endpoints, func(*fleet.Endpoint) bool { return true })
-	best := look.best
-	if best == nil {
-		return Choice{}, refusalOfNone(look.seen, look.cold)
-	}
-	if !ask.GoesOn && (best.full || float64(best.predicted) > refuseBeyond*float64(max(ask.Objective, fallbackWork))) {
-		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
-	}
-	return t.take(now, best, ask), nil
-}
-
-func (a Ask) weighPlain(now time.Time, s *State, e *fleet.Endpoint) *candidate {
-	running := s.running(now)
-	c := &candidate{endpoint: e, state: s, running: running}
-	work := s.latency
-	if work == 0 {
-		work = fallbackWork
-	}
-	waiting := max(0, running+1-max(1, e.Slots))
-	c.predicted = work + work*time.Duration(waiting)/time.Duration(max(1, e.Slots))
-	c.full = a.Connections > 0 && s.own >= a.Connections
-	c.score = c.predicted + time.Duration(running)*work/time.Duration(max(1, e.Slots))/2 +
-		time.Duration(s.failures*float64(failurePenalty))
-	if e.Zone != a.Zone {
-		c.score += plainFar
-	}
-	if c.full {
-		c.score += time.Hour
-	}
-	return c
-}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -9,24 +9,23 @@
 
 // What is remembered of an endpoint, and for how long.
 const (
-	// loadTrust is how long an endpoint's own word on its load counts; nodes of
-	// a zone hear of a busy group about every 100 ms.
+	// loadTrust is how long an endpoint's own count of its load is used.
 	loadTrust = 2 * time.Second
-	// shareTrust is how long the other nodes' word on their loads counts; they
-	// give it every 150 ms.
+	// shareTrust is how long the loads that other nodes of the zone share are
+	// used; it outlasts a few of their messages that are lost.
 	shareTrust = 600 * time.Millisecond
-	// zonesTrust is the same of the other zones, of which nodes hear every 500 ms.
+	// zonesTrust is the same of the other zones, which share theirs less often.
 	zonesTrust = 1500 * time.Millisecond
 	// farInterest is how long after a look at groups of other zones this node
 	// wants to hear of their loads.
 	farInterest = 3 * time.Second
 	// smoothing is the weight of one new observation in a mean.
 	smoothing = 0.15
-	// shunFirst is how long an endpoint that refused a connection is left
-	// alone; it doubles up to shunLongest, so that one request in a while
+	// backoffFirst is how long an endpoint that refused a connection is left
+	// alone; it doubles up to backoffLongest, so that one request in a while
 	// finds out whether it is back.
-	shunFirst   = 400 * time.Millisecond
-	shunLongest = 3 * time.Second
+	backoffFirst   = 400 * time.Millisecond
+	backoffLongest = 3 * time.Second
 	// forgetAfter drops what is known of an endpoint without an entry.
 	forgetAfter = 30 * time.Second
 )
@@ -37,29 +36,30 @@
 	own       int // requests of this node that are there
 	unstarted int // of these, streams without a first event
 	unread    int // prompt tokens of the unstarted
-	// told is the endpoint's own count at toldAt, ownThen this node's part of it.
-	told    int
-	ownThen int
-	toldAt  time.Time
+	// reported is the endpoint's own count at reportedAt, ownAtReport this
+	// node's part of it.
+	reported    int
+	ownAtReport int
+	reportedAt  time.Time
 
 	shared   Load // what other nodes of the zone have
 	sharedAt time.Time
 	zones    Load // what the nodes of other zones have
 	zonesAt  time.Time
-	lately   recent // what this node sent
+	sent     recent // what this node sent
 	reserved []reservation
 
 	lastEvent time.Time // of any stream
 	// waitingSince is when this node began to wait for an event without a break.
 	waitingSince time.Time
-	slow         float64 // observed pace against the declared one
+	slowdown     float64 // observed pace against the declared one
 	latency      time.Duration
 	failures     float64 // smoothed share of failed requests
 
-	shunUntil time.Time
-	shun      time.Duration
-	usedAt    time.Time
-	cold      bucket
+	backoffUntil time.Time
+	backoff      time.Duration
+	usedAt       time.Time
+	cold         bucket
 }
 
 // Tracker keeps the states of all endpoints.
@@ -76,11 +76,11 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker { return &Tracker{states: map[string]*State{}} }
 
-// of returns an endpoint's state. The lock is held.
-func (t *Tracker) of(id string, now time.Time) *State {
+// state returns an endpoint's state. The lock is held.
+func (t *Tracker) state(id string, now time.Time) *State {
 	s, ok := t.states[id]
 	if !ok {
-		s = &State{id: id, slow: 1}
+		s = &State{id: id, slowdown: 1}
 		t.states[id] = s
 	}
 	s.usedAt = now
@@ -98,20 +98,20 @@
 	}
 }
 
-// running estimates how many requests an endpoint has, from its last word and
+// running estimates how many requests an endpoint has, from its last report and
 // from what this node sent and finished since, and from what the other nodes
 // of the zone say that they have.
 func (s *State) running(now time.Time) int {
 	count := s.own + s.others(now).Requests
-	if s.toldAt.IsZero() || now.Sub(s.toldAt) > loadTrust {
+	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) > loadTrust {
 		return count
 	}
-	return max(count, s.told+s.own-s.ownThen)
+	return max(count, s.reported+s.own-s.ownAtReport)
 }
 
 // others returns what other nodes have at the endpoint, as far as known.
 func (s *State) others(now time.Time) Load {
-	sum := s.held(now)
+	sum := s.reservedLoad(now)
 	if now.Sub(s.sharedAt) <= shareTrust {
 		sum = sum.With(s.shared)
 	}
@@ -121,9 +121,10 @@
 	return sum
 }
 
-// age returns how old the newest word of others on the endpoint's load is.
-func (s *State) age(now time.Time) time.Duration {
-	newest := s.toldAt
+// reportAge returns how old the newest report of the endpoint's load is, from
+// itself or other nodes; negative if there was none.
+func (s *State) reportAge(now time.Time) time.Duration {
+	newest := s.reportedAt
 	if s.sharedAt.After(newest) {
 		newest = s.sharedAt
 	}
@@ -133,142 +134,17 @@
 	return now.Sub(newest)
 }
 
-// A Visit is one request at one endpoint. Its methods are called by one
-// goroutine; Done is called once.
-type Visit struct {
-	t       *Tracker
-	s       *State
-	sentAt  time.Time
-	prompt  int
-	started bool
-	first   time.Time // event of a stream
-	last    time.Time
-	// predicted is when the first event should come, after sentAt.
-	predicted time.Duration
-}
-
-// visit notes that a request goes to an endpoint. The lock is held.
-func (t *Tracker) visit(now time.Time, s *State, prompt int, predicted time.Duration) *Visit {
-	s.own++
-	s.unstarted++
-	s.unread += prompt
-	s.lately = s.lately.With(now, prompt)
-	if s.waitingSince.IsZero() {
-		s.waitingSince = now
-	}
-	return &Visit{t: t, s: s, sentAt: now, prompt: prompt, last: now, predicted: predicted}
-}
-
-// Told takes the endpoint's own word on its load in.
-func (v *Visit) Told(now time.Time, running int) {
-	v.t.mu.Lock()
-	defer v.t.mu.Unlock()
-	v.s.told, v.s.ownThen, v.s.toldAt = running, v.s.own, now
-}
-
-// Event notes an event of a stream. usual is the pause that the pace predicts.
-func (v *Visit) Event(now time.Time, usual func(running int) time.Duration) {
-	v.t.mu.Lock()
-	defer v.t.mu.Unlock()
-	s := v.s
-	if v.started && usual != nil {
-		if want := usual(s.running(now)); want > 0 {
-			s.observe(float64(now.Sub(v.last)) / float64(want))
-		}
-	}
-	if !v.started && usual != nil {
-		v.t.learn(now.Sub(v.sentAt) - v.predicted)
-	}
-	if v.first.IsZero() {
-		v.first = now
-	}
-	v.start()
-	v.last = now
-	s.lastEvent, s.waitingSince = now, now
-	s.shun, s.shunUntil = 0, time.Time{}
-}
-
-// observe takes one pause in, as a multiple of the predicted one. One long
-// pause is a prompt being read, so it counts with a bound.
-func (s *State) observe(ratio float64) {
-	const longest = 8 // times as slow
-	s.slow += smoothing / 4 * (min(ratio, longest) - s.slow)
-}
-
-// Bounds of what is learned from one first event. A late one is mostly due to
-// what the node couldn't know of, so it counts with a bound.
-const (
-	biasWeight  = 0.02
-	biasOneUp   = 300 * time.Millisecond
-	biasOneDown = -300 * time.Millisecond
-	biasLeast   = 0
-	biasMost    = 200 * time.Millisecond
-)
-
-// learn takes in how much later than predicted a first event came.
-func (t *Tracker) learn(late time.Duration) {
-	late = min(max(late, biasOneDown), biasOneUp)
-	t.bias += time.Duration(biasWeight * float64(late))
-	t.bias = min(max(t.bias, biasLeast), biasMost)
-}
-
-func (v *Visit) start() {
-	if v.started {
-		return
-	}
-	v.started = true
-	v.s.unstarted--
-	v.s.unread -= v.prompt
-}
-
-// Done ends the visit. ok says whether the endpoint did what was asked.
-func (v *Visit) Done(now time.Time, ok bool) {
-	v.t.mu.Lock()
-	defer v.t.mu.Unlock()
-	s := v.s
-	v.start()
-	s.own--
-	if s.own == 0 {
-		s.waitingSince = time.Time{}
-	}
-	failed := 1.0
-	if ok {
-		failed = 0
-		s.latency += time.Duration(smoothing * float64(v.answeredAfter(now)-s.latency))
-	}
-	s.failures += smoothing * (failed - s.failures)
-}
-
-// answeredAfter is how long the caller waited: until the first event of a
-// stream, or until the answer.
-func (v *Visit) answeredAfter(now time.Time) time.Duration {
-	if v.first.IsZero() {
-		return now.Sub(v.sentAt)
-	}
-	return v.first.Sub(v.sentAt)
-}
-
 // Unreachable notes that an endpoint didn't take a connection, or that nothing
 // moves there: it gets no request for a while.
 func (t *Tracker) Unreachable(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.of(id, now)
-	if now.Before(s.shunUntil) {
+	s := t.state(id, now)
+	if now.Before(s.backoffUntil) {
 		return
 	}
-	s.shun = min(max(2*s.shun, shunFirst), shunLongest)
-	s.shunUntil = now.Add(s.shun)
-}
-
-// Silent returns how long this node has waited for any event of an endpoint.
-func (v *Visit) Silent(now time.Time) time.Duration {
-	v.t.mu.Lock()
-	defer v.t.mu.Unlock()
-	if v.s.waitingSince.IsZero() {
-		return 0
-	}
-	return now.Sub(v.s.waitingSince)
+	s.backoff = min(max(2*s.backoff, backoffFirst), backoffLongest)
+	s.backoffUntil = now.Add(s.backoff)
 }
 
 // Snapshot is what the tracker thinks of one endpoint, for logs.
@@ -282,8 +158,8 @@
 func (t *Tracker) Snapshot(now time.Time, e *fleet.Endpoint) Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.of(e.ID, now)
-	return Snapshot{Own: s.own, Running: s.running(now), Unread: s.unread, Slow: s.slow, Shunned: now.Before(s.shunUntil)}
+	s := t.state(e.ID, now)
+	return Snapshot{Own: s.own, Running: s.running(now), Unread: s.unread, Slow: s.slowdown, Shunned: now.Before(s.backoffUntil)}
 }
 
 // slowFactor is how many times slower than declared a group must work, as
@@ -296,7 +172,7 @@
 	defer t.mu.Unlock()
 	var slow []string
 	for id, s := range t.states {
-		if s.own > 0 && s.slow > slowFactor && now.Sub(s.lastEvent) < loadTrust {
+		if s.own > 0 && s.slowdown > slowFactor && now.Sub(s.lastEvent) < loadTrust {
 			slow = append(slow, id)
 		}
 	}
--- a/peer/round.go
+++ b/peer/round.go
@@ -8,14 +8,14 @@
 	"redwinghall/kernel"
 )
 
-// The words on a zone's groups travel among its routers in rounds. The
+// The health of a zone's groups travels among its routers in rounds. The
 // routers, in the order of their ids, form a tree; in each interval the first
-// one hands all words to its children, who hand them on to theirs, and the
-// answers bring back up what each subtree knows better. So a word reaches the
-// first router within the round in which it is observed, and every router
-// with the next, over one exchange for each router and interval. Random
-// exchanges of the same cost need about log2(routers) intervals, and words
-// were older than alive_bound before they arrived (docs/MEASUREMENTS.md).
+// one hands all it knows to its children, which hand it on to theirs, and the
+// answers bring back up what each subtree knows better. So an observation
+// reaches the first router within the round in which it is made, and every
+// router with the next, over one exchange for each router and interval. Random
+// exchanges of the same cost need about log2(routers) intervals, which can be
+// longer than alive_bound.
 const (
 	roundChildren = 2
 	roundTime     = 800 * time.Millisecond // that the first router waits
@@ -40,7 +40,7 @@
 		return
 	}
 	if len(live) > 0 {
-		_ = n.exchange(ctx, live[0], n.outgoing(now, true)) // its failure counts towards down
+		_ = n.exchange(ctx, live[0], n.periodicExchange(now, true)) // its failure counts towards down
 	}
 	n.exchangeOne(ctx, now, n.routers(), true)
 }
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	live := n.ordered()
-	out := n.outgoing(now, true)
+	out := n.periodicExchange(now, true)
 	out.round = max(time.Millisecond, left-roundStep)
 	calls := kernel.NewGroup(ctx)
 	for _, child := range childrenOf(live, n.Self.ID) {
