--- a/node/stop.go
+++ b/node/stop.go
@@ -41,12 +41,13 @@
 // and ends once nothing runs any more.
 func (n *Node) stop(ctx context.Context) {
 	begun := time.Now()
+	n.reload() // the grace counts as it stands in the file now
 	stop := newStop(begun, n.inForce().Bounds.Grace)
 	n.stopping.Store(&stop)
 	n.conns.endAfterAnswers()
 	klog.InfoS("node_stopping", "node", n.settings.Node, "grace_left", stop.End.Sub(begun))
 	n.manager.Stop()
-	leave, cancel := context.WithTimeout(ctx, leaveBudget)
+	leave, cancel := context.WithTimeout(ctx, min(leaveBudget, time.Until(stop.End)))
 	defer cancel()
 	n.table.Leave(leave)
 	kernel.Sleep(ctx, time.Until(stop.Noticed))
