Derive the operators' Retry-After from the code's own time

The header was fixed at 2 s beside a table that says it for each code; the two agree today and would part with the first change of the table. Callers' refusals had the rounding of their own; it stands once now, at Duration.

--- a/caller/error.go
+++ b/caller/error.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
-	"time"
 
 	"redwinghall"
 )
@@ -48,12 +46,8 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if b.RetryAfter > 0 {
-		w.Header().Set("Retry-After", retryAfterSeconds(b.RetryAfter.Std()))
+		w.Header().Set("Retry-After", b.RetryAfter.Seconds())
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(data) // the caller may be gone
 }
-
-func retryAfterSeconds(d time.Duration) string {
-	return strconv.Itoa(max(1, int((d+time.Second-1)/time.Second)))
-}
--- a/duration.go
+++ b/duration.go
@@ -3,12 +3,20 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 )
 
 // Duration is a time.Duration that JSON writes as text, such as "1.5s".
 type Duration time.Duration
 
+// Seconds returns the duration as the header Retry-After wants it: in whole
+// seconds, rounded up, at least one.
+func (d Duration) Seconds() string {
+	seconds := (time.Duration(d) + time.Second - 1) / time.Second
+	return strconv.Itoa(max(1, int(seconds)))
+}
+
 // MarshalJSON writes the duration as Go's duration text.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
--- a/operator/server.go
+++ b/operator/server.go
@@ -216,7 +216,7 @@
 		info, _ = redwinghall.CodeResultUnknown.Info()
 	}
 	if info.RetryAfter > 0 {
-		w.Header().Set("Retry-After", "2")
+		w.Header().Set("Retry-After", redwinghall.Duration(info.RetryAfter).Seconds())
 	}
 	writeJSON(w, info.HTTPStatus, Refusal{
 		Code: info.Code, Message: info.Message, NextStep: info.NextStep,
