--- a/balance/choose.go
+++ b/balance/choose.go
@@ -42,7 +42,11 @@
 	ColdNear, ColdFar float64
 	// Nodes is how many nodes there are, ZoneNodes how many in this zone.
 	Nodes, ZoneNodes int
-	// ZonesFull holds the zones that said that they can't serve the stream in time.
+	// Dispatches says that this node chooses for all nodes of its zone, so that it
+	// knows what they send.
+	Dispatches bool
+	// ZonesFull holds the zones that said that they can't serve the stream in
+	// time. Their cold groups, which no zone offers, are not meant.
 	ZonesFull map[string]bool
 	// GoesOn says that the stream was taken from another group: it is worth
 	// finishing late, and is not refused for being so.
@@ -170,7 +174,7 @@
 		}
 		s := t.state(e.ID, l.now)
 		switch {
-		case l.ask.ZonesFull[e.Zone]:
+		case l.ask.ZonesFull[e.Zone] && !e.ColdAt(l.now):
 			l.full++
 		case l.now.Before(s.backoffUntil):
 			l.backedOff++
@@ -228,8 +232,11 @@
 	pace := NewPace(a.Service.Engine, a.Model, max(1, s.slowdown))
 	c := &candidate{endpoint: e, state: s}
 	nodes := a.ZoneNodes
-	if e.Zone != a.Zone {
+	switch {
+	case e.Zone != a.Zone:
 		nodes = a.Nodes
+	case a.Dispatches:
+		nodes = 1
 	}
 	others := s.others(now).With(s.unshared(now, nodes))
 	running := s.running(now) + others.Requests - s.others(now).Requests
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -6,25 +6,39 @@
 	"redwinghall/fleet"
 )
 
-// reserveFor is how long a reservation counts. By then the other zone has
-// shared the stream as a part of its load.
-const reserveFor = 400 * time.Millisecond
+const (
+	// reserveFor is how long a reservation counts that nobody settles. By then
+	// the other zone has shared the stream as a part of its load.
+	reserveFor = 400 * time.Millisecond
+	// reserveUnsettled is the same for a node of this zone, which settles its
+	// reservations by telling its loads; it outlasts a few lost words.
+	reserveUnsettled = time.Second
+)
+
+// Claimant is the node that a reservation is for.
+type Claimant struct {
+	Node string
+	// Ticket numbers the node's own asks. It is 0 for a node of another zone,
+	// whose loads come as a part of its zone's sum.
+	Ticket uint64
+}
 
-// reservation is a stream that a node of another zone sends to a group here.
+// reservation is a stream that another node sends to a group here.
 type reservation struct {
-	until  time.Time
-	prompt int
+	claimant Claimant
+	until    time.Time
+	prompt   int
 }
 
-// Reserve chooses a group of this zone for a stream that a node of another
-// zone has, and counts the stream, or says why none will do. Groups that are
-// cold aren't offered: who sends to them spends its own part of what they bear.
+// Reserve chooses a group of this zone for a stream that another node has, and
+// counts the stream, or says why none will do. Groups that are cold aren't
+// offered: who sends to them spends its own part of what they bear.
 //
-// Guard: what a node knows of another zone's load is old. When a zone loses its
-// groups, all its nodes choose the same group elsewhere at the same time, and
-// its prompts wait for each other: their first events come late. The zone that
-// is asked knows what it has.
-func (t *Tracker) Reserve(now time.Time, heads []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) (Choice, *Refusal) {
+// Guard: what a node knows of the load that others bring is old. All nodes see
+// the same group as the emptiest and choose it until they hear of each other:
+// its prompts wait for each other, its places run out, and first events come
+// late. Where one node chooses for all, it knows of each stream that it placed.
+func (t *Tracker) Reserve(now time.Time, heads []*fleet.Endpoint, zonesOut map[string]bool, ask Ask, claimant Claimant) (Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ask.bias = t.bias
@@ -37,10 +51,34 @@
 	if !ask.GoesOn && best.predicted > ask.Objective {
 		return Choice{}, refusalOfLate(now, best, ask)
 	}
-	best.state.reserved = append(best.state.reserved, reservation{until: now.Add(reserveFor), prompt: ask.Prompt})
+	best.state.reserve(now, claimant, ask.Prompt)
 	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now)}, nil
 }
 
+func (s *State) reserve(now time.Time, claimant Claimant, prompt int) {
+	until := now.Add(reserveFor)
+	if claimant.Ticket > 0 {
+		until = now.Add(reserveUnsettled)
+	}
+	s.reserved = append(s.reserved, reservation{claimant: claimant, until: until, prompt: prompt})
+}
+
+// Settle ends the reservations of a node of this zone whose streams are in the
+// loads that it told, which are those below a ticket.
+func (t *Tracker) Settle(node string, below uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.states {
+		kept := s.reserved[:0]
+		for _, r := range s.reserved {
+			if r.claimant.Node != node || r.claimant.Ticket == 0 || r.claimant.Ticket >= below {
+				kept = append(kept, r)
+			}
+		}
+		s.reserved = kept
+	}
+}
+
 // reservedLoad returns what is reserved at the endpoint.
 func (s *State) reservedLoad(now time.Time) Load {
 	var sum Load
--- a/balance/reserve_test.go
+++ b/balance/reserve_test.go
@@ -29,7 +29,7 @@
 		}
 		request := ask()
 		request.Zone, request.ZoneNodes = "b", nodes
-		if choice, none := zone.Reserve(start.Add(time.Duration(i)*time.Millisecond), heads, nil, request); none == nil {
+		if choice, none := zone.Reserve(start.Add(time.Duration(i)*time.Millisecond), heads, nil, request, balance.Claimant{}); none == nil {
 			require.LessOrEqual(t, choice.Predicted, request.Objective)
 			reserved[choice.Endpoint.ID]++
 		}
@@ -39,6 +39,52 @@
 	require.InDelta(t, reserved["one"], reserved["two"], 1)
 }
 
+// One node chooses for a zone. What it placed for another node counts until that
+// node's own loads hold it, and not twice from then on: a group would look full, and
+// callers be refused while it has room.
+func TestReservationIsSettledByItsNode(t *testing.T) {
+	heads := []*fleet.Endpoint{head("one", "a", "large")}
+	dispatcher, node := balance.NewTracker(), balance.NewTracker()
+	choose := func() uint64 {
+		ticket := node.Tickets.Open()
+		choice, none := dispatcher.Reserve(start, heads, nil, ask(), balance.Claimant{Node: "n2", Ticket: ticket})
+		require.Nil(t, none)
+		node.Take(start, choice.Endpoint, ask(), choice.Predicted)
+		return ticket
+	}
+	first, second := choose(), choose()
+	tell := func() int {
+		settled := node.Tickets.Settled()
+		dispatcher.SetOthers(start, node.Own(start))
+		dispatcher.Settle("n2", settled)
+		return dispatcher.Snapshot(start, heads[0]).Running
+	}
+	node.Tickets.Close(second)
+	require.Equal(t, 4, tell(), "the first may not be among the node's own yet, so neither is settled")
+	node.Tickets.Close(first)
+	require.Equal(t, 2, tell())
+	other := choose()
+	dispatcher.Settle("n3", other+1)
+	require.Equal(t, 3, dispatcher.Snapshot(start, heads[0]).Running, "another node's word settles nothing of this one's")
+	require.Equal(t, 2, dispatcher.Snapshot(start.Add(2*time.Second), heads[0]).Running+2, "a node that fell silent holds no places")
+}
+
+// A group's head doesn't answer. The node that chooses for all learns that from those
+// that tried, and not from one alone, which may itself be cut off.
+func TestComplaintsOfTwoNodesCount(t *testing.T) {
+	heads := []*fleet.Endpoint{head("one", "a", "large")}
+	tracker := balance.NewTracker()
+	shunned := func(at time.Time) bool { return len(tracker.Shunned(at, heads)) == 1 }
+	tracker.Complain(start, "one", "n2")
+	tracker.Complain(start.Add(10*time.Millisecond), "one", "n2")
+	require.False(t, shunned(start.Add(20*time.Millisecond)))
+	tracker.Complain(start.Add(2*time.Second), "one", "n3")
+	require.False(t, shunned(start.Add(2*time.Second)), "the first complaint is old by now")
+	tracker.Complain(start.Add(2100*time.Millisecond), "one", "n2")
+	require.True(t, shunned(start.Add(2110*time.Millisecond)))
+	require.False(t, shunned(start.Add(3*time.Second)), "it is tried again")
+}
+
 // A reservation counts until the other zone has told of the stream itself;
 // counted for longer, a group would look full of streams that are long gone.
 func TestReservationEnds(t *testing.T) {
@@ -46,7 +92,7 @@
 	zone := balance.NewTracker()
 	taken := func(at time.Time) (n int) {
 		for {
-			if _, none := zone.Reserve(at, heads, nil, ask()); none != nil {
+			if _, none := zone.Reserve(at, heads, nil, ask(), balance.Claimant{}); none != nil {
 				return n
 			}
 			n++
@@ -63,7 +109,7 @@
 func TestReserveOffersNoColdGroup(t *testing.T) {
 	cold := head("cold", "a", "large")
 	cold.Cold = 3 * time.Second
-	_, none := balance.NewTracker().Reserve(start, []*fleet.Endpoint{cold}, nil, ask())
+	_, none := balance.NewTracker().Reserve(start, []*fleet.Endpoint{cold}, nil, ask(), balance.Claimant{})
 	require.NotNil(t, none)
 }
 
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -58,12 +58,16 @@
 
 	backoffUntil time.Time
 	backoff      time.Duration
+	complaints   []complaint
 	usedAt       time.Time
 	cold         bucket
 }
 
 // Tracker keeps the states of all endpoints.
 type Tracker struct {
+	// Tickets number what this node asks its zone's dispatcher.
+	Tickets Tickets
+
 	mu     sync.Mutex
 	states map[string]*State
 	// lookedFar is when a group of another zone was last considered.
@@ -147,6 +151,53 @@
 	s.backoffUntil = now.Add(s.backoff)
 }
 
+// complaint is a node's word that an endpoint doesn't answer it.
+type complaint struct {
+	node string
+	at   time.Time
+}
+
+// Complaints of so many nodes within complaintTrust count as this node's own
+// failure. One node alone may itself be cut off.
+const (
+	complaintsNeeded = 2
+	complaintTrust   = time.Second
+)
+
+// Complain notes that an endpoint doesn't answer another node, for which this one chooses.
+func (t *Tracker) Complain(now time.Time, id, node string) {
+	t.mu.Lock()
+	s := t.state(id, now)
+	kept := s.complaints[:0]
+	for _, c := range s.complaints {
+		if c.node != node && now.Sub(c.at) < complaintTrust {
+			kept = append(kept, c)
+		}
+	}
+	s.complaints = append(kept, complaint{node: node, at: now})
+	enough := len(s.complaints) >= complaintsNeeded
+	if enough && now.Sub(s.backoffUntil) > backoffLongest {
+		s.backoff = 0
+	}
+	t.mu.Unlock()
+	if enough {
+		t.Unreachable(now, id)
+	}
+}
+
+// Shunned returns the endpoints among some that this node leaves alone.
+func (t *Tracker) Shunned(now time.Time, endpoints []*fleet.Endpoint) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var shunned []string
+	for _, e := range endpoints {
+		if s, ok := t.states[e.ID]; ok && now.Before(s.backoffUntil) {
+			shunned = append(shunned, e.ID)
+		}
+	}
+	return shunned
+}
+
 // Snapshot is what the tracker thinks of one endpoint, for logs.
 type Snapshot struct {
 	Own, Running, Unread int
--- /dev/null
+++ b/balance/zone_load_test.go
@@ -0,0 +1,255 @@
+package balance_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/standin/passes"
+)
+
+// zoneLoad is the load of one availability zone whose groups have few places:
+// many nodes, each of which sees little of it.
+type zoneLoad struct {
+	nodes     int
+	groups    int
+	perSecond float64
+	// news is how often a node tells its loads and hears the others', and
+	// changedNews the same while its loads change.
+	news, changedNews time.Duration
+	// dispatched says that one node chooses for all.
+	dispatched bool
+	length     time.Duration
+}
+
+// The callers' wants, and the link between two nodes of a zone.
+const (
+	zoneObjective = 300 * time.Millisecond
+	zonePause     = 200 * time.Millisecond
+	zoneHop       = time.Millisecond
+)
+
+func zoneEngine() *fleet.Engine {
+	return &fleet.Engine{
+		Slots: 13, Step: 6450 * time.Microsecond, PerSequence: 97 * time.Microsecond, PerThousandContext: 3 * time.Microsecond,
+		ReadPerSecond: 56100, PerMillionPairs: 309 * time.Microsecond, Chunk: 2048, Stride: 10, UsualPrompt: 854, UsualAnswer: 192,
+		Models: []fleet.Model{{Name: "small", Size: 4, Share: 1, Pace: 0.6}},
+	}
+}
+
+// zonePlay is a load being played in virtual time.
+type zonePlay struct {
+	zoneLoad
+	now      time.Time
+	random   *rand.Rand
+	groups   []*passes.Group
+	heads    []*fleet.Endpoint
+	trackers []*balance.Tracker
+	tickets  []balance.Tickets
+	told     []map[string]balance.Load // by node: its loads as it last told
+	toldAt   []time.Time
+	queue    []timed
+	firsts   []time.Duration
+	outcome
+}
+
+// timed is something that happens at a moment.
+type timed struct {
+	at time.Time
+	do func()
+}
+
+func (p *zonePlay) after(wait time.Duration, do func()) {
+	at := p.now.Add(wait)
+	i, _ := slices.BinarySearchFunc(p.queue, at, func(one timed, at time.Time) int { return one.at.Compare(at) })
+	p.queue = slices.Insert(p.queue, i, timed{at, do})
+}
+
+// play plays the load until all callers have their answers.
+func (l zoneLoad) play(seed uint64) *zonePlay {
+	p := &zonePlay{zoneLoad: l, now: start, random: rand.New(rand.NewPCG(seed, 7)), told: make([]map[string]balance.Load, l.nodes),
+		tickets: make([]balance.Tickets, l.nodes), toldAt: make([]time.Time, l.nodes)}
+	for i := range l.groups {
+		p.groups = append(p.groups, passes.NewGroup(zoneEngine(), zoneEngine().Models[0]))
+		p.heads = append(p.heads, head(strconv.Itoa(i), "a", "small"))
+	}
+	for i := range l.nodes {
+		p.trackers = append(p.trackers, balance.NewTracker())
+		p.after(time.Duration(i)*l.news/time.Duration(l.nodes), func() { p.tell(i) })
+	}
+	p.after(0, p.arrive)
+	for p.inTime+p.late+p.refused < p.asked || p.now.Before(start.Add(l.length)) {
+		p.step()
+	}
+	return p
+}
+
+// step plays what comes next: the end of a group's pass, or the queue's first.
+func (p *zonePlay) step() {
+	next, which := p.queue[0].at, -1
+	for i, g := range p.groups {
+		if end, busy := g.Next(); busy && end.Before(next) {
+			next, which = end, i
+		}
+	}
+	p.now = next
+	if which >= 0 {
+		p.groups[which].EndPass()
+		return
+	}
+	first := p.queue[0]
+	p.queue = p.queue[1:]
+	first.do()
+}
+
+// tell hands a node's loads on, and gives it the sum of the others'. Node 0
+// hears of each word at once.
+func (p *zonePlay) tell(node int) {
+	p.after(p.changedNews, func() { p.tell(node) })
+	below, own := p.tickets[node].Settled(), p.trackers[node].Own(p.now)
+	if p.now.Sub(p.toldAt[node]) < p.news && maps.Equal(own, p.told[node]) {
+		return
+	}
+	p.told[node], p.toldAt[node] = own, p.now
+	p.trackers[node].SetOthers(p.now, p.others(node))
+	if p.dispatched && node != 0 {
+		p.trackers[0].Settle(strconv.Itoa(node), below)
+		p.trackers[0].SetOthers(p.now, p.others(0))
+	}
+}
+
+func (p *zonePlay) others(node int) map[string]balance.Load {
+	others := map[string]balance.Load{}
+	for i, loads := range p.told {
+		if i == node {
+			continue
+		}
+		for id, load := range loads {
+			others[id] = others[id].With(load)
+		}
+	}
+	return others
+}
+
+// arrive takes one request in, and draws when the next comes, until the end.
+func (p *zonePlay) arrive() {
+	if p.now.After(start.Add(p.length)) {
+		return
+	}
+	p.after(time.Duration(p.random.ExpFloat64()/p.perSecond*float64(time.Second)), p.arrive)
+	prompt := int(min(2340, p.random.ExpFloat64()*640+60))
+	answer := int(min(540, p.random.ExpFloat64()*200+10))
+	node, arrived := p.random.IntN(p.nodes), p.now
+	p.asked++
+	if p.dispatched && node != 0 {
+		p.dispatch(node, prompt, answer)
+		return
+	}
+	ask := p.ask(prompt)
+	ask.Dispatches = p.dispatched
+	choice, none := p.trackers[node].Group(p.now, p.heads, nil, ask)
+	if none != nil {
+		p.refused++
+		return
+	}
+	p.send(arrived, prompt, answer, choice)
+}
+
+// dispatch asks node 0 to choose, which takes the way there and back.
+func (p *zonePlay) dispatch(node, prompt, answer int) {
+	arrived, ticket := p.now, p.tickets[node].Open()
+	p.after(zoneHop, func() {
+		ask := p.ask(prompt)
+		ask.Dispatches = true
+		choice, none := p.trackers[0].Reserve(p.now, p.heads, nil, ask, balance.Claimant{Node: strconv.Itoa(node), Ticket: ticket})
+		p.after(zoneHop, func() {
+			defer p.tickets[node].Close(ticket)
+			if none != nil {
+				p.refused++
+				return
+			}
+			p.send(arrived, prompt, answer, p.trackers[node].Take(p.now, choice.Endpoint, p.ask(prompt), choice.Predicted))
+		})
+	})
+}
+
+func (p *zonePlay) ask(prompt int) balance.Ask {
+	return balance.Ask{
+		Service: fleet.Service{Name: "llm", Engine: zoneEngine()}, Model: zoneEngine().Models[0], Zone: "a", Prompt: prompt,
+		Objective: zoneObjective, Nodes: 5 * p.nodes, ZoneNodes: p.nodes, Node: "n",
+	}
+}
+
+// send hands a request to the group that was chosen.
+func (p *zonePlay) send(arrived time.Time, prompt, answer int, choice balance.Choice) {
+	which, _ := strconv.Atoi(choice.Endpoint.ID)
+	first, last, slowest := time.Time{}, p.now, time.Duration(0)
+	p.groups[which].Send(p.now, &passes.Request{Prompt: prompt, Answer: answer, OnEvent: func(at time.Time, end bool) {
+		if first.IsZero() {
+			first = at
+		} else {
+			slowest = max(slowest, at.Sub(last))
+		}
+		last = at
+		choice.Visit.Event(at, nil)
+		if !end {
+			return
+		}
+		choice.Visit.Done(at, true)
+		p.firsts = append(p.firsts, first.Sub(arrived))
+		if first.Sub(arrived) <= zoneObjective && slowest <= zonePause {
+			p.inTime++
+		} else {
+			p.late++
+		}
+	}})
+}
+
+func (p *zonePlay) String() string {
+	slices.Sort(p.firsts)
+	at := func(share float64) time.Duration {
+		return p.firsts[int(share*float64(len(p.firsts)-1))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("asked %d: in time %.3f, late %.3f, refused %.3f; first event 50%% %s, 95%% %s", p.asked, p.share(p.inTime), p.share(p.late),
+		p.share(p.refused), at(0.5), at(0.95))
+}
+
+// usualLoad is what the groups of a zone bear with some reserve, in requests a
+// second; lateAtMost is the share of what is taken that may come late.
+const (
+	usualLoad  = 160
+	lateAtMost = 0.1
+)
+
+// Every node of a large zone sees the same group as the emptiest until it hears
+// of the others, so answers come late long before the zone is full. With one
+// node that chooses for all, lateness doesn't grow with the number of nodes.
+func TestZoneLoadServedInTime(t *testing.T) {
+	for _, times := range []float64{1, 1.5, 2.5} {
+		few := zoneLoad{nodes: 3, groups: 20, perSecond: times * usualLoad, news: newsOf(3), changedNews: newsOf(3), length: 15 * time.Second}.play(1)
+		t.Logf("%v times, 3 nodes, each chooses: %s", times, few)
+		for _, nodes := range []int{40, 195} {
+			load := zoneLoad{nodes: nodes, groups: 20, perSecond: times * usualLoad, news: newsOf(nodes), changedNews: newsOf(nodes), length: 15 * time.Second}
+			each := load.play(1)
+			load.dispatched, load.changedNews = true, newsOf(0)
+			one := load.play(1)
+			t.Logf("%v times, %d nodes, each chooses: %s", times, nodes, each)
+			t.Logf("%v times, %d nodes, one chooses: %s", times, nodes, one)
+			require.LessOrEqual(t, float64(one.late), lateAtMost*float64(one.late+one.inTime))
+			require.GreaterOrEqual(t, one.share(one.inTime), few.share(few.inTime)-0.05)
+		}
+	}
+}
+
+// newsOf is how often each of some nodes tells its loads.
+func newsOf(nodes int) time.Duration {
+	return max(60*time.Millisecond, time.Duration(nodes)*2500*time.Microsecond)
+}
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// PlacementRequest is a stream that a zone is asked to take.
+// PlacementRequest is a stream for which a node wants a group of a zone.
 type PlacementRequest struct {
 	Service   string
 	Model     string
@@ -10,8 +10,15 @@
 	Objective time.Duration
 	// Tried holds the endpoints that have had the stream.
 	Tried []string
+	// Shunned holds the endpoints that the asking node leaves alone, as they
+	// didn't answer it.
+	Shunned []string
 	// GoesOn says that the stream was begun elsewhere and is worth finishing late.
 	GoesOn bool
+	// Node is the asking node.
+	Node string
+	// Ticket numbers what a node asks in its own zone; it is 0 in another zone.
+	Ticket uint64
 }
 
 // Placement is a zone's answer to a request.
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -23,6 +23,7 @@
 	InternalFirst, InternalLast int
 	StoreAddress                string
 	StoreReadsPerSecond         float64
+	Processor                   float64 // cores of the VM that this node may use
 	MemoryBytes                 int64
 	FileDescriptors             int
 	Heartbeat                   time.Duration // of an endpoint's entry
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,8 @@
 type Shares struct {
 	Nodes int // that take requests, this one included; at least 1
 	Zone  int // of these, in this node's zone
+	// Dispatches says that this node chooses groups for all nodes of its zone.
+	Dispatches bool
 }
 
 // Options are the parts that a gateway works with.
@@ -42,9 +44,11 @@
 	Stopping func() Stop
 }
 
-// Placer asks another zone to choose one of its groups for a stream. ok is false
-// if the zone gave no answer.
+// Placer asks zones to choose one of their groups for a stream.
 type Placer interface {
+	// Dispatched reports whether another node chooses for the nodes of this zone.
+	Dispatched() bool
+	// Place asks a zone. ok is false if it gave no answer.
 	Place(ctx context.Context, zone string, request fleet.PlacementRequest) (placement fleet.Placement, ok bool)
 }
 
@@ -171,7 +175,7 @@
 	cold := coldMargin * (r.Service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
 	ask := balance.Ask{
 		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Answer: r.Ask.MaxAnswer, Objective: r.Route.Objective, Tried: tried,
-		Node: settings.Node, Nodes: nodes, ZoneNodes: zone,
+		Node: settings.Node, Nodes: nodes, ZoneNodes: zone, Dispatches: shares.Dispatches,
 		ColdNear: coldNear * cold / float64(zone), ColdFar: (1 - coldNear) * cold / float64(max(1, nodes-zone)),
 		Connections: connectionShare(r.Service.MaxConnections, nodes),
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,8 +39,12 @@
 type placer struct {
 	offers map[string]string // endpoints, by zone; a zone without one gives no answer
 	asked  []string
+	// dispatched says that another node chooses for this zone.
+	dispatched bool
 }
 
+func (p *placer) Dispatched() bool { return p.dispatched }
+
 func (p *placer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
 	p.asked = append(p.asked, zone)
 	id, ok := p.offers[zone]
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -10,12 +10,75 @@
 	"redwinghall/fleet"
 )
 
-// chooseGroup chooses the group for a stream. Before a stream goes to another
-// zone, that zone is asked, as it knows its groups' load and this node knows it
-// late; a zone that has no room is left out, and the choice made again.
+// chooseGroup chooses the group for a stream. Where another node dispatches for
+// this zone, it is asked first; without its answer this node chooses by what
+// it knows itself.
 func (c *streamCall) chooseGroup(ctx context.Context, now time.Time, ask balance.Ask) (balance.Choice, *balance.Refusal) {
+	heads := c.r.view.Heads(c.r.Service.Name, c.r.Ask.Model)
+	if c.g.Placer == nil || !c.g.Placer.Dispatched() {
+		return c.chooseByZones(ctx, now, heads, ask)
+	}
+	choice, placement := c.dispatched(ctx, heads, ask)
+	switch placement {
+	case placedHere:
+		return choice, nil
+	case noRoom:
+		ask = ask.WithZoneFull(ask.Zone)
+	case noAnswer:
+	}
+	return c.chooseByZones(ctx, time.Now(), heads, ask)
+}
+
+// placing is how a zone's dispatcher answered.
+type placing int
+
+const (
+	noAnswer placing = iota
+	noRoom
+	placedHere
+)
+
+// dispatched asks the dispatcher of this zone for a group.
+func (c *streamCall) dispatched(ctx context.Context, heads []*fleet.Endpoint, ask balance.Ask) (balance.Choice, placing) {
+	tickets := &c.g.Tracker.Tickets
+	ticket := tickets.Open()
+	defer tickets.Close(ticket)
+	request := c.placement(ask)
+	request.Ticket, request.Shunned = ticket, c.g.Tracker.Shunned(time.Now(), heads)
+	placement, ok := c.g.Placer.Place(ctx, ask.Zone, request)
+	if !ok {
+		return balance.Choice{}, noAnswer
+	}
+	switch {
+	case placement.Endpoint != "":
+	case placement.Predicted > 0:
+		return balance.Choice{}, noRoom
+	default:
+		// It knows of no group. This node may, as their views differ for moments.
+		return balance.Choice{}, noAnswer
+	}
+	now := time.Now()
+	placed, usable := c.offered(now, placement, ask)
+	if !usable {
+		return balance.Choice{}, noAnswer
+	}
+	return c.g.Tracker.Take(now, placed, ask, placement.Predicted), placedHere
+}
+
+// offered returns the endpoint of a placement, and whether this node may use
+// it. Where views differ, this node's own decides: it may know of a group that
+// turned cold or closed since.
+func (c *streamCall) offered(now time.Time, placement fleet.Placement, ask balance.Ask) (*fleet.Endpoint, bool) {
+	placed, known := c.r.view.Endpoints[placement.Endpoint]
+	return placed, known && !placed.ColdAt(now) && balance.Usable(&ask.Service, placed, c.r.view.ZonesOut)
+}
+
+// chooseByZones chooses a group by what this node knows. Before a stream goes
+// to another zone, that zone is asked, as it knows its groups' load and this
+// node knows it late; a zone that has no room is left out, and the choice made
+// again.
+func (c *streamCall) chooseByZones(ctx context.Context, now time.Time, heads []*fleet.Endpoint, ask balance.Ask) (balance.Choice, *balance.Refusal) {
 	view := c.r.view
-	heads := view.Heads(c.r.Service.Name, c.r.Ask.Model)
 	for {
 		choice, none := c.g.Tracker.Group(now, heads, view.ZonesOut, ask)
 		if none != nil || c.g.Placer == nil || choice.Endpoint.Zone == ask.Zone || choice.Endpoint.ColdAt(now) {
@@ -26,16 +89,14 @@
 			return choice, nil // by what this node knows itself
 		}
 		now = time.Now()
-		placed, known := view.Endpoints[placement.Endpoint]
+		placed, usable := c.offered(now, placement, ask)
 		switch {
 		case placement.Endpoint == "":
 			klog.InfoS("zone_has_no_room", "request", c.r.Ask.ID, "zone", choice.Endpoint.Zone, "there", placement.Predicted,
 				"predicted_here", choice.Predicted, "load_age", choice.Age)
 			choice.Visit.Withdraw()
 			ask = ask.WithZoneFull(choice.Endpoint.Zone)
-		case !known || placed.ID == choice.Endpoint.ID || placed.ColdAt(now) || !balance.Usable(&ask.Service, placed, view.ZonesOut):
-			// Where views differ, this node's own decides: it may know of a group
-			// that turned cold or closed since.
+		case !usable || placed.ID == choice.Endpoint.ID:
 			return choice, nil
 		default:
 			choice.Visit.Withdraw()
@@ -44,7 +105,7 @@
 	}
 }
 
-// placement returns what another zone needs to know of the stream.
+// placement returns what a zone needs to know of the stream.
 func (c *streamCall) placement(ask balance.Ask) fleet.PlacementRequest {
 	request := fleet.PlacementRequest{
 		Service: ask.Service.Name, Model: ask.Model.Name, Prompt: ask.Prompt, Objective: ask.Objective, GoesOn: ask.GoesOn,
--- a/members/members.go
+++ b/members/members.go
@@ -213,7 +213,7 @@
 	}
 	rank := 0
 	for _, node := range *t.nodes.Load() {
-		if node.Zone == t.config.Self.Zone && node.Name < t.config.Self.Name {
+		if node.Zone == t.config.Self.Zone && node.goesBefore(t.config.Self) {
 			rank++
 		}
 	}
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -17,6 +17,17 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
+	// Capacity is the class of its VM: a higher one bears more.
+	Capacity int `json:"capacity,omitempty"`
+}
+
+// goesBefore reports whether a node takes a free lease before another one of its
+// zone: who forms the groups also reads the store for all.
+func (n Node) goesBefore(other Node) bool {
+	if n.Capacity != other.Capacity {
+		return n.Capacity > other.Capacity
+	}
+	return n.Name < other.Name
 }
 
 // seenNode is what is known of another node's row.
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -22,7 +22,7 @@
 	callTimeout = 500 * time.Millisecond
 	// listTimeout bounds a call for a whole table, which may not have been read yet.
 	listTimeout = time.Second
-	// reserveTimeout bounds how long a caller waits for another zone's answer: a
+	// reserveTimeout bounds how long a caller waits until a group is chosen: a
 	// small part of an objective, and many times the round trip.
 	reserveTimeout = 40 * time.Millisecond
 	dialTimeout    = 300 * time.Millisecond
@@ -94,15 +94,29 @@
 
 // Shared is what a node is told of loads.
 type Shared struct {
-	Others map[string]balance.Load // of the other nodes of the zone
+	Others map[string]balance.Load // of the other nodes of the zone, if it asked for them
 	Zones  map[string]balance.Load // of the other zones, if it asked for them
 }
 
-// Share hands over this node's loads and returns the sums of the others'.
-func (c *Client) Share(ctx context.Context, address, node string, loads map[string]balance.Load, withZones bool) (Shared, error) {
+// Word is what a node tells of its loads.
+type Word struct {
+	Node  string
+	Loads map[string]balance.Load
+	// Settled says that all streams of the node's tickets below it are in Loads.
+	Settled uint64
+	// WithOthers asks for the loads of the other nodes of the zone, WithZones for
+	// those of the other zones.
+	WithOthers, WithZones bool
+}
+
+// Share hands over this node's loads and returns the sums of the others' that it asks for.
+func (c *Client) Share(ctx context.Context, address string, word Word) (Shared, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	out, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{Node: node, Loads: encodeLoads(loads), WithZones: withZones})
+	out, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{
+		Node: word.Node, Loads: encodeLoads(word.Loads), Settled: word.Settled, WithOthers: word.WithOthers,
+		WithZones: word.WithZones,
+	})
 	if err != nil {
 		return Shared{}, c.failed("Client.Share", err)
 	}
@@ -119,14 +133,15 @@
 	return nil
 }
 
-// Reserve asks a node of another zone to choose a group there. A caller waits
-// meanwhile, so the answer must come within reserveTimeout.
+// Reserve asks a node to choose a group of its zone. A caller waits meanwhile,
+// so the answer must come within reserveTimeout.
 func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest) (fleet.Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	out, err := c.clientOf(address).Reserve(ctx, &rpc.ReserveRequest{
 		Service: request.Service, Model: request.Model, PromptTokens: int32(request.Prompt), //nolint:gosec // a count of tokens
-		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, GoesOn: request.GoesOn,
+		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, Shunned: request.Shunned, GoesOn: request.GoesOn,
+		Node: request.Node, Ticket: request.Ticket,
 	})
 	if err != nil {
 		return fleet.Placement{}, c.failed("Client.Reserve", err)
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -24,17 +24,20 @@
 	commits   []fleet.Txn
 	commitErr error
 	requests  []fleet.PlacementRequest
+	settled   map[string]uint64
+	ignorant  bool
 }
 
 func serve(t *testing.T) (*other, *neighbor.Client, string) {
 	t.Helper()
-	o := &other{mirror: relay.NewMirror(nil), board: neighbor.NewBoard()}
+	o := &other{mirror: relay.NewMirror(nil), board: neighbor.NewBoard(), settled: map[string]uint64{}}
 	server := httptest.NewServer(neighbor.NewHandler(neighbor.Parts{
 		Mirror: func(string) *relay.Mirror { return o.mirror }, Board: o.board,
 		Suspect: func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
-		Reserve: func(_ time.Time, request fleet.PlacementRequest) fleet.Placement {
+		Told:    func(_ time.Time, node string, settled uint64) { o.settled[node] = settled },
+		Reserve: func(_ time.Time, request fleet.PlacementRequest) (fleet.Placement, bool) {
 			o.requests = append(o.requests, request)
-			return fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond}
+			return fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond}, !o.ignorant
 		},
 		Commit: func(_ context.Context, txn fleet.Txn) (int64, error) {
 			o.commits = append(o.commits, txn)
@@ -84,11 +87,15 @@
 
 func TestReserve(t *testing.T) {
 	o, client, address := serve(t)
-	request := fleet.PlacementRequest{Service: "llm", Model: "large", Prompt: 1500, Objective: 400 * time.Millisecond, Tried: []string{"e7"}, GoesOn: true}
+	request := fleet.PlacementRequest{Service: "llm", Model: "large", Prompt: 1500, Objective: 400 * time.Millisecond, Tried: []string{"e7"}, GoesOn: true,
+		Shunned: []string{"e8"}, Node: "n1", Ticket: 17}
 	placement, err := client.Reserve(context.Background(), address, request)
 	require.NoError(t, err)
 	require.Equal(t, fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond}, placement)
 	require.Equal(t, []fleet.PlacementRequest{request}, o.requests)
+	o.ignorant = true
+	_, err = client.Reserve(context.Background(), address, request)
+	require.Error(t, err, "a node that knows too little must not pass for a full zone")
 }
 
 // The other zone was cut off: the caller must not wait for its word for long.
@@ -107,13 +114,16 @@
 	ctx := context.Background()
 	o.board.Put(time.Now(), "n2", map[string]balance.Load{"e1": {Requests: 3, Unstarted: 1, Unread: 500}})
 	require.NoError(t, client.ShareZone(ctx, address, "zone-b", map[string]balance.Load{"e1": {Requests: 2}, "e2": {Requests: 1}}))
-	shared, err := client.Share(ctx, address, "n1", map[string]balance.Load{"e1": {Requests: 7}}, true)
+	word := neighbor.Word{Node: "n1", Loads: map[string]balance.Load{"e1": {Requests: 7}}, Settled: 12, WithOthers: true, WithZones: true}
+	shared, err := client.Share(ctx, address, word)
+	require.Equal(t, uint64(12), o.settled["n1"])
 	require.NoError(t, err)
 	require.Equal(t, map[string]balance.Load{"e1": {Requests: 3, Unstarted: 1, Unread: 500}}, shared.Others)
 	require.Equal(t, map[string]balance.Load{"e1": {Requests: 2}, "e2": {Requests: 1}}, shared.Zones)
-	shared, err = client.Share(ctx, address, "n1", map[string]balance.Load{"e1": {Requests: 7}}, false)
+	shared, err = client.Share(ctx, address, neighbor.Word{Node: word.Node, Loads: word.Loads})
 	require.NoError(t, err)
 	require.Empty(t, shared.Zones, "they are many, and asked for now and then")
+	require.Empty(t, shared.Others, "a node that doesn't choose itself seldom asks for them")
 	require.Equal(t, 10, o.board.Zone(time.Now())["e1"].Requests, "the zone's own nodes only")
 	require.Empty(t, o.board.Others(time.Now().Add(time.Minute), ""), "old words don't count")
 	require.Empty(t, o.board.Zones(time.Now().Add(time.Minute)))
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -21,8 +21,12 @@
 	Mirror  func(table string) *relay.Mirror
 	Board   *Board
 	Suspect func(ctx context.Context, endpointID string)
-	// Reserve chooses a group of this zone for a stream of another one.
-	Reserve func(now time.Time, request fleet.PlacementRequest) fleet.Placement
+	// Told is called when a node of this zone has told its loads, which are on the
+	// board by then.
+	Told func(now time.Time, node string, settled uint64)
+	// Reserve chooses a group of this zone for another node's stream.
+	// ok is false if this node knows too little to choose.
+	Reserve func(now time.Time, request fleet.PlacementRequest) (placement fleet.Placement, ok bool)
 	// Commit carries out a transaction at the store itself.
 	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
 }
@@ -60,7 +64,11 @@
 		return &rpc.ShareResponse{}, nil
 	}
 	s.parts.Board.Put(now, in.GetNode(), decodeLoads(in.GetLoads()))
-	out := &rpc.ShareResponse{Loads: encodeLoads(s.parts.Board.Others(now, in.GetNode()))}
+	s.parts.Told(now, in.GetNode(), in.GetSettled())
+	out := &rpc.ShareResponse{}
+	if in.GetWithOthers() {
+		out.Loads = encodeLoads(s.parts.Board.Others(now, in.GetNode()))
+	}
 	if in.GetWithZones() {
 		out.Zones = encodeLoads(s.parts.Board.Zones(now))
 	}
@@ -69,10 +77,14 @@
 
 // Reserve implements rpc.Neighbor.
 func (s *Server) Reserve(_ context.Context, in *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
-	placement := s.parts.Reserve(time.Now(), fleet.PlacementRequest{
+	placement, ok := s.parts.Reserve(time.Now(), fleet.PlacementRequest{
 		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
-		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), GoesOn: in.GetGoesOn(),
+		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), Shunned: in.GetShunned(), GoesOn: in.GetGoesOn(),
+		Node: in.GetNode(), Ticket: in.GetTicket(),
 	})
+	if !ok {
+		return nil, twirp.NewError(twirp.Unavailable, "the service or its model isn't known here")
+	}
 	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds()}, nil
 }
 
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,13 +17,12 @@
 	"redwinghall/relay"
 )
 
-// shareInterval is how often a node says how much it has at each endpoint, and
-// sharePerNode the interval that each node of a zone adds, as one of them
-// gathers what all say. Between two words a group gets about one request that
-// others don't know of.
+// shareInterval is how often a node says how much it has at each endpoint while
+// that changes. Each node of a zone adds sharePerNode to the interval without
+// changes, as one node gathers what all say.
 const (
 	shareInterval = 60 * time.Millisecond
-	sharePerNode  = 5 * time.Millisecond
+	sharePerNode  = 2500 * time.Microsecond
 )
 
 // zoneInterval is how often the zones tell each other their loads. Bytes between
@@ -46,6 +45,10 @@
 	return holder.Name
 }
 
+// hearOthers is how often a node hears of the others' loads where a dispatcher
+// chooses for it. They are for the moments in which that gives no answer.
+const hearOthers = 250 * time.Millisecond
+
 // hearZones is how often a node hears of the other zones' loads while it looks
 // for groups there. They only say which zone to ask first; told each time, they
 // would be most of what the nodes of many zones tell each other.
@@ -65,16 +68,8 @@
 	return peers
 }
 
-// peersOf returns the nodes of a zone.
-func (n *Node) peersOf(zone string) []relay.Peer {
-	var peers []relay.Peer
-	for _, one := range n.table.Nodes() {
-		if one.Zone == zone {
-			peers = append(peers, relay.Peer{Name: one.Name, Address: one.Address})
-		}
-	}
-	return peers
-}
+// peersOf returns the nodes of a zone, in the order in which they are to dispatch.
+func (n *Node) peersOf(zone string) []relay.Peer { return n.rosters.of(n.table.Nodes()).zones[zone] }
 
 func (n *Node) internalAddress() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InternalFirst))
@@ -85,36 +80,40 @@
 		Addr: n.internalAddress(), ReadHeaderTimeout: smallHeaderTimeout,
 		Handler: neighbor.NewHandler(neighbor.Parts{
 			Mirror: n.source.Mirror, Board: n.board, Suspect: n.manager.Stalled,
-			Commit: n.source.CommitDirect, Reserve: n.reserve,
+			Commit: n.source.CommitDirect, Reserve: n.reserve, Told: n.told,
 		}),
 	}
 }
 
-// startSharing tells the zone's nodes of each other's load. The first in rank
-// gathers it; the others ask it.
+// startSharing tells the zone's nodes of each other's load. The dispatcher, or the
+// first in rank where there is none, gathers it; the others ask it.
 func (n *Node) startSharing(g *kernel.Group) {
-	var last, zones time.Time
+	var last, others, zones time.Time
+	var told map[string]balance.Load
 	g.Every("share_loads", shareInterval, func(ctx context.Context, now time.Time) {
-		ranked := relay.Ranked(n.peers())
-		if now.Sub(last) < time.Duration(len(ranked))*sharePerNode {
+		// Settled first: what is settled by then is in the loads.
+		word := neighbor.Word{Node: n.settings.Node, Settled: n.tracker.Tickets.Settled(), Loads: n.tracker.Own(now)}
+		if now.Sub(last) < time.Duration(len(n.peers()))*sharePerNode && maps.Equal(told, word.Loads) {
 			return
 		}
-		last = now
-		own := n.tracker.Own(now)
-		if ranked[0].Name == n.settings.Node {
-			n.board.Put(now, n.settings.Node, own)
-			n.tracker.SetOthers(now, n.board.Others(now, n.settings.Node))
-			n.tracker.SetZones(now, n.board.Zones(now))
+		last, told = now, word.Loads
+		if n.gathers(now) {
+			n.board.Put(now, word.Node, word.Loads)
+			n.takeBoard(now)
 			return
 		}
-		withZones := n.tracker.LooksFar(now) && now.Sub(zones) >= hearZones
-		shared, err := n.shareWith(ctx, ranked, own, withZones)
-		if err != nil {
-			klog.V(1).InfoS("loads_not_shared", "err", err)
+		_, dispatched := n.dispatcher(now, n.settings.Zone)
+		word.WithOthers = !dispatched || now.Sub(others) >= hearOthers
+		word.WithZones = n.tracker.LooksFar(now) && now.Sub(zones) >= hearZones
+		shared, ok := n.share(ctx, now, word)
+		if !ok {
 			return
 		}
-		n.tracker.SetOthers(time.Now(), shared.Others)
-		if withZones {
+		if word.WithOthers {
+			others = now
+			n.tracker.SetOthers(time.Now(), shared.Others)
+		}
+		if word.WithZones {
 			zones = now
 			n.tracker.SetZones(time.Now(), shared.Zones)
 		}
@@ -122,39 +121,36 @@
 }
 
 // startZoneSharing tells the other zones how much this zone's nodes have. The
-// first node in rank of each zone speaks for it.
+// node that gathers a zone's loads speaks for it.
 func (n *Node) startZoneSharing(g *kernel.Group) {
 	for _, zone := range n.settings.Zones {
 		if zone == n.settings.Zone {
 			continue
 		}
 		g.Every("share_zone "+zone, zoneInterval, func(ctx context.Context, now time.Time) {
-			own, theirs := relay.Ranked(n.peers()), relay.Ranked(n.peersOf(zone))
-			if own[0].Name != n.settings.Node || len(theirs) == 0 {
+			theirs, ok := n.avoided.First(now, n.peersOf(zone))
+			if !ok || !n.gathers(now) {
 				return
 			}
-			if err := n.neighbors.ShareZone(ctx, theirs[0].Address, n.settings.Zone, n.board.Zone(now)); err != nil {
-				klog.V(1).InfoS("loads_not_shared", "zone", zone, "err", err)
+			if err := n.neighbors.ShareZone(ctx, theirs.Address, n.settings.Zone, n.board.Zone(now)); err != nil {
+				n.undispatched(time.Now(), zone, theirs, err)
 			}
 		})
 	}
 }
 
-// shareWith tells the first node in rank that answers. A node that is not the
-// first gathers only what is told to it, which is then a part of the whole.
-func (n *Node) shareWith(ctx context.Context, ranked []relay.Peer, own map[string]balance.Load, withZones bool) (neighbor.Shared, error) {
-	var errs error
-	for _, peer := range ranked[:min(2, len(ranked))] {
-		if peer.Name == n.settings.Node {
-			continue
-		}
-		shared, err := n.neighbors.Share(ctx, peer.Address, n.settings.Node, own, withZones)
-		if err == nil {
-			return shared, nil
-		}
-		errs = errors.Join(errs, err)
+// share tells the zone's gatherer this node's loads.
+func (n *Node) share(ctx context.Context, now time.Time, word neighbor.Word) (neighbor.Shared, bool) {
+	peer, ok := n.avoided.First(now, n.peers())
+	if !ok {
+		return neighbor.Shared{}, false
+	}
+	shared, err := n.neighbors.Share(ctx, peer.Address, word)
+	if err != nil {
+		n.undispatched(time.Now(), n.settings.Zone, peer, err)
+		return neighbor.Shared{}, false
 	}
-	return neighbor.Shared{}, errs
+	return shared, true
 }
 
 // suspect tells the holder of an endpoint's zone that little moves there.
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -60,7 +61,10 @@
 	group     *kernel.Group
 	stopping  atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
 	conns     *connections
-	callers   net.Listener
+	rosters   rosterCache
+	// avoided are dispatchers that gave no answer.
+	avoided *relay.Avoided
+	callers net.Listener
 }
 
 // New assembles a node. path is where its settings came from.
@@ -69,13 +73,14 @@
 	n := &Node{
 		path: path, settings: s, book: directory.NewBook(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), board: neighbor.NewBoard(),
+		avoided: relay.NewAvoided(dispatcherFirst, dispatcherLongest),
 	}
 	n.source = relay.NewSource(relay.Config{
 		Store: store, Asker: n.neighbors, Self: s.Node, Peers: n.peers, Others: n.foreigners, Leader: n.leader, Same: sameValue,
 	})
 	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
-		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress()},
+		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress(), Capacity: capacityOf(s)},
 		Zones: s.Zones, Now: kernel.BootTime,
 	}, n.source)
 	n.manager = formation.NewManager(formation.Options{
@@ -87,7 +92,7 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Settings: n.inForce, Book: n.book, Tracker: n.tracker, Upstream: n.upstream, Metrics: n.metrics,
-		Shares:   func() gateway.Shares { return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers())} },
+		Shares:   n.shares,
 		Stalled:  n.suspect,
 		Placer:   newZonePlacer(n),
 		Stopping: n.plannedStop,
@@ -147,6 +152,19 @@
 	return err
 }
 
+// shares returns what this node may use of what all nodes share.
+func (n *Node) shares() gateway.Shares {
+	return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers()), Dispatches: n.dispatches(time.Now())}
+}
+
+// capacityOf returns the class of a VM: each is twice as strong as the one below.
+func capacityOf(s fleet.Settings) int {
+	if s.Processor <= 0 {
+		return 0
+	}
+	return int(math.Round(math.Log2(s.Processor)))
+}
+
 // tune fits the runtime to the VM: one thread's worth of work, and a limit
 // that the collector keeps below the VM's memory.
 func tune(s fleet.Settings) {
--- a/node/placement.go
+++ b/node/placement.go
@@ -5,10 +5,9 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall/balance"
 	"redwinghall/fleet"
+	"redwinghall/gateway"
 	"redwinghall/relay"
 )
 
@@ -16,29 +15,47 @@
 // that is cut off must not cost each stream the wait.
 const placerPause = time.Second
 
-// zonePlacer asks other zones to choose among their groups. The node that gathers a
-// zone's loads answers for it.
+// zonePlacer asks the dispatchers of zones to choose among their groups.
 type zonePlacer struct {
 	node  *Node
 	mu    sync.Mutex
-	quiet map[string]time.Time // until when a zone is not asked
+	quiet map[string]time.Time // until when another zone is not asked
 }
 
+var _ gateway.Placer = (*zonePlacer)(nil)
+
 func newZonePlacer(n *Node) *zonePlacer { return &zonePlacer{node: n, quiet: map[string]time.Time{}} }
 
+// Dispatched implements gateway.Placer.
+func (p *zonePlacer) Dispatched() bool {
+	own := p.node.settings
+	one, ok := p.node.dispatcher(time.Now(), own.Zone)
+	return ok && one.Name != own.Node
+}
+
 // Place implements gateway.Placer.
 func (p *zonePlacer) Place(ctx context.Context, zone string, request fleet.PlacementRequest) (fleet.Placement, bool) {
-	ranked := relay.Ranked(p.node.peersOf(zone))
-	if len(ranked) == 0 || p.paused(time.Now(), zone) {
+	now := time.Now()
+	peer, ok := p.asked(now, zone)
+	if !ok || peer.Name == p.node.settings.Node || p.paused(now, zone) {
 		return fleet.Placement{}, false
 	}
-	placement, err := p.node.neighbors.Reserve(ctx, ranked[0].Address, request)
-	if err != nil {
-		klog.InfoS("zone_not_asked", "zone", zone, "node", ranked[0].Name, "err", err)
+	request.Node = p.node.settings.Node
+	placement, err := p.node.neighbors.Reserve(ctx, peer.Address, request)
+	if err == nil {
+		p.node.avoided.Worked(peer.Name)
+		return placement, true
+	}
+	if ctx.Err() == nil { // else the caller left
+		p.node.undispatched(time.Now(), zone, peer, err)
 		p.pause(time.Now(), zone)
-		return fleet.Placement{}, false
 	}
-	return placement, true
+	return fleet.Placement{}, false
+}
+
+// asked returns the node that chooses for a zone: its dispatcher, or the one that gathers its loads.
+func (p *zonePlacer) asked(now time.Time, zone string) (relay.Peer, bool) {
+	return p.node.avoided.First(now, p.node.peersOf(zone))
 }
 
 func (p *zonePlacer) paused(now time.Time, zone string) bool {
@@ -47,33 +64,42 @@
 	return now.Before(p.quiet[zone])
 }
 
+// pause leaves another zone alone for a while. In the own zone, the next node in rank is asked.
 func (p *zonePlacer) pause(now time.Time, zone string) {
+	if zone == p.node.settings.Zone {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.quiet[zone] = now.Add(placerPause)
 }
 
-// reserve chooses a group of this zone for a stream of another one.
-func (n *Node) reserve(now time.Time, request fleet.PlacementRequest) fleet.Placement {
+// reserve chooses a group of this zone for another node's stream. It reports
+// false if this node knows too little to choose.
+func (n *Node) reserve(now time.Time, request fleet.PlacementRequest) (fleet.Placement, bool) {
 	view := n.book.View()
 	service, ok := view.Service(request.Service)
 	if !ok || service.Engine == nil {
-		return fleet.Placement{}
+		return fleet.Placement{}, false
 	}
 	model, ok := service.Engine.Model(request.Model)
 	if !ok {
-		return fleet.Placement{}
+		return fleet.Placement{}, false
 	}
 	tried := map[string]bool{}
 	for _, id := range request.Tried {
 		tried[id] = true
 	}
+	for _, id := range request.Shunned {
+		tried[id] = true
+		n.tracker.Complain(now, id, request.Node)
+	}
 	choice, none := n.tracker.Reserve(now, view.Heads(request.Service, request.Model), view.ZonesOut, balance.Ask{
 		Service: service, Model: model, Zone: n.settings.Zone, Prompt: request.Prompt, Objective: request.Objective, Tried: tried,
-		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), GoesOn: request.GoesOn,
-	})
+		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), Dispatches: n.dispatches(now), GoesOn: request.GoesOn,
+	}, balance.Claimant{Node: request.Node, Ticket: request.Ticket})
 	if none != nil {
-		return fleet.Placement{Predicted: none.Predicted}
+		return fleet.Placement{Predicted: none.Predicted}, true
 	}
-	return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted}
+	return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted}, true
 }
--- /dev/null
+++ b/relay/avoid.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+// Avoided remembers which nodes failed, and for how long each is left alone.
+type Avoided struct {
+	first, longest time.Duration
+
+	mu    sync.Mutex
+	nodes map[string]avoidedNode
+}
+
+type avoidedNode struct {
+	until time.Time
+	pause time.Duration
+}
+
+// NewAvoided returns a memory in which nothing failed. A node is left alone for
+// first; each further failure doubles that up to longest.
+func NewAvoided(first, longest time.Duration) *Avoided {
+	return &Avoided{first: first, longest: longest, nodes: map[string]avoidedNode{}}
+}
+
+// Failed notes that a node failed.
+func (a *Avoided) Failed(now time.Time, name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	one := a.nodes[name]
+	if now.Before(one.until) {
+		return // calls that were on their way together fail together
+	}
+	one.pause = min(max(2*one.pause, a.first), a.longest)
+	one.until = now.Add(one.pause)
+	a.nodes[name] = one
+}
+
+// Worked forgets that a node failed before.
+func (a *Avoided) Worked(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.nodes, name)
+}
+
+// Has reports whether a node is left alone now.
+func (a *Avoided) Has(now time.Time, name string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !now.After(a.nodes[name].until)
+}
+
+// First returns the first of some nodes that isn't left alone.
+func (a *Avoided) First(now time.Time, nodes []Peer) (Peer, bool) {
+	for _, one := range nodes {
+		if !a.Has(now, one.Name) {
+			return one, true
+		}
+	}
+	return Peer{}, false
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -10,12 +10,26 @@
 	"redwinghall/fleet"
 )
 
-// Peer is a node of the same zone.
+// Peer is a node that another one can ask.
 type Peer struct {
 	Name    string
 	Address string
+	// Capacity is the class of the node's VM: a higher one bears more.
+	Capacity int
 }
 
+// Duty is work that one node of a zone does for all.
+type Duty string
+
+// The duties.
+const (
+	// Reading the store for the zone.
+	Reading Duty = "reading"
+	// Dispatching is to gather the loads of the zone's nodes, to choose groups for
+	// their streams, and to speak for the zone to others.
+	Dispatching Duty = "dispatching"
+)
+
 // reader returns the node to ask. There is none where this node is the reader
 // itself.
 func (s *Source) reader(now time.Time) (Peer, bool) {
@@ -23,27 +37,18 @@
 	if len(peers) <= maxDirectReaders {
 		return Peer{}, false
 	}
-	order := leaderFirst(Ranked(peers), s.config.Leader())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, one := range order {
-		if one.Name == s.config.Self {
-			return Peer{}, false
-		}
-		if now.After(s.avoidUntil[one.Name]) {
-			return one, true
-		}
+	one, ok := s.avoided.First(now, leaderFirst(Ranked(peers, Reading), s.config.Leader()))
+	if one.Name == s.config.Self {
+		return Peer{}, false
 	}
-	return Peer{}, false
+	return one, ok
 }
 
 // helper returns a node to ask for help: of this zone first, then of others.
 func (s *Source) helper(now time.Time) (Peer, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, group := range [][]Peer{s.config.Peers(), s.config.Others()} {
-		for _, one := range Ranked(group) {
-			if one.Name != s.config.Self && now.After(s.avoidUntil[one.Name]) {
+		for _, one := range Ranked(group, Reading) {
+			if one.Name != s.config.Self && !s.avoided.Has(now, one.Name) {
 				return one, true
 			}
 		}
@@ -51,25 +56,10 @@
 	return Peer{}, false
 }
 
-// backOff avoids a node that failed, longer each time.
-func (s *Source) backOff(peer Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.backoff[peer.Name] = min(max(2*s.backoff[peer.Name], backoffFirst), backoffLongest)
-	s.avoidUntil[peer.Name] = time.Now().Add(s.backoff[peer.Name])
-}
-
-// resetBackoff forgets that a node failed before.
-func (s *Source) resetBackoff(peer Peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.backoff, peer.Name)
-}
-
 // avoidIfAway avoids a node that doesn't reach a store that others may reach.
 func (s *Source) avoidIfAway(reader Peer, asked error) {
 	if redwinghall.KindOf[fleet.StoreKind](asked) == fleet.StoreAway {
-		s.backOff(reader)
+		s.avoided.Failed(time.Now(), reader.Name)
 	}
 }
 
@@ -85,12 +75,24 @@
 	return peers
 }
 
-// Ranked returns nodes in an order that all nodes agree on and that doesn't
-// change for those that stay when others come and go.
-func Ranked(peers []Peer) []Peer {
+// Ranked returns nodes in the order in which they are to bear a duty. All nodes
+// agree on it, and it doesn't change for those that stay when others come and
+// go: the VMs that bear most go first, and each duty has its own order among
+// VMs of a class.
+//
+// Guard: most VMs of a zone may be small ones, and a hash alone mostly puts one of
+// them first. Its link and processor then serve its callers late, and whoever waits for
+// its word.
+func Ranked(peers []Peer, duty Duty) []Peer {
 	ranked := append([]Peer(nil), peers...)
-	sort.Slice(ranked, func(i, j int) bool { return rank(ranked[i]) < rank(ranked[j]) })
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := ranked[i], ranked[j]
+		if a.Capacity != b.Capacity {
+			return a.Capacity > b.Capacity
+		}
+		return rank(a, duty) < rank(b, duty)
+	})
 	return ranked
 }
 
-func rank(p Peer) uint64 { return xxhash.Sum64String(p.Name) }
+func rank(p Peer, duty Duty) uint64 { return xxhash.Sum64String(string(duty) + "|" + p.Name) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,6 +116,57 @@
 	}
 }
 
+// The small VMs of a zone are many, and a hash alone mostly gives them what one node does
+// for all: their callers wait behind it. All nodes agree on the order, and duties
+// fall on different VMs of the strongest class.
+func TestRankedPutsStrongVMsFirst(t *testing.T) {
+	var peers []relay.Peer
+	for i := range 40 {
+		peers = append(peers, relay.Peer{Name: fmt.Sprint("n", i), Capacity: -2})
+	}
+	for _, i := range []int{7, 19, 33} {
+		peers[i].Capacity = 0
+	}
+	firsts := map[string]bool{}
+	for _, duty := range []relay.Duty{relay.Reading, relay.Dispatching, "a third", "a fourth"} {
+		ranked := relay.Ranked(peers, duty)
+		for _, one := range ranked[:3] {
+			require.Zero(t, one.Capacity)
+		}
+		firsts[ranked[0].Name] = true
+		slices.Reverse(peers)
+		require.Equal(t, ranked, relay.Ranked(peers, duty))
+		var rest []relay.Peer
+		for _, one := range peers {
+			if one.Capacity < 0 {
+				rest = append(rest, one)
+			}
+		}
+		require.Equal(t, ranked[3:], relay.Ranked(rest, duty), "when all strong ones are lost, the others keep their order")
+	}
+	require.Greater(t, len(firsts), 1)
+}
+
+// A node that fails is left alone, longer each time, until it works again.
+func TestAvoided(t *testing.T) {
+	a := relay.NewAvoided(time.Second, 3*time.Second)
+	now, peers := time.Unix(100, 0), []relay.Peer{{Name: "x"}, {Name: "y"}}
+	first := func(at time.Time) string {
+		one, _ := a.First(at, peers)
+		return one.Name
+	}
+	require.Equal(t, "x", first(now))
+	a.Failed(now, "x")
+	a.Failed(now.Add(10*time.Millisecond), "x")
+	require.Equal(t, "y", first(now.Add(900*time.Millisecond)))
+	require.Equal(t, "x", first(now.Add(1100*time.Millisecond)), "calls that fail together count once")
+	a.Failed(now.Add(2*time.Second), "x")
+	require.Equal(t, "y", first(now.Add(3900*time.Millisecond)))
+	a.Worked("x")
+	a.Failed(now.Add(10*time.Second), "x")
+	require.Equal(t, "x", first(now.Add(11100*time.Millisecond)))
+}
+
 // store counts calls and may be down.
 type store struct {
 	down         bool
--- a/relay/source.go
+++ b/relay/source.go
@@ -79,10 +79,9 @@
 type Source struct {
 	config Config
 
-	mu         sync.Mutex
-	mirrors    map[string]*Mirror
-	avoidUntil map[string]time.Time
-	backoff    map[string]time.Duration // the last time that a node was avoided for
+	avoided *Avoided
+	mu      sync.Mutex
+	mirrors map[string]*Mirror
 	// answered is when the store last answered this node itself, in Unix nanoseconds.
 	answered atomic.Int64
 	// probeAt is, by table, when this node may call a store again that didn't answer it.
@@ -93,8 +92,9 @@
 
 // NewSource returns a source that has read nothing.
 func NewSource(config Config) *Source {
-	return &Source{config: config, mirrors: map[string]*Mirror{}, avoidUntil: map[string]time.Time{}, backoff: map[string]time.Duration{},
-		probeAt: map[string]time.Time{}}
+	return &Source{
+		config: config, avoided: NewAvoided(backoffFirst, backoffLongest), mirrors: map[string]*Mirror{}, probeAt: map[string]time.Time{},
+	}
 }
 
 // Mirror returns what this node read of a table.
@@ -158,7 +158,7 @@
 // reader always, others if it didn't fail them just now.
 func (s *Source) mayCall(now time.Time, table string) bool {
 	peers := s.config.Peers()
-	if len(peers) <= maxDirectReaders || leaderFirst(Ranked(peers), s.config.Leader())[0].Name == s.config.Self {
+	if len(peers) <= maxDirectReaders || leaderFirst(Ranked(peers, Reading), s.config.Leader())[0].Name == s.config.Self {
 		return true
 	}
 	s.mu.Lock()
@@ -223,7 +223,7 @@
 	}
 	version, helped := s.config.Asker.Commit(ctx, peer.Address, txn)
 	if redwinghall.KindOf[fleet.StoreKind](helped) == fleet.StoreUnavailable {
-		s.backOff(peer)
+		s.avoided.Failed(time.Now(), peer.Name)
 	}
 	return version, helped
 }
@@ -267,7 +267,7 @@
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
 		return Answer{}, err
 	case err == nil && answer.Age <= trust:
-		s.resetBackoff(peer)
+		s.avoided.Worked(peer.Name)
 		return answer, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
@@ -275,7 +275,7 @@
 		// It works, but the store doesn't answer it: perhaps nobody.
 		return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreAway, err)
 	}
-	s.backOff(peer)
+	s.avoided.Failed(time.Now(), peer.Name)
 	return Answer{}, redwinghall.NewOpError("Source.ask", fleet.StoreUnavailable, err)
 }
 
