Write the own row first when all nodes start for the first time

Cause: each of 195 nodes read the members' table before anyone had written a row, knew nobody, and so read all tables itself until its next look.

Change: at the first start of the whole deployment a node writes its row at once and reads the table 1.2 s later; nothing else is read before, for 2 s at most. Where a lease may be taken by several, the strong VMs' turn comes first.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -30,7 +30,7 @@
 	relayedInterval = 150 * time.Millisecond
 	// knownWait bounds the wait for the neighbors: without the store there is
 	// nothing to wait for.
-	knownWait      = 300 * time.Millisecond
+	knownWait      = 2 * time.Second
 	firstPause     = 100 * time.Millisecond
 	longestPause   = time.Second
 	expireInterval = 200 * time.Millisecond
@@ -55,7 +55,7 @@
 }
 
 // WithKnown returns a follower that waits a moment for known before it reads
-// the endpoints, which are many: a node that knows its neighbors gets them there.
+// anything: a node that knows its neighbors gets there what one of them read.
 func (f Follower) WithKnown(known <-chan struct{}) *Follower {
 	f.known = known
 	return &f
@@ -64,6 +64,7 @@
 // Start follows both tables until the group stops.
 func (f *Follower) Start(g *kernel.Group) {
 	g.Go("follow_operators", func(ctx context.Context) error {
+		f.awaitKnown(ctx)
 		return f.follow(ctx, &feed{table: platform.TableOperators, decode: f.decodeOperators, missing: f.missingOperators,
 			interval: func() time.Duration { return operatorsInterval }})
 	})
--- a/members/members.go
+++ b/members/members.go
@@ -37,6 +37,9 @@
 	// announcePerNode stretches both where there are many nodes: it is the least
 	// time between two announcements of any nodes, on average.
 	announcePerNode = 200 * time.Millisecond
+	// gatherTime is how long nodes that all start for the first time give each other
+	// to write their rows, before any reads the table.
+	gatherTime = 1200 * time.Millisecond
 	// takeStagger is how much later each next node of a zone takes a lease that
 	// is free, so that they don't all try at once.
 	takeStagger = 150 * time.Millisecond
@@ -52,6 +55,8 @@
 type Config struct {
 	Self  Node
 	Zones []string
+	// FirstStart says that the whole deployment starts for the first time.
+	FirstStart bool
 	// Now returns the boot time, also while a call was under way.
 	Now func() time.Time
 }
@@ -151,6 +156,10 @@
 	if t.stopped {
 		return
 	}
+	if t.config.FirstStart && t.announcedAt.IsZero() {
+		t.announceFirst(ctx, boot)
+		return
+	}
 	if boot.Sub(t.listTriedAt) >= listInterval {
 		t.listTriedAt = boot
 		t.list(ctx)
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	down    map[string]bool // nodes that it turns away
 	commits int
 	tries   int // to commit
+	lists   int
 }
 
 // view is the store as one node reaches it.
@@ -36,6 +38,7 @@
 func (v view) List(_ context.Context, _ string) (fleet.Rows, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.lists++
 	if v.down[v.node] {
 		return fleet.Rows{}, redwinghall.NewOpError("view.List", fleet.StoreUnavailable, nil)
 	}
@@ -92,10 +95,13 @@
 }
 
 func (f *fleetOf) start(name, zone string) {
-	f.dead[name] = false
-	f.nodes[name] = members.NewTable(members.Config{
-		Self: members.Node{Name: name, Zone: zone, Address: name}, Zones: []string{"a", "b"}, Now: func() time.Time { return f.now },
-	}, view{f.store, name})
+	f.startAs(members.Config{Self: members.Node{Name: name, Zone: zone, Address: name}})
+}
+
+func (f *fleetOf) startAs(config members.Config) {
+	config.Zones, config.Now = []string{"a", "b"}, func() time.Time { return f.now }
+	f.dead[config.Self.Name] = false
+	f.nodes[config.Self.Name] = members.NewTable(config, view{f.store, config.Self.Name})
 }
 
 // run moves the clock on and lets all living nodes do what is due.
@@ -259,3 +265,38 @@
 	f.run(20 * time.Second)
 	require.Len(t, f.nodes["a1"].Nodes(), 2)
 }
+
+// Forty nodes start together for the first time. Each that knows few others reads the
+// whole store itself: the store is called by all of them at once. So none knows its
+// neighbors before it knows nearly all of them.
+func TestNodesThatStartTogetherKnowEachOtherAtOnce(t *testing.T) {
+	f := newFleet(t, nil)
+	const nodes = 40
+	for i := range nodes {
+		f.startAs(members.Config{Self: members.Node{Name: fmt.Sprint("n", i), Zone: "a"}, FirstStart: true})
+	}
+	f.run(time.Second)
+	require.Zero(t, f.store.lists)
+	f.run(time.Second)
+	// One that tries to take the zone's lease too late looks once more.
+	require.LessOrEqual(t, f.store.lists, nodes+nodes/4)
+	for _, one := range f.nodes {
+		<-one.Known()
+		require.Len(t, one.Nodes(), nodes)
+	}
+}
+
+// Whoever holds a zone's lease forms its groups and reads the store for all: where
+// several may take it, a VM that bears more goes first.
+func TestStrongNodeTakesTheLeaseFirst(t *testing.T) {
+	f := newFleet(t, nil)
+	for i := range 10 {
+		f.startAs(members.Config{Self: members.Node{Name: fmt.Sprint("n", i), Zone: "a", Capacity: -2}, FirstStart: true})
+	}
+	f.startAs(members.Config{Self: members.Node{Name: "strong", Zone: "a"}, FirstStart: true})
+	f.run(3 * time.Second)
+	require.Equal(t, []string{"strong"}, f.holders("a"))
+	f.dead["strong"] = true
+	f.run(10 * time.Second)
+	require.Len(t, f.holders("a"), 1, "the weak bear it when no strong one is left")
+}
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -83,6 +83,16 @@
 	t.noteVersion(version)
 }
 
+// announceFirst writes this node's row before anything is read.
+//
+// Guard: when all nodes start together and each reads the table first, it finds few
+// others. It then reads the whole store itself until its next look, and the store's
+// calls at the start grow with the number of nodes.
+func (t *Table) announceFirst(ctx context.Context, boot time.Time) {
+	t.announce(ctx, boot)
+	t.listTriedAt = boot.Add(gatherTime - listInterval)
+}
+
 // announceEvery is how often this node writes its row.
 func (t *Table) announceEvery() time.Duration { return t.scaledByNodes(announceInterval) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -81,7 +81,7 @@
 	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress(), Capacity: capacityOf(s)},
-		Zones: s.Zones, Now: kernel.BootTime,
+		Zones: s.Zones, FirstStart: s.FirstStart, Now: kernel.BootTime,
 	}, n.source)
 	n.manager = formation.NewManager(formation.Options{
 		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
