Give a node under test ports of its own

Seen once: TestPlannedStopBreaksNothingOff, run beside a large play, waited 10 s for a node that never became ready; its log was not kept. It passed in 6 further runs, 3 of them of the whole package beside the same load. The ports were drawn one after the other, each freed before the next was drawn: the same port came twice in 23 of 60,000 draws of three, and the node then ends because a listener's address is taken. That this was the cause is suspected, not shown. All three are now held until each is drawn, and a test says when its node ended by itself.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/kernel"
@@ -39,13 +40,17 @@
 // node's metrics stand on a fixed port.
 var hosts atomic.Int32
 
-// freeAddress returns an address of a host that was free a moment ago.
-func freeAddress(t *testing.T, host string) string {
+// freeAddresses returns different addresses of a host that were free a moment ago.
+func freeAddresses(t *testing.T, host string, n int) []string {
 	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	require.NoError(t, err)
-	defer func() { require.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		require.NoError(t, err)
+		defer func() { require.NoError(t, listener.Close()) }() // not before all are taken
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
 }
 
 func portOf(t *testing.T, address string) int {
@@ -78,9 +83,10 @@
 	}
 	d.add(platformtest.EndpointConfig{ID: "desk-1", Service: "desk", Zone: "a", Work: desk.Work})
 	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%100, 1+os.Getpid()/100%250, hosts.Add(1))
+	free := freeAddresses(t, host, 3)
 	d.settings = platformtest.NodeSettings{
-		Node: "n1", Zone: "a", Zones: []string{"a"}, Callers: freeAddress(t, host), Readiness: freeAddress(t, host), IP: host,
-		Internal: portOf(t, freeAddress(t, host)), Store: d.store.Address(),
+		Node: "n1", Zone: "a", Zones: []string{"a"}, Callers: free[0], Readiness: free[1], IP: host,
+		Internal: portOf(t, free[2]), Store: d.store.Address(),
 	}
 	d.path = filepath.Join(t.TempDir(), "node.conf")
 	require.NoError(t, os.WriteFile(d.path, []byte(d.settings.Text()), 0o600))
@@ -106,7 +112,9 @@
 	n := node.New(d.path, settings)
 	g := kernel.NewGroup(context.Background())
 	g.Go("node", func(context.Context) error {
-		d.done <- n.Run(ctx)
+		err := n.Run(ctx)
+		assert.NoError(d.t, err, "the node ended by itself")
+		d.done <- err
 		return nil
 	})
 	d.t.Cleanup(func() {
