Let the two duties of a zone fall on different VMs

Cause: the holder of a zone's lease was the first by name, the dispatcher the first by a hash; both were often the same VM.

Change: among VMs of a class the two orders run in opposite directions; leases follow the order of reading.

--- a/members/members.go
+++ b/members/members.go
@@ -14,6 +14,7 @@
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 	"redwinghall/lease"
+	"redwinghall/relay"
 )
 
 // Times of the table. Calls to the store are costly, so they are few.
@@ -222,7 +223,7 @@
 	}
 	rank := 0
 	for _, node := range *t.nodes.Load() {
-		if node.Zone == t.config.Self.Zone && node.goesBefore(t.config.Self) {
+		if node.Zone == t.config.Self.Zone && relay.Before(node.Peer(), t.config.Self.Peer(), relay.Reading) {
 			rank++
 		}
 	}
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -10,6 +10,7 @@
 
 	"redwinghall"
 	"redwinghall/fleet"
+	"redwinghall/relay"
 )
 
 // Node is one node as it announced itself.
@@ -21,13 +22,9 @@
 	Capacity int `json:"capacity,omitempty"`
 }
 
-// goesBefore reports whether a node takes a free lease before another one of its
-// zone: who forms the groups also reads the store for all.
-func (n Node) goesBefore(other Node) bool {
-	if n.Capacity != other.Capacity {
-		return n.Capacity > other.Capacity
-	}
-	return n.Name < other.Name
+// Peer returns the node as one that others can ask.
+func (n Node) Peer() relay.Peer {
+	return relay.Peer{Name: n.Name, Address: n.Address, Capacity: n.Capacity}
 }
 
 // seenNode is what is known of another node's row.
--- a/node/roster.go
+++ b/node/roster.go
@@ -21,7 +21,7 @@
 	}
 	next := &roster{nodes: nodes, zones: map[string][]relay.Peer{}}
 	for _, one := range nodes {
-		next.zones[one.Zone] = append(next.zones[one.Zone], relay.Peer{Name: one.Name, Address: one.Address, Capacity: one.Capacity})
+		next.zones[one.Zone] = append(next.zones[one.Zone], one.Peer())
 	}
 	for zone, peers := range next.zones {
 		next.zones[zone] = relay.Ranked(peers, relay.Dispatching)
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -23,7 +23,7 @@
 
 // The duties.
 const (
-	// Reading the store for the zone.
+	// Reading is to read the store for the zone, and to form its groups.
 	Reading Duty = "reading"
 	// Dispatching is to gather the loads of the zone's nodes, to choose groups for
 	// their streams, and to speak for the zone to others.
@@ -77,22 +77,28 @@
 
 // Ranked returns nodes in the order in which they are to bear a duty. All nodes
 // agree on it, and it doesn't change for those that stay when others come and
-// go: the VMs that bear most go first, and each duty has its own order among
-// VMs of a class.
+// go: the VMs that bear most go first, and among VMs of a class the two duties go
+// from opposite ends.
 //
 // Guard: most VMs of a zone may be small ones, and a hash alone mostly puts one of
 // them first. Its link and processor then serve its callers late, and whoever waits for
 // its word.
 func Ranked(peers []Peer, duty Duty) []Peer {
 	ranked := append([]Peer(nil), peers...)
-	sort.Slice(ranked, func(i, j int) bool {
-		a, b := ranked[i], ranked[j]
-		if a.Capacity != b.Capacity {
-			return a.Capacity > b.Capacity
-		}
-		return rank(a, duty) < rank(b, duty)
-	})
+	sort.Slice(ranked, func(i, j int) bool { return Before(ranked[i], ranked[j], duty) })
 	return ranked
 }
 
-func rank(p Peer, duty Duty) uint64 { return xxhash.Sum64String(string(duty) + "|" + p.Name) }
+// Before reports whether a node is to bear a duty rather than another one.
+func Before(a, b Peer, duty Duty) bool {
+	switch {
+	case a.Capacity != b.Capacity:
+		return a.Capacity > b.Capacity
+	case duty == Dispatching:
+		return rank(a) < rank(b)
+	}
+	// In the opposite order, so that no VM of a class bears both while there is another one.
+	return rank(a) > rank(b)
+}
+
+func rank(p Peer) uint64 { return xxhash.Sum64String(p.Name) }
