Leave a head alone that turned a stream away

Cause: a head whose group has closed turns streams away. While the store answers hardly anybody, nodes believe that the group is open, and as it has fewer streams than all others, each sends the next one there again.

Change: a node leaves such a head alone as one that doesn't answer, and tells the dispatcher. A node that has just started and has read no entries yet says so, and when to come back: after 0.3 s, not after the second that holds where there is no endpoint.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -103,7 +103,7 @@
 // refusalOfNone refuses a request for which no endpoint is left. It promises
 // that nothing ran only if nothing was sent.
 func (c *plainCall) refusalOfNone(none *balance.Refusal) refusal {
-	why := ofBalance(none)
+	why := c.g.refusalOfNone(none)
 	if c.mayHaveRun {
 		why.status = http.StatusBadGateway
 	}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// endpointsSoon is when a caller may try again at a node that has just started.
+const endpointsSoon = 300 * time.Millisecond
+
+// refusalOfNone refuses a request for which no endpoint was chosen. A node that
+// has not read any entry yet knows of none, but soon will.
+func (g *Gateway) refusalOfNone(none *balance.Refusal) refusal {
+	why := ofBalance(none)
+	if none.Reason == balance.NoEndpoint && g.Book.Read() == 0 {
+		why.reason, why.retryAfter = "endpoints_unknown", endpointsSoon
+	}
+	return why
+}
+
 type refusalBody struct {
 	Error     string `json:"error"`
 	RequestID string `json:"request_id,omitempty"`
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,7 +60,7 @@
 	for {
 		choice, none := call.choose(ctx, time.Now())
 		if none != nil {
-			call.refuse(ofBalance(none))
+			call.refuse(g.refusalOfNone(none))
 			return
 		}
 		if now, stop := time.Now(), g.stop(); !call.begun && !stop.Takes(now, choice.Expected, r.Deadline) {
@@ -125,9 +125,15 @@
 	ok := last.err == nil && !last.notRun
 	now := time.Now()
 	choice.Visit.Done(now, ok || (ctx.Err() != nil && !stalled.Load()))
-	if redwinghall.KindOf[Kind](last.err) == NotSent && ctx.Err() == nil {
+	switch {
+	case redwinghall.KindOf[Kind](last.err) == NotSent && ctx.Err() == nil:
 		c.g.Tracker.Unreachable(now, choice.Endpoint.ID)
 		c.g.Stalled(choice.Endpoint.ID)
+	case last.notRun && c.r.Service.Engine != nil:
+		// Guard: while the store is away, a head whose group has closed looks open here,
+		// and emptier than all others. Streams would go there first, one after the
+		// other, and have no second try left.
+		c.g.Tracker.Unreachable(now, choice.Endpoint.ID)
 	}
 	if !ok {
 		klog.InfoS("attempt_failed", "request", c.r.Ask.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
