Compress whole tables on their way between nodes

Cause: after a start of all processes the reader of a zone sends the table of 880 endpoints, 0.4 MB, to 39 nodes. Its link of 200 Mbit/s is full for 0.6 s, one of 20 Mbit/s for longer than the second that they wait for it.

Change: answers of 50 rows and more are compressed once for each version.

--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -177,6 +177,9 @@
 			return relay.Answer{}, c.failed(op, err)
 		}
 	}
+	if err := unpack(out); err != nil {
+		return relay.Answer{}, c.failed(op, err)
+	}
 	answer := relay.Answer{Age: time.Duration(out.GetAgeMs()) * time.Millisecond, Rows: fleet.Rows{Version: out.GetVersion()}}
 	for _, r := range out.GetRows() {
 		answer.Rows.Rows = append(answer.Rows.Rows, fleet.Row{
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +69,28 @@
 	require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err))
 }
 
+// All nodes start at once, and the reader's link is full of whole tables: many rows travel
+// compressed, and arrive as they are. A table that changed is compressed anew.
+func TestManyRowsTravelCompressed(t *testing.T) {
+	o, client, address := serve(t)
+	var rows []fleet.Row
+	for i := range 880 {
+		rows = append(rows, fleet.Row{Table: "t", Key: fmt.Sprint("i-", 1000+i), Value: []byte(strings.Repeat(`{"service":"llm"}`, 25)), Version: int64(i + 1)})
+	}
+	o.mirror.Listed(time.Now(), fleet.Rows{Version: 900, Rows: rows})
+	for range 2 {
+		list, err := client.List(context.Background(), address, "t")
+		require.NoError(t, err)
+		require.Equal(t, rows, list.Rows.Rows)
+	}
+	change := fleet.Row{Table: "t", Key: "i-1000", Value: []byte("new"), Version: 901}
+	o.mirror.Changed(time.Now(), 900, fleet.Rows{Version: 901, Rows: []fleet.Row{change}})
+	list, err := client.List(context.Background(), address, "t")
+	require.NoError(t, err)
+	require.Equal(t, append(rows[1:], change), list.Rows.Rows)
+	require.Equal(t, int64(901), list.Rows.Version)
+}
+
 func TestCommit(t *testing.T) {
 	o, client, address := serve(t)
 	txn := fleet.Txn{
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -34,19 +34,27 @@
 // Server answers other nodes.
 type Server struct {
 	parts Parts
+	packs packer
 }
 
 var _ rpc.Neighbor = (*Server)(nil)
 
 // NewHandler returns the handler of a node's internal address.
 func NewHandler(parts Parts) http.Handler {
-	return rpc.NewNeighborServer(&Server{parts: parts})
+	return rpc.NewNeighborServer(&Server{parts: parts, packs: packer{last: map[string]packedRows{}}})
 }
 
 // List implements rpc.Neighbor.
 func (s *Server) List(ctx context.Context, in *rpc.ListRequest) (*rpc.RowsResponse, error) {
 	answer, err := s.parts.Mirror(in.GetTable()).List(ctx)
-	return encodeAnswer(answer, err)
+	out, err := encodeAnswer(answer, err)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.packs.pack(in.GetTable(), out); err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return out, nil
 }
 
 // Changes implements rpc.Neighbor.
