Let an outage of the store be probed by few in a large zone

Cause: while the store doesn't answer, each node that isn't the reader asks it every 1.5 to 2 s for each table; 195 nodes make 330 calls a second of that.

Change: the pause grows with the nodes of the zone, so that together they ask as often as a few do. The reader asks on at its pace and tells the others.

--- a/relay/source.go
+++ b/relay/source.go
@@ -36,9 +36,11 @@
 	awayAfter = 3 * time.Second
 	// probePause is the least time between two calls of a node that isn't the
 	// zone's reader to a store that doesn't answer it. The reader asks on, and
-	// the others hear from it when the store returns.
-	probePause  = 1500 * time.Millisecond
-	probeSpread = 500 * time.Millisecond
+	// the others hear from it when the store returns. Each node of the zone
+	// adds at least probePerNode, as all together make that many calls.
+	probePause   = 1500 * time.Millisecond
+	probePerNode = 100 * time.Millisecond
+	probeSpread  = 0.33 // of the pause
 	// backoffFirst is how long a reader that failed is left alone; each further
 	// failure doubles it up to backoffLongest.
 	backoffFirst   = 3 * time.Second
@@ -147,11 +149,17 @@
 		delete(s.probeAt, table)
 		s.noteAnswer()
 	default:
-		s.probeAt[table] = time.Now().Add(probePause + rand.N(probeSpread))
+		s.probeAt[table] = time.Now().Add(s.probePauseNow())
 	}
 	return rows, err
 }
 
+// probePauseNow returns how long this node leaves a store alone that didn't answer it.
+func (s *Source) probePauseNow() time.Duration {
+	pause := max(probePause, time.Duration(len(s.config.Peers()))*probePerNode)
+	return pause + time.Duration(probeSpread*rand.Float64()*float64(pause))
+}
+
 var errNotNow = errors.New("the store didn't answer this node just now")
 
 // mayCall reports whether this node may call the store itself: the zone's
