Read the endpoints in haste only while a group forms or ends

Cause: while any VM took a model in as a standby, 12 to 16 s, the holder of its zone read the endpoints every 0.25 s instead of every 0.8 s. At constant loss there is always one that does.

Callers saw nothing; the calls are the largest price of the small deployments.

Change: a standby isn't waited for. TestStandbyThatLoadsIsNotPending fails without it.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -103,7 +103,8 @@
 	}
 }
 
-// Pending reports whether this node waits for endpoints to carry out orders.
+// Pending reports whether this node waits for endpoints to carry out orders that
+// take moments.
 func (m *Manager) Pending() bool { return m.pending.Load() }
 
 // Stop ends planning; orders on their way are not called back.
@@ -173,8 +174,7 @@
 		w := m.noted(now, e)
 		z.Workers = append(z.Workers, w)
 		m.epoch = max(m.epoch, w.Member.Epoch, e.Member.Epoch)
-		state := w.Member.State
-		pending = pending || state == fleet.Joining || state == fleet.Closing || w.Member != e.Member
+		pending = pending || w.awaited()
 	}
 	if z.Fresh && !m.settled(now, zone, len(z.Workers)) {
 		return true
--- /dev/null
+++ b/formation/pending_test.go
@@ -0,0 +1,31 @@
+package formation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An empty VM takes a model in, which lasts for seconds, and meanwhile the node that forms
+// groups called the store four times a second for news of it. It does so only while
+// a group forms or ends.
+func TestStandbyThatLoadsIsNotPending(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		time.Sleep(3 * time.Second)
+		require.False(t, n.manager.Pending())
+		loads := f.loads
+		f.add("d0-new", "d0")
+		time.Sleep(5 * time.Second)
+		require.Greater(t, f.loads, loads)
+		require.False(t, n.manager.Pending())
+		member, _ := memberOf(f, "large", 1)
+		f.kill(member, false)
+		pending := false
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			pending = pending || n.manager.Pending()
+		}
+		require.True(t, pending, "a group forms again")
+	})
+}
--- a/formation/worker.go
+++ b/formation/worker.go
@@ -52,6 +52,16 @@
 	return ok && now.Sub(at) < within
 }
 
+// awaited reports whether the worker's entry is about to change in a way that the
+// next plan needs. A standby takes a model in for a load's time, and no group waits
+// for the moment in which it has it.
+func (w *Worker) awaited() bool {
+	if _, standby := parseName(w.Member.Group); standby {
+		return false
+	}
+	return w.Member.State == fleet.Joining || w.Member.State == fleet.Closing || w.Member != w.Endpoint.Member
+}
+
 // joinTime is how long the worker takes to join a group of a model.
 func (w *Worker) joinTime(m fleet.Model, now time.Time) time.Duration {
 	switch {
