Wait for another node's connection for 0.1 s

Cause: after a start of all processes the first nodes ask a reader that is not there yet, and wait 0.3 s for a connection to it.

A round trip takes 2 ms between zones; a lost opening packet is sent again only after a second, so nothing is lost by giving up sooner.

--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -25,9 +25,11 @@
 	// reserveTimeout bounds how long a caller waits until a group is chosen: a
 	// small part of an objective, and many times the round trip.
 	reserveTimeout = 40 * time.Millisecond
-	dialTimeout    = 300 * time.Millisecond
-	maxIdle        = 8
-	idleTimeout    = 30 * time.Second
+	// dialTimeout is many round trips. After a start of all nodes, the first ones wait
+	// that long for a reader that isn't there yet.
+	dialTimeout = 100 * time.Millisecond
+	maxIdle     = 8
+	idleTimeout = 30 * time.Second
 )
 
 // Client asks other nodes.
