Send streams to zones that answer before one that doesn't

Cause: where a zone's dispatcher gave no answer, the stream was sent to that zone's group by what this node knew. During a cut nobody there can be reached.

Change: such a zone counts as full, and is used only where no other zone takes the stream. TestStreamGoesToZonesThatAnswer fails without it.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -77,20 +77,31 @@
 // to another zone, that zone is asked, as it knows its groups' load and this
 // node knows it late; a zone that has no room is left out, and the choice made
 // again.
+//
+// Guard: a zone that gives no answer is mostly cut off, and a stream that is sent
+// there waits for a connection that never comes. So it is used only where no other
+// zone takes the stream.
 func (c *streamCall) chooseByZones(ctx context.Context, now time.Time, heads []*fleet.Endpoint, ask balance.Ask) (balance.Choice, *balance.Refusal) {
 	view := c.r.view
+	var unanswered *balance.Choice
 	for {
 		choice, none := c.g.Tracker.Group(now, heads, view.ZonesOut, ask)
+		if none != nil && unanswered != nil {
+			return c.g.Tracker.Take(now, unanswered.Endpoint, ask, unanswered.Predicted), nil
+		}
 		if none != nil || c.g.Placer == nil || choice.Endpoint.Zone == ask.Zone || choice.Endpoint.ColdAt(now) {
 			return choice, none
 		}
 		placement, ok := c.g.Placer.Place(ctx, choice.Endpoint.Zone, c.placement(ask))
-		if !ok {
-			return choice, nil // by what this node knows itself
-		}
 		now = time.Now()
 		placed, usable := c.offered(now, placement, ask)
 		switch {
+		case !ok:
+			choice.Visit.Withdraw()
+			if unanswered == nil {
+				unanswered = &choice
+			}
+			ask = ask.WithZoneFull(choice.Endpoint.Zone)
 		case placement.Endpoint == "":
 			klog.InfoS("zone_has_no_room", "request", c.r.Ask.ID, "zone", choice.Endpoint.Zone, "there", placement.Predicted,
 				"predicted_here", choice.Predicted, "load_age", choice.Age)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// The nearest zone is cut off and gives no answer: the stream goes to one that does, and
+// to the silent one only where no other takes it.
+func TestStreamGoesToZonesThatAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		offers map[string]string
+		served string
+	}{
+		"another zone answers": {map[string]string{"c": "c1"}, "c1"},
+		"another zone is full": {map[string]string{"c": ""}, "b1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.far("b", "b1", 0)
+			s.far("c", "c1", 0)
+			s.placer.offers = c.offers
+			for range 8 {
+				got := s.do(s.request(http.MethodPost, "/stream/x"))
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, c.served, got.header.Get("Served-By"))
+			}
+		})
+	}
+}
+
 // A group turned cold, and the zone that chose it doesn't know that yet. What
 // all nodes may send to a cold group is shared out, and this stream has no part
 // in it: more than the group bears would make it fall over.
