Let the dispatcher name the one zone that may have room

Cause: where the own zone was full, a node asked each other zone before it refused a stream.

Change: the dispatcher, which hears of all zones' loads, names the zone that may have room, or none. What it named counts for a moment, so that not all streams are sent to the same zone.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -67,6 +67,18 @@
 	return a
 }
 
+// WithZonesFull returns the ask without the warm groups of all zones but one.
+func (a Ask) WithZonesFull(heads []*fleet.Endpoint, but string) Ask {
+	full := map[string]bool{a.Zone: true}
+	for _, e := range heads {
+		if e.Zone != but {
+			full[e.Zone] = true
+		}
+	}
+	a.ZonesFull = full
+	return a
+}
+
 // Choice is the endpoint for a request, with what decided it.
 type Choice struct {
 	Endpoint *fleet.Endpoint
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -55,6 +55,26 @@
 	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now)}, nil
 }
 
+// Elsewhere returns another zone that may serve a stream in time, as far as this
+// node knows, "" if none has room.
+//
+// Gain: when all zones are full, each stream would ask every one of them before it is
+// refused. Those bytes cost, and so do the answers.
+func (t *Tracker) Elsewhere(now time.Time, heads []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ask.bias = t.bias
+	ask.Nodes = 2 // this one, and all that it tells: what it told counts once
+	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weigh}
+	look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != ask.Zone && !e.ColdAt(now) })
+	best := look.best
+	if best == nil || best.predicted > ask.Objective {
+		return ""
+	}
+	best.state.sent = best.state.sent.With(now, ask.Prompt)
+	return best.endpoint.Zone
+}
+
 func (s *State) reserve(now time.Time, claimant Claimant, prompt int) {
 	until := now.Add(reserveFor)
 	if claimant.Ticket > 0 {
--- a/balance/reserve_test.go
+++ b/balance/reserve_test.go
@@ -164,3 +164,19 @@
 	require.Less(t, full.RetryAfter, missing.RetryAfter)
 	require.Less(t, unreachable.RetryAfter, missing.RetryAfter)
 }
+
+// A zone is full, and its dispatcher names another one: the emptiest, not the same for all
+// streams of the moment, and none where all are full.
+func TestElsewhereNamesZonesWithRoom(t *testing.T) {
+	heads := []*fleet.Endpoint{head("own", "a", "large"), head("b", "b", "large"), head("c", "c", "large")}
+	tracker := balance.NewTracker()
+	tracker.SetZones(start, map[string]balance.Load{"b": {Requests: 1}})
+	named := map[string]int{}
+	for range 100 {
+		named[tracker.Elsewhere(start, heads, nil, ask())]++
+	}
+	require.Zero(t, named["a"])
+	require.Positive(t, named["b"])
+	require.Positive(t, named["c"])
+	require.Greater(t, named[""], 50)
+}
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -26,4 +26,7 @@
 	// Endpoint is the head of the chosen group, "" if none serves the stream in time.
 	Endpoint  string
 	Predicted time.Duration // until the first event
+	// Elsewhere is, where no group of the zone will do, another zone that may have
+	// room, "" if none has as far as known.
+	Elsewhere string
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,8 @@
 type placer struct {
 	offers map[string]string // endpoints, by zone; a zone without one gives no answer
 	asked  []string
+	// elsewhere is the zone that the dispatcher names where it has no room.
+	elsewhere string
 	// dispatched says that another node chooses for this zone.
 	dispatched bool
 }
@@ -48,7 +50,7 @@
 func (p *placer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
 	p.asked = append(p.asked, zone)
 	id, ok := p.offers[zone]
-	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond}, ok
+	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, Elsewhere: p.elsewhere}, ok
 }
 
 func engine() *fleet.Engine {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -18,51 +18,47 @@
 	if c.g.Placer == nil || !c.g.Placer.Dispatched() {
 		return c.chooseByZones(ctx, now, heads, ask)
 	}
-	choice, placement := c.dispatched(ctx, heads, ask)
-	switch placement {
-	case placedHere:
-		return choice, nil
-	case noRoom:
-		ask = ask.WithZoneFull(ask.Zone)
-	case noAnswer:
+	placement, answered := c.dispatched(ctx, heads, ask)
+	switch {
+	case placement.choice != nil:
+		return *placement.choice, nil
+	case answered:
+		ask = ask.WithZonesFull(heads, placement.elsewhere)
 	}
 	return c.chooseByZones(ctx, time.Now(), heads, ask)
 }
 
-// placing is how a zone's dispatcher answered.
-type placing int
-
-const (
-	noAnswer placing = iota
-	noRoom
-	placedHere
-)
+// dispatched is what the dispatcher of this zone said: its choice, or the zone that may
+// have room.
+type dispatched struct {
+	choice    *balance.Choice
+	elsewhere string
+}
 
-// dispatched asks the dispatcher of this zone for a group.
-func (c *streamCall) dispatched(ctx context.Context, heads []*fleet.Endpoint, ask balance.Ask) (balance.Choice, placing) {
+// dispatched asks the dispatcher of this zone for a group. It reports false if there was no
+// answer that this node can go by.
+func (c *streamCall) dispatched(ctx context.Context, heads []*fleet.Endpoint, ask balance.Ask) (dispatched, bool) {
 	tickets := &c.g.Tracker.Tickets
 	ticket := tickets.Open()
 	defer tickets.Close(ticket)
 	request := c.placement(ask)
 	request.Ticket, request.Shunned = ticket, c.g.Tracker.Shunned(time.Now(), heads)
 	placement, ok := c.g.Placer.Place(ctx, ask.Zone, request)
-	if !ok {
-		return balance.Choice{}, noAnswer
-	}
 	switch {
-	case placement.Endpoint != "":
-	case placement.Predicted > 0:
-		return balance.Choice{}, noRoom
-	default:
-		// It knows of no group. This node may, as their views differ for moments.
-		return balance.Choice{}, noAnswer
+	case !ok:
+		return dispatched{}, false
+	case placement.Endpoint == "":
+		// Without a prediction it knows of no group here. This node may, as their
+		// views differ for moments.
+		return dispatched{elsewhere: placement.Elsewhere}, placement.Predicted > 0
 	}
 	now := time.Now()
 	placed, usable := c.offered(now, placement, ask)
 	if !usable {
-		return balance.Choice{}, noAnswer
+		return dispatched{}, false
 	}
-	return c.g.Tracker.Take(now, placed, ask, placement.Predicted), placedHere
+	choice := c.g.Tracker.Take(now, placed, ask, placement.Predicted)
+	return dispatched{choice: &choice}, true
 }
 
 // offered returns the endpoint of a placement, and whether this node may use
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -109,25 +109,27 @@
 }
 
 // The dispatcher of a large zone chooses for a stream, has no room for it, or gives
-// no answer: the caller is served where it chose, by another zone, or by what this
+// no answer: the caller is served where it chose, by the zone that it names, or by what this
 // node knows itself.
 func TestStreamAsksItsDispatcher(t *testing.T) {
 	for name, c := range map[string]struct {
-		offers map[string]string
-		served []string
-		asked  []string
+		offers    map[string]string
+		elsewhere string
+		served    []string
+		asked     []string
 	}{
-		"it chooses":        {map[string]string{"a": "a2"}, []string{"a2"}, []string{"a"}},
-		"it has no room":    {map[string]string{"a": "", "b": "b1"}, []string{"b1"}, []string{"a", "b"}},
-		"it gives none":     {map[string]string{}, []string{"a1", "a2"}, []string{"a"}},
-		"it is out of date": {map[string]string{"a": "gone"}, []string{"a1", "a2"}, []string{"a"}},
+		"it chooses":                       {map[string]string{"a": "a2"}, "", []string{"a2"}, []string{"a"}},
+		"it has no room, another zone has": {map[string]string{"a": "", "b": "", "c": "c1"}, "c", []string{"c1"}, []string{"a", "c"}},
+		"it gives no answer":               {map[string]string{}, "", []string{"a1", "a2"}, []string{"a"}},
+		"it is out of date":                {map[string]string{"a": "gone"}, "", []string{"a1", "a2"}, []string{"a"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
 			s.far("a", "a1", 0)
 			s.far("a", "a2", 0)
 			s.far("b", "b1", 0)
-			s.placer.dispatched, s.placer.offers = true, c.offers
+			s.far("c", "c1", 0)
+			s.placer.dispatched, s.placer.offers, s.placer.elsewhere = true, c.offers, c.elsewhere
 			got := s.do(s.request(http.MethodPost, "/stream/x"))
 			require.Equal(t, http.StatusOK, got.status)
 			require.Contains(t, c.served, got.header.Get("Served-By"))
@@ -136,13 +138,15 @@
 	}
 }
 
-// All zones are full: the caller is refused at once, and told when to come back.
+// All zones are full: the caller is refused at once, without a question to each of them, and
+// told when to come back.
 func TestStreamIsRefusedWhereNoZoneHasRoom(t *testing.T) {
 	s := newSite(t)
 	s.far("a", "a1", 0)
 	s.far("b", "b1", 0)
-	s.placer.dispatched, s.placer.offers = true, map[string]string{"a": "", "b": ""}
+	s.placer.dispatched, s.placer.offers = true, map[string]string{"a": "", "b": "b1"}
 	got := s.do(s.request(http.MethodPost, "/stream/x"))
+	require.Equal(t, []string{"a"}, s.placer.asked)
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 }
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -148,7 +148,9 @@
 	if err != nil {
 		return fleet.Placement{}, c.failed("Client.Reserve", err)
 	}
-	return fleet.Placement{Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond}, nil
+	return fleet.Placement{
+		Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond, Elsewhere: out.GetElsewhere(),
+	}, nil
 }
 
 // Suspect tells a node that an endpoint makes little or no progress.
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -93,7 +93,7 @@
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "the service or its model isn't known here")
 	}
-	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds()}, nil
+	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds(), Elsewhere: placement.Elsewhere}, nil
 }
 
 // Suspect implements rpc.Neighbor.
--- a/node/placement.go
+++ b/node/placement.go
@@ -94,12 +94,18 @@
 		tried[id] = true
 		n.tracker.Complain(now, id, request.Node)
 	}
-	choice, none := n.tracker.Reserve(now, view.Heads(request.Service, request.Model), view.ZonesOut, balance.Ask{
+	heads := view.Heads(request.Service, request.Model)
+	ask := balance.Ask{
 		Service: service, Model: model, Zone: n.settings.Zone, Prompt: request.Prompt, Objective: request.Objective, Tried: tried,
 		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), Dispatches: n.dispatches(now), GoesOn: request.GoesOn,
-	}, balance.Claimant{Node: request.Node, Ticket: request.Ticket})
-	if none != nil {
+	}
+	choice, none := n.tracker.Reserve(now, heads, view.ZonesOut, ask, balance.Claimant{Node: request.Node, Ticket: request.Ticket})
+	switch {
+	case none == nil:
+	case request.Ticket == 0: // of another zone, which asks the others itself
 		return fleet.Placement{Predicted: none.Predicted}, true
+	default:
+		return fleet.Placement{Predicted: none.Predicted, Elsewhere: n.tracker.Elsewhere(now, heads, view.ZonesOut, ask)}, true
 	}
 	return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted}, true
 }
