--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -143,7 +143,11 @@
 func (t *Tracker) Unreachable(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.state(id, now)
+	t.state(id, now).backOff(now)
+}
+
+// backOff leaves the endpoint alone, longer each time. The lock is held.
+func (s *State) backOff(now time.Time) {
 	if now.Before(s.backoffUntil) {
 		return
 	}
@@ -151,53 +155,6 @@
 	s.backoffUntil = now.Add(s.backoff)
 }
 
-// complaint is a node's word that an endpoint doesn't answer it.
-type complaint struct {
-	node string
-	at   time.Time
-}
-
-// Complaints of so many nodes within complaintTrust count as this node's own
-// failure. One node alone may itself be cut off.
-const (
-	complaintsNeeded = 2
-	complaintTrust   = time.Second
-)
-
-// Complain notes that an endpoint doesn't answer another node, for which this one chooses.
-func (t *Tracker) Complain(now time.Time, id, node string) {
-	t.mu.Lock()
-	s := t.state(id, now)
-	kept := s.complaints[:0]
-	for _, c := range s.complaints {
-		if c.node != node && now.Sub(c.at) < complaintTrust {
-			kept = append(kept, c)
-		}
-	}
-	s.complaints = append(kept, complaint{node: node, at: now})
-	enough := len(s.complaints) >= complaintsNeeded
-	if enough && now.Sub(s.backoffUntil) > backoffLongest {
-		s.backoff = 0
-	}
-	t.mu.Unlock()
-	if enough {
-		t.Unreachable(now, id)
-	}
-}
-
-// Shunned returns the endpoints among some that this node leaves alone.
-func (t *Tracker) Shunned(now time.Time, endpoints []*fleet.Endpoint) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var shunned []string
-	for _, e := range endpoints {
-		if s, ok := t.states[e.ID]; ok && now.Before(s.backoffUntil) {
-			shunned = append(shunned, e.ID)
-		}
-	}
-	return shunned
-}
-
 // Snapshot is what the tracker thinks of one endpoint, for logs.
 type Snapshot struct {
 	Own, Running, Unread int
