Log what a dispatcher without room answered

The asking node's refusal bore neither the prediction that decided nor the zone that was named. Whether another node dispatches is told the time.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,7 +45,7 @@
 	dispatched bool
 }
 
-func (p *placer) Dispatched() bool { return p.dispatched }
+func (p *placer) Dispatched(time.Time) bool { return p.dispatched }
 
 func (p *placer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
 	p.asked = append(p.asked, zone)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -15,7 +15,7 @@
 // it knows itself.
 func (c *streamCall) chooseGroup(ctx context.Context, now time.Time, ask balance.Ask) (balance.Choice, *balance.Refusal) {
 	heads := c.r.view.Heads(c.r.Service.Name, c.r.Ask.Model)
-	if c.g.Placer == nil || !c.g.Placer.Dispatched() {
+	if c.g.Placer == nil || !c.g.Placer.Dispatched(now) {
 		return c.chooseByZones(ctx, now, heads, ask)
 	}
 	placement, answered := c.dispatched(ctx, heads, ask)
@@ -48,6 +48,7 @@
 	case !ok:
 		return dispatched{}, false
 	case placement.Endpoint == "":
+		klog.InfoS("dispatcher_has_no_room", "request", c.r.Ask.ID, "predicted", placement.Predicted, "elsewhere", placement.Elsewhere)
 		// Without a prediction it knows of no group here. This node may, as their
 		// views differ for moments.
 		return dispatched{elsewhere: placement.Elsewhere}, placement.Predicted > 0
