--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -61,6 +61,7 @@
 	complaints   []complaint
 	usedAt       time.Time
 	cold         bucket
+	limit        limitWord
 }
 
 // Tracker keeps the states of all endpoints.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -83,3 +83,12 @@
 
 // CallerGone counts a caller that left before its answer.
 func (m *Metrics) CallerGone(r *Request) { m.count("caller_gone." + m.series(r)) }
+
+// LimitChanged counts that an endpoint named a limit, another one, or none any more.
+func (m *Metrics) LimitChanged(named bool) {
+	if named {
+		m.count("limits.named")
+		return
+	}
+	m.count("limits.ended")
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -124,6 +124,7 @@
 		return c.failed(choice, err)
 	}
 	c.sent++
+	c.g.noteLimit(c.r, choice, answer)
 	last := c.read(answer)
 	last.end = func() {
 		_ = answer.Body.Close() // what was needed of it was read
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -162,6 +162,7 @@
 		return streamTry{err: err}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	c.g.noteLimit(c.r, choice, answer)
 	if answer.Verdict.Load.Known {
 		choice.Visit.Told(time.Now(), answer.Verdict.Load.Running+answer.Verdict.Load.Waiting)
 	}
