A test that fails: the limit of an endpoint isn't kept over all nodes

The stand-in of an endpoint names a limit and counts what reaches it from all nodes. Real nodes, in two zones of 3 and 2 and in one of 5 with a dispatcher, streams and look-ups: with a limit of 1 a second, 379, 1616, 235 and 508 requests came in 4 s, where 1.5 times the limit and 5 are allowed (11).

--- /dev/null
+++ b/node/limit_test.go
@@ -0,0 +1,164 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
+)
+
+// limitWindow, limitOvershoot and limitSlack are how much more than its limit an endpoint
+// may get, summed over all nodes.
+const (
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5 // requests
+)
+
+func limitAllows(perSecond float64) int {
+	return int(limitOvershoot*perSecond*limitWindow.Seconds()) + limitSlack
+}
+
+// zoned is several nodes in zones, each with endpoints of its own.
+type zoned struct {
+	nodes []*deployment
+	heads map[string][]*platformtest.Endpoint // engines, by zone
+	desks []*platformtest.Endpoint
+}
+
+// deployZones starts nodes, so many in each zone, and waits until all serve.
+func deployZones(t *testing.T, nodes map[string]int) *zoned {
+	t.Helper()
+	store, ledger := platformtest.NewStore(), platformtest.NewLedger()
+	t.Cleanup(store.Close)
+	require.NoError(t, store.Put("op", "config", platformtest.Configuration(1, "key-1")))
+	z := &zoned{heads: map[string][]*platformtest.Endpoint{}}
+	var zones []string
+	for zone := range nodes {
+		zones = append(zones, zone)
+	}
+	for zone, count := range nodes {
+		z.endpoints(t, store, ledger, zone)
+		for i := range count {
+			z.nodes = append(z.nodes, startNode(t, store, ledger, fmt.Sprintf("%s-%d", zone, i), zone, zones))
+		}
+	}
+	for _, d := range z.nodes {
+		require.Eventually(t, func() bool {
+			status, _ := d.ask(http.MethodPost, "/stream/x", "warm-up")
+			return d.ready() && status == http.StatusOK
+		}, 20*time.Second, 50*time.Millisecond)
+	}
+	return z
+}
+
+// endpoints adds two groups and two desks to a zone.
+func (z *zoned) endpoints(t *testing.T, store *platformtest.Store, ledger *platformtest.Ledger, zone string) {
+	t.Helper()
+	add := func(config platformtest.EndpointConfig) *platformtest.Endpoint {
+		e, err := platformtest.NewEndpoint(config, store, ledger)
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		return e
+	}
+	for i := range 4 {
+		z.heads[zone] = append(z.heads[zone], add(platformtest.EndpointConfig{
+			ID: fmt.Sprintf("engine-%s-%d", zone, i), Service: "llm", Zone: zone, Domain: "d-" + zone, Engine: true,
+			Join: 20 * time.Millisecond, Event: 10 * time.Millisecond, Events: answerEvents,
+		}))
+	}
+	for i := range 2 {
+		z.desks = append(z.desks, add(platformtest.EndpointConfig{ID: fmt.Sprintf("desk-%s-%d", zone, i), Service: "desk", Zone: zone, Work: 5 * time.Millisecond}))
+	}
+}
+
+func startNode(t *testing.T, store *platformtest.Store, ledger *platformtest.Ledger, name, zone string, zones []string) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: store, ledger: ledger, done: make(chan error, 1)}
+	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%100, 1+os.Getpid()/100%250, hosts.Add(1))
+	free := freeAddresses(t, host, 3)
+	d.settings = platformtest.NodeSettings{
+		Node: name, Zone: zone, Zones: zones, Callers: free[0], Readiness: free[1], IP: host,
+		Internal: portOf(t, free[2]), Store: store.Address(),
+	}
+	d.path = filepath.Join(t.TempDir(), "node.conf")
+	require.NoError(t, os.WriteFile(d.path, []byte(d.settings.Text()), 0o600))
+	d.start()
+	return d
+}
+
+// open returns an open head of a zone.
+func (z *zoned) open(t *testing.T, zone string) *platformtest.Endpoint {
+	t.Helper()
+	for _, e := range z.heads[zone] {
+		if e.Open() {
+			return e
+		}
+	}
+	require.Fail(t, "no group is open", zone)
+	return nil
+}
+
+// play lets callers of each node ask without a pause for so long. It returns how many
+// were answered.
+func (z *zoned) play(t *testing.T, d time.Duration, method, path string) int {
+	t.Helper()
+	const callersPerNode = 3
+	var answered, asked atomic.Int64
+	ctx, stop := context.WithTimeout(context.Background(), d)
+	defer stop()
+	g := kernel.NewGroup(ctx)
+	for _, node := range z.nodes {
+		for range callersPerNode {
+			g.Go("caller", func(ctx context.Context) error {
+				for ctx.Err() == nil {
+					if status, _ := node.ask(method, path, fmt.Sprint("ask-", asked.Add(1))); status == http.StatusOK {
+						answered.Add(1)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				return nil
+			})
+		}
+	}
+	require.NoError(t, g.Wait())
+	return int(answered.Load())
+}
+
+// limitSettles is how long nodes have until a limit that was named holds over all of them.
+const limitSettles = time.Second
+
+// The sum over all nodes: each keeps sending to an endpoint that has said how little it takes.
+func TestLimitOfAnEndpointHoldsOverAllNodes(t *testing.T) {
+	const perSecond = 1.0
+	for name, nodes := range map[string]map[string]int{
+		"zones of few nodes": {"a": 3, "b": 2}, "a zone with a dispatcher": {"a": 5},
+	} {
+		for path, method := range map[string]string{"/stream/x": http.MethodPost, "/look/x": http.MethodGet} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				z := deployZones(t, nodes)
+				limited := z.open(t, "a")
+				if path == "/look/x" {
+					limited = z.desks[0]
+				}
+				limited.NameLimit(perSecond)
+				named := time.Now()
+				answered := z.play(t, 8*time.Second, method, path)
+				most := platformtest.MostIn(limited.Arrived(), limitWindow, named.Add(limitSettles))
+				require.LessOrEqual(t, most, limitAllows(perSecond))
+				require.Positive(t, most, "what the endpoint takes is used")
+				require.Greater(t, answered, 100, "the other endpoints serve")
+			})
+		}
+	}
+}
