Keep an endpoint's limit over all nodes: permits are lent by one node

Callers saw nothing; endpoints in need got as much as before they named a limit, and would have gone down (record: 25 and 31 requests in 4 s, 16 and 21 allowed). Cause: the limit in an endpoint's answer decided nothing. Class: a bound on a sum that no node can see.

The change: a request to an endpoint with a known limit needs a permit. The first node of the endpoint's zone lends them, and where it chooses groups for the zone, it spends them as it places. Whoever else lends, because some don't reach the first, has a fixed part; all parts add up to one. Limits travel with the loads; the newest word counts, and only an answer of a request that was sent after it and ran ends one.

It asks another node for all limits now.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -53,6 +53,12 @@
 	GoesOn bool
 	// Connections bounds this node's requests at one endpoint.
 	Connections int
+	// Lends is the part of an endpoint's limit that this node lends to others, 0 where
+	// it doesn't choose for them.
+	Lends float64
+	// LimitedFor is how long the limits of its endpoints keep the caller's zone from one
+	// more request, 0 if they don't.
+	LimitedFor time.Duration
 
 	bias time.Duration // of predictions, as observed
 }
@@ -93,6 +99,14 @@
 	// Age is how old the newest report of the endpoint's load was; negative if
 	// there was none.
 	Age time.Duration
+	// Permitted says that the endpoint's limit allows for the request.
+	Permitted bool
+}
+
+// WithPermit returns the choice as one that the endpoint's limit allows for, or not.
+func (c Choice) WithPermit(permitted bool) Choice {
+	c.Permitted = permitted
+	return c
 }
 
 // Refusal says why a request gets no endpoint now.
@@ -113,6 +127,7 @@
 	Overloaded  = "overloaded"
 	ColdOnly    = "cold_only"
 	Unreachable = "unreachable"
+	Limited     = "limited"
 )
 
 // Retry times for callers.
@@ -177,6 +192,10 @@
 	// Endpoints that fit but were passed by: in zones without room now, left
 	// alone after failed connections, and too cold for one more.
 	full, backedOff, cold int
+	// limited counts those that take no more now by their own limit, limitedFor is
+	// when the first of them does.
+	limited    int
+	limitedFor time.Duration
 }
 
 // consider weighs the usable ones among the endpoints that are wanted.
@@ -197,19 +216,37 @@
 		case !l.ask.admits(l.now, s, e):
 			l.cold++
 		default:
-			l.offer(l.weigh(l.now, s, e))
+			l.offerWithin(s, e)
 		}
 	}
 }
 
-// EndpointLeft reports whether another endpoint could take a stream over now.
+// offerWithin weighs an endpoint unless its limit keeps it from one more request.
+func (l *search) offerWithin(s *State, e *fleet.Endpoint) {
+	wait := l.ask.limitedFor(l.now, s)
+	if wait <= 0 {
+		l.offer(l.weigh(l.now, s, e))
+		return
+	}
+	l.noteLimited(wait)
+}
+
+func (l *search) noteLimited(wait time.Duration) {
+	if l.limited == 0 || wait < l.limitedFor {
+		l.limitedFor = wait
+	}
+	l.limited++
+}
+
+// EndpointLeft reports whether another endpoint could take a stream over now. One with a
+// limit may give no permit, and a stream that was ended for it would be lost.
 func (t *Tracker) EndpointLeft(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, ask Ask) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: func(_ time.Time, s *State, e *fleet.Endpoint) candidate {
 		return candidate{endpoint: e, state: s}
 	}}
-	look.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
+	look.consider(t, endpoints, func(e *fleet.Endpoint) bool { return !t.state(e.ID, now).limit.limit.Named })
 	return look.best != nil
 }
 
@@ -219,6 +256,10 @@
 	switch {
 	case l.cold > 0:
 		return &Refusal{Reason: ColdOnly, RetryAfter: retrySoon}
+	case l.limited > 0:
+		return LimitedRefusal(l.limitedFor)
+	case l.full > 0 && l.ask.LimitedFor > 0:
+		return LimitedRefusal(l.ask.LimitedFor)
 	case l.full > 0:
 		return &Refusal{Reason: Overloaded, RetryAfter: l.ask.retryWhenFull(0)}
 	case l.backedOff > 0:
@@ -227,6 +268,12 @@
 	return &Refusal{Reason: NoEndpoint, RetryAfter: retryLater}
 }
 
+// LimitedRefusal refuses a request for which endpoints have room within their limits
+// after a wait.
+func LimitedRefusal(wait time.Duration) *Refusal {
+	return &Refusal{Reason: Limited, RetryAfter: min(max(wait, retrySoon), retryLater)}
+}
+
 // refusalOfLate refuses a stream that even the best group would serve late.
 func refusalOfLate(now time.Time, best *candidate, ask Ask) *Refusal {
 	return &Refusal{
@@ -280,5 +327,6 @@
 	return Choice{
 		Endpoint: c.endpoint, Visit: t.visit(now, c.state, ask.Prompt, c.predicted, c.queued),
 		Predicted: c.predicted, Expected: ask.longest(c), Running: c.running, Age: c.state.reportAge(now),
+		Permitted: !c.state.limit.limit.Named,
 	}
 }
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -52,7 +52,10 @@
 		return Choice{}, refusalOfLate(now, best, ask)
 	}
 	best.state.reserve(now, claimant, ask.Prompt)
-	return Choice{Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now)}, nil
+	permitted, _ := best.state.limit.lend(now, ask.Lends) // it was weighed because there is one
+	return Choice{
+		Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now), Permitted: permitted,
+	}, nil
 }
 
 // Elsewhere returns another zone that may serve a stream in time, as far as this
@@ -65,6 +68,7 @@
 	defer t.mu.Unlock()
 	ask.bias = t.bias
 	ask.Nodes = 2 // this one, and all that it tells: what it told counts once
+	ask.Lends = 0 // other zones lend for their own endpoints
 	look := &search{ask: ask, now: now, zonesOut: zonesOut, weigh: ask.weigh}
 	look.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != ask.Zone && !e.ColdAt(now) })
 	best := look.best
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -61,7 +61,7 @@
 	complaints   []complaint
 	usedAt       time.Time
 	cold         bucket
-	limit        limitWord
+	limit        limitState
 }
 
 // Tracker keeps the states of all endpoints.
@@ -73,6 +73,8 @@
 	states map[string]*State
 	// lookedFar is when a group of another zone was last considered.
 	lookedFar time.Time
+	// anyLimit says that an endpoint has named a limit.
+	anyLimit bool
 	// bias is how much later than predicted first events come: what the pace
 	// doesn't describe, as the way to the endpoint and its own start-up.
 	bias time.Duration
@@ -97,7 +99,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.states {
-		if s.own == 0 && now.Sub(s.usedAt) > forgetAfter {
+		if s.own == 0 && !s.limit.limit.Named && now.Sub(s.usedAt) > forgetAfter {
 			delete(t.states, id)
 		}
 	}
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -29,4 +29,9 @@
 	// Elsewhere is, where no group of the zone will do, another zone that may have
 	// room, "" if none has as far as known.
 	Elsewhere string
+	// Permitted says that the endpoint's limit allows for the stream.
+	Permitted bool
+	// LimitedFor is, where only limits keep the zone's groups from the stream, how long
+	// they do.
+	LimitedFor time.Duration
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,10 @@
 	// Stalled is told of a group in which nothing moves.
 	Stalled func(endpointID string)
 	// Placer asks other zones before streams go there; it may be nil.
-	Placer  Placer
+	Placer Placer
+	// Lender gives permits for endpoints that named a limit; nil where this node is the
+	// only one.
+	Lender  Lender
 	Metrics *Metrics
 	// Stopping returns the planned stop of this node; nil stands for a node that
 	// never stops.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -92,3 +92,7 @@
 	}
 	m.count("limits.ended")
 }
+
+// NotPermitted counts that a request had to go elsewhere, as its endpoint's limit didn't
+// allow for it.
+func (m *Metrics) NotPermitted() { m.count("limits.not_permitted") }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -24,6 +24,7 @@
 		return *placement.choice, nil
 	case answered:
 		ask = ask.WithZonesFull(heads, placement.elsewhere)
+		ask.LimitedFor = placement.limitedFor
 	}
 	return c.chooseByZones(ctx, time.Now(), heads, ask)
 }
@@ -31,8 +32,9 @@
 // dispatched is what the dispatcher of this zone said: its choice, or the zone that may
 // have room.
 type dispatched struct {
-	choice    *balance.Choice
-	elsewhere string
+	choice     *balance.Choice
+	elsewhere  string
+	limitedFor time.Duration
 }
 
 // dispatched asks the dispatcher of this zone for a group. It reports false if there was no
@@ -48,20 +50,27 @@
 	case !ok:
 		return dispatched{}, false
 	case placement.Endpoint == "":
-		klog.InfoS("dispatcher_has_no_room", "request", c.r.Ask.ID, "predicted", placement.Predicted, "elsewhere", placement.Elsewhere)
-		// Without a prediction it knows of no group here. This node may, as their
-		// views differ for moments.
-		return dispatched{elsewhere: placement.Elsewhere}, placement.Predicted > 0
+		klog.InfoS("dispatcher_has_no_room", "request", c.r.Ask.ID, "predicted", placement.Predicted, "elsewhere", placement.Elsewhere,
+			"limited_for", placement.LimitedFor)
+		// Without a prediction or a limit it knows of no group here. This node may, as
+		// their views differ for moments.
+		return dispatched{elsewhere: placement.Elsewhere, limitedFor: placement.LimitedFor}, placement.Predicted > 0 || placement.LimitedFor > 0
 	}
 	now := time.Now()
 	placed, usable := c.offered(now, placement, ask)
 	if !usable {
 		return dispatched{}, false
 	}
-	choice := c.g.Tracker.Take(now, placed, ask, placement.Predicted)
+	choice := c.taken(now, placed, ask, placement)
 	return dispatched{choice: &choice}, true
 }
 
+// taken returns the choice that another node made for the stream.
+func (c *streamCall) taken(now time.Time, placed *fleet.Endpoint, ask balance.Ask, placement fleet.Placement) balance.Choice {
+	choice := c.g.Tracker.Take(now, placed, ask, placement.Predicted)
+	return choice.WithPermit(choice.Permitted || placement.Permitted)
+}
+
 // offered returns the endpoint of a placement, and whether this node may use
 // it. Where views differ, this node's own decides: it may know of a group that
 // turned cold or closed since.
@@ -104,11 +113,13 @@
 				"predicted_here", choice.Predicted, "load_age", choice.Age)
 			choice.Visit.Withdraw()
 			ask = ask.WithZoneFull(choice.Endpoint.Zone)
-		case !usable || placed.ID == choice.Endpoint.ID:
+		case !usable:
 			return choice, nil
+		case placed.ID == choice.Endpoint.ID:
+			return choice.WithPermit(choice.Permitted || placement.Permitted), nil
 		default:
 			choice.Visit.Withdraw()
-			return c.g.Tracker.Take(now, placed, ask, placement.Predicted), nil
+			return c.taken(now, placed, ask, placement), nil
 		}
 	}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -68,7 +68,7 @@
 	}
 	defer call.noteTime()
 	for {
-		choice, none := g.Tracker.Plain(time.Now(), r.view.ByService[r.Service.Name], r.view.ZonesOut, g.ask(r, call.tried))
+		choice, none := g.choosePlain(ctx, r, g.ask(r, call.tried))
 		if none != nil && g.awaitEndpoints(ctx, time.Now(), none) {
 			r.view = g.Book.View()
 			continue
@@ -90,6 +90,13 @@
 	}
 }
 
+// choosePlain chooses the endpoint of a plain service.
+func (g *Gateway) choosePlain(ctx context.Context, r *Request, ask balance.Ask) (balance.Choice, *balance.Refusal) {
+	return g.withinLimits(ctx, r, func(now time.Time) (balance.Choice, *balance.Refusal) {
+		return g.Tracker.Plain(now, r.view.ByService[r.Service.Name], r.view.ZonesOut, ask)
+	})
+}
+
 // fits reports whether a node that may be stopping has time for one more try.
 // Only the calls of one route resemble each other: a service may answer
 // look-ups at once and take seconds for bookings.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,7 +57,7 @@
 		call.lastID, call.hasID = id, true
 	}
 	for {
-		choice, none := call.choose(ctx, time.Now())
+		choice, none := call.choose(ctx)
 		if none != nil && g.awaitEndpoints(ctx, time.Now(), none) {
 			r.view = g.Book.View()
 			continue
@@ -85,14 +85,15 @@
 
 // choose returns the endpoint for the stream: the head of a group that serves
 // its model, or an endpoint of a plain service.
-func (c *streamCall) choose(ctx context.Context, now time.Time) (balance.Choice, *balance.Refusal) {
-	view := c.r.view
+func (c *streamCall) choose(ctx context.Context) (balance.Choice, *balance.Refusal) {
 	ask := c.g.ask(c.r, c.tried)
 	ask.GoesOn = c.sent.Load() > 0
 	if c.r.Service.Engine == nil {
-		return c.g.Tracker.Plain(now, view.ByService[c.r.Service.Name], view.ZonesOut, ask)
+		return c.g.choosePlain(ctx, c.r, ask)
 	}
-	return c.chooseGroup(ctx, now, ask)
+	return c.g.withinLimits(ctx, c.r, func(now time.Time) (balance.Choice, *balance.Refusal) {
+		return c.chooseGroup(ctx, now, ask)
+	})
 }
 
 // silenceOf returns how long nothing may move before the stream goes on
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -98,6 +98,7 @@
 type Shared struct {
 	Others map[string]balance.Load // of the other nodes of the zone, if it asked for them
 	Zones  map[string]balance.Load // of the other zones, if it asked for them
+	Limits []balance.LimitWord     // that changed lately, or all if it asked for them
 }
 
 // Word is what a node tells of its loads.
@@ -109,6 +110,10 @@
 	// WithOthers asks for the loads of the other nodes of the zone, WithZones for
 	// those of the other zones.
 	WithOthers, WithZones bool
+	// Limits are what endpoints lately said of their limits to the node itself.
+	Limits []balance.LimitWord
+	// WithLimits asks for all limits that hold, and not only for those that changed.
+	WithLimits bool
 }
 
 // Share hands over this node's loads and returns the sums of the others' that it asks for.
@@ -117,19 +122,22 @@
 	defer cancel()
 	out, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{
 		Node: word.Node, Loads: encodeLoads(word.Loads), Settled: word.Settled, WithOthers: word.WithOthers,
-		WithZones: word.WithZones,
+		WithZones: word.WithZones, Limits: encodeLimits(word.Limits), WithLimits: word.WithLimits,
 	})
 	if err != nil {
 		return Shared{}, c.failed("Client.Share", err)
 	}
-	return Shared{Others: decodeLoads(out.GetLoads()), Zones: decodeLoads(out.GetZones())}, nil
+	return Shared{Others: decodeLoads(out.GetLoads()), Zones: decodeLoads(out.GetZones()), Limits: decodeLimits(out.GetLimits())}, nil
 }
 
-// ShareZone tells a node of another zone what the nodes of this zone have.
-func (c *Client) ShareZone(ctx context.Context, address, zone string, loads map[string]balance.Load) error {
+// ShareZone tells a node of another zone what the nodes of this zone have, and which
+// limits changed lately.
+func (c *Client) ShareZone(ctx context.Context, address, zone string, loads map[string]balance.Load, limits []balance.LimitWord) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{Node: zone, Loads: encodeLoads(loads), Zone: true}); err != nil {
+	if _, err := c.clientOf(address).Share(ctx, &rpc.ShareRequest{
+		Node: zone, Loads: encodeLoads(loads), Zone: true, Limits: encodeLimits(limits),
+	}); err != nil {
 		return c.failed("Client.ShareZone", err)
 	}
 	return nil
@@ -150,6 +158,21 @@
 	}
 	return fleet.Placement{
 		Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond, Elsewhere: out.GetElsewhere(),
+		Permitted: out.GetPermitted(), LimitedFor: time.Duration(out.GetLimitedUs()) * time.Microsecond,
+	}, nil
+}
+
+// Permit asks a node for one request to an endpoint of a zone. A caller waits meanwhile,
+// as for Reserve.
+func (c *Client) Permit(ctx context.Context, address, zone string, known balance.LimitWord) (balance.Permit, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	out, err := c.clientOf(address).Permit(ctx, &rpc.PermitRequest{Zone: zone, Limit: encodeLimit(known)})
+	if err != nil {
+		return balance.Permit{}, c.failed("Client.Permit", err)
+	}
+	return balance.Permit{
+		Given: out.GetGiven(), Wait: time.Duration(out.GetWaitUs()) * time.Microsecond, Limit: decodeLimit(out.GetLimit()),
 	}, nil
 }
 
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -28,18 +28,23 @@
 	requests  []fleet.PlacementRequest
 	settled   map[string]uint64
 	ignorant  bool
+	limits    *balance.Tracker
 }
 
 func serve(t *testing.T) (*other, *neighbor.Client, string) {
 	t.Helper()
-	o := &other{mirror: relay.NewMirror(nil), board: neighbor.NewBoard(), settled: map[string]uint64{}}
+	o := &other{mirror: relay.NewMirror(nil), board: neighbor.NewBoard(), settled: map[string]uint64{}, limits: balance.NewTracker()}
 	server := httptest.NewServer(neighbor.NewHandler(neighbor.Parts{
 		Mirror: func(string) *relay.Mirror { return o.mirror }, Board: o.board,
 		Suspect: func(_ context.Context, id string) { o.suspected = append(o.suspected, id) },
 		Told:    func(_ time.Time, node string, settled uint64) { o.settled[node] = settled },
 		Reserve: func(_ time.Time, request fleet.PlacementRequest) (fleet.Placement, bool) {
 			o.requests = append(o.requests, request)
-			return fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond, Elsewhere: "b"}, !o.ignorant
+			return fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond, Elsewhere: "b", Permitted: true, LimitedFor: 70 * time.Millisecond}, !o.ignorant
+		},
+		Limits: o.limits,
+		Permit: func(now time.Time, zone string, known balance.LimitWord) balance.Permit {
+			return o.limits.Lend(now, known, balance.LenderShare(len(zone)))
 		},
 		Commit: func(_ context.Context, txn fleet.Txn) (int64, error) {
 			o.commits = append(o.commits, txn)
@@ -115,7 +120,7 @@
 		Shunned: []string{"e8"}, Node: "n1", Ticket: 17}
 	placement, err := client.Reserve(context.Background(), address, request)
 	require.NoError(t, err)
-	require.Equal(t, fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond, Elsewhere: "b"}, placement)
+	require.Equal(t, fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond, Elsewhere: "b", Permitted: true, LimitedFor: 70 * time.Millisecond}, placement)
 	require.Equal(t, []fleet.PlacementRequest{request}, o.requests)
 	o.ignorant = true
 	_, err = client.Reserve(context.Background(), address, request)
@@ -133,11 +138,38 @@
 	require.Less(t, time.Since(started), 2*time.Second, "a bound that a busy machine keeps too")
 }
 
+// What one node knows of a limit reaches the others with its loads, and a permit's answer
+// brings what the one that lends knows.
+func TestLimitsTravel(t *testing.T) {
+	o, client, address := serve(t)
+	ctx := context.Background()
+	two := balance.LimitWord{Endpoint: "e1", Limit: fleet.RateLimit{Named: true, PerSecond: 2}, Age: 10 * time.Millisecond}
+	shared, err := client.Share(ctx, address, neighbor.Word{Node: "n1", Limits: []balance.LimitWord{two}})
+	require.NoError(t, err)
+	require.Len(t, shared.Limits, 1)
+	require.Equal(t, two.Limit, shared.Limits[0].Limit)
+	require.GreaterOrEqual(t, shared.Limits[0].Age, two.Age)
+	one := balance.LimitWord{Endpoint: "e2", Limit: fleet.RateLimit{Named: true, PerSecond: 1}}
+	require.NoError(t, client.ShareZone(ctx, address, "zone-b", nil, []balance.LimitWord{one}))
+	shared, err = client.Share(ctx, address, neighbor.Word{Node: "n2", WithLimits: true})
+	require.NoError(t, err)
+	require.Len(t, shared.Limits, 2)
+	permit, err := client.Permit(ctx, address, "b", balance.LimitWord{Endpoint: "e1", Limit: one.Limit, Age: time.Minute})
+	require.NoError(t, err)
+	require.False(t, permit.Given, "none is saved up when a limit begins")
+	require.Positive(t, permit.Wait)
+	require.Equal(t, two.Limit, permit.Limit.Limit, "the newest word counts")
+	permit, err = client.Permit(ctx, address, "b", balance.LimitWord{Endpoint: "free"})
+	require.NoError(t, err)
+	require.True(t, permit.Given)
+	require.Len(t, o.limits.Limits(time.Now()), 2)
+}
+
 func TestSharesLoadsAndSuspicions(t *testing.T) {
 	o, client, address := serve(t)
 	ctx := context.Background()
 	o.board.Put(time.Now(), "n2", map[string]balance.Load{"e1": {Requests: 3, Unstarted: 1, Unread: 500}})
-	require.NoError(t, client.ShareZone(ctx, address, "zone-b", map[string]balance.Load{"e1": {Requests: 2}, "e2": {Requests: 1}}))
+	require.NoError(t, client.ShareZone(ctx, address, "zone-b", map[string]balance.Load{"e1": {Requests: 2}, "e2": {Requests: 1}}, nil))
 	word := neighbor.Word{Node: "n1", Loads: map[string]balance.Load{"e1": {Requests: 7}}, Settled: 12, WithOthers: true, WithZones: true}
 	shared, err := client.Share(ctx, address, word)
 	require.Equal(t, uint64(12), o.settled["n1"])
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"redwinghall"
+	"redwinghall/balance"
 	"redwinghall/fleet"
 	"redwinghall/neighbor/rpc"
 	"redwinghall/relay"
@@ -27,6 +28,10 @@
 	// Reserve chooses a group of this zone for another node's stream.
 	// ok is false if this node knows too little to choose.
 	Reserve func(now time.Time, request fleet.PlacementRequest) (placement fleet.Placement, ok bool)
+	// Limits are what this node knows of the endpoints' limits.
+	Limits *balance.Tracker
+	// Permit gives a permit for one request to an endpoint of a zone.
+	Permit func(now time.Time, zone string, known balance.LimitWord) balance.Permit
 	// Commit carries out a transaction at the store itself.
 	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
 }
@@ -67,13 +72,17 @@
 // Share implements rpc.Neighbor.
 func (s *Server) Share(_ context.Context, in *rpc.ShareRequest) (*rpc.ShareResponse, error) {
 	now := time.Now()
+	s.parts.Limits.LearnLimits(now, decodeLimits(in.GetLimits()))
 	if in.GetZone() {
 		s.parts.Board.PutZone(now, in.GetNode(), decodeLoads(in.GetLoads()))
 		return &rpc.ShareResponse{}, nil
 	}
 	s.parts.Board.Put(now, in.GetNode(), decodeLoads(in.GetLoads()))
 	s.parts.Told(now, in.GetNode(), in.GetSettled())
-	out := &rpc.ShareResponse{}
+	out := &rpc.ShareResponse{Limits: encodeLimits(s.parts.Limits.ChangedLimits(now))}
+	if in.GetWithLimits() {
+		out.Limits = encodeLimits(s.parts.Limits.Limits(now))
+	}
 	if in.GetWithOthers() {
 		out.Loads = encodeLoads(s.parts.Board.Others(now, in.GetNode()))
 	}
@@ -93,7 +102,16 @@
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "the service or its model isn't known here")
 	}
-	return &rpc.ReserveResponse{Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds(), Elsewhere: placement.Elsewhere}, nil
+	return &rpc.ReserveResponse{
+		Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds(), Elsewhere: placement.Elsewhere,
+		Permitted: placement.Permitted, LimitedUs: placement.LimitedFor.Microseconds(),
+	}, nil
+}
+
+// Permit implements rpc.Neighbor.
+func (s *Server) Permit(_ context.Context, in *rpc.PermitRequest) (*rpc.PermitResponse, error) {
+	permit := s.parts.Permit(time.Now(), in.GetZone(), decodeLimit(in.GetLimit()))
+	return &rpc.PermitResponse{Given: permit.Given, WaitUs: permit.Wait.Microseconds(), Limit: encodeLimit(permit.Limit)}, nil
 }
 
 // Suspect implements rpc.Neighbor.
--- a/node/placement.go
+++ b/node/placement.go
@@ -98,14 +98,18 @@
 	ask := balance.Ask{
 		Service: service, Model: model, Zone: n.settings.Zone, Prompt: request.Prompt, Objective: request.Objective, Tried: tried,
 		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), Dispatches: n.dispatches(now), GoesOn: request.GoesOn,
+		Lends: n.lenderShare(n.settings.Zone),
 	}
 	choice, none := n.tracker.Reserve(now, heads, view.ZonesOut, ask, balance.Claimant{Node: request.Node, Ticket: request.Ticket})
-	switch {
-	case none == nil:
-	case request.Ticket == 0: // of another zone, which asks the others itself
-		return fleet.Placement{Predicted: none.Predicted}, true
-	default:
-		return fleet.Placement{Predicted: none.Predicted, Elsewhere: n.tracker.Elsewhere(now, heads, view.ZonesOut, ask)}, true
+	if none == nil {
+		return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted, Permitted: choice.Permitted}, true
 	}
-	return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted}, true
+	placement := fleet.Placement{Predicted: none.Predicted}
+	if none.Reason == balance.Limited {
+		placement.LimitedFor = none.RetryAfter
+	}
+	if request.Ticket > 0 { // else of another zone, which asks the others itself
+		placement.Elsewhere = n.tracker.Elsewhere(now, heads, view.ZonesOut, ask)
+	}
+	return placement, true
 }
