A node that knows no other one yet spends nothing that all share

What a cold endpoint bears and the slack of the retry budget were divided by the nodes that a node knows; one that has just started knew itself only and took all of it. Until it has read them it now sends nothing to cold endpoints and retries out of the ratio only.

Ruled out: loads from the weight store (a new holder begins with nothing, and zones have even parts), limits of accounts (none on the platform).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,7 @@
 
 // Shares is what this node may use of what all nodes share.
 type Shares struct {
-	Nodes int // that take requests, this one included; at least 1
+	Nodes int // that take requests, this one included; 0 while this node doesn't know the others
 	Zone  int // of these, in this node's zone
 	// Dispatches says that this node chooses groups for all nodes of its zone.
 	Dispatches bool
@@ -169,6 +169,9 @@
 }
 
 // ask returns what choosing needs to know of a request.
+//
+// Guard: after a start of all nodes, each that doesn't know the others yet would take what
+// all of them share for its own.
 func (g *Gateway) ask(r *Request, tried map[string]bool) balance.Ask {
 	shares := g.Shares()
 	nodes := max(1, shares.Nodes)
@@ -178,6 +181,9 @@
 	// What a cold endpoint bears in any second, with a margin for nodes that
 	// don't know of each other.
 	cold := coldMargin * (r.Service.ColdPerSecond*bounds.ColdOvershoot + bounds.ColdSlack)
+	if shares.Nodes == 0 {
+		cold = 0
+	}
 	ask := balance.Ask{
 		Service: r.Service, Zone: settings.Zone, Prompt: r.Ask.Prompt, Answer: r.Ask.MaxAnswer, Objective: r.Route.Objective, Tried: tried,
 		Node: settings.Node, Nodes: nodes, ZoneNodes: zone, Dispatches: shares.Dispatches,
@@ -211,7 +217,10 @@
 	if sent >= r.Route.MaxAttempts || r.Left(now) < leastLeft {
 		return false
 	}
-	slack := g.Settings().Bounds.RetrySlack / float64(max(1, g.Shares().Nodes))
+	slack := 0.0
+	if nodes := g.Shares().Nodes; nodes > 0 {
+		slack = g.Settings().Bounds.RetrySlack / float64(nodes)
+	}
 	return g.budget.Spend(now, r.Service.Name, slack)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,6 +33,10 @@
 	placer  placer
 	// stop is the planned stop that is under way; it is set before requests come.
 	stop gateway.Stop
+	// shares is the gateway's part of what all nodes share. Like settings, it is set before
+	// requests come.
+	shares   gateway.Shares
+	settings fleet.Settings
 }
 
 // placer is what other zones say when they are asked.
@@ -95,11 +99,11 @@
 // newUnconfigured returns a site whose gateway has just started and has read nothing.
 func newUnconfigured(t testing.TB) *site {
 	t.Helper()
-	s := &site{t: t, book: directory.NewBook(), tracker: balance.NewTracker(), config: configuration()}
-	settings := fleet.Settings{Zone: "a", Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}}
+	s := &site{t: t, book: directory.NewBook(), tracker: balance.NewTracker(), config: configuration(), shares: gateway.Shares{Nodes: 1, Zone: 1}}
+	s.settings = fleet.Settings{Zone: "a", Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}}
 	g := gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return settings }, Book: s.book, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
-		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{Nodes: 1, Zone: 1} }, Stalled: func(string) {},
+		Settings: func() fleet.Settings { return s.settings }, Book: s.book, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
+		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, Stalled: func(string) {},
 		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop },
 	})
 	s.server = httptest.NewServer(g)
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/directory"
+	"redwinghall/gateway"
 )
 
 // Callers who come right after a start of all nodes wait for what their node
@@ -44,3 +47,33 @@
 	require.Equal(t, http.StatusServiceUnavailable, s.do(s.request(http.MethodPost, "/stream/x")).status)
 	require.Less(t, time.Since(began), 500*time.Millisecond)
 }
+
+// All nodes have just started, and each takes itself for the only one: what a cold endpoint
+// bears, and the retries that all share, are spent as many times as there are nodes.
+func TestNodeThatKnowsNoOtherSpendsNothingShared(t *testing.T) {
+	s := newSite(t)
+	s.shares = gateway.Shares{Zone: 1}
+	s.settings.Bounds.ColdOvershoot, s.settings.Bounds.ColdSlack = 1.5, 5
+	service := s.config.Services["desk"]
+	service.ColdPerSecond = 10
+	s.config.Services["desk"] = service
+	s.book.Apply(time.Now(), directory.Change{Config: s.config})
+	var cold, failing atomic.Int32
+	desk := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		cold.Add(1)
+		sign(w, r)
+	}))
+	t.Cleanup(desk.Close)
+	s.registerIn("a", "cold", "desk", desk.Listener.Addr().String(), time.Minute)
+	require.Equal(t, http.StatusServiceUnavailable, s.do(s.request(http.MethodGet, "/look/x")).status)
+	require.Zero(t, cold.Load())
+	for _, id := range []string{"e1", "e2"} {
+		s.endpoint(id, "desk", func(w http.ResponseWriter, r *http.Request) {
+			failing.Add(1)
+			sign(w, r)
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+	}
+	require.Equal(t, http.StatusInternalServerError, s.do(s.request(http.MethodGet, "/look/x")).status)
+	require.Equal(t, int32(1), failing.Load(), "no retry out of the slack of all nodes")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -156,9 +156,22 @@
 
 // shares returns what this node may use of what all nodes share.
 func (n *Node) shares() gateway.Shares {
+	if !n.knowsOthers() {
+		return gateway.Shares{Zone: 1}
+	}
 	return gateway.Shares{Nodes: len(n.table.Nodes()), Zone: len(n.peers()), Dispatches: n.dispatches(time.Now())}
 }
 
+// knowsOthers reports whether this node has read who the other nodes are.
+func (n *Node) knowsOthers() bool {
+	select {
+	case <-n.table.Known():
+		return true
+	default:
+		return false
+	}
+}
+
 // capacityOf returns the class of a VM: each is twice as strong as the one below.
 func capacityOf(s fleet.Settings) int {
 	if s.Processor <= 0 {
--- a/node/permit.go
+++ b/node/permit.go
@@ -64,9 +64,7 @@
 // lenderShare returns the part of a limit that this node lends for endpoints of a zone, 0
 // if it may not lend.
 func (n *Node) lenderShare(zone string) float64 {
-	select {
-	case <-n.table.Known():
-	default:
+	if !n.knowsOthers() {
 		return 0
 	}
 	for place, one := range n.lenders(zone) {
