The demand is the mean since the first request until its time is over

Traced: in each run that fails the order to close comes 5.0 s after the first request, when the demand is first used. It was smoothed from the first reading, over 5 s. Where that reading found no request yet (the planner's tick and the first requests of the play fall on the same moment, and either may come first), 18 requests counted as 11.4, which two groups less would bear.

The demand is now the mean since the first reading until 5 s are over, and smoothed over 5 s from then on.

--- a/formation/convert_test.go
+++ b/formation/convert_test.go
@@ -133,6 +133,19 @@
 	})
 }
 
+// The first reading finds no request yet: what comes after it must not count as a part of
+// itself, or a group is given away that the demand needs.
+func TestFirstReadingOfDemandGivesNoGroupAway(t *testing.T) {
+	playPairs(t, func(t *testing.T, f *farm, n *node) {
+		time.Sleep(200 * time.Millisecond)
+		for range 300 {
+			askEvenly(f, n, map[string]int{"large": 18, "small": 280})
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Len(t, f.whole("large"), 3)
+	})
+}
+
 // A model that nobody is seen to ask for keeps groups: its callers may just have
 // been refused.
 func TestModelWithoutDemandKeepsGroups(t *testing.T) {
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -23,16 +23,24 @@
 	at       time.Time
 }
 
-// follow takes in what the groups have now.
+// follow takes in what the groups have now. Until demandTime is over it is the mean of
+// what came since the first request.
+//
+// Guard: smoothed from the first reading, in which the requests are only beginning, the
+// demand would count as a part of itself when it is first used, and a group that is needed
+// would be given away.
 func (d *demand) follow(now time.Time, requests map[string]float64) {
 	if d.requests == nil {
 		d.requests, d.since, d.at = requests, now, now
 		return
 	}
-	weight := min(1, now.Sub(d.at).Seconds()/demandTime.Seconds())
+	if !now.After(d.at) {
+		return
+	}
+	weight := now.Sub(d.at).Seconds() / min(demandTime, now.Sub(d.since)).Seconds()
 	d.at = now
 	for model := range requests {
-		d.requests[model] += weight * (requests[model] - d.requests[model])
+		d.requests[model] += min(1, weight) * (requests[model] - d.requests[model])
 	}
 }
 
