--- a/soak/faults.go
+++ b/soak/faults.go
@@ -41,6 +41,7 @@
 	{"cut endpoint off", endpointLink(link.Cut, 0)},
 	{"endpoint stalls", stallEndpoint},
 	{"endpoint ends and another comes", replaceEndpoint},
+	{"endpoint names a limit", limitEndpoint},
 	{"store busy", storeFault(platformtest.Faults{Refuse: http.StatusServiceUnavailable})},
 	{"store turns away", storeFault(platformtest.Faults{Refuse: http.StatusTooManyRequests})},
 	{"store silent", storeFault(platformtest.Faults{Silent: true})},
@@ -80,6 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n.busy = false
+	w.disturbed = time.Now()
 }
 
 func killNode(ctx context.Context, w *world, lasts time.Duration) error {
--- a/soak/run.go
+++ b/soak/run.go
@@ -82,7 +82,7 @@
 	if err := <-called; err != nil {
 		return err
 	}
-	report.Mistakes = t.close(w.ledger)
+	report.Mistakes = append(t.close(w.ledger), w.mistakes...)
 	t.fill(report)
 	if calm := madeCalm - made; calm == 0 || float64(servedCalm-served) < leastServed*float64(calm) {
 		report.Mistakes = append(report.Mistakes, fmt.Sprintf("after the faults %d of %d requests were served", servedCalm-served, calm))
--- a/soak/world.go
+++ b/soak/world.go
@@ -84,6 +84,10 @@
 	made      int
 	version   int
 	faults    []string
+	// disturbed is when a fault of a node last ended.
+	disturbed time.Time
+	// mistakes are what faults themselves found wrong.
+	mistakes []string
 }
 
 // liveEndpoint is an endpoint with the link that stands before it.
