Log the store's era, and each list of a table

The era of its answers is read and logged where it changes, and so is each list with its version. Nothing is decided by it yet.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -104,6 +104,7 @@
 	interval func() time.Duration
 
 	version int64
+	era     int64
 	listed  bool
 	away    bool // the last call failed
 	pause   time.Duration
@@ -159,6 +160,13 @@
 		return rows, err
 	}
 	now := time.Now()
+	if rows.Era != feed.era {
+		klog.InfoS("store_era", "table", feed.table, "era", rows.Era, "before", feed.era, "version", rows.Version, "version_before", feed.version)
+		feed.era = rows.Era
+	}
+	if !feed.listed {
+		klog.InfoS("store_listed", "table", feed.table, "era", rows.Era, "version", rows.Version, "rows", len(rows.Rows))
+	}
 	if feed.away {
 		klog.InfoS("store_regained", "table", feed.table, "version", rows.Version)
 		f.book.StoreReturned(now)
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -22,6 +22,8 @@
 type Rows struct {
 	Rows    []Row
 	Version int64
+	// Era rises by one each time the store comes back from an older copy of itself.
+	Era int64
 	// More says of changes that the store knew newer ones than the answer holds.
 	More bool
 	// Relayed says that another node read them: the store was not called.
