A test that fails: nodes don't follow a store that came back older

The store's stand-in keeps an era, comes back from a copy, gives versions out again and refuses feeds from versions that it doesn't have.

--- /dev/null
+++ b/node/era_test.go
@@ -0,0 +1,63 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/platform/platformtest"
+)
+
+// drainBound is how long after it said that it leaves an endpoint may get requests.
+const drainBound = 2 * time.Second
+
+// goBack lets the store come back from a copy that is many versions older. Endpoints and
+// operators write again what they had written.
+func (z *zoned) goBack(t *testing.T) {
+	t.Helper()
+	const lost = 400 // versions
+	store := z.nodes[0].store
+	kept := store.Copy()
+	for i := range lost {
+		require.NoError(t, store.Put("status", "note", i))
+	}
+	time.Sleep(2 * time.Second) // all nodes have read that far
+	store.ComeBack(kept)
+	for _, e := range z.all() {
+		require.NoError(t, e.Beat())
+	}
+}
+
+func (z *zoned) all() []*platformtest.Endpoint {
+	all := append([]*platformtest.Endpoint(nil), z.desks...)
+	for _, heads := range z.heads {
+		all = append(all, heads...)
+	}
+	return all
+}
+
+// After its return the store gives out lower versions than nodes have seen: they must
+// follow it all the same, and not by lists alone.
+func TestChangesAfterTheStoreWentBackAreFollowed(t *testing.T) {
+	for name, nodes := range map[string]map[string]int{"each reads": {"a": 2, "b": 1}, "one reads for all": {"a": 5}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := deployZones(t, nodes)
+			z.goBack(t)
+			time.Sleep(2 * time.Second)
+			refused := z.nodes[0].store.Refused()
+			require.NoError(t, z.desks[0].Drain())
+			left := time.Now()
+			require.NoError(t, z.nodes[0].store.Put("op", "config", platformtest.Configuration(2, "key-1", "key-2")))
+			z.play(t, 5*time.Second, http.MethodGet, "/look/x")
+			for _, at := range z.desks[0].Arrived() {
+				require.Less(t, at.Sub(left), drainBound)
+			}
+			require.LessOrEqual(t, z.nodes[0].store.Refused(), refused, "nodes ask on for what the store doesn't have")
+			require.NotEmpty(t, z.desks[1].Arrived(), fmt.Sprint(nodes))
+		})
+	}
+}
