--- a/directory/book.go
+++ b/directory/book.go
@@ -25,7 +25,7 @@
 	out       map[string]bool
 	// graceUntil is when entries that are missing count as gone at once again.
 	graceUntil time.Time
-	read       atomic.Int64
+	read       atomic.Pointer[fleet.Position]
 	configured chan struct{} // closed once a configuration is known
 	listed     chan struct{} // closed once the endpoints' entries were read
 }
@@ -35,6 +35,7 @@
 	b := &Book{endpoints: map[string]*fleet.Endpoint{}, lapsed: map[string]time.Time{}, out: map[string]bool{}}
 	b.configured, b.listed = make(chan struct{}), make(chan struct{})
 	b.view.Store(&View{})
+	b.read.Store(&fleet.Position{})
 	return b
 }
 
@@ -48,14 +49,15 @@
 	b.graceUntil = now.Add(LapseGrace)
 }
 
-// NoteRead notes up to which version of the store the endpoints' entries were read.
-func (b *Book) NoteRead(version int64) {
+// NoteRead notes up to which position of the store the endpoints' entries were read.
+func (b *Book) NoteRead(at fleet.Position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.read.Load() == 0 && version > 0 {
+	if b.Read().IsZero() && !at.IsZero() {
 		close(b.listed)
 	}
-	b.read.Store(max(b.read.Load(), version))
+	next := b.Read().Later(at)
+	b.read.Store(&next)
 }
 
 // Configured is closed once a configuration is known.
@@ -64,8 +66,8 @@
 // Listed is closed once the endpoints' entries were read.
 func (b *Book) Listed() <-chan struct{} { return b.listed }
 
-// Read returns up to which version of the store the endpoints' entries are known.
-func (b *Book) Read() int64 { return b.read.Load() }
+// Read returns up to which position of the store the endpoints' entries are known.
+func (b *Book) Read() fleet.Position { return *b.read.Load() }
 
 // Change is one thing learned. Exactly one of its parts is set.
 type Change struct {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -88,6 +88,7 @@
 	mu      sync.Mutex
 	lists   int
 	rows    []fleet.Row
+	era     int64
 	version int64
 	failure fleet.StoreKind
 }
@@ -98,6 +99,8 @@
 	s.version, s.failure, s.rows = version, failure, rows
 }
 
+func (s *script) at() fleet.Position { return fleet.Position{Era: s.era, Version: s.version} }
+
 func (s *script) List(_ context.Context, table string) (fleet.Rows, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,12 +113,12 @@
 	if table == "servers" {
 		s.failure = ""
 	}
-	return fleet.Rows{Rows: s.of(table, 0), Version: s.version}, nil
+	return fleet.Rows{Rows: s.of(table, 0), At: s.at()}, nil
 }
 
-func (s *script) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+func (s *script) Changes(ctx context.Context, table string, after fleet.Position, wait time.Duration) (fleet.Rows, error) {
 	s.mu.Lock()
-	rows, version, failure := s.of(table, after), s.version, s.failure
+	rows, at, failure := s.of(table, after.Version), s.at(), s.failure
 	s.mu.Unlock()
 	if failure != "" {
 		return fleet.Rows{}, redwinghall.NewOpError("script.Changes", failure, nil)
@@ -123,7 +126,7 @@
 	if len(rows) == 0 {
 		kernel.Sleep(ctx, wait)
 	}
-	return fleet.Rows{Rows: rows, Version: version}, nil
+	return fleet.Rows{Rows: rows, At: at}, nil
 }
 
 func (s *script) of(table string, after int64) []fleet.Row {
@@ -136,7 +139,9 @@
 	return rows
 }
 
-func (s *script) Commit(context.Context, fleet.Txn) (int64, error) { return 0, nil }
+func (s *script) Commit(context.Context, fleet.Txn) (fleet.Position, error) {
+	return fleet.Position{}, nil
+}
 
 func entry(t *testing.T, id string, version int64) fleet.Row {
 	t.Helper()
@@ -165,13 +170,13 @@
 		book, stop := follow(t, store)
 		defer stop()
 		time.Sleep(time.Second)
-		require.EqualValues(t, 7, book.Read())
+		require.Equal(t, fleet.Position{Version: 7}, book.Read())
 		store.set(9, "", entry(t, "a", 5))
 		time.Sleep(4 * time.Second)
-		require.EqualValues(t, 9, book.Read())
+		require.Equal(t, fleet.Position{Version: 9}, book.Read())
 		store.set(3, fleet.StoreHistoryGone)
 		time.Sleep(4 * time.Second)
-		require.EqualValues(t, 9, book.Read(), "an older copy takes nothing back")
+		require.Equal(t, fleet.Position{Version: 9}, book.Read(), "an older copy takes nothing back")
 	})
 }
 
@@ -238,18 +243,18 @@
 	return int64(time.Since(s.started).Seconds() * float64(s.perSecond))
 }
 
-func (s *busyStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+func (s *busyStore) Changes(ctx context.Context, table string, after fleet.Position, wait time.Duration) (fleet.Rows, error) {
 	if table != "servers" {
 		return s.script.Changes(ctx, table, after, wait)
 	}
 	kernel.Sleep(ctx, 5*time.Millisecond)
-	newest := min(s.newest(), after+page)
+	newest := min(s.newest(), after.Version+page)
 	value := []byte(`{"service":"s","address":"e:80","state":"ready"}`)
 	var rows []fleet.Row
-	for version := after + 1; version <= newest; version++ {
+	for version := after.Version + 1; version <= newest; version++ {
 		rows = append(rows, fleet.Row{Table: table, Key: "e" + strconv.FormatInt(version%3000, 10), Value: value, Version: version})
 	}
-	return fleet.Rows{Rows: rows, Version: newest, More: len(rows) == page}, nil
+	return fleet.Rows{Rows: rows, At: fleet.Position{Version: newest}, More: len(rows) == page}, nil
 }
 
 // 3,000 endpoints write every 1.2 s. A node that reads one answer of the feed
@@ -273,7 +278,7 @@
 // relayed is a store whose tables another node reads for this one.
 type relayed struct{ script }
 
-func (s *relayed) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+func (s *relayed) Changes(ctx context.Context, table string, after fleet.Position, wait time.Duration) (fleet.Rows, error) {
 	rows, err := s.script.Changes(ctx, table, after, wait)
 	rows.Relayed = true
 	return rows, err
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -103,11 +104,10 @@
 	missing  func(rows []fleet.Row) []Change // what a new list no longer holds
 	interval func() time.Duration
 
-	version int64
-	era     int64
-	listed  bool
-	away    bool // the last call failed
-	pause   time.Duration
+	at     fleet.Position
+	listed bool
+	away   bool // the last call failed
+	pause  time.Duration
 }
 
 // follow reads a table until ctx ends. While the store is away, what is known
@@ -141,12 +141,12 @@
 // failed notes a failed call and returns how long to wait before the next.
 func (f *Follower) failed(feed *feed, err error) time.Duration {
 	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
-		klog.InfoS("store_history_gone", "table", feed.table, "after", feed.version)
+		klog.InfoS("store_history_gone", "table", feed.table, "era", feed.at.Era, "after", feed.at.Version)
 		feed.listed = false
 		return firstPause // a store that forgets again and again must not be called without a pause
 	}
 	if !feed.away {
-		klog.InfoS("store_lost", "table", feed.table, "version", feed.version, "err", err)
+		klog.InfoS("store_lost", "table", feed.table, "era", feed.at.Era, "version", feed.at.Version, "err", err)
 	}
 	feed.away = true
 	feed.pause = min(max(2*feed.pause, firstPause), longestPause)
@@ -160,15 +160,15 @@
 		return rows, err
 	}
 	now := time.Now()
-	if rows.Era != feed.era {
-		klog.InfoS("store_era", "table", feed.table, "era", rows.Era, "before", feed.era, "version", rows.Version, "version_before", feed.version)
-		feed.era = rows.Era
-	}
 	if !feed.listed {
-		klog.InfoS("store_listed", "table", feed.table, "era", rows.Era, "version", rows.Version, "rows", len(rows.Rows))
+		klog.InfoS("store_listed", "table", feed.table, "era", rows.At.Era, "version", rows.At.Version, "rows", len(rows.Rows))
+	}
+	if feed.wentBack(rows.At) {
+		klog.InfoS("store_era", "table", feed.table, "era", rows.At.Era, "before", feed.at.Era, "version", rows.At.Version, "version_before", feed.at.Version)
+		f.book.StoreReturned(now)
 	}
 	if feed.away {
-		klog.InfoS("store_regained", "table", feed.table, "version", rows.Version)
+		klog.InfoS("store_regained", "table", feed.table, "version", rows.At.Version)
 		f.book.StoreReturned(now)
 		feed.away, feed.pause = false, 0
 	}
@@ -182,21 +182,38 @@
 			changes = append(changes, change)
 		}
 	}
-	feed.version = max(feed.version, rows.Version)
+	feed.at = feed.at.Later(rows.At)
 	f.book.Apply(now, changes...)
 	if feed.table == platform.TableEndpoints {
-		f.book.NoteRead(rows.Version)
+		f.book.NoteRead(rows.At)
 	}
 	return rows, nil
 }
 
 func (f *Follower) read(ctx context.Context, feed *feed) (fleet.Rows, error) {
 	if !feed.listed {
-		return f.store.List(ctx, feed.table)
+		rows, err := f.store.List(ctx, feed.table)
+		if err == nil && rows.At.Era < feed.at.Era {
+			return fleet.Rows{}, redwinghall.NewOpError("Follower.read", fleet.StoreUnavailable, errEarlierEra)
+		}
+		return rows, err
 	}
-	return f.store.Changes(ctx, feed.table, feed.version, feedWait)
+	rows, err := f.store.Changes(ctx, feed.table, feed.at, feedWait)
+	if err == nil && rows.At.Era != feed.at.Era {
+		return fleet.Rows{}, redwinghall.NewOpError("Follower.read", fleet.StoreHistoryGone, errOtherEra)
+	}
+	return rows, err
 }
 
+var (
+	errEarlierEra = errors.New("the list is of an earlier era of the store")
+	errOtherEra   = errors.New("the changes are of another era of the store")
+)
+
+// wentBack reports whether the store has come back from an older copy since the table was
+// last read.
+func (f *feed) wentBack(at fleet.Position) bool { return !f.at.IsZero() && at.Era > f.at.Era }
+
 func (f *Follower) decodeOperators(row fleet.Row, _ time.Time) (Change, bool) {
 	if zone, ok := platform.ZoneOut(row.Key); ok {
 		klog.InfoS("zone_decided", "zone", zone, "out", !row.Removed, "version", row.Version)
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -8,7 +8,7 @@
 )
 
 // Row is one record of the store. Version rises over all rows with each
-// transaction.
+// transaction of an era.
 type Row struct {
 	Table   string
 	Part    string
@@ -18,12 +18,10 @@
 	Removed bool // only in changes: the row is gone
 }
 
-// Rows is an answer of the store: rows, and the newest version that it covers.
+// Rows is an answer of the store: rows, and the newest position that it covers.
 type Rows struct {
-	Rows    []Row
-	Version int64
-	// Era rises by one each time the store comes back from an older copy of itself.
-	Era int64
+	Rows []Row
+	At   Position
 	// More says of changes that the store knew newer ones than the answer holds.
 	More bool
 	// Relayed says that another node read them: the store was not called.
@@ -48,10 +46,10 @@
 type Store interface {
 	// List returns the rows of a table without a part, as of one moment a page.
 	List(ctx context.Context, table string) (Rows, error)
-	// Changes waits for changes after a version and returns them in order.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Rows, error)
-	// Commit carries out a transaction and returns its version.
-	Commit(ctx context.Context, txn Txn) (int64, error)
+	// Changes waits for changes after a position and returns them in order.
+	Changes(ctx context.Context, table string, after Position, wait time.Duration) (Rows, error)
+	// Commit carries out a transaction and returns its position.
+	Commit(ctx context.Context, txn Txn) (Position, error)
 }
 
 // StoreKind says what a failed call to the store means.
--- a/formation/farm_test.go
+++ b/formation/farm_test.go
@@ -140,7 +140,7 @@
 		}
 		time.AfterFunc(time.Until(c.due), func() {
 			c.book.Apply(time.Now(), changes...)
-			c.book.NoteRead(version)
+			c.book.NoteRead(fleet.Position{Version: version})
 		})
 	}
 }
@@ -163,7 +163,7 @@
 	for _, e := range f.stored {
 		c.book.Apply(now, directory.Change{Endpoint: e})
 	}
-	c.book.NoteRead(f.version)
+	c.book.NoteRead(fleet.Position{Version: f.version})
 	f.copies = append(f.copies, c)
 	return c
 }
--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -25,13 +25,13 @@
 			free.Member, free.Models = fleet.Membership{}, nil
 			old.Apply(time.Now(), directory.Change{Endpoint: &free})
 		}
-		old.NoteRead(99)
+		old.NoteRead(fleet.Position{Version: 99})
 		f.mu.Lock()
 		f.book = old
 		f.mu.Unlock()
 		next := manage(f, false)
 		defer next.stop(t)
-		next.begun, next.heldFrom = true, 100
+		next.begun, next.heldFrom = true, fleet.Position{Version: 100}
 		time.Sleep(10 * time.Second)
 		f.mu.Lock()
 		require.Empty(t, f.broken)
@@ -40,7 +40,7 @@
 		for _, e := range current.View().Endpoints {
 			old.Apply(time.Now(), directory.Change{Endpoint: e})
 		}
-		old.NoteRead(100)
+		old.NoteRead(fleet.Position{Version: 100})
 		time.Sleep(10 * time.Second)
 		require.Len(t, f.whole("large"), 2)
 		require.Len(t, f.whole("small"), 2)
--- a/formation/joining_test.go
+++ b/formation/joining_test.go
@@ -159,7 +159,7 @@
 	j.farm.mu.Unlock()
 	n := manageBy(j.farm, fresh, j.link, j.next.book)
 	j.next = j.farm.follow(copyBehind)
-	n.heldFrom = version
+	n.heldFrom = fleet.Position{Version: version}
 	n.begun = !fresh
 	n.asked.Store(&j.asked)
 	j.holder = n
@@ -299,7 +299,7 @@
 		j.holder.holds = false
 		j.farm.mu.Lock()
 		j.farm.write()
-		first.heldFrom = j.farm.version
+		first.heldFrom = fleet.Position{Version: j.farm.version}
 		j.farm.mu.Unlock()
 		j.holder, j.link, first.holds = first, link, true
 	}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -43,11 +43,11 @@
 	Book     *directory.Book
 	Orderer  fleet.Orderer
 	// Holds reports whether this node may form the groups of a zone now, and
-	// HeldFrom at which version of the store it took the zone's lease.
+	// HeldFrom at which position of the store it took the zone's lease.
 	Holds    func(zone string) bool
-	HeldFrom func(zone string) int64
-	// Version returns the newest version of the store that this node knows.
-	Version func() int64
+	HeldFrom func(zone string) fleet.Position
+	// Position returns the newest position of the store that this node knows.
+	Position func() fleet.Position
 	// Begun reports whether requests have come yet.
 	Begun func() bool
 	// Moves reports whether this node saw a stream of an endpoint advance lately.
@@ -163,7 +163,7 @@
 // Guard: the last holder opens a group on its members' entries and may stop
 // right after. Who takes the lease with an older copy of the entries sees the
 // members without a group and joins them to others while they serve.
-func (m *Manager) caughtUp(zone string) bool { return m.Book.Read() >= m.HeldFrom(zone) }
+func (m *Manager) caughtUp(zone string) bool { return !m.Book.Read().Before(m.HeldFrom(zone)) }
 
 // planZone plans one zone's groups and sends the orders. It reports whether
 // something is under way.
@@ -220,7 +220,7 @@
 // from versions of the store before this holder took the lease, so they are
 // lower, and a VM that has seen a newer epoch refuses them.
 func (m *Manager) nextEpoch() int64 {
-	m.epoch = max(m.epoch, m.Version()<<epochBits) + 1
+	m.epoch = max(m.epoch, m.Position().Version<<epochBits) + 1
 	return m.epoch
 }
 
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -29,7 +29,7 @@
 	fresh   bool
 	version int64 // of the store when it took the lease
 	// heldFrom is the version from which the entries must have been read.
-	heldFrom int64
+	heldFrom fleet.Position
 }
 
 func manage(f *farm, fresh bool) *node {
@@ -46,8 +46,8 @@
 		Stall: 4 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1.1,
 	}}
 	n.manager = formation.NewManager(formation.Options{
-		Settings: func() fleet.Settings { return settings }, Book: book, Orderer: orderer, HeldFrom: func(string) int64 { return n.heldFrom },
-		Holds: func(string) bool { return n.holds }, Version: func() int64 { return n.version },
+		Settings: func() fleet.Settings { return settings }, Book: book, Orderer: orderer, HeldFrom: func(string) fleet.Position { return n.heldFrom },
+		Holds: func(string) bool { return n.holds }, Position: func() fleet.Position { return fleet.Position{Version: n.version} },
 		Begun: func() bool { return n.begun }, Moves: func(_ time.Time, id string) bool { return n.moving[id] },
 		Running: n.running(book),
 	})
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -46,7 +46,7 @@
 // has not read any entry yet knows of none, but soon will.
 func (g *Gateway) refusalOfNone(none *balance.Refusal) refusal {
 	why := ofBalance(none)
-	if none.Reason == balance.NoEndpoint && g.Book.Read() == 0 {
+	if none.Reason == balance.NoEndpoint && g.Book.Read().IsZero() {
 		why.reason, why.retryAfter = "endpoints_unknown", endpointsSoon
 	}
 	return why
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/directory"
+	"redwinghall/fleet"
 	"redwinghall/gateway"
 )
 
@@ -29,7 +30,7 @@
 						events(w, 1, 3)
 					})
 				}
-				s.book.NoteRead(7)
+				s.book.NoteRead(fleet.Position{Version: 7})
 			})
 			require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, path)).status)
 		})
--- a/gateway/turned_away_test.go
+++ b/gateway/turned_away_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/directory"
+	"redwinghall/fleet"
 	"redwinghall/platform/platformtest"
 )
 
@@ -40,7 +41,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, soon.status)
 	require.Contains(t, soon.body, "endpoints_unknown")
 	s.book.Apply(time.Now(), directory.Change{Gone: "i-1"})
-	s.book.NoteRead(7)
+	s.book.NoteRead(fleet.Position{Version: 7})
 	later := s.do(s.request(http.MethodPost, "/stream/x"))
 	require.Contains(t, later.body, "no_endpoint")
 	require.Less(t, soon.header.Get("Retry-After"), later.header.Get("Retry-After"))
--- a/members/leases.go
+++ b/members/leases.go
@@ -68,7 +68,7 @@
 	state := t.leases[zone]
 	nonce := fmt.Sprintf("%s-%d", t.config.Self.Name, boot.UnixNano())
 	txn, record := state.Txn(zone, action, nonce)
-	version, err := t.store.Commit(ctx, storeTxn(txn))
+	at, err := t.store.Commit(ctx, storeTxn(txn))
 	if err != nil {
 		// A conflict, a lost answer: the next list tells who holds it.
 		klog.InfoS("lease_unwritten", "zone", zone, "err", err)
@@ -76,21 +76,21 @@
 		t.listTriedAt = time.Time{}
 		return
 	}
-	t.noteVersion(version)
-	fence := redwinghall.Row{Version: version}
+	t.notePosition(at)
+	fence := redwinghall.Row{Version: at.Version}
 	if action == lease.Renew {
 		fence.Version = state.FenceVersion()
 	}
 	next, err := state.WithWritten(boot, t.config.Now(), record,
-		redwinghall.Row{Version: version, Value: redwinghall.RowValue(record)}, fence)
+		redwinghall.Row{Version: at.Version, Value: redwinghall.RowValue(record)}, fence)
 	if err != nil {
 		klog.ErrorS(err, "lease_unreadable", "zone", zone)
 		return
 	}
 	if action == lease.Take {
-		klog.InfoS("lease_taken", "zone", zone, "number", record.Fencing, "version", version)
+		klog.InfoS("lease_taken", "zone", zone, "number", record.Fencing, "era", at.Era, "version", at.Version)
 	}
-	t.leases[zone] = next
+	t.leases[zone], t.eras[zone] = next, at.Era
 	t.publishHeld()
 }
 
--- a/members/members.go
+++ b/members/members.go
@@ -62,11 +62,11 @@
 	Now func() time.Time
 }
 
-// tenure is a lease that this node has: until when, and since which version of
+// tenure is a lease that this node has: until when, and since which position of
 // the store.
 type tenure struct {
 	until time.Time
-	from  int64
+	from  fleet.Position
 }
 
 // Table is this node's part of the members' table.
@@ -77,7 +77,8 @@
 
 	mu          sync.Mutex
 	leases      map[string]lease.State
-	firstAt     time.Time // when the table was first read
+	eras        map[string]int64 // of the store, in which the zones' leases were read or written
+	firstAt     time.Time        // when the table was first read
 	known       chan struct{}
 	seen        map[string]seenNode
 	listTriedAt time.Time
@@ -88,8 +89,8 @@
 	unwritten map[string]time.Time
 	takeable  map[string]time.Time // since when a zone's lease could be taken
 	stopped   bool
-	// version is the newest version of the store that this node knows.
-	version atomic.Int64
+	// at is the newest position of the store that this node knows.
+	at atomic.Pointer[fleet.Position]
 	// held are the zones whose lease this node has.
 	held    atomic.Pointer[map[string]tenure]
 	holders atomic.Pointer[map[string]string] // names, by zone
@@ -98,7 +99,7 @@
 // NewTable returns a table that knows nothing yet.
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
-		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seenNode{}, renewed: map[string]time.Time{},
+		config: config, store: store, leases: map[string]lease.State{}, eras: map[string]int64{}, seen: map[string]seenNode{}, renewed: map[string]time.Time{},
 		takeable: map[string]time.Time{}, unwritten: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
@@ -107,6 +108,7 @@
 		})
 	}
 	t.nodes.Store(&[]Node{config.Self})
+	t.at.Store(&fleet.Position{})
 	t.held.Store(&map[string]tenure{})
 	t.holders.Store(&map[string]string{})
 	return t
@@ -118,8 +120,8 @@
 	return ok && boot.Before(held.until)
 }
 
-// HeldFrom returns the version of the store at which this node took a zone's lease.
-func (t *Table) HeldFrom(zone string) int64 { return (*t.held.Load())[zone].from }
+// HeldFrom returns the position of the store at which this node took a zone's lease.
+func (t *Table) HeldFrom(zone string) fleet.Position { return (*t.held.Load())[zone].from }
 
 // Holder returns the node that holds a zone's lease, as far as known.
 func (t *Table) Holder(zone string) (Node, bool) {
@@ -132,11 +134,14 @@
 	return Node{}, false
 }
 
-// Version returns the newest version of the store that this node has seen.
-func (t *Table) Version() int64 { return t.version.Load() }
+// Position returns the newest position of the store that this node has seen.
+func (t *Table) Position() fleet.Position { return *t.at.Load() }
 
-// noteVersion notes a version of the store that was seen. The lock is held.
-func (t *Table) noteVersion(version int64) { t.version.Store(max(t.version.Load(), version)) }
+// notePosition notes a position of the store that was seen. The lock is held.
+func (t *Table) notePosition(at fleet.Position) {
+	next := t.Position().Later(at)
+	t.at.Store(&next)
+}
 
 // Known is closed once this node has read who its neighbors are.
 func (t *Table) Known() <-chan struct{} { return t.known }
@@ -192,7 +197,7 @@
 		t.firstAt = boot
 		defer close(t.known)
 	}
-	t.noteVersion(rows.Version)
+	t.notePosition(rows.At)
 	byKey := map[string]redwinghall.Row{}
 	for _, row := range rows.Rows {
 		byKey[row.Key] = redwinghall.Row{Key: row.Key, Version: row.Version, Value: row.Value}
@@ -203,7 +208,7 @@
 			klog.ErrorS(err, "lease_unreadable", "zone", zone)
 			continue
 		}
-		t.leases[zone] = next
+		t.leases[zone], t.eras[zone] = next, rows.At.Era
 	}
 	t.updateNodes(boot, byKey)
 	t.publishHeld()
@@ -240,7 +245,7 @@
 		holders[zone] = state.Holder()
 		if state.Holder() == t.config.Self.Name && !state.HeldUntil().IsZero() {
 			// The fence changes only when a lease is taken.
-			held[zone] = tenure{until: state.HeldUntil(), from: state.FenceVersion()}
+			held[zone] = tenure{until: state.HeldUntil(), from: fleet.Position{Era: t.eras[zone], Version: state.FenceVersion()}}
 		}
 	}
 	t.held.Store(&held)
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -17,6 +17,7 @@
 // store keeps rows in memory, with versions as the platform counts them.
 type store struct {
 	mu      sync.Mutex
+	era     int64
 	version int64
 	rows    map[string]fleet.Row
 	down    map[string]bool // nodes that it turns away
@@ -35,6 +36,8 @@
 	return &store{rows: map[string]fleet.Row{}, down: map[string]bool{}, version: 1}
 }
 
+func (v view) at() fleet.Position { return fleet.Position{Era: v.era, Version: v.version} }
+
 func (v view) List(_ context.Context, _ string) (fleet.Rows, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -42,27 +45,27 @@
 	if v.down[v.node] {
 		return fleet.Rows{}, redwinghall.NewOpError("view.List", fleet.StoreUnavailable, nil)
 	}
-	out := fleet.Rows{Version: v.version}
+	out := fleet.Rows{At: v.at()}
 	for _, r := range v.rows {
 		out.Rows = append(out.Rows, r)
 	}
 	return out, nil
 }
 
-func (v view) Changes(context.Context, string, int64, time.Duration) (fleet.Rows, error) {
+func (v view) Changes(context.Context, string, fleet.Position, time.Duration) (fleet.Rows, error) {
 	return fleet.Rows{}, nil
 }
 
-func (v view) Commit(_ context.Context, txn fleet.Txn) (int64, error) {
+func (v view) Commit(_ context.Context, txn fleet.Txn) (fleet.Position, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tries++
 	if v.down[v.node] {
-		return 0, redwinghall.NewOpError("view.Commit", fleet.StoreUnavailable, nil)
+		return fleet.Position{}, redwinghall.NewOpError("view.Commit", fleet.StoreUnavailable, nil)
 	}
 	for _, e := range txn.Expects {
 		if v.rows[e.Key].Version != e.Version {
-			return 0, redwinghall.NewOpError("view.Commit", fleet.StoreConflict, nil)
+			return fleet.Position{}, redwinghall.NewOpError("view.Commit", fleet.StoreConflict, nil)
 		}
 	}
 	v.version++
@@ -74,7 +77,7 @@
 	for _, d := range txn.Deletes {
 		delete(v.rows, d.Key)
 	}
-	return v.version, nil
+	return v.at(), nil
 }
 
 // fleetOf is several nodes that share a store and a clock.
@@ -159,14 +162,14 @@
 	f.run(3 * time.Second)
 	old := f.holders("a")[0]
 	from := f.nodes[old].HeldFrom("a")
-	require.Positive(t, from)
+	require.False(t, from.IsZero())
 	f.run(20 * time.Second)
 	require.Equal(t, []string{old}, f.holders("a"))
 	require.Equal(t, from, f.nodes[old].HeldFrom("a"))
 	f.dead[old] = true
-	written := f.store.version
+	written := fleet.Position{Version: f.store.version}
 	f.run(6 * time.Second)
-	require.Greater(t, f.nodes[f.holders("a")[0]].HeldFrom("a"), written)
+	require.True(t, written.Before(f.nodes[f.holders("a")[0]].HeldFrom("a")))
 }
 
 // A process that starts again under its name takes its own lease back at
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -71,13 +71,13 @@
 		klog.ErrorS(err, "member_unwritten")
 		return
 	}
-	version, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
+	at, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
 	t.announcedAt = boot
 	if err != nil {
 		klog.V(1).InfoS("member_unwritten", "err", err)
 		return
 	}
-	t.noteVersion(version)
+	t.notePosition(at)
 }
 
 // announceFirst writes this node's row before anything is read.
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -68,20 +68,20 @@
 }
 
 // Changes implements relay.Asker.
-func (c *Client) Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (relay.Answer, error) {
+func (c *Client) Changes(ctx context.Context, address, table string, after fleet.Position, wait time.Duration) (relay.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	out, err := c.clientOf(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after, WaitMs: wait.Milliseconds()})
+	out, err := c.clientOf(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after.Version, Era: after.Era, WaitMs: wait.Milliseconds()})
 	return c.decodeAnswer("Client.Changes", table, out, err)
 }
 
 // Commit implements relay.Asker.
-func (c *Client) Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error) {
+func (c *Client) Commit(ctx context.Context, address string, txn fleet.Txn) (fleet.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	out, err := c.clientOf(address).Commit(ctx, encodeTxn(txn))
 	if err == nil {
-		return out.GetVersion(), nil
+		return fleet.Position{Era: out.GetEra(), Version: out.GetVersion()}, nil
 	}
 	kind := fleet.StoreUnknown
 	switch twirpCode(err) {
@@ -91,7 +91,7 @@
 		kind = fleet.StoreUnavailable
 	default:
 	}
-	return 0, redwinghall.NewOpError("Client.Commit", kind, err)
+	return fleet.Position{}, redwinghall.NewOpError("Client.Commit", kind, err)
 }
 
 // Shared is what a node is told of loads.
@@ -207,7 +207,7 @@
 	if err := unpack(out); err != nil {
 		return relay.Answer{}, c.failed(op, err)
 	}
-	answer := relay.Answer{Age: time.Duration(out.GetAgeMs()) * time.Millisecond, Rows: fleet.Rows{Version: out.GetVersion()}}
+	answer := relay.Answer{Age: time.Duration(out.GetAgeMs()) * time.Millisecond, Rows: fleet.Rows{At: fleet.Position{Era: out.GetEra(), Version: out.GetVersion()}}}
 	for _, r := range out.GetRows() {
 		answer.Rows.Rows = append(answer.Rows.Rows, fleet.Row{
 			Table: table, Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
--- a/neighbor/encode.go
+++ b/neighbor/encode.go
@@ -50,7 +50,7 @@
 	default:
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	out := &rpc.RowsResponse{Version: answer.Rows.Version, AgeMs: answer.Age.Milliseconds()}
+	out := &rpc.RowsResponse{Version: answer.Rows.At.Version, Era: answer.Rows.At.Era, AgeMs: answer.Age.Milliseconds()}
 	for _, r := range answer.Rows.Rows {
 		out.Rows = append(out.Rows, &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
 	}
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -46,9 +46,9 @@
 		Permit: func(now time.Time, zone string, known balance.LimitWord) balance.Permit {
 			return o.limits.Lend(now, known, balance.LenderShare(len(zone)))
 		},
-		Commit: func(_ context.Context, txn fleet.Txn) (int64, error) {
+		Commit: func(_ context.Context, txn fleet.Txn) (fleet.Position, error) {
 			o.commits = append(o.commits, txn)
-			return 9, o.commitErr
+			return fleet.Position{Era: 2, Version: 9}, o.commitErr
 		},
 	}))
 	t.Cleanup(server.Close)
@@ -61,16 +61,16 @@
 	_, err := client.List(ctx, address, "t")
 	require.Equal(t, fleet.StoreUnavailable, redwinghall.KindOf[fleet.StoreKind](err), "it has read nothing yet")
 	rows := []fleet.Row{{Table: "t", Key: "a", Value: []byte{0, 1}, Version: 4}, {Table: "t", Key: "b", Version: 6, Removed: true}}
-	o.mirror.Listed(time.Now(), fleet.Rows{Version: 5, Rows: rows[:1]})
-	o.mirror.Changed(time.Now(), 5, fleet.Rows{Version: 6, Rows: rows[1:]})
+	o.mirror.Listed(time.Now(), fleet.Rows{At: fleet.Position{Version: 5}, Rows: rows[:1]})
+	o.mirror.Changed(time.Now(), fleet.Position{Version: 5}, fleet.Rows{At: fleet.Position{Version: 6}, Rows: rows[1:]})
 	list, err := client.List(ctx, address, "t")
 	require.NoError(t, err)
 	require.Equal(t, rows[:1], list.Rows.Rows)
-	changes, err := client.Changes(ctx, address, "t", 5, time.Second)
+	changes, err := client.Changes(ctx, address, "t", fleet.Position{Version: 5}, time.Second)
 	require.NoError(t, err)
 	require.Equal(t, rows[1:], changes.Rows.Rows)
-	require.Equal(t, int64(6), changes.Rows.Version)
-	_, err = client.Changes(ctx, address, "t", 1, time.Second)
+	require.Equal(t, int64(6), changes.Rows.At.Version)
+	_, err = client.Changes(ctx, address, "t", fleet.Position{Version: 1}, time.Second)
 	require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err))
 }
 
@@ -82,18 +82,18 @@
 	for i := range 880 {
 		rows = append(rows, fleet.Row{Table: "t", Key: fmt.Sprint("i-", 1000+i), Value: []byte(strings.Repeat(`{"service":"llm"}`, 25)), Version: int64(i + 1)})
 	}
-	o.mirror.Listed(time.Now(), fleet.Rows{Version: 900, Rows: rows})
+	o.mirror.Listed(time.Now(), fleet.Rows{At: fleet.Position{Version: 900}, Rows: rows})
 	for range 2 {
 		list, err := client.List(context.Background(), address, "t")
 		require.NoError(t, err)
 		require.Equal(t, rows, list.Rows.Rows)
 	}
 	change := fleet.Row{Table: "t", Key: "i-1000", Value: []byte("new"), Version: 901}
-	o.mirror.Changed(time.Now(), 900, fleet.Rows{Version: 901, Rows: []fleet.Row{change}})
+	o.mirror.Changed(time.Now(), fleet.Position{Version: 900}, fleet.Rows{At: fleet.Position{Version: 901}, Rows: []fleet.Row{change}})
 	list, err := client.List(context.Background(), address, "t")
 	require.NoError(t, err)
 	require.Equal(t, append(rows[1:], change), list.Rows.Rows)
-	require.Equal(t, int64(901), list.Rows.Version)
+	require.Equal(t, int64(901), list.Rows.At.Version)
 }
 
 func TestCommit(t *testing.T) {
@@ -105,7 +105,7 @@
 	}
 	version, err := client.Commit(context.Background(), address, txn)
 	require.NoError(t, err)
-	require.Equal(t, int64(9), version)
+	require.Equal(t, fleet.Position{Era: 2, Version: 9}, version)
 	require.Equal(t, []fleet.Txn{txn}, o.commits)
 	for _, kind := range []fleet.StoreKind{fleet.StoreConflict, fleet.StoreUnavailable, fleet.StoreUnknown} {
 		o.commitErr = redwinghall.NewOpError("test", kind, nil)
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -33,7 +33,7 @@
 	// Permit gives a permit for one request to an endpoint of a zone.
 	Permit func(now time.Time, zone string, known balance.LimitWord) balance.Permit
 	// Commit carries out a transaction at the store itself.
-	Commit func(ctx context.Context, txn fleet.Txn) (int64, error)
+	Commit func(ctx context.Context, txn fleet.Txn) (fleet.Position, error)
 }
 
 // Server answers other nodes.
@@ -65,7 +65,7 @@
 // Changes implements rpc.Neighbor.
 func (s *Server) Changes(ctx context.Context, in *rpc.ChangesRequest) (*rpc.RowsResponse, error) {
 	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, longestWait)
-	answer, err := s.parts.Mirror(in.GetTable()).Changes(ctx, in.GetAfter(), wait)
+	answer, err := s.parts.Mirror(in.GetTable()).Changes(ctx, fleet.Position{Era: in.GetEra(), Version: in.GetAfter()}, wait)
 	return encodeAnswer(answer, err)
 }
 
@@ -122,10 +122,10 @@
 
 // Commit implements rpc.Neighbor.
 func (s *Server) Commit(ctx context.Context, in *rpc.CommitRequest) (*rpc.CommitResponse, error) {
-	version, err := s.parts.Commit(ctx, decodeTxn(in))
+	at, err := s.parts.Commit(ctx, decodeTxn(in))
 	switch redwinghall.KindOf[fleet.StoreKind](err) {
 	case "":
-		return &rpc.CommitResponse{Version: version}, nil
+		return &rpc.CommitResponse{Version: at.Version, Era: at.Era}, nil
 	case fleet.StoreConflict:
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	case fleet.StoreUnavailable:
--- a/node/node.go
+++ b/node/node.go
@@ -84,7 +84,7 @@
 		Zones: s.Zones, FirstStart: s.FirstStart, Now: kernel.BootTime,
 	}, n.source)
 	n.manager = formation.NewManager(formation.Options{
-		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Version: n.table.Version,
+		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Position: n.table.Position,
 		Holds:    func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
 		HeldFrom: n.table.HeldFrom,
 		Begun:    func() bool { return n.gateway.Served() > 0 },
--- /dev/null
+++ b/relay/era_test.go
@@ -0,0 +1,75 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/relay"
+)
+
+// A store that came back older gives versions out again: a node that keeps its higher version
+// would hear nothing of rows that are written below it.
+func TestMirrorOfANewEra(t *testing.T) {
+	m := relay.NewMirror(nil)
+	m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Era: 1, Version: 90}, Rows: []fleet.Row{row("a", 3), row("lost", 80)}})
+	m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Era: 2, Version: 50}, Rows: []fleet.Row{row("a", 3)}})
+	list, err := m.List(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, fleet.Position{Era: 2, Version: 50}, list.Rows.At)
+	require.Len(t, list.Rows.Rows, 1)
+
+	m.Changed(time.Now(), fleet.Position{Era: 2, Version: 50}, fleet.Rows{At: fleet.Position{Era: 2, Version: 51}, Rows: []fleet.Row{row("b", 51)}})
+	changes, err := m.Changes(context.Background(), fleet.Position{Era: 2, Version: 50}, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, []string{"b"}, keys(changes.Rows.Rows))
+	_, err = m.Changes(context.Background(), fleet.Position{Era: 1, Version: 90}, time.Second)
+	require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err), "who follows by the old era lists again")
+	_, err = m.Changes(context.Background(), fleet.Position{Era: 3, Version: 1}, time.Second)
+	require.Equal(t, fleet.StoreAway, redwinghall.KindOf[fleet.StoreKind](err), "who knows a newer era gets nothing here")
+
+	m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Era: 1, Version: 95}, Rows: []fleet.Row{row("lost", 80)}})
+	list, err = m.List(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, int64(2), list.Rows.At.Era, "a list of an earlier era is of no use")
+}
+
+// Two eras in one zone: the reader still has what the store held before it came back. Who
+// knows better doesn't take that for news.
+func TestReaderOfAnEarlierEraIsPassedOver(t *testing.T) {
+	_, sources, stores := zone("n1", "n2", "n3", "n4")
+	now := func(era, version int64) fleet.Rows {
+		return fleet.Rows{At: fleet.Position{Era: era, Version: version}, Rows: []fleet.Row{row("a", version)}}
+	}
+	for name, s := range sources {
+		stores[name].rows = now(2, 4)
+		s.Mirror("t").Listed(time.Now(), now(1, 9))
+	}
+	for name, s := range sources {
+		_, err := s.Commit(context.Background(), fleet.Txn{}) // its answer names the era
+		require.NoError(t, err)
+		s.Mirror("other").Listed(time.Now(), now(2, 4))
+		rows, err := s.List(context.Background(), "t")
+		require.NoError(t, err, name)
+		require.Equal(t, int64(2), rows.At.Era, name)
+	}
+}
+
+// Where the store's versions have passed the one that was read, its answer looks like any
+// other, and lacks rows that were written again below.
+func TestChangesOfAnotherEraAreListedAgain(t *testing.T) {
+	_, sources, stores := zone("n1")
+	stores["n1"].rows = fleet.Rows{At: fleet.Position{Era: 1, Version: 5}, Rows: []fleet.Row{row("a", 5)}}
+	_, err := sources["n1"].List(context.Background(), "t")
+	require.NoError(t, err)
+	stores["n1"].rows = fleet.Rows{At: fleet.Position{Era: 2, Version: 8}, Rows: []fleet.Row{row("b", 8)}}
+	_, err = sources["n1"].Changes(context.Background(), "t", fleet.Position{Era: 1, Version: 5}, time.Millisecond)
+	require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err))
+	rows, err := sources["n1"].List(context.Background(), "t")
+	require.NoError(t, err)
+	require.Equal(t, []string{"b"}, keys(rows.Rows))
+}
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -22,11 +22,11 @@
 	mu      sync.Mutex
 	rows    map[string]fleet.Row
 	removed map[string]time.Time // when a row was seen to be gone
-	version int64
-	// oldest is the version below which removals are forgotten.
-	oldest int64
+	at      fleet.Position
+	// oldest is the position below which removals are forgotten.
+	oldest fleet.Position
 	readAt time.Time
-	// whole says that nothing between the last list and version is missing.
+	// whole says that nothing between the last list and at is missing.
 	whole   bool
 	lost    bool // the last read failed
 	same    SameValue
@@ -46,38 +46,50 @@
 	return &Mirror{rows: map[string]fleet.Row{}, removed: map[string]time.Time{}, same: same, changed: make(chan struct{})}
 }
 
-// Listed takes in a whole table. Rows that it lacks are gone as of its version.
+// Listed takes in a whole table. Rows that it lacks are gone as of its position.
+//
+// Guard: after the store came back older, its versions are lower than those before. The
+// list of a new era replaces all, and those who follow by the old one list again; one of an
+// earlier era is of no use.
 func (m *Mirror) Listed(now time.Time, rows fleet.Rows) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if rows.At.Era < m.at.Era {
+		return
+	}
 	m.rows = map[string]fleet.Row{}
 	m.removed = map[string]time.Time{}
-	m.oldest = rows.Version
+	m.oldest = rows.At
 	m.whole = true
 	m.take(now, rows)
 	m.wake() // also for a table without rows
 }
 
-// Follows reports whether changes after a version would leave no gap.
-func (m *Mirror) Follows(after int64) bool {
+// Follows reports whether changes after a position would leave no gap.
+func (m *Mirror) Follows(after fleet.Position) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.whole && after <= m.version
+	return m.follows(after)
 }
 
-// Changed takes in changes of the table after a version. It returns those that
+// follows is the same with the lock held.
+func (m *Mirror) follows(after fleet.Position) bool {
+	return m.whole && after.Era == m.at.Era && after.Version <= m.at.Version
+}
+
+// Changed takes in changes of the table after a position. It returns those that
 // say something new.
 //
 // Gain: endpoints rewrite their entries as heartbeats, nearly always with nothing
 // new. Those writes are not passed on, which saves bytes between nodes.
-func (m *Mirror) Changed(now time.Time, after int64, rows fleet.Rows) fleet.Rows {
+func (m *Mirror) Changed(now time.Time, after fleet.Position, rows fleet.Rows) fleet.Rows {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.whole = m.whole && after <= m.version
+	m.whole = m.follows(after)
 	news := m.take(now, rows)
 	for key, at := range m.removed {
 		if now.Sub(at) > keepRemoved {
-			m.oldest = max(m.oldest, m.rows[key].Version)
+			m.oldest.Version = max(m.oldest.Version, m.rows[key].Version)
 			delete(m.removed, key)
 			delete(m.rows, key)
 		}
@@ -88,7 +100,7 @@
 // take stores rows, wakes the waiting calls if any are new, and returns the new
 // ones. The lock is held.
 func (m *Mirror) take(now time.Time, rows fleet.Rows) fleet.Rows {
-	news := fleet.Rows{Version: rows.Version, More: rows.More}
+	news := fleet.Rows{At: rows.At, More: rows.More}
 	for _, row := range rows.Rows {
 		if old, known := m.rows[row.Key]; known && !old.Removed && !row.Removed && m.same(old.Value, row.Value) {
 			continue
@@ -100,7 +112,7 @@
 			m.removed[row.Key] = now
 		}
 	}
-	m.version = max(m.version, rows.Version)
+	m.at = m.at.Later(rows.At)
 	m.readAt = now
 	m.lost = false
 	if len(news.Rows) > 0 {
@@ -157,7 +169,7 @@
 	if err := m.unusable("Mirror.List"); err != nil {
 		return Answer{}, err
 	}
-	answer := Answer{Rows: fleet.Rows{Version: m.version}, Age: now.Sub(m.readAt)}
+	answer := Answer{Rows: fleet.Rows{At: m.at}, Age: now.Sub(m.readAt)}
 	for _, row := range m.rows {
 		if !row.Removed {
 			answer.Rows.Rows = append(answer.Rows.Rows, row)
@@ -178,14 +190,14 @@
 	return nil
 }
 
-// Changes returns what changed after a version, and waits up to wait for it. A
+// Changes returns what changed after a position, and waits up to wait for it. A
 // wait ends with an error as soon as the store has not confirmed the table for
 // too long.
 //
 // Guard: a reader that was cut off from the store would keep those that follow
 // it waiting, although they could read the store themselves, and a key that
 // was withdrawn would go on working at their nodes.
-func (m *Mirror) Changes(ctx context.Context, after int64, wait time.Duration) (Answer, error) {
+func (m *Mirror) Changes(ctx context.Context, after fleet.Position, wait time.Duration) (Answer, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -211,7 +223,10 @@
 	}
 }
 
-var errStale = errors.New("the store has not confirmed the table for too long")
+var (
+	errEarlierEra = errors.New("the table is of an earlier era of the store")
+	errStale      = errors.New("the store has not confirmed the table for too long")
+)
 
 func (m *Mirror) age(now time.Time) time.Duration {
 	m.mu.Lock()
@@ -227,18 +242,21 @@
 	m.wake()
 }
 
-func (m *Mirror) after(now time.Time, after int64) (Answer, chan struct{}, error) {
+func (m *Mirror) after(now time.Time, after fleet.Position) (Answer, chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := m.unusable("Mirror.Changes"); err != nil {
 		return Answer{}, nil, err
 	}
-	if after < m.oldest {
+	if after.Era > m.at.Era {
+		return Answer{}, nil, redwinghall.NewOpError("Mirror.Changes", fleet.StoreAway, errEarlierEra)
+	}
+	if after.Before(m.oldest) {
 		return Answer{}, nil, redwinghall.NewOpError("Mirror.Changes", fleet.StoreHistoryGone, nil)
 	}
-	answer := Answer{Rows: fleet.Rows{Version: max(after, m.version)}, Age: now.Sub(m.readAt)}
+	answer := Answer{Rows: fleet.Rows{At: m.at.Later(after)}, Age: now.Sub(m.readAt)}
 	for _, row := range m.rows {
-		if row.Version > after {
+		if row.Version > after.Version {
 			answer.Rows.Rows = append(answer.Rows.Rows, row)
 		}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,17 +39,17 @@
 		m := relay.NewMirror(nil)
 		_, err := m.List(context.Background())
 		require.Equal(t, fleet.StoreUnavailable, redwinghall.KindOf[fleet.StoreKind](err), "nothing was read yet")
-		m.Listed(time.Now(), fleet.Rows{Version: 10, Rows: []fleet.Row{row("a", 3), row("b", 4)}})
+		m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Version: 10}, Rows: []fleet.Row{row("a", 3), row("b", 4)}})
 		gone := row("a", 12)
 		gone.Removed = true
-		m.Changed(time.Now(), 10, fleet.Rows{Version: 12, Rows: []fleet.Row{gone, row("c", 11)}})
+		m.Changed(time.Now(), fleet.Position{Version: 10}, fleet.Rows{At: fleet.Position{Version: 12}, Rows: []fleet.Row{gone, row("c", 11)}})
 		list, err := m.List(context.Background())
 		require.NoError(t, err)
 		require.Equal(t, []string{"b", "c"}, keys(list.Rows.Rows))
-		changes, err := m.Changes(context.Background(), 10, time.Second)
+		changes, err := m.Changes(context.Background(), fleet.Position{Version: 10}, time.Second)
 		require.NoError(t, err)
 		require.Equal(t, []string{"c", "a"}, keys(changes.Rows.Rows), "in the order of their versions, removals too")
-		_, err = m.Changes(context.Background(), 9, time.Second)
+		_, err = m.Changes(context.Background(), fleet.Position{Version: 9}, time.Second)
 		require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err), "what went before the list is not known")
 	})
 }
@@ -61,38 +61,38 @@
 func TestMirrorPassesOnOnlyNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := relay.NewMirror(bytes.Equal)
-		m.Listed(time.Now(), fleet.Rows{Version: 10, Rows: []fleet.Row{row("a", 3), row("b", 4)}})
+		m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Version: 10}, Rows: []fleet.Row{row("a", 3), row("b", 4)}})
 		again, other := row("a", 11), row("b", 12)
 		other.Value = []byte("changed")
-		news := m.Changed(time.Now(), 10, fleet.Rows{Version: 12, Rows: []fleet.Row{again, other}})
+		news := m.Changed(time.Now(), fleet.Position{Version: 10}, fleet.Rows{At: fleet.Position{Version: 12}, Rows: []fleet.Row{again, other}})
 		require.Equal(t, []string{"b"}, keys(news.Rows))
-		changes, err := m.Changes(context.Background(), 10, time.Second)
+		changes, err := m.Changes(context.Background(), fleet.Position{Version: 10}, time.Second)
 		require.NoError(t, err)
 		require.Equal(t, []string{"b"}, keys(changes.Rows.Rows))
-		require.Equal(t, int64(12), changes.Rows.Version)
+		require.Equal(t, int64(12), changes.Rows.At.Version)
 
 		started := time.Now()
-		m.Changed(time.Now(), 12, fleet.Rows{Version: 13, Rows: []fleet.Row{row("a", 13)}})
-		changes, err = m.Changes(context.Background(), 12, 500*time.Millisecond)
+		m.Changed(time.Now(), fleet.Position{Version: 12}, fleet.Rows{At: fleet.Position{Version: 13}, Rows: []fleet.Row{row("a", 13)}})
+		changes, err = m.Changes(context.Background(), fleet.Position{Version: 12}, 500*time.Millisecond)
 		require.NoError(t, err)
 		require.Empty(t, changes.Rows.Rows)
 		require.Equal(t, 500*time.Millisecond, time.Since(started), "nobody is woken")
 
 		gone := row("a", 14)
 		gone.Removed = true
-		m.Changed(time.Now(), 13, fleet.Rows{Version: 14, Rows: []fleet.Row{gone}})
-		news = m.Changed(time.Now(), 14, fleet.Rows{Version: 15, Rows: []fleet.Row{row("a", 15)}})
+		m.Changed(time.Now(), fleet.Position{Version: 13}, fleet.Rows{At: fleet.Position{Version: 14}, Rows: []fleet.Row{gone}})
+		news = m.Changed(time.Now(), fleet.Position{Version: 14}, fleet.Rows{At: fleet.Position{Version: 15}, Rows: []fleet.Row{row("a", 15)}})
 		require.Equal(t, []string{"a"}, keys(news.Rows), "a row that was gone is news")
 	})
 }
 
 func TestMirrorWithAGapAnswersNothing(t *testing.T) {
 	m := relay.NewMirror(nil)
-	m.Listed(time.Now(), fleet.Rows{Version: 10})
-	m.Changed(time.Now(), 20, fleet.Rows{Version: 21, Rows: []fleet.Row{row("x", 21)}})
+	m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Version: 10}})
+	m.Changed(time.Now(), fleet.Position{Version: 20}, fleet.Rows{At: fleet.Position{Version: 21}, Rows: []fleet.Row{row("x", 21)}})
 	_, err := m.List(context.Background())
 	require.Error(t, err)
-	require.False(t, m.Follows(21))
+	require.False(t, m.Follows(fleet.Position{Version: 21}))
 }
 
 // A withdrawn key goes on working at a node: it follows a reader that lost the
@@ -103,12 +103,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := relay.NewMirror(nil)
-				m.Listed(time.Now(), fleet.Rows{Version: 10})
+				m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Version: 10}})
 				started := time.Now()
 				if lose {
 					time.AfterFunc(100*time.Millisecond, m.Lost)
 				}
-				_, err := m.Changes(context.Background(), 10, 5*time.Second)
+				_, err := m.Changes(context.Background(), fleet.Position{Version: 10}, 5*time.Second)
 				require.Equal(t, fleet.StoreAway, redwinghall.KindOf[fleet.StoreKind](err))
 				require.Less(t, time.Since(started), 1500*time.Millisecond)
 			})
@@ -184,16 +184,16 @@
 	return s.rows, nil
 }
 
-func (s *store) Changes(context.Context, string, int64, time.Duration) (fleet.Rows, error) {
+func (s *store) Changes(context.Context, string, fleet.Position, time.Duration) (fleet.Rows, error) {
 	return s.List(context.Background(), "")
 }
 
-func (s *store) Commit(context.Context, fleet.Txn) (int64, error) {
+func (s *store) Commit(context.Context, fleet.Txn) (fleet.Position, error) {
 	s.commits++
 	if s.commitErrors != "" {
-		return 0, redwinghall.NewOpError("store.Commit", s.commitErrors, errDown)
+		return fleet.Position{}, redwinghall.NewOpError("store.Commit", s.commitErrors, errDown)
 	}
-	return 7, nil
+	return fleet.Position{Era: s.rows.At.Era, Version: 7}, nil
 }
 
 // asker reaches the sources of other nodes by their address.
@@ -207,7 +207,7 @@
 	return s.Mirror(table).List(ctx)
 }
 
-func (a asker) Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (relay.Answer, error) {
+func (a asker) Changes(ctx context.Context, address, table string, after fleet.Position, wait time.Duration) (relay.Answer, error) {
 	s, ok := a[address]
 	if !ok {
 		return relay.Answer{}, redwinghall.NewOpError("asker.Changes", fleet.StoreUnavailable, errDown)
@@ -215,10 +215,10 @@
 	return s.Mirror(table).Changes(ctx, after, wait)
 }
 
-func (a asker) Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error) {
+func (a asker) Commit(ctx context.Context, address string, txn fleet.Txn) (fleet.Position, error) {
 	s, ok := a[address]
 	if !ok {
-		return 0, redwinghall.NewOpError("asker.Commit", fleet.StoreUnavailable, errDown)
+		return fleet.Position{}, redwinghall.NewOpError("asker.Commit", fleet.StoreUnavailable, errDown)
 	}
 	return s.CommitDirect(ctx, txn)
 }
@@ -231,7 +231,7 @@
 	}
 	nodes, sources, stores := asker{}, map[string]*relay.Source{}, map[string]*store{}
 	for _, name := range names {
-		stores[name] = &store{rows: fleet.Rows{Version: 5, Rows: []fleet.Row{row("a", 5)}}}
+		stores[name] = &store{rows: fleet.Rows{At: fleet.Position{Version: 5}, Rows: []fleet.Row{row("a", 5)}}}
 		sources[name] = relay.NewSource(relay.Config{
 			Store: stores[name], Asker: nodes, Self: name, Peers: func() []relay.Peer { return peers },
 			Others: func() []relay.Peer { return nil }, Leader: func() string { return "n4" }, Same: noneSame,
@@ -305,7 +305,7 @@
 			}
 		}
 		require.Equal(t, 1, calling)
-		require.True(t, sources["n1"].Mirror("t").Follows(5), "who followed can go on from there")
+		require.True(t, sources["n1"].Mirror("t").Follows(fleet.Position{Version: 5}), "who followed can go on from there")
 	})
 }
 
@@ -321,7 +321,7 @@
 		time.Sleep(1300 * time.Millisecond) // until what was read before counts no more
 		for range 20 {
 			for _, s := range sources {
-				_, err := s.Changes(context.Background(), "t", 5, time.Millisecond)
+				_, err := s.Changes(context.Background(), "t", fleet.Position{Version: 5}, time.Millisecond)
 				require.Error(t, err)
 			}
 			time.Sleep(500 * time.Millisecond)
@@ -333,11 +333,11 @@
 		}
 		setDown(stores, false)
 		before := callsOf(stores)
-		_, err := sources["n4"].Changes(context.Background(), "t", 5, time.Millisecond)
+		_, err := sources["n4"].Changes(context.Background(), "t", fleet.Position{Version: 5}, time.Millisecond)
 		require.NoError(t, err)
 		time.Sleep(time.Second)
 		for name, s := range sources {
-			_, err := s.Changes(context.Background(), "t", 5, time.Millisecond)
+			_, err := s.Changes(context.Background(), "t", fleet.Position{Version: 5}, time.Millisecond)
 			require.NoError(t, err, name)
 			if name != "n4" {
 				require.LessOrEqual(t, callsOf(stores)[name]-before[name], 1, name)
@@ -361,7 +361,7 @@
 		const length = 8 * time.Second
 		for began := time.Now(); time.Since(began) < length; time.Sleep(500 * time.Millisecond) {
 			for _, s := range sources {
-				_, err := s.Changes(context.Background(), "t", 5, time.Millisecond)
+				_, err := s.Changes(context.Background(), "t", fleet.Position{Version: 5}, time.Millisecond)
 				require.Error(t, err)
 			}
 		}
@@ -382,7 +382,7 @@
 		stores["n4"].down = true
 		for range 6 {
 			for _, name := range eight {
-				_, err := sources[name].Changes(context.Background(), "t", 5, time.Millisecond)
+				_, err := sources[name].Changes(context.Background(), "t", fleet.Position{Version: 5}, time.Millisecond)
 				require.NoError(t, err, name)
 			}
 			time.Sleep(300 * time.Millisecond)
@@ -432,7 +432,7 @@
 	stores["n1"].commitErrors = fleet.StoreUnavailable
 	version, err := sources["n1"].Commit(context.Background(), fleet.Txn{})
 	require.NoError(t, err)
-	require.Equal(t, int64(7), version)
+	require.Equal(t, fleet.Position{Version: 7}, version)
 }
 
 // A transaction whose answer was lost may have been carried out. Another node
--- a/relay/source.go
+++ b/relay/source.go
@@ -50,8 +50,8 @@
 // Asker asks another node for what it read.
 type Asker interface {
 	List(ctx context.Context, address, table string) (Answer, error)
-	Changes(ctx context.Context, address, table string, after int64, wait time.Duration) (Answer, error)
-	Commit(ctx context.Context, address string, txn fleet.Txn) (int64, error)
+	Changes(ctx context.Context, address, table string, after fleet.Position, wait time.Duration) (Answer, error)
+	Commit(ctx context.Context, address string, txn fleet.Txn) (fleet.Position, error)
 }
 
 // Config is what a source works with.
@@ -86,6 +86,8 @@
 	mirrors map[string]*Mirror
 	// answered is when the store last answered this node itself, in Unix nanoseconds.
 	answered atomic.Int64
+	// era is the newest era of the store that this node has heard of.
+	era atomic.Int64
 	// probeAt is, by table, when this node may call a store again that didn't answer it.
 	probeAt map[string]time.Time
 }
@@ -148,6 +150,7 @@
 	case "", fleet.StoreHistoryGone:
 		delete(s.probeAt, table)
 		s.noteAnswer()
+		s.noteEra(rows.At)
 	default:
 		s.probeAt[table] = time.Now().Add(s.probePauseNow())
 	}
@@ -160,6 +163,8 @@
 	return pause + time.Duration(probeSpread*rand.Float64()*float64(pause))
 }
 
+var errOtherEra = errors.New("the changes are of another era of the store")
+
 var errNotNow = errors.New("the store didn't answer this node just now")
 
 // mayCall reports whether this node may call the store itself: the zone's
@@ -175,7 +180,7 @@
 }
 
 // Changes implements fleet.Store.
-func (s *Source) Changes(ctx context.Context, table string, after int64, wait time.Duration) (fleet.Rows, error) {
+func (s *Source) Changes(ctx context.Context, table string, after fleet.Position, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) {
 		return s.config.Asker.Changes(ctx, peer.Address, table, after, min(wait, followWait))
 	}
@@ -194,6 +199,13 @@
 	rows, err := s.call(time.Now(), table, func() (fleet.Rows, error) {
 		return s.config.Store.Changes(ctx, table, after, s.boundedWait(wait))
 	})
+	if err == nil && rows.At.Era != after.Era {
+		// Rows may be missing that were written again at versions up to after.
+		err = redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, errOtherEra)
+	}
+	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
+		return fleet.Rows{}, err // the store answered: those that follow this node wait for its list
+	}
 	if err != nil {
 		s.Mirror(table).Lost()
 		return s.askOthers(table, staleAfter, err, changes)
@@ -203,7 +215,7 @@
 }
 
 // changesFrom takes changes in that the zone's reader passes on.
-func (s *Source) changesFrom(peer Peer, table string, after int64, changes func(Peer) (Answer, error)) (fleet.Rows, error) {
+func (s *Source) changesFrom(peer Peer, table string, after fleet.Position, changes func(Peer) (Answer, error)) (fleet.Rows, error) {
 	answer, err := s.ask(peer, table, staleAfter, changes)
 	if err != nil {
 		return fleet.Rows{}, err
@@ -215,32 +227,46 @@
 
 // Commit implements fleet.Store. A transaction that surely was not carried out
 // goes by way of another node.
-func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (int64, error) {
-	version, err := s.config.Store.Commit(ctx, txn)
+func (s *Source) Commit(ctx context.Context, txn fleet.Txn) (fleet.Position, error) {
+	at, err := s.config.Store.Commit(ctx, txn)
 	switch redwinghall.KindOf[fleet.StoreKind](err) {
 	case "", fleet.StoreConflict:
 		s.noteAnswer()
-		return version, err
+		s.noteEra(at)
+		return at, err
 	case fleet.StoreUnavailable:
 	default:
-		return version, err
+		return at, err
 	}
 	peer, ok := s.helper(time.Now())
 	if !ok {
-		return version, err
+		return at, err
 	}
-	version, helped := s.config.Asker.Commit(ctx, peer.Address, txn)
+	at, helped := s.config.Asker.Commit(ctx, peer.Address, txn)
 	if redwinghall.KindOf[fleet.StoreKind](helped) == fleet.StoreUnavailable {
 		s.avoided.Failed(time.Now(), peer.Name)
 	}
-	return version, helped
+	return at, helped
 }
 
 // CommitDirect carries out another node's transaction at the store itself.
-func (s *Source) CommitDirect(ctx context.Context, txn fleet.Txn) (int64, error) {
+func (s *Source) CommitDirect(ctx context.Context, txn fleet.Txn) (fleet.Position, error) {
 	return s.config.Store.Commit(ctx, txn)
 }
 
+// noteEra notes the era of an answer.
+//
+// Guard: after the store came back older, some nodes still have what it held before. Who
+// knows better must not take that for news.
+func (s *Source) noteEra(at fleet.Position) {
+	for {
+		era := s.era.Load()
+		if at.Era <= era || s.era.CompareAndSwap(era, at.Era) {
+			return
+		}
+	}
+}
+
 func (s *Source) noteAnswer() { s.answered.Store(time.Now().UnixNano()) }
 
 // away reports whether the store has not answered this node itself for a while.
@@ -252,9 +278,6 @@
 // while others are not. Without help they would send requests to endpoints
 // that left and to groups that closed, until the store answers them again.
 func (s *Source) askOthers(table string, trust time.Duration, cause error, read func(Peer) (Answer, error)) (fleet.Rows, error) {
-	if redwinghall.KindOf[fleet.StoreKind](cause) == fleet.StoreHistoryGone {
-		return fleet.Rows{}, cause
-	}
 	peer, ok := s.helper(time.Now())
 	if !ok {
 		return fleet.Rows{}, cause
@@ -274,8 +297,11 @@
 	switch {
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
 		return Answer{}, err
+	case err == nil && answer.Rows.At.Era < s.era.Load():
+		err = redwinghall.NewOpError("Source.ask", fleet.StoreAway, errEarlierEra)
 	case err == nil && answer.Age <= trust:
 		s.avoided.Worked(peer.Name)
+		s.noteEra(answer.Rows.At)
 		return answer, nil
 	}
 	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
