Leases and epochs hold when the store comes back older

(1) A restored row of a lease may name a node that has lost it since, or nobody: that node took it back at once, beside the one that goes by the row that is gone, and a VM can be told to join two groups. A record that was written in an earlier era, or is missing in a new one, is taken only after the whole duration; a transaction that was carried out in another era than its rows were read in counts as not written. (2) Epochs came from versions, which are given out again: they come from the era first.

Left: a node that starts after a return finds no row of a zone's lease at all (one that was first written after the copy) and takes it at once.

--- /dev/null
+++ b/formation/era_test.go
@@ -0,0 +1,41 @@
+package formation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// After the store came back older its versions are low again. Epochs that begin there are
+// below those of earlier orders, which may still be carried out: VMs refuse the new ones, or
+// leave their group for an old one.
+func TestEpochsRiseAfterTheStoreWentBack(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		const versions = 1000
+		n.version = versions
+		f.kill(f.whole("small")[0].members[1], true)
+		n.manager.Stalled(t.Context(), f.whole("small")[0].ID)
+		time.Sleep(20 * time.Second)
+		before := int64(0)
+		for _, w := range f.workers {
+			before = max(before, w.Member.Epoch)
+		}
+		n.holds = false
+		next := manage(f, false)
+		defer next.stop(t)
+		next.begun, next.era, next.version = true, 1, 3
+		member, head := memberOf(f, "small", 1)
+		f.kill(member, true)
+		next.manager.Stalled(t.Context(), head)
+		time.Sleep(30 * time.Second)
+		formed := 0
+		for _, w := range f.workers {
+			if w.Member.Epoch > before {
+				formed++
+				require.Greater(t, w.Member.Epoch, int64(versions)<<20)
+			}
+		}
+		require.Positive(t, formed)
+	})
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -211,16 +211,22 @@
 	return count > 0 && (now.Sub(a.changed) >= settleTime || now.Sub(a.first) >= settleBound)
 }
 
-// epochBits leaves each version of the store room for 4,096 epochs.
-const epochBits = 12
+const (
+	// epochBits leaves each version of the store room for 4,096 epochs.
+	epochBits = 12
+	// eraBits leaves each era of the store room for 2^28 versions.
+	eraBits = 40
+)
 
 // nextEpoch returns an epoch that is higher than all before.
 //
 // Guard: orders of an earlier holder may be carried out late. Its epochs stem
-// from versions of the store before this holder took the lease, so they are
-// lower, and a VM that has seen a newer epoch refuses them.
+// from positions of the store before this holder took the lease, so they are
+// lower, and a VM that has seen a newer epoch refuses them. Versions alone go back when the
+// store comes back older, eras don't.
 func (m *Manager) nextEpoch() int64 {
-	m.epoch = max(m.epoch, m.Position().Version<<epochBits) + 1
+	at := m.Position()
+	m.epoch = max(m.epoch, at.Era<<eraBits+at.Version<<epochBits) + 1
 	return m.epoch
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -29,6 +29,8 @@
 	Holder  string `json:"holder"`
 	Fencing uint64 `json:"fencing"` // rises with each new holder, never falls
 	Nonce   string `json:"nonce"`   // of this write; settles a lost answer
+	// Era is the table's era in which the record was written.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Fence is the value of the row fence/<zone>. It changes only when the holder
@@ -73,11 +75,40 @@
 	unchanged    time.Time // when this version was first seen
 	heldUntil    time.Time
 	known        bool
+	// era counts how often the table has come back from an older copy of itself.
+	era int64
+	// returned says that this process has seen it come back.
+	returned bool
 }
 
 // NewState returns a state that knows nothing.
 func NewState(config Config) State { return State{config: config} }
 
+// WithEra returns the state for rows that are read in an era of the table. What was read in
+// another one no longer counts.
+func (s State) WithEra(era int64) State {
+	if era != s.era {
+		s.returned = s.returned || s.known
+		s.era = era
+		s.known = false
+	}
+	return s
+}
+
+// restored reports whether the record was written in an earlier era, or is missing since,
+// so that later ones may have been lost.
+//
+// Guard: after the table came back from an older copy, its record may name a holder that has
+// lost the lease since, or nobody, while the last holder still goes by a record that is gone.
+// Whoever takes the lease at once holds it beside that one. So nobody does before that
+// one's time is over.
+func (s State) restored() bool {
+	if s.version == 0 {
+		return s.returned
+	}
+	return s.record.Era < s.era
+}
+
 // WithRows returns the state after the rows were read at now.
 func (s State) WithRows(now time.Time, leaseRow, fenceRow redwinghall.Row) (State, error) {
 	if s.known && leaseRow.Version == s.version {
@@ -108,6 +139,8 @@
 		return Wait
 	case s.Holds(now):
 		return Renew
+	case s.restored() && now.Sub(s.unchanged) <= s.config.Duration:
+		return Wait
 	case s.version == 0 || s.record.Holder == "":
 		return Take // never held, or given up by its holder
 	case s.config.Alone && s.record.Holder == s.config.Self:
@@ -136,6 +169,9 @@
 // FenceVersion returns the version of the fence row as last read.
 func (s State) FenceVersion() int64 { return s.fenceVersion }
 
+// Era returns the table's era in which the rows were read.
+func (s State) Era() int64 { return s.era }
+
 // Fencing returns the fencing number of the present record.
 func (s State) Fencing() uint64 { return s.record.Fencing }
 
@@ -149,7 +185,7 @@
 
 // Txn returns the transaction of an action, and the record that it writes.
 func (s State) Txn(zone string, action Action, nonce string) (redwinghall.Txn, Record) {
-	record := Record{Holder: s.config.Self, Fencing: s.record.Fencing, Nonce: nonce}
+	record := Record{Holder: s.config.Self, Fencing: s.record.Fencing, Nonce: nonce, Era: s.era}
 	if action == Take {
 		record.Fencing++
 	}
@@ -166,7 +202,7 @@
 // up, so that another need not wait for its end, and the state after it. The
 // process must have ended all its work as a holder before.
 func (s State) Release(zone, nonce string) (redwinghall.Txn, State) {
-	record := Record{Fencing: s.record.Fencing, Nonce: nonce}
+	record := Record{Fencing: s.record.Fencing, Nonce: nonce, Era: s.era}
 	txn := redwinghall.Txn{Writes: []redwinghall.Write{{Key: Key(zone), Expect: s.version, Value: redwinghall.RowValue(record)}}}
 	s.heldUntil = time.Time{}
 	return txn, s
--- a/members/leases.go
+++ b/members/leases.go
@@ -77,6 +77,13 @@
 		return
 	}
 	t.notePosition(at)
+	if at.Era != state.Era() {
+		// The versions that the transaction asked for are of rows that are gone.
+		klog.InfoS("lease_of_another_era", "zone", zone, "era", at.Era, "read_in", state.Era())
+		t.unwritten[zone] = t.config.Now()
+		t.listTriedAt = time.Time{}
+		return
+	}
 	fence := redwinghall.Row{Version: at.Version}
 	if action == lease.Renew {
 		fence.Version = state.FenceVersion()
@@ -90,7 +97,7 @@
 	if action == lease.Take {
 		klog.InfoS("lease_taken", "zone", zone, "number", record.Fencing, "era", at.Era, "version", at.Version)
 	}
-	t.leases[zone], t.eras[zone] = next, at.Era
+	t.leases[zone] = next
 	t.publishHeld()
 }
 
--- a/members/members.go
+++ b/members/members.go
@@ -77,7 +77,6 @@
 
 	mu          sync.Mutex
 	leases      map[string]lease.State
-	eras        map[string]int64 // of the store, in which the zones' leases were read or written
 	firstAt     time.Time        // when the table was first read
 	known       chan struct{}
 	seen        map[string]seenNode
@@ -99,7 +98,7 @@
 // NewTable returns a table that knows nothing yet.
 func NewTable(config Config, store fleet.Store) *Table {
 	t := &Table{
-		config: config, store: store, leases: map[string]lease.State{}, eras: map[string]int64{}, seen: map[string]seenNode{}, renewed: map[string]time.Time{},
+		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seenNode{}, renewed: map[string]time.Time{},
 		takeable: map[string]time.Time{}, unwritten: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
@@ -191,6 +190,10 @@
 		klog.V(1).InfoS("members_unread", "err", err)
 		return
 	}
+	if rows.At.Era < t.Position().Era {
+		klog.InfoS("members_of_an_earlier_era", "era", rows.At.Era, "newest", t.Position().Era)
+		return
+	}
 	boot := t.config.Now()
 	t.listedAt = boot
 	if t.firstAt.IsZero() {
@@ -203,12 +206,12 @@
 		byKey[row.Key] = redwinghall.Row{Key: row.Key, Version: row.Version, Value: row.Value}
 	}
 	for zone, state := range t.leases {
-		next, err := state.WithRows(boot, byKey[lease.Key(zone)], byKey[lease.FenceKey(zone)])
+		next, err := state.WithEra(rows.At.Era).WithRows(boot, byKey[lease.Key(zone)], byKey[lease.FenceKey(zone)])
 		if err != nil {
 			klog.ErrorS(err, "lease_unreadable", "zone", zone)
 			continue
 		}
-		t.leases[zone], t.eras[zone] = next, rows.At.Era
+		t.leases[zone] = next
 	}
 	t.updateNodes(boot, byKey)
 	t.publishHeld()
@@ -245,7 +248,7 @@
 		holders[zone] = state.Holder()
 		if state.Holder() == t.config.Self.Name && !state.HeldUntil().IsZero() {
 			// The fence changes only when a lease is taken.
-			held[zone] = tenure{until: state.HeldUntil(), from: fleet.Position{Era: t.eras[zone], Version: state.FenceVersion()}}
+			held[zone] = tenure{until: state.HeldUntil(), from: fleet.Position{Era: state.Era(), Version: state.FenceVersion()}}
 		}
 	}
 	t.held.Store(&held)
