What the store acknowledged doesn't come undone because its copy is older

An endpoint that had said that it leaves was ready again, one that was gone got requests, and a zone that was taken out was back, until each was written again. For 4.5 s after the first list of a new era, lists are held against what is known: an entry that its endpoint wrote before the known one (same start, lower count) changes nothing; one of an endpoint that had left stays aside until its silence would have removed it; a zone that the list doesn't take out stays out for the 2.2 s in which others write again. Changes after the list count at once.

--- a/directory/book.go
+++ b/directory/book.go
@@ -23,6 +23,7 @@
 	endpoints map[string]*fleet.Endpoint
 	lapsed    map[string]time.Time // when a missing entry counts as gone
 	out       map[string]bool
+	restored  restored
 	// graceUntil is when entries that are missing count as gone at once again.
 	graceUntil time.Time
 	read       atomic.Pointer[fleet.Position]
@@ -32,7 +33,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	b := &Book{endpoints: map[string]*fleet.Endpoint{}, lapsed: map[string]time.Time{}, out: map[string]bool{}}
+	b := &Book{endpoints: map[string]*fleet.Endpoint{}, lapsed: map[string]time.Time{}, out: map[string]bool{}, restored: newRestored()}
 	b.configured, b.listed = make(chan struct{}), make(chan struct{})
 	b.view.Store(&View{})
 	b.read.Store(&fleet.Position{})
@@ -76,6 +77,9 @@
 	Gone     string // id of an endpoint whose entry is missing
 	ZoneOut  string
 	ZoneIn   string
+	// Restored says that it is what the store holds since it came back from an older
+	// copy, and may be older than what is known.
+	Restored bool
 }
 
 // Apply takes changes in and publishes one new view.
@@ -104,17 +108,29 @@
 			b.indexed = newIndexedConfig(c.Config)
 		}
 	case c.Endpoint != nil:
-		b.endpoints[c.Endpoint.ID] = c.Endpoint
-		delete(b.lapsed, c.Endpoint.ID)
+		if c.Restored && b.restored.keeps(now, b.endpoints[c.Endpoint.ID], c.Endpoint) {
+			return
+		}
+		b.put(c.Endpoint)
 	case c.Gone != "":
 		b.remove(now, c.Gone)
 	case c.ZoneOut != "":
 		b.out[c.ZoneOut] = true
+		delete(b.restored.zonesIn, c.ZoneOut)
+	case c.ZoneIn != "" && c.Restored:
+		b.restored.zonesIn[c.ZoneIn] = now.Add(LapseGrace)
 	case c.ZoneIn != "":
 		delete(b.out, c.ZoneIn)
+		delete(b.restored.zonesIn, c.ZoneIn)
 	}
 }
 
+func (b *Book) put(e *fleet.Endpoint) {
+	b.endpoints[e.ID] = e
+	delete(b.lapsed, e.ID)
+	b.restored.forget(e.ID)
+}
+
 // remove drops an endpoint, or lets it stay for the grace that an outage of
 // the store asks for.
 func (b *Book) remove(now time.Time, id string) {
@@ -124,19 +140,38 @@
 		}
 		return
 	}
+	b.drop(now, id)
+}
+
+func (b *Book) drop(now time.Time, id string) {
+	if e, known := b.endpoints[id]; known {
+		b.restored.left(now, e)
+	}
 	delete(b.endpoints, id)
 	delete(b.lapsed, id)
+	delete(b.restored.held, id)
 }
 
-// Expire drops endpoints whose entries stayed missing through their grace.
+// Expire drops endpoints whose entries stayed missing through their grace, and takes in what
+// a store that came back older still says when its own grace is over.
 func (b *Book) Expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
 	for id, until := range b.lapsed {
 		if !now.Before(until) {
-			delete(b.endpoints, id)
-			delete(b.lapsed, id)
+			b.drop(now, id)
+			changed = true
+		}
+	}
+	for _, e := range b.restored.due(now) {
+		b.put(e)
+		changed = true
+	}
+	for zone, at := range b.restored.zonesIn {
+		if !now.Before(at) {
+			delete(b.restored.zonesIn, zone)
+			delete(b.out, zone)
 			changed = true
 		}
 	}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -104,7 +104,10 @@
 	missing  func(rows []fleet.Row) []Change // what a new list no longer holds
 	interval func() time.Duration
 
-	at     fleet.Position
+	at fleet.Position
+	// restoredUntil is until when a list may be older than what is known.
+	restoredUntil time.Time
+
 	listed bool
 	away   bool // the last call failed
 	pause  time.Duration
@@ -166,6 +169,7 @@
 	if feed.wentBack(rows.At) {
 		klog.InfoS("store_era", "table", feed.table, "era", rows.At.Era, "before", feed.at.Era, "version", rows.At.Version, "version_before", feed.at.Version)
 		f.book.StoreReturned(now)
+		feed.restoredUntil = now.Add(RestoredGrace)
 	}
 	if feed.away {
 		klog.InfoS("store_regained", "table", feed.table, "version", rows.At.Version)
@@ -173,6 +177,7 @@
 		feed.away, feed.pause = false, 0
 	}
 	var changes []Change
+	restored := !feed.listed && now.Before(feed.restoredUntil)
 	if !feed.listed {
 		changes = feed.missing(rows.Rows)
 		feed.listed = true
@@ -182,6 +187,9 @@
 			changes = append(changes, change)
 		}
 	}
+	for i := range changes {
+		changes[i].Restored = restored
+	}
 	feed.at = feed.at.Later(rows.At)
 	f.book.Apply(now, changes...)
 	if feed.table == platform.TableEndpoints {
--- a/members/members.go
+++ b/members/members.go
@@ -77,7 +77,7 @@
 
 	mu          sync.Mutex
 	leases      map[string]lease.State
-	firstAt     time.Time        // when the table was first read
+	firstAt     time.Time // when the table was first read
 	known       chan struct{}
 	seen        map[string]seenNode
 	listTriedAt time.Time
