Nodes that a returned store lacks are counted on, and write their rows again at once

Each node would count too few, and spend more than its part of what all share: cold endpoints, retries, and the limits that endpoints name would have two lenders. Seen in the test only, which failed before.

--- a/members/era_test.go
+++ b/members/era_test.go
@@ -101,3 +101,23 @@
 		})
 	}
 }
+
+// The store comes back without the row of a node that started since. The others count it on,
+// and it writes its row again at once, and not when that is due.
+func TestNodeThatTheCopyLacksIsCountedOn(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+	f.run(10 * time.Second)
+	kept := f.store.copy()
+	f.start("a3", "a")
+	f.run(10 * time.Second)
+	require.Len(t, f.nodes["a1"].Nodes(), 3)
+	f.store.goBack(kept)
+	for range 80 {
+		f.run(100 * time.Millisecond)
+		require.Len(t, f.nodes["a1"].Nodes(), 3)
+	}
+	require.Contains(t, f.store.rows, "node/a3")
+	f.dead["a3"] = true
+	f.run(time.Minute)
+	require.Len(t, f.nodes["a1"].Nodes(), 2)
+}
--- a/members/members.go
+++ b/members/members.go
@@ -38,6 +38,9 @@
 	// announcePerNode stretches both where there are many nodes: it is the least
 	// time between two announcements of any nodes, on average.
 	announcePerNode = 200 * time.Millisecond
+	// returnGrace is how long nodes that the store lacks since it came back older have to
+	// write their rows again: an interval of reading, and what a busy node takes.
+	returnGrace = 5 * time.Second
 	// gatherTime is how long nodes that all start for the first time give each other
 	// to write their rows, before any reads the table.
 	gatherTime = 1200 * time.Millisecond
@@ -83,7 +86,10 @@
 	listTriedAt time.Time
 	announcedAt time.Time // when this node's row was written
 	listedAt    time.Time // when the table was last read
-	renewed     map[string]time.Time
+	listedEra   int64     // of the store, then
+	// returnedAt is when this node saw that the store had come back from an older copy.
+	returnedAt time.Time
+	renewed    map[string]time.Time
 	// unwritten is when this node last failed to write a zone's lease.
 	unwritten map[string]time.Time
 	takeable  map[string]time.Time // since when a zone's lease could be taken
@@ -195,7 +201,10 @@
 		return
 	}
 	boot := t.config.Now()
-	t.listedAt = boot
+	if !t.firstAt.IsZero() && rows.At.Era > t.listedEra {
+		t.wentBack(boot, rows.At)
+	}
+	t.listedAt, t.listedEra = boot, rows.At.Era
 	if t.firstAt.IsZero() {
 		t.firstAt = boot
 		defer close(t.known)
@@ -217,6 +226,16 @@
 	t.publishHeld()
 }
 
+// wentBack notes that the store has come back from an older copy.
+//
+// Guard: rows that the copy lacks are gone until they are written again. Each node writes
+// its own at once, as others would count too few nodes and spend too much of what all share.
+func (t *Table) wentBack(boot time.Time, at fleet.Position) {
+	klog.InfoS("members_went_back", "era", at.Era, "before", t.listedEra, "version", at.Version)
+	t.returnedAt = boot
+	t.announcedAt = time.Time{}
+}
+
 // isTurn reports whether it is this node's turn to take a lease that has
 // been free for some time.
 func (t *Table) isTurn(zone string, boot time.Time) bool {
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -58,6 +58,7 @@
 			nodes = append(nodes, s.node)
 		}
 	}
+	nodes = append(nodes, t.missing(boot, next)...)
 	t.seen = next
 	if len(nodes) != len(*t.nodes.Load()) {
 		klog.InfoS("members_changed", "nodes", len(nodes), "before", len(*t.nodes.Load()))
@@ -65,6 +66,25 @@
 	t.nodes.Store(&nodes)
 }
 
+// missing returns the nodes whose rows the store lacks since it came back older, and goes on
+// remembering them, while they may still write again.
+func (t *Table) missing(boot time.Time, next map[string]seenNode) []Node {
+	if t.returnedAt.IsZero() || boot.Sub(t.returnedAt) > returnGrace {
+		return nil
+	}
+	var nodes []Node
+	for key, s := range t.seen {
+		if _, listed := next[key]; listed || s.node.Name == t.config.Self.Name {
+			continue
+		}
+		next[key] = s
+		if boot.Sub(s.since) < t.scaledByNodes(goneAfter) {
+			nodes = append(nodes, s.node)
+		}
+	}
+	return nodes
+}
+
 func (t *Table) announce(ctx context.Context, boot time.Time) {
 	value, err := json.Marshal(t.config.Self)
 	if err != nil {
