Groups are formed only by entries that have been written again since the store came back

In the test eleven VMs of open groups were joined to others at once, on the code before. Holders now wait 4.5 s from when they first read a new era: three heartbeats, after which an entry has been written again or its silence has removed it. The holders' records say that an era is settled, so a node that starts later doesn't wait. Costs: groups aren't repaired in these seconds.

--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -46,3 +46,37 @@
 		require.Len(t, f.whole("small"), 2)
 	})
 }
+
+// The store comes back from a copy in which the members of an open group belong to none. Who
+// holds the lease then waits until they have written again.
+func TestHolderWaitsUntilAReturnedStoreIsSettled(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		n.holds = false
+		current := f.book
+		restored := directory.NewBook()
+		restored.Apply(time.Now(), directory.Change{Config: current.View().Config()})
+		for _, e := range current.View().Endpoints {
+			free := *e
+			free.Member, free.Models = fleet.Membership{}, nil
+			restored.Apply(time.Now(), directory.Change{Endpoint: &free})
+		}
+		restored.NoteRead(fleet.Position{Era: 1, Version: 50})
+		f.mu.Lock()
+		f.book = restored
+		f.mu.Unlock()
+		next := manage(f, false)
+		defer next.stop(t)
+		next.begun, next.unsettled, next.heldFrom = true, true, fleet.Position{Era: 1, Version: 40}
+		time.Sleep(4 * time.Second)
+		f.mu.Lock()
+		require.Empty(t, f.broken)
+		f.mu.Unlock()
+		for _, e := range current.View().Endpoints {
+			restored.Apply(time.Now(), directory.Change{Endpoint: e})
+		}
+		next.unsettled = false
+		time.Sleep(10 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+	})
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -46,6 +46,9 @@
 	// HeldFrom at which position of the store it took the zone's lease.
 	Holds    func(zone string) bool
 	HeldFrom func(zone string) fleet.Position
+	// Settled reports whether what the store lost before an era of it has been written
+	// again.
+	Settled func(era int64) bool
 	// Position returns the newest position of the store that this node knows.
 	Position func() fleet.Position
 	// Begun reports whether requests have come yet.
@@ -162,8 +165,12 @@
 //
 // Guard: the last holder opens a group on its members' entries and may stop
 // right after. Who takes the lease with an older copy of the entries sees the
-// members without a group and joins them to others while they serve.
-func (m *Manager) caughtUp(zone string) bool { return !m.Book.Read().Before(m.HeldFrom(zone)) }
+// members without a group and joins them to others while they serve. So do entries of a
+// store that has just come back older.
+func (m *Manager) caughtUp(zone string) bool {
+	read := m.Book.Read()
+	return !read.Before(m.HeldFrom(zone)) && m.Settled(read.Era)
+}
 
 // planZone plans one zone's groups and sends the orders. It reports whether
 // something is under way.
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -25,10 +25,12 @@
 	begun   bool
 	moving  map[string]bool
 	// asked is how many requests each open group of a model has.
-	asked   atomic.Pointer[map[string]int]
-	fresh   bool
-	era     int64 // of the store
-	version int64 // of the store when it took the lease
+	asked atomic.Pointer[map[string]int]
+	fresh bool
+	era   int64 // of the store
+	// unsettled says that entries may be older than what endpoints had written.
+	unsettled bool
+	version   int64 // of the store when it took the lease
 	// heldFrom is the version from which the entries must have been read.
 	heldFrom fleet.Position
 }
@@ -48,7 +50,8 @@
 	}}
 	n.manager = formation.NewManager(formation.Options{
 		Settings: func() fleet.Settings { return settings }, Book: book, Orderer: orderer, HeldFrom: func(string) fleet.Position { return n.heldFrom },
-		Holds: func(string) bool { return n.holds }, Position: func() fleet.Position { return fleet.Position{Era: n.era, Version: n.version} },
+		Settled: func(int64) bool { return !n.unsettled },
+		Holds:   func(string) bool { return n.holds }, Position: func() fleet.Position { return fleet.Position{Era: n.era, Version: n.version} },
 		Begun: func() bool { return n.begun }, Moves: func(_ time.Time, id string) bool { return n.moving[id] },
 		Running: n.running(book),
 	})
--- a/members/era_test.go
+++ b/members/era_test.go
@@ -121,3 +121,26 @@
 	f.run(time.Minute)
 	require.Len(t, f.nodes["a1"].Nodes(), 2)
 }
+
+// Holders form groups by entries that are older than what endpoints had written, unless they
+// wait until these have written again. Who starts later doesn't wait.
+func TestEraIsSettledAfterEntriesWereWrittenAgain(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+	f.run(10 * time.Second)
+	require.True(t, f.nodes["a1"].Settled(0))
+	kept := f.store.copy()
+	f.run(2 * time.Second)
+	f.store.goBack(kept)
+	f.start("a3", "a")
+	f.run(4 * time.Second)
+	for name, node := range f.nodes {
+		require.False(t, node.Settled(1), name)
+	}
+	f.run(6 * time.Second)
+	for name, node := range f.nodes {
+		require.True(t, node.Settled(1), name)
+	}
+	f.start("a4", "a")
+	f.run(500 * time.Millisecond)
+	require.True(t, f.nodes["a4"].Settled(1), "the holder's record says so")
+}
--- a/members/members.go
+++ b/members/members.go
@@ -89,7 +89,10 @@
 	listedEra   int64     // of the store, then
 	// returnedAt is when this node saw that the store had come back from an older copy.
 	returnedAt time.Time
-	renewed    map[string]time.Time
+	eraSince   time.Time // when this node first read the table in its era
+	// settled is the newest era that is.
+	settled atomic.Int64
+	renewed map[string]time.Time
 	// unwritten is when this node last failed to write a zone's lease.
 	unwritten map[string]time.Time
 	takeable  map[string]time.Time // since when a zone's lease could be taken
@@ -171,6 +174,7 @@
 		t.announceFirst(ctx, boot)
 		return
 	}
+	t.settle(boot)
 	if boot.Sub(t.listTriedAt) >= listInterval {
 		t.listTriedAt = boot
 		t.list(ctx)
@@ -201,8 +205,14 @@
 		return
 	}
 	boot := t.config.Now()
-	if !t.firstAt.IsZero() && rows.At.Era > t.listedEra {
+	switch {
+	case !t.firstAt.IsZero() && rows.At.Era > t.listedEra:
 		t.wentBack(boot, rows.At)
+	case t.firstAt.IsZero() && t.config.FirstStart:
+		t.settled.Store(rows.At.Era) // nothing was there before
+	}
+	if t.eraSince.IsZero() || rows.At.Era > t.listedEra {
+		t.eraSince = boot
 	}
 	t.listedAt, t.listedEra = boot, rows.At.Era
 	if t.firstAt.IsZero() {
@@ -223,6 +233,7 @@
 		t.leases[zone] = next
 	}
 	t.updateNodes(boot, byKey)
+	t.settle(boot)
 	t.publishHeld()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,7 @@
 		Settings: n.inForce, Book: n.book, Orderer: platform.NewEngines(), Position: n.table.Position,
 		Holds:    func(zone string) bool { return n.table.Holds(zone, kernel.BootTime()) },
 		HeldFrom: n.table.HeldFrom,
+		Settled:  n.table.Settled,
 		Begun:    func() bool { return n.gateway.Served() > 0 },
 		Moves:    n.tracker.Moves,
 		Running:  n.tracker.Running,
