--- a/soak/faults.go
+++ b/soak/faults.go
@@ -48,6 +48,7 @@
 	{"store slow", storeFault(platformtest.Faults{Slow: 150 * time.Millisecond})},
 	{"store loses answers", storeFault(platformtest.Faults{LoseWrites: true})},
 	{"store forgets", forget},
+	{"store comes back older", storeComesBackOlder},
 	{"configuration changes", changeConfiguration},
 }
 
@@ -190,6 +191,7 @@
 	for i, one := range w.endpoints {
 		if one == e {
 			w.endpoints = append(w.endpoints[:i:i], w.endpoints[i+1:]...)
+			w.ended = append(w.ended, e)
 			w.mu.Unlock()
 			return w.addEndpoint(e.config.Service, e.config.Zone)
 		}
--- a/soak/world.go
+++ b/soak/world.go
@@ -81,6 +81,7 @@
 	mu        sync.Mutex
 	nodes     []*nodeProcess
 	endpoints []*liveEndpoint
+	ended     []*liveEndpoint
 	made      int
 	version   int
 	faults    []string
