A dispatcher that knows no limit gives no permit; limits are forgotten in the end

Found by reading the change as a newcomer. And a limit that was named once was kept for good, also of endpoints that are gone. Both tests failed before.

--- a/balance/limit_test.go
+++ b/balance/limit_test.go
@@ -235,6 +235,29 @@
 	require.False(t, tracker.EndpointLeft(start, heads, nil, ask))
 }
 
+// The node that chooses for a zone may not know of a limit yet that the asking node knows:
+// what it chooses is no permit.
+func TestDispatcherThatKnowsNoLimitPermitsNothing(t *testing.T) {
+	dispatcher, tracker := balance.NewTracker(), balance.NewTracker()
+	needy := head("needy", "a", "small")
+	ask := balance.Ask{Service: fleet.Service{Engine: zoneEngine()}, Model: zoneEngine().Models[0], Zone: "a", Objective: time.Second, Lends: 0.8}
+	tracker.LearnLimits(start, []balance.LimitWord{{Endpoint: "needy", Limit: fleet.RateLimit{Named: true, PerSecond: 1}}})
+	choice, none := dispatcher.Reserve(start, []*fleet.Endpoint{needy}, nil, ask, balance.Claimant{Node: "n1"})
+	require.Nil(t, none)
+	require.False(t, choice.Permitted)
+	require.False(t, tracker.Take(start, needy, ask, choice.Predicted).Permitted)
+}
+
+// A limit outlasts a while without requests, and not the endpoint that named it.
+func TestLimitIsForgottenInTheEnd(t *testing.T) {
+	tracker := balance.NewTracker()
+	tracker.LearnLimits(start, []balance.LimitWord{{Endpoint: "needy", Limit: fleet.RateLimit{Named: true, PerSecond: 1}}})
+	tracker.Forget(start.Add(time.Minute))
+	require.Len(t, tracker.Limits(start), 1)
+	tracker.Forget(start.Add(time.Hour))
+	require.Empty(t, tracker.Limits(start))
+}
+
 // The node that chooses for a zone spends permits as it places, and says when there is one again.
 func TestDispatcherKeepsLimits(t *testing.T) {
 	tracker := balance.NewTracker()
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -52,9 +52,10 @@
 		return Choice{}, refusalOfLate(now, best, ask)
 	}
 	best.state.reserve(now, claimant, ask.Prompt)
-	permitted, _ := best.state.limit.lend(now, ask.Lends) // it was weighed because there is one
+	limited := best.state.limit.limit.Named
+	lent, _ := best.state.limit.lend(now, ask.Lends) // it was weighed because there is one
 	return Choice{
-		Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now), Permitted: permitted,
+		Endpoint: best.endpoint, Predicted: best.predicted, Running: best.running, Age: best.state.reportAge(now), Permitted: limited && lent,
 	}, nil
 }
 
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -26,8 +26,10 @@
 	// finds out whether it is back.
 	backoffFirst   = 400 * time.Millisecond
 	backoffLongest = 3 * time.Second
-	// forgetAfter drops what is known of an endpoint without an entry.
-	forgetAfter = 30 * time.Second
+	// forgetAfter drops what is known of an endpoint without an entry. A limit is kept
+	// longer, as it holds until the endpoint says something else.
+	forgetAfter      = 30 * time.Second
+	forgetLimitAfter = 10 * time.Minute
 )
 
 // State is what this node knows of one endpoint. The tracker's lock guards it.
@@ -99,7 +101,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.states {
-		if s.own == 0 && !s.limit.limit.Named && now.Sub(s.usedAt) > forgetAfter {
+		after := forgetAfter
+		if s.limit.limit.Named {
+			after = forgetLimitAfter
+		}
+		if s.own == 0 && now.Sub(s.usedAt) > after {
 			delete(t.states, id)
 		}
 	}
