--- a/node/era_test.go
+++ b/node/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -61,3 +62,31 @@
 		})
 	}
 }
+
+// recoveryBound is how long after all nodes are back callers may go unserved.
+const recoveryBound = 12 * time.Second
+
+// The store comes back older, and all nodes end and start again: they know only what the copy
+// says, and must serve in time, from groups that are still whole.
+func TestAllNodesStartAgainAsTheStoreComesBackOlder(t *testing.T) {
+	z := deployZones(t, map[string]int{"a": 4})
+	z.goBack(t)
+	for _, d := range z.nodes {
+		d.stop()
+	}
+	for _, d := range z.nodes {
+		require.NoError(t, <-d.done)
+		d.settings.Restarted = true
+		require.NoError(t, os.WriteFile(d.path, []byte(d.settings.Text()), 0o600))
+		d.start()
+	}
+	back := time.Now()
+	for i, d := range z.nodes {
+		for _, path := range []string{"/stream/x", "/look/x"} {
+			require.Eventually(t, func() bool {
+				status, _ := d.ask(http.MethodPost, path, fmt.Sprint("after-", i, time.Now().UnixNano()))
+				return status == http.StatusOK
+			}, recoveryBound-time.Since(back), 50*time.Millisecond, path)
+		}
+	}
+}
