A holder plans by a view that is as new as what it checked

Traced: the planner took its view of the entries first and checked then whether they had been read up to its lease. Where the follower read on in between, the check passed, and the plan went by the older view: VMs of open groups were joined to others. The window is as long as the planner waits for its lock. The new test lets the entries come between the two: it failed before (no group left), and passes now; the view is taken after the check.

--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -80,3 +80,36 @@
 		require.Len(t, f.whole("small"), 2)
 	})
 }
+
+// Entries come while the holder is about to plan: by the time of its check it has read up to
+// its lease, and goes on by a view that it took before.
+func TestHolderPlansByWhatItChecked(t *testing.T) {
+	play(t, func(t *testing.T, f *farm, n *node) {
+		n.holds = false
+		current := f.book
+		old := directory.NewBook()
+		old.Apply(time.Now(), directory.Change{Config: current.View().Config()})
+		for _, e := range current.View().Endpoints {
+			free := *e
+			free.Member, free.Models = fleet.Membership{}, nil
+			old.Apply(time.Now(), directory.Change{Endpoint: &free})
+		}
+		old.NoteRead(fleet.Position{Version: 99})
+		f.mu.Lock()
+		f.book = old
+		f.mu.Unlock()
+		next := manage(f, false)
+		defer next.stop(t)
+		next.begun, next.heldFrom = true, fleet.Position{Version: 100}
+		next.onHolds = func() {
+			for _, e := range current.View().Endpoints {
+				old.Apply(time.Now(), directory.Change{Endpoint: e})
+			}
+			old.NoteRead(fleet.Position{Version: 100})
+			next.onHolds = nil
+		}
+		time.Sleep(10 * time.Second)
+		require.Len(t, f.whole("large"), 2)
+		require.Len(t, f.whole("small"), 2)
+	})
+}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -127,11 +127,6 @@
 }
 
 func (m *Manager) step(ctx context.Context, now time.Time) {
-	view := m.Book.View()
-	config := view.Config()
-	if config == nil {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopped {
@@ -150,14 +145,27 @@
 			pending = true
 			continue
 		}
-		for name, service := range config.Services {
-			if service.Engine == nil {
-				continue
-			}
+		pending = m.planServices(ctx, now, zone) || pending
+	}
+	m.pending.Store(pending)
+}
+
+// planServices plans the groups of a zone's engine services by the newest view: one that was
+// taken before caughtUp may be older than what that found. It reports whether something is
+// under way.
+func (m *Manager) planServices(ctx context.Context, now time.Time, zone string) bool {
+	view := m.Book.View()
+	config := view.Config()
+	if config == nil {
+		return false
+	}
+	pending := false
+	for name, service := range config.Services {
+		if service.Engine != nil {
 			pending = m.planZone(ctx, now, zone, service, view.ByService[name]) || pending
 		}
 	}
-	m.pending.Store(pending)
+	return pending
 }
 
 // caughtUp reports whether this node has read the endpoints' entries as they
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -28,6 +28,8 @@
 	asked atomic.Pointer[map[string]int]
 	fresh bool
 	era   int64 // of the store
+	// onHolds is called as the manager asks whether it holds the lease; it may be nil.
+	onHolds func()
 	// unsettled says that entries may be older than what endpoints had written.
 	unsettled bool
 	version   int64 // of the store when it took the lease
@@ -51,13 +53,19 @@
 	n.manager = formation.NewManager(formation.Options{
 		Settings: func() fleet.Settings { return settings }, Book: book, Orderer: orderer, HeldFrom: func(string) fleet.Position { return n.heldFrom },
 		Settled: func(int64) bool { return !n.unsettled },
-		Holds:   func(string) bool { return n.holds }, Position: func() fleet.Position { return fleet.Position{Era: n.era, Version: n.version} },
+		Holds:   func(string) bool { n.asksHolds(); return n.holds }, Position: func() fleet.Position { return fleet.Position{Era: n.era, Version: n.version} },
 		Begun: func() bool { return n.begun }, Moves: func(_ time.Time, id string) bool { return n.moving[id] },
 		Running: n.running(book),
 	})
 	n.manager.Start(n.group)
 }
 
+func (n *node) asksHolds() {
+	if n.onHolds != nil {
+		n.onHolds()
+	}
+}
+
 // running returns how many requests a head has, by what is asked for of its model.
 func (n *node) running(book *directory.Book) func(time.Time, string) int {
 	return func(_ time.Time, id string) int {
