--- a/directory/follower.go
+++ b/directory/follower.go
@@ -163,39 +163,51 @@
 		return rows, err
 	}
 	now := time.Now()
-	if !feed.listed {
-		klog.InfoS("store_listed", "table", feed.table, "era", rows.At.Era, "version", rows.At.Version, "rows", len(rows.Rows))
-	}
-	if feed.wentBack(rows.At) {
-		klog.InfoS("store_era", "table", feed.table, "era", rows.At.Era, "before", feed.at.Era, "version", rows.At.Version, "version_before", feed.at.Version)
+	if feed.answered(now, rows.At) {
 		f.book.StoreReturned(now)
-		feed.restoredUntil = now.Add(RestoredGrace)
 	}
-	if feed.away {
-		klog.InfoS("store_regained", "table", feed.table, "version", rows.At.Version)
-		f.book.StoreReturned(now)
-		feed.away, feed.pause = false, 0
+	f.book.Apply(now, feed.changes(now, rows)...)
+	feed.at, feed.listed = feed.at.Later(rows.At), true
+	if feed.table == platform.TableEndpoints {
+		f.book.NoteRead(rows.At)
+	}
+	return rows, nil
+}
+
+// answered notes that the store answered, and reports whether it has returned: after it was
+// away, or from an older copy.
+func (f *feed) answered(now time.Time, at fleet.Position) bool {
+	wentBack := !f.at.IsZero() && at.Era > f.at.Era
+	if wentBack {
+		klog.InfoS("store_era", "table", f.table, "era", at.Era, "before", f.at.Era, "version", at.Version, "version_before", f.at.Version)
+		f.restoredUntil = now.Add(RestoredGrace)
+	}
+	wasAway := f.away
+	if wasAway {
+		klog.InfoS("store_regained", "table", f.table, "version", at.Version)
+		f.away, f.pause = false, 0
 	}
+	return wentBack || wasAway
+}
+
+// changes returns what an answer says. A list also tells what is missing, and is as old as
+// the store's copy.
+func (f *feed) changes(now time.Time, rows fleet.Rows) []Change {
 	var changes []Change
-	restored := !feed.listed && now.Before(feed.restoredUntil)
-	if !feed.listed {
-		changes = feed.missing(rows.Rows)
-		feed.listed = true
+	if !f.listed {
+		klog.InfoS("store_listed", "table", f.table, "era", rows.At.Era, "version", rows.At.Version, "rows", len(rows.Rows))
+		changes = f.missing(rows.Rows)
 	}
 	for _, row := range rows.Rows {
-		if change, ok := feed.decode(row, now); ok {
+		if change, ok := f.decode(row, now); ok {
 			changes = append(changes, change)
 		}
 	}
+	restored := !f.listed && now.Before(f.restoredUntil)
 	for i := range changes {
 		changes[i].Restored = restored
 	}
-	feed.at = feed.at.Later(rows.At)
-	f.book.Apply(now, changes...)
-	if feed.table == platform.TableEndpoints {
-		f.book.NoteRead(rows.At)
-	}
-	return rows, nil
+	return changes
 }
 
 func (f *Follower) read(ctx context.Context, feed *feed) (fleet.Rows, error) {
@@ -218,10 +230,6 @@
 	errOtherEra   = errors.New("the changes are of another era of the store")
 )
 
-// wentBack reports whether the store has come back from an older copy since the table was
-// last read.
-func (f *feed) wentBack(at fleet.Position) bool { return !f.at.IsZero() && at.Era > f.at.Era }
-
 func (f *Follower) decodeOperators(row fleet.Row, _ time.Time) (Change, bool) {
 	if zone, ok := platform.ZoneOut(row.Key); ok {
 		klog.InfoS("zone_decided", "zone", zone, "out", !row.Removed, "version", row.Version)
--- a/members/members.go
+++ b/members/members.go
@@ -205,16 +205,8 @@
 		return
 	}
 	boot := t.config.Now()
-	switch {
-	case !t.firstAt.IsZero() && rows.At.Era > t.listedEra:
-		t.wentBack(boot, rows.At)
-	case t.firstAt.IsZero() && t.config.FirstStart:
-		t.settled.Store(rows.At.Era) // nothing was there before
-	}
-	if t.eraSince.IsZero() || rows.At.Era > t.listedEra {
-		t.eraSince = boot
-	}
-	t.listedAt, t.listedEra = boot, rows.At.Era
+	t.noteEra(boot, rows.At)
+	t.listedAt = boot
 	if t.firstAt.IsZero() {
 		t.firstAt = boot
 		defer close(t.known)
@@ -224,27 +216,21 @@
 	for _, row := range rows.Rows {
 		byKey[row.Key] = redwinghall.Row{Key: row.Key, Version: row.Version, Value: row.Value}
 	}
+	t.readLeases(boot, rows.At.Era, byKey)
+	t.updateNodes(boot, byKey)
+	t.settle(boot)
+	t.publishHeld()
+}
+
+func (t *Table) readLeases(boot time.Time, era int64, rows map[string]redwinghall.Row) {
 	for zone, state := range t.leases {
-		next, err := state.WithEra(rows.At.Era).WithRows(boot, byKey[lease.Key(zone)], byKey[lease.FenceKey(zone)])
+		next, err := state.WithEra(era).WithRows(boot, rows[lease.Key(zone)], rows[lease.FenceKey(zone)])
 		if err != nil {
 			klog.ErrorS(err, "lease_unreadable", "zone", zone)
 			continue
 		}
 		t.leases[zone] = next
 	}
-	t.updateNodes(boot, byKey)
-	t.settle(boot)
-	t.publishHeld()
-}
-
-// wentBack notes that the store has come back from an older copy.
-//
-// Guard: rows that the copy lacks are gone until they are written again. Each node writes
-// its own at once, as others would count too few nodes and spend too much of what all share.
-func (t *Table) wentBack(boot time.Time, at fleet.Position) {
-	klog.InfoS("members_went_back", "era", at.Era, "before", t.listedEra, "version", at.Version)
-	t.returnedAt = boot
-	t.announcedAt = time.Time{}
 }
 
 // isTurn reports whether it is this node's turn to take a lease that has
