--- a/members/era_test.go
+++ b/members/era_test.go
@@ -109,14 +109,19 @@
 	f.run(10 * time.Second)
 	kept := f.store.copy()
 	f.start("a3", "a")
-	f.run(10 * time.Second)
+	f.run(11 * time.Second) // its next announcement is due seconds later
 	require.Len(t, f.nodes["a1"].Nodes(), 3)
 	f.store.goBack(kept)
-	for range 80 {
+	written := 0
+	for step := range 80 {
 		f.run(100 * time.Millisecond)
 		require.Len(t, f.nodes["a1"].Nodes(), 3)
+		if _, ok := f.store.rows["node/a3"]; ok && written == 0 {
+			written = step
+		}
 	}
-	require.Contains(t, f.store.rows, "node/a3")
+	require.Positive(t, written)
+	require.Less(t, written, 25, "within an interval of reading, in steps of 0.1 s")
 	f.dead["a3"] = true
 	f.run(time.Minute)
 	require.Len(t, f.nodes["a1"].Nodes(), 2)
--- a/relay/era_test.go
+++ b/relay/era_test.go
@@ -35,7 +35,21 @@
 	m.Listed(time.Now(), fleet.Rows{At: fleet.Position{Era: 1, Version: 95}, Rows: []fleet.Row{row("lost", 80)}})
 	list, err = m.List(context.Background())
 	require.NoError(t, err)
-	require.Equal(t, int64(2), list.Rows.At.Era, "a list of an earlier era is of no use")
+	require.Equal(t, int64(2), list.Rows.At.Era)
+	require.Equal(t, []string{"a", "b"}, keys(list.Rows.Rows), "a list of an earlier era is of no use")
+}
+
+// A reader that is told to list reaches the store. Taken for cut off, it would send the others
+// to nodes whose copies are older.
+func TestReaderThatIsToldToListIsNotCutOff(t *testing.T) {
+	_, sources, stores := zone("n1")
+	_, err := sources["n1"].List(context.Background(), "t")
+	require.NoError(t, err)
+	stores["n1"].gone = true
+	_, err = sources["n1"].Changes(context.Background(), "t", fleet.Position{Version: 5}, time.Millisecond)
+	require.Equal(t, fleet.StoreHistoryGone, redwinghall.KindOf[fleet.StoreKind](err))
+	_, err = sources["n1"].Mirror("t").List(context.Background())
+	require.NoError(t, err)
 }
 
 // Two eras in one zone: the reader still has what the store held before it came back. Who
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -169,6 +169,7 @@
 
 // store counts calls and may be down.
 type store struct {
+	gone         bool // what was asked for is no longer known
 	down         bool
 	calls        int
 	commits      int
@@ -185,6 +186,9 @@
 }
 
 func (s *store) Changes(context.Context, string, fleet.Position, time.Duration) (fleet.Rows, error) {
+	if s.gone {
+		return fleet.Rows{}, redwinghall.NewOpError("store.Changes", fleet.StoreHistoryGone, nil)
+	}
 	return s.List(context.Background(), "")
 }
 
