--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -10,6 +10,23 @@
 	"redwinghall/fleet"
 )
 
+// withOlderCopy gives the farm a book in which nobody belongs to a group, read up to a
+// position. It returns the one that it had, and that one.
+func (f *farm) withOlderCopy(at fleet.Position) (current, older *directory.Book) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current, older = f.book, directory.NewBook()
+	older.Apply(time.Now(), directory.Change{Config: current.View().Config()})
+	for _, e := range current.View().Endpoints {
+		free := *e
+		free.Member, free.Models = fleet.Membership{}, nil
+		older.Apply(time.Now(), directory.Change{Endpoint: &free})
+	}
+	older.NoteRead(at)
+	f.book = older
+	return current, older
+}
+
 // Callers' streams stand still right after a node was stopped. The old holder
 // had opened a group and given the lease up; the new one's copy of the entries
 // was older than that. It saw the members without a group and joined them to
@@ -17,18 +34,7 @@
 func TestNewHolderWaitsForTheEntriesOfItsTime(t *testing.T) {
 	play(t, func(t *testing.T, f *farm, n *node) {
 		n.holds = false
-		current := f.book
-		old := directory.NewBook()
-		old.Apply(time.Now(), directory.Change{Config: current.View().Config()})
-		for _, e := range current.View().Endpoints {
-			free := *e
-			free.Member, free.Models = fleet.Membership{}, nil
-			old.Apply(time.Now(), directory.Change{Endpoint: &free})
-		}
-		old.NoteRead(fleet.Position{Version: 99})
-		f.mu.Lock()
-		f.book = old
-		f.mu.Unlock()
+		current, old := f.withOlderCopy(fleet.Position{Version: 99})
 		next := manage(f, false)
 		defer next.stop(t)
 		next.begun, next.heldFrom = true, fleet.Position{Version: 100}
@@ -52,18 +58,7 @@
 func TestHolderWaitsUntilAReturnedStoreIsSettled(t *testing.T) {
 	play(t, func(t *testing.T, f *farm, n *node) {
 		n.holds = false
-		current := f.book
-		restored := directory.NewBook()
-		restored.Apply(time.Now(), directory.Change{Config: current.View().Config()})
-		for _, e := range current.View().Endpoints {
-			free := *e
-			free.Member, free.Models = fleet.Membership{}, nil
-			restored.Apply(time.Now(), directory.Change{Endpoint: &free})
-		}
-		restored.NoteRead(fleet.Position{Era: 1, Version: 50})
-		f.mu.Lock()
-		f.book = restored
-		f.mu.Unlock()
+		current, restored := f.withOlderCopy(fleet.Position{Era: 1, Version: 50})
 		next := manage(f, false)
 		defer next.stop(t)
 		next.begun, next.unsettled, next.heldFrom = true, true, fleet.Position{Era: 1, Version: 40}
@@ -86,18 +81,7 @@
 func TestHolderPlansByWhatItChecked(t *testing.T) {
 	play(t, func(t *testing.T, f *farm, n *node) {
 		n.holds = false
-		current := f.book
-		old := directory.NewBook()
-		old.Apply(time.Now(), directory.Change{Config: current.View().Config()})
-		for _, e := range current.View().Endpoints {
-			free := *e
-			free.Member, free.Models = fleet.Membership{}, nil
-			old.Apply(time.Now(), directory.Change{Endpoint: &free})
-		}
-		old.NoteRead(fleet.Position{Version: 99})
-		f.mu.Lock()
-		f.book = old
-		f.mu.Unlock()
+		current, old := f.withOlderCopy(fleet.Position{Version: 99})
 		next := manage(f, false)
 		defer next.stop(t)
 		next.begun, next.heldFrom = true, fleet.Position{Version: 100}
