Say in refusals and probes whether this node reaches any endpoint

A refusal as unreachable looked alike whether a service was dead or the node was parted from all endpoints, and a silent member whether it or its prober was cut off. Refusals now name how many endpoints were left out and how long ago any endpoint last sent this node something, probes how long ago any answered; the metrics count failed attempts by kind. No decision changes.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -62,6 +62,7 @@
 	}
 	a.start()
 	a.last = now
+	a.t.answeredAt = now
 	s.lastEvent, s.waitingSince = now, now
 	s.backoff, s.backoffUntil = 0, time.Time{}
 }
--- a/balance/refusal.go
+++ b/balance/refusal.go
@@ -15,6 +15,8 @@
 	Best    string
 	Running int
 	Age     time.Duration
+	// InBackoff is the number of suitable endpoints that were skipped as they didn't answer.
+	InBackoff int
 }
 
 // Reasons for a refusal.
@@ -49,7 +51,7 @@
 	case l.full > 0:
 		return &Refusal{Reason: Overloaded, RetryAfter: l.request.retryWhenFull(0)}
 	case l.backedOff > 0:
-		return &Refusal{Reason: Unreachable, RetryAfter: retrySoon}
+		return &Refusal{Reason: Unreachable, RetryAfter: retrySoon, InBackoff: l.backedOff}
 	case l.rejecting > 0:
 		return RetryAfterRefusal(l.rejectingFor)
 	}
--- a/balance/retry_after.go
+++ b/balance/retry_after.go
@@ -85,6 +85,7 @@
 func (a *Attempt) RecordResponse(now time.Time, rejected bool, wait time.Duration) {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
+	a.t.answeredAt = now
 	r := &a.s.retryAfter
 	switch {
 	case wait > 0:
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -85,6 +85,8 @@
 	otherZonesConsideredAt time.Time
 	// anyLimit reports whether any endpoint has reported a limit.
 	anyLimit bool
+	// answeredAt is when any endpoint last sent this node something.
+	answeredAt time.Time
 	// bias is how much later than predicted first events come. It covers what Pace
 	// doesn't model, such as the network and the endpoint's preparation of a request.
 	bias time.Duration
@@ -177,6 +179,17 @@
 	s.backoffUntil = now.Add(s.backoff)
 }
 
+// SinceAnswer returns how long ago any endpoint last sent this node something, negative if
+// none has.
+func (t *Tracker) SinceAnswer(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.answeredAt.IsZero() {
+		return -1
+	}
+	return now.Sub(t.answeredAt)
+}
+
 // Running estimates how many requests an endpoint has.
 func (t *Tracker) Running(now time.Time, id string) int {
 	t.mu.Lock()
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -76,6 +76,7 @@
 	tenures       map[string]tenure        // by zone whose lease this node holds
 	sending       map[string]bool          // endpoints with an order in flight
 	probing       map[string]bool
+	reportedAt    time.Time // when any probed endpoint last answered
 	pending       atomic.Bool
 	stopped       bool
 	group         *kernel.Group
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -42,15 +42,24 @@
 		defer m.mu.Unlock()
 		delete(m.probing, endpoint.ID)
 		if err == nil {
+			m.reportedAt = now
 			m.recordTimeFactor(now, n, report.TimeFactor)
 			return nil
 		}
-		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
+		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "since_report", m.sinceReport(now), "err", err)
 		n.suspectUntil = now.Add(suspectDuration)
 		return nil
 	})
 }
 
+// sinceReport returns how long ago any probed endpoint last answered, negative if none has.
+func (m *Manager) sinceReport(now time.Time) time.Duration {
+	if m.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(m.reportedAt)
+}
+
 // recordTimeFactor records whether an endpoint reports that it works slower than it should.
 func (m *Manager) recordTimeFactor(now time.Time, n *endpointState, timeFactor float64) {
 	if timeFactor < slowTimeFactor {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -87,6 +87,15 @@
 // CallerGone counts a caller that disconnected before its response.
 func (m *Metrics) CallerGone(r *Request) { m.count("caller_gone." + m.series(r)) }
 
+// AttemptFailed counts an attempt that brought no usable response.
+func (m *Metrics) AttemptFailed(kind Kind) {
+	name := string(kind)
+	if name == "" {
+		name = "not_run"
+	}
+	m.count("attempt_failed." + name)
+}
+
 // LimitChanged counts that an endpoint announced a new or different rate limit, or
 // withdrew it.
 func (m *Metrics) LimitChanged(named bool) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -170,6 +170,7 @@
 	now := time.Now()
 	if last.err != nil {
 		choice.Attempt.Done(now, false)
+		c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](last.err))
 		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
 			"kind", redwinghall.KindOf[Kind](last.err), "running", choice.Running, "err", last.err)
 		return
@@ -210,6 +211,7 @@
 	} else {
 		c.sent++
 	}
+	c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](err))
 	klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
 		"kind", redwinghall.KindOf[Kind](err), "running", choice.Running, "err", err)
 	return plainAttempt{err: err}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -31,12 +31,14 @@
 	loadAge time.Duration
 	// nodeLeft is the time until a stopping node ends, 0 if it is not stopping.
 	nodeLeft time.Duration
+	// inBackoff is the number of endpoints that were skipped as they didn't answer.
+	inBackoff int
 }
 
 func fromBalance(r *balance.Refusal) refusal {
 	return refusal{
 		status: http.StatusServiceUnavailable, reason: r.Reason, retryAfter: r.RetryAfter, predicted: r.Predicted,
-		best: r.Best, running: r.Running, loadAge: r.Age,
+		best: r.Best, running: r.Running, loadAge: r.Age, inBackoff: r.InBackoff,
 	}
 }
 
@@ -81,7 +83,7 @@
 	klog.InfoS("refused", "request", r.Info.ID, "status", why.status, "reason", why.reason, "account", r.account(),
 		"route", routeName(r), "predicted", why.predicted, "objective", routeObjective(r), "best", why.best, "running", why.running,
 		"load_age", why.loadAge, "node_left", why.nodeLeft, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
-		"configuration", r.configVersion())
+		"configuration", r.configVersion(), "in_backoff", why.inBackoff, "since_answer", g.Tracker.SinceAnswer(time.Now()))
 	g.Metrics.Refused(r, why)
 	h := w.Header()
 	platform.SetRequestID(h, r.Info.ID)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -155,6 +155,7 @@
 		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
 	}
 	if !ok {
+		c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](last.err))
 		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
 			"group", choice.Endpoint.Member.Group, "kind", redwinghall.KindOf[Kind](last.err), "not_run", last.notRun,
 			"status", last.status(), "stalled", stalled.Load(), "last_event", c.lastID, "running", choice.Running, "predicted", choice.Predicted, "err", last.err)
