Test: nodes that are parted from all endpoints serve their callers (fails)

A stand-in parts single pairs of node and endpoint: connections hang, are reset, or live on while new ones are refused. A node takes the function by which it connects to endpoints, which changes no decision.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/dial"
 	"redwinghall/fleet"
 	"redwinghall/platform"
 )
@@ -66,15 +67,22 @@
 	transport *http.Transport
 }
 
+// EndpointKeepAlive is the configuration of keep-alive probes on connections to endpoints.
+var EndpointKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
 // NewUpstream returns an upstream without connections.
 func NewUpstream() *Upstream {
-	dialer := &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
+	dialer := &net.Dialer{KeepAliveConfig: EndpointKeepAlive}
+	return NewUpstreamWithDialer(dialer.DialContext)
+}
+
+// NewUpstreamWithDialer returns an upstream that opens its connections by a function.
+func NewUpstreamWithDialer(open dial.Func) *Upstream {
 	return &Upstream{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			conn, err := open(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -15,6 +15,7 @@
 	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
 	"redwinghall/rwhtest/loopback"
+	"redwinghall/standin/link"
 )
 
 // limitWindow, limitOvershoot and limitSlack bound how far the requests of all nodes
@@ -84,7 +85,7 @@
 
 func startNode(t *testing.T, store *platformtest.Store, runCounter *platformtest.RunCounter, name, zone string, zones []string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: store, runCounter: runCounter, done: make(chan error, 1)}
+	d := &deployment{t: t, store: store, runCounter: runCounter, partition: link.NewPartition(), done: make(chan error, 1)}
 	host := loopback.Host()
 	free := freeAddresses(t, host, 3)
 	d.settings = platformtest.NodeSettings{
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall/balance"
+	"redwinghall/dial"
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/formation"
@@ -71,9 +72,15 @@
 // New assembles a node. path is the settings file that is reloaded while the node
 // runs, or "" for none.
 func New(path string, s fleet.Settings) *Node {
+	dialer := &net.Dialer{KeepAliveConfig: gateway.EndpointKeepAlive}
+	return NewWithDialer(path, s, dialer.DialContext)
+}
+
+// NewWithDialer assembles a node that opens its connections to endpoints by a function.
+func NewWithDialer(path string, s fleet.Settings, open dial.Func) *Node {
 	store := platform.NewStore(s.StoreAddress)
 	n := &Node{
-		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstream(),
+		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
 		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff),
 	}
@@ -86,7 +93,7 @@
 		Zones: s.Zones, FirstStart: s.FirstStart, Now: kernel.BootTime,
 	}, n.source)
 	n.manager = formation.NewManager(formation.Options{
-		Settings: n.currentSettings, Cache: n.cache, Orderer: platform.NewEndpointClient(n.onLeavingResponse), Position: n.table.Position,
+		Settings: n.currentSettings, Cache: n.cache, Orderer: platform.NewEndpointClientWithDialer(n.onLeavingResponse, open), Position: n.table.Position,
 		HoldsLease:     func(zone string) bool { return n.table.HoldsLease(zone, kernel.BootTime()) },
 		LeasePosition:  n.table.LeasePosition,
 		Recovered:      n.table.Recovered,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -20,6 +20,7 @@
 	"redwinghall/platform"
 	"redwinghall/platform/platformtest"
 	"redwinghall/rwhtest/loopback"
+	"redwinghall/standin/link"
 )
 
 // deployment is one node with a fake store and fake endpoints.
@@ -29,9 +30,11 @@
 	runCounter *platformtest.RunCounter
 	engines    []*platformtest.Endpoint
 	settings   platformtest.NodeSettings
-	path       string
-	stop       context.CancelFunc
-	done       chan error
+	// partition stands between the node and all endpoints.
+	partition *link.Partition
+	path      string
+	stop      context.CancelFunc
+	done      chan error
 }
 
 const answerEvents = 5
@@ -68,7 +71,7 @@
 // and whose booking desk takes the time given by desk.
 func deployWith(t *testing.T, engine, desk platformtest.EndpointConfig) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: platformtest.NewStore(), runCounter: platformtest.NewRunCounter(), done: make(chan error, 1)}
+	d := &deployment{t: t, store: platformtest.NewStore(), runCounter: platformtest.NewRunCounter(), partition: link.NewPartition(), done: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
 	require.NoError(t, d.store.Put("op", "config", platformtest.Configuration(1, "key-1")))
 	for i := range 3 {
@@ -105,7 +108,7 @@
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
-	n := node.New(d.path, settings)
+	n := node.NewWithDialer(d.path, settings, d.partition.Dial)
 	g := kernel.NewGroup(context.Background())
 	g.Go("node", func(context.Context) error {
 		err := n.Run(ctx)
--- /dev/null
+++ b/node/parted_test.go
@@ -0,0 +1,137 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
+	"redwinghall/standin/link"
+)
+
+// Bounds on what callers of a node that is parted from the endpoints see.
+const (
+	// partedSettleTime is how long after the partition began the bounds apply.
+	partedSettleTime = time.Second
+	// minServedShare is the share of first tries that parted nodes must serve, against
+	// the other nodes.
+	minServedShare = 0.95
+	partedTime     = 5 * time.Second
+)
+
+// tries counts the first tries of callers at one node.
+type tries struct {
+	mu           sync.Mutex
+	sent, served int
+	refused      []string // bookings that were refused as not run
+	booked       []string // all bookings
+}
+
+func (c *tries) add(path, id string, status int, body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent++
+	want := "done " + id
+	if path == "/stream/x" {
+		want = platformtest.FullResponse(id, answerEvents)
+	}
+	if status == http.StatusOK && body == want {
+		c.served++
+	}
+	if path != "/book/x" {
+		return
+	}
+	c.booked = append(c.booked, id)
+	if status == http.StatusServiceUnavailable {
+		c.refused = append(c.refused, id)
+	}
+}
+
+// callEach runs callers of all kinds of request against each node for d, and counts the
+// requests that begin after settle.
+func (z *zonedDeployment) callEach(t *testing.T, d, settle time.Duration) map[string]*tries {
+	t.Helper()
+	counts := map[string]*tries{}
+	begun := time.Now()
+	ctx, stop := context.WithTimeout(context.Background(), d)
+	defer stop()
+	g := kernel.NewGroup(ctx)
+	for _, node := range z.nodes {
+		count := &tries{}
+		counts[node.settings.Node] = count
+		for path, method := range map[string]string{"/stream/x": http.MethodPost, "/look/x": http.MethodGet, "/book/x": http.MethodPost} {
+			g.Go("caller", func(ctx context.Context) error {
+				for n := 0; ctx.Err() == nil; n++ {
+					id := fmt.Sprintf("%s-%s-%d-%d", node.settings.Node, path[1:5], begun.UnixMilli(), n)
+					sent := time.Since(begun)
+					status, body := node.request(method, path, id)
+					if sent >= settle {
+						count.add(path, id, status, body)
+					}
+					time.Sleep(40 * time.Millisecond)
+				}
+				return nil
+			})
+		}
+	}
+	require.NoError(t, g.Wait())
+	return counts
+}
+
+// requireServed requires that each node serves its callers' first tries, and that no booking
+// runs twice or after a refusal.
+func (z *zonedDeployment) requireServed(t *testing.T, counts map[string]*tries) {
+	t.Helper()
+	for _, node := range z.nodes {
+		count := counts[node.settings.Node]
+		require.Positive(t, count.sent, node.settings.Node)
+		require.GreaterOrEqual(t, float64(count.served), minServedShare*float64(count.sent), "%s served %d of %d first tries", node.settings.Node, count.served, count.sent)
+		for _, id := range count.booked {
+			require.LessOrEqual(t, node.runCounter.Runs(id), 1, id)
+		}
+		for _, id := range count.refused {
+			require.Zero(t, node.runCounter.Runs(id), id)
+		}
+	}
+}
+
+// part parts the first nodes of a zone from all endpoints.
+func (z *zonedDeployment) part(zone string, count int, mode link.PartitionMode) {
+	for _, node := range z.nodes {
+		if node.settings.Zone == zone && count > 0 {
+			node.partition.Set(mode)
+			count--
+		}
+	}
+}
+
+// Nodes are parted from all endpoints, while callers and the other nodes reach them. If they
+// relied on their own connections, their callers would get nothing.
+func TestPartedNodesServeTheirCallers(t *testing.T) {
+	for name, c := range map[string]struct {
+		nodes  map[string]int
+		parted int // nodes of zone a
+	}{
+		"one of three":               {map[string]int{"a": 3, "b": 2}, 1},
+		"a whole zone":               {map[string]int{"a": 2, "b": 2}, 2},
+		"four of five, a dispatcher": {map[string]int{"a": 5}, 4},
+		"a zone with a dispatcher":   {map[string]int{"a": 4, "b": 2}, 4},
+	} {
+		for _, mode := range []link.PartitionMode{link.PartitionHang, link.PartitionReset, link.PartitionRefuse} {
+			t.Run(fmt.Sprintf("%s, %s", name, mode), func(t *testing.T) {
+				t.Parallel()
+				z := deployZones(t, c.nodes)
+				z.part("a", c.parted, mode)
+				z.requireServed(t, z.callEach(t, partedTime, partedSettleTime))
+				z.part("a", c.parted, link.PartitionNone)
+				z.requireServed(t, z.callEach(t, 2*time.Second, 0))
+			})
+		}
+	}
+}
