--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"redwinghall/fleet"
+)
 
 // An Attempt is one request sent to one endpoint. Its methods have to be called by
 // one goroutine. It ends with one call of Done or Cancel.
@@ -19,6 +23,23 @@
 	predicted, queued time.Duration
 }
 
+// ForwardedAttempt returns an attempt for a request that this node sends for another one, which
+// counts it. It only records what the endpoint states, and ends with EndForwarded.
+func (t *Tracker) ForwardedAttempt(now time.Time, e *fleet.Endpoint) *Attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := &Attempt{t: t, s: t.state(e.ID, now), sentAt: now, started: true, startedMillis: e.StartedMillis, last: now}
+	a.s.retryAfter.start(now, a)
+	return a
+}
+
+// EndForwarded ends the attempt of a request that was sent for another node.
+func (a *Attempt) EndForwarded() {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	a.s.retryAfter.finish(a)
+}
+
 // startAttempt counts a request that is sent to an endpoint. The lock is held.
 func (t *Tracker) startAttempt(now time.Time, c *candidate, prompt int) *Attempt {
 	s := c.state
--- a/balance/failure_reports.go
+++ b/balance/failure_reports.go
@@ -36,16 +36,31 @@
 	if now.Sub(s.backoffUntil) > maxBackoff {
 		s.backoff = 0
 	}
+	s.unverified = false
 	s.backOff(now)
 }
 
-// InBackoff returns the ids of those endpoints that are in backoff at this node.
+// InBackoff returns the ids of those endpoints that are in backoff at this node, without those
+// of Unreached.
 func (t *Tracker) InBackoff(now time.Time, endpoints []*fleet.Endpoint) []string {
+	return t.backedOff(now, endpoints, false)
+}
+
+// Unreached returns the ids of those endpoints in backoff of which only this node is known not
+// to reach them.
+//
+// Several nodes may be parted from the same endpoints. If their word counted for others, sound
+// endpoints would get nothing from a whole zone.
+func (t *Tracker) Unreached(now time.Time, endpoints []*fleet.Endpoint) []string {
+	return t.backedOff(now, endpoints, true)
+}
+
+func (t *Tracker) backedOff(now time.Time, endpoints []*fleet.Endpoint, unverified bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var backedOff []string
 	for _, e := range endpoints {
-		if s, ok := t.states[e.ID]; ok && now.Before(s.backoffUntil) {
+		if s, ok := t.states[e.ID]; ok && now.Before(s.backoffUntil) && s.unverified == unverified {
 			backedOff = append(backedOff, e.ID)
 		}
 	}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -60,8 +60,11 @@
 	latency      time.Duration
 	failures     float64 // smoothed share of failed requests
 
-	backoffUntil   time.Time
-	backoff        time.Duration
+	backoffUntil time.Time
+	backoff      time.Duration
+	// unverified means that no other node has confirmed yet that the endpoint doesn't
+	// answer: the fault may be this node's path to it.
+	unverified     bool
 	failureReports []failureReport
 	usedAt         time.Time
 	cold           bucket
@@ -166,7 +169,28 @@
 func (t *Tracker) MarkUnreachable(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state(id, now).backOff(now)
+	s := t.state(id, now)
+	s.backOff(now)
+	s.unverified = false
+}
+
+// MarkUnreached is MarkUnreachable for an endpoint that only this node is known not to
+// reach.
+func (t *Tracker) MarkUnreached(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(id, now)
+	s.unverified = s.unverified || !now.Before(s.backoffUntil)
+	s.backOff(now)
+}
+
+// EndBackoff ends the backoff of an endpoint that other nodes reach.
+func (t *Tracker) EndBackoff(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.states[id]; ok {
+		s.backoff, s.backoffUntil, s.unverified = 0, time.Time{}, false
+	}
 }
 
 // backOff starts a backoff, twice as long as the previous one, unless one is
--- /dev/null
+++ b/gateway/forwarded.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/neighbor"
+	"redwinghall/platform"
+)
+
+const (
+	// maxForwards bounds how many requests of other nodes a node sends at a time. Each takes
+	// two connections, and its own callers go first.
+	maxForwards = 128
+	// recentAnswer is how recently an endpoint must have sent something for this node to say
+	// that it reaches it without trying.
+	recentAnswer      = 500 * time.Millisecond
+	forwardBufferSize = 16 << 10
+)
+
+// ServeForwarded handles a call to an endpoint that another node doesn't reach. It is never
+// passed on again: a call goes through one other node at most.
+//
+// The other node has chosen the endpoint and counts the attempt. This node resolves the caller's
+// route, account and service itself, so that its internal address lets nobody past the checks
+// of its public one, and keeps what the endpoint has told it.
+func (g *Gateway) ServeForwarded(w http.ResponseWriter, in *http.Request) {
+	now := time.Now()
+	f := neighbor.DecodeForward(in.Header)
+	e, known := g.Cache.View().Endpoints[f.Endpoint]
+	switch {
+	case !known:
+		notForwarded(w, f, neighbor.Unusable, "endpoint_unknown")
+	case f.Kind == neighbor.ForwardCheck:
+		g.serveCheck(in.Context(), w, e)
+	case !g.Paths.Direct(now, e.Service, e.ID):
+		notForwarded(w, f, neighbor.Indirect, "indirect")
+	case g.forwards.Add(1) > maxForwards || g.stop().Active():
+		g.forwards.Add(-1)
+		notForwarded(w, f, neighbor.Busy, "busy")
+	default:
+		defer g.forwards.Add(-1)
+		g.serveForwardedRequest(w, in, f, e, now)
+	}
+}
+
+// Forwards returns how many requests of other nodes are in progress.
+func (g *Gateway) Forwards() int { return int(g.forwards.Load()) }
+
+// notForwarded states that nothing was sent to the endpoint.
+func notForwarded(w http.ResponseWriter, f neighbor.Forward, outcome neighbor.ForwardOutcome, why string) {
+	klog.InfoS("not_forwarded", "endpoint", f.Endpoint, "from", f.Node, "outcome", outcome, "why", why)
+	neighbor.SetForwardOutcome(w.Header(), outcome)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// serveCheck says whether this node reaches an endpoint over its own connections.
+func (g *Gateway) serveCheck(ctx context.Context, w http.ResponseWriter, e *fleet.Endpoint) {
+	outcome := neighbor.Unreached
+	now := time.Now()
+	age, known := g.Paths.SinceGood(now, e.ID)
+	if known {
+		neighbor.SetForwardAnswered(w.Header(), age)
+	}
+	switch {
+	case !g.Paths.Direct(now, e.Service, e.ID):
+		outcome = neighbor.Indirect
+	case known && age <= recentAnswer, !g.Paths.FailedRecently(now, e.ID) && g.Connect(ctx, e):
+		outcome = neighbor.Reached
+	}
+	neighbor.SetForwardOutcome(w.Header(), outcome)
+	w.WriteHeader(http.StatusOK)
+}
+
+// Connect opens a connection to an endpoint and closes it, to find out whether this node
+// reaches it.
+func (g *Gateway) Connect(ctx context.Context, e *fleet.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := g.Upstream.open(ctx, "tcp", e.Address)
+	if err != nil {
+		g.Paths.Failed(time.Now(), e.Service, e.ID)
+		return false
+	}
+	closeProbe(conn)
+	if g.Paths.Connected(time.Now(), e.Service, e.ID) {
+		klog.InfoS("path_returned", "endpoint", e.ID, "service", e.Service, "zone", e.Zone, "indirect", g.Paths.Indirect())
+		g.Metrics.PathChanged(true)
+	}
+	return true
+}
+
+func closeProbe(conn net.Conn) {
+	if err := conn.Close(); err != nil {
+		klog.V(1).InfoS("probe_not_closed", "err", err)
+	}
+}
+
+func (g *Gateway) serveForwardedRequest(w http.ResponseWriter, in *http.Request, f neighbor.Forward, e *fleet.Endpoint, now time.Time) {
+	r, refusal := g.resolve(in, now)
+	switch {
+	case refusal != nil:
+		notForwarded(w, f, neighbor.Unusable, refusal.reason)
+		return
+	case r.configVersion() < f.Configuration || r.Service.Name != e.Service:
+		notForwarded(w, f, neighbor.Unusable, "configuration")
+		return
+	case !balance.Usable(&r.Service, e, r.view.ZonesOut) || g.Tracker.IsLeaving(e) || g.Tracker.RetryAfterLeft(now, e) > 0:
+		notForwarded(w, f, neighbor.Unusable, "endpoint")
+		return
+	}
+	if deadline := now.Add(f.Timeout); deadline.Before(r.Deadline) {
+		r.Deadline = deadline
+	}
+	body, err := readBody(in, r.view.Config().Limits.BodyBytes)
+	if err != nil {
+		notForwarded(w, f, neighbor.Unusable, "body")
+		return
+	}
+	r.Body = body
+	ctx, cancel := context.WithDeadline(in.Context(), r.Deadline)
+	defer cancel()
+	g.exchangeForwarded(ctx, w, r, f, e)
+}
+
+// exchangeForwarded sends the request once and passes the endpoint's response on unchanged.
+func (g *Gateway) exchangeForwarded(ctx context.Context, w http.ResponseWriter, r *Request, f neighbor.Forward, e *fleet.Endpoint) {
+	attempt := g.Tracker.ForwardedAttempt(time.Now(), e)
+	defer attempt.EndForwarded()
+	response, err := g.sendDirect(ctx, r, e, f.LastEvent, f.LastEvent != "")
+	if redwinghall.KindOf[Kind](err) == NotSent {
+		g.recordUnreached(time.Now(), e)
+		notForwarded(w, f, neighbor.Unreached, "not_connected")
+		return
+	}
+	if err != nil {
+		klog.InfoS("forward_failed", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "err", err)
+		panic(http.ErrAbortHandler) // the endpoint may have run the request
+	}
+	defer func() { _ = response.Body.Close() }()
+	g.recordResponseInfo(r, balance.Choice{Endpoint: e, Attempt: attempt}, response)
+	platform.CopyResponseHeaders(w.Header(), response.Header)
+	neighbor.SetForwardOutcome(w.Header(), neighbor.Delivered)
+	w.WriteHeader(response.Status)
+	if err := g.copyForwarded(w, e, response); err != nil {
+		klog.InfoS("forward_failed", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "status", response.Status, "err", err)
+		panic(http.ErrAbortHandler) // a truncated response must not look complete
+	}
+	klog.InfoS("forwarded", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "status", response.Status, "took", time.Since(r.Arrived))
+}
+
+// copyForwarded passes the body on as it comes.
+func (g *Gateway) copyForwarded(w http.ResponseWriter, e *fleet.Endpoint, response *Response) error {
+	flush := http.NewResponseController(w)
+	buffer := make([]byte, forwardBufferSize)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			g.recordResponded(time.Now(), e, response)
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return writeErr
+			}
+			if flushErr := flush.Flush(); flushErr != nil {
+				return flushErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/platform"
+	"redwinghall/reach"
 )
 
 // Shares holds the node counts by which limits that apply to all nodes together are
@@ -44,7 +45,11 @@
 	// PermitIssuer issues permits for endpoints that announced a rate limit; nil if
 	// this node is the only one.
 	PermitIssuer PermitIssuer
-	Metrics      *Metrics
+	// Paths holds which endpoints this node reaches itself.
+	Paths *reach.Table
+	// Forwarder sends requests through other nodes; nil if this node is the only one.
+	Forwarder Forwarder
+	Metrics   *Metrics
 	// Stopping returns the planned stop of this node. It may be nil for a node that
 	// never stops.
 	Stopping func() Stop
@@ -66,6 +71,7 @@
 	callTimes *callTimes
 	served    atomic.Int64
 	started   time.Time
+	forwards  atomic.Int64 // requests of other nodes in progress
 	// unreadable holds the unreadable headers that were logged.
 	unreadable unreadableHeaders
 }
@@ -73,6 +79,9 @@
 // New returns a gateway.
 func New(options Options) *Gateway {
 	bounds := options.Settings().Bounds
+	if options.Paths == nil {
+		options.Paths = reach.NewTable()
+	}
 	return &Gateway{Options: options, budget: balance.NewRetryBudget(bounds.RetryRatio, bounds.RetryWindow), callTimes: newCallTimes(), started: time.Now()}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -96,6 +96,18 @@
 	m.count("attempt_failed." + name)
 }
 
+// Forwarded counts a request that another node sent to its endpoint for this node.
+func (m *Metrics) Forwarded() { m.count("paths.forwarded") }
+
+// PathChanged counts that this node lost its own path to an endpoint, or has it again.
+func (m *Metrics) PathChanged(returned bool) {
+	if returned {
+		m.count("paths.returned")
+		return
+	}
+	m.count("paths.lost")
+}
+
 // LimitChanged counts that an endpoint announced a new or different rate limit, or
 // withdrew it.
 func (m *Metrics) LimitChanged(named bool) {
--- /dev/null
+++ b/gateway/paths.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/neighbor"
+	"redwinghall/platform"
+)
+
+// Forwarder makes calls to endpoints by way of other nodes.
+type Forwarder interface {
+	// Forward sends a caller's request to an endpoint by way of another node, and returns that
+	// node's name. newRequest is called for each node that is asked. The kind of an error is
+	// NotSent or Unknown; outcome is the last one that a node named.
+	Forward(ctx context.Context, e *fleet.Endpoint, newRequest func() (neighbor.Forward, *http.Request)) (response *http.Response, peer string, outcome neighbor.ForwardOutcome, err error)
+	// Verify finds out in the background whether other nodes reach an endpoint that this node
+	// doesn't reach, or that has fallen silent here.
+	Verify(e *fleet.Endpoint, silent bool)
+}
+
+// sendMode says how the request of one attempt is sent.
+type sendMode struct {
+	fresh bool // over a new connection
+	// insist reports whether the request goes to this endpoint through other nodes if this
+	// node doesn't reach it. Otherwise another endpoint is tried first.
+	insist func() bool
+}
+
+// send sends the request of one attempt to an endpoint, over this node's own connection or
+// through another node. The kind of an error is NotSent or Unknown.
+func (g *Gateway) send(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, mode sendMode) (*Response, error) {
+	if g.Forwarder != nil && !g.Paths.Direct(time.Now(), to.Service, to.ID) {
+		response, err := g.forward(ctx, r, to, lastEvent)
+		if !errors.Is(err, ErrNoPeer) {
+			return response, err
+		}
+	}
+	response, err := g.sendDirect(ctx, r, to, lastEvent, mode.fresh)
+	if redwinghall.KindOf[Kind](err) != NotSent || ctx.Err() != nil {
+		return response, err
+	}
+	if g.Forwarder != nil && mode.insist() {
+		response, forwardErr := g.forward(ctx, r, to, lastEvent)
+		if !errors.Is(forwardErr, ErrNoPeer) {
+			return response, forwardErr
+		}
+	}
+	g.recordUnreached(time.Now(), to)
+	return nil, err
+}
+
+// sendDirect sends the request over this node's own connection.
+func (g *Gateway) sendDirect(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, fresh bool) (*Response, error) {
+	now := time.Now()
+	doubtful := g.Paths.SeveralFailed(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.ID))
+	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), SendOptions{
+		Fresh:       fresh || doubtful,
+		OnConnected: func() { g.Paths.Connected(time.Now(), to.Service, to.ID) },
+	})
+	if redwinghall.KindOf[Kind](err) == NotSent && ctx.Err() == nil {
+		g.Paths.Failed(time.Now(), to.Service, to.ID)
+	}
+	return response, err
+}
+
+// ErrNoPeer is the cause of an error if no other node could be asked to forward a request.
+var ErrNoPeer = errors.New("no other node can forward the request")
+
+// forward sends the request through another node.
+func (g *Gateway) forward(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string) (*Response, error) {
+	response, peer, _, err := g.Forwarder.Forward(ctx, to, func() (neighbor.Forward, *http.Request) {
+		return g.forwardedRequest(r, to, lastEvent)
+	})
+	if err != nil {
+		if redwinghall.KindOf[Kind](err) == NotSent && !errors.Is(err, ErrNoPeer) {
+			g.recordUnreached(time.Now(), to)
+		}
+		return nil, err
+	}
+	g.RecordPath(time.Now(), to, true, false)
+	g.Metrics.Forwarded()
+	answer, err := newResponse(response, r)
+	if err != nil {
+		return nil, err
+	}
+	answer.Peer = peer
+	return answer, nil
+}
+
+// forwardedRequest returns the request as another node gets it: the caller's own, which that
+// node resolves again.
+func (g *Gateway) forwardedRequest(r *Request, to *fleet.Endpoint, lastEvent string) (neighbor.Forward, *http.Request) {
+	f := neighbor.Forward{
+		Kind: neighbor.ForwardRequest, Endpoint: to.ID, Node: g.Settings().Node, Configuration: r.configVersion(),
+		Timeout: r.Left(time.Now()), LastEvent: lastEvent,
+	}
+	return f, &http.Request{
+		Method: r.Method, Host: r.Host, Header: platform.ForwardableHeaders(r.Header),
+		URL:   endpointURL("", r.Target),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: &onceBody{data: r.Body}, ContentLength: int64(len(r.Body)),
+	}
+}
+
+// recordUnreached records that this node could not connect to an endpoint. Whether others can
+// is found out in the background.
+func (g *Gateway) recordUnreached(now time.Time, e *fleet.Endpoint) {
+	if g.Forwarder == nil {
+		g.Tracker.MarkUnreachable(now, e.ID)
+		g.reportUnreachable(e)
+		return
+	}
+	g.Tracker.MarkUnreached(now, e.ID)
+	if !g.Paths.Parted() {
+		g.reportUnreachable(e)
+	}
+	g.Forwarder.Verify(e, false)
+}
+
+// reportUnreachable reports the head of a group to the holder of its zone's lease.
+func (g *Gateway) reportUnreachable(e *fleet.Endpoint) {
+	if e.Member.Group != "" {
+		g.ReportStall(e.ID)
+	}
+}
+
+// recordStalled records that an endpoint has sent nothing for the stall timeout. The endpoint
+// may have stopped, or this node's connections to it may be dead.
+func (g *Gateway) recordStalled(now time.Time, e *fleet.Endpoint) {
+	g.Paths.Broke(now, e.Service, e.ID)
+	if g.Forwarder == nil {
+		g.Tracker.MarkUnreachable(now, e.ID)
+	} else {
+		g.Tracker.MarkUnreached(now, e.ID)
+		g.Forwarder.Verify(e, true)
+	}
+	g.ReportStall(e.ID)
+}
+
+// recordBroken records that a connection broke before the end of a response.
+func (g *Gateway) recordBroken(now time.Time, e *fleet.Endpoint, response *Response) {
+	if response.via() == "" {
+		g.Paths.Broke(now, e.Service, e.ID)
+	}
+}
+
+// recordResponded records that an endpoint sent something.
+func (g *Gateway) recordResponded(now time.Time, e *fleet.Endpoint, response *Response) {
+	if response.Peer == "" {
+		g.Paths.Responded(now, e.Service, e.ID)
+	}
+}
+
+// RecordPath records whether another node reaches an endpoint that this node doesn't reach, or
+// that has fallen silent here.
+func (g *Gateway) RecordPath(now time.Time, e *fleet.Endpoint, reached, silent bool) {
+	if !reached {
+		g.Tracker.MarkUnreachable(now, e.ID)
+		return
+	}
+	g.Tracker.EndBackoff(e.ID)
+	if !silent && g.Paths.ReachedByPeer(now, e.Service, e.ID) {
+		klog.InfoS("path_lost", "endpoint", e.ID, "service", e.Service, "zone", e.Zone, "indirect", g.Paths.Indirect(), "parted", g.Paths.Parted())
+		g.Metrics.PathChanged(false)
+	}
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -43,7 +43,9 @@
 	ticket := tickets.Open()
 	defer tickets.Close(ticket)
 	request := c.placementRequest(heads, req)
-	request.Ticket, request.InBackoff = ticket, c.g.Tracker.InBackoff(time.Now(), heads)
+	now := time.Now()
+	request.Ticket, request.InBackoff = ticket, c.g.Tracker.InBackoff(now, heads)
+	request.Tried = append(request.Tried, c.g.Tracker.Unreached(now, heads)...)
 	placement, ok := c.g.Placer.Place(ctx, req.Zone, request)
 	switch {
 	case !ok:
@@ -56,7 +58,7 @@
 		// view of this node may have one.
 		return dispatcherChoice{alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor}, placement.Predicted > 0 || placement.LimitedFor > 0
 	}
-	now := time.Now()
+	now = time.Now()
 	placed, usable := c.placedEndpoint(now, placement, req)
 	if !usable {
 		return dispatcherChoice{}, false
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -128,12 +128,13 @@
 func (c *plainCall) attempt(ctx context.Context, choice balance.Choice) plainAttempt {
 	c.tried[choice.Endpoint.ID] = true
 	ctx, cancel := context.WithTimeout(ctx, c.attemptTimeout(time.Now()))
-	response, err := c.g.Upstream.Send(ctx, choice.Endpoint, c.r, c.g.forwardHeaders(c.r, choice.Endpoint, ""))
+	response, err := c.g.send(ctx, c.r, choice.Endpoint, "", c.sendMode())
 	if err != nil {
 		cancel()
 		return c.recordSendFailure(choice, err)
 	}
 	c.sent++
+	c.g.recordResponded(time.Now(), choice.Endpoint, response)
 	c.g.recordResponseInfo(c.r, choice, response)
 	last := c.readResponse(response)
 	last.release = func() {
@@ -148,6 +149,15 @@
 	return last
 }
 
+// sendMode returns how the next attempt is sent. One that may not be repeated isn't written to
+// an open connection that may be dead: its outcome would be unknown until its deadline.
+func (c *plainCall) sendMode() sendMode {
+	return sendMode{
+		fresh:  c.mayHaveRun,
+		insist: func() bool { return c.failedDials > 0 || !c.g.hasAlternative(time.Now(), c.r, c.tried) },
+	}
+}
+
 // readResponse reads up to maxBufferedResponse bytes of a response.
 func (c *plainCall) readResponse(response *Response) plainAttempt {
 	last := plainAttempt{response: response, notRun: response.Info.NotRun}
@@ -188,7 +198,7 @@
 		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
 	}
 	klog.InfoS("answered", "request", c.r.Info.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "status", last.response.Status,
-		"not_run", last.notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sent, "took", now.Sub(c.r.Arrived),
+		"not_run", last.notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sent, "took", now.Sub(c.r.Arrived), "via", last.response.Peer,
 		"configuration", c.r.configVersion())
 }
 
@@ -207,9 +217,9 @@
 	choice.Attempt.Done(now, false)
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		c.failedDials++
-		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
 	} else {
 		c.sent++
+		c.g.recordBroken(now, choice.Endpoint, nil)
 	}
 	c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](err))
 	klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
--- a/gateway/response_info.go
+++ b/gateway/response_info.go
@@ -25,6 +25,9 @@
 		g.Metrics.EndpointLeaving()
 	}
 	g.recordLimit(r, choice, response)
+	if response.Peer != "" {
+		return // a Retry-After binds the node from which the request came
+	}
 	wait := response.Info.RetryAfter
 	choice.Attempt.RecordResponse(time.Now(), response.Info.NotRun, wait)
 	if wait > 0 {
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -46,8 +46,7 @@
 	}
 	if !w.reported {
 		w.reported = true
-		w.call.g.Tracker.MarkUnreachable(now, w.choice.Endpoint.ID)
-		w.call.g.ReportStall(w.choice.Endpoint.ID)
+		w.call.g.recordStalled(now, w.choice.Endpoint)
 	}
 	if w.call.mayResumeElsewhere(now) {
 		w.cancel()
@@ -69,13 +68,24 @@
 	if !c.r.Idempotent() || c.sent.Load() >= int64(c.r.Route.MaxAttempts) {
 		return false
 	}
-	view := c.g.Cache.View()
-	others := view.ByService[c.r.Service.Name]
-	if c.r.Service.Engine != nil {
-		others = view.Heads(c.r.Service.Name, c.r.Info.Model)
-	}
-	if !c.g.Tracker.HasAlternative(now, others, view.ZonesOut, c.g.balanceRequest(c.r, c.tried)) {
+	if !c.hasAlternative(now) {
 		return false
 	}
 	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
 }
+
+// hasAlternative reports whether an endpoint that hasn't been tried could take the stream.
+func (c *streamCall) hasAlternative(now time.Time) bool {
+	return c.g.hasAlternative(now, c.r, c.tried)
+}
+
+// hasAlternative reports whether an endpoint that isn't among the tried ones could take a
+// request.
+func (g *Gateway) hasAlternative(now time.Time, r *Request, tried map[string]bool) bool {
+	view := g.Cache.View()
+	others := view.ByService[r.Service.Name]
+	if r.Service.Engine != nil {
+		others = view.Heads(r.Service.Name, r.Info.Model)
+	}
+	return g.Tracker.HasAlternative(now, others, view.ZonesOut, g.balanceRequest(r, tried))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -145,9 +145,8 @@
 		choice.Attempt.Done(now, ok || (ctx.Err() != nil && !stalled.Load()))
 	}
 	switch {
-	case redwinghall.KindOf[Kind](last.err) == NotSent && ctx.Err() == nil:
-		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
-		c.g.ReportStall(choice.Endpoint.ID)
+	case redwinghall.KindOf[Kind](last.err) == Unknown && ctx.Err() == nil:
+		c.g.recordBroken(now, choice.Endpoint, last.response)
 	case last.notRun && c.r.Service.Engine != nil && !last.response.rejectedWithRetryAfter():
 		// While the store is unreachable, the head of a closed group still looks open
 		// here, and less loaded than all others. Streams would be sent to it one
@@ -158,7 +157,7 @@
 		c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](last.err))
 		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
 			"group", choice.Endpoint.Member.Group, "kind", redwinghall.KindOf[Kind](last.err), "not_run", last.notRun,
-			"status", last.status(), "stalled", stalled.Load(), "last_event", c.lastID, "running", choice.Running, "predicted", choice.Predicted, "err", last.err)
+			"status", last.status(), "stalled", stalled.Load(), "last_event", c.lastID, "running", choice.Running, "predicted", choice.Predicted, "via", last.response.via(), "err", last.err)
 	}
 	return last
 }
@@ -170,7 +169,7 @@
 		lastEvent = strconv.FormatInt(c.lastID, 10)
 	}
 	c.sent.Add(1)
-	response, err := c.g.Upstream.Send(ctx, choice.Endpoint, c.r, c.g.forwardHeaders(c.r, choice.Endpoint, lastEvent))
+	response, err := c.g.send(ctx, c.r, choice.Endpoint, lastEvent, c.sendMode())
 	if err != nil {
 		if redwinghall.KindOf[Kind](err) == NotSent {
 			c.failedDials++
@@ -194,16 +193,22 @@
 	c.sendHeaders(response)
 	err = c.relay(choice, response)
 	if err != nil {
-		return streamAttempt{err: redwinghall.NewOpError("streamCall.exchange", Unknown, err)}
+		return streamAttempt{response: response, err: redwinghall.NewOpError("streamCall.exchange", Unknown, err)}
 	}
 	first, took := c.firstEventAt.Sub(c.r.Arrived), time.Since(c.r.Arrived)
 	klog.InfoS("streamed", "request", c.r.Info.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "zone", choice.Endpoint.Zone,
 		"running", choice.Running, "load_age", choice.Age, "predicted", choice.Predicted, "first", first, "expected", choice.Expected, "pause", c.longestPause,
-		"took", took, "attempts", c.sent.Load(), "configuration", c.r.configVersion())
+		"took", took, "attempts", c.sent.Load(), "via", response.Peer, "configuration", c.r.configVersion())
 	c.g.Metrics.Streamed(c.r, first, c.longestPause, took)
 	return streamAttempt{done: true}
 }
 
+// sendMode returns how the next attempt is sent. A stream that was just broken off goes on over
+// a new connection: the open ones may have broken with it, and it has no attempt to lose.
+func (c *streamCall) sendMode() sendMode {
+	return sendMode{fresh: c.mayHaveRun, insist: func() bool { return c.failedDials > 0 || !c.hasAlternative(time.Now()) }}
+}
+
 // forwardFailure forwards an endpoint's error response to the caller, unless a retry
 // may succeed.
 func (c *streamCall) forwardFailure(response *Response) streamAttempt {
@@ -246,6 +251,7 @@
 		}
 		now := time.Now()
 		choice.Attempt.RecordEvent(now, pace)
+		c.g.recordResponded(now, choice.Endpoint, response)
 		if c.alreadySent(event) {
 			continue
 		}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -64,7 +64,10 @@
 
 // Upstream sends requests to endpoints over pooled connections.
 type Upstream struct {
+	open      dial.Func
 	transport *http.Transport
+	// fresh opens a connection for each request and keeps none.
+	fresh *http.Transport
 }
 
 // EndpointKeepAlive is the configuration of keep-alive probes on connections to endpoints.
@@ -78,7 +81,13 @@
 
 // NewUpstreamWithDialer returns an upstream that opens its connections by a function.
 func NewUpstreamWithDialer(open dial.Func) *Upstream {
-	return &Upstream{transport: &http.Transport{
+	fresh := newEndpointTransport(open)
+	fresh.MaxIdleConnsPerHost = -1 // keeps none, without asking the endpoint to close
+	return &Upstream{open: open, transport: newEndpointTransport(open), fresh: fresh}
+}
+
+func newEndpointTransport(open dial.Func) *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
@@ -93,7 +102,7 @@
 		DisableCompression:  true,
 		ReadBufferSize:      connBufferSize,
 		WriteBufferSize:     connBufferSize,
-	}}
+	}
 }
 
 // Close closes all idle connections.
@@ -127,6 +136,17 @@
 	Body   io.ReadCloser
 	Length int64 // -1 if unknown
 	Info   platform.ResponseInfo
+	// Peer is the node that forwarded the request, "" if it went over this node's own
+	// connection.
+	Peer string
+}
+
+// via returns the node that forwarded the request, "" if there is none or no response.
+func (r *Response) via() string {
+	if r == nil {
+		return ""
+	}
+	return r.Peer
 }
 
 // rejectedWithRetryAfter reports whether the endpoint did not run the request and asked
@@ -136,9 +156,17 @@
 	return r != nil && r.Info.NotRun && r.Info.RetryAfter > 0
 }
 
+// SendOptions vary how a request is sent.
+type SendOptions struct {
+	// Fresh sends the request over a new connection.
+	Fresh bool
+	// OnConnected is called if a connection was opened for the request; it may be nil.
+	OnConnected func()
+}
+
 // Send sends one request to an endpoint, without retries. Cancelling ctx closes the
 // connection.
-func (u *Upstream) Send(ctx context.Context, to *fleet.Endpoint, in *Request, headers platform.ForwardHeaders) (*Response, error) {
+func (u *Upstream) Send(ctx context.Context, to *fleet.Endpoint, in *Request, headers platform.ForwardHeaders, options SendOptions) (*Response, error) {
 	var conn *countingConn
 	var before, use int64
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -146,6 +174,9 @@
 			if c, ok := info.Conn.(*countingConn); ok {
 				conn, before, use = c, c.written.Load(), c.idle.begin()
 			}
+			if !info.Reused && options.OnConnected != nil {
+				options.OnConnected()
+			}
 		},
 		PutIdleConn: func(err error) {
 			if err == nil && conn != nil {
@@ -161,17 +192,27 @@
 		Body:          &onceBody{data: in.Body},
 		ContentLength: int64(len(in.Body)),
 	}
-	response, err := u.transport.RoundTrip(out.WithContext(ctx))
+	transport := u.transport
+	if options.Fresh {
+		transport = u.fresh
+	}
+	response, err := transport.RoundTrip(out.WithContext(ctx))
 	if err != nil {
 		if conn == nil || conn.written.Load() == before {
 			return nil, redwinghall.NewOpError("Upstream.Send", NotSent, err)
 		}
 		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
 	}
-	info := platform.DecodeResponseInfo(response.StatusCode, response.Header)
-	if conn != nil {
-		conn.idle.setTimeout(info.IdleTimeout)
+	answer, err := newResponse(response, in)
+	if conn != nil && err == nil {
+		conn.idle.setTimeout(answer.Info.IdleTimeout)
 	}
+	return answer, err
+}
+
+// newResponse returns the response to a request, or an error if it belongs to another one.
+func newResponse(response *http.Response, in *Request) (*Response, error) {
+	info := platform.DecodeResponseInfo(response.StatusCode, response.Header)
 	if info.RequestID != "" && info.RequestID != in.Info.ID {
 		// An endpoint may send a late second response to an earlier request on a
 		// reused connection, in place of the next request's response. The echoed
--- /dev/null
+++ b/node/forwarding.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/gateway"
+	"redwinghall/kernel"
+	"redwinghall/neighbor"
+	"redwinghall/reach"
+	"redwinghall/relay"
+)
+
+const (
+	// maxPeersAsked is how many other nodes are asked to forward one request, and how many
+	// whether they reach an endpoint.
+	maxPeersAsked = 3
+	// verifyRounds is how often further nodes are asked whether they reach an endpoint.
+	verifyRounds = 4
+	// quickRefusal is how long the nodes asked so far may have taken if another one is asked:
+	// one that needs longer has waited for a connection itself.
+	quickRefusal = 50 * time.Millisecond
+	// checkTimeout bounds the wait for a node that is asked whether it reaches an endpoint. It
+	// covers the timeout of a connection there.
+	checkTimeout = 250 * time.Millisecond
+	// pathProbeInterval is how often paths to endpoints are probed, with at most
+	// pathProbesAtOnce endpoints each time: a connection costs the endpoint something.
+	pathProbeInterval = 100 * time.Millisecond
+	pathProbesAtOnce  = 2
+	// progressAge is how recently another node must have had something from an endpoint that
+	// is silent here to show that only this node's connections are dead.
+	progressAge = 400 * time.Millisecond
+)
+
+// forwarder makes calls to endpoints by way of other nodes.
+type forwarder struct {
+	node      *Node
+	client    *neighbor.ForwardClient
+	peers     *reach.Peers
+	mu        sync.Mutex
+	verifying map[string]bool // by endpoint
+}
+
+var _ gateway.Forwarder = (*forwarder)(nil)
+
+func newForwarder(n *Node) *forwarder {
+	return &forwarder{node: n, client: neighbor.NewForwardClient(), peers: reach.NewPeers(), verifying: map[string]bool{}}
+}
+
+var errNotForwarded = errors.New("no other node could send the request to the endpoint")
+
+// choose returns the node to ask next.
+func (f *forwarder) choose(now time.Time, service string, asked []reach.Peer) (reach.Peer, bool) {
+	own := reach.ZonePeers{Zone: f.node.settings.Zone, Peers: f.others(f.node.peers())}
+	var zones []reach.ZonePeers
+	for _, zone := range f.node.settings.Zones {
+		if zone != own.Zone {
+			zones = append(zones, reach.ZonePeers{Zone: zone, Peers: f.node.peersOf(zone)})
+		}
+	}
+	return f.peers.Choose(now, service, own, zones, asked)
+}
+
+func (f *forwarder) others(peers []relay.Peer) []relay.Peer {
+	var others []relay.Peer
+	for _, one := range peers {
+		if one.Name != f.node.settings.Node {
+			others = append(others, one)
+		}
+	}
+	return others
+}
+
+// Forward implements gateway.Forwarder.
+func (f *forwarder) Forward(ctx context.Context, e *fleet.Endpoint, newRequest func() (neighbor.Forward, *http.Request)) (*http.Response, string, neighbor.ForwardOutcome, error) {
+	const op = "forwarder.Forward"
+	begun := time.Now()
+	var asked, unreached []reach.Peer
+	var last neighbor.ForwardOutcome
+	for len(asked) < maxPeersAsked && ctx.Err() == nil {
+		now := time.Now()
+		if len(unreached) > 0 && now.Sub(begun) > quickRefusal {
+			break
+		}
+		peer, ok := f.choose(now, e.Service, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, peer)
+		call, request := newRequest()
+		end := f.peers.Begin(peer.Name)
+		response, outcome, err := f.client.Send(ctx, peer.Address, call, request)
+		switch {
+		case err != nil && ctx.Err() != nil:
+			end()
+			return nil, "", "", redwinghall.NewOpError(op, gateway.Unknown, err)
+		case redwinghall.KindOf[neighbor.ForwardErrorKind](err) == neighbor.PeerSilent:
+			end()
+			f.peers.FailedToForward(now, e.Service, peer)
+			klog.InfoS("peer_silent", "endpoint", e.ID, "peer", peer.Name, "err", err)
+			return nil, "", "", redwinghall.NewOpError(op, gateway.Unknown, err)
+		case err == nil && outcome == neighbor.Delivered:
+			f.recordReached(now, e, peer, unreached)
+			response.Body = &countedBody{ReadCloser: response.Body, end: end}
+			return response, peer.Name, outcome, nil
+		}
+		end()
+		last = outcome
+		if f.recordNotForwarded(now, e, peer, response, outcome, err) {
+			unreached = append(unreached, peer)
+		}
+	}
+	if len(asked) == 0 {
+		return nil, "", "", redwinghall.NewOpError(op, gateway.NotSent, gateway.ErrNoPeer)
+	}
+	return nil, "", last, redwinghall.NewOpError(op, gateway.NotSent, errNotForwarded)
+}
+
+// recordReached records that a node reaches an endpoint; those that don't are parted from it.
+func (f *forwarder) recordReached(now time.Time, e *fleet.Endpoint, peer reach.Peer, unreached []reach.Peer) {
+	f.peers.Succeeded(e.Service, peer)
+	for _, one := range unreached {
+		f.peers.FailedToForward(now, e.Service, one)
+	}
+}
+
+// recordNotForwarded records that a node sent nothing, and reports whether it doesn't reach the
+// endpoint either. That alone is no reason to ask it less: the endpoint may be dead.
+func (f *forwarder) recordNotForwarded(now time.Time, e *fleet.Endpoint, peer reach.Peer, response *http.Response, outcome neighbor.ForwardOutcome, err error) bool {
+	if err == nil {
+		closeBody(response)
+	}
+	klog.InfoS("peer_did_not_forward", "endpoint", e.ID, "peer", peer.Name, "outcome", outcome, "err", err)
+	if outcome == neighbor.Unreached || outcome == neighbor.Refused {
+		return true
+	}
+	f.peers.FailedToForward(now, e.Service, peer)
+	return false
+}
+
+func closeBody(response *http.Response) {
+	if err := response.Body.Close(); err != nil {
+		klog.V(1).InfoS("body_not_closed", "err", err)
+	}
+}
+
+// countedBody ends the count of a forwarded request with its response.
+type countedBody struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	b.end()
+	return b.ReadCloser.Close()
+}
+
+// Verify implements gateway.Forwarder. It asks several nodes of different zones at the same
+// time: some may be parted from the endpoint too.
+func (f *forwarder) Verify(e *fleet.Endpoint, silent bool) {
+	if !f.beginVerify(e.ID) {
+		return
+	}
+	f.node.group.Go("verify_path", func(ctx context.Context) error {
+		defer f.endVerify(e.ID)
+		reached, asked := f.askInRounds(ctx, e, silent)
+		if asked > 0 || silent {
+			f.node.gateway.RecordPath(time.Now(), e, reached, silent)
+		}
+		klog.InfoS("path_verified", "endpoint", e.ID, "asked", asked, "reached", reached, "silent", silent)
+		return nil
+	})
+}
+
+func (f *forwarder) beginVerify(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.verifying[id] || f.node.group == nil {
+		return false
+	}
+	f.verifying[id] = true
+	return true
+}
+
+func (f *forwarder) endVerify(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.verifying, id)
+}
+
+// askInRounds asks several nodes and, while none reaches the endpoint and this node fails at other
+// endpoints too, further ones: those asked may be parted like this node.
+func (f *forwarder) askInRounds(ctx context.Context, e *fleet.Endpoint, silent bool) (reached bool, answered int) {
+	var asked []reach.Peer
+	for round := range verifyRounds {
+		if round > 0 && !f.node.paths.SeveralFailed(time.Now()) && !f.node.paths.Parted() {
+			break
+		}
+		before := len(asked)
+		var n int
+		reached, n, asked = f.ask(ctx, e, silent, asked)
+		answered += n
+		if reached || len(asked) == before {
+			break
+		}
+	}
+	return reached, answered
+}
+
+// ask asks several nodes that haven't been asked. It reports whether any of them reaches the
+// endpoint, how many answered, and all that have been asked.
+func (f *forwarder) ask(ctx context.Context, e *fleet.Endpoint, silent bool, asked []reach.Peer) (reached bool, answered int, all []reach.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	type answer struct {
+		peer     reach.Peer
+		answered bool
+		reached  bool
+	}
+	answers := make(chan answer, maxPeersAsked)
+	sent := 0
+	for sent < maxPeersAsked {
+		peer, ok := f.choose(time.Now(), e.Service, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, peer)
+		sent++
+		f.node.group.Go("check_endpoint", func(context.Context) error {
+			reached, ok := f.check(ctx, e, peer, silent)
+			answers <- answer{peer, ok, reached}
+			return nil
+		})
+	}
+	for range sent {
+		one := <-answers
+		if one.answered {
+			answered++
+		}
+		if one.reached {
+			f.peers.Succeeded(e.Service, one.peer)
+			return true, answered, asked // the others may still wait for a connection
+		}
+	}
+	return false, answered, asked
+}
+
+// check asks one node whether it reaches an endpoint or, if the endpoint is silent here, whether
+// it had something from it just now.
+func (f *forwarder) check(ctx context.Context, e *fleet.Endpoint, peer reach.Peer, silent bool) (reached, ok bool) {
+	call := neighbor.Forward{Kind: neighbor.ForwardCheck, Endpoint: e.ID, Node: f.node.settings.Node}
+	response, outcome, err := f.client.Send(ctx, peer.Address, call, &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: "/"}, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	})
+	if err != nil {
+		klog.InfoS("endpoint_not_checked", "endpoint", e.ID, "peer", peer.Name, "err", err)
+		return false, false
+	}
+	closeBody(response)
+	if silent {
+		age, known := neighbor.ForwardAnswered(response.Header)
+		return known && age <= progressAge, true
+	}
+	reached = outcome == neighbor.Reached || outcome == neighbor.Indirect
+	return reached, reached || outcome == neighbor.Unreached
+}
+
+// startPathProbes tries to connect to the endpoints that are reached through other nodes, until
+// this node reaches them itself.
+func (n *Node) startPathProbes(g *kernel.Group) {
+	g.Every("path_probes", pathProbeInterval, func(_ context.Context, now time.Time) {
+		for _, id := range n.paths.ProbesDue(now, pathProbesAtOnce) {
+			e, ok := n.cache.View().Endpoints[id]
+			if !ok {
+				continue
+			}
+			g.Go("probe_path", func(ctx context.Context) error {
+				n.gateway.Connect(ctx, e)
+				return nil
+			})
+		}
+	})
+}
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -57,12 +57,19 @@
 }
 
 func (n *Node) neighborServer() *http.Server {
+	calls := neighbor.NewHandler(neighbor.ServerConfig{
+		Mirror: n.source.Mirror, Loads: n.loads, Suspect: n.manager.ReportStall,
+		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads,
+		Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving,
+	})
 	return &http.Server{
 		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout,
-		Handler: neighbor.NewHandler(neighbor.ServerConfig{
-			Mirror: n.source.Mirror, Loads: n.loads, Suspect: n.manager.ReportStall,
-			Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads,
-			Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if neighbor.IsForwarded(r) {
+				n.gateway.ServeForwarded(w, r)
+				return
+			}
+			calls.ServeHTTP(w, r)
 		}),
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"redwinghall/members"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
+	"redwinghall/reach"
 	"redwinghall/relay"
 )
 
@@ -66,6 +67,7 @@
 	rosters   rosterCache
 	// backoff tracks dispatchers that failed to respond.
 	backoff *relay.PeerBackoff
+	paths   *reach.Table
 	callers net.Listener
 }
 
@@ -82,7 +84,7 @@
 	n := &Node{
 		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
-		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff),
+		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(),
 	}
 	n.source = relay.NewSource(relay.Config{
 		Store: store, PeerClient: n.neighbors, Self: s.Node, Peers: n.peers, RemotePeers: n.remotePeers, Leader: n.leader, EqualFor: equalFor,
@@ -92,6 +94,7 @@
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress(), Capacity: capacityOf(s)},
 		Zones: s.Zones, FirstStart: s.FirstStart, Now: kernel.BootTime,
 	}, n.source)
+	forwards := newForwarder(n)
 	n.manager = formation.NewManager(formation.Options{
 		Settings: n.currentSettings, Cache: n.cache, Orderer: platform.NewEndpointClientWithDialer(n.onLeavingResponse, open), Position: n.table.Position,
 		HoldsLease:     func(zone string) bool { return n.table.HoldsLease(zone, kernel.BootTime()) },
@@ -108,6 +111,8 @@
 		ReportStall:  n.reportStall,
 		Placer:       newZonePlacer(n),
 		PermitIssuer: permitIssuer{n},
+		Paths:        n.paths,
+		Forwarder:    forwards,
 		Stopping:     n.plannedStop,
 	})
 	n.follower = directory.NewFollower(n.source, n.cache, n.manager.Pending).WithKnown(n.table.Known())
@@ -146,12 +151,13 @@
 	n.manager.Start(g)
 	n.startSharing(g)
 	n.startZoneSharing(g)
+	n.startPathProbes(g)
 	g.Every("slow_groups", slowInterval, func(_ context.Context, now time.Time) {
 		for _, id := range n.tracker.SlowEndpoints(now) {
 			n.reportStall(id)
 		}
 	})
-	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) { n.tracker.Forget(now) })
+	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) { n.tracker.Forget(now); n.paths.Forget(now) })
 	g.Go("stop", func(running context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/node/stop.go
+++ b/node/stop.go
@@ -53,7 +53,7 @@
 	defer cancel()
 	n.table.Leave(leave)
 	kernel.Sleep(ctx, time.Until(stop.Noticed))
-	for n.conns.active(time.Now()) && n.waitStopPoll(ctx) {
+	for (n.conns.active(time.Now()) || n.gateway.Forwards() > 0) && n.waitStopPoll(ctx) {
 	}
 	// A connection accepted after the check above would be cut off with its request.
 	// So the listener is closed first, and connections accepted just before that get
--- /dev/null
+++ b/reach/peers.go
@@ -0,0 +1,178 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"redwinghall/relay"
+)
+
+const (
+	// minPeerPause is how long a node that could not forward a request isn't asked again for
+	// that service. It doubles with each failure, up to maxPeerPause.
+	minPeerPause = 500 * time.Millisecond
+	maxPeerPause = 4 * time.Second
+	// zoneRefusals is the number of failures in a row after which the nodes of a zone are
+	// asked last for that service: mostly the whole zone is parted then.
+	zoneRefusals = 2
+	// maxForwardsPerPeer is how many requests this node has forwarded by one node at a time
+	// while others can take more.
+	maxForwardsPerPeer = 16
+)
+
+// ZonePeers are the nodes of an availability zone.
+type ZonePeers struct {
+	Zone  string
+	Peers []relay.Peer
+}
+
+// Peer is a node that can forward requests.
+type Peer struct {
+	relay.Peer
+	Zone string
+}
+
+// Peers chooses the nodes that forward requests for this node. It is safe for concurrent use.
+type Peers struct {
+	mu    sync.Mutex
+	nodes map[peerKey]*pause
+	zones map[peerKey]*pause
+	busy  map[string]int // requests in progress, by node
+}
+
+// peerKey identifies a node or zone for one service.
+type peerKey struct{ service, name string }
+
+type pause struct {
+	until    time.Time
+	delay    time.Duration
+	failures int // in a row
+}
+
+// NewPeers returns a choice without experience.
+func NewPeers() *Peers {
+	return &Peers{nodes: map[peerKey]*pause{}, zones: map[peerKey]*pause{}, busy: map[string]int{}}
+}
+
+// Choose returns the node that forwards the next request to a service. own is this node's own
+// zone, which goes first; tried holds the nodes that this request has already been sent to.
+//
+// After a failure the next node is of another zone if possible, as the nodes of one zone are
+// mostly parted together.
+func (p *Peers) Choose(now time.Time, serviceName string, own ZonePeers, others []ZonePeers, tried []Peer) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	zones := append([]ZonePeers{own}, others...)
+	rand.Shuffle(len(others), func(i, j int) { zones[i+1], zones[j+1] = zones[j+1], zones[i+1] })
+	var last, busiest []ZonePeers
+	for _, z := range zones {
+		if zoneTried(tried, z.Zone) || p.paused(now, p.zones, peerKey{serviceName, z.Zone}) {
+			last = append(last, z)
+			continue
+		}
+		if peer, ok := p.leastBusy(now, serviceName, z, tried, maxForwardsPerPeer); ok {
+			return peer, true
+		}
+		busiest = append(busiest, z)
+	}
+	for _, z := range append(last, busiest...) {
+		if peer, ok := p.leastBusy(now, serviceName, z, tried, 0); ok {
+			return peer, true
+		}
+	}
+	return Peer{}, false
+}
+
+func zoneTried(tried []Peer, zone string) bool {
+	for _, one := range tried {
+		if one.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// leastBusy returns the node of a zone with the fewest requests in progress; ties are broken
+// at random. limit bounds them; 0 is no limit.
+func (p *Peers) leastBusy(now time.Time, serviceName string, z ZonePeers, tried []Peer, limit int) (Peer, bool) {
+	var best Peer
+	found := 0
+	for _, one := range z.Peers {
+		busy := p.busy[one.Name]
+		if p.paused(now, p.nodes, peerKey{serviceName, one.Name}) || wasTried(tried, one.Name) || (limit > 0 && busy >= limit) {
+			continue
+		}
+		switch least := p.busy[best.Name]; {
+		case found == 0 || busy < least:
+			best, found = Peer{Peer: one, Zone: z.Zone}, 1
+		case busy == least:
+			found++
+			if rand.N(found) == 0 {
+				best = Peer{Peer: one, Zone: z.Zone}
+			}
+		}
+	}
+	return best, found > 0
+}
+
+func wasTried(tried []Peer, name string) bool {
+	for _, one := range tried {
+		if one.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Peers) paused(now time.Time, all map[peerKey]*pause, key peerKey) bool {
+	one, ok := all[key]
+	return ok && now.Before(one.until)
+}
+
+// Begin counts a request that a node forwards; the returned function ends it.
+func (p *Peers) Begin(name string) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[name]++
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.busy[name]--; p.busy[name] <= 0 {
+			delete(p.busy, name)
+		}
+	})
+}
+
+// Succeeded records that a node reaches endpoints of a service.
+func (p *Peers) Succeeded(serviceName string, peer Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.nodes, peerKey{serviceName, peer.Name})
+	delete(p.zones, peerKey{serviceName, peer.Zone})
+}
+
+// FailedToForward records that a node could not forward a request to a service.
+func (p *Peers) FailedToForward(now time.Time, serviceName string, peer Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fail(now, p.nodes, peerKey{serviceName, peer.Name}, 1)
+	fail(now, p.zones, peerKey{serviceName, peer.Zone}, zoneRefusals)
+}
+
+// fail records a failure and starts a pause from the given number of failures in a row.
+func fail(now time.Time, all map[peerKey]*pause, key peerKey, from int) {
+	one, ok := all[key]
+	if !ok {
+		one = &pause{}
+		all[key] = one
+	}
+	if now.Before(one.until) {
+		return // concurrent failures count once
+	}
+	one.failures++
+	if one.failures >= from {
+		one.delay = min(max(2*one.delay, minPeerPause), maxPeerPause)
+		one.until = now.Add(one.delay)
+	}
+}
--- /dev/null
+++ b/reach/table.go
@@ -0,0 +1,306 @@
+package reach
+
+import (
+	"sync"
+	"time"
+)
+
+// Timing of the paths to endpoints.
+const (
+	// minHold is how long an endpoint is reached through other nodes at least, once they
+	// reach it and this node doesn't. If the path fails again within flapTime of its return,
+	// the time doubles, up to maxHold: each change of the path costs the requests that
+	// meet it.
+	minHold  = time.Second
+	maxHold  = 8 * time.Second
+	flapTime = 10 * time.Second
+	// minProbeDelay is the time until the first attempt to connect again. It doubles with each
+	// failure, up to maxProbeDelay.
+	minProbeDelay = 250 * time.Millisecond
+	maxProbeDelay = 2 * time.Second
+	// doubtTime is how long after a broken connection this node distrusts its other open
+	// connections.
+	doubtTime = 3 * time.Second
+	// partedEndpoints is the number of endpoints of a service that only other nodes reach
+	// from which this node assumes the same of the service's other endpoints.
+	partedEndpoints = 2
+	forgetAfter     = 30 * time.Second
+)
+
+// Table holds the paths to the endpoints. It is safe for concurrent use.
+type Table struct {
+	mu        sync.Mutex
+	endpoints map[string]*path
+	services  map[string]*service
+	troubleAt time.Time // when a connection to any endpoint last failed or broke
+}
+
+// severalFailed is the number of endpoints whose connections fail or break within failWindow
+// from which this node distrusts all its open connections.
+const (
+	severalFailed = 3
+	failWindow    = time.Second
+)
+
+// path is the state of this node's own path to one endpoint.
+type path struct {
+	service  string
+	failedAt time.Time // when a connection could last not be opened
+	brokeAt  time.Time // when a connection last broke, fell silent or could not be opened
+	goodAt   time.Time // when a connection was last opened or brought a response
+	// indirect means that requests go through other nodes.
+	indirect   bool
+	holdUntil  time.Time
+	hold       time.Duration
+	returnedAt time.Time // when the path last worked again
+	probeAt    time.Time
+	probeDelay time.Duration
+	usedAt     time.Time
+}
+
+// service is what the paths to its endpoints have in common.
+type service struct {
+	// failingSince is when the first connection failed since one was last opened, zero if
+	// none did.
+	failingSince time.Time
+	indirect     int // endpoints that are reached through other nodes
+}
+
+// NewTable returns a table in which all endpoints are reached directly.
+func NewTable() *Table {
+	return &Table{endpoints: map[string]*path{}, services: map[string]*service{}}
+}
+
+func (t *Table) path(now time.Time, serviceName, id string) (*path, *service) {
+	p, ok := t.endpoints[id]
+	if !ok {
+		p = &path{service: serviceName, hold: minHold}
+		t.endpoints[id] = p
+	}
+	p.usedAt = now
+	s, ok := t.services[serviceName]
+	if !ok {
+		s = &service{}
+		t.services[serviceName] = s
+	}
+	return p, s
+}
+
+// Direct reports whether the next request to an endpoint goes over this node's own
+// connections.
+//
+// While other nodes reach several endpoints of a service and this node reaches none, it
+// doesn't try the others one by one: callers would wait for a connection timeout at each.
+func (t *Table) Direct(now time.Time, serviceName, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, s := t.path(now, serviceName, id)
+	if !p.indirect && s.parted() && !p.goodAt.After(s.failingSince) {
+		p.goIndirect(now)
+		p.holdUntil = now // it may work: nobody has tried
+		s.indirect++
+	}
+	return !p.indirect
+}
+
+// parted reports whether this node seems to reach no endpoint of the service.
+func (s *service) parted() bool {
+	return s.indirect >= partedEndpoints && !s.failingSince.IsZero()
+}
+
+func (p *path) goIndirect(now time.Time) {
+	if !p.returnedAt.IsZero() && now.Sub(p.returnedAt) < flapTime {
+		p.hold = min(2*p.hold, maxHold)
+	} else {
+		p.hold = minHold
+	}
+	p.indirect = true
+	p.holdUntil = now.Add(p.hold)
+	p.probeDelay = minProbeDelay
+	p.probeAt = now.Add(p.probeDelay)
+}
+
+// Failed records that a connection to an endpoint could not be opened.
+func (t *Table) Failed(now time.Time, serviceName, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, s := t.path(now, serviceName, id)
+	p.failedAt, p.brokeAt = now, now
+	t.troubleAt = now
+	if s.failingSince.IsZero() {
+		s.failingSince = now
+	}
+}
+
+// Broke records that an open connection to an endpoint broke or fell silent.
+func (t *Table) Broke(now time.Time, serviceName, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, _ := t.path(now, serviceName, id)
+	p.brokeAt = now
+	t.troubleAt = now
+}
+
+// SeveralFailed reports whether connections to several endpoints failed or broke at about the
+// same time, as they do if this node is parted from them.
+func (t *Table) SeveralFailed(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > failWindow {
+		return false
+	}
+	n := 0
+	for _, p := range t.endpoints {
+		if !p.brokeAt.IsZero() && now.Sub(p.brokeAt) <= failWindow {
+			n++
+		}
+	}
+	return n >= severalFailed
+}
+
+// FailedRecently reports whether a connection to an endpoint could not be opened within
+// failWindow and none was since.
+func (t *Table) FailedRecently(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.endpoints[id]
+	return ok && !p.failedAt.IsZero() && p.failedAt.After(p.goodAt) && now.Sub(p.failedAt) <= failWindow
+}
+
+// SinceGood returns how long ago an endpoint last sent something over this node's own
+// connections.
+func (t *Table) SinceGood(now time.Time, id string) (age time.Duration, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.endpoints[id]
+	if !ok || p.goodAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(p.goodAt), true
+}
+
+// Responded records that an open connection brought a response.
+func (t *Table) Responded(now time.Time, serviceName, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, _ := t.path(now, serviceName, id)
+	p.goodAt = now
+}
+
+// Connected records that this node opened a connection to an endpoint. It reports whether
+// requests to it go over this node's own connections again.
+func (t *Table) Connected(now time.Time, serviceName, id string) (returned bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, s := t.path(now, serviceName, id)
+	p.goodAt = now
+	s.failingSince = time.Time{}
+	if !p.indirect {
+		return false
+	}
+	if now.Before(p.holdUntil) {
+		p.probeAt = p.holdUntil
+		return false
+	}
+	p.indirect, p.returnedAt = false, now
+	s.indirect = max(0, s.indirect-1)
+	t.probeAllSoon(now, p.service)
+	return true
+}
+
+// probeAllSoon makes the probes of a service's endpoints due, as one was reached again.
+func (t *Table) probeAllSoon(now time.Time, serviceName string) {
+	for _, p := range t.endpoints {
+		if p.indirect && p.service == serviceName {
+			p.probeDelay, p.probeAt = minProbeDelay, now
+		}
+	}
+}
+
+// ReachedByPeer records that another node reaches an endpoint. If this node doesn't, requests
+// go through other nodes from now on; changed reports whether that is new.
+func (t *Table) ReachedByPeer(now time.Time, serviceName, id string) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, s := t.path(now, serviceName, id)
+	if p.indirect || p.failedAt.IsZero() || p.goodAt.After(p.failedAt) {
+		return false
+	}
+	p.goIndirect(now)
+	s.indirect++
+	return true
+}
+
+// Doubtful reports whether this node distrusts its open connections to an endpoint: some
+// connection failed or broke, and this endpoint has sent nothing since.
+//
+// A request that is written to a connection that is already dead has an unknown outcome
+// until its deadline, and can't be repeated unless it is idempotent.
+func (t *Table) Doubtful(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > doubtTime {
+		return false
+	}
+	p, ok := t.endpoints[id]
+	return !ok || !p.goodAt.After(t.troubleAt)
+}
+
+// ProbesDue returns at most limit endpoints to which this node should try to connect now, and
+// schedules their next probes.
+func (t *Table) ProbesDue(now time.Time, limit int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []string
+	for id, p := range t.endpoints {
+		if len(due) == limit {
+			break
+		}
+		if p.indirect && !now.Before(p.probeAt) {
+			p.probeAt = now.Add(p.probeDelay)
+			p.probeDelay = min(2*p.probeDelay, maxProbeDelay)
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
+// Parted reports whether this node seems to reach no endpoint of some service.
+func (t *Table) Parted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if s.parted() {
+			return true
+		}
+	}
+	return false
+}
+
+// Indirect returns the number of endpoints that are reached through other nodes.
+func (t *Table) Indirect() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.endpoints {
+		if p.indirect {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops the paths that haven't been used for long. It has to be called periodically.
+func (t *Table) Forget(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.endpoints {
+		if now.Sub(p.usedAt) <= forgetAfter {
+			continue
+		}
+		if s := t.services[p.service]; p.indirect && s != nil {
+			s.indirect = max(0, s.indirect-1)
+		}
+		delete(t.endpoints, id)
+	}
+}
