Blame a node for not forwarding only where another one reaches the endpoint

A node that was asked to forward a request was passed over for a while whatever it answered: also for an endpoint that it doesn't know, a response that the endpoint broke off, or a single late connection. Now only those are passed over that fail where another one succeeds, are busy or don't answer; one that has just forwarded only after two failures; the last of three asked is one that has. Plays without a network at 3 to 300 nodes (reach), with 7 of 8 and 90 of 300 parted, bound what is carried, asked, and borne by one node.

--- a/neighbor/forward.go
+++ b/neighbor/forward.go
@@ -42,8 +42,10 @@
 // ForwardOutcome is what became of a forwarded call.
 type ForwardOutcome string
 
-// The outcomes. All but Delivered and Reached state that nothing was sent to the endpoint.
+// The outcomes. All but Delivered, Reached and Lost state that nothing was sent to the endpoint.
 const (
+	// Lost: the call was sent to the endpoint, and no usable response was received.
+	Lost ForwardOutcome = "lost"
 	// Delivered: the response is the endpoint's own.
 	Delivered ForwardOutcome = "delivered"
 	// Reached: the called node reaches the endpoint.
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// maxPeersAsked is how many other nodes are asked to forward one request, and how many
-	// whether they reach an endpoint.
-	maxPeersAsked = 3
 	// verifyRounds is how often further nodes are asked whether they reach an endpoint.
 	verifyRounds = 4
 	// quickRefusal is how long the nodes asked so far may have taken if another one is asked:
@@ -56,6 +53,8 @@
 	return &forwarder{node: n, client: neighbor.NewForwardClient(), peers: reach.NewPeers(), verifying: map[string]bool{}}
 }
 
+var errNoResponse = errors.New("the endpoint gave the forwarding node no response")
+
 var errNotForwarded = errors.New("no other node could send the request to the endpoint")
 
 // choose returns the node to ask next.
@@ -84,11 +83,13 @@
 func (f *forwarder) Forward(ctx context.Context, e *fleet.Endpoint, newRequest func() (neighbor.Forward, *http.Request)) (*http.Response, string, neighbor.ForwardOutcome, error) {
 	const op = "forwarder.Forward"
 	begun := time.Now()
+	// Others reach an endpoint whose path is lost here, so one that doesn't is parted too.
+	alive := !f.node.paths.Direct(begun, e.Service, e.ID)
 	var asked, unreached []reach.Peer
 	var last neighbor.ForwardOutcome
-	for len(asked) < maxPeersAsked && ctx.Err() == nil {
+	for len(asked) < reach.MaxPeersAsked && ctx.Err() == nil {
 		now := time.Now()
-		if len(unreached) > 0 && now.Sub(begun) > quickRefusal {
+		if len(unreached) > 0 && !alive && now.Sub(begun) > quickRefusal {
 			break
 		}
 		peer, ok := f.choose(now, e.Service, asked)
@@ -108,6 +109,10 @@
 			f.peers.FailedToForward(now, e.Service, peer)
 			klog.InfoS("peer_silent", "endpoint", e.ID, "peer", peer.Name, "err", err)
 			return nil, "", "", redwinghall.NewOpError(op, gateway.Unknown, err)
+		case outcome == neighbor.Lost:
+			end()
+			closeBody(response)
+			return nil, "", outcome, redwinghall.NewOpError(op, gateway.Unknown, errNoResponse)
 		case err == nil && outcome == neighbor.Delivered:
 			f.recordReached(now, e, peer, unreached)
 			response.Body = &countedBody{ReadCloser: response.Body, end: end}
@@ -117,6 +122,9 @@
 		last = outcome
 		if f.recordNotForwarded(now, e, peer, response, outcome, err) {
 			unreached = append(unreached, peer)
+			if alive {
+				f.peers.FailedToForward(now, e.Service, peer)
+			}
 		}
 	}
 	if len(asked) == 0 {
@@ -127,7 +135,7 @@
 
 // recordReached records that a node reaches an endpoint; those that don't are parted from it.
 func (f *forwarder) recordReached(now time.Time, e *fleet.Endpoint, peer reach.Peer, unreached []reach.Peer) {
-	f.peers.Succeeded(e.Service, peer)
+	f.peers.Succeeded(now, e.Service, peer)
 	for _, one := range unreached {
 		f.peers.FailedToForward(now, e.Service, one)
 	}
@@ -140,8 +148,11 @@
 		closeBody(response)
 	}
 	klog.InfoS("peer_did_not_forward", "endpoint", e.ID, "peer", peer.Name, "outcome", outcome, "err", err)
-	if outcome == neighbor.Unreached || outcome == neighbor.Refused {
+	switch outcome {
+	case neighbor.Unreached, neighbor.Refused:
 		return true
+	case neighbor.Unusable:
+		return false // it may carry requests to others
 	}
 	f.peers.FailedToForward(now, e.Service, peer)
 	return false
@@ -227,9 +238,9 @@
 		answered bool
 		reached  bool
 	}
-	answers := make(chan answer, maxPeersAsked)
+	answers := make(chan answer, reach.MaxPeersAsked)
 	sent := 0
-	for sent < maxPeersAsked {
+	for sent < reach.MaxPeersAsked {
 		peer, ok := f.choose(time.Now(), e.Service, asked)
 		if !ok {
 			break
@@ -248,7 +259,7 @@
 			answered++
 		}
 		if one.reached {
-			f.peers.Succeeded(e.Service, one.peer)
+			f.peers.Succeeded(time.Now(), e.Service, one.peer)
 			return true, answered, asked // the others may still wait for a connection
 		}
 	}
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -19,6 +19,14 @@
 	// maxForwardsPerPeer is how many requests this node has forwarded by one node at a time
 	// while others can take more.
 	maxForwardsPerPeer = 16
+	// MaxPeersAsked is how many nodes are asked to forward one request. The last one is a node
+	// that has just done so, if there is one.
+	MaxPeersAsked = 3
+	// provenTime is how long a node counts as one that reaches a service.
+	provenTime = 10 * time.Second
+	// provenFailures is the number of failures in a row after which such a node isn't asked
+	// for a while: a single one may be a busy moment.
+	provenFailures = 2
 )
 
 // ZonePeers are the nodes of an availability zone.
@@ -39,6 +47,8 @@
 	nodes map[peerKey]*pause
 	zones map[peerKey]*pause
 	busy  map[string]int // requests in progress, by node
+	// proven holds when a node last reached a service.
+	proven map[peerKey]time.Time
 }
 
 // peerKey identifies a node or zone for one service.
@@ -52,7 +62,7 @@
 
 // NewPeers returns a choice without experience.
 func NewPeers() *Peers {
-	return &Peers{nodes: map[peerKey]*pause{}, zones: map[peerKey]*pause{}, busy: map[string]int{}}
+	return &Peers{nodes: map[peerKey]*pause{}, zones: map[peerKey]*pause{}, busy: map[string]int{}, proven: map[peerKey]time.Time{}}
 }
 
 // Choose returns the node that forwards the next request to a service. own is this node's own
@@ -64,6 +74,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	zones := append([]ZonePeers{own}, others...)
+	if len(tried) == MaxPeersAsked-1 {
+		if peer, ok := p.lastProven(now, serviceName, zones, tried); ok {
+			return peer, true
+		}
+	}
 	rand.Shuffle(len(others), func(i, j int) { zones[i+1], zones[j+1] = zones[j+1], zones[i+1] })
 	var last, busiest []ZonePeers
 	for _, z := range zones {
@@ -84,6 +99,21 @@
 	return Peer{}, false
 }
 
+// lastProven returns the node that reached the service last, if it did so within provenTime.
+func (p *Peers) lastProven(now time.Time, serviceName string, zones []ZonePeers, tried []Peer) (Peer, bool) {
+	var best Peer
+	var bestAt time.Time
+	for _, z := range zones {
+		for _, one := range z.Peers {
+			at := p.proven[peerKey{serviceName, one.Name}]
+			if at.After(bestAt) && now.Sub(at) <= provenTime && !wasTried(tried, one.Name) {
+				best, bestAt = Peer{Peer: one, Zone: z.Zone}, at
+			}
+		}
+	}
+	return best, !bestAt.IsZero()
+}
+
 func zoneTried(tried []Peer, zone string) bool {
 	for _, one := range tried {
 		if one.Zone == zone {
@@ -145,9 +175,10 @@
 }
 
 // Succeeded records that a node reaches endpoints of a service.
-func (p *Peers) Succeeded(serviceName string, peer Peer) {
+func (p *Peers) Succeeded(now time.Time, serviceName string, peer Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.proven[peerKey{serviceName, peer.Name}] = now
 	delete(p.nodes, peerKey{serviceName, peer.Name})
 	delete(p.zones, peerKey{serviceName, peer.Zone})
 }
@@ -156,23 +187,32 @@
 func (p *Peers) FailedToForward(now time.Time, serviceName string, peer Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fail(now, p.nodes, peerKey{serviceName, peer.Name}, 1)
+	key, from := peerKey{serviceName, peer.Name}, 1
+	if at, ok := p.proven[key]; ok && now.Sub(at) <= provenTime {
+		from = provenFailures
+	}
+	if fail(now, p.nodes, key, from) {
+		delete(p.proven, key)
+	}
 	fail(now, p.zones, peerKey{serviceName, peer.Zone}, zoneRefusals)
 }
 
-// fail records a failure and starts a pause from the given number of failures in a row.
-func fail(now time.Time, all map[peerKey]*pause, key peerKey, from int) {
+// fail records a failure and starts a pause from the given number of failures in a row. It reports
+// whether one is in force.
+func fail(now time.Time, all map[peerKey]*pause, key peerKey, from int) bool {
 	one, ok := all[key]
 	if !ok {
 		one = &pause{}
 		all[key] = one
 	}
 	if now.Before(one.until) {
-		return // concurrent failures count once
+		return true // concurrent failures count once
 	}
 	one.failures++
-	if one.failures >= from {
-		one.delay = min(max(2*one.delay, minPeerPause), maxPeerPause)
-		one.until = now.Add(one.delay)
+	if one.failures < from {
+		return false
 	}
+	one.delay = min(max(2*one.delay, minPeerPause), maxPeerPause)
+	one.until = now.Add(one.delay)
+	return true
 }
--- /dev/null
+++ b/reach/peers_test.go
@@ -0,0 +1,112 @@
+package reach_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/reach"
+	"redwinghall/relay"
+)
+
+func zoneOf(zone string, nodes int) reach.ZonePeers {
+	z := reach.ZonePeers{Zone: zone}
+	for i := range nodes {
+		z.Peers = append(z.Peers, relay.Peer{Name: fmt.Sprintf("%s-%d", zone, i)})
+	}
+	return z
+}
+
+// play sends requests by way of peers, of which parted ones refuse. It returns how many were
+// carried, how many nodes were asked in all, and the most that one node carried.
+func play(peers *reach.Peers, own reach.ZonePeers, others []reach.ZonePeers, parted func(string) bool, requests int) (carried, asked, most int) {
+	const interval, duration = 20 * time.Millisecond, 400 * time.Millisecond
+	byNode := map[string]int{}
+	type running struct {
+		until time.Duration
+		end   func()
+	}
+	var inProgress []running
+	for i := range requests {
+		now := time.Duration(i) * interval
+		for len(inProgress) > 0 && inProgress[0].until <= now {
+			inProgress[0].end()
+			inProgress = inProgress[1:]
+		}
+		var tried []reach.Peer
+		for len(tried) < reach.MaxPeersAsked {
+			peer, ok := peers.Choose(after(now), "llm", own, others, tried)
+			if !ok {
+				break
+			}
+			asked++
+			tried = append(tried, peer)
+			if parted(peer.Name) {
+				continue
+			}
+			carried++
+			byNode[peer.Name]++
+			inProgress = append(inProgress, running{now + duration, peers.Begin(peer.Name)})
+			peers.Succeeded(after(now), "llm", peer)
+			for _, one := range tried[:len(tried)-1] {
+				peers.FailedToForward(after(now), "llm", one)
+			}
+			break
+		}
+	}
+	for _, count := range byNode {
+		most = max(most, count)
+	}
+	return carried, asked, most
+}
+
+// Many nodes are parted. The others must carry the requests of a parted one, without one of them
+// carrying all, and without most of the nodes being asked for each request.
+func TestPeersCarryRequestsOfPartedNodes(t *testing.T) {
+	const requests = 500
+	for name, c := range map[string]struct {
+		zones  []int // nodes by zone, the own zone first
+		parted func(node string) bool
+		least  float64 // share of the requests that must be carried
+		most   float64 // share that one node may carry
+		asked  float64 // nodes asked for each request
+	}{
+		"3 nodes, one parted":          {[]int{2, 1}, func(string) bool { return false }, 1, 1, 1},
+		"8 nodes, the own zone parted": {[]int{2, 3, 2}, func(n string) bool { return n[0] == 'a' }, 0.95, 0.5, 1.5},
+		"8 nodes, 7 parted":            {[]int{2, 3, 2}, func(n string) bool { return n != "c-1" }, 0.95, 1, 3},
+		"74 nodes, the own zone":       {[]int{24, 25, 24}, func(n string) bool { return n[0] == 'a' }, 0.95, 0.1, 1.5},
+		"300 nodes, 90 parted": {[]int{60, 60, 60, 60, 60}, func(n string) bool {
+			var i int
+			_, _ = fmt.Sscanf(n[2:], "%d", &i) // the name always matches
+			return i%10 < 3
+		}, 0.95, 0.05, 1.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			own := zoneOf("a", c.zones[0])
+			var others []reach.ZonePeers
+			for i, nodes := range c.zones[1:] {
+				others = append(others, zoneOf(string(rune('b'+i)), nodes))
+			}
+			carried, asked, most := play(reach.NewPeers(), own, others, c.parted, requests)
+			require.GreaterOrEqual(t, float64(carried), c.least*requests)
+			require.LessOrEqual(t, float64(most), c.most*requests)
+			require.LessOrEqual(t, float64(asked), c.asked*requests)
+		})
+	}
+}
+
+// Two nodes are both parted and each takes the other for sound. Both must stop asking each other.
+func TestPartedPeersAreNotAskedOverAndOver(t *testing.T) {
+	peers := reach.NewPeers()
+	own := zoneOf("a", 1)
+	asked := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 50 * time.Millisecond {
+		if peer, ok := peers.Choose(after(now), "llm", own, nil, nil); ok {
+			asked++
+			peers.FailedToForward(after(now), "llm", peer)
+		}
+	}
+	require.LessOrEqual(t, asked, 6)
+}
