Let a parted holder of a zone's lease reach its endpoints through other nodes

Cause: a report, order or health check that the holder's own connection could not carry counted as the endpoint's silence. Class: a node takes its own view of the network for the state of the world.

Now such calls go through another node where no connection can be opened. Only if other nodes don't reach the endpoint either it counts as silent; if nobody can tell, nothing is concluded. An order is sent by one node once: if the carrier says nothing, it counts as unanswered, as before.

--- a/formation/orders.go
+++ b/formation/orders.go
@@ -131,6 +131,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	klog.InfoS("member_not_ready", "endpoint", e.ID, "entry", e.Revision, "group", report.Member.Group, "state", report.Member.State, "err", err)
+	if redwinghall.KindOf[platform.Kind](err) == platform.Unclear {
+		return // this node can't tell
+	}
 	if n, ok := m.endpoints[e.ID]; ok {
 		n.suspectUntil = time.Now().Add(suspectDuration)
 	}
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/platform"
 )
 
 // ReportStall tells the manager that an endpoint's group makes little or no progress.
@@ -46,6 +49,10 @@
 			m.recordTimeFactor(now, n, report.TimeFactor)
 			return nil
 		}
+		if redwinghall.KindOf[platform.Kind](err) == platform.Unclear {
+			klog.InfoS("member_not_asked", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
+			return nil
+		}
 		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "since_report", m.sinceReport(now), "err", err)
 		n.suspectUntil = now.Add(suspectDuration)
 		return nil
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -130,6 +130,9 @@
 	if u.since.IsZero() {
 		return // its entry is back
 	}
+	if redwinghall.KindOf[platform.Kind](err) == platform.Unclear {
+		return
+	}
 	if err != nil {
 		u.fails++
 		u.absent = redwinghall.KindOf[platform.Kind](err) == platform.Absent || u.fails >= unlistedAbsentFailures
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -25,6 +25,7 @@
 	// that it reaches it without trying.
 	recentAnswer      = 500 * time.Millisecond
 	forwardBufferSize = 16 << 10
+	maxControlBytes   = 1 << 20
 )
 
 // ServeForwarded handles a call to an endpoint that another node doesn't reach. It is never
@@ -44,6 +45,8 @@
 		g.serveCheck(in.Context(), w, e)
 	case !g.Paths.Direct(now, e.Service, e.ID):
 		notForwarded(w, f, neighbor.Indirect, "indirect")
+	case f.Kind == neighbor.ForwardControl:
+		g.serveControl(w, in, f, e)
 	case g.forwards.Add(1) > maxForwards || g.stop().Active():
 		g.forwards.Add(-1)
 		notForwarded(w, f, neighbor.Busy, "busy")
@@ -56,7 +59,7 @@
 // Forwards returns how many requests of other nodes are in progress.
 func (g *Gateway) Forwards() int { return int(g.forwards.Load()) }
 
-// notForwarded states that nothing was sent to the endpoint.
+// notForwarded responds to the other node without a response of the endpoint.
 func notForwarded(w http.ResponseWriter, f neighbor.Forward, outcome neighbor.ForwardOutcome, why string) {
 	klog.InfoS("not_forwarded", "endpoint", f.Endpoint, "from", f.Node, "outcome", outcome, "why", why)
 	neighbor.SetForwardOutcome(w.Header(), outcome)
@@ -105,6 +108,38 @@
 	}
 }
 
+// serveControl makes an order, a report or a health check for another node.
+func (g *Gateway) serveControl(w http.ResponseWriter, in *http.Request, f neighbor.Forward, e *fleet.Endpoint) {
+	service, _ := g.Cache.View().Service(e.Service)
+	if !platform.IsControlPath(in.URL.Path) && in.URL.Path != service.HealthPath {
+		notForwarded(w, f, neighbor.Unusable, "path")
+		return
+	}
+	body, err := readBody(in, maxControlBytes)
+	if err != nil {
+		notForwarded(w, f, neighbor.Unusable, "body")
+		return
+	}
+	response, err := g.Control(in.Context(), e, in.Method, in.URL.Path, body, f.Timeout)
+	switch redwinghall.KindOf[platform.Kind](err) {
+	case "":
+		platform.CopyResponseHeaders(w.Header(), response.Header)
+		neighbor.SetForwardOutcome(w.Header(), neighbor.Delivered)
+		w.WriteHeader(response.Status)
+		if _, err := w.Write(response.Body); err != nil {
+			klog.V(1).InfoS("control_not_returned", "endpoint", e.ID, "from", f.Node, "err", err)
+		}
+	case platform.Absent:
+		notForwarded(w, f, neighbor.Refused, "refused")
+	case platform.NotReached:
+		g.Paths.Failed(time.Now(), e.Service, e.ID)
+		g.recordUnreached(time.Now(), e)
+		notForwarded(w, f, neighbor.Unreached, "not_connected")
+	default:
+		notForwarded(w, f, neighbor.Lost, "no_response") // it may have been carried out
+	}
+}
+
 func (g *Gateway) serveForwardedRequest(w http.ResponseWriter, in *http.Request, f neighbor.Forward, e *fleet.Endpoint, now time.Time) {
 	r, refusal := g.resolve(in, now)
 	switch {
@@ -144,7 +179,8 @@
 	}
 	if err != nil {
 		klog.InfoS("forward_failed", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "err", err)
-		panic(http.ErrAbortHandler) // the endpoint may have run the request
+		notForwarded(w, f, neighbor.Lost, "no_response")
+		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	g.recordResponseInfo(r, balance.Choice{Endpoint: e, Attempt: attempt}, response)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,7 +49,10 @@
 	Paths *reach.Table
 	// Forwarder sends requests through other nodes; nil if this node is the only one.
 	Forwarder Forwarder
-	Metrics   *Metrics
+	// Control makes an order, a report or a health check for another node, over this node's
+	// own connection. The kind of an error is one of platform.Kind.
+	Control func(ctx context.Context, e *fleet.Endpoint, method, path string, body []byte, timeout time.Duration) (platform.ControlResponse, error)
+	Metrics *Metrics
 	// Stopping returns the planned stop of this node. It may be nil for a node that
 	// never stops.
 	Stopping func() Stop
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -97,34 +97,20 @@
 			break
 		}
 		asked = append(asked, peer)
-		call, request := newRequest()
-		end := f.peers.Begin(peer.Name)
-		response, outcome, err := f.client.Send(ctx, peer.Address, call, request)
-		switch {
-		case err != nil && ctx.Err() != nil:
-			end()
-			return nil, "", "", redwinghall.NewOpError(op, gateway.Unknown, err)
-		case redwinghall.KindOf[neighbor.ForwardErrorKind](err) == neighbor.PeerSilent:
-			end()
-			f.peers.FailedToForward(now, e.Service, peer)
-			klog.InfoS("peer_silent", "endpoint", e.ID, "peer", peer.Name, "err", err)
-			return nil, "", "", redwinghall.NewOpError(op, gateway.Unknown, err)
-		case outcome == neighbor.Lost:
-			end()
-			closeBody(response)
-			return nil, "", outcome, redwinghall.NewOpError(op, gateway.Unknown, errNoResponse)
-		case err == nil && outcome == neighbor.Delivered:
+		response, outcome, err := f.forwardBy(ctx, now, e, peer, newRequest)
+		if err != nil {
+			return nil, "", outcome, err
+		}
+		if response != nil {
 			f.recordReached(now, e, peer, unreached)
-			response.Body = &countedBody{ReadCloser: response.Body, end: end}
 			return response, peer.Name, outcome, nil
 		}
-		end()
 		last = outcome
-		if f.recordNotForwarded(now, e, peer, response, outcome, err) {
+		if outcome == neighbor.Unreached || outcome == neighbor.Refused {
 			unreached = append(unreached, peer)
-			if alive {
-				f.peers.FailedToForward(now, e.Service, peer)
-			}
+		}
+		if alive && outcome == neighbor.Unreached {
+			f.peers.FailedToForward(now, e.Service, peer)
 		}
 	}
 	if len(asked) == 0 {
@@ -133,29 +119,43 @@
 	return nil, "", last, redwinghall.NewOpError(op, gateway.NotSent, errNotForwarded)
 }
 
-// recordReached records that a node reaches an endpoint; those that don't are parted from it.
-func (f *forwarder) recordReached(now time.Time, e *fleet.Endpoint, peer reach.Peer, unreached []reach.Peer) {
-	f.peers.Succeeded(now, e.Service, peer)
-	for _, one := range unreached {
-		f.peers.FailedToForward(now, e.Service, one)
+// forwardBy sends a request by way of one node. The response is nil if that node sent nothing to
+// the endpoint; the kind of an error is Unknown.
+func (f *forwarder) forwardBy(ctx context.Context, now time.Time, e *fleet.Endpoint, peer reach.Peer, newRequest func() (neighbor.Forward, *http.Request)) (*http.Response, neighbor.ForwardOutcome, error) {
+	const op = "forwarder.forwardBy"
+	call, request := newRequest()
+	end := f.peers.Begin(peer.Name)
+	response, outcome, err := f.client.Send(ctx, peer.Address, call, request)
+	if err == nil && outcome == neighbor.Delivered {
+		response.Body = &countedBody{ReadCloser: response.Body, end: end}
+		return response, outcome, nil
 	}
-}
-
-// recordNotForwarded records that a node sent nothing, and reports whether it doesn't reach the
-// endpoint either. That alone is no reason to ask it less: the endpoint may be dead.
-func (f *forwarder) recordNotForwarded(now time.Time, e *fleet.Endpoint, peer reach.Peer, response *http.Response, outcome neighbor.ForwardOutcome, err error) bool {
+	end()
 	if err == nil {
 		closeBody(response)
 	}
 	klog.InfoS("peer_did_not_forward", "endpoint", e.ID, "peer", peer.Name, "outcome", outcome, "err", err)
-	switch outcome {
-	case neighbor.Unreached, neighbor.Refused:
-		return true
-	case neighbor.Unusable:
-		return false // it may carry requests to others
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil, outcome, redwinghall.NewOpError(op, gateway.Unknown, err)
+	case outcome == neighbor.Lost:
+		return nil, outcome, redwinghall.NewOpError(op, gateway.Unknown, errNoResponse)
+	case outcome == neighbor.Unusable, outcome == neighbor.Unreached, outcome == neighbor.Refused:
+		return nil, outcome, nil // it may carry requests to other endpoints
 	}
 	f.peers.FailedToForward(now, e.Service, peer)
-	return false
+	if redwinghall.KindOf[neighbor.ForwardErrorKind](err) == neighbor.PeerSilent {
+		return nil, outcome, redwinghall.NewOpError(op, gateway.Unknown, err)
+	}
+	return nil, outcome, nil
+}
+
+// recordReached records that a node reaches an endpoint; those that don't are parted from it.
+func (f *forwarder) recordReached(now time.Time, e *fleet.Endpoint, peer reach.Peer, unreached []reach.Peer) {
+	f.peers.Succeeded(now, e.Service, peer)
+	for _, one := range unreached {
+		f.peers.FailedToForward(now, e.Service, one)
+	}
 }
 
 func closeBody(response *http.Response) {
--- a/node/node.go
+++ b/node/node.go
@@ -95,8 +95,9 @@
 		Zones: s.Zones, FirstStart: s.FirstStart, Now: kernel.BootTime,
 	}, n.source)
 	forwards := newForwarder(n)
+	client := platform.NewEndpointClientWithDialer(n.onLeavingResponse, open)
 	n.manager = formation.NewManager(formation.Options{
-		Settings: n.currentSettings, Cache: n.cache, Orderer: platform.NewEndpointClientWithDialer(n.onLeavingResponse, open), Position: n.table.Position,
+		Settings: n.currentSettings, Cache: n.cache, Orderer: client.WithPeers(controlPeers{n, forwards}), Position: n.table.Position,
 		HoldsLease:     func(zone string) bool { return n.table.HoldsLease(zone, kernel.BootTime()) },
 		LeasePosition:  n.table.LeasePosition,
 		Recovered:      n.table.Recovered,
@@ -113,6 +114,7 @@
 		PermitIssuer: permitIssuer{n},
 		Paths:        n.paths,
 		Forwarder:    forwards,
+		Control:      controlOf(client),
 		Stopping:     n.plannedStop,
 	})
 	n.follower = directory.NewFollower(n.source, n.cache, n.manager.Pending).WithKnown(n.table.Known())
--- a/node/parted_test.go
+++ b/node/parted_test.go
@@ -29,6 +29,7 @@
 type tries struct {
 	mu           sync.Mutex
 	sent, served int
+	failed       []string // those that weren't served with their status and body
 	refused      []string // bookings that were refused as not run
 	booked       []string // all bookings
 }
@@ -43,6 +44,8 @@
 	}
 	if status == http.StatusOK && body == want {
 		c.served++
+	} else {
+		c.failed = append(c.failed, fmt.Sprintf("%s: %d %q", id, status, body))
 	}
 	if path != "/book/x" {
 		return
@@ -91,7 +94,7 @@
 	for _, node := range z.nodes {
 		count := counts[node.settings.Node]
 		require.Positive(t, count.sent, node.settings.Node)
-		require.GreaterOrEqual(t, float64(count.served), minServedShare*float64(count.sent), "%s served %d of %d first tries", node.settings.Node, count.served, count.sent)
+		require.GreaterOrEqual(t, float64(count.served), minServedShare*float64(count.sent), "%s served %d of %d first tries, not %v", node.settings.Node, count.served, count.sent, count.failed)
 		for _, id := range count.booked {
 			require.LessOrEqual(t, node.runCounter.Runs(id), 1, id)
 		}
@@ -135,3 +138,35 @@
 		}
 	}
 }
+
+// The holder of a zone's lease is parted from the zone's endpoints. Its groups must stay open
+// while they are whole, and be closed when they lose a member.
+func TestPartedHolderKeepsAndRepairsGroups(t *testing.T) {
+	for _, mode := range []link.PartitionMode{link.PartitionHang, link.PartitionReset} {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			z := deployZones(t, map[string]int{"a": 2, "b": 2})
+			z.part("a", 2, mode)
+			z.callEach(t, 2*time.Second, 0)
+			require.Equal(t, 2, z.openGroups("a"), "sound groups stay open")
+			for _, e := range z.heads["a"] {
+				if !e.IsOpen() {
+					e.Close()
+					e.Unregister()
+					break
+				}
+			}
+			require.Eventually(t, func() bool { return z.openGroups("a") == 1 }, 6*time.Second, 50*time.Millisecond, "the group that lost a member is closed")
+		})
+	}
+}
+
+func (z *zonedDeployment) openGroups(zone string) int {
+	open := 0
+	for _, e := range z.heads[zone] {
+		if e.IsOpen() {
+			open++
+		}
+	}
+	return open
+}
