Take a second of silence of a sound endpoint for no fault

After 0.7 s its streams were started again at another group, which spent an attempt and the retry budget, a look-up with 3 s left was sent twice after 1.2 s, and one unanswered report of 0.3 s made a member count as lost for 4 s: its group was closed with all its streams and formed anew.

A group that stands still for 0.7 s still gets no new streams and is reported, but streams resume elsewhere only after 1.3 s, or at once if another node just had something from it, as then only this node's connections are dead. A member counts as lost once it has left reports unanswered for 0.7 s, which begin when its streams have been still for 0.7 s. A refused connection counts at once, as before. Callers disconnect after 2 s or more.

Cost: a group that did lose a member is repaired about 0.4 s later.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -32,6 +32,11 @@
 	// lateOrderWindow is how long after it was sent an unanswered order may still be
 	// carried out.
 	lateOrderWindow = 14 * time.Second
+	// minSilence is how long a member must leave reports unanswered before it counts as lost. Its
+	// streams have been still for about as long when it is first asked, and a sound endpoint
+	// may be silent for a second.
+	minSilence      = 700 * time.Millisecond
+	probeRetryDelay = 50 * time.Millisecond
 	// probeInterval is the minimum time between probes of an endpoint that doesn't
 	// answer.
 	probeInterval = 500 * time.Millisecond
@@ -93,7 +98,10 @@
 	reported      fleet.Membership
 	seenAt        time.Time
 	probedAt      time.Time
-	unlisted      unlisted
+	// silentSince is when the first of the reports that it left unanswered was asked for, zero if
+	// it answered the last one.
+	silentSince time.Time
+	unlisted    unlisted
 	// unansweredJoin is the group of the last join order that got no answer, and
 	// unansweredJoinUntil is until when that order may still be carried out.
 	unansweredJoin      string
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -281,6 +281,38 @@
 	})
 }
 
+// A sound member falls silent for a second, and its group stands still. If it counted as lost, the
+// group would be closed with all its streams, and its members formed anew.
+func TestSecondOfSilenceBreaksNoGroup(t *testing.T) {
+	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
+		member, head := memberOf(f, "large", 3)
+		before := groupsOf(f, "large")
+		silence := func(silent bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.workers[member].unresponsive = silent
+		}
+		silence(true)
+		for range 5 { // its streams have been still for 0.7 s, and go on half a second later
+			n.manager.ReportStall(context.Background(), head)
+			time.Sleep(100 * time.Millisecond)
+		}
+		silence(false)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, before, groupsOf(f, "large"))
+	})
+}
+
+// groupsOf returns the names of a model's open groups.
+func groupsOf(f *fakeZone, model string) []string {
+	var names []string
+	for _, w := range f.servingHeads(model) {
+		names = append(names, w.Member.Group)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // The head of a group is unresponsive and may still serve. Its members are ordered to
 // leave, and some of the orders are lost. A member that is joined to another group
 // before it reports that it left would be in two groups at once, however long ago the
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -134,7 +134,11 @@
 	if redwinghall.KindOf[platform.Kind](err) == platform.Unclear {
 		return // this node can't tell
 	}
-	if n, ok := m.endpoints[e.ID]; ok {
+	n, ok := m.endpoints[e.ID]
+	if err != nil && ok && redwinghall.KindOf[platform.Kind](err) != platform.Absent && n.silence(time.Now(), time.Now()) < minSilence {
+		return // it is asked again before the next order to open
+	}
+	if ok {
 		n.suspectUntil = time.Now().Add(suspectDuration)
 	}
 }
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -7,6 +7,8 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/fleet"
+	"redwinghall/kernel"
 	"redwinghall/platform"
 )
 
@@ -35,30 +37,59 @@
 	}
 }
 
-// probe asks one endpoint for a report.
+// probe asks one endpoint for a report, and again until it answers or has been silent for too
+// long.
 func (m *Manager) probe(ctx context.Context, n *endpointState) {
 	endpoint := n.worker.Endpoint
-	m.group.Go("probe", func(context.Context) error {
-		report, err := m.Orderer.Report(ctx, endpoint)
-		now := time.Now()
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.probing, endpoint.ID)
-		if err == nil {
-			m.reportedAt = now
-			m.recordTimeFactor(now, n, report.TimeFactor)
-			return nil
+	m.group.Go("probe", func(running context.Context) error {
+		for {
+			asked := time.Now()
+			report, err := m.Orderer.Report(ctx, endpoint)
+			if m.recordProbe(asked, time.Now(), n, report, err) || !kernel.Sleep(running, probeRetryDelay) {
+				return nil
+			}
 		}
-		if redwinghall.KindOf[platform.Kind](err) == platform.Unclear {
-			klog.InfoS("member_not_asked", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "err", err)
-			return nil
-		}
-		klog.InfoS("member_silent", "endpoint", endpoint.ID, "group", n.worker.Member.Group, "since_report", m.sinceReport(now), "err", err)
-		n.suspectUntil = now.Add(suspectDuration)
-		return nil
 	})
 }
 
+// recordProbe records the answer to a probe. It reports whether the endpoint answered or is known
+// to be lost, or this node can't tell.
+func (m *Manager) recordProbe(asked, now time.Time, n *endpointState, report fleet.Report, err error) (done bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := n.worker.Endpoint.ID
+	if err == nil {
+		m.reportedAt = now
+		n.silentSince = time.Time{}
+		m.recordTimeFactor(now, n, report.TimeFactor)
+		delete(m.probing, id)
+		return true
+	}
+	if redwinghall.KindOf[platform.Kind](err) == platform.Unclear {
+		klog.InfoS("member_not_asked", "endpoint", id, "group", n.worker.Member.Group, "err", err)
+		n.silentSince = time.Time{}
+		delete(m.probing, id)
+		return true
+	}
+	silent := n.silence(asked, now)
+	klog.InfoS("member_silent", "endpoint", id, "group", n.worker.Member.Group, "since_report", m.sinceReport(now), "silent", silent, "err", err)
+	if silent < minSilence && redwinghall.KindOf[platform.Kind](err) != platform.Absent {
+		return false
+	}
+	n.suspectUntil = now.Add(suspectDuration)
+	delete(m.probing, id)
+	return true
+}
+
+// silence returns how long the endpoint has left reports unanswered, the last of them asked for at
+// a given time.
+func (n *endpointState) silence(asked, now time.Time) time.Duration {
+	if n.silentSince.IsZero() || asked.Sub(n.silentSince) > suspectDuration {
+		n.silentSince = asked
+	}
+	return now.Sub(n.silentSince)
+}
+
 // sinceReport returns how long ago any probed endpoint last answered, negative if none has.
 func (m *Manager) sinceReport(now time.Time) time.Duration {
 	if m.reportedAt.IsZero() {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -429,6 +429,38 @@
 	require.Equal(t, wholeStream(4), got.body)
 }
 
+// A sound endpoint falls silent for a second and goes on. Its streams must stay there: a second run
+// would spend an attempt and the retry budget for nothing.
+func TestSecondOfSilenceMovesNoStream(t *testing.T) {
+	for _, path := range []string{"/stream/", "/feed/", "/look/", "/book/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newFixture(t)
+			var runs atomic.Int32
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				sign(w, r)
+				if path == "/look/" || path == "/book/" {
+					time.Sleep(1200 * time.Millisecond)
+					return
+				}
+				writeEvents(w, 1, 2)
+				time.Sleep(1200 * time.Millisecond)
+				writeEvents(w, 3, 4)
+			}
+			service := "desk"
+			if path == "/stream/" {
+				service = "llm"
+			}
+			s.endpoint("e1", service, handler)
+			s.endpoint("e2", service, handler)
+			got := s.do(s.request(http.MethodPost, path))
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, int32(1), runs.Load())
+		})
+	}
+}
+
 // A slow response must not be cancelled if no other endpoint can continue it.
 func TestSlowStreamIsNotCancelledWithoutAnAlternative(t *testing.T) {
 	s := newFixture(t)
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -166,6 +166,9 @@
 		return
 	}
 	g.Tracker.EndBackoff(e.ID)
+	if silent {
+		g.Paths.RecordServesOthers(now, e.Service, e.ID)
+	}
 	if !silent && g.Paths.ReachedByPeer(now, e.Service, e.ID) {
 		klog.InfoS("path_lost", "endpoint", e.ID, "service", e.Service, "zone", e.Zone, "indirect", g.Paths.Indirect(), "parted", g.Paths.Parted())
 		g.Metrics.PathChanged(false)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -202,11 +202,12 @@
 		"configuration", c.r.configVersion())
 }
 
-// attemptTimeout returns the timeout of the next attempt.
+// attemptTimeout returns the timeout of the next attempt. A sound endpoint may be silent for
+// silenceTolerance.
 func (c *plainCall) attemptTimeout(now time.Time) time.Duration {
 	left := c.r.Left(now)
 	if c.r.Idempotent() && c.sent+1 < c.r.Route.MaxAttempts {
-		return time.Duration(attemptTimeShare * float64(left))
+		return min(left, max(silenceTolerance, time.Duration(attemptTimeShare*float64(left))))
 	}
 	return left
 }
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -7,8 +7,9 @@
 	"redwinghall/balance"
 )
 
-// watchStall calls cancel once the group has made no progress for the stall timeout
-// and the stream can resume at another group. The returned function stops the watch.
+// watchStall calls cancel once the group has made no progress for silenceTolerance, or for the
+// stall timeout if it serves other nodes meanwhile, and the stream can resume at another group.
+// The returned function stops the watch.
 //
 // A group that lost a member makes no progress for seconds, while its callers
 // disconnect after 2 s. A stream that no other group can continue is not cancelled,
@@ -40,7 +41,8 @@
 		return
 	}
 	now := time.Now()
-	if silent := w.choice.Attempt.TimeWithoutEvent(now); silent < w.timeout {
+	silent := w.choice.Attempt.TimeWithoutEvent(now)
+	if silent < w.timeout {
 		w.timer.Reset(max(stallCheckInterval, w.timeout-silent))
 		return
 	}
@@ -48,7 +50,8 @@
 		w.reported = true
 		w.call.g.recordStalled(now, w.choice.Endpoint)
 	}
-	if w.call.mayResumeElsewhere(now) {
+	dead := w.call.g.Paths.ServesOthers(now, w.choice.Endpoint.ID)
+	if (dead || silent >= silenceTolerance) && w.call.mayResumeElsewhere(now) {
 		w.cancel()
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// minStallTimeout is how long a group may make no progress before its streams
-	// resume elsewhere. It is longer than an engine pass that processes prompts at
-	// every step, and short enough that callers have not disconnected yet.
+	// minStallTimeout is how long a group may make no progress before it gets no new streams
+	// and is reported. It is longer than an engine pass that processes prompts at every step.
 	minStallTimeout = 700 * time.Millisecond
+	// silenceTolerance is how long a sound endpoint may send nothing. Only then streams resume
+	// elsewhere, while callers have not disconnected yet.
+	silenceTolerance = 1300 * time.Millisecond
 	// stallCheckInterval is the minimum time between two checks for a stall.
 	stallCheckInterval = 100 * time.Millisecond
 	// plainStallPauses is the stall timeout of a plain service's stream, in multiples
@@ -97,8 +99,8 @@
 	})
 }
 
-// stallTimeout returns how long the endpoint may make no progress before the stream
-// resumes elsewhere. For plain services it is derived from the route's pause
+// stallTimeout returns how long the endpoint may make no progress before it counts as
+// stalled. For plain services it is derived from the route's pause
 // objective, as they have no engine parameters from which to predict pauses.
 func (c *streamCall) stallTimeout() time.Duration {
 	if c.r.Service.Engine != nil {
--- a/reach/table.go
+++ b/reach/table.go
@@ -56,6 +56,9 @@
 	probeAt    time.Time
 	probeDelay time.Duration
 	usedAt     time.Time
+	// servesOthersAt is when another node had something from the endpoint while it was silent
+	// here.
+	servesOthersAt time.Time
 }
 
 // service is what the paths to its endpoints have in common.
@@ -158,6 +161,23 @@
 	return n >= severalFailed
 }
 
+// RecordServesOthers records that another node has just had something from an endpoint that is
+// silent here, so that this node's open connections to it are dead.
+func (t *Table) RecordServesOthers(now time.Time, serviceName, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, _ := t.path(now, serviceName, id)
+	p.servesOthersAt = now
+}
+
+// ServesOthers reports whether an endpoint that is silent here has recently served another node.
+func (t *Table) ServesOthers(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.endpoints[id]
+	return ok && p.servesOthersAt.After(p.goodAt) && now.Sub(p.servesOthersAt) <= failWindow
+}
+
 // FailedRecently reports whether a connection to an endpoint could not be opened within
 // failWindow and none was since.
 func (t *Table) FailedRecently(now time.Time, id string) bool {
