Tell a dark domain from a partition, and an accepted connection from a life sign

Only bytes from the endpoint count now. Failures of a dark domain made a node distrust all its connections and ask up to seven others about each lost member, so that losses were noticed late. A node seems parted only if nothing comes from any endpoint either; members without an entry, which others don't know, aren't asked for through them.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -35,7 +35,7 @@
 	// minSilence is how long a member must leave reports unanswered before it counts as lost. Its
 	// streams have been still for about as long when it is first asked, and a sound endpoint
 	// may be silent for a second.
-	minSilence      = 700 * time.Millisecond
+	minSilence      = 600 * time.Millisecond
 	probeRetryDelay = 50 * time.Millisecond
 	// probeInterval is the minimum time between probes of an endpoint that doesn't
 	// answer.
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -70,7 +70,7 @@
 func (g *Gateway) serveCheck(ctx context.Context, w http.ResponseWriter, e *fleet.Endpoint) {
 	outcome := neighbor.Unreached
 	now := time.Now()
-	age, known := g.Paths.SinceGood(now, e.ID)
+	age, known := g.Paths.SinceHeard(now, e.ID)
 	if known {
 		neighbor.SetForwardAnswered(w.Header(), age)
 	}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -59,7 +59,7 @@
 // sendDirect sends the request over this node's own connection.
 func (g *Gateway) sendDirect(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, fresh bool) (*Response, error) {
 	now := time.Now()
-	doubtful := g.Paths.SeveralFailed(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.ID))
+	doubtful := g.Paths.SeemsParted(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.Service, to.ID))
 	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), SendOptions{
 		Fresh:       fresh || doubtful,
 		OnConnected: func() { g.Paths.Connected(time.Now(), to.Service, to.ID) },
--- a/node/control.go
+++ b/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -34,6 +35,13 @@
 // Call implements platform.Peers.
 func (p controlPeers) Call(ctx context.Context, e *fleet.Endpoint, method, path string, body []byte) (platform.ControlResponse, error) {
 	const op = "controlPeers.Call"
+	if _, listed := p.node.cache.View().Endpoints[e.ID]; !listed {
+		// Other nodes don't know an endpoint without an entry.
+		if p.node.paths.Parted() {
+			return platform.ControlResponse{}, redwinghall.NewOpError(op, platform.Unclear, errNotListed)
+		}
+		return platform.ControlResponse{}, redwinghall.NewOpError(op, platform.NotReached, errNotListed)
+	}
 	response, _, outcome, err := p.forwarder.Forward(ctx, e, func() (neighbor.Forward, *http.Request) {
 		call := neighbor.Forward{Kind: neighbor.ForwardControl, Endpoint: e.ID, Node: p.node.settings.Node, Timeout: timeLeft(ctx)}
 		return call, &http.Request{
@@ -56,10 +64,19 @@
 	return platform.ControlResponse{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
+var errNotListed = errors.New("the endpoint has no entry, so other nodes can't be asked")
+
 // explain returns why a call could not be made, from what other nodes say.
 //
 // A holder that took its own silence for that of its members would close groups that serve.
 func (p controlPeers) explain(e *fleet.Endpoint, last neighbor.ForwardOutcome) platform.Kind {
+	parted := p.node.paths.Parted() || p.node.paths.SeemsParted(time.Now())
+	switch {
+	case last == neighbor.Refused && !parted:
+		return platform.Absent
+	case last == neighbor.Unreached && !parted:
+		return platform.NotReached
+	}
 	reached, answered := p.forwarder.askInRounds(p.node.group.Context(), e, false)
 	if answered > 0 || reached {
 		p.node.gateway.RecordPath(time.Now(), e, reached, false)
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -214,7 +214,7 @@
 func (f *forwarder) askInRounds(ctx context.Context, e *fleet.Endpoint, silent bool) (reached bool, answered int) {
 	var asked []reach.Peer
 	for round := range verifyRounds {
-		if round > 0 && !f.node.paths.SeveralFailed(time.Now()) && !f.node.paths.Parted() {
+		if round > 0 && !f.node.paths.SeemsParted(time.Now()) && !f.node.paths.Parted() {
 			break
 		}
 		before := len(asked)
--- a/reach/table.go
+++ b/reach/table.go
@@ -33,13 +33,15 @@
 	endpoints map[string]*path
 	services  map[string]*service
 	troubleAt time.Time // when a connection to any endpoint last failed or broke
+	goodAt    time.Time // when any connection was last opened or brought something
 }
 
-// severalFailed is the number of endpoints whose connections fail or break within failWindow
-// from which this node distrusts all its open connections.
+// If connections to severalFailed endpoints fail or break within failWindow and nothing comes from
+// any for quietTime, this node seems to be parted.
 const (
 	severalFailed = 3
 	failWindow    = time.Second
+	quietTime     = 300 * time.Millisecond
 )
 
 // path is the state of this node's own path to one endpoint.
@@ -47,7 +49,8 @@
 	service  string
 	failedAt time.Time // when a connection could last not be opened
 	brokeAt  time.Time // when a connection last broke, fell silent or could not be opened
-	goodAt   time.Time // when a connection was last opened or brought a response
+	goodAt   time.Time // when a connection was last opened or brought something
+	heardAt  time.Time // when a connection last brought something
 	// indirect means that requests go through other nodes.
 	indirect   bool
 	holdUntil  time.Time
@@ -63,6 +66,7 @@
 
 // service is what the paths to its endpoints have in common.
 type service struct {
+	troubleAt time.Time // when a connection to any of its endpoints last failed or broke
 	// failingSince is when the first connection failed since one was last opened, zero if
 	// none did.
 	failingSince time.Time
@@ -129,7 +133,7 @@
 	defer t.mu.Unlock()
 	p, s := t.path(now, serviceName, id)
 	p.failedAt, p.brokeAt = now, now
-	t.troubleAt = now
+	t.troubleAt, s.troubleAt = now, now
 	if s.failingSince.IsZero() {
 		s.failingSince = now
 	}
@@ -139,17 +143,22 @@
 func (t *Table) Broke(now time.Time, serviceName, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p, _ := t.path(now, serviceName, id)
+	p, s := t.path(now, serviceName, id)
 	p.brokeAt = now
-	t.troubleAt = now
+	t.troubleAt, s.troubleAt = now, now
 }
 
-// SeveralFailed reports whether connections to several endpoints failed or broke at about the
-// same time, as they do if this node is parted from them.
-func (t *Table) SeveralFailed(now time.Time) bool {
+// SeemsParted reports whether connections to several endpoints failed or broke at about the same
+// time, and nothing comes from any other one. The endpoints of a domain that goes dark fail
+// together too, but the others go on.
+func (t *Table) SeemsParted(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > failWindow {
+	return t.seemsParted(now)
+}
+
+func (t *Table) seemsParted(now time.Time) bool {
+	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > failWindow || now.Sub(t.goodAt) < quietTime {
 		return false
 	}
 	n := 0
@@ -187,16 +196,16 @@
 	return ok && !p.failedAt.IsZero() && p.failedAt.After(p.goodAt) && now.Sub(p.failedAt) <= failWindow
 }
 
-// SinceGood returns how long ago an endpoint last sent something over this node's own
+// SinceHeard returns how long ago an endpoint last sent something over this node's own
 // connections.
-func (t *Table) SinceGood(now time.Time, id string) (age time.Duration, known bool) {
+func (t *Table) SinceHeard(now time.Time, id string) (age time.Duration, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.endpoints[id]
-	if !ok || p.goodAt.IsZero() {
+	if !ok || p.heardAt.IsZero() {
 		return 0, false
 	}
-	return now.Sub(p.goodAt), true
+	return now.Sub(p.heardAt), true
 }
 
 // Responded records that an open connection brought a response.
@@ -204,7 +213,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, _ := t.path(now, serviceName, id)
-	p.goodAt = now
+	p.goodAt, p.heardAt = now, now
+	t.goodAt = now
 }
 
 // Connected records that this node opened a connection to an endpoint. It reports whether
@@ -214,6 +224,7 @@
 	defer t.mu.Unlock()
 	p, s := t.path(now, serviceName, id)
 	p.goodAt = now
+	t.goodAt = now
 	s.failingSince = time.Time{}
 	if !p.indirect {
 		return false
@@ -251,19 +262,20 @@
 	return true
 }
 
-// Doubtful reports whether this node distrusts its open connections to an endpoint: some
-// connection failed or broke, and this endpoint has sent nothing since.
+// Doubtful reports whether this node distrusts its open connections to an endpoint: it seems to be
+// parted, or a connection to an endpoint of the same service failed or broke, and this one has
+// sent nothing since.
 //
 // A request that is written to a connection that is already dead has an unknown outcome
 // until its deadline, and can't be repeated unless it is idempotent.
-func (t *Table) Doubtful(now time.Time, id string) bool {
+func (t *Table) Doubtful(now time.Time, serviceName, id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > doubtTime {
-		return false
+	if t.seemsParted(now) {
+		return true
 	}
-	p, ok := t.endpoints[id]
-	return !ok || !p.goodAt.After(t.troubleAt)
+	p, s := t.path(now, serviceName, id)
+	return !s.troubleAt.IsZero() && now.Sub(s.troubleAt) <= doubtTime && !p.goodAt.After(s.troubleAt)
 }
 
 // ProbesDue returns at most limit endpoints to which this node should try to connect now, and
--- a/reach/table_test.go
+++ b/reach/table_test.go
@@ -111,10 +111,23 @@
 func TestOpenConnectionsAreDoubtedAfterAFailure(t *testing.T) {
 	table := reach.NewTable()
 	table.Responded(start, "desk", "e1")
-	require.False(t, table.Doubtful(after(time.Second), "e1"))
+	require.False(t, table.Doubtful(after(time.Second), "desk", "e1"))
 	table.Broke(after(time.Second), "desk", "e2")
-	require.True(t, table.Doubtful(after(1100*time.Millisecond), "e1"))
+	require.True(t, table.Doubtful(after(1100*time.Millisecond), "desk", "e1"))
 	table.Responded(after(1200*time.Millisecond), "desk", "e1")
-	require.False(t, table.Doubtful(after(1300*time.Millisecond), "e1"))
-	require.False(t, table.Doubtful(after(10*time.Second), "e3"))
+	require.False(t, table.Doubtful(after(1300*time.Millisecond), "desk", "e1"))
+	require.False(t, table.Doubtful(after(10*time.Second), "desk", "e3"))
+}
+
+// A whole domain goes dark. If that alone made a node distrust its connections, each failure would
+// cost the endpoints that go on a new connection for each request.
+func TestDarkDomainIsNoPartition(t *testing.T) {
+	table := reach.NewTable()
+	for i := range 11 {
+		table.Failed(after(time.Second), "llm", fmt.Sprint("dark-", i))
+	}
+	table.Responded(after(1100*time.Millisecond), "llm", "sound")
+	require.False(t, table.SeemsParted(after(1200*time.Millisecond)))
+	require.False(t, table.Doubtful(after(1200*time.Millisecond), "desk", "desk-1"))
+	require.True(t, table.SeemsParted(after(1500*time.Millisecond)), "nothing comes any more")
 }
