--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -282,7 +282,8 @@
 		age, known := neighbor.ForwardAnswered(response.Header)
 		return known && age <= progressAge, true
 	}
-	reached = outcome == neighbor.Reached || outcome == neighbor.Indirect
+	// Indirect is no evidence: the nodes of a zone that is cut off would believe each other.
+	reached = outcome == neighbor.Reached
 	return reached, reached || outcome == neighbor.Unreached
 }
 
