A node that is parted from the endpoints takes a free lease last

It could work for its zone only through other nodes. TestPartedNodeTakesTheLeaseLast: the parted node took it before.

--- a/members/members.go
+++ b/members/members.go
@@ -63,6 +63,9 @@
 	FirstStart bool
 	// Now returns the current boot time. It is called again after store calls.
 	Now func() time.Time
+	// Parted reports whether this node doesn't reach the endpoints itself; nil is never. Such a
+	// node takes a free lease only after all others of its zone.
+	Parted func() bool
 }
 
 // heldLease is a lease held by this node: when it ends, and the position of the store
@@ -253,6 +256,9 @@
 			rank++
 		}
 	}
+	if t.config.Parted != nil && t.config.Parted() {
+		rank += len(*t.nodes.Load())
+	}
 	return boot.Sub(since) >= time.Duration(rank)*acquireStagger
 }
 
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -291,6 +291,17 @@
 	}
 }
 
+// A node that is parted from the endpoints takes the free lease of its zone. It could work for the
+// zone only through other nodes.
+func TestPartedNodeTakesTheLeaseLast(t *testing.T) {
+	f := newFleet(t, nil)
+	parted := func() bool { return true }
+	f.startAs(members.Config{Self: members.Node{Name: "strong", Zone: "a"}, FirstStart: true, Parted: parted})
+	f.startAs(members.Config{Self: members.Node{Name: "weak", Zone: "a", Capacity: -2}, FirstStart: true})
+	f.run(4 * time.Second)
+	require.Equal(t, []string{"weak"}, f.holders("a"))
+}
+
 // The holder of a zone's lease forms its groups and reads the store for all nodes. If several
 // nodes may take the lease, the one on the VM with the higher capacity goes first.
 func TestStrongNodeTakesTheLeaseFirst(t *testing.T) {
