soak: part single pairs of node and endpoint, with the users' bound as a check

Each node reads the endpoints' entries through a view of its own, with a link for each pair, so that nodes can be parted from endpoints that others reach: open connections are reset, swallowed or live on while new ones are refused. The check is the users' (two thirds, 10 + 1 in 50, 3 s), over tries at nodes in touch while another node in touch reaches the endpoints.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,11 @@
           previous stop has ended, and start each again; streams last for seconds.
           No request may be cut off, and nine of ten must be served by the first
           attempt or one retry.
+  partitions
+          nodes lose their connections to all endpoints for seconds, in series that
+          overlap, beside some other faults; callers stay with their nodes. Nodes that
+          are in touch with the rest must serve first tries two thirds as often as the
+          others.
 
 Examples:
   soak --bin bin --seed 1 --seeds 50 --length 30s
@@ -45,7 +50,7 @@
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -30,6 +30,8 @@
 	status     int // 0 if there was no response
 	body       string
 	incomplete bool // the response ended early
+	node       int
+	sent       time.Time
 }
 
 // results collects the results of attempts and the violations that they show.
@@ -41,6 +43,15 @@
 	refused    []attempt // whose response states that the request was not executed
 	bookings   []string
 	violations []string
+	// tries are the attempts of the callers of PlanFaults.
+	tries []try
+}
+
+// try is one attempt at a node.
+type try struct {
+	node   int
+	sent   time.Time
+	served bool
 }
 
 // add counts one attempt and checks its response.
@@ -48,6 +59,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempts++
+	r.tries = append(r.tries, try{a.node, a.sent, a.status == http.StatusOK && !a.incomplete})
 	if a.kind == "book" {
 		r.bookings = append(r.bookings, a.id)
 	}
@@ -133,12 +145,12 @@
 	kinds := []string{"stream", "stream", "book", "look"}
 	for n := 0; ctx.Err() == nil; n++ {
 		id := platformtest.RequestIDFor(c.deployment.nodeName(c.node), fmt.Sprintf("%s-%d", c.name, n))
-		a := attempt{id: id, kind: kinds[n%len(kinds)], events: responseEvents}
+		a := attempt{id: id, kind: kinds[n%len(kinds)], events: responseEvents, node: c.node, sent: time.Now()}
 		c.send(ctx, &a, stableKey)
 		if ctx.Err() == nil || a.status != 0 {
 			c.results.add(a)
 		}
-		if a.status != http.StatusOK {
+		if a.status != http.StatusOK && c.deployment.config.Plan != PlanPartitions {
 			c.node = (c.node + 1) % len(c.deployment.nodes) // a load balancer would choose another node too
 		}
 		kernel.Sleep(ctx, callerInterval)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -58,6 +58,8 @@
 	PlanFaults Plan = "faults"
 	// PlanStops only stops nodes, one after another, as operators do.
 	PlanStops Plan = "stops"
+	// PlanPartitions mostly parts nodes from all endpoints, while callers stay with their nodes.
+	PlanPartitions Plan = "partitions"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
@@ -66,8 +68,12 @@
 	path      string
 	storeLink *link.Link
 	proc      *process.Process
-	reserved  bool      // a fault or planned stop controls the process
-	faults    intervals // restarts and freezes
+	// endpointLinks stand between this node and each endpoint, by the endpoint's address.
+	endpointLinks map[string]*link.Link
+	parted        bool      // a partition is in force
+	reserved      bool      // a fault or planned stop controls the process
+	faults        intervals // restarts and freezes
+	storeFaults   intervals // of the link to the store
 	// stoppedAt is when the node last got SIGTERM in a planned stop.
 	stoppedAt time.Time
 }
@@ -90,6 +96,8 @@
 	faults          []string
 	// lastNodeFault is when a fault or planned stop of a node last ended.
 	lastNodeFault time.Time
+	storeFaults   intervals // of the store itself
+	partitions    []partition
 	// violations are those detected while faults are injected.
 	violations []string
 }
@@ -176,15 +184,16 @@
 }
 
 func (d *deployment) addNode(i int) error {
-	storeLink, err := link.New(d.group, net.JoinHostPort(linkHost, "0"), d.store.Address())
+	n := &nodeProcess{endpointLinks: map[string]*link.Link{}, path: filepath.Join(d.config.Dir, fmt.Sprintf("node-%d.conf", i))}
+	storeLink, err := link.New(d.group, net.JoinHostPort(linkHost, "0"), d.store.AddView(d.linkEndpoints(n)))
 	if err != nil {
 		return err
 	}
 	host := fmt.Sprintf("%s%d", d.config.Host, i+1)
-	n := &nodeProcess{storeLink: storeLink, path: filepath.Join(d.config.Dir, fmt.Sprintf("node-%d.conf", i)), settings: platformtest.NodeSettings{
+	n.storeLink, n.settings = storeLink, platformtest.NodeSettings{
 		Node: fmt.Sprintf("node-%d", i), Zone: zones[i%len(zones)], Zones: zones, IP: host,
 		CallerAddress: net.JoinHostPort(host, "8300"), ReadinessAddress: net.JoinHostPort(host, "8301"), FirstInternalPort: 8310, StoreAddress: storeLink.Address(),
-	}}
+	}
 	if err := os.WriteFile(n.path, []byte(n.settings.Text()), 0o600); err != nil {
 		return err
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,6 +39,8 @@
 	{"drop endpoint's responses", endpointLink(link.OneWay, 0)},
 	{"delay to endpoint", endpointLink(link.Pass, 60*time.Millisecond)},
 	{"cut endpoint's link", endpointLink(link.Cut, 0)},
+	{"part nodes from all endpoints", partNodes},
+	{"part nodes from all endpoints again", partNodes},
 	{"endpoint stalls", stallEndpoint},
 	{"replace endpoint", replaceEndpoint},
 	{"endpoint sends a rate limit", limitEndpoint},
@@ -54,13 +56,29 @@
 	{"configuration changes", changeConfiguration},
 }
 
+// partitionFaults are the faults of PlanPartitions.
+var partitionFaults = []fault{
+	{"part nodes from all endpoints", partNodes},
+	{"part nodes from all endpoints again", partNodes},
+	{"part nodes from all endpoints once more", partNodes},
+	{"stop node", stopNode},
+	{"reset endpoint's connections", endpointLink(link.Reset, 0)},
+	{"endpoint stalls", stallEndpoint},
+	{"replace endpoint", replaceEndpoint},
+	{"cut node from store", nodeLink(link.Cut, 0)},
+}
+
 // injectFaults starts random faults for the configured length and waits until all have
 // ended.
 func (d *deployment) injectFaults(ctx context.Context) error {
 	g := kernel.NewGroup(ctx)
+	from := faults
+	if d.config.Plan == PlanPartitions {
+		from = partitionFaults
+	}
 	end := time.Now().Add(d.config.Length)
 	for time.Now().Before(end) && ctx.Err() == nil {
-		f := faults[d.randomInt(len(faults))]
+		f := from[d.randomInt(len(from))]
 		duration := time.Duration(minFaultDuration+d.randomInt(maxFaultDuration-minFaultDuration)) * time.Millisecond
 		g.Go(f.name, func(ctx context.Context) error { return f.run(ctx, d, duration) })
 		kernel.Sleep(ctx, time.Duration(minFaultInterval+d.randomInt(maxFaultInterval-minFaultInterval))*time.Millisecond)
@@ -166,6 +184,8 @@
 		n := d.nodes[d.randomInt(len(d.nodes))]
 		d.recordFault("link of %s to the store: %s %s for %s", n.settings.Node, mode, delay, duration)
 		n.storeLink.Set(mode, delay)
+		end := d.excuseStore(&n.storeFaults)
+		defer end()
 		kernel.Sleep(ctx, duration)
 		n.storeLink.Set(link.Pass, 0)
 		return nil
@@ -247,6 +267,8 @@
 	return func(ctx context.Context, d *deployment, duration time.Duration) error {
 		d.recordFault("store: %+v for %s", f, duration)
 		d.store.SetFaults(f)
+		end := d.excuseStore(&d.storeFaults)
+		defer end()
 		kernel.Sleep(ctx, duration)
 		d.store.SetFaults(platformtest.Faults{})
 		return nil
--- a/soak/run.go
+++ b/soak/run.go
@@ -82,7 +82,7 @@
 	if err := <-callersDone; err != nil {
 		return err
 	}
-	report.Violations = append(r.finish(d.runs), d.violations...)
+	report.Violations = append(append(r.finish(d.runs), d.violations...), d.checkPartitions(r)...)
 	r.fillReport(report)
 	if attempts := attemptsAfter - attemptsBefore; attempts == 0 || float64(servedAfter-servedBefore) < minServedRatio*float64(attempts) {
 		report.Violations = append(report.Violations, fmt.Sprintf("after the faults %d of %d requests were served", servedAfter-servedBefore, attempts))
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -24,19 +25,28 @@
 	Blackhole Mode = "swallow"
 	// Reset closes all connections with a TCP reset. New connections work.
 	Reset Mode = "reset"
+	// Refuse refuses new connections and keeps the existing ones.
+	Refuse Mode = "refuse"
+	// ResetAndRefuse closes all connections with a TCP reset and refuses new ones.
+	ResetAndRefuse Mode = "reset_and_refuse"
+	// SwallowAndRefuse keeps the existing connections open, drops all their data and refuses new
+	// ones.
+	SwallowAndRefuse Mode = "swallow_and_refuse"
 	// OneWay forwards data from the client and drops data from the target.
 	OneWay Mode = "one_way"
 )
 
 // Link forwards connections to a target.
 type Link struct {
-	target   string
-	listener net.Listener
+	group   *kernel.Group
+	address string
+	target  string
 
-	mu    sync.Mutex
-	mode  Mode
-	delay time.Duration
-	conns map[*pair]bool
+	mu       sync.Mutex
+	listener net.Listener // nil while new connections are refused
+	mode     Mode
+	delay    time.Duration
+	conns    map[*pair]bool
 }
 
 // pair is a connection from a client and the one to the target.
@@ -53,33 +63,68 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{target: target, listener: listener, mode: Pass, conns: map[*pair]bool{}}
-	g.Go("link.accept", func(ctx context.Context) error { return l.accept(ctx, g) })
+	l := &Link{group: g, address: listener.Addr().String(), target: target, listener: listener, mode: Pass, conns: map[*pair]bool{}}
+	g.Go("link.accept", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	g.Go("link.stop", func(ctx context.Context) error {
 		<-ctx.Done()
 		l.Set(Cut, 0)
-		return l.listener.Close()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.closeListener()
+		return nil
 	})
 	return l, nil
 }
 
 // Address returns the address on which the link listens.
-func (l *Link) Address() string { return l.listener.Addr().String() }
+func (l *Link) Address() string { return l.address }
+
+func (l *Link) closeListener() {
+	if l.listener != nil {
+		_ = l.listener.Close()
+		l.listener = nil
+	}
+}
+
+// listenAgain opens the listener that a mode has closed. The lock is held. Another socket may have
+// the port for a moment.
+func (l *Link) listenAgain() {
+	for range listenTries {
+		listener, err := net.Listen("tcp", l.address)
+		if err == nil {
+			l.listener = listener
+			l.group.Go("link.accept", func(ctx context.Context) error { return l.accept(ctx, listener) })
+			return
+		}
+		time.Sleep(listenInterval)
+	}
+}
+
+const (
+	listenTries    = 20
+	listenInterval = 50 * time.Millisecond
+)
 
-// Set changes the mode and the delay, which is added to each read. Cut, Blackhole
-// and Reset also act on the existing connections.
+// Set changes the mode and the delay, which is added to each read. Cut and the modes that
+// drop data or reset also act on the existing connections.
 func (l *Link) Set(mode Mode, delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mode, l.delay = mode, delay
+	switch {
+	case mode == Refuse || mode == ResetAndRefuse || mode == SwallowAndRefuse:
+		l.closeListener()
+	case l.listener == nil && l.group.Context().Err() == nil:
+		l.listenAgain()
+	}
 	for p := range l.conns {
 		switch mode {
 		case Cut:
 			_ = p.client.Close()
 			_ = p.target.Close()
-		case Blackhole:
+		case Blackhole, SwallowAndRefuse:
 			p.blackholed = true
-		case Reset:
+		case Reset, ResetAndRefuse:
 			p.reset()
 		}
 	}
@@ -95,11 +140,11 @@
 	}
 }
 
-func (l *Link) accept(ctx context.Context, g *kernel.Group) error {
+func (l *Link) accept(ctx context.Context, listener net.Listener) error {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			return err
@@ -120,8 +165,8 @@
 		if !l.add(p) {
 			continue
 		}
-		g.Go("link.copy", func(context.Context) error { l.copy(p, p.target, p.client); return nil })
-		g.Go("link.copy", func(context.Context) error { l.copy(p, p.client, p.target); return nil })
+		l.group.Go("link.copy", func(context.Context) error { l.copy(p, p.target, p.client); return nil })
+		l.group.Go("link.copy", func(context.Context) error { l.copy(p, p.client, p.target); return nil })
 	}
 }
 
