Pass over a node by way of which nothing comes any more

A node that carries requests for a parted one may freeze or be cut off itself. Its connections stay open, so each stream that went by way of it waited for the stall timeout, and the next one was sent there again. It is passed over now, as one that doesn't answer. The soak's plan of partitions freezes nodes too (seen by reading the code, not in a run).

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,7 +31,8 @@
 	plainStallPauses = 6
 )
 
-var errStalled = errors.New("the group makes no progress")
+// ErrStalled is the cause of the end of an attempt in which nothing came any more.
+var ErrStalled = errors.New("the group makes no progress")
 
 // streamCall is the state of one stream.
 type streamCall struct {
@@ -134,7 +135,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var stalled atomic.Bool
-	stop := c.watchStall(choice, func() { stalled.Store(true); cancel(errStalled) })
+	stop := c.watchStall(choice, func() { stalled.Store(true); cancel(ErrStalled) })
 	last := c.exchange(ctx, choice)
 	stop()
 	last.retryCharged = stalled.Load()
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -127,7 +127,10 @@
 	end := f.peers.Begin(peer.Name)
 	response, outcome, err := f.client.Send(ctx, peer.Address, call, request)
 	if err == nil && outcome == neighbor.Delivered {
-		response.Body = &countedBody{ReadCloser: response.Body, end: end}
+		response.Body = &forwardedBody{ReadCloser: response.Body, end: func() {
+			end()
+			f.blameIfStalled(ctx, e, peer)
+		}}
 		return response, outcome, nil
 	}
 	end()
@@ -137,6 +140,7 @@
 	klog.InfoS("peer_did_not_forward", "endpoint", e.ID, "peer", peer.Name, "outcome", outcome, "err", err)
 	switch {
 	case err != nil && ctx.Err() != nil:
+		f.blameIfStalled(ctx, e, peer)
 		return nil, outcome, redwinghall.NewOpError(op, gateway.Unknown, err)
 	case outcome == neighbor.Lost:
 		return nil, outcome, redwinghall.NewOpError(op, gateway.Unknown, errNoResponse)
@@ -164,14 +168,22 @@
 	}
 }
 
-// countedBody ends the count of a forwarded request with its response.
-type countedBody struct {
+// blameIfStalled passes over a node for a while by way of which nothing came any more. It may be
+// frozen, or cut off from the endpoint or from this node.
+func (f *forwarder) blameIfStalled(ctx context.Context, e *fleet.Endpoint, peer reach.Peer) {
+	if errors.Is(context.Cause(ctx), gateway.ErrStalled) {
+		f.peers.FailedToForward(time.Now(), e.Service, peer)
+	}
+}
+
+// forwardedBody calls end when the body of a forwarded response is closed.
+type forwardedBody struct {
 	io.ReadCloser
 	end func()
 }
 
 // Close implements io.Closer.
-func (b *countedBody) Close() error {
+func (b *forwardedBody) Close() error {
 	b.end()
 	return b.ReadCloser.Close()
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,6 +62,7 @@
 	{"part nodes from all endpoints again", partNodes},
 	{"part nodes from all endpoints once more", partNodes},
 	{"stop node", stopNode},
+	{"freeze node", freezeNode},
 	{"reset endpoint's connections", endpointLink(link.Reset, 0)},
 	{"endpoint stalls", stallEndpoint},
 	{"replace endpoint", replaceEndpoint},
