A refused connection is no proof while several fail, whoever agrees

Four of five nodes were parted, and connections refused. A refused connection counts at once, where silence has to last.

--- a/node/control.go
+++ b/node/control.go
@@ -71,13 +71,16 @@
 // A holder that took its own silence for that of its members would close groups that serve.
 func (p controlPeers) explain(e *fleet.Endpoint, last neighbor.ForwardOutcome) platform.Kind {
 	parted := p.node.paths.Parted() || p.node.paths.SeemsParted(time.Now())
+	// A refused connection counts at once, so a partition that refuses them must not look like
+	// several members that ended: those asked so far may be parted too.
+	several := p.node.paths.SeveralFailed(time.Now())
 	switch {
-	case last == neighbor.Refused && !parted:
+	case last == neighbor.Refused && !parted && !several:
 		return platform.Absent
 	case last == neighbor.Unreached && !parted:
 		return platform.NotReached
 	}
-	reached, answered := p.forwarder.askInRounds(p.node.group.Context(), e, false)
+	reached, answered := p.forwarder.askInRounds(p.node.group.Context(), e, false, parted || several)
 	if answered > 0 || reached {
 		p.node.gateway.RecordPath(time.Now(), e, reached, false)
 	}
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -196,7 +196,8 @@
 	}
 	f.node.group.Go("verify_path", func(ctx context.Context) error {
 		defer f.endVerify(e.ID)
-		reached, asked := f.askInRounds(ctx, e, silent)
+		seemsParted := f.node.paths.SeemsParted(time.Now()) || f.node.paths.Parted()
+		reached, asked := f.askInRounds(ctx, e, silent, seemsParted)
 		if asked > 0 || silent {
 			f.node.gateway.RecordPath(time.Now(), e, reached, silent)
 		}
@@ -221,12 +222,12 @@
 	delete(f.verifying, id)
 }
 
-// askInRounds asks several nodes and, while none reaches the endpoint and this node fails at other
-// endpoints too, further ones: those asked may be parted like this node.
-func (f *forwarder) askInRounds(ctx context.Context, e *fleet.Endpoint, silent bool) (reached bool, answered int) {
+// askInRounds asks several nodes and, while none reaches the endpoint and this node may be parted,
+// further ones: those asked may be parted like this node.
+func (f *forwarder) askInRounds(ctx context.Context, e *fleet.Endpoint, silent, mayBeParted bool) (reached bool, answered int) {
 	var asked []reach.Peer
 	for round := range verifyRounds {
-		if round > 0 && !f.node.paths.SeemsParted(time.Now()) && !f.node.paths.Parted() {
+		if round > 0 && !mayBeParted {
 			break
 		}
 		before := len(asked)
--- a/node/parted_test.go
+++ b/node/parted_test.go
@@ -126,27 +126,37 @@
 		"four of five, a dispatcher": {map[string]int{"a": 5}, 4},
 		"a zone with a dispatcher":   {map[string]int{"a": 4, "b": 2}, 4},
 	} {
-		for _, mode := range []link.PartitionMode{link.PartitionHang, link.PartitionReset, link.PartitionRefuse} {
-			t.Run(fmt.Sprintf("%s, %s", name, mode), func(t *testing.T) {
-				t.Parallel()
-				z := deployZones(t, c.nodes)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := deployZones(t, c.nodes)
+			for _, mode := range []link.PartitionMode{link.PartitionHang, link.PartitionReset, link.PartitionRefuse} {
 				z.part("a", c.parted, mode)
 				z.requireServed(t, z.callEach(t, partedTime, partedSettleTime))
 				z.part("a", c.parted, link.PartitionNone)
 				z.requireServed(t, z.callEach(t, 2*time.Second, 0))
-			})
-		}
+				time.Sleep(partedTime) // until the paths have returned
+			}
+		})
 	}
 }
 
 // The holder of a zone's lease is parted from the zone's endpoints. Its groups must stay open
 // while they are whole, and be closed when they lose a member.
 func TestPartedHolderKeepsAndRepairsGroups(t *testing.T) {
-	for _, mode := range []link.PartitionMode{link.PartitionHang, link.PartitionReset} {
-		t.Run(string(mode), func(t *testing.T) {
+	for name, c := range map[string]struct {
+		nodes  map[string]int
+		parted int // nodes of zone a
+		mode   link.PartitionMode
+	}{
+		"a whole zone, hang":                   {map[string]int{"a": 2, "b": 2}, 2, link.PartitionHang},
+		"a whole zone, reset":                  {map[string]int{"a": 2, "b": 2}, 2, link.PartitionReset},
+		"most of those that it asks too":       {map[string]int{"a": 5}, 4, link.PartitionReset},
+		"most of those that it asks too, hang": {map[string]int{"a": 5}, 4, link.PartitionHang},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			z := deployZones(t, map[string]int{"a": 2, "b": 2})
-			z.part("a", 2, mode)
+			z := deployZones(t, c.nodes)
+			z.part("a", c.parted, c.mode)
 			z.callEach(t, 2*time.Second, 0)
 			require.Equal(t, 2, z.openGroups("a"), "sound groups stay open")
 			for _, e := range z.heads["a"] {
--- a/reach/table.go
+++ b/reach/table.go
@@ -158,7 +158,19 @@
 }
 
 func (t *Table) seemsParted(now time.Time) bool {
-	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > failWindow || now.Sub(t.goodAt) < quietTime {
+	return now.Sub(t.goodAt) >= quietTime && t.severalFailed(now)
+}
+
+// SeveralFailed reports whether connections to several endpoints failed or broke at about the same
+// time.
+func (t *Table) SeveralFailed(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.severalFailed(now)
+}
+
+func (t *Table) severalFailed(now time.Time) bool {
+	if t.troubleAt.IsZero() || now.Sub(t.troubleAt) > failWindow {
 		return false
 	}
 	n := 0
