soak: a link that refuses connections keeps its port

The stand-in now binds it without listening. TestRefusingLinkKeepsItsPort fails without that. Nodes are unchanged.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"redwinghall/kernel"
 )
 
@@ -44,6 +46,9 @@
 
 	mu       sync.Mutex
 	listener net.Listener // nil while new connections are refused
+	// reservation keeps the port while new connections are refused: another program's listener
+	// would answer in the target's place. -1 if there is none.
+	reservation int
 	mode     Mode
 	delay    time.Duration
 	conns    map[*pair]bool
@@ -63,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{group: g, address: listener.Addr().String(), target: target, listener: listener, mode: Pass, conns: map[*pair]bool{}}
+	l := &Link{group: g, address: listener.Addr().String(), target: target, listener: listener, mode: Pass, reservation: -1, conns: map[*pair]bool{}}
 	g.Go("link.accept", func(ctx context.Context) error { return l.accept(ctx, listener) })
 	g.Go("link.stop", func(ctx context.Context) error {
 		<-ctx.Done()
@@ -71,6 +76,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.closeListener()
+		l.endReservation()
 		return nil
 	})
 	return l, nil
@@ -86,6 +92,33 @@
 	}
 }
 
+// reserve binds a socket to the link's address without listening, so that connections are refused.
+func (l *Link) reserve() {
+	address, err := net.ResolveTCPAddr("tcp4", l.address)
+	if err != nil {
+		return // it has been listened on
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return
+	}
+	to := &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}
+	// Connections that live on share the port, so it is reused; then nobody else may.
+	if unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) != nil || unix.Bind(fd, to) != nil ||
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0) != nil {
+		_ = unix.Close(fd)
+		return
+	}
+	l.reservation = fd
+}
+
+func (l *Link) endReservation() {
+	if l.reservation >= 0 {
+		_ = unix.Close(l.reservation)
+		l.reservation = -1
+	}
+}
+
 // listenAgain opens the listener that a mode has closed. The lock is held. Another socket may have
 // the port for a moment.
 func (l *Link) listenAgain() {
@@ -113,8 +146,12 @@
 	l.mode, l.delay = mode, delay
 	switch {
 	case mode == Refuse || mode == ResetAndRefuse || mode == SwallowAndRefuse:
-		l.closeListener()
+		if l.listener != nil {
+			l.closeListener()
+			l.reserve()
+		}
 	case l.listener == nil && l.group.Context().Err() == nil:
+		l.endReservation()
 		l.listenAgain()
 	}
 	for p := range l.conns {
