--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -49,9 +49,9 @@
 	// reservation keeps the port while new connections are refused: another program's listener
 	// would answer in the target's place. -1 if there is none.
 	reservation int
-	mode     Mode
-	delay    time.Duration
-	conns    map[*pair]bool
+	mode        Mode
+	delay       time.Duration
+	conns       map[*pair]bool
 }
 
 // pair is a connection from a client and the one to the target.
