--- a/neighbor/forward.go
+++ b/neighbor/forward.go
@@ -56,8 +56,8 @@
 	Indirect ForwardOutcome = "indirect"
 	// Refused: the endpoint's address refuses connections of the called node.
 	Refused ForwardOutcome = "refused"
-	// Unusable: the called node may not send the request to the endpoint, because of what it
-	// knows of it or of the configuration.
+	// Unusable: the called node must not send the request. The endpoint is unknown there, leaving,
+	// closed or within a Retry-After, or the two nodes' configurations differ.
 	Unusable ForwardOutcome = "unusable"
 	// Busy: the called node has too many such calls, or is stopping.
 	Busy ForwardOutcome = "busy"
