--- a/caller/relay.go
+++ b/caller/relay.go
@@ -53,6 +53,9 @@
 
 	failedGroup   *route.TrackedGroup
 	failedRouters map[string]bool // addresses of routers that failed this request
+
+	attempts    int  // attempts that were made
+	retryDenied bool // the retry budget allowed no further attempt
 }
 
 var (
@@ -77,6 +80,7 @@
 	emptyAttempts := 0 // attempts in a row without a chunk
 	for attempt := 0; emptyAttempts < l.server.config.MaxAttempts; attempt++ {
 		if attempt > 0 && !l.server.budget.Spend() {
+			l.retryDenied = true
 			break
 		}
 		from := l.sequence.next
@@ -88,14 +92,15 @@
 			break
 		}
 		last = l.attempt(ctx, where)
+		l.attempts++
 		if last == nil {
 			return nil
 		}
 		if errors.Is(last, errCallerGone) || ctx.Err() != nil {
 			break
 		}
-		klog.V(1).InfoS("attempt_failed", "request_id", l.request.id, "address", where.address,
-			"position", l.sequence.next, "cause", last.Error())
+		klog.InfoS("attempt_failed", "request_id", l.request.id, "address", where.address,
+			"from", from, "position", l.sequence.next, "buffered", len(l.sequence.buffered), "cause", last.Error())
 		l.recordFailure(where)
 		emptyAttempts++
 		if l.sequence.next > from {
@@ -123,6 +128,8 @@
 // giveUp ends a response that cannot be completed. If it has started, giveUp sends an
 // error event to the caller; otherwise it returns the error for the refusal.
 func (l *relay) giveUp(ctx context.Context, cause error) error {
+	klog.InfoS("stream_given_up", "request_id", l.request.id, "position", l.sequence.next, "attempts", l.attempts,
+		"retry_denied", l.retryDenied, "after", time.Since(l.request.started), "deadline_passed", ctx.Err() != nil, "cause", cause)
 	if errors.Is(cause, errCallerGone) || l.sink.abort(redwinghall.CodeAnswerIncomplete) {
 		return redwinghall.NewOpError("relay.giveUp", redwinghall.CodeAnswerIncomplete, errResponseStarted)
 	}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -41,8 +41,13 @@
 	Failed  int            `json:"failed"`  // no response, or an incomplete one
 
 	FirstChunk []time.Duration `json:"-"`
+	// Failures describes the first maxFailures of the requests that failed or were wrong.
+	Failures []string `json:"-"`
 }
 
+// maxFailures bounds the failures that a result describes.
+const maxFailures = 10
+
 // Quantile returns the q-quantile of the time to first chunk over the correct
 // responses.
 func (r Result) Quantile(q float64) time.Duration {
@@ -56,9 +61,13 @@
 
 // String returns the result as one line of text.
 func (r Result) String() string {
-	return fmt.Sprintf("sent %d, whole %d, wrong %d, failed %d, refused %v, first chunk p50 %s p95 %s",
+	text := fmt.Sprintf("sent %d, whole %d, wrong %d, failed %d, refused %v, first chunk p50 %s p95 %s",
 		r.Sent, r.Correct, r.Wrong, r.Failed, r.Refused,
 		r.Quantile(0.5).Round(time.Microsecond), r.Quantile(0.95).Round(time.Microsecond))
+	if len(r.Failures) > 0 {
+		text += "; " + strings.Join(r.Failures, "; ")
+	}
+	return text
 }
 
 // NewClient returns an HTTP client that keeps enough idle connections for many
@@ -97,6 +106,9 @@
 
 func (r *Result) add(one Response) {
 	r.Sent++
+	if failure := one.failure(); failure != "" && len(r.Failures) < maxFailures {
+		r.Failures = append(r.Failures, failure)
+	}
 	switch {
 	case one.Code != "":
 		r.Refused[one.Code]++
@@ -117,6 +129,22 @@
 	Code  string // error code, if the request was refused
 	Err   error
 	First time.Duration // time to first chunk
+	// RequestID is the id under which the router logged the request, "" without a response.
+	RequestID string
+	Took      time.Duration
+}
+
+// failure describes a response that was wrong, incomplete or missing, "" for any other.
+func (r Response) failure() string {
+	switch {
+	case r.Code != "":
+		return ""
+	case r.Err != nil:
+		return fmt.Sprintf("request %q after %s and %d bytes: %v", r.RequestID, r.Took, len(r.Text), r.Err)
+	case r.Text != r.Want:
+		return fmt.Sprintf("request %q: got %q instead of %q", r.RequestID, r.Text, r.Want)
+	}
+	return ""
 }
 
 var errIncomplete = errors.New("stream ended before the [DONE] event")
@@ -148,14 +176,15 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.Do(request)
 	if err != nil {
-		return Response{Err: err}
+		return Response{Err: err, Took: time.Since(started)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return refusal(response)
 	}
-	result := Response{Want: want}
+	result := Response{Want: want, RequestID: response.Header.Get(caller.HeaderRequestID)}
 	result.Text, result.First, result.Err = readStream(response.Body, started)
+	result.Took = time.Since(started)
 	return result
 }
 
