--- /dev/null
+++ b/kernel/timeout_test.go
@@ -0,0 +1,47 @@
+package kernel_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
+	"redwinghall/rwhtest/heldstill"
+)
+
+// A timeout that is due in the very moment in which the process runs again must not end a call whose
+// answer came meanwhile.
+func TestTimeoutsOutliveAPause(t *testing.T) {
+	if heldstill.Repeat(t, heldstill.Pattern{Still: 1200 * time.Millisecond, Run: 100 * time.Millisecond, Times: 6}) {
+		return
+	}
+	for range 10 {
+		ctx, cancel := kernel.WithTimeout(t.Context(), 200*time.Millisecond)
+		require.True(t, kernel.Sleep(ctx, 100*time.Millisecond), "the process ran for half of the timeout")
+		cancel()
+		require.ErrorIs(t, context.Cause(ctx), context.Canceled)
+	}
+}
+
+// While the process runs, timeouts must pass in time.
+func TestTimeoutPasses(t *testing.T) {
+	begun := time.Now()
+	ctx, cancel := kernel.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	<-ctx.Done()
+	require.ErrorIs(t, context.Cause(ctx), context.DeadlineExceeded)
+	require.GreaterOrEqual(t, time.Since(begun), 100*time.Millisecond)
+}
+
+func TestStoppedTimerDoesNotFire(t *testing.T) {
+	fired := make(chan struct{}, 2)
+	timer := kernel.AfterFunc(30*time.Millisecond, func() { fired <- struct{}{} })
+	require.True(t, timer.Stop())
+	require.False(t, timer.Stop())
+	require.False(t, kernel.Sleep(t.Context(), 60*time.Millisecond) && len(fired) > 0)
+	timer.Reset(10 * time.Millisecond)
+	<-fired
+	require.False(t, timer.Stop())
+}
