A request that arrives while a router stands still keeps its connection

Cause: net/http's ReadHeaderTimeout of 5 s (30 s for the body, 60 s between requests) is a deadline on the clock; after the standstill it has passed, and the server closes the connection although the request lies in its socket. Nothing was attempted for it, so attempts, retry budget and the caller's limit of 60 s are ruled out.

Read deadlines of all servers count the time for which the process runs now. The kernel test with 1 s timeouts, held still for 1.2 s, fails without it (a reset connection in the first seconds).

--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	limited := netutil.LimitListener(listener, maxConnections)
+	limited := kernel.NewListener(netutil.LimitListener(listener, maxConnections))
 	g.Go(name, func(context.Context) error {
 		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/node/connections.go
+++ b/node/connections.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall/gateway"
+	"redwinghall/kernel"
 	"redwinghall/platform"
 )
 
@@ -202,7 +203,8 @@
 
 func (c *connections) markIdleLocked(now time.Time, limit time.Duration) (idle []net.Conn) {
 	for conn, state := range c.all {
-		if state.busy || state.closed || now.Sub(state.idleSince) < limit {
+		// A request may have arrived while the process was paused.
+		if state.busy || state.closed || kernel.RunTime(state.idleSince, now) < limit {
 			continue
 		}
 		state.closed = true
--- a/node/listen.go
+++ b/node/listen.go
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	g.Go("serve "+server.Addr, func(context.Context) error {
-		err := server.Serve(listener)
+		err := server.Serve(kernel.NewListener(listener))
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
