neighbor: give up a large list when no bytes come, not after a total time

TestLargeListsAreCompressed, held still for 1.2 s after each 0.05 s, failed in 19 of the runs of 40 s, each 'context deadline exceeded' in Client.List: a list of 880 rows had to come within 1 s in all, by the clock. A node that is slow, or behind a slow link, never gets its list, as each attempt starts anew, and a node without the list never serves.

The other calls between nodes, and their connections, count the time for which the process runs.

--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -13,6 +13,7 @@
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 	"redwinghall/neighbor/rpc"
 	"redwinghall/relay"
 )
@@ -20,7 +21,8 @@
 // Timeouts and connection limits of calls to other nodes.
 const (
 	callTimeout = 500 * time.Millisecond
-	// listTimeout bounds a call for a full table, which the other node may not have read yet.
+	// listTimeout bounds the wait for the next bytes of a full table, which the other node may
+	// not have read yet.
 	listTimeout = time.Second
 	// reserveTimeout bounds how long a caller waits until a group is chosen. It is a small
 	// part of a latency objective and many times the round-trip time.
@@ -43,9 +45,9 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: &http.Transport{
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: progressTransport{&http.Transport{
 		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	}}}}
 }
 
 func (c *Client) clientFor(address string) rpc.Neighbor {
@@ -61,7 +63,7 @@
 
 // List implements relay.PeerClient.
 func (c *Client) List(ctx context.Context, address, table string) (relay.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := withIdleTimeout(ctx, listTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).List(ctx, &rpc.ListRequest{Table: table})
 	return c.decodeAnswer("Client.List", table, out, err)
@@ -69,7 +71,7 @@
 
 // Changes implements relay.PeerClient.
 func (c *Client) Changes(ctx context.Context, address, table string, after fleet.Position, wait time.Duration) (relay.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := withIdleTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after.Version, Era: after.Era, WaitMs: wait.Milliseconds()})
 	return c.decodeAnswer("Client.Changes", table, out, err)
@@ -77,7 +79,7 @@
 
 // Commit implements relay.PeerClient.
 func (c *Client) Commit(ctx context.Context, address string, txn fleet.Txn) (fleet.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Commit(ctx, encodeTxn(txn))
 	if err == nil {
@@ -141,7 +143,7 @@
 
 // Share reports this node's loads and returns the total loads that the report requests.
 func (c *Client) Share(ctx context.Context, address string, report LoadReport) (ShareResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Node, Loads: encodeLoads(report.Loads), Settled: report.LowestOpenTicket, WithOthers: report.WithOthers,
@@ -159,7 +161,7 @@
 
 // ShareZone reports to a node of another zone.
 func (c *Client) ShareZone(ctx context.Context, address string, report ZoneReport) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Zone, Loads: encodeLoads(report.Loads), Zone: true, Limits: encodeLimits(report.Limits), Rejecting: report.Rejecting,
@@ -173,7 +175,7 @@
 // Reserve asks a node to choose a group of its zone. A caller is waiting, so the call
 // times out after reserveTimeout.
 func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest) (fleet.Placement, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Reserve(ctx, &rpc.ReserveRequest{
 		Service: request.Service, Model: request.Model, PromptTokens: int32(request.Prompt), //nolint:gosec // a count of tokens
@@ -192,7 +194,7 @@
 // Permit requests a permit for one request to an endpoint of a zone. A caller is waiting,
 // as in Reserve.
 func (c *Client) Permit(ctx context.Context, address, zone string, known balance.LimitReport) (balance.Permit, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Permit(ctx, &rpc.PermitRequest{Zone: zone, Limit: encodeLimit(known)})
 	if err != nil {
@@ -205,7 +207,7 @@
 
 // Suspect reports to a node that an endpoint makes little or no progress.
 func (c *Client) Suspect(ctx context.Context, address, endpointID string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := c.clientFor(address).Suspect(ctx, &rpc.SuspectRequest{Endpoint: endpointID}); err != nil {
 		return c.callError("Client.Suspect", err)
@@ -246,8 +248,12 @@
 // dialWithKeepAlive returns a dial function with a timeout, and with TCP keep-alive so that
 // broken connections are detected.
 func dialWithKeepAlive(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 	}}
-	return d.DialContext
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := kernel.WithTimeout(ctx, timeout)
+		defer cancel()
+		return d.DialContext(ctx, network, address)
+	}
 }
