A holder that stood still acquires its own lease again at once, and goes on with its grants

Callers got nothing from groups that were formed and ready. Evidence (lease_changed): the lease lapses (3 s) in each standstill, but isn't old enough (4 s) for anyone to take, not even its holder, so the zone has no holder until after the next standstill: 0.4 s in each 6.8 s. And each time the holder acquires it, it grants no cold group for 2 s, as a former holder's grants may be in force: the step that starts anew, and never gets to its end. With standstills over 4 s the holder acquires its lease in the same tick and goes on.

The record that a process wrote last and that is unchanged is proof that nobody else has held the lease since. Such a process acquires it by the same conditional write, at once, with a higher fencing number; its own grants stay in force, and its own orders are no former holder's. A record of another process of the same name proves nothing (test). The model test (never two holders) passes.

--- a/endpoint/lease.go
+++ b/endpoint/lease.go
@@ -10,7 +10,6 @@
 	"redwinghall"
 	"redwinghall/lease"
 	"redwinghall/peer"
-	"redwinghall/ramp"
 )
 
 // LeaseStatus is a controller's view of the zone's lease.
@@ -30,11 +29,11 @@
 // controller holds the lease, and nil if it does not hold it. The function checks
 // the end of the lease at each request, because a controller that was paused may
 // resume after another has acquired the lease.
-func (m *Manager) grantFunc(now time.Time, holds bool) peer.GrantFunc {
+func (m *Manager) grantFunc(holds bool) peer.GrantFunc {
 	if !holds {
 		return nil
 	}
-	grants := ramp.NewGrants(now)
+	grants := m.grants
 	return func(at time.Time, router string, groups []string) []string {
 		if !m.Lease().holdsAt(at) {
 			return nil
@@ -89,6 +88,9 @@
 	if action == lease.Wait {
 		return nil
 	}
+	if action == lease.Acquire {
+		m.continued = m.lease.Continues()
+	}
 	txn, record := m.lease.Txn(m.config.AvailabilityZone, action, rand.Text())
 	sentAt := time.Now()
 	commitErr := m.table.Commit(ctx, txn)
--- a/endpoint/manager.go
+++ b/endpoint/manager.go
@@ -14,6 +14,7 @@
 	"redwinghall/lease"
 	"redwinghall/peer"
 	"redwinghall/place"
+	"redwinghall/ramp"
 )
 
 // ManagerConfig holds the settings with which a controller manages its zone.
@@ -47,6 +48,8 @@
 
 	lease              lease.State
 	holding            bool
+	continued          bool         // the lease was last acquired from this controller itself
+	grants             *ramp.Grants // nil until this controller has held the lease
 	ordersBlockedUntil time.Time
 	nextLeaseRead      time.Time                 // when a watching controller reads the lease again
 	lastSeen           map[string]time.Time      // when each VM last responded
@@ -86,10 +89,13 @@
 		// published again under the new fencing number.
 		m.published = map[string]string{}
 		m.entryCounter = 0
-		// The last order of the previous holder may still be in transit.
-		m.ordersBlockedUntil = now.Add(m.config.OrderTimeout)
-		m.node.SetGrantFunc(m.grantFunc(now, holds))
-		klog.InfoS("lease_changed", "holding", holds, "fencing", m.lease.Fencing())
+		if holds && !m.continued {
+			// The last order of the previous holder may still be in transit.
+			m.ordersBlockedUntil = now.Add(m.config.OrderTimeout)
+			m.grants = ramp.NewGrants(now)
+		}
+		m.node.SetGrantFunc(m.grantFunc(holds))
+		klog.InfoS("lease_changed", "holding", holds, "fencing", m.lease.Fencing(), "continued", m.continued)
 	}
 	if !holds || now.Before(m.ordersBlockedUntil) {
 		return
--- a/endpoint/manager_test.go
+++ b/endpoint/manager_test.go
@@ -12,6 +12,7 @@
 	"redwinghall"
 	"redwinghall/endpoint"
 	"redwinghall/rwhtest"
+	"redwinghall/rwhtest/heldstill"
 	"redwinghall/standin/engine"
 	"redwinghall/standin/table"
 )
@@ -203,6 +204,19 @@
 	require.Zero(t, d.Fleet.Record().Incomplete)
 }
 
+// A holder that is paused again and again must get a zone into service all the same: neither its
+// lease nor the wait before it grants cold groups may begin anew with each pause.
+func TestZoneComesIntoServiceBetweenPauses(t *testing.T) {
+	if heldstill.Repeat(t, heldstill.Pattern{Still: 3 * time.Second, Run: 400 * time.Millisecond, Times: 40}) {
+		return
+	}
+	d := rwhtest.Start(t, rwhtest.Options{VMsPerGroup: 2, Replicas: 2, VMsPerZone: 6})
+	d.Submit("v1")
+	d.Submit("v2")
+	require.Equal(t, 10, d.Load(10, 2, 4, 0).Correct)
+	require.Zero(t, d.Fleet.Record().Incomplete)
+}
+
 // The platform's list marks a member and a service VM as leaving. Neither may
 // receive new requests, and another group must replace the member's.
 func TestLeavingVMsAreLetGo(t *testing.T) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -87,6 +87,8 @@
 	// sawRestore says that the table was restored while this process was watching it.
 	sawRestore   bool
 	recoveredEra int64
+	// written is the nonce of the record that this process wrote last, "" if none.
+	written string
 }
 
 // NewState returns the state of a process that has not read the rows yet.
@@ -161,6 +163,8 @@
 		return Wait
 	case s.version == 0 || s.record.Holder == "":
 		return Acquire // never held, or released by its holder
+	case s.Continues():
+		return Acquire // nobody else has held it since
 	case s.config.SingleInstance && s.record.Holder == s.config.Self:
 		return Acquire // left by an earlier process of this name
 	case now.Sub(s.unchangedSince) > s.config.Duration:
@@ -182,6 +186,15 @@
 	return s.record.Holder == s.config.Self && now.Before(s.heldUntil)
 }
 
+// Continues reports whether the current record is the last one that this process wrote, so that no
+// other process has held the lease since. It may have lapsed while this process was paused.
+//
+// A holder that waited for its own record to expire would do so after each pause. If pauses follow
+// each other more closely than that, the zone would have no holder for most of the time.
+func (s State) Continues() bool {
+	return s.written != "" && s.record.Nonce == s.written && s.record.Holder == s.config.Self
+}
+
 // HeldUntil returns when this process stops holding the lease.
 func (s State) HeldUntil() time.Time { return s.heldUntil }
 
@@ -244,6 +257,7 @@
 	}
 	if next.record.Nonce == written.Nonce && next.record.Holder == s.config.Self {
 		next.heldUntil = sentAt.Add(s.config.Duration - s.config.Margin)
+		next.written = written.Nonce
 	}
 	return next, nil
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -128,6 +128,40 @@
 	require.Equal(t, redwinghall.TableConflict, redwinghall.KindOf[redwinghall.TableKind](err))
 }
 
+// A holder whose lease lapsed while it was paused must acquire it again at once if nobody else has:
+// after each pause the zone would otherwise be without a holder for the rest of the duration.
+func TestPausedHolderAcquiresItsOwnLeaseAgain(t *testing.T) {
+	tab := table.New()
+	a, b := newController(tab, "a", 0), newController(tab, "b", 0)
+	require.NoError(t, a.step(start, "1"))
+	require.NoError(t, b.step(start, "2"))
+	at := start.Add(duration - margin)
+	require.False(t, a.state.Holds(at))
+	require.True(t, a.state.Continues())
+	require.NoError(t, a.step(at, "3"))
+	require.True(t, a.state.Holds(at))
+	require.Equal(t, uint64(2), a.state.Fencing(), "its own orders from before the pause are stale")
+	require.NoError(t, b.step(start.Add(duration+time.Second), "4"))
+	require.False(t, b.state.Holds(start.Add(duration+time.Second)), "the record has changed since b saw it")
+}
+
+// A holder that was paused for longer must wait for a successor, and so must a new process of the
+// same name.
+func TestPausedHolderWaitsForItsSuccessor(t *testing.T) {
+	tab := table.New()
+	a, b, again := newController(tab, "a", 0), newController(tab, "b", 0), newController(tab, "a", 0)
+	require.NoError(t, a.step(start, "1"))
+	require.NoError(t, again.step(start, "2"))
+	require.False(t, again.state.Holds(start), "another process of the name may still hold it")
+	require.NoError(t, b.step(start, "3"))
+	at := start.Add(duration + time.Second)
+	require.NoError(t, b.step(at, "4"))
+	require.True(t, b.state.Holds(at))
+	require.NoError(t, a.step(at, "5"))
+	require.False(t, a.state.Holds(at))
+	require.False(t, a.state.Continues())
+}
+
 func TestReleasedLeaseIsAcquiredAtOnce(t *testing.T) {
 	tab := table.New()
 	a, b := newController(tab, "a", 0), newController(tab, "b", 0)
