A gateway that stood still takes no sound endpoint for silent or slow

Cause, from the lines before it: the standstill hits a request at 'other'; when the process runs again the stall timer (0.7 s) is due before the answer is read, puts 'other' into backoff, and the next request finds only the endpoint at its limit. In other traces the connection timeout of 0.15 s does the same. New line endpoint_stalled says so with the silence that decided.

Stall, connection and attempt timeouts, the silence of a group, response times, pauses, the bias of predictions, calls to other nodes about an endpoint (check, quick refusal) count the time for which the process ran. A caller's deadline stays wall time.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -72,11 +72,11 @@
 	s := a.s
 	if a.started && predictedPause != nil {
 		if expectedPause := predictedPause(s.running(now)); expectedPause > 0 {
-			s.recordPause(float64(now.Sub(a.last)) / float64(expectedPause))
+			s.recordPause(float64(a.t.runTime(a.last, now)) / float64(expectedPause))
 		}
 	}
 	if !a.started && predictedPause != nil && a.queued == 0 {
-		a.t.updateBias(now.Sub(a.sentAt) - a.predicted)
+		a.t.updateBias(a.t.runTime(a.sentAt, now) - a.predicted)
 	}
 	if a.first.IsZero() {
 		a.first = now
@@ -157,18 +157,18 @@
 // there was no event.
 func (a *Attempt) responseTime(now time.Time) time.Duration {
 	if a.first.IsZero() {
-		return now.Sub(a.sentAt)
+		return a.t.runTime(a.sentAt, now)
 	}
-	return a.first.Sub(a.sentAt)
+	return a.t.runTime(a.sentAt, a.first)
 }
 
 // TimeWithoutEvent returns how long this node has been waiting for an event of any
-// of its streams at the endpoint.
+// of its streams at the endpoint, without pauses of this process.
 func (a *Attempt) TimeWithoutEvent(now time.Time) time.Duration {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
 	if a.s.waitingSince.IsZero() {
 		return 0
 	}
-	return now.Sub(a.s.waitingSince)
+	return a.t.runTime(a.s.waitingSince, now)
 }
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 )
 
 // How long the data about an endpoint is used and kept.
@@ -82,6 +83,8 @@
 	// Tickets numbers the requests of this node to its zone's dispatcher.
 	Tickets Tickets
 
+	runTime func(from, to time.Time) time.Duration
+
 	mu     sync.Mutex
 	states map[string]*State
 	// otherZonesConsideredAt is when a group of another zone was last considered.
@@ -95,8 +98,15 @@
 	bias time.Duration
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{states: map[string]*State{}} }
+// NewTracker returns an empty tracker. It measures endpoints by the time for which this process
+// runs: after a pause, sound ones would look slow or silent.
+func NewTracker() *Tracker { return NewTrackerWithRunTime(kernel.RunTime) }
+
+// NewTrackerWithRunTime returns an empty tracker. runTime returns for how long the process ran in a
+// span of time.
+func NewTrackerWithRunTime(runTime func(from, to time.Time) time.Duration) *Tracker {
+	return &Tracker{states: map[string]*State{}, runTime: runTime}
+}
 
 // state returns an endpoint's state. The lock is held.
 func (t *Tracker) state(id string, now time.Time) *State {
@@ -250,7 +260,7 @@
 	defer t.mu.Unlock()
 	var slow []string
 	for id, s := range t.states {
-		if s.own > 0 && s.slowdown > slowFactor && now.Sub(s.lastEvent) < reportTTL {
+		if s.own > 0 && s.slowdown > slowFactor && t.runTime(s.lastEvent, now) < reportTTL {
 			slow = append(slow, id)
 		}
 	}
@@ -266,5 +276,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.states[id]
-	return ok && now.Sub(s.lastEvent) < progressWindow
+	return ok && t.runTime(s.lastEvent, now) < progressWindow
 }
--- /dev/null
+++ b/dial/timeout.go
@@ -0,0 +1,20 @@
+package dial
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"redwinghall/kernel"
+)
+
+// WithTimeout returns a function that opens a connection by open, and gives up once this process has
+// run for timeout. The dialer's own timeout would end an attempt whose connection was opened while
+// the process was paused.
+func WithTimeout(open Func, timeout time.Duration) Func {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := kernel.WithTimeout(ctx, timeout)
+		defer cancel()
+		return open(ctx, network, address)
+	}
+}
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -87,8 +87,6 @@
 // Connect opens a connection to an endpoint and closes it, to find out whether this node
 // reaches it.
 func (g *Gateway) Connect(ctx context.Context, e *fleet.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
 	conn, err := g.Upstream.open(ctx, "tcp", e.Address)
 	if err != nil {
 		g.Paths.Failed(time.Now(), e.Service, e.ID)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -135,6 +135,9 @@
 	s.cache.Apply(time.Now(), directory.Change{Endpoint: e})
 }
 
+// requestTimeout is how long a request of a test may take.
+const requestTimeout = 3 * time.Second
+
 func (s *fixture) request(method, path string) *http.Request {
 	s.t.Helper()
 	var body io.Reader
@@ -142,7 +145,7 @@
 		body = strings.NewReader("amount=50")
 	}
 	r, err := platformtest.NewRequest(context.Background(), method, s.server.Listener.Addr().String(), path, body, platformtest.RequestInfo{
-		ID: "r-1", Key: "key-1", Model: "m0", Timeout: 3 * time.Second, Prompt: 100, Answer: 50,
+		ID: "r-1", Key: "key-1", Model: "m0", Timeout: requestTimeout, Prompt: 100, Answer: 50,
 	})
 	require.NoError(s.t, err)
 	return r
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -133,7 +133,8 @@
 
 // recordStalled records that an endpoint has sent nothing for the stall timeout. The endpoint
 // may have stopped, or this node's connections to it may be dead.
-func (g *Gateway) recordStalled(now time.Time, e *fleet.Endpoint) {
+func (g *Gateway) recordStalled(now time.Time, e *fleet.Endpoint, silent time.Duration) {
+	klog.InfoS("endpoint_stalled", "endpoint", e.ID, "group", e.Member.Group, "silent", silent)
 	g.Paths.Broke(now, e.Service, e.ID)
 	if g.Forwarder == nil {
 		g.Tracker.MarkUnreachable(now, e.ID)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -12,6 +12,7 @@
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 	"redwinghall/platform"
 )
 
@@ -108,7 +109,7 @@
 // recordCallTime records the duration of the call for its route, whatever its result.
 func (c *plainCall) recordCallTime() {
 	if c.sent > 0 {
-		c.g.callTimes.record(c.r.Route.Name, time.Since(c.r.Arrived))
+		c.g.callTimes.record(c.r.Route.Name, kernel.RunTime(c.r.Arrived, time.Now()))
 	}
 }
 
@@ -127,7 +128,7 @@
 // in part.
 func (c *plainCall) attempt(ctx context.Context, choice balance.Choice) plainAttempt {
 	c.tried[choice.Endpoint.ID] = true
-	ctx, cancel := context.WithTimeout(ctx, c.attemptTimeout(time.Now()))
+	ctx, cancel := kernel.WithTimeout(ctx, c.attemptTimeout(time.Now()))
 	response, err := c.g.send(ctx, c.r, choice.Endpoint, "", c.sendMode())
 	if err != nil {
 		cancel()
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwinghall/balance"
+	"redwinghall/kernel"
 )
 
 // watchStall calls cancel once the group has made no progress for silenceTolerance, or for the
@@ -18,7 +19,7 @@
 	w := &stallWatch{call: c, choice: choice, cancel: cancel, timeout: c.stallTimeout()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.timeout, w.check)
+	w.timer = kernel.AfterFunc(w.timeout, w.check)
 	return w.stop
 }
 
@@ -29,7 +30,7 @@
 	choice   balance.Choice
 	cancel   func()
 	timeout  time.Duration
-	timer    *time.Timer
+	timer    *kernel.Timer
 	stopped  bool
 	reported bool
 }
@@ -48,7 +49,7 @@
 	}
 	if !w.reported {
 		w.reported = true
-		w.call.g.recordStalled(now, w.choice.Endpoint)
+		w.call.g.recordStalled(now, w.choice.Endpoint, silent)
 	}
 	dead := w.call.g.Paths.ServesOthers(now, w.choice.Endpoint.ID)
 	if (dead || silent >= silenceTolerance) && w.call.mayResumeElsewhere(now) {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -81,6 +81,7 @@
 
 // NewUpstreamWithDialer returns an upstream that opens its connections by a function.
 func NewUpstreamWithDialer(open dial.Func) *Upstream {
+	open = dial.WithTimeout(open, connectTimeout)
 	fresh := newEndpointTransport(open)
 	fresh.MaxIdleConnsPerHost = -1 // keeps none, without asking the endpoint to close
 	return &Upstream{open: open, transport: newEndpointTransport(open), fresh: fresh}
@@ -89,8 +90,6 @@
 func newEndpointTransport(open dial.Func) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
 			conn, err := open(ctx, network, address)
 			if err != nil {
 				return nil, err
--- a/kernel/timeout.go
+++ b/kernel/timeout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -11,26 +12,42 @@
 // minTimerWait is the shortest time for which a timer of run time is set again.
 const minTimerWait = 5 * time.Millisecond
 
-// processMeter returns the meter of this process, which ticks from the first call on.
-var processMeter = sync.OnceValue(func() *PauseMeter {
+// process is the meter of this process. It ticks from the start of the program.
+var process = startMeter()
+
+func startMeter() *PauseMeter {
 	m := NewPauseMeter(time.Now())
+	var mu sync.Mutex
+	mu.Lock()
+	defer mu.Unlock()
 	var ticker *time.Timer
-	ticker = time.AfterFunc(time.Hour, func() {
+	ticker = time.AfterFunc(tickInterval, func() {
 		if paused := m.Tick(time.Now()); paused > 0 {
 			klog.InfoS("process_paused", "for", paused)
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		ticker.Reset(tickInterval)
 	})
-	ticker.Reset(tickInterval)
 	return m
-})
+}
 
-// RunTime returns for how long this process ran in a span of time; see PauseMeter.
+// RunTime returns for how long this process ran in a span of time; see PauseMeter. What lies in the
+// future counts as running.
 //
 // What concludes from a silence that something failed measures it by RunTime. What others go by
 // too, as a caller's deadline or the end of a lease, passes while this process is paused, and
 // is measured by the clock.
-func RunTime(from, to time.Time) time.Duration { return processMeter().RunTime(from, to) }
+func RunTime(from, to time.Time) time.Duration {
+	now := time.Now()
+	if !to.After(now) {
+		return process.RunTime(from, to)
+	}
+	if from.After(now) {
+		return to.Sub(from)
+	}
+	return process.RunTime(from, now) + to.Sub(now)
+}
 
 // Timer calls a function once this process has run for some time.
 type Timer struct {
@@ -45,7 +62,6 @@
 
 // AfterFunc calls fn in a goroutine of its own once this process has run for timeout.
 func AfterFunc(timeout time.Duration, fn func()) *Timer {
-	processMeter() // pauses count from now on
 	t := &Timer{fn: fn, begun: time.Now(), timeout: timeout, set: true}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -92,6 +108,43 @@
 	return stopped
 }
 
+// IdleTimer ends a call once this process has run for some time without a byte of the response.
+//
+// A process that is slow, or behind a slow link, would never get a large response within a total
+// timeout: each attempt starts anew.
+type IdleTimer struct {
+	timer   *Timer
+	timeout time.Duration
+}
+
+// WithIdleTimeout returns a context that is canceled once this process has run for timeout since the
+// last byte read through the timer's Reader, or since now before the first one.
+func WithIdleTimeout(parent context.Context, timeout time.Duration) (context.Context, *IdleTimer, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := &IdleTimer{timeout: timeout, timer: AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })}
+	return ctx, timer, func() {
+		timer.timer.Stop()
+		cancel(nil)
+	}
+}
+
+// Reader returns a reader whose bytes begin the timeout anew.
+func (t *IdleTimer) Reader(r io.Reader) io.Reader { return idleReader{r, t} }
+
+type idleReader struct {
+	io.Reader
+	timer *IdleTimer
+}
+
+// Read implements io.Reader.
+func (r idleReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.timer.timer.Reset(r.timer.timeout)
+	}
+	return n, err
+}
+
 // WithTimeout returns a context that is canceled once this process has run for timeout. Its cause
 // is then context.DeadlineExceeded. It has no deadline but that of its parent.
 func WithTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -12,6 +12,7 @@
 
 	"redwinghall"
 	"redwinghall/balance"
+	"redwinghall/dial"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 	"redwinghall/neighbor/rpc"
@@ -45,7 +46,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: progressTransport{&http.Transport{
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: idleTransport{&http.Transport{
 		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}}
 }
@@ -247,13 +248,9 @@
 
 // dialWithKeepAlive returns a dial function with a timeout, and with TCP keep-alive so that
 // broken connections are detected.
-func dialWithKeepAlive(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+func dialWithKeepAlive(timeout time.Duration) dial.Func {
 	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 	}}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := kernel.WithTimeout(ctx, timeout)
-		defer cancel()
-		return d.DialContext(ctx, network, address)
-	}
+	return dial.WithTimeout(d.DialContext, timeout)
 }
--- a/neighbor/progress.go
+++ b/neighbor/progress.go
@@ -9,53 +9,28 @@
 	"redwinghall/kernel"
 )
 
-// withIdleTimeout returns a context for one call. It is canceled once this process has run for
-// timeout without a byte of the response.
-//
-// A node that is slow, or behind a slow link, would never get a large response within a total
-// timeout: each attempt starts anew.
+// withIdleTimeout returns a context for one call, which ends once no byte of the response has come
+// for timeout.
 func withIdleTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(parent)
-	timer := kernel.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-	ctx = context.WithValue(ctx, progressKey{}, func() { timer.Reset(timeout) })
-	return ctx, func() {
-		timer.Stop()
-		cancel(nil)
-	}
+	ctx, timer, cancel := kernel.WithIdleTimeout(parent, timeout)
+	return context.WithValue(ctx, idleTimerKey{}, timer), cancel
 }
 
-type progressKey struct{}
+type idleTimerKey struct{}
 
-// progressTransport reports the bytes of responses to the timeout of their calls.
-type progressTransport struct{ http.RoundTripper }
+// idleTransport shows the bytes of responses to the idle timers of their calls.
+type idleTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
-func (t progressTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.RoundTripper.RoundTrip(request)
-	progress, ok := request.Context().Value(progressKey{}).(func())
-	if err != nil || !ok {
-		return response, err
+func (t idleTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if timer, ok := request.Context().Value(idleTimerKey{}).(*kernel.IdleTimer); ok && err == nil {
+		response.Body = readCloser{timer.Reader(response.Body), response.Body}
 	}
-	progress()
-	response.Body = &progressBody{ReadCloser: response.Body, progress: progress}
-	return response, nil
-}
-
-// CloseIdleConnections closes the idle connections of the transport.
-func (t progressTransport) CloseIdleConnections() {
-	(&http.Client{Transport: t.RoundTripper}).CloseIdleConnections()
+	return response, err
 }
 
-type progressBody struct {
-	io.ReadCloser
-	progress func()
-}
-
-// Read implements io.Reader.
-func (b *progressBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.progress()
-	}
-	return n, err
+type readCloser struct {
+	io.Reader
+	io.Closer
 }
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -89,7 +89,7 @@
 	var last neighbor.ForwardOutcome
 	for len(asked) < reach.MaxPeersAsked && ctx.Err() == nil {
 		now := time.Now()
-		if len(unreached) > 0 && !alive && now.Sub(begun) > quickRefusal {
+		if len(unreached) > 0 && !alive && kernel.RunTime(begun, now) > quickRefusal {
 			break
 		}
 		peer, ok := f.choose(now, e.Service, asked)
@@ -244,7 +244,7 @@
 // ask asks several nodes that haven't been asked. It reports whether any of them reaches the
 // endpoint, how many answered, and all that have been asked.
 func (f *forwarder) ask(ctx context.Context, e *fleet.Endpoint, silent bool, asked []reach.Peer) (reached bool, answered int, all []reach.Peer) {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	type answer struct {
 		peer     reach.Peer
