A holder that stood still takes no member for lost by its own silence

After a standstill the first report times out unread, the silence is as long as the standstill, and the holder closes a group that serves. They count the time for which the process ran.

--- a/formation/probes.go
+++ b/formation/probes.go
@@ -81,13 +81,13 @@
 	return true
 }
 
-// silence returns how long the endpoint has left reports unanswered, the last of them asked for at
-// a given time.
+// silence returns how long the endpoint has left reports unanswered while this process ran, the
+// last of them asked for at a given time.
 func (n *endpointState) silence(asked, now time.Time) time.Duration {
 	if n.silentSince.IsZero() || asked.Sub(n.silentSince) > suspectDuration {
 		n.silentSince = asked
 	}
-	return now.Sub(n.silentSince)
+	return kernel.RunTime(n.silentSince, now)
 }
 
 // sinceReport returns how long ago any probed endpoint last answered, negative if none has.
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -8,6 +8,7 @@
 
 	"redwinghall"
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 	"redwinghall/platform"
 )
 
@@ -91,9 +92,9 @@
 
 func (u *unlisted) responsive(now time.Time) bool {
 	if u.answered.IsZero() {
-		return now.Sub(u.since) < unlistedGrace && u.fails < unlistedMaxFailures
+		return kernel.RunTime(u.since, now) < unlistedGrace && u.fails < unlistedMaxFailures
 	}
-	return now.Sub(u.answered) < unlistedTimeout && u.fails < unlistedMaxFailures
+	return kernel.RunTime(u.answered, now) < unlistedTimeout && u.fails < unlistedMaxFailures
 }
 
 // askUnlisted asks an endpoint for its report, and until its first answer also whether
--- a/node/control.go
+++ b/node/control.go
@@ -12,6 +12,7 @@
 	"redwinghall"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
+	"redwinghall/kernel"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
 )
@@ -33,8 +34,9 @@
 func (p controlPeers) Failed(e *fleet.Endpoint) { p.node.paths.Failed(time.Now(), e.Service, e.ID) }
 
 // Call implements platform.Peers.
-func (p controlPeers) Call(ctx context.Context, e *fleet.Endpoint, method, path string, body []byte) (platform.ControlResponse, error) {
+func (p controlPeers) Call(ctx context.Context, e *fleet.Endpoint, method, path string, body []byte, timeout time.Duration) (platform.ControlResponse, error) {
 	const op = "controlPeers.Call"
+	begun := time.Now()
 	if _, listed := p.node.cache.View().Endpoints[e.ID]; !listed {
 		// Other nodes don't know an endpoint without an entry.
 		if p.node.paths.Parted() {
@@ -43,7 +45,7 @@
 		return platform.ControlResponse{}, redwinghall.NewOpError(op, platform.NotReached, errNotListed)
 	}
 	response, _, outcome, err := p.forwarder.Forward(ctx, e, func() (neighbor.Forward, *http.Request) {
-		call := neighbor.Forward{Kind: neighbor.ForwardControl, Endpoint: e.ID, Node: p.node.settings.Node, Timeout: timeLeft(ctx)}
+		call := neighbor.Forward{Kind: neighbor.ForwardControl, Endpoint: e.ID, Node: p.node.settings.Node, Timeout: timeout - kernel.RunTime(begun, time.Now())}
 		return call, &http.Request{
 			Method: method, URL: &url.URL{Path: path}, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 			Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
@@ -99,10 +101,3 @@
 		return client.CallDirect(ctx, method, e, path, body, timeout)
 	}
 }
-
-func timeLeft(ctx context.Context) time.Duration {
-	if deadline, ok := ctx.Deadline(); ok {
-		return time.Until(deadline)
-	}
-	return checkTimeout
-}
