--- a/relay/source.go
+++ b/relay/source.go
@@ -12,6 +12,7 @@
 
 	"redwinghall"
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 )
 
 // Limits that decide which nodes read the store, and when the other nodes stop using a
@@ -276,7 +277,7 @@
 
 // storeUnreachable reports whether the store has not answered this node for unreachableAfter.
 func (s *Source) storeUnreachable() bool {
-	return time.Since(time.Unix(0, s.lastAnswer.Load())) > unreachableAfter
+	return kernel.RunTime(time.Unix(0, s.lastAnswer.Load()), time.Now()) > unreachableAfter
 }
 
 // readFromFallback reads from another node, of this zone or another, what this node
--- a/tablehttp/platform.go
+++ b/tablehttp/platform.go
@@ -15,6 +15,7 @@
 
 	"redwinghall"
 	"redwinghall/dial"
+	"redwinghall/kernel"
 )
 
 // Paths of the platform's services.
@@ -62,19 +63,18 @@
 type Client struct {
 	base   string
 	client *http.Client
-	// Timeout limits each call, so that a call fails if the platform does not
-	// respond.
+	// Timeout limits how long a call waits for the next byte, so that it fails if the platform
+	// does not respond.
 	Timeout time.Duration
 }
 
 // NewClient returns a client of the platform at a host:port address.
 func NewClient(address string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		base:    (&url.URL{Scheme: "http", Host: address}).String(),
 		Timeout: defaultTimeout,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout),
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     10 * time.Second,
 		}},
@@ -123,7 +123,7 @@
 	if err != nil {
 		return redwinghall.NewOpError(op, redwinghall.TableUnavailable, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, timer, cancel := kernel.WithIdleTimeout(ctx, c.Timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -138,7 +138,7 @@
 		return redwinghall.NewOpError(op, kindOfSendError(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(timer.Reader(response.Body), maxResponseBytes))
 	if err != nil {
 		return redwinghall.NewOpError(op, redwinghall.TableUnknown, err)
 	}
