Routers and controllers: timeouts and the silence of members by the time that they ran

Same cause in the product's own programs: stall of a stream, connections, reports, exchanges, and the time after which a controller replaces a member.

--- a/caller/once.go
+++ b/caller/once.go
@@ -13,6 +13,7 @@
 
 	"redwinghall"
 	"redwinghall/claim"
+	"redwinghall/dial"
 	"redwinghall/route"
 )
 
@@ -112,10 +113,10 @@
 // dialAny tries the endpoints in random order and returns the first connection that
 // opens. Nothing of the call has been sent by then, so trying several is safe.
 func dialAny(ctx context.Context, endpoints redwinghall.ServiceEndpoints) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	open := dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout)
 	var last error
 	for _, i := range rand.Perm(len(endpoints)) {
-		conn, err := dialer.DialContext(ctx, "tcp", endpoints[i].Address)
+		conn, err := open(ctx, "tcp", endpoints[i].Address)
 		if err == nil {
 			return conn, nil
 		}
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -233,7 +233,7 @@
 	// until its deadline. If the next chunk does not arrive within StallTimeout, the
 	// attempt ends, its connection is closed, and another group continues from the
 	// same position.
-	stall := time.AfterFunc(l.server.config.StallTimeout, cancel)
+	stall := kernel.AfterFunc(l.server.config.StallTimeout, cancel)
 	defer stall.Stop()
 
 	response, err := l.send(ctx, where)
@@ -276,7 +276,7 @@
 
 // copy sends events to the sink until the end mark, which has a position in the
 // sequence like any chunk.
-func (l *relay) copy(events *EventReader, stall *time.Timer) error {
+func (l *relay) copy(events *EventReader, stall *kernel.Timer) error {
 	complete := false
 	deliver := func(position int, data []byte) error {
 		if bytes.Equal(data, doneData) {
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,6 +9,7 @@
 
 	"redwinghall"
 	"redwinghall/claim"
+	"redwinghall/dial"
 	"redwinghall/kernel"
 	"redwinghall/route"
 )
@@ -87,13 +88,12 @@
 // disconnects.
 func NewServer(config Config, selector *route.Selector, keeper *claim.Keeper, calls *kernel.Group) *Server {
 	config = config.WithDefaults()
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Server{
 		config: config, selector: selector, keeper: keeper, calls: calls,
 		metrics: NewMetrics(),
 		budget:  NewBudget(config.RetryPercent),
 		streams: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout),
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/dial"
+	"redwinghall/kernel"
 )
 
 // Kind classifies endpoint errors.
@@ -51,11 +53,10 @@
 
 // NewClient returns a client whose calls take at most timeout.
 func NewClient(timeout time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		Timeout: timeout,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout),
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     10 * time.Second,
 			DisableCompression:  true,
@@ -87,7 +88,7 @@
 }
 
 func (c *Client) do(ctx context.Context, op, method, address, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := kernel.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
--- a/endpoint/members.go
+++ b/endpoint/members.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/kernel"
 )
 
 // unresponsiveVM records since when a VM has not responded, and how many requests
@@ -41,10 +42,10 @@
 	m.unresponsive[vm] = s
 }
 
-// isLost reports whether a VM has been unresponsive for too long.
+// isLost reports whether a VM has been unresponsive for too long while this process ran.
 func (m *Manager) isLost(vm string, now time.Time) bool {
 	s, ok := m.unresponsive[vm]
-	return ok && s.requests >= minUnanswered && now.Sub(s.since) >= m.config.LostAfter
+	return ok && s.requests >= minUnanswered && kernel.RunTime(s.since, now) >= m.config.LostAfter
 }
 
 // stepMembers replaces lost members, starts a new generation of groups that are
--- a/peer/client.go
+++ b/peer/client.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"redwinghall/dial"
 )
 
 // Traffic counts the bytes sent and received on the connections of the
@@ -39,10 +41,10 @@
 )
 
 func newClient(traffic *Traffic, token string) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	open := dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout)
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := open(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/kernel"
 	"redwinghall/peer/rpc"
 )
 
@@ -34,7 +35,7 @@
 // exchange sends entries and health to a peer and applies its response. If the
 // digests differ afterwards, it reconciles the two stores.
 func (n *Node) exchange(ctx context.Context, m Member, out outgoingState) error {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	scope := ScopeOf(n.Self.AvailabilityZone, m.AvailabilityZone)
 	client := rpc.NewPeerProtobufClient("http://"+m.Address, n.client)
--- a/peer/grant.go
+++ b/peer/grant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwinghall"
+	"redwinghall/kernel"
 	"redwinghall/peer/rpc"
 )
 
@@ -36,7 +37,7 @@
 // this router may send to. It calls the last known holder first, and the other
 // controllers if that one no longer holds the lease.
 func (n *Node) RequestGrants(ctx context.Context, groups []string) ([]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := kernel.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var last error
 	for _, m := range n.controllers() {
