caller: an attempt that brings a chunk out of order makes progress

Callers lose a stream after four attempts in a row without a chunk, and a chunk that waits for an earlier one didn't count, although the next attempts need not bring it again. TestAttemptsThatBringChunksOutOfOrderCountAsProgress failed before: stream_given_up at position 0 after four attempts, each of which brought a chunk.

With each engine cut after 1 chunk and shuffling, four attempts in a row really bring nothing in about 1 of 81 tries: then max_tries ends the stream, as operators set it.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -73,8 +73,9 @@
 }
 
 // run makes attempts until the response is complete, the deadline passes, the retry
-// budget is exhausted, or MaxAttempts attempts in a row bring no chunk. An attempt
-// that brought chunks resets the count, since the response is making progress.
+// budget is exhausted, or MaxAttempts attempts in a row bring no new chunk. An attempt
+// that brought one resets the count, since the response is making progress, also if the
+// chunk waits for an earlier one.
 func (l *relay) run(ctx context.Context, prefix uint64) error {
 	var last error
 	emptyAttempts := 0 // attempts in a row without a chunk
@@ -83,7 +84,7 @@
 			l.retryDenied = true
 			break
 		}
-		from := l.sequence.next
+		from, received := l.sequence.next, l.sequence.received()
 		where, err := l.choose(ctx, prefix, attempt)
 		if err != nil {
 			if last == nil {
@@ -103,7 +104,7 @@
 			"from", from, "position", l.sequence.next, "buffered", len(l.sequence.buffered), "cause", last.Error())
 		l.recordFailure(where)
 		emptyAttempts++
-		if l.sequence.next > from {
+		if l.sequence.received() > received {
 			emptyAttempts = 0
 		}
 		if emptyAttempts > 1 && !kernel.Sleep(ctx, backoff(emptyAttempts)) {
--- a/caller/sequence.go
+++ b/caller/sequence.go
@@ -19,6 +19,9 @@
 	return &sequence{requestID: requestID, next: next}
 }
 
+// received returns how many chunks have come, those included that wait for an earlier one.
+func (q *sequence) received() int { return q.next + len(q.buffered) }
+
 // add adds a chunk and calls deliver for each chunk that is now next in order. It
 // returns false if the stream is malformed: the chunk does not have this request's id,
 // or too many chunks are out of order.
--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -48,6 +48,19 @@
 	require.Equal(t, 1200, result.Correct, result.String())
 }
 
+// An attempt that brings a chunk out of order and is cut must count as progress: more attempts in a
+// row than are allowed without any may be needed until the chunk comes for which the others wait.
+func TestAttemptsThatBringChunksOutOfOrderCountAsProgress(t *testing.T) {
+	d := startStreaming(t, 20*time.Second)
+	for _, vm := range d.VMs() {
+		if vm.Service == "" {
+			d.Fleet.VM(vm.ID).SetFaults(engine.StreamFaults{Backward: 6})
+		}
+	}
+	result := d.Load(1, 1, 5, 0)
+	require.Equal(t, 1, result.Correct, result.String())
+}
+
 // The engine sends some chunks and then nothing, with the connection open. Without a
 // limit on the time between chunks, the response would never continue.
 func TestStalledStreamContinuesOnAnotherGroup(t *testing.T) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -52,6 +52,9 @@
 	StallStreams int `json:"stall_streams"`
 	// Shuffle duplicates and reorders chunks.
 	Shuffle bool `json:"shuffle"`
+	// Backward cuts each stream after one chunk. The attempts of a request bring its next
+	// Backward chunks from the last to the first. 0: none.
+	Backward int `json:"backward"`
 }
 
 // Address returns the address on which the engine listens.
--- a/standin/engine/fleet.go
+++ b/standin/engine/fleet.go
@@ -39,8 +39,12 @@
 	mu     sync.Mutex
 	vms    map[string]*VM
 	record Record
+	// backward counts, by request, the attempts since its position last rose.
+	backward map[string]backwardAttempts
 }
 
+type backwardAttempts struct{ from, count int }
+
 // Record contains the counters of a fleet.
 type Record struct {
 	Requests  int `json:"requests"`
@@ -61,7 +65,7 @@
 
 // NewFleet returns a fleet without VMs.
 func NewFleet(c Config) *Fleet {
-	return &Fleet{config: c, vms: map[string]*VM{}, record: Record{ByVM: map[string]int{}}}
+	return &Fleet{config: c, vms: map[string]*VM{}, record: Record{ByVM: map[string]int{}}, backward: map[string]backwardAttempts{}}
 }
 
 // Record returns a copy of the counters.
@@ -79,6 +83,20 @@
 	change(&f.record)
 }
 
+// nextBackward returns how far after position from the next chunk of a request is, see
+// StreamFaults.Backward.
+func (f *Fleet) nextBackward(requestID string, from, depth int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := f.backward[requestID]
+	if a.from != from {
+		a = backwardAttempts{from: from}
+	}
+	a.count++
+	f.backward[requestID] = a
+	return max(0, depth-a.count)
+}
+
 // VM returns the VM with an ID, or nil.
 func (f *Fleet) VM(id string) *VM {
 	f.mu.Lock()
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -135,6 +135,10 @@
 // completed.
 func (s *stream) run(from int) bool {
 	last := s.request.tokenCount()
+	if s.faults.Backward > 0 {
+		s.send(min(last, from+s.vm.fleet.nextBackward(s.id, from, s.faults.Backward)))
+		return false
+	}
 	if !s.pause(s.vm.fleet.config.FirstToken.Std()) {
 		return false
 	}
