--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,10 @@
           overlap, beside some other faults; callers stay with their nodes. Nodes that
           are in touch with the rest must serve first tries two thirds as often as the
           others.
+  pauses  one node, half of them, all, or one after another stand still for 0.3 to 15 s;
+          in some of the pauses an endpoint ends. Nodes that run again must serve nine
+          of ten requests of the next seconds; no request goes to a second endpoint and
+          no group is closed for a pause alone.
 
 Examples:
   soak --bin bin --seed 1 --seeds 50 --length 30s
@@ -50,7 +54,7 @@
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -43,15 +43,17 @@
 	refused    []attempt // whose response states that the request was not executed
 	bookings   []string
 	violations []string
-	// tries are the attempts of the callers of PlanFaults.
+	// tries are the attempts of the callers.
 	tries []try
 }
 
 // try is one attempt at a node.
 type try struct {
+	id     string
 	node   int
 	sent   time.Time
 	served bool
+	status int
 }
 
 // add counts one attempt and checks its response.
@@ -59,7 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempts++
-	r.tries = append(r.tries, try{a.node, a.sent, a.status == http.StatusOK && !a.incomplete})
+	r.tries = append(r.tries, try{id: a.id, node: a.node, sent: a.sent, served: a.status == http.StatusOK && !a.incomplete, status: a.status})
 	if a.kind == "book" {
 		r.bookings = append(r.bookings, a.id)
 	}
@@ -150,7 +152,7 @@
 		if ctx.Err() == nil || a.status != 0 {
 			c.results.add(a)
 		}
-		if a.status != http.StatusOK && c.deployment.config.Plan != PlanPartitions {
+		if plan := c.deployment.config.Plan; a.status != http.StatusOK && plan != PlanPartitions && plan != PlanPauses {
 			c.node = (c.node + 1) % len(c.deployment.nodes) // a load balancer would choose another node too
 		}
 		kernel.Sleep(ctx, callerInterval)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -60,6 +60,8 @@
 	PlanStops Plan = "stops"
 	// PlanPartitions mostly parts nodes from all endpoints, while callers stay with their nodes.
 	PlanPartitions Plan = "partitions"
+	// PlanPauses lets nodes stand still, while callers stay with their nodes.
+	PlanPauses Plan = "pauses"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
@@ -98,6 +100,7 @@
 	lastNodeFault time.Time
 	storeFaults   intervals // of the store itself
 	partitions    []partition
+	pauses        []nodePause
 	// violations are those detected while faults are injected.
 	violations []string
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -72,6 +72,9 @@
 // injectFaults starts random faults for the configured length and waits until all have
 // ended.
 func (d *deployment) injectFaults(ctx context.Context) error {
+	if d.config.Plan == PlanPauses {
+		return d.pauseNodes(ctx)
+	}
 	g := kernel.NewGroup(ctx)
 	from := faults
 	if d.config.Plan == PlanPartitions {
--- a/soak/run.go
+++ b/soak/run.go
@@ -83,6 +83,7 @@
 		return err
 	}
 	report.Violations = append(append(r.finish(d.runs), d.violations...), d.checkPartitions(r)...)
+	report.Violations = append(report.Violations, d.checkPauses(r)...)
 	r.fillReport(report)
 	if attempts := attemptsAfter - attemptsBefore; attempts == 0 || float64(servedAfter-servedBefore) < minServedRatio*float64(attempts) {
 		report.Violations = append(report.Violations, fmt.Sprintf("after the faults %d of %d requests were served", servedAfter-servedBefore, attempts))
