dial: say that a connection timed out, not that it was canceled

The error of a dial that ran out of time read 'operation was canceled' since it counts the time for which the process ran; operators tell a silent endpoint from a caller that left by it.

--- a/dial/timeout.go
+++ b/dial/timeout.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"redwinghall/kernel"
@@ -15,6 +17,10 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := kernel.WithTimeout(ctx, timeout)
 		defer cancel()
-		return open(ctx, network, address)
+		conn, err := open(ctx, network, address)
+		if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+		}
+		return conn, err
 	}
 }
