Bound the control calls that a node makes for others at a time

serveControl handed on orders, reports and health checks of whoever reaches the internal address, without a bound on their number: maxForwards counted callers' requests only. Beyond 128 at a time they are refused unsent, and the other node asks the next one. The test failed before (200 of 200 made).

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -21,6 +21,9 @@
 	// maxForwards bounds how many requests of other nodes a node sends at a time. Each takes
 	// two connections, and its own callers go first.
 	maxForwards = 128
+	// maxControls bounds how many control calls of other nodes a node makes at a time. Whoever
+	// reaches its internal address could otherwise use up its connections, and the endpoints'.
+	maxControls = 128
 	// recentAnswer is how recently an endpoint must have sent something for this node to say
 	// that it reaches it without trying.
 	recentAnswer      = 500 * time.Millisecond
@@ -45,7 +48,11 @@
 		g.serveCheck(in.Context(), w, e)
 	case !g.Paths.Direct(now, e.Service, e.ID):
 		notForwarded(w, f, neighbor.Indirect, "indirect")
+	case f.Kind == neighbor.ForwardControl && g.controls.Add(1) > maxControls:
+		g.controls.Add(-1)
+		notForwarded(w, f, neighbor.Busy, "busy")
 	case f.Kind == neighbor.ForwardControl:
+		defer g.controls.Add(-1)
 		g.serveControl(w, in, f, e)
 	case g.forwards.Add(1) > maxForwards || g.stop().Active():
 		g.forwards.Add(-1)
--- /dev/null
+++ b/gateway/forwarded_test.go
@@ -0,0 +1,68 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/balance"
+	"redwinghall/directory"
+	"redwinghall/fleet"
+	"redwinghall/gateway"
+	"redwinghall/kernel"
+	"redwinghall/neighbor"
+	"redwinghall/platform"
+)
+
+// Whoever reaches a node's internal address must not make it open any number of connections to
+// endpoints by control calls: what goes beyond a bound is refused at once and unsent.
+func TestControlCallsOfOtherNodesAreBounded(t *testing.T) {
+	const calls, bound = 200, 128
+	cache := directory.NewCache()
+	config := configuration()
+	config.Services["llm"] = fleet.Service{Name: "llm", HealthPath: "/health"}
+	cache.Apply(time.Now(), directory.Change{Config: config})
+	cache.Apply(time.Now(), directory.Change{Endpoint: &fleet.Endpoint{ID: "e1", Service: "llm", State: fleet.EndpointReady}})
+	release := make(chan struct{})
+	var made atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
+		Settings: func() fleet.Settings { return fleet.Settings{} }, Cache: cache, Tracker: balance.NewTracker(),
+		Control: func(context.Context, *fleet.Endpoint, string, string, []byte, time.Duration) (platform.ControlResponse, error) {
+			made.Add(1)
+			<-release
+			return platform.ControlResponse{Status: http.StatusOK, Header: http.Header{}}, nil
+		},
+	}).ServeForwarded))
+	t.Cleanup(server.Close)
+	outcomes := make(chan neighbor.ForwardOutcome, calls)
+	g := kernel.NewGroup(t.Context())
+	for range calls {
+		g.Go("call", func(ctx context.Context) error {
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/health", nil)
+			if err != nil {
+				return err
+			}
+			response, outcome, err := neighbor.NewForwardClient().Send(ctx, server.Listener.Addr().String(),
+				neighbor.Forward{Kind: neighbor.ForwardControl, Endpoint: "e1", Timeout: time.Second}, request)
+			if err == nil {
+				err = response.Body.Close()
+			}
+			outcomes <- outcome
+			return err
+		})
+	}
+	for range calls - bound {
+		require.Equal(t, neighbor.Busy, <-outcomes)
+	}
+	close(release)
+	for range bound {
+		require.Equal(t, neighbor.Delivered, <-outcomes)
+	}
+	require.NoError(t, g.Wait())
+	require.EqualValues(t, bound, made.Load())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	served    atomic.Int64
 	started   time.Time
 	forwards  atomic.Int64 // requests of other nodes in progress
+	controls  atomic.Int64 // control calls of other nodes in progress
 	// unreadable holds the unreadable headers that were logged.
 	unreadable unreadableHeaders
 }
