--- a/node/parted_test.go
+++ b/node/parted_test.go
@@ -180,3 +180,29 @@
 	}
 	return open
 }
+
+// A node that carries requests of a parted one stops midway. The parted node must go on through the
+// others: only the requests that were being carried then may be lost.
+func TestCarrierThatStopsMidwayLosesNoOtherRequests(t *testing.T) {
+	for name, nodes := range map[string]map[string]int{
+		"a zone of three":            {"a": 3, "b": 2},
+		"a zone with a dispatcher":   {"a": 5},
+		"the whole zone, of another": {"a": 1, "b": 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := deployZones(t, nodes)
+			parted := &zonedDeployment{nodes: z.nodes[:1]}
+			z.part("a", 1, link.PartitionReset)
+			parted.callEach(t, 2*partedSettleTime, 0)
+			g := kernel.NewGroup(t.Context())
+			g.Go("stop_carrier", func(ctx context.Context) error {
+				kernel.Sleep(ctx, time.Second)
+				z.nodes[1].stop()
+				return nil
+			})
+			parted.requireServed(t, parted.callEach(t, partedTime, 0))
+			require.NoError(t, g.Wait())
+		})
+	}
+}
