caller: log stream_given_up only for streams that were attempted

A refusal without an attempt, as from a full queue, would write a line each under load, which the logs' volume must not follow; it has its code in the metrics and request_refused at -v 1.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -129,8 +129,10 @@
 // giveUp ends a response that cannot be completed. If it has started, giveUp sends an
 // error event to the caller; otherwise it returns the error for the refusal.
 func (l *relay) giveUp(ctx context.Context, cause error) error {
-	klog.InfoS("stream_given_up", "request_id", l.request.id, "position", l.sequence.next, "attempts", l.attempts,
-		"retry_denied", l.retryDenied, "after", time.Since(l.request.started), "deadline_passed", ctx.Err() != nil, "cause", cause)
+	if l.attempts > 0 && !errors.Is(cause, errCallerGone) {
+		klog.InfoS("stream_given_up", "request_id", l.request.id, "position", l.sequence.next, "attempts", l.attempts,
+			"retry_denied", l.retryDenied, "after", time.Since(l.request.started), "deadline_passed", ctx.Err() != nil, "cause", cause)
+	}
 	if errors.Is(cause, errCallerGone) || l.sink.abort(redwinghall.CodeAnswerIncomplete) {
 		return redwinghall.NewOpError("relay.giveUp", redwinghall.CodeAnswerIncomplete, errResponseStarted)
 	}
