node tests: let independent ones wait at the same time

The package took 383 s, one group of tests after the other, near the runner's own limit of 600 s; 296 s now, at a load of 14 to 19 both times. Checks and bounds as they are.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -43,6 +43,7 @@
 // A restored store assigns versions below those that nodes have already read. Nodes
 // must still apply its changes, without listing the tables again and again.
 func TestChangesAfterStoreRestoreAreFollowed(t *testing.T) {
+	t.Parallel()
 	for name, nodes := range map[string]map[string]int{"each reads": {"a": 2, "b": 1}, "one reads for all": {"a": 5}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -142,6 +142,7 @@
 // An endpoint announces a low request limit. If each node applied it on its own, the sum
 // over all nodes would exceed it.
 func TestLimitOfAnEndpointHoldsOverAllNodes(t *testing.T) {
+	t.Parallel()
 	const perSecond = 1.0
 	for name, nodes := range map[string]map[string]int{
 		"zones of few nodes": {"a": 3, "b": 2}, "a zone with a dispatcher": {"a": 5},
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -215,6 +215,7 @@
 
 // While the store is unavailable, callers are served from the last known state.
 func TestNodeServesWithoutTheStore(t *testing.T) {
+	t.Parallel()
 	for name, faults := range map[string]platformtest.Faults{
 		"silent": {Silent: true}, "busy": {Refuse: http.StatusServiceUnavailable}, "turned away": {Refuse: http.StatusTooManyRequests},
 	} {
--- a/node/parted_test.go
+++ b/node/parted_test.go
@@ -117,6 +117,7 @@
 // Nodes are parted from all endpoints, while callers and the other nodes reach them. If they
 // relied on their own connections, their callers would get nothing.
 func TestPartedNodesServeTheirCallers(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		nodes  map[string]int
 		parted int // nodes of zone a
@@ -143,6 +144,7 @@
 // The holder of a zone's lease is parted from the zone's endpoints. Its groups must stay open
 // while they are whole, and be closed when they lose a member.
 func TestPartedHolderKeepsAndRepairsGroups(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		nodes  map[string]int
 		parted int // nodes of zone a
@@ -184,6 +186,7 @@
 // A node that carries requests of a parted one stops midway. The parted node must go on through the
 // others: only the requests that were being carried then may be lost.
 func TestCarrierThatStopsMidwayLosesNoOtherRequests(t *testing.T) {
+	t.Parallel()
 	for name, nodes := range map[string]map[string]int{
 		"a zone of three":            {"a": 3, "b": 2},
 		"a zone with a dispatcher":   {"a": 5},
