--- a/reach/peers_test.go
+++ b/reach/peers_test.go
@@ -110,3 +110,23 @@
 	}
 	require.LessOrEqual(t, asked, 6)
 }
+
+// A node that was passed over must be asked again if all others have failed a request: it may be the
+// only one that reaches the endpoints by now.
+func TestPausedNodeIsAskedIfAllOthersFailed(t *testing.T) {
+	now := time.Now()
+	p := reach.NewPeers()
+	paused := reach.Peer{Peer: relay.Peer{Name: "b-1"}, Zone: "b"}
+	other := reach.Peer{Peer: relay.Peer{Name: "a-1"}, Zone: "a"}
+	for range 3 {
+		p.FailedToForward(now, "llm", paused)
+		now = now.Add(time.Second)
+	}
+	own, others := reach.ZonePeers{Zone: "b", Peers: []relay.Peer{paused.Peer}}, []reach.ZonePeers{{Zone: "a", Peers: []relay.Peer{other.Peer}}}
+	first, ok := p.Choose(now, "llm", own, others, nil)
+	require.True(t, ok)
+	require.Equal(t, other, first)
+	last, ok := p.Choose(now, "llm", own, others, []reach.Peer{other})
+	require.True(t, ok, "no node is left to ask")
+	require.Equal(t, paused, last)
+}
