--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -48,6 +49,25 @@
 	require.Equal(t, 1200, result.Correct, result.String())
 }
 
+// Streams that are cut at any position, again and again, must be complete, whichever groups continue
+// them.
+func TestStreamsThatAreCutAnywhereAreComplete(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			d := startStreaming(t, 20*time.Second)
+			random := rand.New(rand.NewPCG(seed, 40))
+			for _, vm := range d.VMs() {
+				if vm.Service == "" {
+					d.Fleet.VM(vm.ID).SetFaults(engine.StreamFaults{CutEvery: 3, CutAt: 2 + random.IntN(22), Shuffle: random.IntN(2) == 0})
+				}
+			}
+			result := d.Load(400, 16, 24, 0, 1)
+			require.Equal(t, 400, result.Correct, result.String())
+		})
+	}
+}
+
 // An attempt that brings a chunk out of order and is cut must count as progress: more attempts in a
 // row than are allowed without any may be needed until the chunk comes for which the others wait.
 func TestAttemptsThatBringChunksOutOfOrderCountAsProgress(t *testing.T) {
