--- a/kernel/timeout.go
+++ b/kernel/timeout.go
@@ -9,7 +9,7 @@
 	"k8s.io/klog/v2"
 )
 
-// minTimerWait is the shortest time for which a timer of run time is set again.
+// minTimerWait is the shortest time for which a Timer waits again if it was due in a pause.
 const minTimerWait = 5 * time.Millisecond
 
 // process is the meter of this process. It ticks from the start of the program.
@@ -17,7 +17,7 @@
 
 func startMeter() *PauseMeter {
 	m := NewPauseMeter(time.Now())
-	var mu sync.Mutex
+	var mu sync.Mutex // keeps the first tick from using ticker before it is set
 	mu.Lock()
 	defer mu.Unlock()
 	var ticker *time.Timer
--- a/soak/pauses.go
+++ b/soak/pauses.go
@@ -44,6 +44,8 @@
 	return nil
 }
 
+// pauseOnce lets some nodes stand still, ends an endpoint in the moment in which they run again if dies
+// is set, and waits until the checks after the pause no longer apply.
 func (d *deployment) pauseOnce(ctx context.Context, first, count int, duration time.Duration, inTurn, dies bool) error {
 	open := d.openHeads()
 	p := nodePause{nodes: map[int]bool{}, from: time.Now(), died: dies}
