Test: count a silent caller's timeout from before it connects

Cause: the test took the begin of its span after Dial had returned. The server's timeout begins as it accepts the connection, which may be before that: the client's goroutine has to run once more. Nothing is closed early.

Ruled out: a timer of the listener that is due early. It waits until the deadline that net/http set, compares with the clock again, and RunTime is never more than the clock.

Change: the span begins before Dial, so that it covers the server's for certain. Both bounds stay; the upper one is stricter by the time of a dial.

The other tests with a lower bound on elapsed time (kernel/timeout_test.go, neighbor/progress_test.go) begin their span before the call.

--- a/kernel/listener_test.go
+++ b/kernel/listener_test.go
@@ -50,9 +50,9 @@
 	g := kernel.NewGroup(context.Background())
 	t.Cleanup(func() { g.Stop(); require.NoError(t, g.Wait()) })
 	g.Serve("test", &http.Server{ReadHeaderTimeout: 100 * time.Millisecond}, l)
+	begun := time.Now() // the server's timeout begins while the client still connects
 	conn, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	begun := time.Now()
 	_, err = conn.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 	require.GreaterOrEqual(t, time.Since(begun), 100*time.Millisecond)
