Ask nodes that were passed over if all others failed

Cause: a node that could not forward requests of a service is paused for 0.5 to 4 s. Peers.Choose never offers it meanwhile, neither to a request that all others have failed nor to the checks behind it. If it is the only node that reaches the endpoints by now, callers of a parted node are refused for up to 4 s after it could carry them.

What callers saw: 503 unreachable, at once.

Change: a request that all nodes in use have failed asks a paused one, any that was not asked within 0.5 s. Checks, for which no caller waits, may do so even if no other node is left to ask first: with two nodes the other one is the only one. A node that forwards is in use again at once. A lone paused node is still not asked by each request (TestPartedPeersAreNotAskedOverAndOver, unchanged).

--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -57,16 +57,15 @@
 
 var errNotForwarded = errors.New("no other node could send the request to the endpoint")
 
-// choose returns the node to ask next.
-func (f *forwarder) choose(now time.Time, service string, asked []reach.Peer) (reach.Peer, bool) {
-	own := reach.ZonePeers{Zone: f.node.settings.Zone, Peers: f.others(f.node.peers())}
-	var zones []reach.ZonePeers
+// zonePeers returns the other nodes of this node's own zone, and those of the other zones.
+func (f *forwarder) zonePeers() (own reach.ZonePeers, zones []reach.ZonePeers) {
+	own = reach.ZonePeers{Zone: f.node.settings.Zone, Peers: f.others(f.node.peers())}
 	for _, zone := range f.node.settings.Zones {
 		if zone != own.Zone {
 			zones = append(zones, reach.ZonePeers{Zone: zone, Peers: f.node.peersOf(zone)})
 		}
 	}
-	return f.peers.Choose(now, service, own, zones, asked)
+	return own, zones
 }
 
 func (f *forwarder) others(peers []relay.Peer) []relay.Peer {
@@ -92,7 +91,8 @@
 		if len(unreached) > 0 && !alive && kernel.RunTime(begun, now) > quickRefusal {
 			break
 		}
-		peer, ok := f.choose(now, e.Service, asked)
+		own, zones := f.zonePeers()
+		peer, ok := f.peers.Choose(now, e.Service, own, zones, asked)
 		if !ok {
 			break
 		}
@@ -252,9 +252,10 @@
 		reached  bool
 	}
 	answers := make(chan answer, reach.MaxPeersAsked)
+	own, zones := f.zonePeers()
 	sent := 0
 	for sent < reach.MaxPeersAsked {
-		peer, ok := f.choose(time.Now(), e.Service, asked)
+		peer, ok := f.peers.ChooseToCheck(time.Now(), e.Service, own, zones, asked)
 		if !ok {
 			break
 		}
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -10,7 +10,8 @@
 
 const (
 	// minPeerPause is how long a node that could not forward a request isn't asked again for
-	// that service. It doubles with each failure, up to maxPeerPause.
+	// that service. It doubles with each failure, up to maxPeerPause; after minPeerPause the
+	// node is still asked if no other one is left.
 	minPeerPause = 500 * time.Millisecond
 	maxPeerPause = 4 * time.Second
 	// zoneRefusals is the number of failures in a row after which the nodes of a zone are
@@ -57,7 +58,8 @@
 type pause struct {
 	until    time.Time
 	delay    time.Duration
-	failures int // in a row
+	failures int       // in a row
+	askedAt  time.Time // when the last failure or attempt was
 }
 
 // NewPeers returns a choice without experience.
@@ -69,10 +71,31 @@
 // zone, which goes first; tried holds the nodes that this request has already been sent to.
 //
 // After a failure the next node is of another zone if possible, as the nodes of one zone are
-// mostly parted together.
+// mostly parted together. If all nodes that aren't paused have failed this request, a paused one
+// is tried: it may be the only one that reaches the service by now.
 func (p *Peers) Choose(now time.Time, serviceName string, own ZonePeers, others []ZonePeers, tried []Peer) (Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	peer, ok := p.choose(now, serviceName, own, others, tried)
+	if !ok && len(tried) > 0 {
+		return p.choosePaused(now, serviceName, append([]ZonePeers{own}, others...), tried)
+	}
+	return peer, ok
+}
+
+// ChooseToCheck returns the next node to ask whether it reaches a service. No caller waits for a
+// check, so a paused node is asked even if no other one has been.
+func (p *Peers) ChooseToCheck(now time.Time, serviceName string, own ZonePeers, others []ZonePeers, tried []Peer) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.choose(now, serviceName, own, others, tried); ok {
+		return peer, true
+	}
+	return p.choosePaused(now, serviceName, append([]ZonePeers{own}, others...), tried)
+}
+
+// choose returns a node that isn't paused.
+func (p *Peers) choose(now time.Time, serviceName string, own ZonePeers, others []ZonePeers, tried []Peer) (Peer, bool) {
 	zones := append([]ZonePeers{own}, others...)
 	if len(tried) == MaxPeersAsked-1 {
 		if peer, ok := p.lastProven(now, serviceName, zones, tried); ok {
@@ -99,6 +122,27 @@
 	return Peer{}, false
 }
 
+// choosePaused returns a paused node, any of those that were not asked within minPeerPause.
+func (p *Peers) choosePaused(now time.Time, serviceName string, zones []ZonePeers, tried []Peer) (Peer, bool) {
+	var chosen Peer
+	found := 0
+	for _, z := range zones {
+		for _, one := range z.Peers {
+			state, ok := p.nodes[peerKey{serviceName, one.Name}]
+			if !ok || now.Sub(state.askedAt) < minPeerPause || wasTried(tried, one.Name) {
+				continue
+			}
+			if found++; rand.N(found) == 0 {
+				chosen = Peer{Peer: one, Zone: z.Zone}
+			}
+		}
+	}
+	if found > 0 {
+		p.nodes[peerKey{serviceName, chosen.Name}].askedAt = now
+	}
+	return chosen, found > 0
+}
+
 // lastProven returns the node that reached the service last, if it did so within provenTime.
 func (p *Peers) lastProven(now time.Time, serviceName string, zones []ZonePeers, tried []Peer) (Peer, bool) {
 	var best Peer
@@ -205,6 +249,7 @@
 		one = &pause{}
 		all[key] = one
 	}
+	one.askedAt = now
 	if now.Before(one.until) {
 		return true // concurrent failures count once
 	}
--- a/reach/peers_test.go
+++ b/reach/peers_test.go
@@ -130,3 +130,63 @@
 	require.True(t, ok, "no node is left to ask")
 	require.Equal(t, paused, last)
 }
+
+// All nodes were parted, and some reach the endpoints again. Requests of a node that is still parted
+// must be carried within a second, though it passes over the others, and it must not ask each of
+// them over and over.
+func TestReturnedNodesAreFound(t *testing.T) {
+	const interval, returned, found, end = 50 * time.Millisecond, 10 * time.Second, time.Second, 15 * time.Second
+	for name, c := range map[string]struct {
+		zones []int // nodes by zone, the own zone first
+		back  func(node string) bool
+	}{
+		"2 nodes":                 {[]int{1}, func(string) bool { return true }},
+		"4 nodes, one back":       {[]int{1, 2}, func(n string) bool { return n == "b-1" }},
+		"8 nodes, one back":       {[]int{2, 3, 2}, func(n string) bool { return n == "c-1" }},
+		"74 nodes, one zone back": {[]int{24, 25, 24}, func(n string) bool { return n[0] == 'b' }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			own := zoneOf("a", c.zones[0])
+			var others []reach.ZonePeers
+			for i, nodes := range c.zones[1:] {
+				others = append(others, zoneOf(string(rune('b'+i)), nodes))
+			}
+			peers := reach.NewPeers()
+			asked, nodes := map[string]int{}, 0
+			for _, z := range append([]reach.ZonePeers{own}, others...) {
+				nodes += len(z.Peers)
+			}
+			ask := func(now time.Duration, choose func(time.Time, string, reach.ZonePeers, []reach.ZonePeers, []reach.Peer) (reach.Peer, bool)) bool {
+				var tried []reach.Peer
+				for len(tried) < reach.MaxPeersAsked {
+					peer, ok := choose(after(now), "llm", own, others, tried)
+					if !ok {
+						return false
+					}
+					asked[peer.Name]++
+					tried = append(tried, peer)
+					if now >= returned && c.back(peer.Name) {
+						peers.Succeeded(after(now), "llm", peer)
+						return true
+					}
+					peers.FailedToForward(after(now), "llm", peer)
+				}
+				return false
+			}
+			for now := time.Duration(0); now < end; now += interval {
+				carried := ask(now, peers.Choose)
+				if !carried {
+					ask(now, peers.ChooseToCheck)
+				}
+				if now >= returned+found {
+					require.True(t, carried, now)
+				}
+				if now == returned {
+					for name, times := range asked {
+						require.LessOrEqual(t, times, int(2*returned/time.Second)+1, name)
+					}
+				}
+			}
+		})
+	}
+}
