Use a path that works again where nobody else helps

Cause: a path to an endpoint that fails again within 10 s of its return is held off for 1 to 8 s after it works again, as each change of the path costs requests. Meanwhile the node tells others that ask it to carry theirs `indirect`, and a check of its path too; and its own callers are refused if no other node can carry them, though its own connections work.

What callers saw: 503 unreachable, at once, for up to 8 s.

Change: `reach.Table.Reaches` says whether this node's own connections work, held off or not. What others ask goes by it (requests, control calls), a check tries to connect, and a node's own request goes over that path, by a new connection, if the others could not carry it. The holder's own orders and reports go by it too. A path that last worked before it was lost doesn't count. Requests of callers are held off as before while others carry them (TestFlappingPathIsHeldOff, unchanged).

TestLostPathIsNotTriedAfterOthersFailed, TestPartedNodeReachesNothing and TestHeldOffPathHelpsOthers guard what must stay.

Ruled out as a way: a shorter hold. It bounds what a flapping path costs.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -46,7 +46,7 @@
 		notForwarded(w, f, neighbor.Unusable, "endpoint_unknown")
 	case f.Kind == neighbor.ForwardCheck:
 		g.serveCheck(in.Context(), w, e)
-	case !g.Paths.Direct(now, e.Service, e.ID):
+	case !g.Paths.Reaches(now, e.Service, e.ID):
 		notForwarded(w, f, neighbor.Indirect, "indirect")
 	case f.Kind == neighbor.ForwardControl && g.controls.Add(1) > maxControls:
 		g.controls.Add(-1)
@@ -82,10 +82,10 @@
 		neighbor.SetForwardAnswered(w.Header(), age)
 	}
 	switch {
-	case !g.Paths.Direct(now, e.Service, e.ID):
-		outcome = neighbor.Indirect
 	case known && age <= recentAnswer, !g.Paths.FailedRecently(now, e.ID) && g.Connect(ctx, e):
 		outcome = neighbor.Reached
+	case !g.Paths.Direct(now, e.Service, e.ID):
+		outcome = neighbor.Indirect
 	}
 	neighbor.SetForwardOutcome(w.Header(), outcome)
 	w.WriteHeader(http.StatusOK)
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -36,21 +36,30 @@
 // send sends the request of one attempt to an endpoint, over this node's own connection or
 // through another node. The kind of an error is NotSent or Unknown.
 func (g *Gateway) send(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, mode sendMode) (*Response, error) {
+	asked := false // other nodes were asked, and could not send it
 	if g.Forwarder != nil && !g.Paths.Direct(time.Now(), to.Service, to.ID) {
 		response, err := g.forward(ctx, r, to, lastEvent)
-		if !errors.Is(err, ErrNoPeer) {
+		if redwinghall.KindOf[Kind](err) != NotSent {
 			return response, err
 		}
+		asked = !errors.Is(err, ErrNoPeer)
+		if asked && !g.Paths.Reaches(time.Now(), to.Service, to.ID) {
+			g.recordUnreached(time.Now(), to)
+			return nil, err
+		}
 	}
-	response, err := g.sendDirect(ctx, r, to, lastEvent, mode.fresh)
+	response, err := g.sendDirect(ctx, r, to, lastEvent, mode.fresh || asked)
 	if redwinghall.KindOf[Kind](err) != NotSent || ctx.Err() != nil {
 		return response, err
 	}
-	if g.Forwarder != nil && mode.insist() {
+	if g.Forwarder != nil && !asked && mode.insist() {
 		response, forwardErr := g.forward(ctx, r, to, lastEvent)
-		if !errors.Is(forwardErr, ErrNoPeer) {
+		if redwinghall.KindOf[Kind](forwardErr) != NotSent {
 			return response, forwardErr
 		}
+		if !errors.Is(forwardErr, ErrNoPeer) {
+			err = forwardErr
+		}
 	}
 	g.recordUnreached(time.Now(), to)
 	return nil, err
@@ -79,9 +88,6 @@
 		return g.forwardedRequest(r, to, lastEvent)
 	})
 	if err != nil {
-		if redwinghall.KindOf[Kind](err) == NotSent && !errors.Is(err, ErrNoPeer) {
-			g.recordUnreached(time.Now(), to)
-		}
 		return nil, err
 	}
 	g.RecordPath(time.Now(), to, true, false)
--- a/node/control.go
+++ b/node/control.go
@@ -27,7 +27,7 @@
 
 // Direct implements platform.Peers.
 func (p controlPeers) Direct(e *fleet.Endpoint) bool {
-	return p.node.paths.Direct(time.Now(), e.Service, e.ID)
+	return p.node.paths.Reaches(time.Now(), e.Service, e.ID)
 }
 
 // Failed implements platform.Peers.
--- a/reach/table.go
+++ b/reach/table.go
@@ -53,6 +53,7 @@
 	heardAt  time.Time // when a connection last brought something
 	// indirect means that requests go through other nodes.
 	indirect   bool
+	indirectAt time.Time // since when
 	holdUntil  time.Time
 	hold       time.Duration
 	returnedAt time.Time // when the path last worked again
@@ -110,6 +111,20 @@
 	return !p.indirect
 }
 
+// Reaches reports whether this node's own connections to an endpoint work, as far as it knows.
+//
+// That includes a path that works again and isn't used for callers' requests yet, as it may flap.
+// Nodes that reach nothing can still be helped over it, and so can this node if no other one can.
+func (t *Table) Reaches(now time.Time, serviceName, id string) bool {
+	if t.Direct(now, serviceName, id) {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, _ := t.path(now, serviceName, id)
+	return p.goodAt.After(p.indirectAt) && p.goodAt.After(p.brokeAt)
+}
+
 // parted reports whether this node seems to reach no endpoint of the service.
 func (s *service) parted() bool {
 	return s.indirect >= partedEndpoints && !s.failingSince.IsZero()
@@ -121,7 +136,7 @@
 	} else {
 		p.hold = minHold
 	}
-	p.indirect = true
+	p.indirect, p.indirectAt = true, now
 	p.holdUntil = now.Add(p.hold)
 	p.probeDelay = minProbeDelay
 	p.probeAt = now.Add(p.probeDelay)
--- a/reach/table_test.go
+++ b/reach/table_test.go
@@ -131,3 +131,30 @@
 	require.False(t, table.Doubtful(after(1200*time.Millisecond), "desk", "desk-1"))
 	require.True(t, table.SeemsParted(after(1500*time.Millisecond)), "nothing comes any more")
 }
+
+// A path works again and is held off, as it failed twice. Nodes that reach nothing must be helped
+// over it at once, until it fails again.
+func TestHeldOffPathHelpsOthers(t *testing.T) {
+	table := reach.NewTable()
+	lose(table, start, "e1")
+	require.False(t, table.Reaches(after(100*time.Millisecond), "desk", "e1"))
+	require.True(t, table.Connected(after(time.Second), "desk", "e1"))
+	require.True(t, table.Reaches(after(time.Second), "desk", "e1"))
+	lose(table, after(2*time.Second), "e1")
+	require.False(t, table.Reaches(after(2*time.Second), "desk", "e1"))
+	require.False(t, table.Connected(after(3*time.Second), "desk", "e1"), "held off for longer")
+	require.False(t, table.Direct(after(3*time.Second), "desk", "e1"))
+	require.True(t, table.Reaches(after(3*time.Second), "desk", "e1"))
+	table.Failed(after(3500*time.Millisecond), "desk", "e1")
+	require.False(t, table.Reaches(after(3500*time.Millisecond), "desk", "e1"))
+}
+
+// A parted node that last reached an endpoint before its partition must not offer to help others.
+func TestPartedNodeReachesNothing(t *testing.T) {
+	table := reach.NewTable()
+	table.Responded(start, "desk", "e3")
+	lose(table, after(time.Second), "e1")
+	lose(table, after(time.Second), "e2")
+	require.False(t, table.Reaches(after(1100*time.Millisecond), "desk", "e3"))
+	require.False(t, table.Reaches(after(1100*time.Millisecond), "desk", "never-used"))
+}
