Announce a node again soon after the store could not be written

Cause: a node writes its row every 5 s, and others drop it 13 s after they last saw a new one. An attempt that fails is followed by the next one 5 s later, even if the store answers again after 0.1 s. Two short cuts of a node's link to the store that hit two attempts make all others drop a node that works: two attempts lost, the third comes after 15 s.

Besides forwarding, a dropped node doesn't count for shared limits, and its zone's reports don't go to it.

Ruled out: pauses of forwarding nodes (node-1 isn't named by `peer_did_not_forward`), standstills (no `process_paused`).

Change: after a failed attempt a node tries again once it has read the table, spread over 1 s, or more if there are many nodes, as all of them may have failed. During an outage of the store nothing is tried more often than before (TestLeasesAreNotTriedInAnOutage, unchanged). memberTimeout stays.

Test: TestNodeOutlivesShortCutsOfTheStore, each phase of the two cuts; before, the node was dropped at the phase of 4.4 s.

--- a/members/members.go
+++ b/members/members.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,10 @@
 	// a node with an unchanged row counts as alive.
 	announceInterval = 5 * time.Second
 	memberTimeout    = 13 * time.Second
-	// announcePerNode lengthens both if there are many nodes: it is the least average
+	// announceSpread is within which time nodes announce themselves again that could not, once
+	// they have read the table: all of them can after an outage of the store.
+	announceSpread = time.Second
+	// announcePerNode lengthens all three if there are many nodes: it is the least average
 	// time between two announcements of any nodes.
 	announcePerNode = 200 * time.Millisecond
 	// restoreGrace is how long nodes that are missing since the store was restored from an
@@ -88,9 +92,12 @@
 	known       chan struct{}
 	seen        map[string]seenNode
 	listTriedAt time.Time
-	announcedAt time.Time // when this node's row was written
-	listedAt    time.Time // when the table was last read
-	listedEra   int64     // era of the store at the last read
+	announcedAt time.Time // when this node last wrote its row, or tried
+	unannounced bool      // the last attempt failed
+	// announceAgainAt is when it tries again, zero until the table is read after the failure.
+	announceAgainAt time.Time
+	listedAt        time.Time // when the table was last read
+	listedEra       int64     // era of the store at the last read
 	// restoredAt is when this node noticed that the store was restored from an older copy.
 	restoredAt time.Time
 	eraSince   time.Time // when this node first read the table in listedEra
@@ -188,7 +195,7 @@
 	if t.firstAt.IsZero() {
 		return
 	}
-	if t.announcedAt.IsZero() || boot.Sub(t.announcedAt) >= t.announceEvery() {
+	if t.announceDue(boot) {
 		t.announce(ctx, boot)
 		return
 	}
@@ -212,6 +219,9 @@
 	boot := t.config.Now()
 	t.noteEra(boot, rows.At)
 	t.listedAt = boot
+	if t.unannounced && t.announceAgainAt.IsZero() {
+		t.announceAgainAt = boot.Add(rand.N(t.scaledByNodes(announceSpread)))
+	}
 	if t.firstAt.IsZero() {
 		t.firstAt = boot
 		defer close(t.known)
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -271,6 +271,26 @@
 	require.Len(t, f.nodes["a1"].Nodes(), 2)
 }
 
+// A node doesn't reach the store twice for less than a second, each time when it has to write its
+// row. Others must not take it for dead: it reads the store between the two.
+func TestNodeOutlivesShortCutsOfTheStore(t *testing.T) {
+	const cut, between = 800 * time.Millisecond, 4200 * time.Millisecond
+	for phase := time.Duration(0); phase < cut+between; phase += 200 * time.Millisecond {
+		f := newFleet(t, map[string]string{"a1": "a", "a2": "a"})
+		f.run(10*time.Second + phase)
+		for range 2 {
+			f.store.down["a1"] = true
+			f.run(cut)
+			f.store.down["a1"] = false
+			f.run(between)
+		}
+		for range 100 {
+			require.Len(t, f.nodes["a2"].Nodes(), 2, phase)
+			f.run(100 * time.Millisecond)
+		}
+	}
+}
+
 // Forty nodes start together for the first time. A node that knows few others reads the
 // whole store itself, so all of them would call the store at once. No node may therefore
 // publish its neighbors before it knows nearly all of them.
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -85,6 +85,19 @@
 	return nodes
 }
 
+// announceDue reports whether this node has to write its row. After a failed attempt it tries again
+// soon after it has read the table.
+//
+// Two short cuts of the store could otherwise hit two announcements in a row, and others would
+// take the node for dead. While the store is away there is no further attempt: it would delay
+// those for the lease.
+func (t *Table) announceDue(boot time.Time) bool {
+	if !t.announceAgainAt.IsZero() && !boot.Before(t.announceAgainAt) {
+		return true
+	}
+	return t.announcedAt.IsZero() || boot.Sub(t.announcedAt) >= t.announceEvery()
+}
+
 func (t *Table) announce(ctx context.Context, boot time.Time) {
 	value, err := json.Marshal(t.config.Self)
 	if err != nil {
@@ -92,7 +105,7 @@
 		return
 	}
 	at, err := t.store.Commit(ctx, fleet.Txn{Writes: []fleet.Row{{Table: tableName, Key: nodePrefix + t.config.Self.Name, Value: value}}})
-	t.announcedAt = boot
+	t.announcedAt, t.announceAgainAt, t.unannounced = boot, time.Time{}, err != nil
 	if err != nil {
 		klog.V(1).InfoS("member_unwritten", "err", err)
 		return
