Find out that endpoints are fast again

Cause: a node refuses a request if the best endpoint's predicted response comes too late. The prediction contains what was learned from answers: the response time of a plain service, for streams the pauses of a group and how late first events came. It changes only with a further answer. If what was learned alone makes each endpoint look late, every request is refused, no answer comes, and that stays so until the node is restarted.

What callers saw: 503 overloaded at once, for all requests of a service at one node, for ever.

Ruled out: load (running=0), what endpoints report (it expires), backoff (in_backoff=0), the choice of forwarding nodes (the node reaches the endpoints).

Change: if the best endpoint's prediction is late and this node has no request there, the request is sent if it would be in time by what is left of what was learned, half of it fading with each second without an answer. So one request at a time finds out; if its answer is in time, what was learned is replaced by that, else it stays. Load, slots and limits count as before, and nothing changes for endpoints that don't look late, nor in the order of choice.

The same elsewhere: streams of this node's callers, those that it places for others, and whether another zone may serve one. Share of failed requests: only orders endpoints, refuses nothing. Health checks, backoffs, pauses of nodes, rate limits: all end by time.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -21,6 +21,8 @@
 	// predicted is the predicted time from sentAt to the first event, queued the part
 	// of it spent waiting for a slot.
 	predicted, queued time.Duration
+	// retest is nil unless the request is sent to learn whether the endpoint is fast again.
+	retest *retest
 }
 
 // ForwardedAttempt returns an attempt for a request that this node sends for another one, which
@@ -52,6 +54,7 @@
 	}
 	a := &Attempt{
 		t: t, s: s, sentAt: now, prompt: prompt, startedMillis: c.endpoint.StartedMillis, last: now, predicted: c.predicted, queued: c.queued,
+		retest: c.retest,
 	}
 	s.retryAfter.start(now, a)
 	return a
@@ -75,14 +78,15 @@
 			s.recordPause(float64(a.t.runTime(a.last, now)) / float64(expectedPause))
 		}
 	}
-	if !a.started && predictedPause != nil && a.queued == 0 {
-		a.t.updateBias(a.t.runTime(a.sentAt, now) - a.predicted)
-	}
 	if a.first.IsZero() {
 		a.first = now
+		a.confirm(a.responseTime(now))
+	}
+	if !a.started && predictedPause != nil && a.queued == 0 {
+		a.t.updateBias(now, a.t.runTime(a.sentAt, now)-a.predicted)
 	}
 	a.start()
-	a.last = now
+	a.last, s.learnedAt = now, now
 	a.t.answeredAt = now
 	s.lastEvent, s.waitingSince = now, now
 	s.backoff, s.backoffUntil = 0, time.Time{}
@@ -107,10 +111,10 @@
 )
 
 // updateBias updates the bias with how much later than predicted a first event came.
-func (t *Tracker) updateBias(late time.Duration) {
+func (t *Tracker) updateBias(now time.Time, late time.Duration) {
 	late = min(max(late, minBiasSample), maxBiasSample)
 	t.bias += time.Duration(biasWeight * float64(late))
-	t.bias = min(max(t.bias, minBias), maxBias)
+	t.bias, t.biasAt = min(max(t.bias, minBias), maxBias), now
 }
 
 func (a *Attempt) start() {
@@ -146,8 +150,10 @@
 	s := a.s
 	a.finish()
 	failed := 1.0
+	s.learnedAt = now
 	if ok {
 		failed = 0
+		a.confirm(a.responseTime(now))
 		s.latency += time.Duration(smoothing * float64(a.responseTime(now)-s.latency))
 	}
 	s.failures += smoothing * (failed - s.failures)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -132,7 +132,8 @@
 	queued    time.Duration // the part of predicted spent waiting for a slot
 	running   int
 	score     time.Duration
-	full      bool // this node may open no further connection there
+	full      bool    // this node may open no further connection there
+	retest    *retest // nil unless the request is sent to learn whether the endpoint is fast again
 }
 
 // ChooseGroup chooses the group for a stream, or returns the reason why there is
@@ -152,12 +153,22 @@
 	if best == nil {
 		return Choice{}, l.refusal()
 	}
-	if !request.Resumed && float64(best.predicted) > refusalFactor*float64(request.Objective) {
-		return Choice{}, lateRefusal(now, best, request)
+	if latest := latestStart(request.Objective); !request.Resumed && best.predicted > latest {
+		again := t.tryAgain(now, best, request, latest, Request.evaluateGroup)
+		if again == nil {
+			return Choice{}, lateRefusal(now, best, request)
+		}
+		best = again
 	}
 	return t.startChosen(now, best, request), nil
 }
 
+// latestStart returns the latest predicted time to the first event, or to the answer of a plain
+// service, with which a request is accepted.
+func latestStart(objective time.Duration) time.Duration {
+	return time.Duration(refusalFactor * float64(objective))
+}
+
 // lookup is the state of one choice: the request and the best endpoint found so
 // far.
 type lookup struct {
--- a/balance/plain.go
+++ b/balance/plain.go
@@ -29,8 +29,13 @@
 	if best == nil {
 		return Choice{}, l.refusal()
 	}
-	if !request.Resumed && (best.full || float64(best.predicted) > refusalFactor*float64(max(request.Objective, defaultLatency))) {
-		return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
+	latest := latestStart(max(request.Objective, defaultLatency))
+	if !request.Resumed && (best.full || best.predicted > latest) {
+		again := t.tryAgain(now, best, request, latest, Request.evaluatePlain)
+		if again == nil {
+			return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
+		}
+		best = again
 	}
 	return t.startChosen(now, best, request), nil
 }
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -51,7 +51,11 @@
 		return Choice{}, l.refusal()
 	}
 	if !request.Resumed && best.predicted > request.Objective {
-		return Choice{}, lateRefusal(now, best, request)
+		again := t.tryAgain(now, best, request, request.Objective, Request.evaluateGroup)
+		if again == nil {
+			return Choice{}, lateRefusal(now, best, request)
+		}
+		best = again
 	}
 	best.state.reserve(now, requester, request.Prompt)
 	limited := best.state.limit.limit.Named
@@ -76,7 +80,7 @@
 	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluateGroup}
 	l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != request.Zone && !e.ColdAt(now) })
 	best := l.best
-	if best == nil || best.predicted > request.Objective {
+	if best == nil || (best.predicted > request.Objective && t.tryAgain(now, best, request, request.Objective, Request.evaluateGroup) == nil) {
 		return ""
 	}
 	best.state.sent = best.state.sent.With(now, request.Prompt)
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -60,6 +60,8 @@
 	slowdown     float64 // observed pause between events over the predicted one, smoothed
 	latency      time.Duration
 	failures     float64 // smoothed share of failed requests
+	// learnedAt is when an answer or an event last changed one of these.
+	learnedAt time.Time
 
 	backoffUntil time.Time
 	backoff      time.Duration
@@ -95,7 +97,8 @@
 	answeredAt time.Time
 	// bias is how much later than predicted first events come. It covers what Pace
 	// doesn't model, such as the network and the endpoint's preparation of a request.
-	bias time.Duration
+	bias   time.Duration
+	biasAt time.Time // when it last changed
 }
 
 // NewTracker returns an empty tracker. It measures endpoints by the time for which this process
