Look for endpoints again while all of a service are in backoff

Cause: an endpoint that could not be reached gets nothing for 0.4 to 3 s, twice as long with each failure. A parted node that no other node can help soon has all endpoints of a service in that state, and then asks nobody: what it learns from requests it no longer learns. When another node reaches the endpoints again, or this one does, its callers are refused until a backoff ends.

What callers saw: 503 unreachable at once for up to 3 s after a node that could carry was back; with both nodes parted, the second of them does not use its own path either. From 17.40 node-1 sends nothing to anybody, in_backoff=4, 30 refusals in each 0.1 s, until 19.57; then node-0 carries all.

Ruled out: the list of nodes (node-0 is in it), pauses of nodes (`unusable` is no failure of a node), the stop of node-0 (over at 16.0).

Change: each 0.5 s a node looks for services whose usable endpoints are all in backoff, and tries two of those that it could last not connect to: by a connection without a request; if that fails, it asks other nodes. Either ends the backoff. Endpoints that are silent over open connections are left to their backoff, and so is a dead endpoint beside others that serve.

Cost: where nobody reaches a service, two connections and a few questions of a node each 0.5 s; less than the probes of lost paths are allowed.

Test: TestCallersAreServedSoonAfterOneNodeReturns: both of two nodes parted for 7 s, then one returns; callers of both from 1.5 s on.

--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -206,6 +206,18 @@
 	}
 }
 
+// AllInBackoff reports whether each of some endpoints is in backoff; false if there are none.
+func (t *Tracker) AllInBackoff(now time.Time, endpoints []*fleet.Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range endpoints {
+		if s, ok := t.states[e.ID]; !ok || !now.Before(s.backoffUntil) {
+			return false
+		}
+	}
+	return len(endpoints) > 0
+}
+
 // backOff starts a backoff, twice as long as the previous one, unless one is
 // active. The lock is held.
 func (s *State) backOff(now time.Time) {
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -27,6 +27,7 @@
 	{soak.PlanPartitions, 1, 4, 10 * time.Second, "nodes that are parted from all endpoints serve nobody"},
 	{soak.PlanPartitions, 1404, 4, 12 * time.Second, "the only node that reaches the endpoints is passed over, as it was parted itself a moment ago"},
 	{soak.PlanPartitions, 1408, 4, 12 * time.Second, "the only node that reaches the endpoints is passed over, as it was parted itself a moment ago"},
+	{soak.PlanPartitions, 1520, 2, 12 * time.Second, "a parted node asks nobody while all endpoints are in backoff, though another node reaches them by now"},
 	{soak.PlanPauses, 2, 4, 13 * time.Second, "nodes that stood still take their standstill for the silence of endpoints"},
 	// Streams are truncated and connections closed without a response while operators
 	// stop nodes one after another. A node that got SIGTERM accepted requests, on new
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/balance"
 	"redwinghall/fleet"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
@@ -165,6 +166,40 @@
 	}
 }
 
+// Unserved returns the endpoints to which this node could last not connect of those services whose
+// endpoints are all in backoff, so that nothing is sent to any.
+func (g *Gateway) Unserved(now time.Time) []*fleet.Endpoint {
+	view := g.Cache.View()
+	var unserved []*fleet.Endpoint
+	for name, all := range view.ByService {
+		service, _ := view.Service(name)
+		var usable []*fleet.Endpoint
+		for _, e := range all {
+			if balance.Usable(&service, e, view.ZonesOut) {
+				usable = append(usable, e)
+			}
+		}
+		if !g.Tracker.AllInBackoff(now, usable) {
+			continue
+		}
+		for _, e := range usable {
+			if g.Paths.Unconnected(e.ID) {
+				unserved = append(unserved, e)
+			}
+		}
+	}
+	return unserved
+}
+
+// Recheck ends the backoff of an endpoint if this node connects to it, or if another one reaches it.
+func (g *Gateway) Recheck(ctx context.Context, e *fleet.Endpoint) {
+	if g.Connect(ctx, e) {
+		g.Tracker.EndBackoff(e.ID)
+		return
+	}
+	g.Forwarder.Verify(e, false)
+}
+
 // RecordPath records whether another node reaches an endpoint that this node doesn't reach, or
 // that has fallen silent here.
 func (g *Gateway) RecordPath(now time.Time, e *fleet.Endpoint, reached, silent bool) {
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"sync"
@@ -33,6 +34,9 @@
 	// pathProbesAtOnce endpoints each time: a connection costs the endpoint something.
 	pathProbeInterval = 100 * time.Millisecond
 	pathProbesAtOnce  = 2
+	// recheckInterval is how often this node looks for services of which it sends nothing to any
+	// endpoint, with at most pathProbesAtOnce endpoints each time.
+	recheckInterval = 500 * time.Millisecond
 	// progressAge is how recently another node must have had something from an endpoint that
 	// is silent here to show that only this node's connections are dead.
 	progressAge = 400 * time.Millisecond
@@ -317,3 +321,20 @@
 		}
 	})
 }
+
+// startRechecks finds out whether services whose endpoints are all in backoff are reached again.
+//
+// All endpoints fail at the same time if this node is parted and no other one helps. Their callers
+// would be refused until a backoff ends, though another node, or this one, reaches them by now.
+func (n *Node) startRechecks(g *kernel.Group) {
+	g.Every("rechecks", recheckInterval, func(_ context.Context, now time.Time) {
+		unserved := n.gateway.Unserved(now)
+		rand.Shuffle(len(unserved), func(i, j int) { unserved[i], unserved[j] = unserved[j], unserved[i] })
+		for _, e := range unserved[:min(len(unserved), pathProbesAtOnce)] {
+			g.Go("recheck", func(ctx context.Context) error {
+				n.gateway.Recheck(ctx, e)
+				return nil
+			})
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -154,6 +154,7 @@
 	n.startSharing(g)
 	n.startZoneSharing(g)
 	n.startPathProbes(g)
+	n.startRechecks(g)
 	g.Every("slow_groups", slowInterval, func(_ context.Context, now time.Time) {
 		for _, id := range n.tracker.SlowEndpoints(now) {
 			n.reportStall(id)
--- a/node/parted_test.go
+++ b/node/parted_test.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// All nodes are parted from all endpoints for seconds, and one reaches them again. The callers of both
+// must be served soon, although neither tried an endpoint lately, as all had failed.
+func TestCallersAreServedSoonAfterOneNodeReturns(t *testing.T) {
+	t.Parallel()
+	const allParted, returnTime = 7 * time.Second, 1500 * time.Millisecond
+	for _, mode := range []link.PartitionMode{link.PartitionRefuse, link.PartitionHang} {
+		t.Run(fmt.Sprint(mode), func(t *testing.T) {
+			t.Parallel()
+			z := deployZones(t, map[string]int{"a": 2})
+			z.part("a", 2, mode)
+			z.callEach(t, allParted, 0)
+			z.nodes[1].partition.Set(link.PartitionNone)
+			z.requireServed(t, z.callEach(t, partedTime, returnTime))
+		})
+	}
+}
+
 // The holder of a zone's lease is parted from the zone's endpoints. Its groups must stay open
 // while they are whole, and be closed when they lose a member.
 func TestPartedHolderKeepsAndRepairsGroups(t *testing.T) {
--- a/reach/table.go
+++ b/reach/table.go
@@ -125,6 +125,15 @@
 	return p.goodAt.After(p.indirectAt) && p.goodAt.After(p.brokeAt)
 }
 
+// Unconnected reports whether this node could last not connect to an endpoint, or goes through other
+// nodes.
+func (t *Table) Unconnected(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.endpoints[id]
+	return ok && (p.indirect || p.failedAt.After(p.goodAt))
+}
+
 // parted reports whether this node seems to reach no endpoint of the service.
 func (s *service) parted() bool {
 	return s.indirect >= partedEndpoints && !s.failingSince.IsZero()
