Test: the slow streams of both groups end together

TestSlowStreamsAreForgotten failed in one of two runs of its package: the streams of its two groups came one after the other, so that what was learned of the first had faded for 2.2 s when the test requires a refusal, and ties between groups are broken at random.

--- a/balance/retest_test.go
+++ b/balance/retest_test.go
@@ -101,18 +101,23 @@
 			now := start
 			pause := func(int) time.Duration { return 10 * time.Millisecond }
 			for range 40 {
+				var attempts []*balance.Attempt
 				for _, e := range all {
 					r := request
 					r.Resumed = true // it is sent however slow the group seems
 					choice, refusal := tracker.ChooseGroup(now, []*fleet.Endpoint{e}, nil, r)
 					require.Nil(t, refusal)
-					now = now.Add(2 * time.Second)
-					choice.Attempt.RecordEvent(now, pause)
-					for range 3 {
-						now = now.Add(80 * time.Millisecond)
-						choice.Attempt.RecordEvent(now, pause)
+					attempts = append(attempts, choice.Attempt)
+				}
+				now = now.Add(2 * time.Second)
+				for range 4 {
+					now = now.Add(80 * time.Millisecond)
+					for _, one := range attempts {
+						one.RecordEvent(now, pause)
 					}
-					choice.Attempt.Done(now, true)
+				}
+				for _, one := range attempts {
+					one.Done(now, true)
 				}
 			}
 			_, refusal := choose(tracker, now, all, request)
