--- a/balance/retest.go
+++ b/balance/retest.go
@@ -11,7 +11,8 @@
 // learned.
 const fadeHalfLife = time.Second
 
-// retest says that a request is sent although what was learned from earlier answers makes it late.
+// retest marks a request that is sent although it looks late by what was learned from earlier
+// answers.
 type retest struct {
 	// latest is the response time up to which what was learned counts as outdated.
 	latest    time.Duration
@@ -25,12 +26,13 @@
 	bias     time.Duration // of all endpoints
 }
 
-// tryAgain returns the best candidate of a lookup as it looks if what was learned from answers
-// fades while nothing is learned, nil if it is late even so or has a request of this node.
+// tryAgain predicts the response of the best candidate of a lookup once more, with what was learned
+// from answers faded by the time since the last one. It returns nil if the response is late even
+// so, or if a request of this node is already in progress there. The lock is held.
 //
-// Answers that were slow for a moment, as those that came by way of a node that stood still,
-// make each further request look late. If all are refused for that, no answer ever shows that
-// the endpoint is fast again. One request at a time finds out. The lock is held.
+// Answers that were slow for a moment, as those that came through a paused node, make each
+// further request look late. If all were refused for that, no answer would ever show that the
+// endpoint is fast again. One request at a time finds out.
 func (t *Tracker) tryAgain(now time.Time, best *candidate, request Request, latest time.Duration,
 	evaluate func(Request, time.Time, *State, *fleet.Endpoint) candidate,
 ) *candidate {
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// Unserved returns the endpoints to which this node could last not connect of those services whose
-// endpoints are all in backoff, so that nothing is sent to any.
+// Unserved returns endpoints of services whose endpoints are all in backoff, so that this node sends
+// them nothing: those to which its last attempt to connect failed.
 func (g *Gateway) Unserved(now time.Time) []*fleet.Endpoint {
 	view := g.Cache.View()
 	var unserved []*fleet.Endpoint
--- a/members/members.go
+++ b/members/members.go
@@ -36,8 +36,8 @@
 	// a node with an unchanged row counts as alive.
 	announceInterval = 5 * time.Second
 	memberTimeout    = 13 * time.Second
-	// announceSpread is within which time nodes announce themselves again that could not, once
-	// they have read the table: all of them can after an outage of the store.
+	// announceSpread is the time over which nodes whose announcement failed try again, once they
+	// have read the table: after an outage of the store all of them do.
 	announceSpread = time.Second
 	// announcePerNode lengthens all three if there are many nodes: it is the least average
 	// time between two announcements of any nodes.
@@ -94,7 +94,7 @@
 	listTriedAt time.Time
 	announcedAt time.Time // when this node last wrote its row, or tried
 	unannounced bool      // the last attempt failed
-	// announceAgainAt is when it tries again, zero until the table is read after the failure.
+	// announceAgainAt is when it tries again after a failure, zero until it has read the table.
 	announceAgainAt time.Time
 	listedAt        time.Time // when the table was last read
 	listedEra       int64     // era of the store at the last read
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -34,8 +34,8 @@
 	// pathProbesAtOnce endpoints each time: a connection costs the endpoint something.
 	pathProbeInterval = 100 * time.Millisecond
 	pathProbesAtOnce  = 2
-	// recheckInterval is how often this node looks for services of which it sends nothing to any
-	// endpoint, with at most pathProbesAtOnce endpoints each time.
+	// recheckInterval is how often this node tries endpoints of services whose endpoints are
+	// all in backoff, at most pathProbesAtOnce each time.
 	recheckInterval = 500 * time.Millisecond
 	// progressAge is how recently another node must have had something from an endpoint that
 	// is silent here to show that only this node's connections are dead.
--- a/reach/table.go
+++ b/reach/table.go
@@ -125,8 +125,8 @@
 	return p.goodAt.After(p.indirectAt) && p.goodAt.After(p.brokeAt)
 }
 
-// Unconnected reports whether this node could last not connect to an endpoint, or goes through other
-// nodes.
+// Unconnected reports whether this node's last attempt to connect to an endpoint failed, or requests
+// to it go through other nodes.
 func (t *Table) Unconnected(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
