Soak: a group whose member ended earlier may close in a later pause

Trace: in the first pause (45.53, an endpoint ends) llm-a-4, a member of that group, ends for good and its entry is removed (entry_missing 46.74). Streams of the stand-in's group advance all the same, so its holder asks the member each 2 s and closes the group when it has not answered for 8.7 s (unlisted_silent fails=6 absent=true, member_lost at 55.54), in the pause after the next, in which no endpoint ends. So the close is for a member that really ended, and the check took it for one by the pause.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -101,6 +101,7 @@
 	storeFaults   intervals // of the store itself
 	partitions    []partition
 	pauses        []nodePause
+	lostMembers   map[string]bool // groups a member of which ended in a pause
 	// violations are those detected while faults are injected.
 	violations []string
 }
@@ -119,6 +120,7 @@
 	d := &deployment{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 7)), group: kernel.NewGroup(context.Background()),
 		store: platformtest.NewStore(), runs: platformtest.NewRunCounter(), processes: process.NewSet(config.Bin, config.Dir), configVersion: 1,
+		lostMembers: map[string]bool{},
 	}
 	if err := d.store.Put("op", "config", platformtest.Configuration(1, stableKey, withdrawnKey)); err != nil {
 		return nil, err
--- a/soak/pauses.go
+++ b/soak/pauses.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"redwinghall/kernel"
@@ -66,7 +65,9 @@
 	}
 	if dies {
 		kernel.Sleep(ctx, duration)
-		if err := d.replace(d.pickEndpoint()); err != nil {
+		e := d.pickEndpoint()
+		d.setLostMember(e.endpoint.Group())
+		if err := d.replace(e); err != nil {
 			return err
 		}
 	}
@@ -76,27 +77,42 @@
 	d.mu.Lock()
 	d.pauses = append(d.pauses, p)
 	d.mu.Unlock()
-	for _, id := range open {
-		if now := d.openHeads(); !dies && !slices.Contains(now, id) {
+	now := d.openHeads()
+	for id, group := range open {
+		if _, still := now[id]; !dies && !still && !d.hasLostMember(group) {
 			d.addViolation("the group of %s was closed in a pause of nodes, open are %v", id, now)
 		}
 	}
 	return err
 }
 
-// openHeads returns the endpoints that head an open group.
-func (d *deployment) openHeads() []string {
+// openHeads returns the groups that are open, by the id of the endpoint that heads them.
+func (d *deployment) openHeads() map[string]string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var open []string
+	open := map[string]string{}
 	for _, e := range d.endpoints {
 		if e.endpoint.IsOpen() {
-			open = append(open, e.config.ID)
+			open[e.config.ID] = e.endpoint.Group()
 		}
 	}
 	return open
 }
 
+// setLostMember records that a member of a group has ended. While its streams advance the group is
+// closed only seconds later, maybe in another pause.
+func (d *deployment) setLostMember(group string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lostMembers[group] = true
+}
+
+func (d *deployment) hasLostMember(group string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lostMembers[group]
+}
+
 // checkPauses checks that nodes that stood still serve the requests that follow, and that no request
 // was sent to a second endpoint for a pause alone.
 func (d *deployment) checkPauses(r *results) []string {
