--- a/reach/table.go
+++ b/reach/table.go
@@ -111,7 +111,7 @@
 	return !p.indirect
 }
 
-// Reaches reports whether this node's own connections to an endpoint work, as far as it knows.
+// Reaches reports whether this node's own connections to an endpoint worked when they were last used.
 //
 // That includes a path that works again and isn't used for callers' requests yet, as it may flap.
 // Nodes that reach nothing can still be helped over it, and so can this node if no other one can.
