Requests placed during a node's first read of the endpoints aren't refused as if there were none

Cause: a request takes its view, asks its zone's dispatcher (some ms), finds no group in the view, and then waits for the first read only if it hasn't ended yet. A read that ended during the choice was taken for one that the view has.

Evidence: the log shows store_listed 2 to 20 ms before the refusals, held=16 to 55ms. The test failed before: expected 200, actual 503, reason no_endpoint.

Now a request knows whether its view is older than the first read, and repeats the choice once with a new view. Ruled out: groups that had closed (they served the same callers 0.3 s later), the dispatcher's answer (without a prediction it isn't taken).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 		return
 	}
 	request.Body = body
-	request.view = g.Cache.View() // the view may have changed while a slow caller sent its body
+	request.takeView(g.Cache) // the view may have changed while a slow caller sent its body
 	g.budget.RecordRequest(now, request.Service.Name)
 	ctx, cancel := context.WithDeadline(in.Context(), request.Deadline)
 	defer cancel()
@@ -129,8 +129,9 @@
 func (g *Gateway) resolve(in *http.Request, now time.Time) (*Request, *refusal) {
 	r := &Request{
 		Info: platform.DecodeRequestInfo(in.Header), Method: in.Method, Host: in.Host, Target: in.RequestURI,
-		Header: in.Header, Arrived: now, view: g.Cache.View(),
+		Header: in.Header, Arrived: now,
 	}
+	r.takeView(g.Cache)
 	if in.URL.IsAbs() {
 		r.Target = in.URL.RequestURI()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,12 +47,17 @@
 	alternativeZone string
 	// hasDispatcher is true if another node chooses groups for this zone.
 	hasDispatcher bool
+	// onPlace is called while a zone is asked; it may be nil.
+	onPlace func()
 }
 
 func (p *fakePlacer) HasDispatcher(time.Time) bool { return p.hasDispatcher }
 
 func (p *fakePlacer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
 	p.asked = append(p.asked, zone)
+	if p.onPlace != nil {
+		p.onPlace()
+	}
 	id, ok := p.offers[zone]
 	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone}, ok
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -71,8 +71,8 @@
 	defer call.recordCallTime()
 	for {
 		choice, refused := g.choosePlain(ctx, r, g.balanceRequest(r, call.tried))
-		if refused != nil && g.awaitEndpoints(ctx, time.Now(), refused) {
-			r.view = g.Cache.View()
+		if refused != nil && g.awaitEndpoints(ctx, time.Now(), r, refused) {
+			r.takeView(g.Cache)
 			continue
 		}
 		if refused != nil {
@@ -83,7 +83,7 @@
 		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
 		if call.shouldRetry(ctx, last) {
 			last.close()
-			r.view = g.Cache.View()
+			r.takeView(g.Cache)
 			continue
 		}
 		defer last.close()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -30,6 +30,14 @@
 	// ByRoute is true if the route's timeout is the earlier one.
 	ByRoute bool
 	view    *directory.View
+	// endpointsRead reports whether view was taken after the first read of the endpoints' entries.
+	endpointsRead bool
+}
+
+// takeView makes the request use the latest view.
+func (r *Request) takeView(cache *directory.Cache) {
+	r.endpointsRead = isClosed(cache.Listed()) // asked first: a later view has what was read before
+	r.view = cache.View()
 }
 
 // Priority returns the priority of the request; 0 is the highest.
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -42,8 +42,8 @@
 }
 
 // awaitEndpoints waits for the first read of the endpoint entries if no endpoint was
-// chosen because none has been read yet. It reports whether the choice should be
-// repeated.
-func (g *Gateway) awaitEndpoints(ctx context.Context, now time.Time, refused *balance.Refusal) bool {
-	return refused.Reason == balance.NoEndpoint && !isClosed(g.Cache.Listed()) && g.awaitStartup(ctx, now, g.Cache.Listed())
+// chosen because the request's view is older than that read, which may have ended during
+// the choice. It reports whether the choice should be repeated with a new view.
+func (g *Gateway) awaitEndpoints(ctx context.Context, now time.Time, r *Request, refused *balance.Refusal) bool {
+	return refused.Reason == balance.NoEndpoint && !r.endpointsRead && g.awaitStartup(ctx, now, g.Cache.Listed())
 }
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -37,6 +37,21 @@
 	}
 }
 
+// A request that is being placed while the node reads the endpoints for the first time must not be refused as if there were none.
+func TestRequestInProgressUsesTheFirstEndpointsRead(t *testing.T) {
+	s := newFixture(t)
+	s.placer.hasDispatcher = true
+	s.placer.onPlace = func() {
+		s.placer.onPlace = nil
+		s.endpoint("e1", "llm", func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			writeEvents(w, 1, 3)
+		})
+		s.cache.NoteRead(fleet.Position{Version: 7})
+	}
+	require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, "/stream/x")).status)
+}
+
 // A node that can't read anything after its start must refuse callers after a second,
 // and at once from then on.
 func TestCallersDoNotWaitForAnUnreachableStore(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -62,8 +62,8 @@
 	}
 	for {
 		choice, refused := call.choose(ctx)
-		if refused != nil && g.awaitEndpoints(ctx, time.Now(), refused) {
-			r.view = g.Cache.View()
+		if refused != nil && g.awaitEndpoints(ctx, time.Now(), r, refused) {
+			r.takeView(g.Cache)
 			continue
 		}
 		if refused != nil {
@@ -83,7 +83,7 @@
 			call.giveUp(ctx)
 			return
 		}
-		r.view = g.Cache.View()
+		r.takeView(g.Cache)
 	}
 }
 
