Relay: the store confirms a quiet table before its copy is stale

What was seen: all nodes of a zone wrote reader_not_trusted (store_away: Mirror.Changes: the copy of the table is too old) within a few milliseconds of each other while the store was well, and then read the store themselves.

Cause: the reader reads the endpoints' table every 800 ms (directory.endpointsInterval), and its wait for changes then lasted up to 700 ms (readerWait) if nothing changed: 1.5 s, more than staleAfter (1.2 s), contrary to the comment at readerWait. So after each start, and after each change that came early in an interval and that none followed, the copy became stale for all nodes that waited at the reader.

Why it works: the wait ends when the copy is confirmAfter (0.9 s) old; the rest up to staleAfter is for the answer. The interval between reads, and so the number of calls, is unchanged, and in a quiet table the wait grows again by 100 ms a read until it fills the interval. staleAfter and what ends waits at a reader without the store are as they were.

--- a/relay/source.go
+++ b/relay/source.go
@@ -29,9 +29,13 @@
 	// listStaleAfter is the same limit for listings. It is above the polling interval of the
 	// members' table, the only table that is listed repeatedly.
 	listStaleAfter = 4 * time.Second
-	// readerWait is the longest wait of a reader for changes from the store. While the
-	// reader reaches the store, its answers are therefore younger than staleAfter.
+	// readerWait is the longest wait of a reader for changes from the store. It detects a
+	// store that stopped responding after readerWait and the timeout of the call.
 	readerWait = 700 * time.Millisecond
+	// confirmAfter is the age of a reader's copy at which its wait for changes ends, so that the
+	// store confirms a table without changes before the copy is stale. The difference to
+	// staleAfter is for the store's answer and its way to the other nodes.
+	confirmAfter = staleAfter - 300*time.Millisecond
 	// peerWait is the longest wait of a node for changes from its reader. A reader that
 	// stopped responding is detected after peerWait and the timeout of the call.
 	peerWait = 700 * time.Millisecond
@@ -203,7 +207,7 @@
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
 	rows, err := s.callStore(time.Now(), table, func() (fleet.Rows, error) {
-		return s.config.Store.Changes(ctx, table, after, s.limitWait(wait))
+		return s.config.Store.Changes(ctx, table, after, s.limitWait(time.Now(), table, wait))
 	})
 	if err == nil && rows.At.Era != after.Era {
 		// The new era may have written rows at versions up to after, which the answer lacks.
@@ -323,10 +327,15 @@
 }
 
 // limitWait limits how long a reader on which other nodes depend waits for the store, so
-// that a store that stopped responding is detected in time.
-func (s *Source) limitWait(wait time.Duration) time.Duration {
-	if len(s.config.Peers()) > maxDirectReaders {
-		return min(wait, readerWait)
+// that a store that stopped responding is detected in time, and a quiet table is confirmed
+// before the copy is stale.
+//
+// Tables are read at intervals. A wait that didn't depend on the copy's age would let a copy
+// become stale whenever a change came early in an interval and none followed, and all nodes
+// of the zone would read the store themselves at that moment.
+func (s *Source) limitWait(now time.Time, table string, wait time.Duration) time.Duration {
+	if len(s.config.Peers()) <= maxDirectReaders {
+		return wait
 	}
-	return wait
+	return max(0, min(wait, readerWait, confirmAfter-s.Mirror(table).age(now)))
 }
