Fix: SIGHUP ended a node that started or exited

Callers saw: streams that end without a whole answer, at each node that gets SIGHUP before it runs or while it exits. Operators send SIGHUP to all nodes beside a new version, so all may meet it at once.

Cause: Go ends a process on SIGHUP until signal.Notify is called and after signal.Stop. Settings, node.New and the listeners came before the first, and the reload part gave the signal back before the last log lines were written.

Evidence, before the change: TestHangUpWhileANodeStartsEndsNothing and TestHangUpWhileANodeExitsEndsNothing, both 'the process ended by itself: signal: hangup'. With the registration alone, the first failed at 'Condition never satisfied': changed settings took effect only after 3 s.

The first line of Main registers SIGHUP, SIGTERM and SIGINT and nothing gives them back, so no moment is left between that line and the exit. The reload part reads the settings when it begins, which covers a SIGHUP that came before. What stays: the milliseconds of the runtime's own start before main.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -6,11 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
@@ -56,6 +53,7 @@
 // Main parses the command line, loads the settings and runs the daemon until SIGTERM or
 // SIGINT. It returns the exit code.
 func (p Program) Main(args []string, out, errOut io.Writer, start Start) int {
+	ctx := handleSignals()
 	name, help := p.Name, p.Help
 	options := Options{Settings: p.DefaultSettings}
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
@@ -86,7 +84,7 @@
 	}
 	SetupLogs(options.Verbose)
 	setMemoryLimits()
-	return run(name, options, out, errOut, start)
+	return run(ctx, name, options, out, errOut, start)
 }
 
 // A daemon's live heap is small, so with the default settings the garbage collector
@@ -102,7 +100,7 @@
 	debug.SetMemoryLimit(memoryLimit)
 }
 
-func run(name string, options Options, out, errOut io.Writer, start Start) int {
+func run(ctx context.Context, name string, options Options, out, errOut io.Writer, start Start) int {
 	serve, err := start(options.Settings, options.Check)
 	if err != nil {
 		WriteFaults(errOut, name, options.Settings, err)
@@ -112,8 +110,6 @@
 		_, _ = fmt.Fprintln(out, name+": the settings are valid")
 		return ExitOK
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := serve(ctx); err != nil {
 		_, _ = fmt.Fprintf(errOut, "%s: %v\n", name, err)
 		return ExitFailure
--- a/node/reload.go
+++ b/node/reload.go
@@ -23,7 +23,8 @@
 // effect until a restart, as the listeners are already open.
 func (n *Node) currentSettings() fleet.Settings { return *n.current.Load() }
 
-// startReload reloads the settings on SIGHUP and every reloadInterval.
+// startReload reloads the settings now, on SIGHUP and every reloadInterval. They may have changed, and
+// SIGHUP may have come, since the program read them.
 func (n *Node) startReload(g *kernel.Group) {
 	if n.path == "" {
 		return
@@ -34,6 +35,7 @@
 		defer signal.Stop(hangUp)
 		ticker := time.NewTicker(reloadInterval)
 		defer ticker.Stop()
+		n.reload()
 		for {
 			select {
 			case <-ctx.Done():
