Say for each request without a whole answer why it ended, and beside which version

All of these lines now have request, reason, held, paused (for how long of it the process didn't run), what the caller got, the version at arrival, the newest one and its age. That age is taken from when the version came into force, not from when it was last read. caller_gone bears held instead of after.

Without a line of their own remain the last flush of a response after the handler returned, and what net/http answers by itself (unreadable or too slow headers).

--- a/directory/cache.go
+++ b/directory/cache.go
@@ -105,8 +105,11 @@
 	case change.Config != nil:
 		// Versions only increase. An older configuration that is read late must not
 		// bring back routes and keys that were removed.
-		if c.indexed == nil || change.Config.Version >= c.indexed.config.Version {
-			c.indexed = newIndexedConfig(change.Config)
+		switch {
+		case c.indexed == nil || change.Config.Version > c.indexed.config.Version:
+			c.indexed = newIndexedConfig(change.Config, now)
+		case change.Config.Version == c.indexed.config.Version:
+			c.indexed = newIndexedConfig(change.Config, c.indexed.since)
 		}
 	case change.Endpoint != nil:
 		if change.Restored && c.restored.keeps(now, c.endpoints[change.Endpoint.ID], change.Endpoint) {
--- a/directory/view.go
+++ b/directory/view.go
@@ -6,6 +6,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"redwinghall/fleet"
 )
@@ -32,12 +33,13 @@
 // indexedConfig is a configuration with lookup indexes, built once for each version.
 type indexedConfig struct {
 	config *fleet.Configuration
+	since  time.Time                 // when this version came into force on this node
 	byHost map[string][]*fleet.Route // longest prefix first
 	byKey  map[string]*fleet.Account
 }
 
-func newIndexedConfig(config *fleet.Configuration) *indexedConfig {
-	indexed := &indexedConfig{config: config, byHost: map[string][]*fleet.Route{}, byKey: map[string]*fleet.Account{}}
+func newIndexedConfig(config *fleet.Configuration, since time.Time) *indexedConfig {
+	indexed := &indexedConfig{config: config, since: since, byHost: map[string][]*fleet.Route{}, byKey: map[string]*fleet.Account{}}
 	for i := range config.Routes {
 		route := &config.Routes[i]
 		indexed.byHost[route.Host] = append(indexed.byHost[route.Host], route)
@@ -61,6 +63,15 @@
 	return v.indexed.config
 }
 
+// ConfigSince returns when the configuration's version came into force on this node, the zero time if
+// none has been read yet.
+func (v *View) ConfigSince() time.Time {
+	if v.indexed == nil {
+		return time.Time{}
+	}
+	return v.indexed.since
+}
+
 // Route returns the route of a request: the route of its host with the longest
 // prefix of the path.
 func (v *View) Route(host, path string) (*fleet.Route, bool) {
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -43,20 +43,20 @@
 	e, known := g.Cache.View().Endpoints[f.Endpoint]
 	switch {
 	case !known:
-		notForwarded(w, f, neighbor.Unusable, "endpoint_unknown")
+		notForwarded(w, in.Header, f, neighbor.Unusable, "endpoint_unknown")
 	case f.Kind == neighbor.ForwardCheck:
 		g.serveCheck(in.Context(), w, e)
 	case !g.Paths.Reaches(now, e.Service, e.ID):
-		notForwarded(w, f, neighbor.Indirect, "indirect")
+		notForwarded(w, in.Header, f, neighbor.Indirect, "indirect")
 	case f.Kind == neighbor.ForwardControl && g.controls.Add(1) > maxControls:
 		g.controls.Add(-1)
-		notForwarded(w, f, neighbor.Busy, "busy")
+		notForwarded(w, in.Header, f, neighbor.Busy, "busy")
 	case f.Kind == neighbor.ForwardControl:
 		defer g.controls.Add(-1)
 		g.serveControl(w, in, f, e)
 	case g.forwards.Add(1) > maxForwards || g.stop().Active():
 		g.forwards.Add(-1)
-		notForwarded(w, f, neighbor.Busy, "busy")
+		notForwarded(w, in.Header, f, neighbor.Busy, "busy")
 	default:
 		defer g.forwards.Add(-1)
 		g.serveForwardedRequest(w, in, f, e, now)
@@ -67,8 +67,8 @@
 func (g *Gateway) Forwards() int { return int(g.forwards.Load()) }
 
 // notForwarded responds to the other node without a response of the endpoint.
-func notForwarded(w http.ResponseWriter, f neighbor.Forward, outcome neighbor.ForwardOutcome, why string) {
-	klog.InfoS("not_forwarded", "endpoint", f.Endpoint, "from", f.Node, "outcome", outcome, "why", why)
+func notForwarded(w http.ResponseWriter, request http.Header, f neighbor.Forward, outcome neighbor.ForwardOutcome, why string) {
+	klog.InfoS("not_forwarded", "request", platform.DecodeRequestInfo(request).ID, "endpoint", f.Endpoint, "from", f.Node, "outcome", outcome, "why", why)
 	neighbor.SetForwardOutcome(w.Header(), outcome)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -117,12 +117,12 @@
 func (g *Gateway) serveControl(w http.ResponseWriter, in *http.Request, f neighbor.Forward, e *fleet.Endpoint) {
 	service, _ := g.Cache.View().Service(e.Service)
 	if !platform.IsControlPath(in.URL.Path) && in.URL.Path != service.HealthPath {
-		notForwarded(w, f, neighbor.Unusable, "path")
+		notForwarded(w, in.Header, f, neighbor.Unusable, "path")
 		return
 	}
 	body, err := readBody(in, maxControlBytes)
 	if err != nil {
-		notForwarded(w, f, neighbor.Unusable, "body")
+		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
 		return
 	}
 	response, err := g.Control(in.Context(), e, in.Method, in.URL.Path, body, f.Timeout)
@@ -135,13 +135,13 @@
 			klog.V(1).InfoS("control_not_returned", "endpoint", e.ID, "from", f.Node, "err", err)
 		}
 	case platform.Absent:
-		notForwarded(w, f, neighbor.Refused, "refused")
+		notForwarded(w, in.Header, f, neighbor.Refused, "refused")
 	case platform.NotReached:
 		g.Paths.Failed(time.Now(), e.Service, e.ID)
 		g.recordUnreached(time.Now(), e)
-		notForwarded(w, f, neighbor.Unreached, "not_connected")
+		notForwarded(w, in.Header, f, neighbor.Unreached, "not_connected")
 	default:
-		notForwarded(w, f, neighbor.Lost, "no_response") // it may have been carried out
+		notForwarded(w, in.Header, f, neighbor.Lost, "no_response") // it may have been carried out
 	}
 }
 
@@ -149,13 +149,13 @@
 	r, refusal := g.resolve(in, now)
 	switch {
 	case refusal != nil:
-		notForwarded(w, f, neighbor.Unusable, refusal.reason)
+		notForwarded(w, in.Header, f, neighbor.Unusable, refusal.reason)
 		return
 	case r.configVersion() < f.Configuration || r.Service.Name != e.Service:
-		notForwarded(w, f, neighbor.Unusable, "configuration")
+		notForwarded(w, in.Header, f, neighbor.Unusable, "configuration")
 		return
 	case !balance.Usable(&r.Service, e, r.view.ZonesOut) || g.Tracker.IsLeaving(e) || g.Tracker.RetryAfterLeft(now, e) > 0:
-		notForwarded(w, f, neighbor.Unusable, "endpoint")
+		notForwarded(w, in.Header, f, neighbor.Unusable, "endpoint")
 		return
 	}
 	if deadline := now.Add(f.Timeout); deadline.Before(r.Deadline) {
@@ -163,7 +163,7 @@
 	}
 	body, err := readBody(in, r.view.Config().Limits.BodyBytes)
 	if err != nil {
-		notForwarded(w, f, neighbor.Unusable, "body")
+		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
 		return
 	}
 	r.Body = body
@@ -179,12 +179,12 @@
 	response, err := g.sendDirect(ctx, r, e, f.LastEvent, f.LastEvent != "")
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		g.recordUnreached(time.Now(), e)
-		notForwarded(w, f, neighbor.Unreached, "not_connected")
+		notForwarded(w, r.Header, f, neighbor.Unreached, "not_connected")
 		return
 	}
 	if err != nil {
-		klog.InfoS("forward_failed", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "err", err)
-		notForwarded(w, f, neighbor.Lost, "no_response")
+		g.logUnanswered("forward_failed", r, g.brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "err", err)
+		notForwarded(w, r.Header, f, neighbor.Lost, "no_response")
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -192,33 +192,36 @@
 	platform.CopyResponseHeaders(w.Header(), response.Header)
 	neighbor.SetForwardOutcome(w.Header(), neighbor.Delivered)
 	w.WriteHeader(response.Status)
-	if err := g.copyForwarded(w, e, response); err != nil {
-		klog.InfoS("forward_failed", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "status", response.Status, "err", err)
+	if sent, err := g.copyForwarded(w, e, response); err != nil {
+		g.logUnanswered("forward_failed", r, g.brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "status", response.Status,
+			"bytes", sent, "err", err)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 	klog.InfoS("forwarded", "request", r.Info.ID, "endpoint", e.ID, "from", f.Node, "status", response.Status, "took", time.Since(r.Arrived))
 }
 
-// copyForwarded passes the body on as it comes.
-func (g *Gateway) copyForwarded(w http.ResponseWriter, e *fleet.Endpoint, response *Response) error {
+// copyForwarded passes the body on as it comes, and returns how many bytes it wrote.
+func (g *Gateway) copyForwarded(w http.ResponseWriter, e *fleet.Endpoint, response *Response) (sent int64, err error) {
 	flush := http.NewResponseController(w)
 	buffer := make([]byte, forwardBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			g.recordResponded(time.Now(), e, response)
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return writeErr
+			written, writeErr := w.Write(buffer[:n])
+			sent += int64(written)
+			if writeErr != nil {
+				return sent, writeErr
 			}
 			if flushErr := flush.Flush(); flushErr != nil {
-				return flushErr
+				return sent, flushErr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return sent, nil
 		}
 		if err != nil {
-			return err
+			return sent, err
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall/balance"
 	"redwinghall/directory"
 	"redwinghall/fleet"
@@ -56,6 +54,9 @@
 	// Stopping returns the planned stop of this node. It may be nil for a node that
 	// never stops.
 	Stopping func() Stop
+	// Ended reports whether this node ends and closes its callers' connections. It may be nil for
+	// a node that never ends.
+	Ended func() bool
 }
 
 // Placer asks a zone to choose one of its groups for a stream.
@@ -109,7 +110,7 @@
 	g.served.Add(1)
 	body, err := readBody(in, request.view.Config().Limits.BodyBytes)
 	if err != nil {
-		g.refuseBody(w, request, err)
+		g.refuseBody(w, request, len(body), err)
 		return
 	}
 	request.Body = body
@@ -129,9 +130,10 @@
 func (g *Gateway) resolve(in *http.Request, now time.Time) (*Request, *refusal) {
 	r := &Request{
 		Info: platform.DecodeRequestInfo(in.Header), Method: in.Method, Host: in.Host, Target: in.RequestURI,
-		Header: in.Header, Arrived: now,
+		Header: in.Header, Arrived: now, left: in.Context().Done(),
 	}
 	r.takeView(g.Cache)
+	r.arrivedUnder = r.configVersion()
 	if in.URL.IsAbs() {
 		r.Target = in.URL.RequestURI()
 	}
@@ -179,13 +181,14 @@
 	return split[len(split)-1].Service
 }
 
-func (g *Gateway) refuseBody(w http.ResponseWriter, r *Request, err error) {
+// refuseBody ends a request whose body could not be read completely. read is how many bytes were.
+func (g *Gateway) refuseBody(w http.ResponseWriter, r *Request, read int, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.Is(err, errBodyTooLarge) || errors.As(err, &tooLarge) {
 		g.refuse(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
 		return
 	}
-	klog.InfoS("request_broken_off", "request", r.Info.ID, "err", err)
+	g.logUnanswered("request_broken_off", r, g.goneReason(), "body_read", read, "err", err)
 	panic(http.ErrAbortHandler) // the caller disconnected while sending its body
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,6 +33,8 @@
 	placer  fakePlacer
 	// stop is the current planned stop. It must be set before requests are sent.
 	stop gateway.Stop
+	// ended is set once the node has closed its connections.
+	ended atomic.Bool
 	// shares are the node counts. Like settings, they must be set before requests are
 	// sent.
 	shares   gateway.Shares
@@ -110,7 +112,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, ReportStall: func(string) {},
-		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop },
+		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load,
 	})
 	s.server = httptest.NewServer(g)
 	t.Cleanup(s.server.Close)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -258,9 +258,9 @@
 	case redwinghall.KindOf[Kind](last.err) == NotSent && !call.mayHaveRun && ctx.Err() == nil:
 		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.Canceled):
-		g.callerGone(r)
+		g.callerGone(r, "attempts", call.sent)
 	case ctx.Err() != nil:
-		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	default:
 		g.refuse(w, r, refusal{status: http.StatusBadGateway, reason: "outcome_unknown"})
 	}
@@ -279,19 +279,21 @@
 	}
 	platform.CopyResponseHeaders(w.Header(), last.response.Header)
 	w.WriteHeader(status)
-	if err := writeBody(w, last); err != nil {
-		klog.InfoS("answer_broken_off", "request", r.Info.ID, "status", status, "err", err)
+	if sent, err := writeBody(w, last); err != nil {
+		g.logUnanswered("answer_broken_off", r, g.brokenReason(r, time.Now(), err), "status", status, "bytes", sent, "err", err)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 	g.Metrics.Answered(r, status, time.Since(r.Arrived))
 }
 
-func writeBody(w io.Writer, last plainAttempt) error {
-	if _, err := w.Write(last.body); err != nil || last.unread == nil {
-		return err
+// writeBody writes the body of a response and returns how many bytes it wrote.
+func writeBody(w io.Writer, last plainAttempt) (int64, error) {
+	n, err := w.Write(last.body)
+	if err != nil || last.unread == nil {
+		return int64(n), err
 	}
-	_, err := io.Copy(w, last.unread)
-	return err
+	rest, err := io.Copy(w, last.unread)
+	return int64(n) + rest, err
 }
 
 // statusMeansNotRun reports whether a status tells the caller that its request was
@@ -310,8 +312,10 @@
 	return response.Info.Signed && response.Info.RequestID == r.Info.ID
 }
 
-func (g *Gateway) callerGone(r *Request) {
-	klog.InfoS("caller_gone", "request", r.Info.ID, "route", r.Route.Name, "after", time.Since(r.Arrived), "node_stopping", g.stop().Active())
+// callerGone ends a request whose connection to the caller has ended. more are further keys and
+// values of its line.
+func (g *Gateway) callerGone(r *Request, more ...any) {
+	g.logUnanswered("caller_gone", r, g.goneReason(), more...)
 	g.Metrics.CallerGone(r)
 	panic(http.ErrAbortHandler)
 }
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -83,7 +83,8 @@
 	klog.InfoS("refused", "request", r.Info.ID, "status", why.status, "reason", why.reason, "account", r.account(),
 		"route", routeName(r), "predicted", why.predicted, "objective", routeObjective(r), "best", why.best, "running", why.running,
 		"load_age", why.loadAge, "node_left", why.nodeLeft, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
-		"configuration", r.configVersion(), "in_backoff", why.inBackoff, "since_answer", g.Tracker.SinceAnswer(time.Now()))
+		"configuration", r.configVersion(), "in_backoff", why.inBackoff, "since_answer", g.Tracker.SinceAnswer(time.Now()),
+		"caller_left", r.callerLeft())
 	g.Metrics.Refused(r, why)
 	h := w.Header()
 	platform.SetRequestID(h, r.Info.ID)
@@ -99,7 +100,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(why.status)
 	if _, err := w.Write(body); err != nil {
-		klog.V(1).InfoS("caller_gone", "request", r.Info.ID, "err", err)
+		g.logUnanswered("caller_gone", r, g.goneReason(), "refusal", why.reason, "err", err)
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,6 +32,10 @@
 	view    *directory.View
 	// endpointsRead reports whether view was taken after the first read of the endpoints' entries.
 	endpointsRead bool
+	// arrivedUnder is the version of the configuration when the request arrived, 0 if none was known.
+	arrivedUnder int64
+	// left is closed once the connection to the caller has ended; nil for a request without one.
+	left <-chan struct{}
 }
 
 // takeView makes the request use the latest view.
@@ -50,12 +54,10 @@
 
 // configVersion returns the version of the configuration that applies to the request,
 // 0 if none is known.
-func (r *Request) configVersion() int64 {
-	if config := r.view.Config(); config != nil {
-		return config.Version
-	}
-	return 0
-}
+func (r *Request) configVersion() int64 { return configVersion(r.view) }
+
+// callerLeft reports whether the connection to the caller has ended.
+func (r *Request) callerLeft() bool { return isClosed(r.left) }
 
 // account returns the account's name for headers, logs and metrics, "" if the request
 // has no account.
@@ -92,7 +94,7 @@
 
 var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
 
-// readBody reads the complete body of a request: a retry at a second endpoint may
+// readBody reads the complete body of a request, or returns what it read before an error: a retry at a second endpoint may
 // need it, and a slow caller must not occupy an endpoint.
 func readBody(in *http.Request, limit int64) ([]byte, error) {
 	if in.Body == nil || in.ContentLength == 0 {
@@ -106,8 +108,8 @@
 	}
 	if in.ContentLength > 0 {
 		body := make([]byte, in.ContentLength)
-		_, err := io.ReadFull(in.Body, body)
-		return body, err
+		n, err := io.ReadFull(in.Body, body)
+		return body[:n], err
 	}
 	body, err := io.ReadAll(io.LimitReader(in.Body, limit+bodySlack))
 	if err == nil && int64(len(body)) > limit {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,7 @@
 	// executing it.
 	mayHaveRun   bool
 	headersSent  bool  // the response headers were sent to the caller
+	bytes        int64 // bytes of events sent to the caller
 	lastID       int64 // id of the last event sent to the caller, valid if hasID
 	hasID        bool
 	firstEventAt time.Time // when the first event arrived
@@ -259,7 +260,9 @@
 			continue
 		}
 		c.recordEventTime(now)
-		if _, err := c.w.Write(event); err != nil {
+		n, err := c.w.Write(event)
+		c.bytes += int64(n)
+		if err != nil {
 			return err
 		}
 		if !events.buffered() {
@@ -336,9 +339,9 @@
 func (c *streamCall) giveUp(ctx context.Context) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		c.g.callerGone(c.r)
+		c.g.callerGone(c.r, "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load())
 	case ctx.Err() != nil:
-		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
+		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	case !c.mayHaveRun:
 		c.refuse(c.g.rejectedRefusal(c.r))
 	default:
@@ -350,9 +353,8 @@
 // a truncated stream must not look complete.
 func (c *streamCall) refuse(why refusal) {
 	if c.headersSent {
-		now := time.Now()
-		klog.InfoS("stream_broken_off", "request", c.r.Info.ID, "reason", why.reason, "last_event", c.lastID, "attempts", c.sent.Load(),
-			"attempts_allowed", c.r.Route.MaxAttempts, "left", c.r.Left(now), "held", now.Sub(c.r.Arrived))
+		c.g.logUnanswered("stream_broken_off", c.r, why.reason, "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load(),
+			"attempts_allowed", c.r.Route.MaxAttempts, "left", c.r.Left(time.Now()))
 		c.g.Metrics.Refused(c.r, why)
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/gateway/unanswered.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall/directory"
+	"redwinghall/kernel"
+)
+
+// Reasons why a request ends without a complete response, beside those of refusals.
+const (
+	reasonTimeout = "timeout"
+	// reasonCallerLeft means that the connection to the caller ended, and not by this node.
+	reasonCallerLeft = "caller_left"
+	// reasonNodeEnded means that this node ends and has closed its connections.
+	reasonNodeEnded = "node_ended"
+	// reasonAttemptTimeout means that the time of the attempt was over before that of the request.
+	reasonAttemptTimeout   = "attempt_timeout"
+	reasonEndpointBrokeOff = "endpoint_broke_off"
+)
+
+// logUnanswered writes the line of a request that ends without a complete response. more are further
+// keys and values.
+func (g *Gateway) logUnanswered(event string, r *Request, reason string, more ...any) {
+	now := time.Now()
+	held, view := now.Sub(r.Arrived), g.Cache.View()
+	line := append([]any{
+		"request", r.Info.ID, "reason", reason, "route", routeName(r), "held", held, "paused", held - kernel.RunTime(r.Arrived, now),
+		"node_stopping", g.stop().Active(), "configuration_at_arrival", r.arrivedUnder, "configuration_now", configVersion(view),
+		"since_configuration", sinceConfiguration(view, now),
+	}, more...)
+	klog.InfoSDepth(1, event, line...)
+}
+
+// goneReason returns why the connection to the caller has ended.
+func (g *Gateway) goneReason() string {
+	if g.Ended != nil && g.Ended() {
+		return reasonNodeEnded
+	}
+	return reasonCallerLeft
+}
+
+// brokenReason returns why a response could not be passed on completely, given the error.
+func (g *Gateway) brokenReason(r *Request, now time.Time, err error) string {
+	switch {
+	case r.callerLeft():
+		return g.goneReason()
+	case !now.Before(r.Deadline):
+		return reasonTimeout
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return reasonAttemptTimeout
+	}
+	return reasonEndpointBrokeOff
+}
+
+// configVersion returns the version of a view's configuration, 0 if it has none.
+func configVersion(view *directory.View) int64 {
+	if config := view.Config(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// sinceConfiguration returns how long a view's configuration has been in force, 0 if it has none.
+func sinceConfiguration(view *directory.View, now time.Time) time.Duration {
+	if view.Config() == nil {
+		return 0
+	}
+	return now.Sub(view.ConfigSince())
+}
--- a/node/connections.go
+++ b/node/connections.go
@@ -124,7 +124,7 @@
 	state.requestID, state.requestedAt = platform.DecodeRequestInfo(r.Header).ID, now
 	if state.closed {
 		klog.InfoS("request_on_closed_connection", "request", state.requestID, "connection", state.kind(),
-			"open_for", now.Sub(state.opened), "idle_since", now.Sub(state.idleSince))
+			"open_for", now.Sub(state.opened), "idle_since", now.Sub(state.idleSince), "node_stopping", stop.Active())
 		return false
 	}
 	if stop.Active() {
--- a/node/node.go
+++ b/node/node.go
@@ -116,6 +116,7 @@
 		Forwarder:    forwards,
 		Control:      controlOf(client),
 		Stopping:     n.plannedStop,
+		Ended:        n.ended,
 	})
 	n.follower = directory.NewFollower(n.source, n.cache, n.manager.Pending).WithKnown(n.table.Known())
 	return n
@@ -212,6 +213,9 @@
 	}
 }
 
+// ended reports whether this node has stopped its parts and closes all connections.
+func (n *Node) ended() bool { return n.group != nil && n.group.Context().Err() != nil }
+
 // ready reports whether the load balancer should send new connections to this node.
 func (n *Node) ready() bool {
 	return n.stopping.Load() == nil && n.cache.View().Config() != nil
