A call whose time is over is answered 504 timeout, also if its last attempt's timer fires first

What callers saw: 502 outcome_unknown instead of 504 timeout, now and then, for a call that its endpoint left unanswered until the route's timeout. Both promise nothing; the log names the wrong reason.

Cause: the last attempt may use all the time that is left, so its timer and that of the request are due at the same moment, and the first to fire is not always the request's. The reason was taken from the request's context alone.

Streams have no timer of an attempt; ruled out by reading.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
+	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
 )
 
@@ -525,6 +526,27 @@
 	}
 }
 
+// The timer of the last attempt may fire just before that of the request: the caller must get 504 all the same.
+func TestEveryRequestOutOfTimeGetsATimeout(t *testing.T) {
+	s := newFixture(t)
+	s.config.Routes[1].Timeout = 50 * time.Millisecond
+	release := make(chan struct{})
+	defer close(release)
+	s.endpoint("e1", "desk", func(http.ResponseWriter, *http.Request) { <-release })
+	for range 20 {
+		g := kernel.NewGroup(t.Context())
+		for range 32 {
+			g.Go("request", func(context.Context) error {
+				if got := s.do(s.request(http.MethodPost, "/book/")); got.status != http.StatusGatewayTimeout {
+					return fmt.Errorf("status %d: %s", got.status, got.body)
+				}
+				return nil
+			})
+		}
+		require.NoError(t, g.Wait())
+	}
+}
+
 // The route's timeout expires while the endpoint is silent. The caller must get 504
 // then, and not wait for the endpoint.
 func TestRouteTimeout(t *testing.T) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -250,16 +250,17 @@
 // finishPlain sends the caller the result of the last attempt.
 func (g *Gateway) finishPlain(ctx context.Context, w http.ResponseWriter, call *plainCall, last plainAttempt) {
 	r := call.r
+	outOfTime := ctx.Err() != nil || r.Left(time.Now()) <= 0 // the timer of ctx may fire after that of the last attempt
 	switch {
 	case last.response != nil && last.notRun && !call.mayHaveRun:
 		g.refuse(w, r, g.rejectedRefusal(r))
 	case last.response != nil && !last.notRun:
 		g.forwardResponse(w, r, last)
-	case redwinghall.KindOf[Kind](last.err) == NotSent && !call.mayHaveRun && ctx.Err() == nil:
+	case redwinghall.KindOf[Kind](last.err) == NotSent && !call.mayHaveRun && !outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.Canceled):
 		g.callerGone(r, "attempts", call.sent)
-	case ctx.Err() != nil:
+	case outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	default:
 		g.refuse(w, r, refusal{status: http.StatusBadGateway, reason: "outcome_unknown"})
