Tests of formation: what a manager reads while a test changes it is behind a lock

The race detector found these in tests alone (fields of the fake node and the zone's generator), none in formation itself. The checks are as they were.

--- a/formation/convert_test.go
+++ b/formation/convert_test.go
@@ -26,7 +26,7 @@
 // the others stay, and no group is converted back.
 func TestGroupsFollowDemand(t *testing.T) {
 	runPairs(t, func(t *testing.T, f *fakeZone, n *node) {
-		loads := f.loads
+		loads := f.loadCount()
 		for range 30 {
 			setDemand(f, n, map[string]int{"small": 10})
 			time.Sleep(100 * time.Millisecond)
@@ -38,7 +38,7 @@
 		}
 		require.Len(t, f.servingHeads("large"), 2)
 		require.Len(t, f.servingHeads("small"), 19)
-		require.Equal(t, loads, f.loads)
+		require.Equal(t, loads, f.loadCount())
 		joins := f.joins
 		for range 300 {
 			setDemand(f, n, map[string]int{"large": 12, "small": 240})
--- a/formation/earlier_orders_test.go
+++ b/formation/earlier_orders_test.go
@@ -90,11 +90,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
-				n.holdsLease = false
+				n.holdsLease.Store(false)
 				orders := &recorder{Orderer: f}
 				next := manageBy(f, false, orders, f.cache)
 				defer next.stop(t)
-				next.trafficStarted = true
+				next.trafficStarted.Store(true)
 				time.Sleep(c.after)
 				member, head := memberOf(f, "small", 1)
 				f.kill(member, false)
--- a/formation/era_test.go
+++ b/formation/era_test.go
@@ -14,7 +14,7 @@
 func TestEpochsRiseAfterStoreRestore(t *testing.T) {
 	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
 		const versions = 1000
-		n.version = versions
+		n.set(func() { n.version = versions })
 		f.kill(f.servingHeads("small")[0].members[1], true)
 		n.manager.ReportStall(t.Context(), f.servingHeads("small")[0].ID)
 		time.Sleep(20 * time.Second)
@@ -22,10 +22,11 @@
 		for _, w := range f.workers {
 			before = max(before, w.Member.Epoch)
 		}
-		n.holdsLease = false
+		n.holdsLease.Store(false)
 		next := manage(f, false)
 		defer next.stop(t)
-		next.trafficStarted, next.era, next.version = true, 1, 3
+		next.trafficStarted.Store(true)
+		next.set(func() { next.era, next.version = 1, 3 })
 		member, head := memberOf(f, "small", 1)
 		f.kill(member, true)
 		next.manager.ReportStall(t.Context(), head)
--- a/formation/fakezone_test.go
+++ b/formation/fakezone_test.go
@@ -120,6 +120,20 @@
 	return newFakeZoneWith(defaultEngine(), seed, domains, size)
 }
 
+// loadCount returns how many loads from the weight store have begun.
+func (f *fakeZone) loadCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loads
+}
+
+// intN returns a random number below n from the zone's generator.
+func (f *fakeZone) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
 // newFakeZoneWith returns a fake zone whose endpoints run the given engine.
 func newFakeZoneWith(engine *fleet.Engine, seed uint64, domains, size int) *fakeZone {
 	f := &fakeZone{
--- a/formation/gather_test.go
+++ b/formation/gather_test.go
@@ -33,7 +33,7 @@
 		n := manage(f, true)
 		defer n.stop(t)
 		time.Sleep(60 * time.Second)
-		n.trafficStarted = true
+		n.trafficStarted.Store(true)
 		require.Len(t, f.servingHeads("large"), 3)
 		require.Len(t, f.servingHeads("small"), 15)
 		run(t, f, n)
@@ -57,12 +57,12 @@
 // members of a small group that had staged its model.
 func TestLargeGroupIsRebuiltFromSmallOnes(t *testing.T) {
 	runPairs(t, func(t *testing.T, f *fakeZone, n *node) {
-		loads := f.loads
+		loads := f.loadCount()
 		failTwoMembers(f, n, 0)
 		time.Sleep(5 * time.Second)
 		require.Len(t, f.servingHeads("large"), 3)
 		require.Len(t, f.servingHeads("small"), 14)
-		require.Equal(t, loads, f.loads)
+		require.Equal(t, loads, f.loadCount())
 	})
 }
 
@@ -110,11 +110,13 @@
 func TestRandomFaultsWhileGroupsAreDismantled(t *testing.T) {
 	for seed := range uint64(15) {
 		runPairs(t, func(t *testing.T, f *fakeZone, n *node) {
+			f.mu.Lock()
 			f.random = rand.New(rand.NewPCG(seed, 2))
+			f.mu.Unlock()
 			for range 20 {
-				setDemand(f, n, map[string]int{"large": f.random.IntN(60), "small": f.random.IntN(300)})
+				setDemand(f, n, map[string]int{"large": f.intN(60), "small": f.intN(300)})
 				f.injectRandomFault(n)
-				time.Sleep(time.Duration(f.random.IntN(4000)) * time.Millisecond)
+				time.Sleep(time.Duration(f.intN(4000)) * time.Millisecond)
 			}
 			time.Sleep(30 * time.Second)
 		})
--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -32,11 +32,12 @@
 // joined them to others while their head serves, the group's streams would stall.
 func TestNewHolderWaitsForEntriesAtItsLeasePosition(t *testing.T) {
 	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
-		n.holdsLease = false
+		n.holdsLease.Store(false)
 		current, old := f.withOlderCopy(fleet.Position{Version: 99})
 		next := manage(f, false)
 		defer next.stop(t)
-		next.trafficStarted, next.leasePosition = true, fleet.Position{Version: 100}
+		next.trafficStarted.Store(true)
+		next.set(func() { next.leasePosition = fleet.Position{Version: 100} })
 		time.Sleep(10 * time.Second)
 		f.mu.Lock()
 		require.Empty(t, f.violations)
@@ -56,11 +57,12 @@
 // group. The lease holder must wait until they have written their entries again.
 func TestHolderWaitsUntilRestoredStoreIsRecovered(t *testing.T) {
 	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
-		n.holdsLease = false
+		n.holdsLease.Store(false)
 		current, restored := f.withOlderCopy(fleet.Position{Era: 1, Version: 50})
 		next := manage(f, false)
 		defer next.stop(t)
-		next.trafficStarted, next.unrecovered, next.leasePosition = true, true, fleet.Position{Era: 1, Version: 40}
+		next.trafficStarted.Store(true)
+		next.set(func() { next.unrecovered, next.leasePosition = true, fleet.Position{Era: 1, Version: 40} })
 		time.Sleep(4 * time.Second)
 		f.mu.Lock()
 		require.Empty(t, f.violations)
@@ -68,7 +70,7 @@
 		for _, e := range current.View().Endpoints {
 			restored.Apply(time.Now(), directory.Change{Endpoint: e})
 		}
-		next.unrecovered = false
+		next.set(func() { next.unrecovered = false })
 		time.Sleep(10 * time.Second)
 		require.Len(t, f.servingHeads("large"), 2)
 		require.Len(t, f.servingHeads("small"), 2)
@@ -79,18 +81,20 @@
 // to its lease position, but it would plan from a view taken before the check.
 func TestHolderPlansFromCheckedView(t *testing.T) {
 	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
-		n.holdsLease = false
+		n.holdsLease.Store(false)
 		current, old := f.withOlderCopy(fleet.Position{Version: 99})
 		next := manage(f, false)
 		defer next.stop(t)
-		next.trafficStarted, next.leasePosition = true, fleet.Position{Version: 100}
-		next.onLeaseCheck = func() {
+		next.trafficStarted.Store(true)
+		next.set(func() { next.leasePosition = fleet.Position{Version: 100} })
+		readLate := func() {
 			for _, e := range current.View().Endpoints {
 				old.Apply(time.Now(), directory.Change{Endpoint: e})
 			}
 			old.NoteRead(fleet.Position{Version: 100})
-			next.onLeaseCheck = nil
+			next.set(func() { next.onLeaseCheck = nil })
 		}
+		next.set(func() { next.onLeaseCheck = readLate })
 		time.Sleep(10 * time.Second)
 		require.Len(t, f.servingHeads("large"), 2)
 		require.Len(t, f.servingHeads("small"), 2)
--- a/formation/holder_changes_test.go
+++ b/formation/holder_changes_test.go
@@ -22,7 +22,7 @@
 		first := manage(f, true)
 		defer first.stop(t)
 		time.Sleep(40 * time.Second)
-		first.trafficStarted = true
+		first.trafficStarted.Store(true)
 		holder := first
 		for range 4 {
 			if served = len(f.servingHeads("small")) > 0; !served {
@@ -34,11 +34,11 @@
 			f.mu.Unlock()
 			f.kill(member, false)
 			holder.manager.ReportStall(context.Background(), head)
-			time.Sleep(time.Duration(500+f.random.IntN(1500)) * time.Millisecond)
-			holder.holdsLease = false
+			time.Sleep(time.Duration(500+f.intN(1500)) * time.Millisecond)
+			holder.holdsLease.Store(false)
 			holder = manage(f, false)
 			defer holder.stop(t)
-			holder.trafficStarted = true
+			holder.trafficStarted.Store(true)
 			time.Sleep(2 * time.Second)
 			f.mu.Lock()
 			f.lossRate = 0
--- a/formation/joining_test.go
+++ b/formation/joining_test.go
@@ -159,8 +159,8 @@
 	j.zone.mu.Unlock()
 	n := manageBy(j.zone, firstStart, j.link, j.next.cache)
 	j.next = j.zone.follow(followerLag)
-	n.leasePosition = fleet.Position{Version: version}
-	n.trafficStarted = !firstStart
+	n.set(func() { n.leasePosition = fleet.Position{Version: version} })
+	n.trafficStarted.Store(!firstStart)
 	n.demand.Store(&j.demand)
 	j.holder = n
 	j.stops = append(j.stops, func() { n.stop(j.t) })
@@ -177,7 +177,7 @@
 	j.next = j.zone.follow(followerLag)
 	j.startHolder(true)
 	time.Sleep(j.settle)
-	j.holder.trafficStarted = true
+	j.holder.trafficStarted.Store(true)
 	for _, e := range events {
 		time.Sleep(e.After)
 		j.inject(e)
@@ -276,11 +276,11 @@
 func (j *scenario) injectHolderFault(e fault, until time.Time) {
 	switch e.Kind {
 	case faultHandOver:
-		j.holder.holdsLease = false
+		j.holder.holdsLease.Store(false)
 		time.Sleep(100 * time.Millisecond)
 		j.startHolder(false)
 	case faultKill:
-		j.holder.holdsLease = false
+		j.holder.holdsLease.Store(false)
 		j.holder.group.Stop()
 		time.Sleep(3 * time.Second)
 		j.startHolder(false)
@@ -288,21 +288,22 @@
 		j.zone.mu.Lock()
 		j.link.frozen = until
 		j.zone.mu.Unlock()
-		j.holder.holdsLease = false
+		j.holder.holdsLease.Store(false)
 		time.Sleep(3 * time.Second)
 		j.startHolder(false)
 	case faultLeaseRegained:
 		first, link := j.holder, j.link
-		first.holdsLease = false
+		first.holdsLease.Store(false)
 		time.Sleep(time.Second)
 		j.startHolder(false)
 		time.Sleep(e.Lasts / 2)
-		j.holder.holdsLease = false
+		j.holder.holdsLease.Store(false)
 		j.zone.mu.Lock()
 		j.zone.write()
-		first.leasePosition = fleet.Position{Version: j.zone.version}
+		first.set(func() { first.leasePosition = fleet.Position{Version: j.zone.version} })
 		j.zone.mu.Unlock()
-		j.holder, j.link, first.holdsLease = first, link, true
+		j.holder, j.link = first, link
+		first.holdsLease.Store(true)
 	}
 }
 
@@ -385,7 +386,8 @@
 func manageBy(f *fakeZone, firstStart bool, orderer fleet.Orderer, cache *directory.Cache) *node {
 	f.mu.Lock()
 	f.leases++
-	n := &node{version: f.leases, holdsLease: true, firstStart: firstStart, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+	n := &node{version: f.leases, firstStart: firstStart, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+	n.holdsLease.Store(true)
 	f.mu.Unlock()
 	n.start(cache, orderer)
 	return n
--- a/formation/leaving_head_test.go
+++ b/formation/leaving_head_test.go
@@ -24,10 +24,10 @@
 					w := f.servingHeads(model)[0]
 					holder := n
 					if handOver {
-						n.holdsLease = false
+						n.holdsLease.Store(false)
 						holder = manage(f, false)
 						defer holder.stop(t)
-						holder.trafficStarted = true
+						holder.trafficStarted.Store(true)
 						time.Sleep(300 * time.Millisecond)
 					}
 					f.stopListening(w.ID)
@@ -58,7 +58,7 @@
 	n := manage(f, true)
 	defer n.stop(t)
 	time.Sleep(40 * time.Second)
-	n.trafficStarted = true
+	n.trafficStarted.Store(true)
 	group, spare := f.readyGroup()
 	require.Len(t, group, 3)
 	f.mu.Lock()
--- a/formation/leaving_member_test.go
+++ b/formation/leaving_member_test.go
@@ -16,7 +16,7 @@
 		t.Run(name, func(t *testing.T) {
 			runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
 				member, _ := memberOf(f, "large", rank)
-				n.leaving[member] = true
+				n.set(func() { n.leaving[member] = true })
 				time.Sleep(8 * time.Second)
 				require.Len(t, f.servingHeads("large"), 2)
 				f.mu.Lock()
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sort"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -21,10 +22,12 @@
 type node struct {
 	manager        *formation.Manager
 	group          *kernel.Group
-	holdsLease     bool
-	trafficStarted bool
-	progressing    map[string]bool
-	leaving        map[string]bool // endpoints that said that they leave
+	holdsLease     atomic.Bool
+	trafficStarted atomic.Bool
+	// mu guards the fields below, which the manager reads while a test changes them.
+	mu          sync.Mutex
+	progressing map[string]bool
+	leaving     map[string]bool // endpoints that said that they leave
 	// demand is how many requests each open group of a model has.
 	demand     atomic.Pointer[map[string]int]
 	firstStart bool
@@ -42,7 +45,8 @@
 
 func manage(f *fakeZone, firstStart bool) *node {
 	f.leases++
-	n := &node{version: f.leases, holdsLease: true, firstStart: firstStart, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+	n := &node{version: f.leases, firstStart: firstStart, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+	n.holdsLease.Store(true)
 	n.start(f.cache, f)
 	return n
 }
@@ -54,22 +58,43 @@
 		Stall: 4 * time.Second, LoadsWindow: 5 * time.Second, LoadsOvershoot: 1.1,
 	}}
 	n.manager = formation.NewManager(formation.Options{
-		Settings: func() fleet.Settings { return settings }, Cache: cache, Orderer: orderer, LeasePosition: func(string) fleet.Position { return n.leasePosition },
-		Recovered:  func(int64) bool { return !n.unrecovered },
-		HoldsLease: func(string) bool { n.leaseChecked(); return n.holdsLease }, Position: func() fleet.Position { return fleet.Position{Era: n.era, Version: n.version} },
-		TrafficStarted: func() bool { return n.trafficStarted }, Progressing: func(_ time.Time, id string) bool { return n.progressing[id] },
+		Settings: func() fleet.Settings { return settings }, Cache: cache, Orderer: orderer, LeasePosition: func(string) fleet.Position { return locked(n, &n.leasePosition) },
+		Recovered:  func(int64) bool { return !locked(n, &n.unrecovered) },
+		HoldsLease: func(string) bool { n.leaseChecked(); return n.holdsLease.Load() }, Position: func() fleet.Position { return fleet.Position{Era: locked(n, &n.era), Version: locked(n, &n.version)} },
+		TrafficStarted: func() bool { return n.trafficStarted.Load() }, Progressing: func(_ time.Time, id string) bool { return n.has(n.progressing, id) },
 		Running:   n.running(cache),
-		IsLeaving: func(e *fleet.Endpoint) bool { return n.leaving[e.ID] },
+		IsLeaving: func(e *fleet.Endpoint) bool { return n.has(n.leaving, e.ID) },
 	})
 	n.manager.Start(n.group)
 }
 
 func (n *node) leaseChecked() {
-	if n.onLeaseCheck != nil {
-		n.onLeaseCheck()
+	if check := locked(n, &n.onLeaseCheck); check != nil {
+		check()
 	}
 }
 
+// locked returns a field of the node.
+func locked[T any](n *node, field *T) T {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return *field
+}
+
+// has reports whether a set of the node has an endpoint.
+func (n *node) has(set map[string]bool, id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return set[id]
+}
+
+// set changes fields of the node.
+func (n *node) set(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
 // running returns a function that reports a head's number of requests, according to its
 // model's demand.
 func (n *node) running(cache *directory.Cache) func(time.Time, string) int {
@@ -97,7 +122,7 @@
 		n := manage(f, true)
 		defer n.stop(t)
 		time.Sleep(40 * time.Second)
-		n.trafficStarted = true
+		n.trafficStarted.Store(true)
 		require.Len(t, f.servingHeads("large"), 2)
 		require.Len(t, f.servingHeads("small"), 2)
 		run(t, f, n)
@@ -155,14 +180,14 @@
 		t.Run(model, func(t *testing.T) {
 			runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
 				member, head := memberOf(f, model, 1)
-				loads := f.loads
+				loads := f.loadCount()
 				f.kill(member, true)
 				time.Sleep(700 * time.Millisecond)
 				n.manager.ReportStall(context.Background(), head)
 				time.Sleep(2500 * time.Millisecond)
 				require.Len(t, f.servingHeads("large"), 2)
 				require.Len(t, f.servingHeads("small"), 2)
-				require.Equal(t, loads, f.loads, "each domain keeps a standby of each model")
+				require.Equal(t, loads, f.loadCount(), "each domain keeps a standby of each model")
 			})
 		})
 	}
@@ -189,7 +214,7 @@
 // are formed again within seconds, without a load.
 func TestDomainComesBack(t *testing.T) {
 	runDefault(t, func(t *testing.T, f *fakeZone, _ *node) {
-		loads := f.loads
+		loads := f.loadCount()
 		f.mu.Lock()
 		var ids []string
 		for id, w := range f.workers {
@@ -213,7 +238,7 @@
 		time.Sleep(5 * time.Second)
 		require.Len(t, f.servingHeads("large"), 2)
 		require.Len(t, f.servingHeads("small"), 2)
-		require.LessOrEqual(t, f.loads-loads, 1)
+		require.LessOrEqual(t, f.loadCount()-loads, 1)
 	})
 }
 
@@ -236,14 +261,14 @@
 	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
 		member, head := memberOf(f, "large", 2)
 		group := f.workers[head].Member
-		n.progressing[head] = true
+		n.set(func() { n.progressing[head] = true })
 		f.mu.Lock()
 		f.workers[member].unresponsive = true
 		f.mu.Unlock()
 		f.removeEntry(member, 3600*time.Millisecond)
 		time.Sleep(10 * time.Second)
 		require.Equal(t, group, f.workers[head].Member)
-		n.progressing[head] = false
+		n.set(func() { n.progressing[head] = false })
 		time.Sleep(5 * time.Second)
 		require.NotEqual(t, group, f.workers[head].Member)
 	})
@@ -321,10 +346,10 @@
 		for id, w := range f.workers {
 			before[id] = w.Member
 		}
-		n.holdsLease = false
+		n.holdsLease.Store(false)
 		next := manage(f, false)
 		defer next.stop(t)
-		next.trafficStarted = true
+		next.trafficStarted.Store(true)
 		time.Sleep(20 * time.Second)
 		for id, w := range f.workers {
 			if before[id].State == fleet.Open {
@@ -343,7 +368,7 @@
 			first := manage(f, true)
 			defer first.stop(t)
 			time.Sleep(40 * time.Second)
-			first.trafficStarted = true
+			first.trafficStarted.Store(true)
 			holder := first
 			for range 4 {
 				member, head := memberOf(f, "small", 1)
@@ -352,11 +377,11 @@
 				f.mu.Unlock()
 				f.kill(member, false)
 				holder.manager.ReportStall(context.Background(), head)
-				time.Sleep(time.Duration(500+f.random.IntN(1500)) * time.Millisecond)
-				holder.holdsLease = false
+				time.Sleep(time.Duration(500+f.intN(1500)) * time.Millisecond)
+				holder.holdsLease.Store(false)
 				holder = manage(f, false)
 				defer holder.stop(t)
-				holder.trafficStarted = true
+				holder.trafficStarted.Store(true)
 				time.Sleep(2 * time.Second)
 				f.mu.Lock()
 				f.lossRate = 0
@@ -379,10 +404,10 @@
 			n := manage(f, true)
 			defer n.stop(t)
 			time.Sleep(40 * time.Second)
-			n.trafficStarted = true
+			n.trafficStarted.Store(true)
 			for range 14 {
 				f.injectRandomFault(n)
-				time.Sleep(time.Duration(f.random.IntN(3000)) * time.Millisecond)
+				time.Sleep(time.Duration(f.intN(3000)) * time.Millisecond)
 			}
 			time.Sleep(30 * time.Second)
 			f.mu.Lock()
--- a/formation/pending_test.go
+++ b/formation/pending_test.go
@@ -14,10 +14,10 @@
 	runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
 		time.Sleep(3 * time.Second)
 		require.False(t, n.manager.Pending())
-		loads := f.loads
+		loads := f.loadCount()
 		f.add("d0-new", "d0")
 		time.Sleep(5 * time.Second)
-		require.Greater(t, f.loads, loads)
+		require.Greater(t, f.loadCount(), loads)
 		require.False(t, n.manager.Pending())
 		member, _ := memberOf(f, "large", 1)
 		f.kill(member, false)
