Fix: a panic in one order, probe or path check ended the whole node

Callers would see: all streams of a node cut as soon as the processing of one VM's answer panics. All nodes that ask the VM would meet the same answer.

Cause: one-shot work was started by Group.Go, whose error or panic ends the whole group; what waited for its answer would have waited for ever.

Evidence, before the change: TestPanicsInOrdersAndReportsDelayGroupsOnly, 'part_failed err="panicked: Group.order: join"', then no group at all ('should have 2 item(s), but has 0').

One-shot work is started by Group.Task and ends alone. What others wait for is sent by deferred calls. protectedOrderer turns a panic in an order or a question into the kind Unclear: this node can't tell, the endpoint isn't suspected, and an order whose call panicked counts as unanswered, as it may have been carried out. The mark that an order is under way is set last, so that a panic before that leaves none behind.

--- a/formation/earlier_orders.go
+++ b/formation/earlier_orders.go
@@ -142,17 +142,16 @@
 		}
 		m.probing[id] = true
 		endpoint := w.Endpoint
-		m.group.Go("confirm_orders", func(context.Context) error {
+		m.group.Task("confirm_orders", func(context.Context) {
 			report, err := m.Orderer.Report(ctx, endpoint)
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			delete(m.probing, id)
 			if err != nil {
 				klog.InfoS("orders_unconfirmed", "endpoint", id, "group", n.worker.Member.Group, "err", err)
-				return nil
+				return
 			}
 			n.confirmed = confirmedOrders{member: report.Member, count: fleet.OrderCount{Known: true, Count: report.Orders}}
-			return nil
 		})
 	}
 }
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -120,6 +120,7 @@
 
 // NewManager returns a manager without endpoints. Start runs it.
 func NewManager(options Options) *Manager {
+	options.Orderer = protectedOrderer{options.Orderer}
 	return &Manager{
 		Options: options, endpoints: map[string]*endpointState{}, groups: map[string]*groupState{},
 		loadBudgets: map[string]*loadBudget{}, registrations: map[string]*registration{}, demands: map[string]*demand{}, tenures: map[string]tenure{}, sending: map[string]bool{}, probing: map[string]bool{},
--- a/formation/orders.go
+++ b/formation/orders.go
@@ -17,7 +17,6 @@
 	if m.sending[id] {
 		return
 	}
-	m.sending[id] = true
 	n := m.endpoints[id]
 	from, before := n.worker.Member, m.history(s.Order.Group)
 	n.worker.OrderedAt[s.Order.Kind] = now
@@ -32,14 +31,15 @@
 	klog.InfoS("order", "kind", s.Order.Kind, "endpoint", id, "group", s.Order.Group, "epoch", s.Order.Epoch, "why", s.Why,
 		"members", s.Order.Members, "entry", s.Endpoint.Revision, "loads", s.Loads, "from", from.Group, "proof", s.Proof,
 		"expects", s.Order.Expected.Known, "orders", s.Order.Expected.Count)
-	m.group.Go("order", func(context.Context) error {
+	m.sending[id] = true
+	m.group.Task("order", func(context.Context) {
 		if s.Order.Kind == fleet.OrderOpen && !m.confirmReady(ctx, s) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			delete(m.sending, id)
 			n.overlaidAt = time.Time{}
 			m.recordOpenOutcome(time.Now(), s.Order.Group, before, fleet.Refused)
-			return nil
+			return
 		}
 		outcome, err := m.Orderer.Order(ctx, s.Endpoint, s.Order)
 		m.mu.Lock()
@@ -55,7 +55,6 @@
 			n.suspectUntil = time.Now().Add(suspectDuration)
 			n.unlisted.absent = !n.unlisted.since.IsZero()
 		}
-		return nil
 	})
 }
 
@@ -106,16 +105,16 @@
 func (m *Manager) confirmReady(ctx context.Context, s Step) bool {
 	answers := make(chan bool, len(s.Members))
 	for _, e := range s.Members {
-		m.group.Go("confirm_ready", func(context.Context) error {
+		m.group.Task("confirm_ready", func(context.Context) {
+			ready := false
+			defer func() { answers <- ready }()
 			report, err := m.Orderer.Report(ctx, e)
 			// The report's state may lag behind the entry, which already shows ready, so
 			// only the membership is compared.
-			ready := err == nil && report.Member.Group == s.Order.Group && report.Member.Epoch == s.Order.Epoch
+			ready = err == nil && report.Member.Group == s.Order.Group && report.Member.Epoch == s.Order.Epoch
 			if !ready {
 				m.suspectMember(e, report, err)
 			}
-			answers <- ready
-			return nil
 		})
 	}
 	all := true
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -41,12 +41,12 @@
 // long.
 func (m *Manager) probe(ctx context.Context, n *endpointState) {
 	endpoint := n.worker.Endpoint
-	m.group.Go("probe", func(running context.Context) error {
+	m.group.Task("probe", func(running context.Context) {
 		for {
 			asked := time.Now()
 			report, err := m.Orderer.Report(ctx, endpoint)
 			if m.recordProbe(asked, time.Now(), n, report, err) || !kernel.Sleep(running, probeRetryDelay) {
-				return nil
+				return
 			}
 		}
 	})
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -111,7 +111,7 @@
 	n.unlisted.askedAt = now
 	endpoint := n.worker.Endpoint
 	first := n.unlisted.answered.IsZero()
-	m.group.Go("ask_unlisted", func(context.Context) error {
+	m.group.Task("ask_unlisted", func(context.Context) {
 		report, err := m.Orderer.Report(ctx, endpoint)
 		leaving := false
 		if err == nil && first {
@@ -122,7 +122,6 @@
 		defer m.mu.Unlock()
 		delete(m.probing, id)
 		m.recordUnlistedReport(time.Now(), n, report, leaving, err)
-		return nil
 	})
 }
 
--- a/members/members.go
+++ b/members/members.go
@@ -168,10 +168,7 @@
 
 // Start maintains the table until the group stops.
 func (t *Table) Start(g *kernel.Group) {
-	g.Go("members_first", func(ctx context.Context) error {
-		t.Step(ctx, t.config.Now())
-		return nil
-	})
+	g.Task("members_first", func(ctx context.Context) { t.Step(ctx, t.config.Now()) })
 	g.Every("members", stepInterval, func(ctx context.Context, _ time.Time) { t.Step(ctx, t.config.Now()) })
 }
 
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -198,7 +198,7 @@
 	if !f.beginVerify(e.ID) {
 		return
 	}
-	f.node.group.Go("verify_path", func(ctx context.Context) error {
+	f.node.group.Task("verify_path", func(ctx context.Context) {
 		defer f.endVerify(e.ID)
 		seemsParted := f.node.paths.SeemsParted(time.Now()) || f.node.paths.Parted()
 		reached, asked := f.askInRounds(ctx, e, silent, seemsParted)
@@ -206,7 +206,6 @@
 			f.node.gateway.RecordPath(time.Now(), e, reached, silent)
 		}
 		klog.InfoS("path_verified", "endpoint", e.ID, "asked", asked, "reached", reached, "silent", silent)
-		return nil
 	})
 }
 
@@ -265,10 +264,10 @@
 		}
 		asked = append(asked, peer)
 		sent++
-		f.node.group.Go("check_endpoint", func(context.Context) error {
-			reached, ok := f.check(ctx, e, peer, silent)
-			answers <- answer{peer, ok, reached}
-			return nil
+		f.node.group.Task("check_endpoint", func(context.Context) {
+			one := answer{peer: peer}
+			defer func() { answers <- one }()
+			one.reached, one.answered = f.check(ctx, e, peer, silent)
 		})
 	}
 	for range sent {
@@ -314,10 +313,7 @@
 			if !ok {
 				continue
 			}
-			g.Go("probe_path", func(ctx context.Context) error {
-				n.gateway.Connect(ctx, e)
-				return nil
-			})
+			g.Task("probe_path", func(ctx context.Context) { n.gateway.Connect(ctx, e) })
 		}
 	})
 }
@@ -331,10 +327,7 @@
 		unserved := n.gateway.Unserved(now)
 		rand.Shuffle(len(unserved), func(i, j int) { unserved[i], unserved[j] = unserved[j], unserved[i] })
 		for _, e := range unserved[:min(len(unserved), pathProbesAtOnce)] {
-			g.Go("recheck", func(ctx context.Context) error {
-				n.gateway.Recheck(ctx, e)
-				return nil
-			})
+			g.Task("recheck", func(ctx context.Context) { n.gateway.Recheck(ctx, e) })
 		}
 	})
 }
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -109,10 +109,9 @@
 		n.manager.ReportStall(context.Background(), endpointID)
 		return
 	}
-	n.group.Go("suspect", func(ctx context.Context) error {
+	n.group.Task("suspect", func(ctx context.Context) {
 		if err := n.neighbors.Suspect(ctx, holder.Address, endpointID); err != nil {
 			klog.InfoS("suspicion_not_told", "endpoint", endpointID, "holder", holder.Name, "err", err)
 		}
-		return nil
 	})
 }
