Fix: an answer of the store that made a follower panic ended the node

Callers would see: all streams of all nodes cut at the same moment, as all nodes follow the same tables.

Cause: the followers, the reload part and the log writer ran by Group.Go, whose panic ends the whole group.

Evidence, before the change: TestFollowerContinuesAfterAPanic, 'part_failed err="panicked: Group.follow_operators: answer"' and then a view that doesn't change any more ('should have 2 item(s), but has 1').

They run by Group.Keep. A follower keeps the position it has read, so that an older copy stays out, and lists the whole table again: what it had read but not applied isn't lost.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -66,17 +66,21 @@
 
 // Start follows both tables until the group stops.
 func (f *Follower) Start(g *kernel.Group) {
-	g.Go("follow_operators", func(ctx context.Context) error {
-		f.awaitKnown(ctx)
-		return f.follow(ctx, &feed{table: platform.TableOperators, decode: f.decodeOperators, missing: f.missingOperators,
-			interval: func() time.Duration { return operatorsInterval }})
-	})
-	g.Go("follow_endpoints", func(ctx context.Context) error {
+	f.keepFollowing(g, "follow_operators", &feed{table: platform.TableOperators, decode: f.decodeOperators, missing: f.missingOperators,
+		interval: func() time.Duration { return operatorsInterval }})
+	f.keepFollowing(g, "follow_endpoints", &feed{table: platform.TableEndpoints, decode: f.decodeEndpoint, missing: f.missingEndpoints,
+		interval: f.endpointsInterval})
+	g.Every("expire_endpoints", expireInterval, func(_ context.Context, now time.Time) { f.cache.Expire(now) })
+}
+
+// keepFollowing follows a table until the group stops. After a panic it lists the table again; the position
+// read before still keeps out an older copy.
+func (f *Follower) keepFollowing(g *kernel.Group, name string, feed *feed) {
+	g.Keep(name, func(ctx context.Context) error {
 		f.awaitKnown(ctx)
-		return f.follow(ctx, &feed{table: platform.TableEndpoints, decode: f.decodeEndpoint, missing: f.missingEndpoints,
-			interval: f.endpointsInterval})
+		feed.listed = false
+		return f.follow(ctx, feed)
 	})
-	g.Every("expire_endpoints", expireInterval, func(_ context.Context, now time.Time) { f.cache.Expire(now) })
 }
 
 // awaitKnown waits until f.known is closed, at most for knownWait.
--- a/node/logs.go
+++ b/node/logs.go
@@ -62,7 +62,7 @@
 
 // Start writes queued lines and refills the rate limit until the group stops.
 func (s *LogSink) Start(g *kernel.Group) {
-	g.Go("log", func(ctx context.Context) error {
+	g.Keep("log", func(ctx context.Context) error {
 		for {
 			select {
 			case line := <-s.lines:
--- a/node/reload.go
+++ b/node/reload.go
@@ -29,9 +29,9 @@
 	if n.path == "" {
 		return
 	}
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	g.Go("reload", func(ctx context.Context) error {
+	g.Keep("reload", func(ctx context.Context) error {
+		hangUp := make(chan os.Signal, 1)
+		signal.Notify(hangUp, syscall.SIGHUP)
 		defer signal.Stop(hangUp)
 		ticker := time.NewTicker(reloadInterval)
 		defer ticker.Stop()
