A panic in one step of a planned stop no longer cuts the requests in progress

The stop part can't be run again: it would count its grace period anew. So the reading of the settings, the end of planning and the release of the lease are protected one by one, and the stop goes on with the rest of its grace period. The connections' lock is released by defer, so that a panic under it can't block all callers. No fault was seen here; found by reading.

--- a/node/connections.go
+++ b/node/connections.go
@@ -170,23 +170,29 @@
 // it did. Check and marking happen under one lock, so that no request can start
 // in between.
 func (c *connections) closeIfInactive(now time.Time) bool {
+	idle, inactive := c.markAllIfInactive(now)
+	closeConnections(idle)
+	return inactive
+}
+
+func (c *connections) markAllIfInactive(now time.Time) (idle []net.Conn, inactive bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.activeLocked(now) {
-		c.mu.Unlock()
-		return false
+		return nil, false
 	}
-	idle := c.markIdleLocked(now, 0)
-	c.mu.Unlock()
-	closeConnections(idle)
-	return true
+	return c.markIdleLocked(now, 0), true
 }
 
 // closeIdle closes the connections that have been idle for longer than limit.
 func (c *connections) closeIdle(now time.Time, limit time.Duration) {
+	closeConnections(c.markIdle(now, limit))
+}
+
+func (c *connections) markIdle(now time.Time, limit time.Duration) []net.Conn {
 	c.mu.Lock()
-	idle := c.markIdleLocked(now, limit)
-	c.mu.Unlock()
-	closeConnections(idle)
+	defer c.mu.Unlock()
+	return c.markIdleLocked(now, limit)
 }
 
 func closeConnections(all []net.Conn) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -43,15 +43,15 @@
 // its response, and returns once the load balancer has noticed and no request is running.
 func (n *Node) stop(ctx context.Context) {
 	begun := time.Now()
-	n.reload() // the grace period in the file may have changed
+	protectStep("stop_reload", n.reload) // the grace period in the file may have changed
 	stop := newStop(begun, kernel.BootTime(), n.currentSettings().Bounds.Grace)
 	n.stopping.Store(&stop)
 	n.conns.closeAfterResponses()
 	klog.InfoS("node_stopping", "node", n.settings.Node, "grace_left", stop.End.Sub(begun))
-	n.manager.Stop()
+	protectStep("stop_planning", n.manager.Stop)
 	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(stop.End)))
 	defer cancel()
-	n.table.Leave(leave)
+	protectStep("stop_leave", func() { n.table.Leave(leave) })
 	kernel.Sleep(ctx, time.Until(stop.Noticed))
 	for (n.conns.active(time.Now()) || n.gateway.Forwards() > 0) && n.waitStopPoll(ctx) {
 	}
@@ -70,6 +70,12 @@
 	n.conns.logInterrupted(time.Now())
 }
 
+// protectStep performs a step of a stop. If it panics, the stop goes on: the streams in progress still get
+// the rest of the grace period.
+func protectStep(name string, step func()) {
+	_ = kernel.Protect(name, func() error { step(); return nil }) // it is logged
+}
+
 // waitStopPoll waits for stopPollInterval, and reports false when the stop is over.
 func (n *Node) waitStopPoll(ctx context.Context) bool {
 	return time.Now().Before(n.plannedStop().End) && kernel.Sleep(ctx, stopPollInterval)
