Fix: a listener that failed to accept ended the node

Callers would see: all streams of a node cut, because one of its four listeners failed. A lack of memory for sockets (ENOBUFS, ENOMEM), a network that goes down or a packet filter may come to all VMs at once.

Cause: net/http tries EMFILE and ENFILE again (and the runtime ECONNABORTED); every other error ends Serve, and with it the group.

kernel.Listen returns a listener that tries again itself, after 5 ms to 1 s, and opens the socket again only if it is dead (EBADF, EINVAL, ENOTSOCK, closed): opening loses the connections that wait. A port in use at the start is still reported at once. The hooks that net/http calls in its accept loop are protected; a panic of the loop itself stops the group in order.

--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -25,17 +23,11 @@
 // serve runs an HTTP server in the group. It opens the listener before it returns, so
 // that a port that is already in use is reported at startup.
 func serve(g *kernel.Group, name string, server *http.Server, maxConnections int) error {
-	listener, err := net.Listen("tcp", server.Addr)
+	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
 		return err
 	}
-	limited := kernel.NewListener(netutil.LimitListener(listener, maxConnections))
-	g.Go(name, func(context.Context) error {
-		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	g.Accept(name, server, netutil.LimitListener(listener, maxConnections))
 	return nil
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -76,20 +75,10 @@
 // serve runs a server until the group stops. Closing the returned listener stops
 // only the accepting of new connections.
 func serve(g *kernel.Group, server *http.Server) (net.Listener, error) {
-	listener, err := net.Listen("tcp", server.Addr)
+	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
 		return nil, err
 	}
-	g.Go("serve "+server.Addr, func(context.Context) error {
-		err := server.Serve(kernel.NewListener(listener))
-		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		return err
-	})
-	g.Go("close "+server.Addr, func(ctx context.Context) error {
-		<-ctx.Done()
-		return server.Close()
-	})
+	g.Serve("serve "+server.Addr, server, listener)
 	return listener, nil
 }
