A panic in a request's handler is one line of the log, and its caller is told

Callers saw: a closed connection without an answer. Operators saw nothing in the log that they collect: net/http writes its trace to standard error, on many lines and without the request's id.

request_panicked now names the request, the value and the calls on one line. If no response had begun, the caller gets 502, which promises nothing: the request may have run. 503 would promise that it hasn't. If one had begun, its connection is closed as before, so that it can't look complete. http.ErrAbortHandler isn't a panic in this sense.

--- a/node/connections.go
+++ b/node/connections.go
@@ -106,11 +106,12 @@
 // wrap returns a handler that aborts requests on connections that this node has
 // closed. During a planned stop, responses carry "Connection: close".
 func (c *connections) wrap(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
+	next = NewCallerHandler(next, plannedStop)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.beginRequest(state, r, plannedStop()) {
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(closingWriter{ResponseWriter: w, plannedStop: plannedStop}, r)
+		next.ServeHTTP(w, r)
 	})
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -37,10 +37,10 @@
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: n.conns.connState, ConnContext: n.conns.connContext,
 	}
-	readiness := &http.Server{Addr: n.settings.ReadinessAddress, Handler: n.statusRoutes(), ReadHeaderTimeout: internalHeaderTimeout}
+	readiness := &http.Server{Addr: n.settings.ReadinessAddress, Handler: newInternalHandler(n.statusRoutes()), ReadHeaderTimeout: internalHeaderTimeout}
 	metricsServer := &http.Server{
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
-		Handler: n.statusRoutes(), ReadHeaderTimeout: internalHeaderTimeout,
+		Handler: newInternalHandler(n.statusRoutes()), ReadHeaderTimeout: internalHeaderTimeout,
 	}
 	listener, err := serve(g, callers)
 	if err != nil {
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -64,13 +64,13 @@
 	})
 	return &http.Server{
 		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Handler: newInternalHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if neighbor.IsForwarded(r) {
 				n.gateway.ServeForwarded(w, r)
 				return
 			}
 			calls.ServeHTTP(w, r)
-		}),
+		})),
 	}
 }
 
