Fix: a settings file that was being replaced kept a node from starting

Callers would see: fewer nodes, or none, after a restart of all nodes beside a new settings file: each node that met a missing or half-written file ended with exit code 2.

Evidence, before the change: TestNodeStartsWhileItsSettingsAreReplaced, 'the process ended by itself: exit status 2' for a missing, an empty and a half-written file. TestStopBeforeTheNodeServesIsImmediate: '2.468603523s is not less than 1s'.

A stop that comes before the node serves ends it at once with exit code 0.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -8,11 +8,13 @@
 	"io"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/kernel"
 )
 
 // Exit codes of all programs.
@@ -101,7 +103,10 @@
 }
 
 func run(ctx context.Context, name string, options Options, out, errOut io.Writer, start Start) int {
-	serve, err := start(options.Settings, options.Check)
+	serve, err := loadSettings(ctx, options, start)
+	if ctx.Err() != nil {
+		return ExitOK // nothing runs yet
+	}
 	if err != nil {
 		WriteFaults(errOut, name, options.Settings, err)
 		return ExitUsage
@@ -118,6 +123,23 @@
 	return ExitOK
 }
 
+// startTime is how long a settings file may lack or be invalid at the start. Somebody may be replacing it,
+// at all VMs at the same moment.
+const (
+	startTime     = 2 * time.Second
+	startInterval = 50 * time.Millisecond
+)
+
+// loadSettings loads the settings, and tries again for some time if that fails. A check is not repeated.
+func loadSettings(ctx context.Context, options Options, start Start) (func(context.Context) error, error) {
+	for begun := time.Now(); ; {
+		serve, err := start(options.Settings, options.Check)
+		if err == nil || options.Check || time.Since(begun) >= startTime || !kernel.Sleep(ctx, startInterval) {
+			return serve, err
+		}
+	}
+}
+
 // WriteFaults prints all validation errors of a file, one on each line.
 func WriteFaults(w io.Writer, name, path string, err error) {
 	var faults redwinghall.Faults
