Fix: a fatal error of the runtime was not in the log that operators collect

Operators saw: lines that end, and nothing that says why. The runtime writes a concurrent map access, a stack overflow, a lack of memory or a panic that nothing recovered to standard error only, so that they looked like a kill.

Evidence, before the change: TestFatalErrorIsInTheLog, standard output 'does not contain "SIGABRT: abort"', both as a file and as a pipe.

SetCrashOutput duplicates the text to standard output. If that is a pipe, it is opened once more without blocking: by a plain copy of the descriptor, a process whose log nobody reads would hang in its crash and not be started again (TestCrashDoesNotWaitForTheReaderOfTheLog: 'the process doesn't exit').

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -103,6 +103,7 @@
 }
 
 func run(ctx context.Context, name string, options Options, out, errOut io.Writer, start Start) int {
+	reportCrashes(out)
 	serve, err := loadSettings(ctx, options, start)
 	if ctx.Err() != nil {
 		return ExitOK // nothing runs yet
