Formation: the first groups of many models are planned in bounded time

What callers would see: no group of any zone opens, and all streams are refused, from the first start on.

Cause: split tried all combinations of groups of all models. For 12 models of one to three VMs and domains of 40 VMs that doesn't end, and the holders of all zones' leases, which read the same configuration, plan it at the same moment with the manager's lock held.

Why it works: the worth of an allocation is a sum over models, so the best allocation for each number of VMs used is enough to keep from one model to the next.

--- a/formation/split.go
+++ b/formation/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"redwinghall/fleet"
@@ -56,37 +57,64 @@
 	return vms
 }
 
-// bestFor returns the best group counts for one domain.
+// allocation is how many groups of each model a number of VMs is used for.
+type allocation struct {
+	counts []int
+	worth  float64 // the balanced supply of the models considered so far
+}
+
+// bestFor returns the best group counts for one domain. others holds the VMs of each model
+// in the other domains.
+//
+// It considers one model after the other and keeps the best allocation for each number of
+// VMs used, as the number of combinations of groups grows exponentially with the models.
 func bestFor(models []fleet.Model, size int, others []int) []int {
-	var best []int
-	worth := math.Inf(-1)
-	counts := make([]int, len(models))
-	var try func(i, left int)
-	try = func(i, left int) {
-		if i == len(models) {
-			if w := balancedSupply(models, counts, others); w > worth {
-				best, worth = append([]int(nil), counts...), w
+	bySize := make([]*allocation, size+1) // by the number of VMs used
+	bySize[0] = &allocation{}
+	for i, m := range models {
+		next := make([]*allocation, size+1)
+		for used, a := range bySize {
+			if a == nil {
+				continue
+			}
+			for n := 0; n <= (size-used)/m.Size; n++ {
+				total := used + n*m.Size
+				next[total] = better(next[total], a.with(n, supplyOf(m, others[i]+n*m.Size)))
 			}
-			return
-		}
-		for n := left / models[i].Size; n >= 0; n-- {
-			counts[i] = n
-			try(i+1, left-n*models[i].Size)
 		}
-		counts[i] = 0
+		bySize = next
 	}
-	try(0, size)
-	return best
+	var best *allocation
+	for _, a := range bySize {
+		best = better(best, a)
+	}
+	return best.counts
 }
 
-// balancedSupply returns the balanced supply of the models if one domain has the given
-// group counts and the other domains have the VMs in others.
-func balancedSupply(models []fleet.Model, counts, others []int) float64 {
-	sum := 0.0
-	for i, m := range models {
-		sum += m.Share * math.Log(max(0.5, float64(others[i]+counts[i]*m.Size)))
+// with returns the allocation with n groups of one more model, which adds supply.
+func (a *allocation) with(n int, supply float64) *allocation {
+	counts := make([]int, len(a.counts), len(a.counts)+1)
+	copy(counts, a.counts)
+	return &allocation{counts: append(counts, n), worth: a.worth + supply}
+}
+
+// better returns the better of two allocations, either of which may be nil. Of equal ones, it is
+// the one with more groups of the first models.
+func better(a, b *allocation) *allocation {
+	switch {
+	case a == nil:
+		return b
+	case b == nil || a.worth > b.worth:
+		return a
+	case a.worth == b.worth && slices.Compare(a.counts, b.counts) >= 0:
+		return a
 	}
-	return sum
+	return b
+}
+
+// supplyOf returns what a number of VMs of a model contribute to the balanced supply.
+func supplyOf(m fleet.Model, vms int) float64 {
+	return m.Share * math.Log(max(0.5, float64(vms)))
 }
 
 func equal(a, b []int) bool {
