Balance: an engine's parameters of any size don't end the requests to its service

What callers would see: each stream that is refused at a full zone ends without a response, at all nodes, as long as a version is in force whose engine times add up to less than nothing. With slots missing, all streams are accepted with a prediction of minus 292 years and none is refused.

Cause: retryWhenFull draws a random time up to a request's residence time, and rand.N panics for a bound below 1; predictions were converted from floats that a duration can't hold.

Why it works: each prediction is from 0 to an hour, far above what callers wait, whatever the parameters are; an engine without slots predicts no wait for one.

--- a/balance/pace.go
+++ b/balance/pace.go
@@ -27,6 +27,19 @@
 	return Pace{engine: engine, factor: factor * observed}
 }
 
+// maxPredicted is the longest time that is predicted. It is above all that callers wait for, and
+// sums of a few predictions don't overflow.
+const maxPredicted = time.Hour
+
+// predicted converts nanoseconds to a duration from 0 to maxPredicted, as the parameters of an
+// engine and reported loads may be of any size.
+func predicted(nanoseconds float64) time.Duration {
+	if !(nanoseconds > 0) { // also if it isn't a number
+		return 0
+	}
+	return time.Duration(min(nanoseconds, float64(maxPredicted)))
+}
+
 // Pass returns the duration of one pass in which running requests generate tokens
 // and reading prompt tokens are read.
 func (p Pace) Pass(running, reading int) time.Duration {
@@ -39,7 +52,7 @@
 	context := (e.MeanPromptTokens + e.MeanAnswerTokens/2) / 1000
 	each := float64(e.PerSequence) + context*float64(e.PerThousandContext)
 	step := float64(e.Step) + float64(running)*each
-	return time.Duration(float64(e.Stride) * step * p.factor)
+	return predicted(float64(e.Stride) * step * p.factor)
 }
 
 // readTime returns the time to read prompt tokens, counted as one prompt.
@@ -51,13 +64,13 @@
 	n := float64(tokens)
 	plain := n / e.ReadPerSecond * float64(time.Second)
 	pairs := min(n, 2*e.MeanPromptTokens) * n / 2 / 1e6 * float64(e.PerMillionPairs)
-	return time.Duration((plain + pairs) * p.factor)
+	return predicted((plain + pairs) * p.factor)
 }
 
 // residenceTime is how long a request of mean length occupies a slot.
 func (p Pace) residenceTime(running int) time.Duration {
 	passes := p.engine.MeanAnswerTokens/float64(p.engine.Stride) + 1
-	return time.Duration(passes * float64(p.writeTime(running)))
+	return predicted(passes * float64(p.writeTime(running)))
 }
 
 // unsharedRequests is how many requests of other nodes a group is assumed to have in
@@ -81,11 +94,11 @@
 // tenth of the slots are free.
 func (p Pace) slotWait(requests int, outside time.Duration) time.Duration {
 	residence := float64(p.residenceTime(p.engine.Slots))
-	if residence <= 0 {
+	slots := float64(p.engine.Slots)
+	if residence <= 0 || slots <= 0 {
 		return 0
 	}
-	slots := float64(p.engine.Slots)
 	placed := float64(requests) * residence / (residence + float64(outside))
 	beyond := max(0, placed+unsharedRequests-slots)
-	return time.Duration(beyond / slots * residence)
+	return predicted(beyond / slots * residence)
 }
--- a/formation/bad_input_test.go
+++ b/formation/bad_input_test.go
@@ -26,7 +26,7 @@
 		if rapid.Bool().Draw(t, "grouped") {
 			group = fmt.Sprintf("%s|m0|%d", rapid.SampledFrom([]string{"replica", "standby"}).Draw(t, "kind"), 12+i/2)
 		}
-		row := fleet.Row{Key: fmt.Sprint("e", i), Value: badinput.Entry("127.0.0.1:1", "llm", group, i%2).Draw(t, "entry")}
+		row := fleet.Row{Key: fmt.Sprint("e", i), Value: []byte(badinput.Entry("127.0.0.1:1", "llm", group, i%2).Draw(t, "entry"))}
 		if e, err := platform.DecodeEndpoint(row, now); err == nil {
 			workers = append(workers, &formation.Worker{Endpoint: e, Member: e.Member, LastModel: e.Model(), OrderedAt: map[fleet.OrderKind]time.Time{}})
 		}
@@ -39,7 +39,7 @@
 func TestPlanEndsWithAnyConfigurationAndEntries(t *testing.T) {
 	planned := 0
 	rapid.Check(t, func(t *rapid.T) {
-		config, err := platform.DecodeConfiguration(badinput.Configuration().Draw(t, "configuration"))
+		config, err := platform.DecodeConfiguration([]byte(badinput.Configuration().Draw(t, "configuration")))
 		if err != nil || config.Services["llm"].Engine == nil {
 			return
 		}
--- a/rwhtest/badinput/badinput.go
+++ b/rwhtest/badinput/badinput.go
@@ -25,8 +25,8 @@
 
 // Document returns a generator of encoded documents that differ from a valid one. valid must
 // return a new copy at each call, of the types that encoding/json decodes into an any.
-func Document(valid func() any) *rapid.Generator[[]byte] {
-	return rapid.Custom(func(t *rapid.T) []byte {
+func Document(valid func() any) *rapid.Generator[string] {
+	return rapid.Custom(func(t *rapid.T) string {
 		doc := valid()
 		for range rapid.IntRange(0, maxChanges).Draw(t, "changes") {
 			var all []place
@@ -37,7 +37,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return encoded
+		return string(encoded)
 	})
 }
 
--- a/rwhtest/badinput/rows.go
+++ b/rwhtest/badinput/rows.go
@@ -9,13 +9,13 @@
 
 // Configuration returns a generator of values of the configuration's row. Routes of the host
 // a.example lead to /stream/ (service llm, model m0, an engine) and /look/ (service desk).
-func Configuration() *rapid.Generator[[]byte] {
+func Configuration() *rapid.Generator[string] {
 	return Document(func() any { return decoded(validConfiguration) })
 }
 
 // Entry returns a generator of values of an endpoint's row. The endpoint has the given rank in
 // the open group of model m0 named by group.
-func Entry(address, service, group string, rank int) *rapid.Generator[[]byte] {
+func Entry(address, service, group string, rank int) *rapid.Generator[string] {
 	state := "ready"
 	if rank == 0 {
 		state = "open"
@@ -25,13 +25,13 @@
 }
 
 // Node returns a generator of values of a node's row.
-func Node(name, zone, address string) *rapid.Generator[[]byte] {
+func Node(name, zone, address string) *rapid.Generator[string] {
 	valid := fmt.Sprintf(`{"name":%q,"zone":%q,"address":%q,"capacity":1}`, name, zone, address)
 	return Document(func() any { return decoded(valid) })
 }
 
 // Lease returns a generator of values of a lease's row.
-func Lease(holder string) *rapid.Generator[[]byte] {
+func Lease(holder string) *rapid.Generator[string] {
 	valid := fmt.Sprintf(`{"holder":%q,"fencing":3,"nonce":"n","era":1,"settled":1}`, holder)
 	return Document(func() any { return decoded(valid) })
 }
