Say after a start how the process before ended, and whether all nodes started

A killed process writes nothing, and neither does one that the kernel ends: from the lines of 74 nodes that were started anew nobody could tell a planned stop from an end without notice, nor see that all of them had started at once.

A planned stop removes the node's row from the members' table, so a row that is still there at the start is that of a process that ended without notice. The first read of the table gives the line; no call of the store is added:

"previous_end" node="a1" end="unannounced" last_heard="4.7s" ran_for="10.2s" vm_up="17m58s" oom_kills=0 address="a1:1"

The row now also says when the process started and wrote it, and how many processes the kernel had ended on the VM for lack of memory (/proc/vmstat). vm_up below last_heard shows that the VM was started anew. Six seconds later nodes_started_together counts the other rows whose start is within 5 s of the own one, by the clocks of the VMs. No row is written as planned_or_new, since a new VM has none either.

--- a/members/members.go
+++ b/members/members.go
@@ -70,6 +70,11 @@
 	// Parted reports whether this node doesn't reach the endpoints itself; nil is never. Such a
 	// node takes a free lease only after all others of its zone.
 	Parted func() bool
+	// WallClock returns the current time; nil is time.Now.
+	WallClock func() time.Time
+	// OOMKills returns how many processes of this VM the kernel has ended for lack of memory; nil if
+	// that is unknown.
+	OOMKills func() (kills int64, ok bool)
 }
 
 // heldLease is a lease held by this node: when it ends, and the position of the store
@@ -86,14 +91,17 @@
 	store  fleet.Store
 	nodes  atomic.Pointer[[]Node]
 
-	mu          sync.Mutex
-	leases      map[string]lease.State
-	firstAt     time.Time // when the table was first read
-	known       chan struct{}
-	seen        map[string]seenNode
-	listTriedAt time.Time
-	announcedAt time.Time // when this node last wrote its row, or tried
-	unannounced bool      // the last attempt failed
+	mu      sync.Mutex
+	leases  map[string]lease.State
+	started time.Time // of this process, by the wall clock
+	firstAt time.Time // when the table was first read
+	known   chan struct{}
+	seen    map[string]seenNode
+	// startsLogged is set once the starts of the other nodes were compared with this one's.
+	startsLogged bool
+	listTriedAt  time.Time
+	announcedAt  time.Time // when this node last wrote its row, or tried
+	unannounced  bool      // the last attempt failed
 	// announceAgainAt is when it tries again after a failure, zero until it has read the table.
 	announceAgainAt time.Time
 	listedAt        time.Time // when the table was last read
@@ -117,8 +125,11 @@
 
 // NewTable returns a table that lists only this node.
 func NewTable(config Config, store fleet.Store) *Table {
+	if config.WallClock == nil {
+		config.WallClock = time.Now
+	}
 	t := &Table{
-		config: config, store: store, leases: map[string]lease.State{}, seen: map[string]seenNode{}, renewTriedAt: map[string]time.Time{},
+		config: config, store: store, started: config.WallClock(), leases: map[string]lease.State{}, seen: map[string]seenNode{}, renewTriedAt: map[string]time.Time{},
 		freeSince: map[string]time.Time{}, writeFailedAt: map[string]time.Time{}, known: make(chan struct{}),
 	}
 	for _, zone := range config.Zones {
@@ -219,7 +230,8 @@
 	if t.unannounced && t.announceAgainAt.IsZero() {
 		t.announceAgainAt = boot.Add(rand.N(t.scaledByNodes(announceSpread)))
 	}
-	if t.firstAt.IsZero() {
+	first := t.firstAt.IsZero()
+	if first {
 		t.firstAt = boot
 		defer close(t.known)
 	}
@@ -230,6 +242,10 @@
 	}
 	t.readLeases(boot, rows.At.Era, byKey)
 	t.updateNodes(boot, byKey)
+	if first {
+		t.logPreviousEnd(boot, byKey[nodePrefix+t.config.Self.Name])
+	}
+	t.logStartsTogether(boot)
 	t.updateRecovered(boot)
 	t.publishHeld()
 }
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -102,7 +102,8 @@
 }
 
 func (f *testFleet) startAs(config members.Config) {
-	config.Zones, config.Now = []string{"a", "b"}, func() time.Time { return f.now }
+	now := func() time.Time { return f.now }
+	config.Zones, config.Now, config.WallClock = []string{"a", "b"}, now, now
 	f.dead[config.Self.Name] = false
 	f.nodes[config.Self.Name] = members.NewTable(config, view{f.store, config.Self.Name})
 }
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -29,7 +29,7 @@
 
 // seenNode is the last known state of a node's row.
 type seenNode struct {
-	node    Node
+	node    announcement
 	version int64
 	since   time.Time // when this version was first read
 }
@@ -55,7 +55,7 @@
 		}
 		next[key] = s
 		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaledByNodes(memberTimeout) {
-			nodes = append(nodes, s.node)
+			nodes = append(nodes, s.node.Node)
 		}
 	}
 	nodes = append(nodes, t.unlistedNodes(boot, next)...)
@@ -79,7 +79,7 @@
 		}
 		next[key] = s
 		if boot.Sub(s.since) < t.scaledByNodes(memberTimeout) {
-			nodes = append(nodes, s.node)
+			nodes = append(nodes, s.node.Node)
 		}
 	}
 	return nodes
@@ -99,7 +99,7 @@
 }
 
 func (t *Table) announce(ctx context.Context, boot time.Time) {
-	value, err := json.Marshal(t.config.Self)
+	value, err := json.Marshal(t.newAnnouncement())
 	if err != nil {
 		klog.ErrorS(err, "member_unwritten")
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -93,6 +93,7 @@
 	n.table = members.NewTable(members.Config{
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress(), Capacity: capacityOf(s)},
 		Zones: s.Zones, FirstStart: s.FirstStart, Now: kernel.BootTime, Parted: n.paths.Parted,
+		OOMKills: oomKills,
 	}, n.source)
 	forwards := newForwarder(n)
 	client := platform.NewEndpointClientWithDialer(n.onLeavingResponse, open)
