--- a/formation/panic_test.go
+++ b/formation/panic_test.go
@@ -46,7 +46,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeZone(1, 2, 11)
 		f.leases++
-		n := &node{version: f.leases, holdsLease: true, firstStart: true, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+		n := &node{version: f.leases, firstStart: true, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
+		n.holdsLease.Store(true)
 		n.start(f.cache, &panickingOrderer{Orderer: f, seen: map[string]bool{}})
 		defer n.stop(t)
 		time.Sleep(2 * time.Minute)
@@ -62,11 +63,13 @@
 		n := manage(f, true)
 		defer n.stop(t)
 		left := 5
-		n.onLeaseCheck = func() {
-			if left--; left >= 0 {
-				panic("planner")
+		n.set(func() {
+			n.onLeaseCheck = func() {
+				if left--; left >= 0 {
+					panic("planner")
+				}
 			}
-		}
+		})
 		time.Sleep(time.Minute)
 		require.Len(t, f.servingHeads("large"), 2)
 		require.Len(t, f.servingHeads("small"), 2)
