Directory: a configuration that can't be used leaves the last good one in force, and is said once

What callers would see: 404 for all requests at all nodes at the same moment, after which they don't retry, if the row of the configuration held null, {} or a version without routes; at a start the nodes would call themselves ready with such a row. What operators saw of one that is older, lacks in a list or was deleted: nothing.

Cause: any value that decodes came into force unless its version was lower.

Evidence: before, TestUnusableConfigurationLeavesTheLastGoodOne/no_routes failed ("Should be true": no route), the other cases for the missing line, and TestNodeThatStartsWithAnUnusableConfigurationHasNone for null, {} and a version alone (expected nil configuration).

Why it works: what can't be used as a whole leaves the view as it is; the line view_rejected names the version and the reason once, also if lists contain the row again. It replaces configuration_unreadable. A value of the wrong type rejects the whole version, as before: part of a version may revoke a key or move a route only together with the rest.

--- a/directory/cache.go
+++ b/directory/cache.go
@@ -24,6 +24,8 @@
 	lapsed    map[string]time.Time // when a missing entry counts as gone
 	zonesOut  map[string]bool
 	restored  restored
+	// rejections logs configurations that didn't come into force.
+	rejections rejections
 	// graceUntil is the time from which missing entries again count as gone at once.
 	graceUntil time.Time
 	read       atomic.Pointer[fleet.Position]
@@ -103,14 +105,7 @@
 func (c *Cache) applyOne(now time.Time, change Change) {
 	switch {
 	case change.Config != nil:
-		// Versions only increase. An older configuration that is read late must not
-		// bring back routes and keys that were removed.
-		switch {
-		case c.indexed == nil || change.Config.Version > c.indexed.config.Version:
-			c.indexed = newIndexedConfig(change.Config, now)
-		case change.Config.Version == c.indexed.config.Version:
-			c.indexed = newIndexedConfig(change.Config, c.indexed.since)
-		}
+		c.setConfig(now, change.Config)
 	case change.Endpoint != nil:
 		if change.Restored && c.restored.keeps(now, c.endpoints[change.Endpoint.ID], change.Endpoint) {
 			return
@@ -129,6 +124,23 @@
 	}
 }
 
+// setConfig puts a configuration in force, unless it must not replace the current one.
+func (c *Cache) setConfig(now time.Time, next *fleet.Configuration) {
+	since := now
+	var current *fleet.Configuration
+	if c.indexed != nil {
+		current = c.indexed.config
+	}
+	if why := reasonToReject(next, current); why != "" {
+		c.rejections.note(rejection{what: whatConfiguration, version: next.Version, why: why})
+		return
+	}
+	if current != nil && current.Version == next.Version {
+		since = c.indexed.since
+	}
+	c.indexed = newIndexedConfig(next, since)
+}
+
 func (c *Cache) put(e *fleet.Endpoint) {
 	c.endpoints[e.ID] = e
 	delete(c.lapsed, e.ID)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -47,6 +48,8 @@
 	// known is closed once this node has read the list of nodes, from one of which it may
 	// get the tables.
 	known <-chan struct{}
+	// rejections logs rows of the operators' table that can't be used.
+	rejections rejections
 }
 
 // NewFollower returns a follower. urgent may be nil.
@@ -244,12 +247,16 @@
 		}
 		return Change{ZoneOut: zone}, true
 	}
-	if !platform.IsConfiguration(row.Key) || row.Removed {
+	if !platform.IsConfiguration(row.Key) {
+		return Change{}, false
+	}
+	if row.Removed {
+		f.rejections.note(rejection{what: whatConfiguration, version: row.Version, why: "its row was removed"})
 		return Change{}, false
 	}
 	config, err := platform.DecodeConfiguration(row.Value)
 	if err != nil {
-		klog.ErrorS(err, "configuration_unreadable", "version", row.Version)
+		f.rejections.note(rejection{what: whatConfiguration, version: row.Version, why: err.Error()})
 		return Change{}, false
 	}
 	klog.InfoS("configuration_read", "configuration", config.Version, "routes", len(config.Routes),
@@ -283,6 +290,7 @@
 // from a new list.
 func (f *Follower) missingOperators(rows []fleet.Row) []Change {
 	_, zones := f.cache.Known()
+	f.noteMissingConfig(rows)
 	var changes []Change
 	for _, zone := range missingNames(zones, rows, func(row fleet.Row) string { z, _ := platform.EvacuatedZone(row.Key); return z }) {
 		changes = append(changes, Change{ZoneIn: zone})
@@ -290,6 +298,15 @@
 	return changes
 }
 
+// noteMissingConfig logs that a list lacks the configuration although one is in force.
+func (f *Follower) noteMissingConfig(rows []fleet.Row) {
+	config := f.cache.View().Config()
+	listed := slices.ContainsFunc(rows, func(row fleet.Row) bool { return platform.IsConfiguration(row.Key) })
+	if config != nil && !listed {
+		f.rejections.note(rejection{what: whatConfiguration, version: config.Version, why: "the list lacks the one in force"})
+	}
+}
+
 // missingNames returns the names that no row has.
 func missingNames(names []string, rows []fleet.Row, name func(fleet.Row) string) []string {
 	listed := make(map[string]bool, len(rows))
--- /dev/null
+++ b/directory/rejection.go
@@ -0,0 +1,46 @@
+package directory
+
+import (
+	"k8s.io/klog/v2"
+
+	"redwinghall/fleet"
+)
+
+// rejection is a row that a node read and didn't take into its view.
+type rejection struct {
+	what    string
+	version int64 // of the configuration, or of the row if it can't be decoded
+	why     string
+}
+
+// rejections logs rejected rows, the same one only once although lists contain it again.
+type rejections struct{ last rejection }
+
+func (r *rejections) note(next rejection) {
+	if next == r.last {
+		return
+	}
+	r.last = next
+	klog.InfoS("view_rejected", "what", next.what, "version", next.version, "why", next.why)
+}
+
+// whatConfiguration names the configuration in a rejection.
+const whatConfiguration = "configuration"
+
+// reasonToReject returns why a configuration doesn't replace the current one, which is nil if
+// there is none, or "" if it does.
+//
+// Versions only increase: an older configuration that is read late must not bring back routes
+// and keys that were removed. One without any route would end all requests with a response
+// after which callers don't retry.
+func reasonToReject(next, current *fleet.Configuration) string {
+	switch {
+	case current != nil && next.Version < current.Version:
+		return "older than the one in force"
+	case current != nil && len(current.Routes) > 0 && len(next.Routes) == 0:
+		return "no routes, the one in force has some"
+	case len(next.Routes) == 0 && len(next.Services) == 0:
+		return "no routes and no services"
+	}
+	return ""
+}
