Fix: a configuration without a model cancelled all streams of its groups

What callers would see: a new configuration drops a model, renames it or raises its size. Within 0.1 s all streams of all groups of that model, in all zones, end in the middle of their answer.

Cause: formation closed an open group whose model the configuration lacks by the order for a group that lost a member, close with cancel. After a larger size, the ranks that the group never had counted as lost members, with the same order. All holders read the version at once, so no group is left at which streams could resume.

Change: a group's name says of how many VMs it was formed, in its last part, which older nodes don't read. A group whose model is gone or has another size is outdated: it closes and finishes its streams, and isn't cancelled for taking long. Only a member that is lost still cancels. A size that falls was overlooked: such groups stayed open in the old size.

Not affected by reading: a service or an engine that is missing, for which nothing is planned.

--- a/formation/fakeorders_test.go
+++ b/formation/fakeorders_test.go
@@ -102,6 +102,9 @@
 	case fleet.OrderClose:
 		done = w.Member.State == fleet.Open || w.Member.State == fleet.Closing || w.opening
 		w.opening = false
+		if o.Cancel {
+			f.cancelled = append(f.cancelled, o.Group)
+		}
 		if done {
 			w.Member.State = fleet.Ready
 		}
--- a/formation/fakezone_test.go
+++ b/formation/fakezone_test.go
@@ -53,6 +53,8 @@
 	// while serving.
 	engine *fleet.Engine
 	staged int
+	// cancelled holds the groups whose streams were cancelled by an order.
+	cancelled []string
 }
 
 type fakeEndpoint struct {
--- a/formation/form.go
+++ b/formation/form.go
@@ -133,7 +133,7 @@
 func (p *planner) join(next *proposal) {
 	epoch := p.zone.NextEpoch()
 	order := fleet.Order{
-		Kind: fleet.OrderJoin, Group: groupName(replicaPrefix, next.model.Name, epoch), Epoch: epoch, Model: next.model.Name,
+		Kind: fleet.OrderJoin, Group: groupName(replicaPrefix, next.model.Name, epoch, len(next.members)), Epoch: epoch, Model: next.model.Name,
 	}
 	for _, w := range next.members {
 		order.Members = append(order.Members, w.Endpoint.ID)
--- a/formation/group.go
+++ b/formation/group.go
@@ -12,6 +12,7 @@
 	epoch      int64
 	model      fleet.Model
 	modelKnown bool
+	formedSize int // number of VMs that it was formed of, 0 if unknown
 	standby    bool
 	byRank     map[int]*Worker
 }
@@ -34,8 +35,8 @@
 	return e
 }
 
-// complete reports whether every member is present and usable, and the group's model is
-// configured.
+// complete reports whether every member is present and usable, and the group fits the
+// configuration.
 func (g *group) complete() bool {
 	for rank := range g.size() {
 		w := g.byRank[rank]
@@ -43,16 +44,27 @@
 			return false
 		}
 	}
-	return g.modelKnown
+	return !g.outdated()
 }
 
+// size returns the number of the group's members, which the configuration may have changed
+// since the group was formed.
 func (g *group) size() int {
-	if g.standby {
+	switch {
+	case g.standby:
 		return 1
+	case g.formedSize > 0:
+		return g.formedSize
 	}
 	return g.model.Size
 }
 
+// outdated reports whether the configuration no longer has the group's model, or has it in
+// another size.
+func (g *group) outdated() bool {
+	return !g.modelKnown || (!g.standby && g.size() != g.model.Size)
+}
+
 // hasLostMember reports whether a member is gone or doesn't answer. A member that only
 // announced that it is leaving doesn't count.
 func (g *group) hasLostMember() bool {
@@ -72,7 +84,7 @@
 			return false
 		}
 	}
-	return g.modelKnown
+	return !g.outdated()
 }
 
 // endpoints returns the members of a complete group in rank order.
@@ -139,7 +151,7 @@
 		if !ok {
 			name, standby := parseName(w.Member.Group)
 			model, known := z.Engine.Model(name)
-			g = &group{name: w.Member.Group, epoch: w.Member.Epoch, model: model, modelKnown: known, standby: standby, byRank: map[int]*Worker{}}
+			g = &group{name: w.Member.Group, epoch: w.Member.Epoch, model: model, modelKnown: known, formedSize: formedSize(w.Member.Group), standby: standby, byRank: map[int]*Worker{}}
 			byName[g.name] = g
 		}
 		if w.Member.Epoch > g.epoch {
--- a/formation/name.go
+++ b/formation/name.go
@@ -9,18 +9,20 @@
 	"strings"
 )
 
-// A group's name encodes its purpose, so that any node can read it: the model, and
-// whether the group is a replica or a standby. A standby is a group of one that never
-// opens: its VM has the model loaded and can replace a lost member at once.
+// A group's name encodes its purpose, so that any node can read it: the model, whether
+// the group is a replica or a standby, and of how many VMs it was formed. A standby is a
+// group of one that never opens: its VM has the model loaded and can replace a lost
+// member at once.
 const (
 	replicaPrefix = "replica"
 	standbyPrefix = "standby"
 	nameSeparator = "|"
+	sizeSeparator = "x"
 )
 
-// groupName returns the name of a group formed under an epoch.
-func groupName(prefix, model string, epoch int64) string {
-	return prefix + nameSeparator + model + nameSeparator + strconv.FormatInt(epoch, 10)
+// groupName returns the name of a group of size VMs formed under an epoch.
+func groupName(prefix, model string, epoch int64, size int) string {
+	return prefix + nameSeparator + model + nameSeparator + strconv.FormatInt(epoch, 10) + sizeSeparator + strconv.Itoa(size)
 }
 
 // parseName returns the model encoded in a group's name, and whether the group is a
@@ -32,3 +34,13 @@
 	}
 	return parts[1], parts[0] == standbyPrefix
 }
+
+// formedSize returns the number of VMs encoded in a group's name, 0 if there is none.
+func formedSize(name string) int {
+	_, text, found := strings.Cut(name[strings.LastIndex(name, nameSeparator)+1:], sizeSeparator)
+	size, err := strconv.Atoi(text)
+	if !found || err != nil {
+		return 0
+	}
+	return max(0, size)
+}
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -42,7 +42,8 @@
 //
 // A group that lost a member keeps accepting requests although nothing progresses. It
 // is closed at once, so that its callers are sent elsewhere and its other members can
-// be reused.
+// be reused. One that only no longer fits the configuration finishes its streams: all
+// groups of its model close at the same time, so their streams could go nowhere else.
 func (p *planner) reconcileOpen(g *group) {
 	switch {
 	case g.complete():
@@ -55,8 +56,10 @@
 		// Members that neither this node nor the store reaches may still serve with the
 		// others: the progress of the streams takes precedence.
 		p.countServing(g)
-	case g.hasLostMember() || !g.modelKnown:
+	case g.hasLostMember():
 		p.issue(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch, Cancel: true}, "member_lost")
+	case g.outdated():
+		p.issue(g.head(), fleet.Order{Kind: fleet.OrderClose, Group: g.name, Epoch: g.epoch}, "model_changed")
 	default:
 		p.countServing(g)
 		p.draining = append(p.draining, g)
@@ -64,6 +67,9 @@
 }
 
 func (p *planner) reconcileClosing(g *group) {
+	if g.outdated() && !g.hasLostMember() && g.unfit() == 0 {
+		return // the timeouts of its streams end it
+	}
 	since := p.now.Sub(g.head().ChangedAt)
 	timeout := closeTimeout
 	if g.complete() && g.unfit() == 0 {
--- a/formation/standby.go
+++ b/formation/standby.go
@@ -82,7 +82,7 @@
 	}
 	epoch := p.zone.NextEpoch()
 	order := fleet.Order{
-		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, model.Name, epoch), Epoch: epoch, Model: model.Name, Members: []string{w.Endpoint.ID}, Expected: p.zone.expected(w),
+		Kind: fleet.OrderJoin, Group: groupName(standbyPrefix, model.Name, epoch, 1), Epoch: epoch, Model: model.Name, Members: []string{w.Endpoint.ID}, Expected: p.zone.expected(w),
 	}
 	p.steps = append(p.steps, Step{Endpoint: w.Endpoint, Order: order, Why: why, Loads: loads, Proof: w.proof})
 }
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -39,6 +39,13 @@
 
 // deployZones starts the given number of nodes in each zone and waits until all of them serve.
 func deployZones(t *testing.T, nodes map[string]int) *zonedDeployment {
+	t.Helper()
+	return deployZonesWith(t, nodes, platformtest.EndpointConfig{Event: 10 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{Work: 5 * time.Millisecond})
+}
+
+// deployZonesWith starts nodes whose engines respond with the events of engine, and whose booking
+// desks take the time given by desk.
+func deployZonesWith(t *testing.T, nodes map[string]int, engine, desk platformtest.EndpointConfig) *zonedDeployment {
 	t.Helper()
 	store, runCounter := platformtest.NewStore(), platformtest.NewRunCounter()
 	t.Cleanup(store.Close)
@@ -49,7 +56,7 @@
 		zones = append(zones, zone)
 	}
 	for zone, count := range nodes {
-		z.endpoints(t, store, runCounter, zone)
+		z.endpoints(t, store, runCounter, zone, engine, desk)
 		for i := range count {
 			z.nodes = append(z.nodes, startNode(t, store, runCounter, fmt.Sprintf("%s-%d", zone, i), zone, zones))
 		}
@@ -64,7 +71,7 @@
 }
 
 // endpoints adds the engines of two groups and two desk endpoints to a zone.
-func (z *zonedDeployment) endpoints(t *testing.T, store *platformtest.Store, runCounter *platformtest.RunCounter, zone string) {
+func (z *zonedDeployment) endpoints(t *testing.T, store *platformtest.Store, runCounter *platformtest.RunCounter, zone string, engine, desk platformtest.EndpointConfig) {
 	t.Helper()
 	add := func(config platformtest.EndpointConfig) *platformtest.Endpoint {
 		e, err := platformtest.NewEndpoint(config, store, runCounter)
@@ -75,11 +82,11 @@
 	for i := range 4 {
 		z.heads[zone] = append(z.heads[zone], add(platformtest.EndpointConfig{
 			ID: fmt.Sprintf("engine-%s-%d", zone, i), Service: "llm", Zone: zone, Domain: "d-" + zone, Engine: true,
-			Join: 20 * time.Millisecond, Event: 10 * time.Millisecond, Events: answerEvents,
+			Join: 20 * time.Millisecond, Event: engine.Event, Events: engine.Events, EventTokens: engine.EventTokens,
 		}))
 	}
 	for i := range 2 {
-		z.desks = append(z.desks, add(platformtest.EndpointConfig{ID: fmt.Sprintf("desk-%s-%d", zone, i), Service: "desk", Zone: zone, Work: 5 * time.Millisecond}))
+		z.desks = append(z.desks, add(platformtest.EndpointConfig{ID: fmt.Sprintf("desk-%s-%d", zone, i), Service: "desk", Zone: zone, Work: desk.Work}))
 	}
 }
 
--- /dev/null
+++ b/node/versions_test.go
@@ -0,0 +1,376 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
+)
+
+// The streams of these tests last 1 to 3 s, and their bookings 300 ms.
+const (
+	versionEvent       = 50 * time.Millisecond
+	versionEventTokens = 6
+	versionWork        = 300 * time.Millisecond
+	streamsPerNode     = 4
+	bookingsPerNode    = 2
+	// streamsBegin is how long callers call before the change, and streamsGoOn how long after it.
+	streamsBegin = 1500 * time.Millisecond
+	streamsGoOn  = 2500 * time.Millisecond
+	// transitTime is how long before a change a request may be sent that a node reads after it.
+	transitTime = 50 * time.Millisecond
+	// slowBodyParts parts of a slow body follow each other every slowBodyPause.
+	slowBodyParts = 10
+	slowBodyPause = 100 * time.Millisecond
+)
+
+// version is a configuration that a test changes.
+type version map[string]any
+
+func newVersion(number int) version {
+	return version(platformtest.Configuration(number, "key-1"))
+}
+
+func (v version) route(name string) version {
+	for _, route := range v["routes"].([]any) {
+		if route := route.(map[string]any); route["name"] == name {
+			return route
+		}
+	}
+	return nil
+}
+
+func (v version) drop(list, name string) {
+	var kept []any
+	for _, one := range v[list].([]any) {
+		if one.(map[string]any)["name"] != name {
+			kept = append(kept, one)
+		}
+	}
+	v[list] = kept
+}
+
+func (v version) service(name string) version {
+	for _, service := range v["services"].([]any) {
+		if service := service.(map[string]any); service["name"] == name {
+			return service
+		}
+	}
+	return nil
+}
+
+func (v version) engine() version { return v.service("llm")["engine"].(map[string]any) }
+
+func (v version) model() version { return v.engine()["models"].([]any)[0].(map[string]any) }
+
+func (v version) limits() version { return v["limits"].(map[string]any) }
+
+// versionChanges are the kinds of change that a new configuration may bring.
+var versionChanges = map[string]func(v version){
+	"a route is dropped": func(v version) { v.drop("routes", "stream") },
+	"all routes are dropped": func(v version) {
+		v["routes"] = []any{}
+	},
+	"services are moved": func(v version) {
+		v["services"] = append(v["services"].([]any), map[string]any{"name": "other", "health_check_path": "/health", "connection_limit": 96})
+		v.route("stream")["service"], v.route("book")["service"] = "other", "other"
+	},
+	"weights are changed": func(v version) {
+		v["services"] = append(v["services"].([]any), map[string]any{"name": "other", "health_check_path": "/health", "connection_limit": 96})
+		split := func(service string) []any {
+			return []any{map[string]any{"service": service, "weight": 1}, map[string]any{"service": "other", "weight": 9}}
+		}
+		v.route("stream")["traffic_split"], v.route("book")["traffic_split"] = split("llm"), split("desk")
+	},
+	shortTimeouts: func(v version) {
+		v.route("stream")["timeout_ms"], v.route("book")["timeout_ms"] = shortStream.Milliseconds(), shortBooking.Milliseconds()
+	},
+	"attempts and kinds are changed": func(v version) {
+		v.route("stream")["max_attempts"], v.route("stream")["kind"], v.route("stream")["resumable"] = 1, "unsafe", false
+	},
+	"the key is removed": func(v version) { v["tenants"] = platformtest.Configuration(1, "other")["tenants"] },
+	"the account is removed": func(v version) {
+		v["tenants"] = []any{map[string]any{"name": "shed", "api_keys": []string{"other"}, "priority": 1}}
+	},
+	"no account needs a key":          func(v version) { v["tenants"] = []any{} },
+	"header_bytes is lowered":         func(v version) { v.limits()["header_bytes"] = 16 },
+	"body_bytes is lowered":           func(v version) { v.limits()["body_bytes"] = 4 },
+	"header_timeout_ms is lowered":    func(v version) { v.limits()["header_timeout_ms"] = 10 },
+	"idle_timeout_ms is lowered":      func(v version) { v.limits()["idle_timeout_ms"] = 10 },
+	"idle_timeout_ms is 0":            func(v version) { v.limits()["idle_timeout_ms"] = 0 },
+	"limits are missing":              func(v version) { delete(v, "limits") },
+	"8,000 routes more":               func(v version) { v.addRoutes(8000) },
+	"services are missing":            func(v version) { v["services"] = []any{} },
+	"the engine's service is missing": func(v version) { v.drop("services", "llm") },
+	"the engine is missing":           func(v version) { delete(v.service("llm"), "engine") },
+	"connection_limit is lowered":     func(v version) { v.service("llm")["connection_limit"], v.service("desk")["connection_limit"] = 1, 1 },
+	"the model is dropped":            func(v version) { v.engine()["models"] = []any{} },
+	"the model is renamed":            func(v version) { v.model()["name"] = "m1" },
+	"the model's size rises":          func(v version) { v.model()["size"] = 4 },
+	"the model's size falls":          func(v version) { v.model()["size"] = 1 },
+	"the model's share changes":       func(v version) { v.model()["share"] = 0.1 },
+	"slots are lowered":               func(v version) { v.engine()["slots"] = 1 },
+	"the engine is slower": func(v version) {
+		v.engine()["step_ms"], v.engine()["stride"], v.engine()["read_per_s"] = 600, 60, 1
+	},
+	"another model has all shares": func(v version) {
+		v.model()["share"] = 0
+		other := map[string]any{"name": "m1", "size": 2, "share": 1, "pace": 1, "load_s": 1.0, "warm_s": 0.3}
+		v.engine()["models"] = append(v.engine()["models"].([]any), other)
+	},
+}
+
+// shortTimeouts is the name of the change of versionChanges that lowers the timeouts.
+const (
+	shortTimeouts = "timeouts are below what has passed"
+	shortStream   = 100 * time.Millisecond
+	shortBooking  = 20 * time.Millisecond
+)
+
+// shortestTimeout returns the shortest timeout of the routes after a change.
+func shortestTimeout(change string) time.Duration {
+	if change == shortTimeouts {
+		return shortBooking
+	}
+	return platformtest.RouteTimeout
+}
+
+func (v version) addRoutes(count int) {
+	routes := v["routes"].([]any)
+	for i := range count {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprint("more-", i), "host": fmt.Sprintf("h%d.example", i), "prefix": fmt.Sprintf("/p%d/", i), "kind": "safe", "timeout_ms": 800,
+			"latency_goal_ms": 200, "priority": 1, "service": "desk", "max_attempts": 2,
+		})
+	}
+	v["routes"] = routes
+}
+
+// entryChanges are the kinds of change beside the configuration.
+var entryChanges = map[string]func(t *testing.T, z *zonedDeployment){
+	"entries are written anew": func(t *testing.T, z *zonedDeployment) {
+		for _, e := range z.all() {
+			require.NoError(t, e.Rewrite("2", 3))
+		}
+	},
+	"endpoints drain": func(t *testing.T, z *zonedDeployment) {
+		for _, e := range z.all() {
+			require.NoError(t, e.Drain())
+		}
+	},
+	"entries vanish": func(_ *testing.T, z *zonedDeployment) {
+		for _, e := range z.all() {
+			e.Unregister()
+		}
+	},
+	"endpoints say that they leave": func(_ *testing.T, z *zonedDeployment) {
+		for _, e := range z.all() {
+			e.AnnounceLeaving()
+		}
+	},
+	"a zone is taken out": func(t *testing.T, z *zonedDeployment) {
+		require.NoError(t, z.nodes[0].store.Put("op", "evacuate/a", map[string]any{}))
+	},
+	"all zones are taken out": func(t *testing.T, z *zonedDeployment) {
+		for _, zone := range []string{"a", "b"} {
+			require.NoError(t, z.nodes[0].store.Put("op", "evacuate/"+zone, map[string]any{}))
+		}
+	},
+	"the store's history is dropped": func(t *testing.T, z *zonedDeployment) {
+		z.nodes[0].store.DropHistory()
+		require.NoError(t, z.nodes[0].store.Put("op", "config", newVersion(2)))
+	},
+	"the store is restored": func(t *testing.T, z *zonedDeployment) {
+		z.restoreStore(t)
+	},
+	"the configuration is unreadable": func(t *testing.T, z *zonedDeployment) {
+		require.NoError(t, z.nodes[0].store.Put("op", "config", []any{"no configuration"}))
+	},
+	"the configuration vanishes": func(_ *testing.T, z *zonedDeployment) { z.nodes[0].store.Remove("op", "config") },
+	"a storm of versions of all other kinds": func(t *testing.T, z *zonedDeployment) {
+		const versions, gap = 50, 20 * time.Millisecond
+		kinds := slices.DeleteFunc(slices.Sorted(maps.Keys(versionChanges)), func(kind string) bool { return kind == shortTimeouts })
+		for number := range versions {
+			next := newVersion(2 + number)
+			versionChanges[kinds[number%len(kinds)]](next)
+			require.NoError(t, z.nodes[0].store.Put("op", "config", next))
+			time.Sleep(gap)
+		}
+	},
+}
+
+// versionCaller sends requests to a node over one keep-alive connection.
+type versionCaller struct {
+	d      *deployment
+	name   string
+	path   string
+	slow   bool // its body
+	client *http.Client
+
+	mu   sync.Mutex
+	seen []versionAttempt
+}
+
+// versionAttempt is the result of one request as its caller saw it.
+type versionAttempt struct {
+	id          string
+	sent, ended time.Time
+	status      int
+	body        string
+	complete    bool
+}
+
+// slowBody hands its parts out one after the other.
+type slowBody struct{ left int }
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(slowBodyPause)
+	b.left--
+	return copy(p, "part of a body"), nil
+}
+
+func (c *versionCaller) run(ctx context.Context) error {
+	defer c.client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		a := versionAttempt{id: fmt.Sprintf("%s-%s-%d", c.d.settings.Node, c.name, n), sent: time.Now()}
+		c.call(&a)
+		a.ended = time.Now()
+		c.mu.Lock()
+		c.seen = append(c.seen, a)
+		c.mu.Unlock()
+		kernel.Sleep(ctx, 20*time.Millisecond)
+	}
+	return nil
+}
+
+func (c *versionCaller) call(a *versionAttempt) {
+	events := 20 + rand.IntN(40)
+	var body io.Reader
+	if c.slow {
+		body = &slowBody{slowBodyParts}
+	}
+	r, err := platformtest.NewRequest(context.Background(), http.MethodPost, c.d.settings.CallerAddress, c.path, body, platformtest.RequestInfo{
+		ID: a.id, Key: "key-1", Model: "m0", Timeout: 6 * time.Second, Prompt: 100, Answer: events * versionEventTokens,
+	})
+	require.NoError(c.d.t, err)
+	a.status, a.body = c.d.send(c.client, r)
+	want := "done " + a.id
+	if c.path == "/stream/x" {
+		want = platformtest.FullResponse(a.id, events)
+	}
+	a.complete = a.status == http.StatusOK && a.body == want
+}
+
+// unserved returns the requests that ran without a complete response, and those that
+// got none at all. One that was sent later than the change may have ended at its timeout.
+func (c *versionCaller) unserved(changed time.Time, timeout time.Duration) (cut []string, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.seen {
+		runs := c.d.runCounter.Runs(a.id)
+		switch {
+		case a.sent.After(changed.Add(-transitTime)) && a.ended.Sub(a.sent) >= timeout && runs <= 1:
+		case c.path == "/book/x" && runs > 1:
+			cut = append(cut, fmt.Sprintf("%s ran %d times", a.id, runs))
+		case a.complete:
+			served++
+		case runs > 0 || a.status == 0 || a.status == http.StatusOK:
+			cut = append(cut, fmt.Sprintf("%s, sent %s and ended %s after the change: status %d, %d runs, %.40q", a.id,
+				a.sent.Sub(changed).Round(time.Millisecond), a.ended.Sub(changed).Round(time.Millisecond), a.status, runs, a.body))
+		}
+	}
+	return cut, served
+}
+
+// callAround calls all nodes while a change is made, and requires that every request that
+// was passed on gets its complete response. timeout is the shortest of the routes' after the change.
+func (z *zonedDeployment) callAround(t *testing.T, timeout time.Duration, change func()) {
+	t.Helper()
+	var callers []*versionCaller
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	g := kernel.NewGroup(ctx)
+	start := func(d *deployment, name, path string, slow bool) {
+		c := &versionCaller{d: d, name: name, path: path, slow: slow, client: &http.Client{Transport: &http.Transport{}}}
+		callers = append(callers, c)
+		g.Go(name, func(ctx context.Context) error {
+			kernel.Sleep(ctx, rand.N(versionWork))
+			return c.run(ctx)
+		})
+	}
+	for _, d := range z.nodes {
+		for i := range streamsPerNode {
+			start(d, fmt.Sprint("stream-", i), "/stream/x", false)
+		}
+		for i := range bookingsPerNode {
+			start(d, fmt.Sprint("book-", i), "/book/x", false)
+		}
+		start(d, "slow-book", "/book/x", true)
+		start(d, "slow-stream", "/stream/x", true)
+	}
+	time.Sleep(streamsBegin)
+	changed := time.Now()
+	change()
+	time.Sleep(streamsGoOn)
+	stop()
+	require.NoError(t, g.Wait())
+	for _, d := range z.nodes {
+		d.stop() // all at once, as each takes seconds
+	}
+	var cut []string
+	served := 0
+	for _, c := range callers {
+		more, n := c.unserved(changed, timeout)
+		cut, served = append(cut, more...), served+n
+	}
+	require.Empty(t, cut)
+	require.GreaterOrEqual(t, served, len(callers))
+}
+
+func deployForVersions(t *testing.T) *zonedDeployment {
+	t.Helper()
+	return deployZonesWith(t, map[string]int{"a": 2, "b": 1},
+		platformtest.EndpointConfig{Event: versionEvent, Events: answerEvents, EventTokens: versionEventTokens}, platformtest.EndpointConfig{Work: versionWork})
+}
+
+// All nodes read a new configuration at the same moment. If it cut what is in progress, all callers would lose it.
+func TestVersionCutsNothingInProgress(t *testing.T) {
+	t.Parallel()
+	for name, change := range versionChanges {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := deployForVersions(t)
+			z.callAround(t, shortestTimeout(name), func() {
+				next := newVersion(2)
+				change(next)
+				require.NoError(t, z.nodes[0].store.Put("op", "config", next))
+			})
+		})
+	}
+}
+
+// All nodes read the same rows of the store. A change of theirs must not cut what is in progress.
+func TestChangedRowsCutNothingInProgress(t *testing.T) {
+	t.Parallel()
+	for name, change := range entryChanges {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := deployForVersions(t)
+			z.callAround(t, shortestTimeout(name), func() { change(t, z) })
+		})
+	}
+}
