Fix: a forwarded request got the time limit of a version newer than its own

What callers would see: a version lowers a route's timeout while a caller sends a body. Its node keeps the limit under which it took the request. If it reaches the endpoint through another node, that node cut the request at the new limit, counted from its arrival there: a booking runs and its caller gets 502.

Cause: the forwarding node resolves the request again and took the earlier of its own route's timeout and the time that is left.

Change: the time that is left, which the other node states, is the limit. It is never more than what the caller or its route granted.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -158,9 +158,8 @@
 		notForwarded(w, in.Header, f, neighbor.Unusable, "endpoint")
 		return
 	}
-	if deadline := now.Add(f.Timeout); deadline.Before(r.Deadline) {
-		r.Deadline = deadline
-	}
+	// The route here may be of a newer configuration than the one by which the request was accepted.
+	r.Deadline = now.Add(f.Timeout)
 	body, err := readBody(in, r.view.Config().Limits.BodyBytes)
 	if err != nil {
 		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -16,6 +16,7 @@
 
 	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
+	"redwinghall/standin/link"
 )
 
 // The streams of these tests last 1 to 3 s, and their bookings 300 ms.
@@ -374,3 +375,23 @@
 		})
 	}
 }
+
+// A node forwards the requests of one that is parted from the endpoints, and resolves them again.
+func TestVersionCutsNoForwardedRequest(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{
+		"all routes are dropped", "services are moved", "services are missing", shortTimeouts, "the key is removed", "body_bytes is lowered", "the model is dropped",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := deployForVersions(t)
+			z.part("a", 1, link.PartitionRefuse)
+			time.Sleep(partedSettleTime)
+			z.callAround(t, shortestTimeout(name), func() {
+				next := newVersion(2)
+				versionChanges[name](next)
+				require.NoError(t, z.nodes[0].store.Put("op", "config", next))
+			})
+		})
+	}
+}
