Say in the last line of a node why it ended and what it cut

node_stopped had an error only, node_stopping the grace only, and a node that ended since a part failed named none of the requests that ended with it. Nor did a node that could not open a port say so in its log. So an end by a signal, by a failure of its own and by the grace looked alike.

"node_stopping" node="n1" cause="terminated signal received" grace_left="7.6s" connections=1 requests=0 forwards=0 "node_stopped" node="n1" reason="planned_stop" cause="context canceled" took="657ms" ran_for="5.4s" by_grace=true interrupted=1 err=null "node_stopped" node="n1" reason="part_failed" cause="" took="7.3ms" ... interrupted=1 err="the part can't go on" "cut_by_stop" request="long" reason="part_failed" ...

The signal's name is the cause of the program's context. cut_by_stop is written for a failed part too, 200 lines at most.

--- a/node/connections.go
+++ b/node/connections.go
@@ -135,15 +135,34 @@
 	return true
 }
 
-// logInterrupted logs the requests that are still running when the process exits.
-func (c *connections) logInterrupted(now time.Time) {
+// logInterrupted logs the requests that are still running when the process exits, and returns how many
+// there are.
+func (c *connections) logInterrupted(now time.Time, reason string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	interrupted := 0
+	for _, state := range c.all {
+		if !state.busy {
+			continue
+		}
+		interrupted++
+		if interrupted <= maxInterruptedLines {
+			klog.InfoS("cut_by_stop", "request", state.requestID, "reason", reason, "connection", state.kind(), "ran_for", now.Sub(state.requestedAt))
+		}
+	}
+	return interrupted
+}
+
+// counts returns how many connections are open, and on how many of them a request is in progress.
+func (c *connections) counts() (open, requests int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, state := range c.all {
 		if state.busy {
-			klog.InfoS("cut_by_stop", "request", state.requestID, "connection", state.kind(), "ran_for", now.Sub(state.requestedAt))
+			requests++
 		}
 	}
+	return len(c.all), requests
 }
 
 // firstRequestTime is how long a new connection may take to send its first
--- /dev/null
+++ b/node/ending.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Reasons for the end of a node, and for the end of requests with it.
+const (
+	endedByStop    = "planned_stop"
+	endedByFailure = "part_failed"
+	cutByGrace     = "grace_over"
+)
+
+// maxInterruptedLines bounds the lines on requests that end with the process.
+const maxInterruptedLines = 200
+
+// ending is what a node says of its end in its last line.
+type ending struct {
+	mu          sync.Mutex
+	reason      string
+	cause       string // the signal, for a planned stop
+	begun       time.Time
+	byGrace     bool // the grace period was over before all requests were
+	interrupted int  // requests that ended with the process
+}
+
+// begin records the reason and the beginning of the end.
+func (e *ending) begin(now time.Time, reason string, cause error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reason, e.begun = reason, now
+	if cause != nil {
+		e.cause = cause.Error()
+	}
+}
+
+// interrupt records how many requests end with the process.
+func (e *ending) interrupt(requests int, byGrace bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.interrupted, e.byGrace = requests, byGrace
+}
+
+// stopAsPlanned shuts the node down after the context of its caller ended. running is the context
+// of the node's parts.
+func (n *Node) stopAsPlanned(running, caller context.Context) {
+	n.ending.begin(time.Now(), endedByStop, context.Cause(caller))
+	n.stop(running, context.Cause(caller))
+}
+
+// logFailing records the requests that end with the node because a part has failed.
+func (n *Node) logFailing() {
+	now := time.Now()
+	n.ending.begin(now, endedByFailure, nil)
+	n.ending.interrupt(n.conns.logInterrupted(now, endedByFailure), false)
+}
+
+// logStopped writes the last line of the node.
+func (n *Node) logStopped(now time.Time, err error) {
+	e := &n.ending
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	klog.InfoS("node_stopped", "node", n.settings.Node, "reason", e.reason, "cause", e.cause, "took", now.Sub(e.begun), "ran_for", now.Sub(n.started),
+		"by_grace", e.byGrace, "interrupted", e.interrupted, "err", err)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -69,6 +69,8 @@
 	backoff *relay.PeerBackoff
 	paths   *reach.Table
 	callers net.Listener
+	started time.Time
+	ending  ending
 }
 
 // New assembles a node. path is the settings file that is reloaded while the node
@@ -84,7 +86,7 @@
 	n := &Node{
 		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
-		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(),
+		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
 	}
 	n.source = relay.NewSource(relay.Config{
 		Store: store, PeerClient: n.neighbors, Self: s.Node, Peers: n.peers, RemotePeers: n.remotePeers, Leader: n.leader, EqualFor: equalFor,
@@ -144,6 +146,7 @@
 	g := kernel.NewGroup(context.Background())
 	n.group = g
 	if err := n.listen(g); err != nil {
+		klog.ErrorS(err, "node_not_started", "node", n.settings.Node)
 		g.Stop()
 		return err
 	}
@@ -166,14 +169,15 @@
 	g.Go("stop", func(running context.Context) error {
 		select {
 		case <-ctx.Done():
-			n.stop(running)
+			n.stopAsPlanned(running, ctx)
 		case <-running.Done():
+			n.logFailing()
 		}
 		g.Stop()
 		return nil
 	})
 	err := g.Wait()
-	klog.InfoS("node_stopped", "node", n.settings.Node, "err", err)
+	n.logStopped(time.Now(), err)
 	return err
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -41,13 +41,16 @@
 // stop shuts a node down gracefully. The node reports that it isn't ready, from now
 // on accepts only requests that it expects to finish, closes each connection after
 // its response, and returns once the load balancer has noticed and no request is running.
-func (n *Node) stop(ctx context.Context) {
+// cause is what made it stop.
+func (n *Node) stop(ctx context.Context, cause error) {
 	begun := time.Now()
 	protectStep("stop_reload", n.reload) // the grace period in the file may have changed
 	stop := newStop(begun, kernel.BootTime(), n.currentSettings().Bounds.Grace)
 	n.stopping.Store(&stop)
 	n.conns.closeAfterResponses()
-	klog.InfoS("node_stopping", "node", n.settings.Node, "grace_left", stop.End.Sub(begun))
+	connections, requests := n.conns.counts()
+	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "connections", connections,
+		"requests", requests, "forwards", n.gateway.Forwards())
 	protectStep("stop_planning", n.manager.Stop)
 	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(stop.End)))
 	defer cancel()
@@ -65,9 +68,11 @@
 	kernel.Sleep(ctx, stopPollInterval)
 	// Idle connections stay open until now: closing one may race with a request on it,
 	// whose caller could then not tell whether it was executed.
-	for !n.conns.closeIfInactive(time.Now()) && n.waitStopPoll(ctx) {
+	inactive := n.conns.closeIfInactive(time.Now())
+	for !inactive && n.waitStopPoll(ctx) {
+		inactive = n.conns.closeIfInactive(time.Now())
 	}
-	n.conns.logInterrupted(time.Now())
+	n.ending.interrupt(n.conns.logInterrupted(time.Now(), cutByGrace), !inactive)
 }
 
 // protectStep performs a step of a stop. If it panics, the stop goes on: the streams in progress still get
