--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	callTimes *callTimes
 	served    atomic.Int64
 	started   time.Time
+	streams   atomic.Int64 // streams of callers in progress
 	forwards  atomic.Int64 // requests of other nodes in progress
 	controls  atomic.Int64 // control calls of other nodes in progress
 	// unreadable holds the unreadable headers that were logged.
@@ -94,6 +95,9 @@
 // that traffic has begun.
 func (g *Gateway) Served() int64 { return g.served.Load() }
 
+// Streams returns how many streams of callers are in progress.
+func (g *Gateway) Streams() int { return int(g.streams.Load()) }
+
 // defaultRetryAfter is the Retry-After of a 503 for which no better estimate exists,
 // for example before the configuration is known.
 const defaultRetryAfter = 500 * time.Millisecond
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -55,6 +55,11 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// SetGauge sets the current value of something that rises and falls.
+func (m *Metrics) SetGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
 func (m *Metrics) observe(name string, d time.Duration) {
 	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, 0.015))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,6 +57,8 @@
 
 // serveStream handles a request whose response is a stream of events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *Request) {
+	g.streams.Add(1)
+	defer g.streams.Add(-1)
 	call := &streamCall{g: g, r: r, w: w, flush: http.NewResponseController(w), tried: map[string]bool{}}
 	if id, err := strconv.ParseInt(r.Info.LastEvent, 10, 64); err == nil {
 		call.lastID, call.hasID = id, true
--- a/node/listen.go
+++ b/node/listen.go
@@ -68,6 +68,7 @@
 }
 
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	n.updateGauges()
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(n.metrics.Registry(), w)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -155,6 +155,7 @@
 	n.table.Start(g)
 	n.follower.Start(g)
 	n.startReload(g)
+	n.startMemoryWatch(g)
 	n.manager.Start(g)
 	n.startSharing(g)
 	n.startZoneSharing(g)
