Soak: a plan with versions in storms, SIGHUPs, stops and kills of all nodes

The soak had no versions in series, no end of all nodes at once, and asked only at the end of a run whether a process had ended that nobody ended.

The plan versions changes the configuration every 20 to 300 ms, at first alone, then beside SIGHUPs to all nodes (also as they start and until they have stopped), settings files that are replaced or half written, planned stops of some or all nodes, and the loss of whoever reads a node's output; then it kills all nodes within 0.4 s of a version. Each node has a supervisor, which starts it again and judges how its process ended. Each attempt without a complete response is held against what the run did to the process that held its connection.

In all other plans a process that ends though nobody ended it is now noticed within 50 ms and reported with its status, the end of its log and the events of the second before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,16 @@
           in some of the pauses an endpoint ends. Nodes that run again must serve nine
           of ten requests of the next seconds; no request goes to a second endpoint and
           no group is closed for a pause alone.
+  versions
+          the configuration changes every 20 to 300 ms, at first alone, then beside SIGHUPs
+          to all nodes (also as they start and stop), replaced settings files, planned
+          stops of some or all nodes, and output that nobody reads; then all nodes are
+          killed within 0.4 s of a version, and start again. Everything happens twice.
+          No process may end that the run didn't end; a response may be cut off only by a
+          kill of its process; after a kill of all the first answer must come within 3 s
+          of the last start, and nine of ten first tries be served within 12 s.
+
+In each plan a process that ends though nobody ended it is a violation.
 
 Examples:
   soak --bin bin --seed 1 --seeds 50 --length 30s
@@ -49,12 +59,14 @@
 	exitUsage   = 2
 )
 
+const maxNodes = 100
+
 type options struct {
 	Bin    string        `long:"bin" description:"folder with the node program" default:"bin"`
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
 }
@@ -75,8 +87,8 @@
 		_, _ = fmt.Fprintln(out, flagErr.Message)
 		return exitOK
 	}
-	if err != nil || o.Nodes < 1 || o.Nodes > 50 || o.Seeds < 1 || o.Length <= 0 {
-		_, _ = fmt.Fprintf(errOut, "soak: %v; want 1 to 50 nodes, at least one seed, and a length above 0\n", err)
+	if err != nil || o.Nodes < 1 || o.Nodes > maxNodes || o.Seeds < 1 || o.Length <= 0 {
+		_, _ = fmt.Fprintf(errOut, "soak: %v; want 1 to %d nodes, at least one seed, and a length above 0\n", err, maxNodes)
 		return exitUsage
 	}
 	code := exitOK
@@ -101,13 +113,28 @@
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "seed %d: %v\n", seed, err)
+		printDetails(out, report, dir)
 		return false
 	}
 	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d served, %d attempts refused, %d without an answer, %d faults, %d wrong\n",
 		seed, report.Requests, report.Served, report.Refused, report.Unanswered, len(report.Faults), len(report.Violations))
 	if len(report.Violations) == 0 {
+		printNotes(out, report)
 		return os.RemoveAll(dir) == nil
 	}
+	printDetails(out, report, dir)
+	return false
+}
+
+func printNotes(out io.Writer, report soak.Report) {
+	for _, n := range report.Notes {
+		_, _ = fmt.Fprintln(out, "  note:", n)
+	}
+}
+
+// printDetails prints the violations, the faults, and the directory of the logs.
+func printDetails(out io.Writer, report soak.Report, dir string) {
+	printNotes(out, report)
 	for _, m := range report.Violations {
 		_, _ = fmt.Fprintln(out, "  wrong:", m)
 	}
@@ -115,7 +142,6 @@
 		_, _ = fmt.Fprintln(out, "  fault:", f)
 	}
 	_, _ = fmt.Fprintln(out, "  logs:", dir)
-	return false
 }
 
 func runDir(base string, seed uint64) (string, error) {
--- a/soak/connection.go
+++ b/soak/connection.go
@@ -24,6 +24,8 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	used   bool
+	// openedAt is when the connection was open.
+	openedAt time.Time
 	// stopCloseOnDone unregisters the function that closes the connection when the
 	// context of the run ends.
 	stopCloseOnDone func() bool
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{node: n, conn: conn, reader: bufio.NewReader(conn)}
+	c := &connection{node: n, conn: conn, reader: bufio.NewReader(conn), openedAt: time.Now()}
 	c.stopCloseOnDone = context.AfterFunc(ctx, func() { _ = conn.Close() }) // the run has ended
 	return c, nil
 }
@@ -47,7 +49,7 @@
 
 // send sends the request of an exchange and records the response in it.
 func (c *connection) send(r *http.Request, x *exchange) {
-	x.node, x.reused, x.sent = c.node, c.used, time.Now()
+	x.node, x.reused, x.connectedAt, x.sent = c.node, c.used, c.openedAt, time.Now()
 	c.used = true
 	err := c.receive(r, x)
 	x.incomplete, x.deadlineExceeded = err != nil, errors.Is(err, os.ErrDeadlineExceeded)
@@ -67,6 +69,9 @@
 	}
 	defer func() { _ = head.Body.Close() }() // the body was read, or reading failed
 	x.status, x.connectionClose, x.retryAfter = head.StatusCode, head.Close, parseRetryAfter(head.Header)
+	if x.onHead != nil {
+		x.onHead(x.status)
+	}
 	body, err := io.ReadAll(head.Body)
 	x.body = string(body)
 	return err
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -62,6 +62,9 @@
 	PlanPartitions Plan = "partitions"
 	// PlanPauses lets nodes stand still, while callers stay with their nodes.
 	PlanPauses Plan = "pauses"
+	// PlanVersions changes the configuration in storms, beside SIGHUPs, planned stops, the loss of
+	// nodes' output, and kills of all nodes.
+	PlanVersions Plan = "versions"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
@@ -78,6 +81,13 @@
 	storeFaults   intervals // of the link to the store
 	// stoppedAt is when the node last got SIGTERM in a planned stop.
 	stoppedAt time.Time
+	lifetimes []*lifetime
+	// restartDelay is the time from the end of its process to its start in PlanVersions, 0 for
+	// the usual one.
+	restartDelay time.Duration
+	// settingsFile is held while the settings file is incomplete, and while a process starts.
+	// It is locked before the deployment's lock.
+	settingsFile sync.Mutex
 }
 
 // deployment is the complete deployment of one run.
@@ -95,7 +105,7 @@
 	closedEndpoints []*linkedEndpoint
 	endpointCount   int
 	configVersion   int
-	faults          []string
+	faults          []recordedFault
 	// lastNodeFault is when a fault or planned stop of a node last ended.
 	lastNodeFault time.Time
 	storeFaults   intervals // of the store itself
@@ -104,6 +114,12 @@
 	lostMembers   map[string]bool // groups a member of which ended in a pause
 	// violations are those detected while faults are injected.
 	violations []string
+	// exits are the violations of processes that ended though nobody ended them.
+	exits    []string
+	versions []configurationVersion
+	// versionWrite guards variant, the last version that was written, and is locked before mu.
+	versionWrite sync.Mutex
+	variant      platformtest.Variant
 }
 
 // linkedEndpoint is an endpoint and the link through which nodes reach it.
@@ -137,6 +153,9 @@
 			}
 		}
 	}
+	if err := d.addCounters(); err != nil {
+		return nil, err
+	}
 	for i := range config.Nodes {
 		if err := d.addNode(i); err != nil {
 			return nil, err
@@ -145,6 +164,19 @@
 	return d, nil
 }
 
+// addCounters adds the endpoints of the second plain service, which PlanVersions has.
+func (d *deployment) addCounters() error {
+	for i := range countersPerZone * len(zones) {
+		if d.config.Plan != PlanVersions {
+			break
+		}
+		if err := d.addEndpoint(platformtest.SecondPlainService, zones[i%len(zones)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *deployment) stop() {
 	d.mu.Lock()
 	for _, n := range d.nodes {
@@ -168,7 +200,7 @@
 		ID: fmt.Sprintf("%s-%s-%d", service, zone, d.endpointCount), Service: service, Zone: zone, Engine: service == "llm",
 		Join: joinDuration, Event: eventInterval, Events: responseEvents,
 	}}
-	if d.config.Plan == PlanStops {
+	if d.config.Plan == PlanStops || d.config.Plan == PlanVersions {
 		linked.config.Event, linked.config.EventTokens, linked.config.Work = stopsEventInterval, stopsEventTokens, deskServiceTime
 	}
 	if service == "llm" {
@@ -207,8 +239,15 @@
 }
 
 func (d *deployment) startNode(n *nodeProcess) error {
-	p, err := d.processes.Start(n.settings.Node, "node", "--settings", n.path)
+	start, now := d.processes.Start, time.Now()
+	if d.config.Plan == PlanVersions {
+		start = d.processes.StartPiped
+	}
+	p, err := start(n.settings.Node, "node", "--settings", n.path)
 	n.proc = p
+	if err == nil {
+		n.lifetimes = append(n.lifetimes, &lifetime{process: p, startedAt: now})
+	}
 	return err
 }
 
@@ -216,7 +255,7 @@
 func (d *deployment) recordFault(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.faults = append(d.faults, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	d.faults = append(d.faults, recordedFault{at: time.Now(), text: fmt.Sprintf(format, args...)})
 }
 
 // randomInt returns a random number below n from the generator of the run's seed.
--- a/soak/exchange.go
+++ b/soak/exchange.go
@@ -16,9 +16,12 @@
 	deadlineExceeded bool // the caller's timeout expired
 	connectionClose  bool // the response closes the connection
 	retryAfter       time.Duration
+	connectedAt      time.Time
 	sent             time.Time // zero if there was no connection
 	ended            time.Time
 	stoppedAt        time.Time // when the node last got SIGTERM
+	// onHead is called with the status when the response begins, unless it is nil.
+	onHead func(status int)
 }
 
 func (x *exchange) served() bool { return x.status == http.StatusOK && !x.incomplete }
@@ -52,6 +55,9 @@
 	unansweredExchanges []exchange
 }
 
+// begin does nothing: only whether a request is served with its retry counts.
+func (c *stopChecker) begin(*exchange) {}
+
 // add counts one attempt and checks its response.
 func (c *stopChecker) add(x exchange) {
 	c.results.add(x.attempt)
--- a/soak/run.go
+++ b/soak/run.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
 )
 
@@ -31,6 +33,8 @@
 	Refused, Unanswered int
 	Violations          []string
 	Faults              []string
+	// Notes say what a run measured.
+	Notes []string
 }
 
 // Run runs a plan with one seed. It returns an error only if the run itself fails;
@@ -46,18 +50,37 @@
 		report.Violations = append(report.Violations, "not every node served a stream before the first fault")
 		return report, nil
 	}
-	runPlan := d.runFaults
-	if config.Plan == PlanStops {
-		runPlan = d.runStops
+	err = d.plan()(ctx, &report)
+	for _, f := range d.faults {
+		report.Faults = append(report.Faults, f.String())
 	}
-	if err := runPlan(ctx, &report); err != nil {
-		return report, err
+	return report, err
+}
+
+// plan returns the function that runs the configured plan.
+func (d *deployment) plan() func(context.Context, *Report) error {
+	switch d.config.Plan {
+	case PlanStops:
+		return d.watchingExits(d.runStops)
+	case PlanVersions:
+		return d.runVersions // each node has a supervisor
 	}
-	if err := d.processes.UnexpectedExit(); err != nil {
-		report.Violations = append(report.Violations, err.Error())
+	return d.watchingExits(d.runFaults)
+}
+
+// watchingExits runs a plan in which a process that nobody ended and that ends is a
+// violation.
+func (d *deployment) watchingExits(run func(context.Context, *Report) error) func(context.Context, *Report) error {
+	return func(ctx context.Context, report *Report) error {
+		g := kernel.NewGroup(ctx)
+		g.Every("exits", exitInterval, func(context.Context, time.Time) { d.reportExits() })
+		err := run(ctx, report)
+		g.Stop()
+		err = errors.Join(err, g.Wait())
+		d.reportExits()
+		report.Violations = append(report.Violations, d.exits...)
+		return err
 	}
-	report.Faults = d.faults
-	return report, nil
 }
 
 // runFaults injects faults while callers send requests, and checks that the service
--- a/soak/session.go
+++ b/soak/session.go
@@ -30,12 +30,21 @@
 	failureDelay = time.Second
 )
 
+// sessionChecker checks the attempts of sessions.
+type sessionChecker interface {
+	// begin is called before the first attempt of each request.
+	begin(x *exchange)
+	add(x exchange)
+	// recordRequest records whether a request was served, by its first attempt or its retry.
+	recordRequest(served bool)
+}
+
 // session is a caller that reaches nodes through the load balancer. Most sessions keep
 // their connection and reuse it immediately after each response, until it is closed.
 type session struct {
 	deployment *deployment
 	balancer   *balancer
-	checker    *stopChecker
+	checker    sessionChecker
 	random     *rand.Rand
 	name       string
 	zone       string
@@ -44,7 +53,7 @@
 	conn       *connection
 }
 
-func newSession(d *deployment, b *balancer, c *stopChecker, i int) *session {
+func newSession(d *deployment, b *balancer, c sessionChecker, i int) *session {
 	return &session{
 		deployment: d, balancer: b, checker: c, random: rand.New(rand.NewPCG(d.config.Seed, uint64(i))), //nolint:gosec // few sessions
 		name: fmt.Sprintf("s%d-%d", d.config.Seed, i), zone: zones[i%len(zones)], keepAlive: i%newConnectionEvery != 0,
@@ -72,7 +81,7 @@
 	served := false
 	var failed *nodeProcess
 	for try := 0; try < maxAttempts && !served; try++ {
-		x := s.exchange(ctx, kind, events, failed)
+		x := s.exchange(ctx, kind, events, failed, try == 0)
 		if ctx.Err() != nil {
 			return // the end of the run cancelled the attempt
 		}
@@ -90,9 +99,12 @@
 }
 
 // exchange makes one attempt, on the session's open connection or on a new one.
-func (s *session) exchange(ctx context.Context, kind string, events int, failed *nodeProcess) exchange {
+func (s *session) exchange(ctx context.Context, kind string, events int, failed *nodeProcess, first bool) exchange {
 	s.attempts++
 	x := exchange{attempt: attempt{id: fmt.Sprintf("%s-%d", s.name, s.attempts), kind: kind, events: events}}
+	if first {
+		s.checker.begin(&x)
+	}
 	if s.conn == nil {
 		x.node = s.balancer.pickNode(s.zone, s.random, failed)
 		conn, err := connect(ctx, x.node)
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -30,8 +30,11 @@
 	program string
 	cmd     *exec.Cmd
 	logPath string
+	output  *output
 	exited  chan struct{}
-	err     error
+	// err and exitedAt are written before exited is closed.
+	err      error
+	exitedAt time.Time
 }
 
 // Set is a set of processes that can be stopped together.
@@ -53,26 +56,40 @@
 // Start starts a program from the folder bin. Its output is appended to
 // NAME.log.
 func (s *Set) Start(name, program string, args ...string) (*Process, error) {
+	return s.start(name, program, false, args)
+}
+
+// StartPiped starts a program like Start, but its standard output goes through a pipe,
+// which CloseOutput closes.
+func (s *Set) StartPiped(name, program string, args ...string) (*Process, error) {
+	return s.start(name, program, true, args)
+}
+
+func (s *Set) start(name, program string, piped bool, args []string) (*Process, error) {
 	path := filepath.Join(s.logs, name+".log")
-	log, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := openOutput(path, piped)
 	if err != nil {
 		return nil, err
 	}
 	cmd := exec.Command(filepath.Join(s.bin, program), args...)
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Stdout, cmd.Stderr = out.stdout(), out.log
 	cmd.Env = append(os.Environ(), s.env...)
 	// A process group of its own keeps Ctrl-C from the child: the parent gets
 	// SIGINT alone and stops its children in order. Pdeathsig kills the child
 	// when the parent dies.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return nil, errors.Join(err, log.Close())
+	err = cmd.Start()
+	out.started(s.group, name)
+	if err != nil {
+		return nil, errors.Join(err, out.close())
 	}
-	p := &Process{Name: name, program: program, cmd: cmd, logPath: path, exited: make(chan struct{})}
+	p := &Process{Name: name, program: program, cmd: cmd, logPath: path, output: out, exited: make(chan struct{})}
 	s.group.Go("process.wait."+name, func(context.Context) error {
 		p.err = cmd.Wait()
+		p.exitedAt = time.Now()
+		err := out.close()
 		close(p.exited)
-		return log.Close()
+		return err
 	})
 	s.mu.Lock()
 	s.processes = append(s.processes, p)
