--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -36,6 +36,8 @@
 	// off at its end. Most of these requests came on kept connections, regardless of
 	// what the load balancer did.
 	{soak.PlanStops, 1, 6, 20 * time.Second, "a stopping node accepts requests that last beyond its grace period"},
+	{soak.PlanVersions, 1, 4, 10 * time.Second, "a node ends by SIGPIPE at its next log line once nobody reads its output"},
+	{soak.PlanVersions, 2, 6, 14 * time.Second, "a node ends by SIGHUP before it handles it, or after it no longer does"},
 }
 
 // TestSoak runs the plan of each regression for a short time, with real node processes,
