Soak: readers of output that stand still; a stop in a process's first moment

A log collector can also hang. A pipe that nobody reads fills up, and the next write blocks; the plan versions lets some readers stand still until their node ends.

A SIGTERM that comes before a new process handles it ends the process with "signal: terminated", which the plan took for an end by itself. Allowed only within 1 s of its start; attempts that such an end would cut off still have to be explained.

The starts of processes are recorded, so that a report shows them.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,7 +38,8 @@
   versions
           the configuration changes every 20 to 300 ms, at first alone, then beside SIGHUPs
           to all nodes (also as they start and stop), replaced settings files, planned
-          stops of some or all nodes, and output that nobody reads; then all nodes are
+          stops of some or all nodes, and output that nobody reads (its pipe is closed, or
+          its reader stands still); then all nodes are
           killed within 0.4 s of a version, and start again. Everything happens twice.
           No process may end that the run didn't end; a response may be cut off only by a
           kill of its process; after a kill of all the first answer must come within 3 s
--- a/soak/lifetime.go
+++ b/soak/lifetime.go
@@ -8,6 +8,9 @@
 	"redwinghall/standin/process"
 )
 
+// handleTime is the time from its start in which a process must handle SIGTERM.
+const handleTime = time.Second
+
 // lifetime is one process of a node: what the run did to it and how it ended.
 type lifetime struct {
 	process   *process.Process
@@ -59,13 +62,19 @@
 	}
 }
 
+// stoppedAtStart reports whether SIGTERM ended a process that had not yet begun to handle it.
+// Such a process has taken no request; whether one was lost is checked by itself.
+func (l *lifetime) stoppedAtStart() bool {
+	return l.process.EndedBy(syscall.SIGTERM) && l.terminatedAt.Sub(l.startedAt) < handleTime
+}
+
 // end records the end of a process, and returns an error if the run didn't make it end.
 func (d *deployment) end(l *lifetime) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l.endedAt = l.process.ExitedAt()
 	killed := !l.killedAt.IsZero() && l.process.EndedBy(syscall.SIGKILL)
-	stopped := !l.terminatedAt.IsZero() && l.process.Err() == nil
+	stopped := !l.terminatedAt.IsZero() && (l.process.Err() == nil || l.stoppedAtStart())
 	l.unasked = !killed && !stopped
 	switch {
 	case !l.unasked:
--- a/soak/supervisor.go
+++ b/soak/supervisor.go
@@ -47,10 +47,11 @@
 	n.settingsFile.Lock()
 	err := d.restart(n)
 	n.settingsFile.Unlock()
+	p := d.lifetimeOf(n).process
+	d.recordFault("%s (pid %d) starts", n.settings.Node, p.PID())
 	if err != nil || d.randomInt(2) == 0 {
 		return err
 	}
-	p := d.lifetimeOf(n).process
 	awaitHandler(ctx, p)
 	for range 1 + d.randomInt(maxStartHangUps) {
 		kernel.Sleep(ctx, d.randomTime(0, startHangUpTime))
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -6,6 +6,7 @@
 
 	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
+	"redwinghall/standin/process"
 )
 
 // Times of PlanVersions, in milliseconds unless they have a unit.
@@ -19,6 +20,7 @@
 	maxAfterAck       = 400 // from a version's acknowledgement to a stop or kill
 	minRestartDelay   = 100 // from the kill of all nodes to the start of one
 	maxRestartDelay   = 1500
+	lossShare         = 3 // at most one node in three loses its output at once
 	recoveryPoll      = 100 * time.Millisecond
 	// maxRoundTime bounds a round of a long run.
 	maxRoundTime = 20 * time.Second
@@ -38,6 +40,7 @@
 	{"stop of some nodes", stopSome},
 	{"stop of all nodes", stopAll},
 	{"readers of output end", closeOutputs},
+	{"readers of output stand still", stallOutputs},
 }
 
 // runVersions changes the configuration while sessions send requests, alone at first and
@@ -233,11 +236,21 @@
 
 // closeOutputs closes the pipes from which the output of some nodes is read.
 func closeOutputs(_ context.Context, d *deployment) error {
-	for range 1 + d.randomInt(max(1, len(d.nodes)/3)) {
+	d.loseOutputs("the pipe from which the output of %s (pid %d) is read is closed", (*process.Process).CloseOutput)
+	return nil
+}
+
+// stallOutputs lets the readers of the output of some nodes stand still until the nodes end.
+func stallOutputs(_ context.Context, d *deployment) error {
+	d.loseOutputs("the reader of the output of %s (pid %d) stands still", (*process.Process).StallOutput)
+	return nil
+}
+
+func (d *deployment) loseOutputs(message string, lose func(*process.Process)) {
+	for range 1 + d.randomInt(max(1, len(d.nodes)/lossShare)) {
 		n := d.nodes[d.randomInt(len(d.nodes))]
 		l := d.lifetimeOf(n)
-		d.recordFault("nobody reads the output of %s (pid %d) any longer", n.settings.Node, l.process.PID())
-		l.process.CloseOutput()
+		d.recordFault(message, n.settings.Node, l.process.PID())
+		lose(l.process)
 	}
-	return nil
 }
