Say when a version of the configuration comes into force on a node

configuration_read is written when a row was decoded, before the view changes, and also for a version that is older than the one in force, or the same read again from a list. So the lines of a request couldn't be placed beside the moment from which the node handled requests by another version.

"configuration_in_force" configuration=7 before=3

follows the change of the view, and nothing else. Without the call TestLogShowsWhichVersionIsInForce gets no line: "[]" should have 2 item(s).

--- a/directory/cache.go
+++ b/directory/cache.go
@@ -96,7 +96,9 @@
 	for _, change := range changes {
 		c.applyOne(now, change)
 	}
+	before := c.View()
 	c.publish()
+	logInForce(before, c.View())
 	if first && c.indexed != nil {
 		close(c.configured)
 	}
