--- a/directory/in_force_test.go
+++ b/directory/in_force_test.go
@@ -17,7 +17,9 @@
 	cache, log := directory.NewCache(), logtest.Open(t)
 	now := time.Unix(1000, 0)
 	for _, version := range []int64{3, 3, 2, 7} {
-		cache.Apply(now, directory.Change{Config: &fleet.Configuration{Version: version}})
+		cache.Apply(now, directory.Change{Config: &fleet.Configuration{
+			Version: version, Routes: []fleet.Route{{Name: "r"}}, Services: map[string]fleet.Service{"s": {Name: "s"}},
+		}})
 		cache.Apply(now, directory.Change{Endpoint: &fleet.Endpoint{ID: "e1"}})
 	}
 	lines := log.Lines("configuration_in_force")
