A panic that a part outlives fails the tests and the soak

Since parts outlive their panics, a test in which the planner panics could pass, and a soak too. kernel.Panics counts them; the tests of formation and node fail if any came that no test provokes, and each plan of the soak if a log has the line part_panicked or request_panicked.

--- a/formation/panic_test.go
+++ b/formation/panic_test.go
@@ -48,7 +48,9 @@
 		f.leases++
 		n := &node{version: f.leases, firstStart: true, progressing: map[string]bool{}, leaving: map[string]bool{}, group: kernel.NewGroup(context.Background())}
 		n.holdsLease.Store(true)
-		n.start(f.cache, &panickingOrderer{Orderer: f, seen: map[string]bool{}})
+		orderer := &panickingOrderer{Orderer: f, seen: map[string]bool{}}
+		n.start(f.cache, orderer)
+		defer func() { expectedPanics.Add(int64(len(orderer.seen))) }()
 		defer n.stop(t)
 		time.Sleep(2 * time.Minute)
 		require.Len(t, f.servingHeads("large"), 2)
@@ -63,6 +65,7 @@
 		n := manage(f, true)
 		defer n.stop(t)
 		left := 5
+		defer expectedPanics.Add(5)
 		n.set(func() {
 			n.onLeaseCheck = func() {
 				if left--; left >= 0 {
--- a/kernel/panic.go
+++ b/kernel/panic.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
@@ -18,6 +19,11 @@
 	maxPanicFrames = 24
 )
 
+var panics atomic.Int64
+
+// Panics returns how many panics Protect has recovered in this process.
+func Panics() int64 { return panics.Load() }
+
 // Protect calls fn. A panic in fn is logged as an event of a part and returned as an Error.
 //
 // What fn held or changed when it panicked stays as it is: fn must release locks by deferred calls, and
@@ -25,6 +31,7 @@
 func Protect(part string, fn func() error) (err error) {
 	defer func() {
 		if value := recover(); value != nil {
+			panics.Add(1)
 			text := PanicText(value)
 			klog.ErrorS(nil, "part_panicked", "part", part, "value", text, "stack", PanicStack())
 			err = redwinghall.NewOpError("Group."+part, Panicked, errors.New(text))
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,6 +51,7 @@
 		return report, nil
 	}
 	err = d.plan()(ctx, &report)
+	report.Violations = append(report.Violations, d.checkPanics()...)
 	for _, f := range d.faults {
 		report.Faults = append(report.Faults, f.String())
 	}
