Routers and controllers: a panic ends one call or one round, not the process

Single calls run as tasks; the loops that rebuild routes, push registers and write claims are kept. A poll that panicked counts as failed rather than as an empty report, and an outcome whose recording panicked stays pending. A call that must run at most once and panics leaves its caller with outcome_unknown, as an attempt that was sent does. Found by reading, not seen.

--- a/caller/once.go
+++ b/caller/once.go
@@ -32,12 +32,11 @@
 	done := make(chan onceResult, 1)
 	timeout := view.Service.Timeout.Std() + s.config.SettleTimeout
 	s.onceCalls.Add(1)
-	s.calls.Go("caller.once", func(context.Context) error {
+	s.calls.Task("caller.once", func(context.Context) {
 		defer s.onceCalls.Add(-1)
 		callCtx, cancel := callContext(s.calls, timeout)
 		defer cancel()
 		done <- s.attempt(ctx, callCtx, latch, r, view)
-		return nil
 	})
 	select {
 	case result := <-done:
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -75,9 +75,9 @@
 
 // Run starts the keeper's background loops in g.
 func (k *Keeper) Run(g *kernel.Group) {
-	g.Go("claim.writer", k.writer.Run)
-	g.Go("claim.probe", k.writer.RunProbe)
-	g.Go("claim.record", k.recordLoop)
+	g.Keep("claim.writer", k.writer.Run)
+	g.Keep("claim.probe", k.writer.RunProbe)
+	g.Keep("claim.record", k.recordLoop)
 }
 
 // Writer returns the writer, whose counts are reported as metrics.
@@ -230,19 +230,17 @@
 	if err != nil {
 		return false
 	}
-	var failed atomic.Bool
+	var recorded atomic.Int32
 	round := kernel.NewGroup(ctx)
 	for i := range rows {
-		round.Go("claim.record_one", func(ctx context.Context) error {
+		round.Task("claim.record_one", func(ctx context.Context) {
 			if k.recordOne(ctx, rows[i], outcomes[i]) {
 				k.removePending(outcomes[i])
-				return nil
+				recorded.Add(1)
 			}
-			failed.Store(true)
-			return nil
 		})
 	}
-	return round.Wait() == nil && !failed.Load()
+	return round.Wait() == nil && int(recorded.Load()) == len(rows)
 }
 
 // recordOne writes the outcome to its row, unless nothing is left to write, and
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -111,7 +111,7 @@
 	g.Every("route.refresh", refreshInterval, func(_ context.Context, now time.Time) {
 		r.Selector.Refresh(now, r.Node.Health, r.Node.Live(peer.Router))
 	})
-	g.Go("route.rebuild", r.rebuildLoop)
+	g.Keep("route.rebuild", r.rebuildLoop)
 	g.Every("route.grants", grantInterval, r.requestGrants)
 	if err := serve(g, "caller.listener", callers, r.settings.MaxConnections); err != nil {
 		g.Stop()
--- a/endpoint/poller.go
+++ b/endpoint/poller.go
@@ -53,10 +53,7 @@
 		}
 		tracker := p.tracker(g)
 		p.polls.Add(uint64(len(g.Members)))
-		round.Go("endpoint.poll_group", func(ctx context.Context) error {
-			p.pollGroup(ctx, tracker, now)
-			return nil
-		})
+		round.Task("endpoint.poll_group", func(ctx context.Context) { p.pollGroup(ctx, tracker, now) })
 	}
 	_ = round.Wait() // the goroutines return no errors
 	for id := range p.trackers {
@@ -82,9 +79,11 @@
 	errs := make([]error, len(members))
 	round := kernel.NewGroup(ctx)
 	for i, m := range members {
-		round.Go("endpoint.poll", func(ctx context.Context) error {
-			reports[i], errs[i] = p.engine.Report(ctx, m.Address)
-			return nil
+		round.Task("endpoint.poll", func(ctx context.Context) {
+			errs[i] = kernel.Protect("endpoint.report", func() (err error) {
+				reports[i], err = p.engine.Report(ctx, m.Address)
+				return err
+			})
 		})
 	}
 	_ = round.Wait() // the goroutines return no errors
--- a/endpoint/reports.go
+++ b/endpoint/reports.go
@@ -14,11 +14,10 @@
 	reports := make([]*redwinghall.Report, len(members))
 	round := kernel.NewGroup(ctx)
 	for i, member := range members {
-		round.Go("endpoint.request_report", func(ctx context.Context) error {
+		round.Task("endpoint.request_report", func(ctx context.Context) {
 			if r, err := m.engine.Report(ctx, member.Address); err == nil {
 				reports[i] = &r
 			}
-			return nil
 		})
 	}
 	_ = round.Wait() // the goroutines return no errors
--- a/peer/node.go
+++ b/peer/node.go
@@ -101,7 +101,7 @@
 	n.announce(started, n.Self)
 	n.recordRound(started)
 	g.Every("peer.exchange", n.Interval, func(ctx context.Context, now time.Time) { n.tick(ctx, now) })
-	g.Go("peer.push", n.pushLoop)
+	g.Keep("peer.push", n.pushLoop)
 }
 
 // Leave announces to the peers that this process is stopping.
--- a/peer/push.go
+++ b/peer/push.go
@@ -56,17 +56,13 @@
 
 	pushes := kernel.NewGroup(ctx)
 	for _, m := range sample(n.zonePeers(n.Self.AvailabilityZone), zoneFanout) {
-		pushes.Go("peer.push_one", func(ctx context.Context) error {
+		pushes.Task("peer.push_one", func(ctx context.Context) {
 			_ = n.exchange(ctx, m, newPush(entries, health)) // a lost push is repaired by the periodic exchange
-			return nil
 		})
 	}
 	if global := globalOnly(entries); len(global) > 0 {
 		for _, m := range sample(n.otherZoneSeeds(), crossZoneFanout) {
-			pushes.Go("peer.push_one", func(ctx context.Context) error {
-				_ = n.exchange(ctx, m, newPush(global, nil))
-				return nil
-			})
+			pushes.Task("peer.push_one", func(ctx context.Context) { _ = n.exchange(ctx, m, newPush(global, nil)) })
 		}
 	}
 	_ = pushes.Wait()
--- a/peer/round.go
+++ b/peer/round.go
@@ -61,9 +61,8 @@
 	out.roundTimeout = max(time.Millisecond, left-roundStep)
 	calls := kernel.NewGroup(ctx)
 	for _, child := range childrenOf(live, n.Self.ID) {
-		calls.Go("peer.round", func(ctx context.Context) error {
+		calls.Task("peer.round", func(ctx context.Context) {
 			_ = n.exchange(ctx, child, out) // a failure is recorded by exchange
-			return nil
 		})
 	}
 	_ = calls.Wait() // the tasks return no errors
