A panic while a connection is opened, or in a timer, no longer ends the process

net/http opens connections in goroutines of its own, and a timer calls its function in one: nothing recovers a panic there. Found by reading. Evidence, before the change: both tests ended their binary, 'panic: address' and 'panic: timer'.

--- a/dial/timeout_test.go
+++ b/dial/timeout_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall"
 	"redwinghall/dial"
+	"redwinghall/kernel"
 )
 
 // An endpoint that doesn't accept connections must be found in time, as one to which nothing was sent.
@@ -34,3 +37,12 @@
 	_, err := open(ctx, "tcp", "127.0.0.1:1")
 	require.ErrorIs(t, err, context.Canceled)
 }
+
+// net/http opens connections in goroutines of its own, in which nothing recovers a panic.
+func TestPanicWhileDialingIsAFailedDial(t *testing.T) {
+	open := dial.WithTimeout(func(context.Context, string, string) (net.Conn, error) { panic("address") }, time.Minute)
+	client := &http.Client{Transport: &http.Transport{DialContext: open}}
+	_, err := client.Get("http://127.0.0.1:1")
+	require.True(t, dial.Failed(err))
+	require.Equal(t, kernel.Panicked, redwinghall.KindOf[kernel.Kind](err))
+}
--- a/kernel/timeout.go
+++ b/kernel/timeout.go
@@ -60,7 +60,8 @@
 	set     bool
 }
 
-// AfterFunc calls fn in a goroutine of its own once this process has run for timeout.
+// AfterFunc calls fn in a goroutine of its own once this process has run for timeout. A panic in fn
+// ends only this call.
 func AfterFunc(timeout time.Duration, fn func()) *Timer {
 	t := &Timer{fn: fn, begun: time.Now(), timeout: timeout, set: true}
 	t.mu.Lock()
@@ -71,7 +72,7 @@
 
 func (t *Timer) due() {
 	if t.elapsed(time.Now()) {
-		t.fn()
+		_ = protectCall("timer", t.fn) // it is logged
 	}
 }
 
--- a/kernel/timeout_test.go
+++ b/kernel/timeout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +46,10 @@
 	<-fired
 	require.False(t, timer.Stop())
 }
+
+// The function of a timer runs in a goroutine of its own.
+func TestPanicOfATimerEndsOnlyItsCall(t *testing.T) {
+	log := captureLog(t)
+	kernel.AfterFunc(time.Millisecond, func() { panic("timer") })
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"part_panicked" part="timer"`) }, waitTime, time.Millisecond)
+}
