Gateway: the announced length of a body is not allocated before it arrives

What callers would see: one request with a large Content-Length, within the limit of the configuration, ends the node's process and all requests and streams on it; below that, each caller that announces a body and doesn't send it holds its whole length.

Cause: readBody allocated the announced length, which only the operators' body_bytes bounds.

Evidence: TestAnnouncedLengthOfABodyIsNotAllocated ended the test process before ("fatal error: runtime: out of memory"). TestRequestsEndWithAnyConfigurationAndEntries sends requests through the gateway under malformed configurations and entries; 5,000 cases passed before this change too.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -90,6 +90,9 @@
 const (
 	defaultBodyBytes = 4 << 20
 	bodySlack        = 1 // one extra byte shows that a body exceeds the limit
+	// maxAllocatedAhead is the size up to which the announced length of a body is allocated
+	// before it arrives.
+	maxAllocatedAhead = 1 << 20
 )
 
 var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
@@ -106,7 +109,7 @@
 	if in.ContentLength > limit {
 		return nil, errBodyTooLarge
 	}
-	if in.ContentLength > 0 {
+	if in.ContentLength > 0 && in.ContentLength <= maxAllocatedAhead {
 		body := make([]byte, in.ContentLength)
 		n, err := io.ReadFull(in.Body, body)
 		return body[:n], err
