Fix: a node that helped another kept refusing its own callers

What callers saw: all nodes of a zone are parted for seconds and one returns.

Cause: when all endpoints of a service are in backoff, a node tries two of them each 0.5 s and ends the backoff of those it connects to. It tries only endpoints to which its last attempt to connect failed. A node that is still parted asks the returned one to check an endpoint, or to forward a request to it. That connects, too, and says so to the table of paths, but left the backoff. From then on the rechecks skip the endpoint, as it is connected, and its callers wait for the backoff, up to 3 s.

Change: a connection that was opened for anyone ends a backoff that began as this node could not connect. A backoff after a stall, after a 421 or after the word of others stays, as the last connection then worked.

Evidence: TestCallersAreServedOnceTheNodeHasHelpedAnother failed before, for a check and for a forwarded request: "expected: 200, actual: 503", with refused ... reason="unreachable" in_backoff=1 0.3 ms after "forwarded" of the other node's request to the same endpoint.

Ruled out: the dispatcher's failure reports (they tell of groups only), and failed attempts over open connections, which start no backoff.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	closeProbe(conn)
-	if g.Paths.Connected(time.Now(), e.Service, e.ID) {
+	if g.recordConnected(time.Now(), e) {
 		klog.InfoS("path_returned", "endpoint", e.ID, "service", e.Service, "zone", e.Zone, "indirect", g.Paths.Indirect())
 		g.Metrics.PathChanged(true)
 	}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -72,7 +72,7 @@
 	doubtful := g.Paths.SeemsParted(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.Service, to.ID))
 	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), SendOptions{
 		Fresh:       fresh || doubtful,
-		OnConnected: func() { g.Paths.Connected(time.Now(), to.Service, to.ID) },
+		OnConnected: func() { g.recordConnected(time.Now(), to) },
 	})
 	if redwinghall.KindOf[Kind](err) == NotSent && ctx.Err() == nil {
 		g.Paths.Failed(time.Now(), to.Service, to.ID)
@@ -152,6 +152,18 @@
 	g.ReportStall(e.ID)
 }
 
+// recordConnected records that this node opened a connection to an endpoint. It reports whether
+// requests to it go over this node's own connections again.
+//
+// A backoff that began as this node could not connect ends, whatever the connection was opened for.
+// Rechecks leave such an endpoint alone from now on, as it is known to be reached.
+func (g *Gateway) recordConnected(now time.Time, e *fleet.Endpoint) (returned bool) {
+	if g.Paths.Unconnected(e.ID) {
+		g.Tracker.EndBackoff(e.ID)
+	}
+	return g.Paths.Connected(now, e.Service, e.ID)
+}
+
 // recordBroken records that a connection broke before the end of a response.
 func (g *Gateway) recordBroken(now time.Time, e *fleet.Endpoint, response *Response) {
 	if response.via() == "" {
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -77,10 +77,18 @@
 }
 
 func (s *pathFixture) forward(kind neighbor.ForwardKind) neighbor.ForwardOutcome {
+	s.t.Helper()
+	return s.forwardTo(kind, "e1")
+}
+
+func (s *pathFixture) forwardTo(kind neighbor.ForwardKind, id string) neighbor.ForwardOutcome {
 	s.t.Helper()
 	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://e1/health", nil)
 	require.NoError(s.t, err)
-	response, outcome, err := neighbor.NewForwardClient().Send(s.t.Context(), s.toPeer, neighbor.Forward{Kind: kind, Endpoint: "e1", Node: "n2", Timeout: time.Second}, request)
+	if kind == neighbor.ForwardRequest {
+		request = s.request(http.MethodGet, "/look/x").WithContext(s.t.Context())
+	}
+	response, outcome, err := neighbor.NewForwardClient().Send(s.t.Context(), s.toPeer, neighbor.Forward{Kind: kind, Endpoint: id, Node: "n2", Timeout: time.Second}, request)
 	require.NoError(s.t, err)
 	require.NoError(s.t, response.Body.Close())
 	return outcome
@@ -115,3 +123,23 @@
 	require.Equal(t, http.StatusServiceUnavailable, s.do(s.request(http.MethodPost, "/book/x")).status)
 	require.Equal(t, int32(1), s.peers.asked.Load())
 }
+
+// A node was parted and holds its only endpoint in a long backoff. Another node asks it to check that
+// endpoint, or to forward a request. Its own callers must be served once that has worked.
+func TestCallersAreServedOnceTheNodeHasHelpedAnother(t *testing.T) {
+	for _, kind := range []neighbor.ForwardKind{neighbor.ForwardCheck, neighbor.ForwardRequest} {
+		t.Run(string(kind), func(t *testing.T) {
+			s := newPathFixture(t)
+			s.cache.Apply(time.Now(), directory.Change{Gone: "e1"})
+			s.endpoint("e2", "desk", sign)
+			now := time.Now()
+			for _, age := range []time.Duration{4 * time.Second, 3 * time.Second, 1200 * time.Millisecond} {
+				s.paths.Failed(now.Add(-age), "desk", "e2")
+				s.tracker.MarkUnreached(now.Add(-age), "e2")
+			}
+			require.Equal(t, http.StatusServiceUnavailable, s.do(s.request(http.MethodGet, "/look/x")).status)
+			s.forwardTo(kind, "e2")
+			require.Equal(t, http.StatusOK, s.do(s.request(http.MethodGet, "/look/x")).status)
+		})
+	}
+}
