Fix: a node whose log reader hangs never ended after SIGTERM

The last lines wait for their reader for 1 s at most, less once the stop has used its grace period. TestNodeStopsThoughNobodyReadsItsOutput failed before (the process doesn't exit, 15 s after SIGTERM) and passes.

--- a/kernel/group.go
+++ b/kernel/group.go
@@ -112,6 +112,18 @@
 // Stop cancels the group's context. It does not wait for the goroutines.
 func (g *Group) Stop() { g.stop() }
 
+// WaitWithin waits like Wait, but no longer than limit. ok reports whether all goroutines have returned.
+func (g *Group) WaitWithin(limit time.Duration) (ok bool, err error) {
+	done := make(chan error, 1)
+	NewGroup(context.Background()).Task("wait", func(context.Context) { done <- g.Wait() })
+	select {
+	case err := <-done:
+		return true, err
+	case <-time.After(limit):
+		return false, nil
+	}
+}
+
 // Wait waits until all goroutines have returned, and returns the first error.
 func (g *Group) Wait() error {
 	defer g.stop()
--- a/kernel/group_test.go
+++ b/kernel/group_test.go
@@ -148,3 +148,17 @@
 	require.Equal(t, kernel.Panicked, redwinghall.KindOf[kernel.Kind](err))
 	require.Contains(t, log.String(), `"part_failed" err="panicked: Group.serve: part failed" part="serve"`)
 }
+
+// A goroutine that never returns must not keep the caller beyond the limit.
+func TestWaitWithinALimit(t *testing.T) {
+	release := make(chan struct{})
+	g := kernel.NewGroup(t.Context())
+	g.Go("stuck", func(context.Context) error { <-release; return errPart })
+	ok, err := g.WaitWithin(20 * time.Millisecond)
+	require.False(t, ok)
+	require.NoError(t, err)
+	close(release)
+	ok, err = g.WaitWithin(waitTime)
+	require.True(t, ok)
+	require.ErrorIs(t, err, errPart)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,8 @@
 		err := n.Run(ctx)
 		klog.Flush()
 		logs.Stop()
-		return errors.Join(err, logs.Wait())
+		_, logErr := logs.WaitWithin(n.logDrainTime(time.Now())) // lines that nobody reads must not keep the process
+		return errors.Join(err, logErr)
 	}
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -17,6 +17,10 @@
 	balancerNoticeTime = 2400 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to exit.
 	exitMargin = 400 * time.Millisecond
+	// maxLogDrainTime is how long the last log lines wait for their reader, minLogDrainTime the same
+	// once a stop has used its grace period; it leaves the rest of exitMargin for the exit.
+	maxLogDrainTime = time.Second
+	minLogDrainTime = exitMargin / 2
 	// leaveTimeout is the timeout for releasing the lease in the store. If the release
 	// fails, the lease expires by itself.
 	leaveTimeout = time.Second
@@ -75,6 +79,15 @@
 	n.ending.interrupt(n.conns.logInterrupted(time.Now(), cutByGrace), !inactive)
 }
 
+// logDrainTime returns how long the last log lines may wait for their reader.
+func (n *Node) logDrainTime(now time.Time) time.Duration {
+	stop := n.stopping.Load()
+	if stop == nil {
+		return maxLogDrainTime
+	}
+	return min(maxLogDrainTime, minLogDrainTime+max(0, stop.End.Sub(now)))
+}
+
 // protectStep performs a step of a stop. If it panics, the stop goes on: the streams in progress still get
 // the rest of the grace period.
 func protectStep(name string, step func()) {
