--- a/formation/main_test.go
+++ b/formation/main_test.go
@@ -16,7 +16,7 @@
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if n := kernel.Panics() - expectedPanics.Load(); n != 0 {
-		fmt.Println("parts panicked other than expected:", n)
+		_, _ = fmt.Fprintln(os.Stderr, "parts panicked other than expected:", n)
 		code = 1
 	}
 	os.Exit(code)
--- a/node/main_test.go
+++ b/node/main_test.go
@@ -12,7 +12,7 @@
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if n := kernel.Panics(); n != 0 {
-		fmt.Println("parts panicked:", n)
+		_, _ = fmt.Fprintln(os.Stderr, "parts panicked:", n)
 		code = 1
 	}
 	os.Exit(code)
