Members: rows that name no node of their key aren't counted as nodes

What callers would see: each node uses a smaller share of the limits that all nodes have together (connections, cold endpoints, retries), and requests are refused while there is room.

Cause: any value that decodes counted as a node, null and {} too, once for each such row.

Evidence: TestRowsThatNameNoNodeAreNotCounted failed before ("should have 2 item(s), but has 6"). TestNodesGoOnWithAnyRowsOfNodesAndLeases found no panic in 3,000 cases, nor with the code before.

Why it works: a row counts if it names the node of its key, with a zone; what it says otherwise is logged once for each version of the row, not at each list.

--- a/members/nodes.go
+++ b/members/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
@@ -22,6 +23,23 @@
 	Capacity int `json:"capacity,omitempty"`
 }
 
+// decodeNode decodes the row with a node's key.
+//
+// A row that names no node, or another one, would count as one more node: all nodes would use
+// a smaller share of the limits that they have together, and might take it for their reader.
+func decodeNode(key string, value []byte) (announcement, error) {
+	var a announcement
+	if err := json.Unmarshal(value, &a); err != nil {
+		return announcement{}, err
+	}
+	if nodePrefix+a.Name != key || a.Name == "" || a.Zone == "" {
+		return announcement{}, errNoNode
+	}
+	return a, nil
+}
+
+var errNoNode = errors.New("the row doesn't name the node of its key, with a zone")
+
 // Peer returns the node as a relay peer.
 func (n Node) Peer() relay.Peer {
 	return relay.Peer{Name: n.Name, Address: n.Address, Capacity: n.Capacity}
@@ -29,7 +47,7 @@
 
 // seenNode is the last known state of a node's row.
 type seenNode struct {
-	node    announcement
+	node    announcement // the zero value if the row names none
 	version int64
 	since   time.Time // when this version was first read
 }
@@ -48,13 +66,14 @@
 		s := t.seen[key]
 		if s.version != row.Version {
 			s = seenNode{version: row.Version, since: boot}
-			if err := json.Unmarshal(row.Value, &s.node); err != nil {
-				klog.ErrorS(err, "member_unreadable", "key", key)
-				continue
+			node, err := decodeNode(key, row.Value)
+			if err != nil {
+				klog.ErrorS(err, "member_unreadable", "key", key, "version", row.Version)
 			}
+			s.node = node
 		}
 		next[key] = s
-		if s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaledByNodes(memberTimeout) {
+		if s.node.Name != "" && s.node.Name != t.config.Self.Name && boot.Sub(s.since) < t.scaledByNodes(memberTimeout) {
 			nodes = append(nodes, s.node.Node)
 		}
 	}
@@ -74,7 +93,7 @@
 	}
 	var nodes []Node
 	for key, s := range t.seen {
-		if _, listed := next[key]; listed || s.node.Name == t.config.Self.Name {
+		if _, listed := next[key]; listed || s.node.Name == "" || s.node.Name == t.config.Self.Name {
 			continue
 		}
 		next[key] = s
