--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,14 @@
 
 # Property tests with new random cases, and each fuzz target for a while.
 explore:
-	RWH_EXPLORE=1 go test ./formation ./lease ./place ./peer ./ramp ./operator -count=1 -rapid.checks=5000
+	RWH_EXPLORE=1 go test ./formation ./lease ./place ./peer ./ramp ./operator ./balance ./members ./gateway -count=1 -rapid.checks=5000
 	go test . -run '^$$' -fuzz FuzzParseManifest -fuzztime 20s
 	go test ./daemon -run '^$$' -fuzz FuzzLoadRouter -fuzztime 20s
 	go test ./peer -run '^$$' -fuzz FuzzExchange -fuzztime 20s
 	go test ./caller -run '^$$' -fuzz FuzzChatBody -fuzztime 20s
 	go test ./caller -run '^$$' -fuzz FuzzEventReader -fuzztime 20s
 	go test ./platform -run '^$$' -fuzz FuzzDecodeEndpoint -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime 20s
 
 measure: build
 	@cd measure && go build -o $(BIN)/measure .
