Fix: a large response was cut when the time of its attempt was over

Callers of idempotent routes saw a response of more than 256 KB end early, although its endpoint was sending and their own time was not over. The timer of an attempt leaves time for a retry; it went on while the rest of a response was passed on, which no retry can replace any more. A living node cut it:

"answer_broken_off" request="r-1" reason="attempt_timeout" route="look" held="1.30029125s" ... status=200 bytes=716800 err="context deadline exceeded"

Found by reading the paths on which a request ends without a whole answer. The timer now stops once the part that a retry could replace has been read; the request's own deadline stays. TestLargeResponseOutlastsTheTimeOfAnAttempt, as a trial on the code before: 200, 716800 of 1024000 bytes, unexpected EOF.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -128,7 +128,7 @@
 // in part.
 func (c *plainCall) attempt(ctx context.Context, choice balance.Choice) plainAttempt {
 	c.tried[choice.Endpoint.ID] = true
-	ctx, cancel := kernel.WithTimeout(ctx, c.attemptTimeout(time.Now()))
+	ctx, timer, cancel := withAttemptTimer(ctx, c.attemptTimeout(time.Now()))
 	response, err := c.g.send(ctx, c.r, choice.Endpoint, "", c.sendMode())
 	if err != nil {
 		cancel()
@@ -143,6 +143,7 @@
 		cancel()
 	}
 	c.recordAttempt(choice, last)
+	timer.Stop() // what is unread can't be replaced by a retry any more
 	if last.unread == nil {
 		last.release()
 		last.release = nil
@@ -150,6 +151,17 @@
 	return last
 }
 
+// withAttemptTimer returns a context that is canceled once this process has run for timeout, unless the
+// timer is stopped.
+func withAttemptTimer(parent context.Context, timeout time.Duration) (context.Context, *kernel.Timer, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := kernel.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	return ctx, timer, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 // sendMode returns how the next attempt is sent. One that may not be repeated isn't written to
 // an open connection that may be dead: its outcome would be unknown until its deadline.
 func (c *plainCall) sendMode() sendMode {
