--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	mv $(BIN)/golangci-lint $@
 
 lint: $(BIN)/golangci-lint-$(LINT_VERSION)
-	@for m in $(MODULES); do (cd $$m && $< run --config $(CURDIR)/.golangci.yml ./...) || bad=1; done; [ -z "$$bad" ]
+	@for m in $(MODULES); do (cd $$m && $< run --allow-serial-runners --config $(CURDIR)/.golangci.yml ./...) || bad=1; done; [ -z "$$bad" ]
 
 # The language server renames through all modules:
 #   bin/gopls-VERSION rename -w FILE:LINE:COLUMN New
