Fix: a caller that left an endpoint's error response counted at the endpoint for ever

What callers would see: 503 overloaded at one node, for a service with room, until the node starts anew.

Cause: passing on an error response ends by a panic if the caller has left (http.ErrAbortHandler). Attempt.Done came behind it, so the request stayed counted as running, and the check for stalls went on.

TestAttemptEndsWhenTheCallerHasLeft failed before for streams (Should be empty, but was map[e1:{1 1 100}]), not for plain answers, whose attempt ends earlier. The attempt now ends by defer; ending it twice does nothing.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -14,6 +14,7 @@
 	sentAt  time.Time
 	prompt  int
 	started bool
+	ended   bool // counted as finished
 	// startedMillis is when the endpoint's process started.
 	startedMillis int64
 	first         time.Time // when the first event of a stream came
@@ -128,6 +129,7 @@
 
 // finish removes the request from the endpoint's counts. The lock is held.
 func (a *Attempt) finish() {
+	a.ended = true
 	a.start()
 	a.s.retryAfter.finish(a)
 	a.s.own--
@@ -140,7 +142,9 @@
 func (a *Attempt) Cancel() {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
-	a.finish()
+	if !a.ended {
+		a.finish()
+	}
 }
 
 // Done ends the attempt. ok reports whether the request succeeded.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -128,6 +128,7 @@
 // in part.
 func (c *plainCall) attempt(ctx context.Context, choice balance.Choice) plainAttempt {
 	c.tried[choice.Endpoint.ID] = true
+	defer choice.Attempt.Cancel() // if the exchange panics
 	ctx, timer, cancel := withAttemptTimer(ctx, c.attemptTimeout(time.Now()))
 	response, err := c.g.send(ctx, c.r, choice.Endpoint, "", c.sendMode())
 	if err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -135,10 +135,12 @@
 // attempt sends the request to one group and relays its response.
 func (c *streamCall) attempt(ctx context.Context, choice balance.Choice) streamAttempt {
 	c.tried[choice.Endpoint.ID] = true
+	defer choice.Attempt.Cancel() // if the exchange panics, as it does when the caller has left
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var stalled atomic.Bool
 	stop := c.watchStall(choice, func() { stalled.Store(true); cancel(ErrStalled) })
+	defer stop()
 	last := c.exchange(ctx, choice)
 	stop()
 	last.retryCharged = stalled.Load()
