Fix: a node stood still if nobody read its standard error

net/http writes some lines to the standard log while it holds a transport's locks, such as that of a response nobody asked for. The standard log goes to the log sink now, which never blocks. TestStandardLogGoesToTheSink failed before (the line was on standard error).

--- a/node/logs.go
+++ b/node/logs.go
@@ -95,7 +95,8 @@
 // write passes a line to the output. Errors are ignored, as there is nowhere to report them.
 func (s *LogSink) write(line []byte) { _, _ = s.out.Write(line) }
 
-// UseLogSink sends klog's lines of all levels to a sink.
+// UseLogSink sends the lines of klog, of all levels, and of the standard log to a sink. net/http writes the latter
+// with locks held, so that it would wait for whoever reads standard error.
 func UseLogSink(sink *LogSink, verbose int) {
 	set := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(set)
@@ -106,4 +107,5 @@
 		_ = set.Set(name, value) // klog defines all of these flags
 	}
 	klog.SetOutput(sink)
+	klog.CopyStandardLogTo("INFO")
 }
--- a/node/logs_test.go
+++ b/node/logs_test.go
@@ -1,11 +1,15 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
+	"log"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"k8s.io/klog/v2"
 
 	"redwinghall/kernel"
 	"redwinghall/node"
@@ -47,3 +51,17 @@
 	g.Stop()
 	require.NoError(t, g.Wait())
 }
+
+// net/http writes to the standard log with locks held. If nobody reads standard error, all requests would wait there.
+func TestStandardLogGoesToTheSink(t *testing.T) {
+	t.Cleanup(func() { klog.LogToStderr(true); log.SetOutput(os.Stderr) })
+	var out bytes.Buffer
+	sink := node.NewLogSink(&out)
+	node.UseLogSink(sink, 0)
+	g := kernel.NewGroup(t.Context())
+	sink.Start(g)
+	log.Print("Unsolicited response received on idle HTTP channel")
+	g.Stop()
+	require.NoError(t, g.Wait())
+	require.Contains(t, out.String(), "Unsolicited response")
+}
