--- a/soak/storm.go
+++ b/soak/storm.go
@@ -14,6 +14,7 @@
 	maxVersionInterval  = 300
 	manyRoutes          = 4000
 	manyKeys            = 4000
+	maxUnused           = 8000 // routes or keys, as all nodes of a run share one machine
 	maxShare            = 10
 	maxExtraTimeout     = 3 * time.Second
 	minIdleTimeout      = 5 * time.Second
@@ -35,8 +36,10 @@
 
 var versionChanges = []versionChange{
 	{"the same with a new number", func(*deployment, *platformtest.Variant) {}},
-	{"many routes more", func(_ *deployment, v *platformtest.Variant) { v.UnusedRoutes += manyRoutes }},
-	{"many keys more", func(_ *deployment, v *platformtest.Variant) { v.UnusedKeys += manyKeys }},
+	{"many routes more", func(_ *deployment, v *platformtest.Variant) {
+		v.UnusedRoutes = min(v.UnusedRoutes+manyRoutes, maxUnused)
+	}},
+	{"many keys more", func(_ *deployment, v *platformtest.Variant) { v.UnusedKeys = min(v.UnusedKeys+manyKeys, maxUnused) }},
 	{"unused routes and keys removed", removeUnused},
 	{"unused routes and keys removed again", removeUnused},
 	{"routes to the second service", func(_ *deployment, v *platformtest.Variant) { v.FirstShare, v.SecondShare = 0, 1 }},
