--- a/node/logs_test.go
+++ b/node/logs_test.go
@@ -54,7 +54,8 @@
 
 // net/http writes to the standard log with locks held. If nobody reads standard error, all requests would wait there.
 func TestStandardLogGoesToTheSink(t *testing.T) {
-	t.Cleanup(func() { klog.LogToStderr(true); log.SetOutput(os.Stderr) })
+	t.Cleanup(klog.CaptureState().Restore)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	var out bytes.Buffer
 	sink := node.NewLogSink(&out)
 	node.UseLogSink(sink, 0)
