--- a/balance/bad_input_test.go
+++ b/balance/bad_input_test.go
@@ -12,7 +12,7 @@
 	"redwinghall/balance"
 	"redwinghall/fleet"
 	"redwinghall/platform"
-	"redwinghall/rwhtest/badinput"
+	"redwinghall/platform/platformtest/badinput"
 	_ "redwinghall/rwhtest/fixedseed"
 )
 
--- a/formation/bad_input_test.go
+++ b/formation/bad_input_test.go
@@ -11,7 +11,7 @@
 	"redwinghall/fleet"
 	"redwinghall/formation"
 	"redwinghall/platform"
-	"redwinghall/rwhtest/badinput"
+	"redwinghall/platform/platformtest/badinput"
 	_ "redwinghall/rwhtest/fixedseed"
 )
 
--- a/gateway/bad_input_test.go
+++ b/gateway/bad_input_test.go
@@ -22,7 +22,7 @@
 	"redwinghall/gateway"
 	"redwinghall/platform"
 	"redwinghall/platform/platformtest"
-	"redwinghall/rwhtest/badinput"
+	"redwinghall/platform/platformtest/badinput"
 	_ "redwinghall/rwhtest/fixedseed"
 )
 
--- a/kernel/timeout.go
+++ b/kernel/timeout.go
@@ -37,7 +37,7 @@
 //
 // What concludes from a silence that something failed measures it by RunTime. What others go by
 // too, as a caller's deadline or the end of a lease, passes while this process is paused, and
-// is measured by the clock.
+// goes by the clock.
 func RunTime(from, to time.Time) time.Duration {
 	now := time.Now()
 	if !to.After(now) {
--- a/members/bad_input_test.go
+++ b/members/bad_input_test.go
@@ -10,7 +10,7 @@
 
 	"redwinghall/fleet"
 	"redwinghall/members"
-	"redwinghall/rwhtest/badinput"
+	"redwinghall/platform/platformtest/badinput"
 	_ "redwinghall/rwhtest/fixedseed"
 )
 
--- a/node/ending.go
+++ b/node/ending.go
@@ -18,7 +18,7 @@
 // maxInterruptedLines bounds the lines on requests that end with the process.
 const maxInterruptedLines = 200
 
-// ending is what a node says of its end in its last line.
+// ending collects why and how the node ends, for the log line node_stopped.
 type ending struct {
 	mu          sync.Mutex
 	reason      string
--- a/node/vm_memory.go
+++ b/node/vm_memory.go
@@ -12,7 +12,7 @@
 const (
 	// vmStatistics holds counters since the start of the VM.
 	vmStatistics = "/proc/vmstat"
-	// processStatus holds what the kernel knows of this process.
+	// processStatus holds this process's memory use (VmRSS, VmHWM).
 	processStatus = "/proc/self/status"
 )
 
--- a/soak/first_tries.go
+++ b/soak/first_tries.go
@@ -105,7 +105,7 @@
 
 func round(duration time.Duration) time.Duration { return duration.Round(10 * time.Millisecond) }
 
-// note adds what was measured to the report.
+// note adds a figure of the run to the report.
 func (r *Report) note(format string, args ...any) {
 	r.Notes = append(r.Notes, fmt.Sprintf(format, args...))
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -33,7 +33,7 @@
 	Refused, Unanswered int
 	Violations          []string
 	Faults              []string
-	// Notes say what a run measured.
+	// Notes are figures of the run, such as recovery times.
 	Notes []string
 }
 
