Tests of versions: the changed configurations are written beside the platform's stand-ins

Moved with the names of the changes in our terms; TestVersionCutsNothingInProgress passes with the same kinds.

--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -36,128 +36,6 @@
 	slowBodyPause = 100 * time.Millisecond
 )
 
-// version is a configuration that a test changes.
-type version map[string]any
-
-func newVersion(number int) version {
-	return version(platformtest.Configuration(number, "key-1"))
-}
-
-func (v version) route(name string) version {
-	for _, route := range v["routes"].([]any) {
-		if route := route.(map[string]any); route["name"] == name {
-			return route
-		}
-	}
-	return nil
-}
-
-func (v version) drop(list, name string) {
-	var kept []any
-	for _, one := range v[list].([]any) {
-		if one.(map[string]any)["name"] != name {
-			kept = append(kept, one)
-		}
-	}
-	v[list] = kept
-}
-
-func (v version) service(name string) version {
-	for _, service := range v["services"].([]any) {
-		if service := service.(map[string]any); service["name"] == name {
-			return service
-		}
-	}
-	return nil
-}
-
-func (v version) engine() version { return v.service("llm")["engine"].(map[string]any) }
-
-func (v version) model() version { return v.engine()["models"].([]any)[0].(map[string]any) }
-
-func (v version) limits() version { return v["limits"].(map[string]any) }
-
-// versionChanges are the kinds of change that a new configuration may bring.
-var versionChanges = map[string]func(v version){
-	"a route is dropped": func(v version) { v.drop("routes", "stream") },
-	"all routes are dropped": func(v version) {
-		v["routes"] = []any{}
-	},
-	"services are moved": func(v version) {
-		v["services"] = append(v["services"].([]any), map[string]any{"name": "other", "health_check_path": "/health", "connection_limit": 96})
-		v.route("stream")["service"], v.route("book")["service"] = "other", "other"
-	},
-	"weights are changed": func(v version) {
-		v["services"] = append(v["services"].([]any), map[string]any{"name": "other", "health_check_path": "/health", "connection_limit": 96})
-		split := func(service string) []any {
-			return []any{map[string]any{"service": service, "weight": 1}, map[string]any{"service": "other", "weight": 9}}
-		}
-		v.route("stream")["traffic_split"], v.route("book")["traffic_split"] = split("llm"), split("desk")
-	},
-	shortTimeouts: func(v version) {
-		v.route("stream")["timeout_ms"], v.route("book")["timeout_ms"] = shortStream.Milliseconds(), shortBooking.Milliseconds()
-	},
-	"attempts and kinds are changed": func(v version) {
-		v.route("stream")["max_attempts"], v.route("stream")["kind"], v.route("stream")["resumable"] = 1, "unsafe", false
-	},
-	"the key is removed": func(v version) { v["tenants"] = platformtest.Configuration(1, "other")["tenants"] },
-	"the account is removed": func(v version) {
-		v["tenants"] = []any{map[string]any{"name": "shed", "api_keys": []string{"other"}, "priority": 1}}
-	},
-	"no account needs a key":          func(v version) { v["tenants"] = []any{} },
-	"header_bytes is lowered":         func(v version) { v.limits()["header_bytes"] = 16 },
-	"body_bytes is lowered":           func(v version) { v.limits()["body_bytes"] = 4 },
-	"header_timeout_ms is lowered":    func(v version) { v.limits()["header_timeout_ms"] = 10 },
-	"idle_timeout_ms is lowered":      func(v version) { v.limits()["idle_timeout_ms"] = 10 },
-	"idle_timeout_ms is 0":            func(v version) { v.limits()["idle_timeout_ms"] = 0 },
-	"limits are missing":              func(v version) { delete(v, "limits") },
-	"8,000 routes more":               func(v version) { v.addRoutes(8000) },
-	"services are missing":            func(v version) { v["services"] = []any{} },
-	"the engine's service is missing": func(v version) { v.drop("services", "llm") },
-	"the engine is missing":           func(v version) { delete(v.service("llm"), "engine") },
-	"connection_limit is lowered":     func(v version) { v.service("llm")["connection_limit"], v.service("desk")["connection_limit"] = 1, 1 },
-	"the model is dropped":            func(v version) { v.engine()["models"] = []any{} },
-	"the model is renamed":            func(v version) { v.model()["name"] = "m1" },
-	"the model's size rises":          func(v version) { v.model()["size"] = 4 },
-	"the model's size falls":          func(v version) { v.model()["size"] = 1 },
-	"the model's share changes":       func(v version) { v.model()["share"] = 0.1 },
-	"slots are lowered":               func(v version) { v.engine()["slots"] = 1 },
-	"the engine is slower": func(v version) {
-		v.engine()["step_ms"], v.engine()["stride"], v.engine()["read_per_s"] = 600, 60, 1
-	},
-	"another model has all shares": func(v version) {
-		v.model()["share"] = 0
-		other := map[string]any{"name": "m1", "size": 2, "share": 1, "pace": 1, "load_s": 1.0, "warm_s": 0.3}
-		v.engine()["models"] = append(v.engine()["models"].([]any), other)
-	},
-}
-
-// shortTimeouts is the name of the change of versionChanges that lowers the timeouts.
-const (
-	shortTimeouts = "timeouts are below what has passed"
-	shortStream   = 100 * time.Millisecond
-	shortBooking  = 20 * time.Millisecond
-)
-
-// shortestTimeout returns the shortest timeout of the routes after a change.
-func shortestTimeout(change string) time.Duration {
-	if change == shortTimeouts {
-		return shortBooking
-	}
-	return platformtest.RouteTimeout
-}
-
-func (v version) addRoutes(count int) {
-	routes := v["routes"].([]any)
-	for i := range count {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprint("more-", i), "host": fmt.Sprintf("h%d.example", i), "prefix": fmt.Sprintf("/p%d/", i), "kind": "safe", "timeout_ms": 800,
-			"latency_goal_ms": 200, "priority": 1, "service": "desk", "max_attempts": 2,
-		})
-	}
-	v["routes"] = routes
-}
-
 // entryChanges are the kinds of change beside the configuration.
 var entryChanges = map[string]func(t *testing.T, z *zonedDeployment){
 	"entries are written anew": func(t *testing.T, z *zonedDeployment) {
@@ -190,7 +68,7 @@
 	},
 	"the store's history is dropped": func(t *testing.T, z *zonedDeployment) {
 		z.nodes[0].store.DropHistory()
-		require.NoError(t, z.nodes[0].store.Put("op", "config", newVersion(2)))
+		require.NoError(t, z.nodes[0].store.Put("op", "config", platformtest.NewDraft(2)))
 	},
 	"the store is restored": func(t *testing.T, z *zonedDeployment) {
 		z.restoreStore(t)
@@ -201,10 +79,10 @@
 	"the configuration vanishes": func(_ *testing.T, z *zonedDeployment) { z.nodes[0].store.Remove("op", "config") },
 	"a storm of versions of all other kinds": func(t *testing.T, z *zonedDeployment) {
 		const versions, gap = 50, 20 * time.Millisecond
-		kinds := slices.DeleteFunc(slices.Sorted(maps.Keys(versionChanges)), func(kind string) bool { return kind == shortTimeouts })
+		kinds := slices.DeleteFunc(slices.Sorted(maps.Keys(platformtest.ConfigurationChanges)), func(kind string) bool { return kind == platformtest.ShortTimeouts })
 		for number := range versions {
-			next := newVersion(2 + number)
-			versionChanges[kinds[number%len(kinds)]](next)
+			next := platformtest.NewDraft(2 + number)
+			platformtest.ConfigurationChanges[kinds[number%len(kinds)]](next)
 			require.NoError(t, z.nodes[0].store.Put("op", "config", next))
 			time.Sleep(gap)
 		}
@@ -351,12 +229,12 @@
 // All nodes read a new configuration at the same moment. If it cut what is in progress, all callers would lose it.
 func TestVersionCutsNothingInProgress(t *testing.T) {
 	t.Parallel()
-	for name, change := range versionChanges {
+	for name, change := range platformtest.ConfigurationChanges {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			z := deployForVersions(t)
-			z.callAround(t, shortestTimeout(name), func() {
-				next := newVersion(2)
+			z.callAround(t, platformtest.ShortestTimeout(name), func() {
+				next := platformtest.NewDraft(2)
 				change(next)
 				require.NoError(t, z.nodes[0].store.Put("op", "config", next))
 			})
@@ -371,7 +249,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			z := deployForVersions(t)
-			z.callAround(t, shortestTimeout(name), func() { change(t, z) })
+			z.callAround(t, platformtest.ShortestTimeout(name), func() { change(t, z) })
 		})
 	}
 }
@@ -380,16 +258,16 @@
 func TestVersionCutsNoForwardedRequest(t *testing.T) {
 	t.Parallel()
 	for _, name := range []string{
-		"all routes are dropped", "services are moved", "services are missing", shortTimeouts, "the key is removed", "body_bytes is lowered", "the model is dropped",
+		"all routes are dropped", "services are moved", "services are missing", platformtest.ShortTimeouts, "the key is removed", "the body limit is lowered", "the model is dropped",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			z := deployForVersions(t)
 			z.part("a", 1, link.PartitionRefuse)
 			time.Sleep(partedSettleTime)
-			z.callAround(t, shortestTimeout(name), func() {
-				next := newVersion(2)
-				versionChanges[name](next)
+			z.callAround(t, platformtest.ShortestTimeout(name), func() {
+				next := platformtest.NewDraft(2)
+				platformtest.ConfigurationChanges[name](next)
 				require.NoError(t, z.nodes[0].store.Put("op", "config", next))
 			})
 		})
