--- a/cmd/node/process_test.go
+++ b/cmd/node/process_test.go
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
-	require.NoError(t, store.Put("op", "config", platformtest.Configuration(1, "key-1")))
+	require.NoError(t, store.PutConfiguration(platformtest.Configuration(1, "key-1")))
 	host := loopback.Host() // its own, as a node serves its metrics on a fixed port
 	dir := t.TempDir()
 	p := &nodeProcess{
--- a/node/era_test.go
+++ b/node/era_test.go
@@ -53,7 +53,7 @@
 			refused := z.nodes[0].store.RefusedFeeds()
 			require.NoError(t, z.desks[0].Drain())
 			left := time.Now()
-			require.NoError(t, z.nodes[0].store.Put("op", "config", platformtest.Configuration(2, "key-1", "key-2")))
+			require.NoError(t, z.nodes[0].store.PutConfiguration(platformtest.Configuration(2, "key-1", "key-2")))
 			z.runCallers(t, 5*time.Second, http.MethodGet, "/look/x")
 			for _, at := range z.desks[0].ArrivalTimes() {
 				require.Less(t, at.Sub(left), drainBound)
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -49,7 +49,7 @@
 	t.Helper()
 	store, runCounter := platformtest.NewStore(), platformtest.NewRunCounter()
 	t.Cleanup(store.Close)
-	require.NoError(t, store.Put("op", "config", platformtest.Configuration(1, "key-1")))
+	require.NoError(t, store.PutConfiguration(platformtest.Configuration(1, "key-1")))
 	z := &zonedDeployment{heads: map[string][]*platformtest.Endpoint{}}
 	var zones []string
 	for zone := range nodes {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -73,7 +73,7 @@
 	t.Helper()
 	d := &deployment{t: t, store: platformtest.NewStore(), runCounter: platformtest.NewRunCounter(), partition: link.NewPartition(), done: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
-	require.NoError(t, d.store.Put("op", "config", platformtest.Configuration(1, "key-1")))
+	require.NoError(t, d.store.PutConfiguration(platformtest.Configuration(1, "key-1")))
 	for i := range 3 {
 		d.add(platformtest.EndpointConfig{
 			ID: fmt.Sprintf("engine-%d", i), Service: "llm", Zone: "a", Domain: "d0", Engine: true,
@@ -206,7 +206,7 @@
 	d.start()
 	d.waitServing()
 	d.store.DropHistory()
-	require.NoError(t, d.store.Put("op", "config", platformtest.Configuration(2, "key-2")))
+	require.NoError(t, d.store.PutConfiguration(platformtest.Configuration(2, "key-2")))
 	require.Eventually(t, func() bool {
 		status, _ := d.request(http.MethodGet, "/look/x", "look-1")
 		return status == http.StatusUnauthorized
--- a/node/versions_test.go
+++ b/node/versions_test.go
@@ -59,31 +59,31 @@
 		}
 	},
 	"a zone is taken out": func(t *testing.T, z *zonedDeployment) {
-		require.NoError(t, z.nodes[0].store.Put("op", "evacuate/a", map[string]any{}))
+		require.NoError(t, z.nodes[0].store.TakeZoneOut("a"))
 	},
 	"all zones are taken out": func(t *testing.T, z *zonedDeployment) {
 		for _, zone := range []string{"a", "b"} {
-			require.NoError(t, z.nodes[0].store.Put("op", "evacuate/"+zone, map[string]any{}))
+			require.NoError(t, z.nodes[0].store.TakeZoneOut(zone))
 		}
 	},
 	"the store's history is dropped": func(t *testing.T, z *zonedDeployment) {
 		z.nodes[0].store.DropHistory()
-		require.NoError(t, z.nodes[0].store.Put("op", "config", platformtest.NewDraft(2)))
+		require.NoError(t, z.nodes[0].store.PutConfiguration(platformtest.NewDraft(2)))
 	},
 	"the store is restored": func(t *testing.T, z *zonedDeployment) {
 		z.restoreStore(t)
 	},
 	"the configuration is unreadable": func(t *testing.T, z *zonedDeployment) {
-		require.NoError(t, z.nodes[0].store.Put("op", "config", []any{"no configuration"}))
+		require.NoError(t, z.nodes[0].store.PutConfiguration([]any{"no configuration"}))
 	},
-	"the configuration vanishes": func(_ *testing.T, z *zonedDeployment) { z.nodes[0].store.Remove("op", "config") },
+	"the configuration vanishes": func(_ *testing.T, z *zonedDeployment) { z.nodes[0].store.RemoveConfiguration() },
 	"a storm of versions of all other kinds": func(t *testing.T, z *zonedDeployment) {
 		const versions, gap = 50, 20 * time.Millisecond
 		kinds := slices.DeleteFunc(slices.Sorted(maps.Keys(platformtest.ConfigurationChanges)), func(kind string) bool { return kind == platformtest.ShortTimeouts })
 		for number := range versions {
 			next := platformtest.NewDraft(2 + number)
 			platformtest.ConfigurationChanges[kinds[number%len(kinds)]](next)
-			require.NoError(t, z.nodes[0].store.Put("op", "config", next))
+			require.NoError(t, z.nodes[0].store.PutConfiguration(next))
 			time.Sleep(gap)
 		}
 	},
@@ -236,7 +236,7 @@
 			z.callAround(t, platformtest.ShortestTimeout(name), func() {
 				next := platformtest.NewDraft(2)
 				change(next)
-				require.NoError(t, z.nodes[0].store.Put("op", "config", next))
+				require.NoError(t, z.nodes[0].store.PutConfiguration(next))
 			})
 		})
 	}
@@ -268,7 +268,7 @@
 			z.callAround(t, platformtest.ShortestTimeout(name), func() {
 				next := platformtest.NewDraft(2)
 				platformtest.ConfigurationChanges[name](next)
-				require.NoError(t, z.nodes[0].store.Put("op", "config", next))
+				require.NoError(t, z.nodes[0].store.PutConfiguration(next))
 			})
 		})
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -138,7 +138,7 @@
 		store: platformtest.NewStore(), runs: platformtest.NewRunCounter(), processes: process.NewSet(config.Bin, config.Dir), configVersion: 1,
 		lostMembers: map[string]bool{},
 	}
-	if err := d.store.Put("op", "config", platformtest.Configuration(1, stableKey, withdrawnKey)); err != nil {
+	if err := d.store.PutConfiguration(platformtest.Configuration(1, stableKey, withdrawnKey)); err != nil {
 		return nil, err
 	}
 	for _, zone := range zones {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -291,5 +291,5 @@
 	version := d.configVersion
 	d.mu.Unlock()
 	d.recordFault("configuration %d", version)
-	return d.store.Put("op", "config", platformtest.Configuration(version, stableKey, withdrawnKey))
+	return d.store.PutConfiguration(platformtest.Configuration(version, stableKey, withdrawnKey))
 }
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -43,5 +43,5 @@
 			return err
 		}
 	}
-	return d.store.Put("op", "config", platformtest.Configuration(d.configVersion, stableKey, withdrawnKey))
+	return d.store.PutConfiguration(platformtest.Configuration(d.configVersion, stableKey, withdrawnKey))
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -138,7 +138,7 @@
 
 // checkWithdrawnKey withdraws a key and checks that every node rejects it.
 func (d *deployment) checkWithdrawnKey(ctx context.Context) []string {
-	if err := d.store.Put("op", "config", platformtest.Configuration(d.configVersion+1, stableKey)); err != nil {
+	if err := d.store.PutConfiguration(platformtest.Configuration(d.configVersion+1, stableKey)); err != nil {
 		return []string{err.Error()}
 	}
 	time.Sleep(keyRevocationTime)
--- a/soak/storm.go
+++ b/soak/storm.go
@@ -90,7 +90,7 @@
 		next.Version = 1 + d.randomInt(next.Version)
 		change.kind += ", under a number that was used before"
 	}
-	if err := d.store.Put("op", "config", next.Configuration()); err != nil {
+	if err := d.store.PutConfiguration(next.Configuration()); err != nil {
 		return err
 	}
 	now := time.Now()
