directory: a row that panics at each read holds back nothing else

Callers would see endpoints and versions of the configuration missing at all nodes at once: a row whose decoding or applying panics is in each list and each response with changes, so the follower never got past it. It listed the table again and again, and nothing behind that row was ever applied.

Each row is now decoded, and each change applied, under kernel.Protect. A row whose decoding panics counts as one that can't be read: an entry names no endpoint to use, and a row of the operators' table is rejected. What comes behind it is applied, and the position moves on.

No input is known that makes today's decoders panic; the tests inject one.

--- a/directory/cache.go
+++ b/directory/cache.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 )
 
 // LapseGrace is how long an entry that lapsed while the store was unavailable may
@@ -93,9 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	first := c.indexed == nil
-	for _, change := range changes {
-		c.applyOne(now, change)
-	}
+	applyEach(changes, func(change Change) { c.applyOne(now, change) })
 	before := c.View()
 	c.publish()
 	logInForce(before, c.View())
@@ -104,6 +103,13 @@
 	}
 }
 
+// applyEach applies each change. One that panics doesn't keep the others from being applied.
+func applyEach(changes []Change, apply func(Change)) {
+	for _, change := range changes {
+		_ = kernel.Protect("apply_change", func() error { apply(change); return nil }) // it is logged
+	}
+}
+
 func (c *Cache) applyOne(now time.Time, change Change) {
 	switch {
 	case change.Config != nil:
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -50,6 +50,8 @@
 	known <-chan struct{}
 	// rejections logs rows of the operators' table that can't be used.
 	rejections rejections
+	// decodeEntry decodes a row of the endpoints' table.
+	decodeEntry func(row fleet.Row, now time.Time) (Change, bool)
 }
 
 // NewFollower returns a follower. urgent may be nil.
@@ -57,7 +59,7 @@
 	if urgent == nil {
 		urgent = func() bool { return false }
 	}
-	return &Follower{store: store, cache: cache, urgent: urgent}
+	return &Follower{store: store, cache: cache, urgent: urgent, decodeEntry: decodeEndpoint}
 }
 
 // WithKnown returns a follower that waits up to knownWait before its first read until
@@ -69,9 +71,9 @@
 
 // Start follows both tables until the group stops.
 func (f *Follower) Start(g *kernel.Group) {
-	f.keepFollowing(g, "follow_operators", &feed{table: platform.TableOperators, decode: f.decodeOperators, missing: f.missingOperators,
+	f.keepFollowing(g, "follow_operators", &feed{table: platform.TableOperators, decode: f.decodeOperators, unreadable: f.rejectOperators, missing: f.missingOperators,
 		interval: func() time.Duration { return operatorsInterval }})
-	f.keepFollowing(g, "follow_endpoints", &feed{table: platform.TableEndpoints, decode: f.decodeEndpoint, missing: f.missingEndpoints,
+	f.keepFollowing(g, "follow_endpoints", &feed{table: platform.TableEndpoints, decode: f.decodeEntry, unreadable: unreadableEndpoint, missing: f.missingEndpoints,
 		interval: f.endpointsInterval})
 	g.Every("expire_endpoints", expireInterval, func(_ context.Context, now time.Time) { f.cache.Expire(now) })
 }
@@ -108,10 +110,12 @@
 
 // feed is one table that is followed.
 type feed struct {
-	table    string
-	decode   func(row fleet.Row, now time.Time) (Change, bool)
-	missing  func(rows []fleet.Row) []Change // changes for what a new list lacks
-	interval func() time.Duration
+	table  string
+	decode func(row fleet.Row, now time.Time) (Change, bool)
+	// unreadable returns the change for a row whose decoding panicked.
+	unreadable func(row fleet.Row, err error) (Change, bool)
+	missing    func(rows []fleet.Row) []Change // changes for what a new list lacks
+	interval   func() time.Duration
 
 	at fleet.Position
 	// restoredUntil is the time until which a list may be older than the known state.
@@ -208,7 +212,7 @@
 		changes = f.missing(rows.Rows)
 	}
 	for _, row := range rows.Rows {
-		if change, ok := f.decode(row, now); ok {
+		if change, ok := f.decodeRow(row, now); ok {
 			changes = append(changes, change)
 		}
 	}
@@ -219,6 +223,19 @@
 	return changes
 }
 
+// decodeRow decodes a row. One whose decoding panics counts as unreadable, as it would panic at each read and
+// keep all nodes from the rows behind it.
+func (f *feed) decodeRow(row fleet.Row, now time.Time) (change Change, ok bool) {
+	err := kernel.Protect("decode_row", func() error {
+		change, ok = f.decode(row, now)
+		return nil
+	})
+	if err != nil {
+		return f.unreadable(row, err)
+	}
+	return change, ok
+}
+
 func (f *Follower) read(ctx context.Context, feed *feed) (fleet.Rows, error) {
 	if !feed.listed {
 		rows, err := f.store.List(ctx, feed.table)
@@ -264,18 +281,33 @@
 	return Change{Config: config}, true
 }
 
-func (f *Follower) decodeEndpoint(row fleet.Row, now time.Time) (Change, bool) {
+// rejectOperators rejects a row of the operators' table that can't be read.
+func (f *Follower) rejectOperators(row fleet.Row, err error) (Change, bool) {
+	what := row.Key
+	if platform.IsConfiguration(row.Key) {
+		what = whatConfiguration
+	}
+	f.rejections.note(rejection{what: what, version: row.Version, why: err.Error()})
+	return Change{}, false
+}
+
+func decodeEndpoint(row fleet.Row, now time.Time) (Change, bool) {
 	if row.Removed {
 		return Change{Gone: row.Key}, true
 	}
 	endpoint, err := platform.DecodeEndpoint(row, now)
 	if err != nil {
-		klog.InfoS("entry_unreadable", "endpoint", row.Key, "version", row.Version, "err", err)
-		return Change{Gone: row.Key}, true
+		return unreadableEndpoint(row, err)
 	}
 	return Change{Endpoint: endpoint}, true
 }
 
+// unreadableEndpoint returns the change for an entry that can't be read: it names no endpoint to use.
+func unreadableEndpoint(row fleet.Row, err error) (Change, bool) {
+	klog.InfoS("entry_unreadable", "endpoint", row.Key, "version", row.Version, "err", err)
+	return Change{Gone: row.Key}, true
+}
+
 // missingEndpoints returns changes for the known endpoints that a new list lacks.
 func (f *Follower) missingEndpoints(rows []fleet.Row) []Change {
 	ids, _ := f.cache.Known()
--- a/directory/panic_test.go
+++ b/directory/panic_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall/directory"
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 )
 
 // panickingStore panics at the call with a given number.
@@ -57,3 +59,37 @@
 		})
 	}
 }
+
+// A row that panics whenever it is read must not keep any node from the rows behind it.
+func TestRowThatPanicsDoesNotHoldBackItsTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		store.set(7, "", entry(t, "a", 5), entry(t, "bad", 6), entry(t, "b", 7))
+		cache := directory.NewCache()
+		follower := directory.NewFollower(store, cache, nil)
+		follower.PanicOnEntry("bad")
+		g := kernel.NewGroup(context.Background())
+		follower.Start(g)
+		time.Sleep(5 * time.Second)
+		require.Contains(t, cache.View().Endpoints, "a")
+		require.Contains(t, cache.View().Endpoints, "b", "in the same list")
+		store.set(9, "", entry(t, "a", 5), entry(t, "bad", 8), entry(t, "c", 9))
+		time.Sleep(5 * time.Second)
+		require.Contains(t, cache.View().Endpoints, "c", "in the same response with changes")
+		require.NotContains(t, cache.View().Endpoints, "bad")
+		require.Equal(t, fleet.Position{Version: 9}, cache.Read())
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+}
+
+func TestChangeThatPanicsDoesNotHoldBackOthers(t *testing.T) {
+	var applied []string
+	directory.ApplyEach([]directory.Change{{Gone: "a"}, {Gone: "bad"}, {Gone: "b"}}, func(change directory.Change) {
+		if change.Gone == "bad" {
+			panic(change.Gone)
+		}
+		applied = append(applied, change.Gone)
+	})
+	require.Equal(t, []string{"a", "b"}, applied)
+}
