kernel: a listener that died says net.ErrClosed once it is closed

A node that stops as planned could end as one whose part failed: a listener that died on its own, and is closed before it is opened again, fails in its own way (as with EINVAL), and Accept returned that error. The server's part then failed, and with it the whole group, before the stop was over.

Accept now returns net.ErrClosed for any failure after Close. Without the change, TestDeadListenerSaysThatItIsClosedAfterClose fails beside 'part_failed err="accept tcp: invalid argument" part="hello"' with 'the group stopped'.

--- a/kernel/reopen.go
+++ b/kernel/reopen.go
@@ -42,13 +42,16 @@
 // Addr implements net.Listener.
 func (l *reopened) Addr() net.Addr { return l.address }
 
-// Accept implements net.Listener. It fails only after Close.
+// Accept implements net.Listener. It fails only after Close, with net.ErrClosed.
 func (l *reopened) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
 		current := l.listener()
 		conn, err := current.Accept()
-		if err == nil || l.isClosed() {
-			return conn, err
+		if err == nil {
+			return conn, nil
+		}
+		if l.isClosed() {
+			return nil, net.ErrClosed // a listener that died before fails otherwise
 		}
 		l.logFailure(time.Now(), err)
 		if !l.sleep(pause) {
--- a/kernel/reopen_test.go
+++ b/kernel/reopen_test.go
@@ -119,3 +119,37 @@
 	_, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", taken.Addr().String()) })
 	require.ErrorIs(t, err, syscall.EADDRINUSE)
 }
+
+// closingListener fails to accept only once it is closed, in another way than a listener that is closed.
+type closingListener struct {
+	net.Listener
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l closingListener) Accept() (net.Conn, error) {
+	<-l.closed
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EINVAL}
+}
+
+// Close implements net.Listener.
+func (l closingListener) Close() error {
+	close(l.closed)
+	return l.Listener.Close()
+}
+
+// Any other error would make the planned stop of a node a failure of a part.
+func TestDeadListenerSaysThatItIsClosedAfterClose(t *testing.T) {
+	l, err := kernel.Listen(func() (net.Listener, error) {
+		return closingListener{Listener: listen(t, "127.0.0.1:0"), closed: make(chan struct{})}, nil
+	})
+	require.NoError(t, err)
+	g := kernel.NewGroup(t.Context())
+	g.Serve("hello", &http.Server{ReadHeaderTimeout: time.Second}, l)
+	require.NoError(t, l.Close())
+	requireRunning(t, g)
+	time.Sleep(100 * time.Millisecond) // the server notices
+	requireRunning(t, g)
+	g.Stop()
+	require.NoError(t, g.Wait())
+}
