members: the nodes are known only once a list of them was taken

A node whose first list of the members panics would take itself for the only node, and issue the whole of the limits that all nodes share as permits: list closed the channel that says that the nodes are known by a deferred call, which also runs while a panic passes.

The channel is now closed, and the time of the first list set, only after the nodes were taken over, so that the next list counts as the first. Without the change, TestNodesAreNotKnownAfterAListThatPanicked fails at 'Should be false', the nodes being known after the panic. The test makes a log line panic; no row is known that makes the list do so.

--- a/members/members.go
+++ b/members/members.go
@@ -230,11 +230,6 @@
 	if t.unannounced && t.announceAgainAt.IsZero() {
 		t.announceAgainAt = boot.Add(rand.N(t.scaledByNodes(announceSpread)))
 	}
-	first := t.firstAt.IsZero()
-	if first {
-		t.firstAt = boot
-		defer close(t.known)
-	}
 	t.notePosition(rows.At)
 	byKey := map[string]redwinghall.Row{}
 	for _, row := range rows.Rows {
@@ -242,7 +237,9 @@
 	}
 	t.readLeases(boot, rows.At.Era, byKey)
 	t.updateNodes(boot, byKey)
-	if first {
+	if t.firstAt.IsZero() {
+		t.firstAt = boot
+		defer close(t.known)
 		t.logPreviousEnd(boot, byKey[nodePrefix+t.config.Self.Name])
 	}
 	t.logStartsTogether(boot)
