formation: a zone or service whose planning panics holds back no other

A panic while one zone or service was planned ended the whole step, and the pause after failures in a row delayed the next one: groups of the holder's other zones and services were not formed or repaired while the cause lasted.

Each zone, and each service of it, is now planned under kernel.Protect. What panicked isn't planned for a second, so that the log is not filled; the pause of the part itself doesn't apply any more, as no panic reaches it.

Without the change, TestZoneWhosePlanningPanicsDoesNotHoldBackOthers fails with '"[]" should have 2 item(s), but has 0', and TestServiceWhosePlanningPanicsDoesNotHold BackOthers with 'should have 2 item(s), but has 1' (services are planned in the random order of a map, so that in some steps the sound one came first). No input is known that makes the planner panic; the tests inject one.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -40,6 +40,8 @@
 	// probeInterval is the minimum time between probes of an endpoint that doesn't
 	// answer.
 	probeInterval = 500 * time.Millisecond
+	// panicPause is how long a zone or a service isn't planned after its planning panicked.
+	panicPause = time.Second
 )
 
 // Options are the dependencies of a manager.
@@ -81,7 +83,8 @@
 	tenures       map[string]tenure        // by zone whose lease this node holds
 	sending       map[string]bool          // endpoints with an order in flight
 	probing       map[string]bool
-	reportedAt    time.Time // when any probed endpoint last answered
+	pausedUntil   map[string]time.Time // by what is planned, after a panic
+	reportedAt    time.Time            // when any probed endpoint last answered
 	pending       atomic.Bool
 	stopped       bool
 	group         *kernel.Group
@@ -124,6 +127,7 @@
 	return &Manager{
 		Options: options, endpoints: map[string]*endpointState{}, groups: map[string]*groupState{},
 		loadBudgets: map[string]*loadBudget{}, registrations: map[string]*registration{}, demands: map[string]*demand{}, tenures: map[string]tenure{}, sending: map[string]bool{}, probing: map[string]bool{},
+		pausedUntil: map[string]time.Time{},
 	}
 }
 
@@ -154,21 +158,42 @@
 	m.pruneGroups(now)
 	pending := false
 	for _, zone := range m.Settings().Zones {
-		if !m.HoldsLease(zone) {
-			delete(m.loadBudgets, zone)
-			delete(m.demands, zone)
-			delete(m.tenures, zone)
-			continue
-		}
-		if !m.caughtUp(zone) {
-			pending = true
-			continue
-		}
-		pending = m.planServices(ctx, now, zone) || pending
+		pending = m.protectPlan(now, zone, func() bool { return m.planLeasedZone(ctx, now, zone) }) || pending
 	}
 	m.pending.Store(pending)
 }
 
+// protectPlan calls plan, which reports whether any change is in progress. A panic in it ends only this call,
+// so that what belongs to other names is planned.
+func (m *Manager) protectPlan(now time.Time, name string, plan func() bool) (pending bool) {
+	if now.Before(m.pausedUntil[name]) {
+		return false
+	}
+	delete(m.pausedUntil, name)
+	err := kernel.Protect("formation", func() error {
+		pending = plan()
+		return nil
+	})
+	if err != nil {
+		m.pausedUntil[name] = now.Add(panicPause)
+	}
+	return pending
+}
+
+// planLeasedZone plans a zone's groups if this node holds its lease. It reports whether any change is in progress.
+func (m *Manager) planLeasedZone(ctx context.Context, now time.Time, zone string) bool {
+	if !m.HoldsLease(zone) {
+		delete(m.loadBudgets, zone)
+		delete(m.demands, zone)
+		delete(m.tenures, zone)
+		return false
+	}
+	if !m.caughtUp(zone) {
+		return true
+	}
+	return m.planServices(ctx, now, zone)
+}
+
 // planServices plans the groups of a zone's engine services from the newest view: a
 // view taken before caughtUp may be older than the position that caughtUp checked. It
 // reports whether any change is in progress.
@@ -181,7 +206,8 @@
 	pending := false
 	for name, service := range config.Services {
 		if service.Engine != nil {
-			pending = m.planZone(ctx, now, zone, service, view.ByService[name]) || pending
+			plan := func() bool { return m.planZone(ctx, now, zone, service, view.ByService[name]) }
+			pending = m.protectPlan(now, zone+"/"+name, plan) || pending
 		}
 	}
 	return pending
