daemon: routers and controllers never wait for the reader of their log

Callers of a router would wait without end: klog wrote each line to standard error with a lock held, also within requests. Once a collector stops reading, the pipe is full, and each request stands still at its next line, at all VMs if the collectors stop together.

The node's LogSink moves to the kernel as it is, with its tests, and Program.Main gives it to each daemon that doesn't set its log up itself, as the node does. Lines go to the writer that Main was given, the exit waits a second at most for their reader, and a failure of the daemon is still printed after them.

A failure that is printed while nobody reads still waits, as before.

--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -24,7 +24,7 @@
 Exit codes: 0 stopped after a signal, 1 failed, 2 wrong usage or settings.`
 
 func main() {
-	options := daemon.Program{Name: "node", Help: help, DefaultSettings: os.Getenv(platform.SettingsVariable)}
+	options := daemon.Program{Name: "node", Help: help, DefaultSettings: os.Getenv(platform.SettingsVariable), OwnLog: true}
 	os.Exit(options.Main(os.Args[1:], os.Stdout, os.Stderr, start))
 }
 
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -41,6 +41,8 @@
 	Help string
 	// DefaultSettings is the settings file used if the command line has none.
 	DefaultSettings string
+	// OwnLog is set if the daemon sets its log up itself. Otherwise its log goes to standard error.
+	OwnLog bool
 }
 
 // Start loads the settings at path. Unless check is set, it returns a function that
@@ -86,6 +88,9 @@
 	}
 	SetupLogs(options.Verbose)
 	setMemoryLimits()
+	if !p.OwnLog {
+		start = withLog(errOut, options.Verbose, start)
+	}
 	return run(ctx, name, options, out, errOut, start)
 }
 
@@ -102,6 +107,30 @@
 	debug.SetMemoryLimit(memoryLimit)
 }
 
+// withLog returns a start whose daemon writes its log to out. The daemon never waits for the reader of its log
+// while it runs.
+func withLog(out io.Writer, verbose int, start Start) Start {
+	return func(path string, check bool) (func(context.Context) error, error) {
+		serve, err := start(path, check)
+		if err != nil || check {
+			return nil, err
+		}
+		return func(ctx context.Context) error { return serveWithLog(ctx, out, verbose, serve) }, nil
+	}
+}
+
+func serveWithLog(ctx context.Context, out io.Writer, verbose int, serve func(context.Context) error) error {
+	logs := kernel.NewGroup(context.Background())
+	sink := kernel.NewLogSink(out)
+	sink.Start(logs)
+	kernel.UseLogSink(sink, verbose)
+	err := serve(ctx)
+	klog.Flush()
+	logs.Stop()
+	_, logErr := logs.WaitWithin(logDrainTime)
+	return errors.Join(err, logErr)
+}
+
 func run(ctx context.Context, name string, options Options, out, errOut io.Writer, start Start) int {
 	reportCrashes(out)
 	serve, err := loadSettings(ctx, options, start)
@@ -124,6 +153,9 @@
 	return ExitOK
 }
 
+// logDrainTime is how long the last log lines wait for their reader.
+const logDrainTime = time.Second
+
 // startTime is how long a settings file may lack or be invalid at the start. Somebody may be replacing it,
 // at all VMs at the same moment.
 const (
--- a/node/logs.go
+++ b/kernel/log_sink.go
@@ -1,16 +1,12 @@
-package node
+package kernel
 
 import (
 	"context"
-	"flag"
 	"io"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
-
-	"redwinghall/kernel"
 )
 
 // Limits of the log.
@@ -61,7 +57,7 @@
 func (s *LogSink) Dropped() int64 { return s.dropped.Swap(0) }
 
 // Start writes queued lines and refills the rate limit until the group stops.
-func (s *LogSink) Start(g *kernel.Group) {
+func (s *LogSink) Start(g *Group) {
 	g.Keep("log", func(ctx context.Context) error {
 		for {
 			select {
@@ -94,18 +90,3 @@
 
 // write passes a line to the output. Errors are ignored, as there is nowhere to report them.
 func (s *LogSink) write(line []byte) { _, _ = s.out.Write(line) }
-
-// UseLogSink sends the lines of klog, of all levels, and of the standard log to a sink. net/http writes the latter
-// with locks held, so that it would wait for whoever reads standard error.
-func UseLogSink(sink *LogSink, verbose int) {
-	set := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(set)
-	for name, value := range map[string]string{
-		"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true",
-		"v": strconv.Itoa(verbose),
-	} {
-		_ = set.Set(name, value) // klog defines all of these flags
-	}
-	klog.SetOutput(sink)
-	klog.CopyStandardLogTo("INFO")
-}
--- a/node/logs_test.go
+++ b/kernel/log_sink_test.go
@@ -1,4 +1,4 @@
-package node_test
+package kernel_test
 
 import (
 	"bytes"
@@ -12,7 +12,6 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall/kernel"
-	"redwinghall/node"
 )
 
 // blockedWriter blocks in Write until it is released.
@@ -28,7 +27,7 @@
 // and must count the lines that it drops.
 func TestLogNeverBlocks(t *testing.T) {
 	out := &blockedWriter{release: make(chan struct{})}
-	sink := node.NewLogSink(out)
+	sink := kernel.NewLogSink(out)
 	g := kernel.NewGroup(context.Background())
 	sink.Start(g)
 	written := make(chan struct{})
@@ -57,8 +56,8 @@
 	t.Cleanup(klog.CaptureState().Restore)
 	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	var out bytes.Buffer
-	sink := node.NewLogSink(&out)
-	node.UseLogSink(sink, 0)
+	sink := kernel.NewLogSink(&out)
+	kernel.UseLogSink(sink, 0)
 	g := kernel.NewGroup(t.Context())
 	sink.Start(g)
 	log.Print("Unsolicited response received on idle HTTP channel")
--- a/node/node.go
+++ b/node/node.go
@@ -130,9 +130,9 @@
 func (n *Node) RunLogged(out io.Writer) func(context.Context) error {
 	return func(ctx context.Context) error {
 		logs := kernel.NewGroup(context.Background())
-		sink := NewLogSink(out)
+		sink := kernel.NewLogSink(out)
 		sink.Start(logs)
-		UseLogSink(sink, 0)
+		kernel.UseLogSink(sink, 0)
 		err := n.Run(ctx)
 		klog.Flush()
 		logs.Stop()
