directory: by the protocol, an entry that can't be read names no endpoint

Asked by the review: should an endpoint whose entry becomes unreadable stay in use for a while, as all nodes drop it at once? The users' page on the protocol settles it: such an entry 'names no worker to use; the others hold'.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -229,6 +229,25 @@
 	})
 }
 
+// By the store's protocol, an entry that can't be read names no endpoint to use, whoever wrote it. The
+// other entries hold.
+func TestEntryThatBecomesUnreadableNamesNoEndpointAtOnce(t *testing.T) {
+	for _, value := range []string{`{"service":5}`, `{}`, `{"service":"s","addr`, ""} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeStore{}
+			store.set(4, "", entry(t, "a", 3), entry(t, "b", 4))
+			cache, stop := follow(t, store)
+			defer stop()
+			time.Sleep(time.Second)
+			require.Len(t, cache.View().Endpoints, 2)
+			store.set(5, "", fleet.Row{Table: "servers", Key: "a", Value: []byte(value), Version: 5}, entry(t, "b", 4))
+			time.Sleep(4 * time.Second)
+			require.NotContains(t, cache.View().Endpoints, "a")
+			require.Contains(t, cache.View().Endpoints, "b")
+		})
+	}
+}
+
 // busyStore is a store to which many endpoints write all the time. A response with
 // changes holds at most page rows, the oldest first.
 type busyStore struct {
