Logs: an unannounced end and a request without a whole answer are warnings, written at once

All lines had level I, so whatever picks warnings from a log left these out; and all lines waited in the sink's queue, which a killed process loses, so a missing line proved nothing.

Level W now: previous_end of an end that nobody announced (with err), each request without a complete response unless its caller left, cut_by_stop, node_stopped by a failure or with requests cut, process_paused, memory_near_limit, view_rejected, log_lines_dropped. Lines above I are written before the call returns if the output takes them without blocking (poll), else they are queued as before; they have a rate of their own.

Before: TestWarningIsWrittenBeforeItsCallReturns found nothing in the pipe, TestChatterDropsNoWarning dropped the warning.

--- a/directory/rejection.go
+++ b/directory/rejection.go
@@ -1,9 +1,8 @@
 package directory
 
 import (
-	"k8s.io/klog/v2"
-
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 )
 
 // rejection is a row that a node read and didn't take into its view.
@@ -21,7 +20,7 @@
 		return
 	}
 	r.last = next
-	klog.InfoS("view_rejected", "what", next.what, "version", next.version, "why", next.why)
+	kernel.WarningS(nil, "view_rejected", "what", next.what, "version", next.version, "why", next.why)
 }
 
 // whatConfiguration names the configuration in a rejection.
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -23,8 +23,8 @@
 	reasonEndpointBrokeOff = "endpoint_broke_off"
 )
 
-// logUnanswered writes the line of a request that ends without a complete response. more are further
-// keys and values.
+// logUnanswered writes the line of a request that ends without a complete response, as a warning unless the
+// caller has left. more are further keys and values.
 func (g *Gateway) logUnanswered(event string, r *Request, reason string, more ...any) {
 	now := time.Now()
 	held, view := now.Sub(r.Arrived), g.Cache.View()
@@ -33,7 +33,11 @@
 		"node_stopping", g.stop().Active(), "configuration_at_arrival", r.arrivedUnder, "configuration_now", configVersion(view),
 		"since_configuration", sinceConfiguration(view, now),
 	}, more...)
-	klog.InfoSDepth(1, event, line...)
+	if reason == reasonCallerLeft {
+		klog.InfoSDepth(1, event, line...)
+		return
+	}
+	kernel.WarningSDepth(1, nil, event, line...)
 }
 
 // goneReason returns why the connection to the caller has ended.
--- a/kernel/log_sink.go
+++ b/kernel/log_sink.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
-	"k8s.io/klog/v2"
+	"golang.org/x/sys/unix"
 )
 
 // Limits of the log.
@@ -17,6 +19,8 @@
 	logRate     = 400
 	logBurst    = 800
 	logInterval = time.Second
+	// pipeWrite is the longest line in bytes that a pipe with room takes without blocking.
+	pipeWrite = 4096
 )
 
 // LogSink writes log lines without ever blocking the logging goroutine.
@@ -25,26 +29,40 @@
 // to it directly would block the process with all its requests. Lines go to a
 // bounded queue instead. Lines that don't fit are dropped, and the number of
 // dropped lines is logged once there is room again.
+//
+// A process that is killed loses what is queued. So lines of the levels W, E and F are written at once if
+// the output takes them without blocking, and chatter at level I can't use up their rate.
 type LogSink struct {
-	out     io.Writer
-	lines   chan []byte
-	dropped atomic.Int64
-	tokens  atomic.Int64
+	out           io.Writer
+	writing       sync.Mutex // held to write to out
+	lines         chan []byte
+	dropped       atomic.Int64
+	tokens        atomic.Int64
+	warningTokens atomic.Int64
 }
 
 // NewLogSink returns a sink that writes to out.
 func NewLogSink(out io.Writer) *LogSink {
 	s := &LogSink{out: out, lines: make(chan []byte, logLines)}
 	s.tokens.Store(logBurst)
+	s.warningTokens.Store(logBurst)
 	return s
 }
 
 // Write implements io.Writer for one line. It never fails.
 func (s *LogSink) Write(line []byte) (int, error) {
-	if s.tokens.Add(-1) < 0 {
+	warning := isWarning(line)
+	tokens := &s.tokens
+	if warning {
+		tokens = &s.warningTokens
+	}
+	if tokens.Add(-1) < 0 {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
+	if warning && s.writeAtOnce(line) {
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
@@ -53,6 +71,43 @@
 	return len(line), nil
 }
 
+// isWarning reports whether a line of klog has a level above I.
+func isWarning(line []byte) bool {
+	return len(line) > 0 && (line[0] == 'W' || line[0] == 'E' || line[0] == 'F')
+}
+
+// writeAtOnce writes a line unless that could block.
+func (s *LogSink) writeAtOnce(line []byte) bool {
+	if len(line) > pipeWrite || !s.writing.TryLock() {
+		return false
+	}
+	defer s.writing.Unlock()
+	if !hasRoom(s.out) {
+		return false
+	}
+	_, err := s.out.Write(line)
+	return err == nil
+}
+
+// hasRoom reports whether an output is a file or pipe that takes pipeWrite bytes without blocking.
+func hasRoom(out io.Writer) bool {
+	file, ok := out.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	conn, err := file.SyscallConn()
+	if err != nil {
+		return false
+	}
+	room := false
+	err = conn.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}} //nolint:gosec // descriptors are small
+		n, pollErr := unix.Poll(polled, 0)
+		room = pollErr == nil && n == 1 && polled[0].Revents == unix.POLLOUT
+	})
+	return err == nil && room
+}
+
 // Dropped returns how many lines were dropped since the last call.
 func (s *LogSink) Dropped() int64 { return s.dropped.Swap(0) }
 
@@ -70,9 +125,11 @@
 		}
 	})
 	g.Every("log_rate", logInterval, func(context.Context, time.Time) {
-		s.tokens.Store(min(logBurst, max(0, s.tokens.Load())+logRate))
+		for _, tokens := range []*atomic.Int64{&s.tokens, &s.warningTokens} {
+			tokens.Store(min(logBurst, max(0, tokens.Load())+logRate))
+		}
 		if n := s.Dropped(); n > 0 {
-			klog.InfoS("log_lines_dropped", "lines", n)
+			WarningS(nil, "log_lines_dropped", "lines", n)
 		}
 	})
 }
@@ -89,4 +146,8 @@
 }
 
 // write passes a line to the output. Errors are ignored, as there is nowhere to report them.
-func (s *LogSink) write(line []byte) { _, _ = s.out.Write(line) }
+func (s *LogSink) write(line []byte) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	_, _ = s.out.Write(line)
+}
--- a/kernel/timeout.go
+++ b/kernel/timeout.go
@@ -5,8 +5,6 @@
 	"io"
 	"sync"
 	"time"
-
-	"k8s.io/klog/v2"
 )
 
 // minTimerWait is the shortest time for which a Timer waits again if it was due in a pause.
@@ -23,7 +21,7 @@
 	var ticker *time.Timer
 	ticker = time.AfterFunc(tickInterval, func() {
 		if paused := m.Tick(time.Now()); paused > 0 {
-			klog.InfoS("process_paused", "for", paused)
+			WarningS(nil, "process_paused", "for", paused)
 		}
 		mu.Lock()
 		defer mu.Unlock()
--- a/members/previous_end.go
+++ b/members/previous_end.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/kernel"
 )
 
 // announcement is the content of a node's row. Nodes of another version may lack the fields beside
@@ -71,10 +73,20 @@
 		lastHeard = max(0, t.config.WallClock().Sub(written))
 		ranFor = written.Sub(time.UnixMilli(before.StartedMillis))
 	}
-	klog.InfoS("previous_end", "node", t.config.Self.Name, "end", end, "last_heard", lastHeard, "ran_for", ranFor,
-		"vm_up", boot.Sub(time.Unix(0, 0)), "oom_kills", t.oomKillsSince(before), "address", before.Address)
+	line := []any{
+		"node", t.config.Self.Name, "end", end, "last_heard", lastHeard, "ran_for", ranFor,
+		"vm_up", boot.Sub(time.Unix(0, 0)), "oom_kills", t.oomKillsSince(before), "address", before.Address,
+	}
+	if end == endUnannounced {
+		kernel.WarningS(errUnannouncedEnd, "previous_end", line...)
+		return
+	}
+	klog.InfoS("previous_end", line...)
 }
 
+// errUnannouncedEnd says that a process was killed, lost its VM's power, or ended by itself.
+var errUnannouncedEnd = errors.New("the process before this one ended without a planned stop")
+
 // oomKillsSince returns how many processes of this VM the kernel has ended for lack of memory since an
 // earlier announcement, or since the VM's start if that is later; -1 if unknown.
 func (t *Table) oomKillsSince(before announcement) int64 {
--- a/node/connections.go
+++ b/node/connections.go
@@ -153,7 +153,7 @@
 		}
 		interrupted++
 		if interrupted <= maxInterruptedLines {
-			klog.InfoS("cut_by_stop", "request", state.requestID, "reason", reason, "connection", state.kind(), "ran_for", now.Sub(state.requestedAt))
+			kernel.WarningS(nil, "cut_by_stop", "request", state.requestID, "reason", reason, "connection", state.kind(), "ran_for", now.Sub(state.requestedAt))
 		}
 	}
 	return interrupted
--- a/node/ending.go
+++ b/node/ending.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"redwinghall/kernel"
 )
 
 // Reasons for the end of a node, and for the end of requests with it.
@@ -64,6 +66,13 @@
 	e := &n.ending
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	klog.InfoS("node_stopped", "node", n.settings.Node, "reason", e.reason, "cause", e.cause, "took", now.Sub(e.begun), "ran_for", now.Sub(n.started),
-		"by_grace", e.byGrace, "interrupted", e.interrupted, "err", err)
+	line := []any{
+		"node", n.settings.Node, "reason", e.reason, "cause", e.cause, "took", now.Sub(e.begun), "ran_for", now.Sub(n.started),
+		"by_grace", e.byGrace, "interrupted", e.interrupted,
+	}
+	if err != nil || e.reason != endedByStop || e.interrupted > 0 {
+		kernel.WarningS(err, "node_stopped", line...)
+		return
+	}
+	klog.InfoS("node_stopped", append(line, "err", err)...)
 }
--- a/node/memory.go
+++ b/node/memory.go
@@ -6,8 +6,6 @@
 	"runtime/metrics"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall/kernel"
 )
 
@@ -54,7 +52,7 @@
 			return
 		}
 		connections, requests := n.conns.counts()
-		klog.InfoS("memory_near_limit", "used", used, "peak", peak, "limit", limit, "runtime", runtimeMemory(), "goroutines", runtime.NumGoroutine(),
+		kernel.WarningS(nil, "memory_near_limit", "used", used, "peak", peak, "limit", limit, "runtime", runtimeMemory(), "goroutines", runtime.NumGoroutine(),
 			"connections", connections, "requests", requests, "forwards", n.gateway.Forwards())
 	})
 }
