--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -44,6 +44,11 @@
           No process may end that the run didn't end; a response may be cut off only by a
           kill of its process; after a kill of all the first answer must come within 3 s
           of the last start, and nine of ten first tries be served within 12 s.
+  ends    right after a version of the configuration, all nodes or all but a few end in series:
+          killed, silent first as without power, or killed soon after a standstill; or all stand
+          still and go on, or all endpoints fall silent for a second. Each end has its own time: a
+          node that hasn't reached it may cut off no response, and those that live on may
+          neither refuse more than one in ten first tries nor send a stream to a second endpoint.
 
 In each plan a process that ends though nobody ended it is a violation.
 
@@ -67,8 +72,9 @@
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
+	Calls  int           `long:"sessions" description:"number of callers in the plans versions and ends (default: 48 or one a node)"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
 }
 
@@ -88,7 +94,7 @@
 		_, _ = fmt.Fprintln(out, flagErr.Message)
 		return exitOK
 	}
-	if err != nil || o.Nodes < 1 || o.Nodes > maxNodes || o.Seeds < 1 || o.Length <= 0 {
+	if err != nil || o.Nodes < 1 || o.Nodes > maxNodes || o.Seeds < 1 || o.Calls < 0 || o.Length <= 0 {
 		_, _ = fmt.Fprintf(errOut, "soak: %v; want 1 to %d nodes, at least one seed, and a length above 0\n", err, maxNodes)
 		return exitUsage
 	}
@@ -110,7 +116,7 @@
 		return false
 	}
 	report, err := soak.Run(context.Background(), soak.Config{
-		Seed: seed, Bin: o.Bin, Dir: dir, Plan: soak.Plan(o.Plan), Length: o.Length, Nodes: o.Nodes, Host: hostPrefix(seed),
+		Seed: seed, Bin: o.Bin, Dir: dir, Plan: soak.Plan(o.Plan), Length: o.Length, Nodes: o.Nodes, Sessions: o.Calls, Host: hostPrefix(seed),
 	})
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "seed %d: %v\n", seed, err)
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -27,6 +27,9 @@
 	timedOut   int
 	// alone are the times in which only the configuration changed.
 	alone intervals
+	// exchanges and living are kept for checkAlive in PlanEnds.
+	exchanges []exchange
+	living    []livingNode
 }
 
 func (c *cutChecker) begin(x *exchange) { c.firstTries.begin(x) }
@@ -38,6 +41,9 @@
 	c.results.add(x.attempt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.deployment.config.Plan == PlanEnds {
+		c.exchanges = append(c.exchanges, x)
+	}
 	switch {
 	case x.sent.IsZero():
 	case x.status != 0 && !x.incomplete:
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -22,7 +22,8 @@
 
 // Sizes of the deployment, chosen so that a few dozen connections keep it busy.
 const (
-	enginesPerZone       = 5 // two groups of two, and a spare
+	minEnginesPerZone    = 5  // two groups of two, and a spare
+	sessionsPerGroup     = 10 // two of three sessions have a stream in progress
 	plainServicesPerZone = 2
 	responseEvents       = 12
 	eventInterval        = 15 * time.Millisecond
@@ -47,8 +48,28 @@
 	Host string
 	// Nodes is the number of node processes.
 	Nodes int
+	// Sessions is the number of callers in PlanVersions and PlanEnds, 0 for the usual one. There are
+	// as many endpoints as they need.
+	Sessions int
 }
 
+func (c Config) sessions() int {
+	if c.Sessions > 0 {
+		return c.Sessions
+	}
+	return max(sessionCount, c.Nodes)
+}
+
+// enginesPerZone returns how many engines each zone has.
+func (c Config) enginesPerZone() int {
+	if c.Sessions == 0 {
+		return minEnginesPerZone
+	}
+	return max(minEnginesPerZone, 2*c.Sessions/len(zones)/sessionsPerGroup+1)
+}
+
+func (c Config) supervised() bool { return c.Plan == PlanVersions || c.Plan == PlanEnds }
+
 // Plan is the kind of a run.
 type Plan string
 
@@ -65,6 +86,9 @@
 	// PlanVersions changes the configuration in storms, beside SIGHUPs, planned stops, the loss of
 	// nodes' output, and kills of all nodes.
 	PlanVersions Plan = "versions"
+	// PlanEnds ends all nodes or nearly all in series, by kill, after silence, or after a standstill,
+	// right after versions of the configuration.
+	PlanEnds Plan = "ends"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
@@ -142,7 +166,7 @@
 		return nil, err
 	}
 	for _, zone := range zones {
-		for range enginesPerZone {
+		for range config.enginesPerZone() {
 			if err := d.addEndpoint("llm", zone); err != nil {
 				return nil, err
 			}
@@ -167,7 +191,7 @@
 // addCounters adds the endpoints of the second plain service, which PlanVersions has.
 func (d *deployment) addCounters() error {
 	for i := range countersPerZone * len(zones) {
-		if d.config.Plan != PlanVersions {
+		if !d.config.supervised() {
 			break
 		}
 		if err := d.addEndpoint(platformtest.SecondPlainService, zones[i%len(zones)]); err != nil {
@@ -200,7 +224,7 @@
 		ID: fmt.Sprintf("%s-%s-%d", service, zone, d.endpointCount), Service: service, Zone: zone, Engine: service == "llm",
 		Join: joinDuration, Event: eventInterval, Events: responseEvents,
 	}}
-	if d.config.Plan == PlanStops || d.config.Plan == PlanVersions {
+	if d.config.Plan == PlanStops || d.config.supervised() {
 		linked.config.Event, linked.config.EventTokens, linked.config.Work = stopsEventInterval, stopsEventTokens, deskServiceTime
 	}
 	if service == "llm" {
@@ -240,7 +264,7 @@
 
 func (d *deployment) startNode(n *nodeProcess) error {
 	start, now := d.processes.Start, time.Now()
-	if d.config.Plan == PlanVersions {
+	if d.config.supervised() {
 		start = d.processes.StartPiped
 	}
 	p, err := start(n.settings.Node, "node", "--settings", n.path)
--- a/soak/run.go
+++ b/soak/run.go
@@ -65,6 +65,8 @@
 		return d.watchingExits(d.runStops)
 	case PlanVersions:
 		return d.runVersions // each node has a supervisor
+	case PlanEnds:
+		return d.runEnds
 	}
 	return d.watchingExits(d.runFaults)
 }
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -47,23 +47,34 @@
 // then beside SIGHUPs, planned stops and the loss of nodes' output. It ends each round by
 // killing all nodes after a version.
 func (d *deployment) runVersions(ctx context.Context, report *Report) error {
+	return d.superviseSessions(ctx, report, func(b *balancer, c *cutChecker) error {
+		for range versionRounds {
+			if err := d.runRound(ctx, b, c, report); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// superviseSessions starts nodes again whenever they end, and checks what sessions see while a
+// function runs.
+func (d *deployment) superviseSessions(ctx context.Context, report *Report, run func(*balancer, *cutChecker) error) error {
 	c := &cutChecker{deployment: d}
 	sessionGroup, supervisors := kernel.NewGroup(ctx), kernel.NewGroup(ctx)
 	defer sessionGroup.Stop()
 	defer supervisors.Stop()
 	b := newBalancer(d.nodes)
 	b.start(sessionGroup)
-	for i := range max(sessionCount, len(d.nodes)) {
+	for i := range d.config.sessions() {
 		s := newSession(d, b, c, i)
 		sessionGroup.Go(s.name, s.run)
 	}
 	for _, n := range d.nodes {
 		supervisors.Go("supervisor of "+n.settings.Node, func(ctx context.Context) error { return d.supervise(ctx, n) })
 	}
-	for range versionRounds {
-		if err := d.runRound(ctx, b, c, report); err != nil {
-			return err
-		}
+	if err := run(b, c); err != nil {
+		return err
 	}
 	sessionGroup.Stop()
 	if err := sessionGroup.Wait(); err != nil {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -36,6 +36,8 @@
 	SwallowAndRefuse Mode = "swallow_and_refuse"
 	// OneWay forwards data from the client and drops data from the target.
 	OneWay Mode = "one_way"
+	// Hold keeps all data until another mode is set, as a route that is slow to come back.
+	Hold Mode = "hold"
 )
 
 // Link forwards connections to a target.
@@ -220,7 +222,23 @@
 	return true
 }
 
-const bufferSize = 32 << 10
+const (
+	bufferSize   = 32 << 10
+	holdInterval = 2 * time.Millisecond
+)
+
+// awaitRelease waits while the link holds its data.
+func (l *Link) awaitRelease() {
+	for l.holds() {
+		time.Sleep(holdInterval)
+	}
+}
+
+func (l *Link) holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mode == Hold
+}
 
 // copy forwards data in one direction until either connection is closed.
 func (l *Link) copy(p *pair, to, from net.Conn) {
@@ -239,6 +257,7 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
+		l.awaitRelease()
 		if _, err := to.Write(buffer[:n]); err != nil {
 			break
 		}
