Formation: the silence of one endpoint counts only while others answer

Cause: the holder held each endpoint's silence against its group without asking whether all were silent. A head that became suspect first got its members orders to leave (head_unreachable), a member that became suspect first got its group a close with cancel (member_lost). Nobody heard these orders until all answered again, and then they ended what ran. The class: a living node acts on the silence of others though all fell silent at once.

Now a silence counts only for the time in which other endpoints answer this node without a gap; while one is silent, two others, of other domains first, are asked five times a second. It holds for members that are listed and for those without an entry. A refused connection counts at once as before. What it costs: a lost member is found as soon as before where any other endpoint answers; if none does, it stays until one does.

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -84,7 +84,8 @@
 	sending       map[string]bool          // endpoints with an order in flight
 	probing       map[string]bool
 	pausedUntil   map[string]time.Time // by what is planned, after a panic
-	reportedAt    time.Time            // when any probed endpoint last answered
+	answers       answerSpan
+	witnessedAt   time.Time // when endpoints were last asked only to find out whether any answers
 	pending       atomic.Bool
 	stopped       bool
 	group         *kernel.Group
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -59,7 +59,7 @@
 	defer m.mu.Unlock()
 	id := n.worker.Endpoint.ID
 	if err == nil {
-		m.reportedAt = now
+		m.answers.record(now)
 		n.silentSince = time.Time{}
 		if n.bySilence {
 			n.suspectUntil, n.bySilence = now, false
@@ -75,9 +75,15 @@
 		return true
 	}
 	silent := n.silence(asked, now)
-	klog.InfoS("member_silent", "endpoint", id, "group", n.worker.Member.Group, "since_report", m.sinceReport(now), "silent", silent, "err", err)
-	if silent < minSilence && redwinghall.KindOf[platform.Kind](err) != platform.Absent {
-		return false
+	klog.InfoS("member_silent", "endpoint", id, "group", n.worker.Member.Group, "since_report", m.answers.age(now), "silent", silent, "err", err)
+	absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
+	if !absent && m.answers.silence(n.silentSince, now) < minSilence {
+		m.askWitnesses(now, n.worker.Endpoint)
+		if silent < suspectDuration {
+			return false
+		}
+		delete(m.probing, id) // it is asked again when streams are next reported as stalled
+		return true
 	}
 	n.suspect(asked, now, true)
 	delete(m.probing, id)
@@ -108,14 +114,6 @@
 	return kernel.RunTime(n.silentSince, now)
 }
 
-// sinceReport returns how long ago any probed endpoint last answered, negative if none has.
-func (m *Manager) sinceReport(now time.Time) time.Duration {
-	if m.reportedAt.IsZero() {
-		return -1
-	}
-	return now.Sub(m.reportedAt)
-}
-
 // recordTimeFactor records whether an endpoint reports that it works slower than it should.
 func (m *Manager) recordTimeFactor(now time.Time, n *endpointState, timeFactor float64) {
 	if timeFactor < slowTimeFactor {
--- a/formation/silence_test.go
+++ b/formation/silence_test.go
@@ -11,8 +11,8 @@
 
 // All endpoints fall silent to the holder within 0.1 s, and answer again later: no group loses its streams.
 func TestSilenceOfAllEndpointsEndsNoGroup(t *testing.T) {
-	for _, silence := range []time.Duration{650, 700, 800, 1000, 1300, 2000, 3000} {
-		for _, apart := range []time.Duration{0, 100} {
+	for _, silence := range []time.Duration{600, 650, 700, 800, 1000, 1300, 2000, 3000, 6000} {
+		for _, apart := range []time.Duration{0, 30, 100} {
 			t.Run(fmt.Sprintf("%d_ms,_%d_ms_apart", silence, apart), func(t *testing.T) {
 				runDefault(t, func(t *testing.T, f *fakeZone, n *node) {
 					before := f.memberships()
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -40,6 +40,8 @@
 	askedAt  time.Time
 	answered time.Time
 	fails    int
+	// silent reports that it left questions unanswered while other endpoints answered.
+	silent bool
 	// absent reports that the endpoint's process no longer listens at its address, or
 	// that another endpoint has that address; it isn't asked again.
 	absent bool
@@ -73,7 +75,7 @@
 		}
 		m.askUnlisted(ctx, now, n, healthPath)
 		n.worker.Unlisted = true
-		n.worker.Silent = !u.responsive(now)
+		n.worker.Silent = m.isSilent(now, e, u)
 		n.updateSuspicion(now)
 		n.worker.Slow = now.Before(n.slowUntil)
 		m.updateMembership(now, n)
@@ -97,6 +99,26 @@
 	return kernel.RunTime(u.answered, now) < unlistedTimeout && u.fails < unlistedMaxFailures
 }
 
+// isSilent reports whether an endpoint without an entry doesn't answer, though others do.
+func (m *Manager) isSilent(now time.Time, e *fleet.Endpoint, u *unlisted) bool {
+	if u.responsive(now) {
+		return false
+	}
+	if !u.silent {
+		m.askWitnesses(now, e)
+		u.silent = m.answers.silence(u.lastHeard(), now) >= minSilence
+	}
+	return u.silent
+}
+
+// lastHeard returns when the endpoint last showed that it lives.
+func (u *unlisted) lastHeard() time.Time {
+	if u.answered.IsZero() {
+		return u.since
+	}
+	return u.answered
+}
+
 // askUnlisted asks an endpoint for its report, and until its first answer also whether
 // it is leaving.
 func (m *Manager) askUnlisted(ctx context.Context, now time.Time, n *endpointState, healthPath string) {
@@ -134,12 +156,14 @@
 		return
 	}
 	if err != nil {
+		absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
 		u.fails++
-		u.absent = redwinghall.KindOf[platform.Kind](err) == platform.Absent || u.fails >= unlistedAbsentFailures
+		u.absent = absent || (u.silent && u.fails >= unlistedAbsentFailures)
 		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "absent", u.absent, "err", err)
 		return
 	}
-	u.fails, u.answered = 0, now
+	m.answers.record(now)
+	u.fails, u.answered, u.silent = 0, now, false
 	n.worker.Endpoint = n.worker.Endpoint.WithReport(report)
 	leaving = leaving || m.IsLeaving(n.worker.Endpoint)
 	if leaving && n.worker.DrainingSince.IsZero() {
