Gateway: no stream moves while no endpoint answers

What callers saw: all endpoints silent together for 1.3 s and more: each stream moved to another endpoint that was as silent, and once it had stalled there too no attempt was left.

Now a stream moves for silence alone only if another endpoint has answered this node within 0.7 s. From the stall timeout on, two endpoints that could take it are asked whether they answer, five times a second and node, so that one dark endpoint is still left after 1.3 s. What another node says of the endpoint (it serves others) counts as before.

TestSilenceOfAllEndpointsMovesNoStream failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,9 @@
 	forwards  atomic.Int64 // requests of other nodes in progress
 	controls  atomic.Int64 // control calls of other nodes in progress
 	held      atomic.Int64 // requests that wait for the outcome of a trial
-	unproven  unprovenAttempts
+	// othersAskedAt is when endpoints were last asked whether they answer, in Unix nanoseconds.
+	othersAskedAt atomic.Int64
+	unproven      unprovenAttempts
 	// eventBytes and answerBytes bound what is held of unfinished events and answers.
 	eventBytes, answerBytes byteBudget
 	// unreadable holds the unreadable headers that were logged.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -632,3 +632,24 @@
 	require.NoError(t, err)
 	require.Equal(t, wholeStream(2), line+string(rest))
 }
+
+// All endpoints fall silent together for 1.8 s: the stream must stay where it can go on.
+func TestSilenceOfAllEndpointsMovesNoStream(t *testing.T) {
+	s := newFixture(t)
+	var runs atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		sign(w, r)
+		writeEvents(w, 1, 2)
+		time.Sleep(1800 * time.Millisecond)
+		writeEvents(w, 3, 4)
+	}
+	for _, id := range []string{"e1", "e2", "e3"} {
+		s.presences.Store(id, fleet.PresenceUnknown)
+		s.endpoint(id, "llm", handler)
+	}
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(4), got.body)
+	require.Equal(t, int32(1), runs.Load())
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -9,7 +9,8 @@
 )
 
 // watchStall calls cancel once the group has made no progress for silenceTolerance, or for the
-// stall timeout if it serves other nodes meanwhile, and the stream can resume at another group.
+// stall timeout if it serves other nodes meanwhile, other endpoints answer, and the stream can resume at
+// another group.
 // The returned function stops the watch.
 //
 // A group that lost a member makes no progress for seconds, while its callers
@@ -51,11 +52,13 @@
 		w.reported = true
 		w.call.g.recordStalled(now, w.choice.Endpoint, silent)
 	}
-	dead := w.call.g.Paths.ServesOthers(now, w.choice.Endpoint.ID)
-	if (dead || silent >= silenceTolerance) && w.call.mayResumeElsewhere(now) {
+	g, e := w.call.g, w.choice.Endpoint
+	lost := g.Paths.ServesOthers(now, e.ID) || (silent >= silenceTolerance && g.othersAnswer(now, e))
+	if lost && w.call.mayResumeElsewhere(now) {
 		w.cancel()
 		return
 	}
+	w.call.askOthers(now)
 	w.timer.Reset(stallCheckInterval)
 }
 
@@ -86,10 +89,5 @@
 // hasAlternative reports whether an endpoint that isn't among the tried ones could take a
 // request.
 func (g *Gateway) hasAlternative(now time.Time, r *Request, tried map[string]bool) bool {
-	view := g.Cache.View()
-	others := view.ByService[r.Service.Name]
-	if r.Service.Engine != nil {
-		others = view.Heads(r.Service.Name, r.Info.Model)
-	}
-	return g.Tracker.HasAlternative(now, others, view.ZonesOut, g.balanceRequest(r, tried))
+	return g.Tracker.HasAlternative(now, g.candidates(r), g.Cache.View().ZonesOut, g.balanceRequest(r, tried))
 }
--- a/reach/table.go
+++ b/reach/table.go
@@ -262,6 +262,18 @@
 	t.goodAt = now
 }
 
+// HeardFromOther reports whether something came from an endpoint other than one since a time.
+func (t *Table) HeardFromOther(since time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for other, p := range t.endpoints {
+		if other != id && p.heardAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // Connected records that this node opened a connection to an endpoint. It reports whether
 // requests to it go over this node's own connections again.
 func (t *Table) Connected(now time.Time, serviceName, id string) (returned bool) {
