--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -284,15 +284,15 @@
 	return false
 }
 
-// timeLimitResolution is how much earlier than this node's own time a node that forwards a request may take
-// it for over: time limits travel in whole milliseconds.
+// timeLimitResolution is how much earlier the time of a forwarded request may end at the node that forwards it:
+// time limits travel in whole milliseconds.
 const timeLimitResolution = time.Millisecond
 
 // finishPlain sends the caller the result of the last attempt.
 func (g *Gateway) finishPlain(ctx context.Context, w http.ResponseWriter, call *plainCall, last plainAttempt) {
 	r := call.r
-	if left := r.Left(time.Now()); left > 0 && left <= timeLimitResolution {
-		kernel.Sleep(ctx, left)
+	if left := r.Left(time.Now()); last.response == nil && left > 0 && left <= timeLimitResolution {
+		kernel.Sleep(ctx, left) // it can end in nothing but a timeout
 	}
 	outOfTime := ctx.Err() != nil || r.Left(time.Now()) <= 0 // the timer of ctx may fire after that of the last attempt
 	switch {
