--- /dev/null
+++ b/cmd/router/hangup.go
@@ -0,0 +1,3 @@
+package main
+
+import _ "redwinghall/hangup" // outlives SIGHUP before main
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -141,6 +141,8 @@
 	// exits are the violations of processes that ended though nobody ended them.
 	exits    []string
 	versions []configurationVersion
+	// earlyHangUps counts the processes that ended by a SIGHUP before their first instructions.
+	earlyHangUps int
 	// versionWrite guards variant, the last version that was written, and is locked before mu.
 	versionWrite sync.Mutex
 	variant      platformtest.Variant
--- a/soak/hang_up.go
+++ b/soak/hang_up.go
@@ -16,9 +16,20 @@
 func (d *deployment) hangUp(n *nodeProcess) {
 	l := d.lifetimeOf(n)
 	d.recordFault("%s (pid %d) gets SIGHUP", n.settings.Node, l.process.PID())
+	d.recordEarlyHangUp(l)
 	l.process.Signal(syscall.SIGHUP)
 }
 
+// recordEarlyHangUp records a SIGHUP that comes before the first instructions of a process, which ends by it.
+func (d *deployment) recordEarlyHangUp(l *lifetime) {
+	if l.process.Handles(syscall.SIGHUP) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.hungUpEarly = true
+}
+
 // hangUpAll sends SIGHUP to all nodes within a second, and replaces the settings of some
 // beside it.
 func hangUpAll(ctx context.Context, d *deployment) error {
--- a/soak/lifetime.go
+++ b/soak/lifetime.go
@@ -18,6 +18,8 @@
 	// terminatedAt and killedAt are just before the run sent SIGTERM and SIGKILL, endedAt is
 	// when the process had ended; zero if it didn't happen.
 	terminatedAt, killedAt, endedAt time.Time
+	// hungUpEarly reports whether the process got SIGHUP when it could neither handle nor ignore it.
+	hungUpEarly bool
 	// unasked reports whether the process ended otherwise than the run made it end.
 	unasked bool
 }
@@ -75,7 +77,11 @@
 	l.endedAt = l.process.ExitedAt()
 	killed := !l.killedAt.IsZero() && l.process.EndedBy(syscall.SIGKILL)
 	stopped := !l.terminatedAt.IsZero() && (l.process.Err() == nil || l.stoppedAtStart())
-	l.unasked = !killed && !stopped
+	hungUp := l.hungUpEarly && l.process.EndedBy(syscall.SIGHUP)
+	l.unasked = !killed && !stopped && !hungUp
+	if hungUp {
+		d.earlyHangUps++
+	}
 	switch {
 	case !l.unasked:
 		return nil
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	c.finish(report)
-	report.note("%d versions of the configuration", len(d.versions))
+	report.note("%d versions of the configuration; %d processes ended by SIGHUP before their first instructions", len(d.versions), d.earlyHangUps)
 	report.Violations = append(report.Violations, d.violations...)
 	return nil
 }
