--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -46,7 +46,7 @@
           of the last start, and nine of ten first tries be served within 12 s.
   ends    right after a version of the configuration, all nodes or all but a few end in series:
           killed, silent first as without power, or killed soon after a standstill; or all stand
-          still and go on, or all endpoints fall silent for a second. Each end has its own time: a
+          still and go on, or all endpoints, the store or both fall silent for a second. Each end has its own time: a
           node that hasn't reached it may cut off no response, and those that live on may
           neither refuse more than one in ten first tries nor send a stream to a second endpoint.
 
--- a/soak/series.go
+++ b/soak/series.go
@@ -8,18 +8,19 @@
 	"time"
 
 	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
 	"redwinghall/standin/link"
 )
 
 // Times of PlanEnds, in milliseconds unless they have a unit.
 const (
-	minSilence      = 5 // from a node's silence to its end
-	maxSilence      = 200
-	minStandstill   = 80
-	maxStandstill   = 1200
-	maxAfterwards   = 100 // from the end of a standstill to a node's end
-	maxSurvivors    = 3
-	endpointSilence = time.Second // less than a sound endpoint may be silent
+	minSilence    = 5 // from a node's silence to its end
+	maxSilence    = 200
+	minStandstill = 80
+	maxStandstill = 1200
+	maxAfterwards = 100 // from the end of a standstill to a node's end
+	maxSurvivors  = 3
+	silenceOfAll  = time.Second // less than a sound endpoint may be silent
 	// seriesTime is for how long ends are watched while nodes live on, and versions go on.
 	seriesTime = 5 * time.Second
 )
@@ -77,7 +78,7 @@
 			if err := d.runSeries(ctx, c, report); err != nil {
 				return err
 			}
-			if err := d.silenceEndpoints(ctx); err != nil {
+			if err := d.silenceAll(ctx, d.randomInt(3)); err != nil {
 				return err
 			}
 		}
@@ -127,14 +128,20 @@
 	return storm(ctx, d, seriesTime)
 }
 
-// silenceEndpoints lets all endpoints fall silent for a time in which nobody may take them for lost.
-func (d *deployment) silenceEndpoints(ctx context.Context) error {
+// silenceAll lets all endpoints, the store, or both fall silent for a time in which nobody may take the endpoints
+// for lost.
+func (d *deployment) silenceAll(ctx context.Context, which int) error {
 	from := time.Now()
-	d.recordFault("all endpoints fall silent for %s", endpointSilence)
-	d.setEndpointLinks(link.Hold)
+	name := []string{"all endpoints", "the store", "the store and all endpoints"}[which]
+	d.recordFault("%s: silent for %s", name, silenceOfAll)
+	if which != 1 {
+		d.setEndpointLinks(link.Hold)
+	}
+	d.store.SetFaults(platformtest.Faults{Silent: which != 0})
 	versions := kernel.NewGroup(ctx)
-	versions.Go("versions", func(ctx context.Context) error { return storm(ctx, d, endpointSilence) })
-	kernel.Sleep(ctx, endpointSilence)
+	versions.Go("versions", func(ctx context.Context) error { return storm(ctx, d, silenceOfAll) })
+	kernel.Sleep(ctx, silenceOfAll)
+	d.store.SetFaults(platformtest.Faults{})
 	d.setEndpointLinks(link.Pass)
 	err := versions.Wait()
 	open := d.openHeads()
@@ -142,7 +149,7 @@
 	now := d.openHeads()
 	for id, group := range open {
 		if now[id] != group {
-			d.addViolation("the group of %s was closed after a silence of all endpoints from %s, open are %v", id, clock(from), now)
+			d.addViolation("the group of %s was closed after a silence of %s from %s, open are %v", id, name, clock(from), now)
 		}
 	}
 	return err
