--- a/formation/witness.go
+++ b/formation/witness.go
@@ -15,8 +15,8 @@
 	// in witnessInterval.
 	witnessCount    = 2
 	witnessInterval = 200 * time.Millisecond
-	// maxAnswerGap is the longest time between two answers in which this node counts as reached: a
-	// report's timeout and the pause before the next question.
+	// maxAnswerGap is the longest time between two answers in which this node counts as reached. It
+	// leaves room for one report that times out.
 	maxAnswerGap = 600 * time.Millisecond
 )
 
