--- /dev/null
+++ b/gateway/stream_relay.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/platform"
+)
+
+// sendHeaders sends the response headers of the first endpoint; those of later
+// endpoints are dropped.
+func (c *streamCall) sendHeaders(response *Response) {
+	if c.headersSent {
+		return
+	}
+	c.headersSent = true
+	platform.CopyResponseHeaders(c.w.Header(), response.Header)
+	c.w.WriteHeader(response.Status)
+}
+
+// relay forwards events until the response ends. The error is nil only if the
+// response was complete.
+func (c *streamCall) relay(choice balance.Choice, response *Response) error {
+	c.blank = nil
+	events := newEventSplitter(response.Body, &c.g.eventBytes)
+	defer events.close()
+	pace := c.predictedPause()
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if response.endsSoundly() {
+				c.recordProven(time.Now())
+			}
+			c.sendHeaders(response)
+			if len(c.blank) > 0 {
+				return errors.Join(c.write(nil), c.flushEvents())
+			}
+			return c.flushEvents()
+		}
+		if err != nil {
+			return err
+		}
+		if err := events.checkBlank(event); err != nil {
+			return err
+		}
+		if events.blank > 0 {
+			if err := c.writeBlank(choice.Endpoint, response, event); err != nil {
+				return err
+			}
+			continue
+		}
+		now := time.Now()
+		choice.Attempt.RecordEvent(now, pace)
+		c.g.recordResponded(now, choice.Endpoint, response)
+		if !c.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
+			c.recordProven(now)
+		}
+		if c.alreadySent(event) {
+			continue
+		}
+		c.recordEventTime(now)
+		c.sendHeaders(response)
+		if err := c.write(event); err != nil {
+			return err
+		}
+		if !events.buffered() {
+			if err := c.flushEvents(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *streamCall) flushEvents() error { return c.flush.Flush() }
+
+func (c *streamCall) write(event []byte) error {
+	if len(c.blank) > 0 {
+		event = append(c.blank, event...)
+		c.blank = nil
+	}
+	n, err := c.w.Write(event)
+	c.bytes += int64(n)
+	return err
+}
+
+// writeBlank passes blank lines and comments on, behind the first event only: they may come without end, and don't
+// show that the endpoint answers.
+func (c *streamCall) writeBlank(e *fleet.Endpoint, response *Response, event []byte) error {
+	c.g.recordResponded(time.Now(), e, response)
+	if !c.headersSent {
+		c.blank = append(c.blank, event...)
+		return nil
+	}
+	if err := c.write(event); err != nil {
+		return err
+	}
+	return c.flushEvents()
+}
+
+// alreadySent reports whether the caller already has an event. If not, it records the
+// id of the event as the last one sent.
+func (c *streamCall) alreadySent(event []byte) bool {
+	id, ok := eventID(event)
+	if !ok {
+		return false
+	}
+	if c.hasID && id <= c.lastID {
+		return true
+	}
+	c.lastID, c.hasID = id, true
+	return false
+}
+
+func (c *streamCall) recordEventTime(now time.Time) {
+	if c.firstEventAt.IsZero() {
+		c.firstEventAt = now
+	} else {
+		c.longestPause = max(c.longestPause, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
+}
+
+// predictedPause returns a function that predicts the pause between events for a
+// number of running requests from the engine's parameters. It is nil if the service
+// has no engine or the model is unknown.
+func (c *streamCall) predictedPause() func(int) time.Duration {
+	if c.r.Service.Engine == nil {
+		return nil
+	}
+	model, ok := c.r.Service.Engine.Model(c.r.Info.Model)
+	if !ok {
+		return nil
+	}
+	pace := balance.NewPace(c.r.Service.Engine, model, 1)
+	return func(running int) time.Duration { return pace.Pass(running, 0) }
+}
