--- a/formation/fakezone_test.go
+++ b/formation/fakezone_test.go
@@ -327,6 +327,13 @@
 	w.orders, w.reports = 0, nil
 }
 
+// reportCount returns how many reports were asked for.
+func (f *fakeZone) reportCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports
+}
+
 // Report implements fleet.Orderer.
 func (f *fakeZone) Report(_ context.Context, e *fleet.Endpoint) (fleet.Report, error) {
 	time.Sleep(2 * time.Millisecond)
--- a/formation/orders_test.go
+++ b/formation/orders_test.go
@@ -51,10 +51,10 @@
 		w := f.servingHeads("large")[0]
 		f.kill(w.ID, false)
 		n.manager.ReportStall(context.Background(), w.ID)
-		requestedBefore := f.reports
+		requestedBefore := f.reportCount()
 		time.Sleep(2500 * time.Millisecond)
 		require.Len(t, f.servingHeads("large"), 2)
-		require.LessOrEqual(t, f.reports-requestedBefore, 40, "the domain's 11 endpoints once, then the members before the group opens")
+		require.LessOrEqual(t, f.reportCount()-requestedBefore, 40, "the domain's 11 endpoints once, then the members before the group opens")
 	})
 }
 
