Formation: a silence is measured by a clock that runs only while endpoints answer

Traced: the last endpoint fell silent 0.55 s before the first one answered again; that gap was below the 0.6 s in which this node counted as reached, so the silence of a head that was back 50 ms later counted in full (626 ms).

--- a/formation/manager.go
+++ b/formation/manager.go
@@ -84,7 +84,7 @@
 	sending       map[string]bool          // endpoints with an order in flight
 	probing       map[string]bool
 	pausedUntil   map[string]time.Time // by what is planned, after a panic
-	answers       answerSpan
+	answers       answerClock
 	witnessedAt   time.Time // when endpoints were last asked only to find out whether any answers
 	pending       atomic.Bool
 	stopped       bool
@@ -107,7 +107,9 @@
 	// silentSince is when the first of the reports that it left unanswered was asked for, zero if
 	// it answered the last one.
 	silentSince time.Time
-	unlisted    unlisted
+	// silentFrom is what the clock of answers showed at silentSince.
+	silentFrom time.Duration
+	unlisted   unlisted
 	// unansweredJoin is the group of the last join order that got no answer, and
 	// unansweredJoinUntil is until when that order may still be carried out.
 	unansweredJoin      string
@@ -248,6 +250,7 @@
 	}
 	m.addUnlisted(ctx, now, z, zone, service.Name, service.HealthPath)
 	m.recheckSuspects(ctx, now, z.Workers)
+	m.askWhileSilent(now, z.Workers)
 	m.markFree(now, z.Workers)
 	held := m.tenureOf(now, zone)
 	z.EarlierOrders = held.earlierOrders(now)
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -44,17 +44,25 @@
 	m.group.Task("probe", func(running context.Context) {
 		for {
 			asked := time.Now()
+			heard := m.answersAt(asked)
 			report, err := m.Orderer.Report(ctx, endpoint)
-			if m.recordProbe(asked, time.Now(), n, report, err) || !kernel.Sleep(running, probeRetryDelay) {
+			if m.recordProbe(asked, time.Now(), heard, n, report, err) || !kernel.Sleep(running, probeRetryDelay) {
 				return
 			}
 		}
 	})
 }
 
-// recordProbe records the answer to a probe. It reports whether the endpoint answered or is known
-// to be lost, or this node can't tell.
-func (m *Manager) recordProbe(asked, now time.Time, n *endpointState, report fleet.Report, err error) (done bool) {
+// answersAt returns what the clock of answers shows.
+func (m *Manager) answersAt(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answers.at(now)
+}
+
+// recordProbe records the answer to a probe, for which the clock of answers showed heard. It reports
+// whether the endpoint answered or is known to be lost, or this node can't tell.
+func (m *Manager) recordProbe(asked, now time.Time, heard time.Duration, n *endpointState, report fleet.Report, err error) (done bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	id := n.worker.Endpoint.ID
@@ -75,9 +83,12 @@
 		return true
 	}
 	silent := n.silence(asked, now)
-	klog.InfoS("member_silent", "endpoint", id, "group", n.worker.Member.Group, "since_report", m.answers.age(now), "silent", silent, "err", err)
+	if n.silentSince.Equal(asked) {
+		n.silentFrom = heard
+	}
+	klog.InfoS("member_silent", "endpoint", id, "group", n.worker.Member.Group, "since_report", m.answers.sinceAnswer(now), "silent", silent, "err", err)
 	absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
-	if !absent && m.answers.silence(n.silentSince, now) < minSilence {
+	if !absent && m.answers.at(now)-n.silentFrom < minSilence {
 		m.askWitnesses(now, n.worker.Endpoint)
 		if silent < suspectDuration {
 			return false
--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -40,8 +40,10 @@
 	askedAt  time.Time
 	answered time.Time
 	fails    int
-	// silent reports that it left questions unanswered while other endpoints answered.
-	silent bool
+	// silentFrom is what the clock of answers showed as it was asked the first question that it left
+	// unanswered, and silent reports that it was silent for long since, by that clock.
+	silentFrom time.Duration
+	silent     bool
 	// absent reports that the endpoint's process no longer listens at its address, or
 	// that another endpoint has that address; it isn't asked again.
 	absent bool
@@ -106,19 +108,11 @@
 	}
 	if !u.silent {
 		m.askWitnesses(now, e)
-		u.silent = m.answers.silence(u.lastHeard(), now) >= minSilence
+		u.silent = u.fails > 0 && m.answers.at(now)-u.silentFrom >= minSilence
 	}
 	return u.silent
 }
 
-// lastHeard returns when the endpoint last showed that it lives.
-func (u *unlisted) lastHeard() time.Time {
-	if u.answered.IsZero() {
-		return u.since
-	}
-	return u.answered
-}
-
 // askUnlisted asks an endpoint for its report, and until its first answer also whether
 // it is leaving.
 func (m *Manager) askUnlisted(ctx context.Context, now time.Time, n *endpointState, healthPath string) {
@@ -132,6 +126,7 @@
 	m.probing[id] = true
 	n.unlisted.askedAt = now
 	endpoint := n.worker.Endpoint
+	heard := m.answers.at(now)
 	first := n.unlisted.answered.IsZero()
 	m.group.Task("ask_unlisted", func(context.Context) {
 		report, err := m.Orderer.Report(ctx, endpoint)
@@ -143,11 +138,12 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.probing, id)
-		m.recordUnlistedReport(time.Now(), n, report, leaving, err)
+		m.recordUnlistedReport(time.Now(), heard, n, report, leaving, err)
 	})
 }
 
-func (m *Manager) recordUnlistedReport(now time.Time, n *endpointState, report fleet.Report, leaving bool, err error) {
+// recordUnlistedReport records the answer to a question, as which was asked the clock of answers showed heard.
+func (m *Manager) recordUnlistedReport(now time.Time, heard time.Duration, n *endpointState, report fleet.Report, leaving bool, err error) {
 	u := &n.unlisted
 	if u.since.IsZero() {
 		return // its entry is back
@@ -157,6 +153,9 @@
 	}
 	if err != nil {
 		absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
+		if u.fails == 0 {
+			u.silentFrom = heard
+		}
 		u.fails++
 		u.absent = absent || (u.silent && u.fails >= unlistedAbsentFailures)
 		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "absent", u.absent, "err", err)
--- a/formation/witness.go
+++ b/formation/witness.go
@@ -14,41 +14,48 @@
 	// witnessCount is how many endpoints are asked at once while another one is silent, at most once
 	// in witnessInterval.
 	witnessCount    = 2
-	witnessInterval = 200 * time.Millisecond
-	// maxAnswerGap is the longest time between two answers in which this node counts as reached. It
-	// leaves room for one report that times out.
-	maxAnswerGap = 600 * time.Millisecond
+	witnessInterval = 100 * time.Millisecond
+	// maxAnswerGap is how much of the time between two answers counts as time in which endpoints answer.
+	maxAnswerGap = 150 * time.Millisecond
 )
 
-// answerSpan is the time in which endpoints have answered this node without a gap.
+// answerClock runs only while endpoints answer this node and this process runs.
 //
 // If all endpoints fall silent together, this node or its link stands still, not they. Orders given for that
 // reason would arrive once all answer again, and would cancel the streams of sound groups. So the silence of
-// one endpoint counts only while others answer.
-type answerSpan struct{ from, to time.Time }
+// one endpoint is measured by this clock.
+type answerClock struct {
+	total time.Duration // up to the last answer
+	last  time.Time     // when that came, zero if none did
+}
 
 // record adds an answer.
-func (a *answerSpan) record(now time.Time) {
-	if kernel.RunTime(a.to, now) > maxAnswerGap {
-		a.from = now
-	}
-	a.to = now
-}
+func (c *answerClock) record(now time.Time) { c.total, c.last = c.at(now), now }
 
-// silence returns for how long an endpoint has been silent while others answered and this process ran.
-func (a answerSpan) silence(since, now time.Time) time.Duration {
-	if kernel.RunTime(a.to, now) > maxAnswerGap {
+// at returns what the clock shows at a time.
+func (c *answerClock) at(now time.Time) time.Duration {
+	if c.last.IsZero() {
 		return 0
 	}
-	return kernel.RunTime(later(since, a.from), now)
+	return c.total + min(maxAnswerGap, kernel.RunTime(c.last, now))
 }
 
-// age returns how long ago the last answer came, negative if there was none.
-func (a answerSpan) age(now time.Time) time.Duration {
-	if a.to.IsZero() {
+// sinceAnswer returns how long ago the last answer came, negative if there was none.
+func (c *answerClock) sinceAnswer(now time.Time) time.Duration {
+	if c.last.IsZero() {
 		return -1
 	}
-	return now.Sub(a.to)
+	return now.Sub(c.last)
+}
+
+// askWhileSilent asks others while an endpoint is silent and it isn't decided yet whether it is lost.
+func (m *Manager) askWhileSilent(now time.Time, workers []*Worker) {
+	for _, w := range workers {
+		n, ok := m.endpoints[w.Endpoint.ID]
+		if ok && !w.Suspect && m.probing[w.Endpoint.ID] && !n.silentSince.IsZero() {
+			m.askWitnesses(now, w.Endpoint)
+		}
+	}
 }
 
 // askWitnesses asks other endpoints for a report while one is silent. The lock is held.
