--- a/formation/era_test.go
+++ b/formation/era_test.go
@@ -19,8 +19,8 @@
 		n.manager.ReportStall(t.Context(), f.servingHeads("small")[0].ID)
 		time.Sleep(20 * time.Second)
 		before := int64(0)
-		for _, w := range f.workers {
-			before = max(before, w.Member.Epoch)
+		for _, epoch := range f.epochs() {
+			before = max(before, epoch)
 		}
 		n.holdsLease.Store(false)
 		next := manage(f, false)
@@ -32,10 +32,10 @@
 		next.manager.ReportStall(t.Context(), head)
 		time.Sleep(30 * time.Second)
 		formed := 0
-		for _, w := range f.workers {
-			if w.Member.Epoch > before {
+		for _, epoch := range f.epochs() {
+			if epoch > before {
 				formed++
-				require.Greater(t, w.Member.Epoch, int64(versions)<<20)
+				require.Greater(t, epoch, int64(versions)<<20)
 			}
 		}
 		require.Positive(t, formed)
--- a/formation/fakezone_test.go
+++ b/formation/fakezone_test.go
@@ -327,6 +327,17 @@
 	w.orders, w.reports = 0, nil
 }
 
+// epochs returns the epoch of each endpoint's membership.
+func (f *fakeZone) epochs() []int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var epochs []int64
+	for _, w := range f.workers {
+		epochs = append(epochs, w.Member.Epoch)
+	}
+	return epochs
+}
+
 // reportCount returns how many reports were asked for.
 func (f *fakeZone) reportCount() int {
 	f.mu.Lock()
--- a/node/ending.go
+++ b/node/ending.go
@@ -68,11 +68,11 @@
 	defer e.mu.Unlock()
 	line := []any{
 		"node", n.settings.Node, "reason", e.reason, "cause", e.cause, "took", now.Sub(e.begun), "ran_for", now.Sub(n.started),
-		"by_grace", e.byGrace, "interrupted", e.interrupted,
+		"by_grace", e.byGrace, "interrupted", e.interrupted, "err", err,
 	}
 	if err != nil || e.reason != endedByStop || e.interrupted > 0 {
-		kernel.WarningS(err, "node_stopped", line...)
+		kernel.WarningS(nil, "node_stopped", line...)
 		return
 	}
-	klog.InfoS("node_stopped", append(line, "err", err)...)
+	klog.InfoS("node_stopped", line...)
 }
