Kernel: a server whose listener was closed before it stops without an error

Traced: a planned stop closes the callers' listener; until Serve has returned from Accept, http.Server.Close closes it once more and returns the listener's net.ErrClosed, which failed the group.

TestServerWhoseListenerWasClosedStopsWithoutAnError failed before with that text.

--- a/kernel/serve.go
+++ b/kernel/serve.go
@@ -14,7 +14,10 @@
 	g.Accept(name, server, listener)
 	g.Go(name+".stop", func(ctx context.Context) error {
 		<-ctx.Done()
-		return server.Close()
+		if err := server.Close(); !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		return nil // the listener was closed before
 	})
 }
 
