Formation: a member without an entry counts as silent from the moment its entry is missing

What callers saw: the streams of a group that had lost a member stood still until they timed out, at a holder that is parted from the endpoints. Cause: wanted a question left unanswered; where nobody can pass a question on, the outcome is unclear and counts as none, so the member was never lost. Others are asked five times a second, as more used up what nodes carry for one another; a gap between two answers counts for 0.2 s.

--- a/formation/unlisted.go
+++ b/formation/unlisted.go
@@ -40,8 +40,8 @@
 	askedAt  time.Time
 	answered time.Time
 	fails    int
-	// silentFrom is what the clock of answers showed as it was asked the first question that it left
-	// unanswered, and silent reports that it was silent for long since, by that clock.
+	// silentFrom is what the clock of answers showed as the entry went missing or the endpoint last
+	// answered, and silent reports that it was silent for long since, by that clock.
 	silentFrom time.Duration
 	silent     bool
 	// absent reports that the endpoint's process no longer listens at its address, or
@@ -68,7 +68,7 @@
 		}
 		u := &n.unlisted
 		if u.since.IsZero() {
-			*u = unlisted{since: now}
+			*u = unlisted{since: now, silentFrom: m.answers.at(now)}
 			klog.InfoS("entry_missing", "endpoint", id, "group", n.worker.Member.Group, "entry", e.Revision)
 		}
 		u.absent = u.absent || taken[e.Address]
@@ -108,7 +108,7 @@
 	}
 	if !u.silent {
 		m.askWitnesses(now, e)
-		u.silent = u.fails > 0 && m.answers.at(now)-u.silentFrom >= minSilence
+		u.silent = m.answers.at(now)-u.silentFrom >= minSilence
 	}
 	return u.silent
 }
@@ -126,7 +126,6 @@
 	m.probing[id] = true
 	n.unlisted.askedAt = now
 	endpoint := n.worker.Endpoint
-	heard := m.answers.at(now)
 	first := n.unlisted.answered.IsZero()
 	m.group.Task("ask_unlisted", func(context.Context) {
 		report, err := m.Orderer.Report(ctx, endpoint)
@@ -138,12 +137,11 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.probing, id)
-		m.recordUnlistedReport(time.Now(), heard, n, report, leaving, err)
+		m.recordUnlistedReport(time.Now(), n, report, leaving, err)
 	})
 }
 
-// recordUnlistedReport records the answer to a question, as which was asked the clock of answers showed heard.
-func (m *Manager) recordUnlistedReport(now time.Time, heard time.Duration, n *endpointState, report fleet.Report, leaving bool, err error) {
+func (m *Manager) recordUnlistedReport(now time.Time, n *endpointState, report fleet.Report, leaving bool, err error) {
 	u := &n.unlisted
 	if u.since.IsZero() {
 		return // its entry is back
@@ -153,16 +151,13 @@
 	}
 	if err != nil {
 		absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
-		if u.fails == 0 {
-			u.silentFrom = heard
-		}
 		u.fails++
 		u.absent = absent || (u.silent && u.fails >= unlistedAbsentFailures)
 		klog.InfoS("unlisted_silent", "endpoint", n.worker.Endpoint.ID, "fails", u.fails, "absent", u.absent, "err", err)
 		return
 	}
 	m.answers.record(now)
-	u.fails, u.answered, u.silent = 0, now, false
+	u.fails, u.answered, u.silent, u.silentFrom = 0, now, false, m.answers.at(now)
 	n.worker.Endpoint = n.worker.Endpoint.WithReport(report)
 	leaving = leaving || m.IsLeaving(n.worker.Endpoint)
 	if leaving && n.worker.DrainingSince.IsZero() {
--- a/formation/witness.go
+++ b/formation/witness.go
@@ -14,9 +14,9 @@
 	// witnessCount is how many endpoints are asked at once while another one is silent, at most once
 	// in witnessInterval.
 	witnessCount    = 2
-	witnessInterval = 100 * time.Millisecond
+	witnessInterval = 200 * time.Millisecond
 	// maxAnswerGap is how much of the time between two answers counts as time in which endpoints answer.
-	maxAnswerGap = 150 * time.Millisecond
+	maxAnswerGap = 200 * time.Millisecond
 )
 
 // answerClock runs only while endpoints answer this node and this process runs.
