Interfaces of the parts for hard load: who asks for room, what zones lend each other

Nothing decides by them yet: urgency, account and expected length reach the dispatcher and are ignored there; a node without a lender lends nothing.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -31,7 +31,13 @@
 	Zone    string      // of this node and so of the caller
 	Prompt  int         // tokens
 	// Answer is the most tokens that the answer may have, 0 if unknown.
-	Answer    int
+	Answer int
+	// ExpectedAnswer is the expected length of the answer in tokens, 0 if unknown.
+	ExpectedAnswer int
+	// Urgency orders requests where room is short; 0 is the most urgent.
+	Urgency int
+	// Account is the client account, "" if the request has none.
+	Account   string
 	Objective time.Duration
 	// Tried holds the endpoints that the request has already been sent to.
 	Tried map[string]bool
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -19,8 +19,16 @@
 	// Resumed says that another group has started the stream, so that finishing it late is
 	// better than refusing it.
 	Resumed bool
-	// Node is the requesting node.
-	Node string
+	// Urgency orders streams where room is short; 0 is the most urgent.
+	Urgency int
+	// Account is the client account, "" if the stream has none.
+	Account string
+	// Answer is the expected length of the answer in tokens, 0 if unknown.
+	Answer int
+	// Node is the requesting node, Zone its zone.
+	Node, Zone string
+	// OnLoan says that the stream takes room that the asked zone lent to the requesting one.
+	OnLoan bool
 	// Ticket is the sequence number of the request among those of the node to its own zone;
 	// 0 for a request to another zone.
 	Ticket uint64
@@ -39,4 +47,11 @@
 	// LimitedFor is, if only rate limits prevent the zone's groups from serving the stream,
 	// the time until one permits it.
 	LimitedFor time.Duration
+	// RetryAfter is, if no group can serve the stream, when the caller should return, 0 if
+	// unknown.
+	RetryAfter time.Duration
+	// Reason is why the stream was refused although room may be left, or "".
+	Reason string
+	// OnLoan says that AlternativeZone has lent room, which the stream takes.
+	OnLoan bool
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,7 +245,7 @@
 		Service: r.Service, Zone: settings.Zone, Prompt: r.Info.Prompt, Answer: r.Info.MaxAnswer, Objective: r.Route.Objective, Tried: tried,
 		Node: settings.Node, Nodes: nodes, ZoneNodes: zone, IsDispatcher: shares.IsDispatcher,
 		ColdRateOwnZone: coldZoneShare * cold / float64(zone), ColdRateOtherZones: (1 - coldZoneShare) * cold / float64(max(1, nodes-zone)),
-		Connections: usableConnections(r.Service.MaxConnections),
+		Connections: usableConnections(r.Service.MaxConnections), Urgency: r.Priority(), Account: r.account(), ExpectedAnswer: r.Info.LengthHint,
 	}
 	if r.Service.Engine != nil {
 		req.Model, _ = r.Service.Engine.Model(r.Info.Model)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -131,7 +131,7 @@
 func (c *streamCall) placementRequest(heads []*fleet.Endpoint, req balance.Request) fleet.PlacementRequest {
 	request := fleet.PlacementRequest{
 		Service: req.Service.Name, Model: req.Model.Name, Prompt: req.Prompt, Objective: req.Objective, Resumed: req.Resumed,
-		InRetryAfter: c.g.Tracker.InRetryAfter(time.Now(), heads),
+		InRetryAfter: c.g.Tracker.InRetryAfter(time.Now(), heads), Urgency: req.Urgency, Account: req.Account, Answer: req.ExpectedAnswer,
 	}
 	for id := range req.Tried {
 		request.Tried = append(request.Tried, id)
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -186,7 +186,8 @@
 	out, err := c.clientFor(address).Reserve(ctx, &rpc.ReserveRequest{
 		Service: request.Service, Model: request.Model, PromptTokens: int32(request.Prompt), //nolint:gosec // a count of tokens
 		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, Shunned: request.InBackoff, InRetryAfter: request.InRetryAfter, GoesOn: request.Resumed,
-		Node: request.Node, Ticket: request.Ticket,
+		Node: request.Node, Ticket: request.Ticket, Zone: request.Zone, Account: request.Account, OnLoan: request.OnLoan,
+		Urgency: int32(request.Urgency), AnswerTokens: int32(request.Answer), //nolint:gosec // small numbers
 	})
 	if err != nil {
 		return fleet.Placement{}, c.callError("Client.Reserve", err)
@@ -194,6 +195,7 @@
 	return fleet.Placement{
 		Endpoint: out.GetEndpoint(), Predicted: time.Duration(out.GetPredictedUs()) * time.Microsecond, AlternativeZone: out.GetElsewhere(),
 		Permitted: out.GetPermitted(), LimitedFor: time.Duration(out.GetLimitedUs()) * time.Microsecond,
+		RetryAfter: time.Duration(out.GetRetryAfterUs()) * time.Microsecond, Reason: out.GetReason(), OnLoan: out.GetOnLoan(),
 	}, nil
 }
 
@@ -211,6 +213,17 @@
 	}, nil
 }
 
+// Lend asks a node of another zone to lend room of its zone to a zone.
+func (c *Client) Lend(ctx context.Context, address, borrower string, wishes []redwinghall.RoomWish) ([]redwinghall.RoomLoan, error) {
+	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := c.clientFor(address).Lend(ctx, &rpc.LendRequest{Zone: borrower, Wishes: encodeWishes(wishes)})
+	if err != nil {
+		return nil, c.callError("Client.Lend", err)
+	}
+	return decodeLoans(out.GetLoans()), nil
+}
+
 // Suspect reports to a node that an endpoint makes little or no progress.
 func (c *Client) Suspect(ctx context.Context, address, endpointID string) error {
 	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -37,6 +37,8 @@
 	Permit func(now time.Time, zone string, known balance.LimitReport) balance.Permit
 	// Quarantine holds the parts of prompts under which endpoints ended.
 	Quarantine *quarantine.Table
+	// Lend decides how much room of this zone another zone gets; nil if none is lent.
+	Lend func(now time.Time, borrower string, wish redwinghall.RoomWish) redwinghall.RoomLoan
 	// Commit commits a transaction directly at the store.
 	Commit func(ctx context.Context, txn fleet.Txn) (fleet.Position, error)
 }
@@ -108,14 +110,16 @@
 	placement, ok := s.config.Reserve(time.Now(), fleet.PlacementRequest{
 		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
 		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), InBackoff: in.GetShunned(), InRetryAfter: in.GetInRetryAfter(), Resumed: in.GetGoesOn(),
-		Node: in.GetNode(), Ticket: in.GetTicket(),
+		Node: in.GetNode(), Ticket: in.GetTicket(), Zone: in.GetZone(), Urgency: int(in.GetUrgency()), Account: in.GetAccount(),
+		Answer: int(in.GetAnswerTokens()), OnLoan: in.GetOnLoan(),
 	})
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "the service or its model isn't known here")
 	}
 	return &rpc.ReserveResponse{
 		Endpoint: placement.Endpoint, PredictedUs: placement.Predicted.Microseconds(), Elsewhere: placement.AlternativeZone,
-		Permitted: placement.Permitted, LimitedUs: placement.LimitedFor.Microseconds(),
+		Permitted: placement.Permitted, LimitedUs: placement.LimitedFor.Microseconds(), RetryAfterUs: placement.RetryAfter.Microseconds(),
+		Reason: placement.Reason, OnLoan: placement.OnLoan,
 	}, nil
 }
 
@@ -125,6 +129,21 @@
 	return &rpc.PermitResponse{Given: permit.Given, WaitUs: permit.Wait.Microseconds(), Limit: encodeLimit(permit.Limit)}, nil
 }
 
+// Lend implements rpc.Neighbor.
+func (s *Server) Lend(_ context.Context, in *rpc.LendRequest) (*rpc.LendResponse, error) {
+	out := &rpc.LendResponse{}
+	if s.config.Lend == nil {
+		return out, nil
+	}
+	now := time.Now()
+	for _, wish := range in.GetWishes() {
+		if loan := s.config.Lend(now, in.GetZone(), decodeWish(wish)); loan.Streams > 0 {
+			out.Loans = append(out.Loans, encodeLoan(loan))
+		}
+	}
+	return out, nil
+}
+
 // Suspect implements rpc.Neighbor.
 func (s *Server) Suspect(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
 	s.config.Suspect(context.Background(), in.GetEndpoint())
--- a/node/placement.go
+++ b/node/placement.go
@@ -42,7 +42,7 @@
 	if !ok || peer.Name == p.node.settings.Node || p.paused(now, zone) {
 		return fleet.Placement{}, false
 	}
-	request.Node = p.node.settings.Node
+	request.Node, request.Zone = p.node.settings.Node, p.node.settings.Zone
 	placement, err := p.node.neighbors.Reserve(ctx, peer.Address, request)
 	if err == nil {
 		p.node.backoff.RecordSuccess(peer.Name)
@@ -107,7 +107,7 @@
 	req := balance.Request{
 		Service: service, Model: model, Zone: n.settings.Zone, Prompt: request.Prompt, Objective: request.Objective, Tried: tried,
 		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), IsDispatcher: n.dispatches(now), Resumed: request.Resumed,
-		PermitShare: n.permitShare(n.settings.Zone),
+		PermitShare: n.permitShare(n.settings.Zone), Urgency: request.Urgency, Account: request.Account, ExpectedAnswer: request.Answer,
 	}
 	choice, refused := n.tracker.Reserve(now, heads, view.ZonesOut, req, balance.Requester{Node: request.Node, Ticket: request.Ticket})
 	if refused == nil {
