Dispatcher's belief: requests tell it which streams ended, and which tickets are settled

Callers were refused while places were free: the dispatcher counted streams that had ended until their node's next report, which comes late while the node is short of processor, and reservations until the node's lowest open ticket passed theirs.

Each request of a node to its dispatcher now names its loads at those heads of the model that the dispatcher may not know, and its open tickets. Ruled out: a shorter time to live of reservations (a lost report would let streams into full groups), the endpoints' own word (the dispatcher hears it for its own callers only), all loads with each request.

--- a/balance/load.go
+++ b/balance/load.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"redwinghall/fleet"
 )
 
 // Load is the load that a node has in progress at one endpoint.
@@ -17,6 +19,11 @@
 	return Load{Requests: l.Requests + more.Requests, Unstarted: l.Unstarted + more.Unstarted, Unread: l.Unread + more.Unread}
 }
 
+// Without returns the difference of two loads.
+func (l Load) Without(less Load) Load {
+	return Load{Requests: l.Requests - less.Requests, Unstarted: l.Unstarted - less.Unstarted, Unread: l.Unread - less.Unread}
+}
+
 // recentRequests counts what this node recently sent to an endpoint, with
 // exponential decay.
 type recentRequests struct {
@@ -67,14 +74,48 @@
 	defer t.mu.Unlock()
 	own := map[string]Load{}
 	for id, s := range t.states {
-		load := Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}.With(s.reservedLoad(now))
-		if load.Requests > 0 {
+		if load := s.ownLoad(now); load.Requests > 0 {
 			own[id] = load
 		}
 	}
 	return own
 }
 
+// ownLoad returns the load of this node at the endpoint, including what it has reserved
+// there for others.
+func (s *State) ownLoad(now time.Time) Load {
+	return Load{Requests: s.own, Unstarted: s.unstarted, Unread: s.unread}.With(s.reservedLoad(now))
+}
+
+// Settle applies what a node of this zone said about its streams at the heads of a
+// model: by how much its loads there change, and which of its tickets are settled.
+//
+// A stream that ended counts until its node says so. Reports are late while the node is
+// short of processor, and callers would be refused while places are free.
+func (t *Tracker) Settle(now time.Time, heads []*fleet.Endpoint, node string, settled Settled, changes map[string]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, change := range changes {
+		s := t.state(id, now)
+		if now.Sub(s.ownZoneLoadAt) > ownZoneLoadTTL {
+			s.ownZoneLoad = Load{}
+		}
+		s.ownZoneLoad, s.ownZoneLoadAt = s.ownZoneLoad.With(change).atLeastNone(), now
+		t.totals.ownZone = max(0, t.totals.ownZone+change.Requests)
+	}
+	for _, e := range heads {
+		if s, ok := t.states[e.ID]; ok {
+			s.release(node, settled)
+		}
+	}
+}
+
+// atLeastNone returns the load with nothing below 0: a change may refer to a load that
+// has expired.
+func (l Load) atLeastNone() Load {
+	return Load{Requests: max(0, l.Requests), Unstarted: max(0, l.Unstarted), Unread: max(0, l.Unread)}
+}
+
 // SetOwnZoneLoads sets the loads of the other nodes of this zone.
 func (t *Tracker) SetOwnZoneLoads(now time.Time, loads map[string]Load) {
 	t.setLoads(now, loads, func(s *State, load Load) { s.ownZoneLoad, s.ownZoneLoadAt = load, now }, func(requests int) {
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -102,14 +102,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.states {
-		kept := s.reserved[:0]
-		for _, r := range s.reserved {
-			if r.requester.Node != node || r.requester.Ticket == 0 || r.requester.Ticket >= below {
-				kept = append(kept, r)
-			}
+		s.release(node, Settled{Below: below})
+	}
+}
+
+// release ends the reservations of a node whose tickets are settled.
+func (s *State) release(node string, settled Settled) {
+	kept := s.reserved[:0]
+	for _, r := range s.reserved {
+		if r.requester.Node != node || r.requester.Ticket == 0 || !settled.Includes(r.requester.Ticket) {
+			kept = append(kept, r)
 		}
-		s.reserved = kept
 	}
+	s.reserved = kept
 }
 
 // reservedLoad returns the load reserved at the endpoint and drops expired
--- a/balance/zone_load_test.go
+++ b/balance/zone_load_test.go
@@ -13,6 +13,7 @@
 
 	"redwinghall/balance"
 	"redwinghall/fleet"
+	"redwinghall/neighbor"
 	"redwinghall/standin/passes"
 )
 
@@ -34,6 +35,17 @@
 	// retriesRefused reports whether refused callers retry once, after the time in the
 	// refusal.
 	retriesRefused bool
+	// reportsLate is the longest time by which a node's report of its loads is late, as
+	// its process waits for a processor; the ends of its tickets are late by up to
+	// closesLate.
+	reportsLate, closesLate time.Duration
+	// carriesLoads reports whether nodes send their loads with the requests to the
+	// dispatcher.
+	carriesLoads bool
+	// gathered reports whether all requests arrive at one node, and then at the next one.
+	gathered bool
+	// answer is the mean length of an answer in tokens, 0 for 200.
+	answer float64
 }
 
 // The objectives for the first event and for pauses between events, and the latency
@@ -65,13 +77,17 @@
 	sharedAt    []time.Time
 	firsts      []time.Duration
 	retried     int // callers who were refused and retried
+	told        []balance.ToldLoads
+	table       *neighbor.LoadTable // at the dispatcher
+	placed      int                 // streams that the dispatcher has placed and that haven't ended
+	believed    belief
 	outcome
 }
 
 // run simulates the scenario until all callers have their answers.
 func (l zoneScenario) run(seed uint64) *zoneSimulation {
 	p := &zoneSimulation{zoneScenario: l, eventQueue: eventQueue{now: start}, random: rand.New(rand.NewPCG(seed, 7)), sharedLoads: make([]map[string]balance.Load, l.nodes),
-		tickets: make([]balance.Tickets, l.nodes), sharedAt: make([]time.Time, l.nodes)}
+		tickets: make([]balance.Tickets, l.nodes), sharedAt: make([]time.Time, l.nodes), table: neighbor.NewLoadTable(), told: make([]balance.ToldLoads, l.nodes)}
 	for i := range l.groups {
 		p.groups = append(p.groups, passes.NewGroup(zoneEngine(), zoneEngine().Models[0]))
 		p.heads = append(p.heads, head(strconv.Itoa(i), "a", "small"))
@@ -108,7 +124,7 @@
 // shareLoads shares a node's loads and sets the sum of the others' loads at the node.
 // Node 0, if it dispatches, gets each update at once.
 func (p *zoneSimulation) shareLoads(node int) {
-	p.after(p.changedInterval, func() { p.shareLoads(node) })
+	p.after(p.changedInterval+p.delay(p.reportsLate), func() { p.shareLoads(node) })
 	below, own := p.tickets[node].LowestOpen(), p.trackers[node].OwnLoads(p.now)
 	if p.now.Sub(p.sharedAt[node]) < p.shareInterval && maps.Equal(own, p.sharedLoads[node]) {
 		return
@@ -116,8 +132,10 @@
 	p.sharedLoads[node], p.sharedAt[node] = own, p.now
 	p.trackers[node].SetOwnZoneLoads(p.now, p.others(node))
 	if p.dispatched && node != 0 {
+		p.told[node].Confirm("0", own)
+		p.table.SetNode(p.now, strconv.Itoa(node), own)
 		p.trackers[0].ReleaseReservations(strconv.Itoa(node), below)
-		p.trackers[0].SetOwnZoneLoads(p.now, p.others(0))
+		p.trackers[0].SetOwnZoneLoads(p.now, p.table.SumOfOthers(p.now, "0"))
 	}
 }
 
@@ -142,14 +160,34 @@
 	}
 	p.after(time.Duration(p.random.ExpFloat64()/p.rate()*float64(time.Second)), p.arrive)
 	p.requests++
-	p.try(p.caller(), p.random.IntN(p.nodes))
+	p.try(p.caller(), p.node())
+}
+
+// node returns the node at which a request arrives.
+func (p *zoneSimulation) node() int {
+	if p.gathered {
+		return 1 + int(p.now.Sub(start)/gatheredFor)%(p.nodes-1)
+	}
+	return p.random.IntN(p.nodes)
+}
+
+// delay returns a random delay of at most longest.
+func (p *zoneSimulation) delay(longest time.Duration) time.Duration {
+	if longest == 0 {
+		return 0
+	}
+	return time.Duration(p.random.Int64N(int64(longest)))
 }
 
 // caller returns a random request that arrives now.
 func (p *zoneSimulation) caller() caller {
+	mean := p.answer
+	if mean == 0 {
+		mean = 200
+	}
 	return caller{
 		arrived: p.now,
-		prompt:  int(min(2340, p.random.ExpFloat64()*640+60)), answer: int(min(540, p.random.ExpFloat64()*200+10)),
+		prompt:  int(min(2340, p.random.ExpFloat64()*640+60)), answer: int(min(540, p.random.ExpFloat64()*mean+10)),
 	}
 }
 
@@ -181,6 +219,7 @@
 		p.refuse(c, refusal)
 		return
 	}
+	p.placed++
 	p.send(c, choice)
 }
 
@@ -198,11 +237,19 @@
 // dispatch asks node 0 to choose, which takes the latency of a round trip.
 func (p *zoneSimulation) dispatch(node int, c caller) {
 	ticket := p.tickets[node].Open()
+	report := p.report(node)
 	p.after(zoneHop, func() {
+		if p.carriesLoads {
+			p.applyReport(node, ticket, report)
+		}
+		p.believe()
 		request := p.newRequest(c.prompt)
 		request.IsDispatcher = true
 		choice, refusal := p.trackers[0].Reserve(p.now, p.heads, nil, request, balance.Requester{Node: strconv.Itoa(node), Ticket: ticket})
-		p.after(zoneHop, func() {
+		if refusal == nil {
+			p.placed++
+		}
+		p.after(zoneHop+p.delay(p.closesLate), func() {
 			defer p.tickets[node].Close(ticket)
 			if refusal != nil {
 				p.refuse(c, refusal)
@@ -239,6 +286,7 @@
 			return
 		}
 		choice.Attempt.Done(at, true)
+		p.placed--
 		p.firsts = append(p.firsts, first.Sub(c.arrived))
 		if first.Sub(c.arrived) <= zoneObjective && slowest <= zonePause {
 			p.inTime++
--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -23,6 +23,8 @@
 	Urgency int
 	// Account is the client account, "" if the stream has none.
 	Account string
+	// Left is the time until the request's deadline, 0 if unknown.
+	Left time.Duration
 	// Answer is the expected length of the answer in tokens, 0 if unknown.
 	Answer int
 	// Node is the requesting node, Zone its zone.
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -178,9 +178,10 @@
 	return out.GetQuarantine(), nil
 }
 
-// Reserve asks a node to choose a group of its zone. A caller is waiting, so the call
+// Reserve asks a node to choose a group of its zone, and tells it what changed in this
+// node's streams. A caller is waiting, so the call
 // times out after reserveTimeout.
-func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest) (fleet.Placement, error) {
+func (c *Client) Reserve(ctx context.Context, address string, request fleet.PlacementRequest, streams StreamReport) (fleet.Placement, error) {
 	ctx, cancel := kernel.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Reserve(ctx, &rpc.ReserveRequest{
@@ -188,6 +189,7 @@
 		ObjectiveMs: request.Objective.Milliseconds(), Tried: request.Tried, Shunned: request.InBackoff, InRetryAfter: request.InRetryAfter, GoesOn: request.Resumed,
 		Node: request.Node, Ticket: request.Ticket, Zone: request.Zone, Account: request.Account, OnLoan: request.OnLoan,
 		Urgency: int32(request.Urgency), AnswerTokens: int32(request.Answer), //nolint:gosec // small numbers
+		LeftUs: request.Left.Microseconds(), Loads: encodeLoads(streams.Loads), Settled: streams.Settled.Below, Open: streams.Settled.Open,
 	})
 	if err != nil {
 		return fleet.Placement{}, c.callError("Client.Reserve", err)
--- a/neighbor/load_table.go
+++ b/neighbor/load_table.go
@@ -1,6 +1,7 @@
 package neighbor
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,18 @@
 type reportedLoads struct {
 	at    time.Time
 	loads map[string]balance.Load
+	// ticket is the highest one of the requests whose loads were merged since a report.
+	ticket uint64
+}
+
+// StreamReport is what a node's request to its dispatcher says about the node's streams.
+type StreamReport struct {
+	// Loads holds the node's loads at those heads of the model where they differ from
+	// the last report that the dispatcher confirmed.
+	Loads map[string]balance.Load
+	// Settled tells which of the node's tickets are settled; Below is 0 if the node says
+	// nothing about its streams.
+	Settled balance.Settled
 }
 
 // NewLoadTable returns an empty table.
@@ -36,6 +49,33 @@
 	t.nodes[node] = reportedLoads{at: now, loads: loads}
 }
 
+// MergeNode stores loads that a node sent with its request of a ticket, and returns by
+// how much the loads of its zone change. A request that was overtaken by a later one
+// changes nothing. Tickets count from the node's last report, as they begin anew when its
+// process does.
+func (t *LoadTable) MergeNode(now time.Time, node string, ticket uint64, loads map[string]balance.Load) map[string]balance.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.nodes[node]
+	if now.Sub(before.at) > loadMaxAge {
+		before = reportedLoads{}
+	}
+	if ticket < before.ticket {
+		return nil
+	}
+	merged, changes := maps.Clone(before.loads), map[string]balance.Load{}
+	if merged == nil {
+		merged = map[string]balance.Load{}
+	}
+	for id, load := range loads {
+		if change := load.Without(merged[id]); change != (balance.Load{}) {
+			merged[id], changes[id] = load, change
+		}
+	}
+	t.nodes[node] = reportedLoads{at: now, loads: merged, ticket: ticket}
+	return changes
+}
+
 // SetZone stores the loads reported by another zone.
 func (t *LoadTable) SetZone(now time.Time, zone string, loads map[string]balance.Load) {
 	t.mu.Lock()
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -27,6 +27,7 @@
 	commits    []fleet.Txn
 	commitErr  error
 	requests   []fleet.PlacementRequest
+	streams    []neighbor.StreamReport
 	tickets    map[string]uint64 // lowest open ticket by node
 	uninformed bool
 	tracker    *balance.Tracker
@@ -44,6 +45,9 @@
 			o.requests = append(o.requests, request)
 			return fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond, AlternativeZone: "b", Permitted: true, LimitedFor: 70 * time.Millisecond}, !o.uninformed
 		},
+		OnStreams: func(_ time.Time, _ fleet.PlacementRequest, streams neighbor.StreamReport) {
+			o.streams = append(o.streams, streams)
+		},
 		Tracker: o.tracker, Quarantine: o.quarantine,
 		OnLeaving: func(now time.Time, _ string, reports []balance.LeavingReport) {
 			o.tracker.MergeLeaving(now, reports...)
@@ -122,16 +126,47 @@
 func TestReserve(t *testing.T) {
 	o, client, address := serve(t)
 	request := fleet.PlacementRequest{Service: "llm", Model: "large", Prompt: 1500, Objective: 400 * time.Millisecond, Tried: []string{"e7"}, Resumed: true,
-		InBackoff: []string{"e8"}, InRetryAfter: []string{"e9"}, Node: "n1", Ticket: 17}
-	placement, err := client.Reserve(context.Background(), address, request)
+		InBackoff: []string{"e8"}, InRetryAfter: []string{"e9"}, Node: "n1", Ticket: 17, Left: 1500 * time.Millisecond}
+	streams := neighbor.StreamReport{Loads: map[string]balance.Load{"e1": {Requests: 2, Unread: 700}, "e2": {}}, Settled: balance.Settled{Below: 18, Open: []uint64{15, 17}}}
+	placement, err := client.Reserve(context.Background(), address, request, streams)
 	require.NoError(t, err)
 	require.Equal(t, fleet.Placement{Endpoint: "e1", Predicted: 123 * time.Millisecond, AlternativeZone: "b", Permitted: true, LimitedFor: 70 * time.Millisecond}, placement)
 	require.Equal(t, []fleet.PlacementRequest{request}, o.requests)
+	require.Equal(t, []neighbor.StreamReport{streams}, o.streams)
 	o.uninformed = true
-	_, err = client.Reserve(context.Background(), address, request)
+	_, err = client.Reserve(context.Background(), address, request, neighbor.StreamReport{})
 	require.Error(t, err, "a node that lacks the information must not be taken for a zone without room")
 }
 
+// A node that was installed earlier says nothing about its streams with a request. What
+// it reported must stand.
+func TestReserveOfANodeThatTellsNoStreams(t *testing.T) {
+	o, client, address := serve(t)
+	_, err := client.Reserve(context.Background(), address, fleet.PlacementRequest{Node: "n1", Ticket: 3}, neighbor.StreamReport{})
+	require.NoError(t, err)
+	require.Empty(t, o.streams)
+}
+
+// A node's loads that come with its requests replace those of its report, and a request
+// that was overtaken must not bring back streams that have ended.
+func TestLoadsOfRequestsReplaceThoseOfReports(t *testing.T) {
+	table, now := neighbor.NewLoadTable(), time.Unix(100, 0)
+	two, one := balance.Load{Requests: 2, Unstarted: 1, Unread: 300}, balance.Load{Requests: 1}
+	table.SetNode(now, "n1", map[string]balance.Load{"e1": two, "e2": one})
+	table.SetNode(now, "n2", map[string]balance.Load{"e1": one})
+	require.Equal(t, map[string]balance.Load{"e1": {Requests: -1, Unstarted: -1, Unread: -300}, "e2": {Requests: -1}},
+		table.MergeNode(now, "n1", 7, map[string]balance.Load{"e1": one, "e2": {}}))
+	require.Equal(t, balance.Load{Requests: 2}, table.SumOfZone(now)["e1"])
+	require.Empty(t, table.MergeNode(now, "n1", 6, map[string]balance.Load{"e1": two}), "overtaken")
+	require.Empty(t, table.MergeNode(now, "n1", 8, map[string]balance.Load{"e1": one}), "unchanged")
+	require.Equal(t, balance.Load{Requests: 2}, table.SumOfZone(now)["e1"])
+	table.SetNode(now, "n1", map[string]balance.Load{"e1": one})
+	require.Empty(t, table.MergeNode(now, "n1", 1, map[string]balance.Load{"e1": one}))
+	require.Equal(t, map[string]balance.Load{"e1": {Requests: -1}}, table.MergeNode(now, "n1", 2, map[string]balance.Load{"e1": {}}), "the node restarted and reported")
+	later := now.Add(2 * time.Second)
+	require.Equal(t, map[string]balance.Load{"e1": one}, table.MergeNode(later, "n1", 1, map[string]balance.Load{"e1": one}), "its loads had expired")
+}
+
 // A node of another zone doesn't respond because the network is partitioned: the caller must
 // not wait for it longer than reserveTimeout.
 func TestReserveTimesOut(t *testing.T) {
@@ -139,7 +174,7 @@
 	require.NoError(t, err)
 	defer func() { require.NoError(t, listener.Close()) }()
 	started := time.Now()
-	_, err = neighbor.NewClient().Reserve(context.Background(), listener.Addr().String(), fleet.PlacementRequest{})
+	_, err = neighbor.NewClient().Reserve(context.Background(), listener.Addr().String(), fleet.PlacementRequest{}, neighbor.StreamReport{})
 	require.Error(t, err)
 	require.Less(t, time.Since(started), 2*time.Second, "the bound allows for a busy machine")
 }
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -26,6 +26,9 @@
 	// OnLoads is called after a node of this zone has reported its loads and they are
 	// stored in Loads.
 	OnLoads func(now time.Time, node string, lowestOpenTicket uint64)
+	// OnStreams is called with what a node's request for a group says about its streams,
+	// before Reserve.
+	OnStreams func(now time.Time, request fleet.PlacementRequest, streams StreamReport)
 	// Reserve chooses a group of this zone for another node's stream. ok is false if this
 	// node lacks the information to choose.
 	Reserve func(now time.Time, request fleet.PlacementRequest) (placement fleet.Placement, ok bool)
@@ -107,12 +110,19 @@
 
 // Reserve implements rpc.Neighbor.
 func (s *Server) Reserve(_ context.Context, in *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
-	placement, ok := s.config.Reserve(time.Now(), fleet.PlacementRequest{
+	now := time.Now()
+	request := fleet.PlacementRequest{
 		Service: in.GetService(), Model: in.GetModel(), Prompt: int(in.GetPromptTokens()),
 		Objective: time.Duration(in.GetObjectiveMs()) * time.Millisecond, Tried: in.GetTried(), InBackoff: in.GetShunned(), InRetryAfter: in.GetInRetryAfter(), Resumed: in.GetGoesOn(),
 		Node: in.GetNode(), Ticket: in.GetTicket(), Zone: in.GetZone(), Urgency: int(in.GetUrgency()), Account: in.GetAccount(),
-		Answer: int(in.GetAnswerTokens()), OnLoan: in.GetOnLoan(),
-	})
+		Answer: int(in.GetAnswerTokens()), OnLoan: in.GetOnLoan(), Left: time.Duration(in.GetLeftUs()) * time.Microsecond,
+	}
+	if in.GetSettled() > 0 && s.config.OnStreams != nil {
+		s.config.OnStreams(now, request, StreamReport{
+			Loads: decodeLoads(in.GetLoads()), Settled: balance.Settled{Below: in.GetSettled(), Open: in.GetOpen()},
+		})
+	}
+	placement, ok := s.config.Reserve(now, request)
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "the service or its model isn't known here")
 	}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -5,6 +5,8 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/fleet"
+	"redwinghall/neighbor"
 	"redwinghall/relay"
 )
 
@@ -59,8 +61,19 @@
 	return ok && first.Name == n.settings.Node
 }
 
+// onStreams processes what another node's request for a group says about its streams.
+func (n *Node) onStreams(now time.Time, request fleet.PlacementRequest, streams neighbor.StreamReport) {
+	heads := n.cache.View().Heads(request.Service, request.Model)
+	n.loadsMu.Lock()
+	defer n.loadsMu.Unlock()
+	changes := n.loads.MergeNode(now, request.Node, request.Ticket, streams.Loads)
+	n.tracker.Settle(now, heads, request.Node, streams.Settled, changes)
+}
+
 // applyLoads updates the tracker with the other nodes' and zones' loads.
 func (n *Node) applyLoads(now time.Time) {
+	n.loadsMu.Lock()
+	defer n.loadsMu.Unlock()
 	n.tracker.SetOwnZoneLoads(now, n.loads.SumOfOthers(now, n.settings.Node))
 	n.tracker.SetOtherZoneLoads(now, n.loads.SumOfOtherZones(now))
 }
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -59,7 +59,7 @@
 func (n *Node) neighborServer() *http.Server {
 	calls := neighbor.NewHandler(neighbor.ServerConfig{
 		Mirror: n.source.Mirror, Loads: n.loads, Suspect: n.manager.ReportStall,
-		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads,
+		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads, OnStreams: n.onStreams,
 		Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving, Quarantine: n.quarantine,
 	})
 	return &http.Server{
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,8 @@
 	source    *relay.Source
 	neighbors *neighbor.Client
 	loads     *neighbor.LoadTable // loads reported by the nodes of this zone and by other zones
+	loadsMu   sync.Mutex          // held while the tracker is brought up to date with loads
+	toldLoads balance.ToldLoads
 	group     *kernel.Group
 	stopping  atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
 	conns     *connections
--- a/node/placement.go
+++ b/node/placement.go
@@ -8,6 +8,7 @@
 	"redwinghall/balance"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
+	"redwinghall/neighbor"
 	"redwinghall/relay"
 )
 
@@ -43,7 +44,7 @@
 		return fleet.Placement{}, false
 	}
 	request.Node, request.Zone = p.node.settings.Node, p.node.settings.Zone
-	placement, err := p.node.neighbors.Reserve(ctx, peer.Address, request)
+	placement, err := p.node.neighbors.Reserve(ctx, peer.Address, request, p.node.streamReport(now, peer.Name, request))
 	if err == nil {
 		p.node.backoff.RecordSuccess(peer.Name)
 		return placement, true
@@ -55,6 +56,17 @@
 	return fleet.Placement{}, false
 }
 
+// streamReport returns what a request to another node says about this node's streams;
+// nothing if that node is in another zone.
+func (n *Node) streamReport(now time.Time, peer string, request fleet.PlacementRequest) neighbor.StreamReport {
+	if request.Ticket == 0 {
+		return neighbor.StreamReport{}
+	}
+	settled := n.tracker.Tickets.Settled() // before the loads, which then include the streams of these tickets
+	heads := n.cache.View().Heads(request.Service, request.Model)
+	return neighbor.StreamReport{Settled: settled, Loads: n.toldLoads.Changes(now, n.tracker, peer, heads)}
+}
+
 // target returns the node that chooses for a zone: its dispatcher, or the node that collects its loads.
 func (p *zonePlacer) target(now time.Time, zone string) (relay.Peer, bool) {
 	return p.node.backoff.FirstAvailable(now, p.node.peersOf(zone))
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -112,6 +112,7 @@
 		return
 	}
 	received := time.Now()
+	n.toldLoads.Confirm(peer.Name, report.Loads)
 	s.limitsFrom = peer.Name
 	n.tracker.MergeLimits(received, shared.Limits)
 	n.tracker.RecordRejectingElsewhere(received, shared.Rejecting)
