Dispatcher: a place is kept for callers that are told to come back

The dispatcher now gives each refused caller a time of its own, at a tenth of the rate at which places come free, and keeps a place around it. Callers are known by account, urgency and the sizes of their requests. Only where client accounts are named and the zone has a dispatcher; otherwise the old decision, with tests.

Failure tests: the dispatcher dies, stands still, is cut off; two decide; reports lost; a node restarts. zone_load_test: the play has faults, promises and callers that return at once; what it checked before is unchanged.

--- a/balance/belief_test.go
+++ b/balance/belief_test.go
@@ -26,7 +26,7 @@
 func (p *zoneSimulation) believe() {
 	counted := 0
 	for _, e := range p.heads {
-		counted += p.trackers[0].Snapshot(p.now, e).Running
+		counted += p.first.tracker.Snapshot(p.now, e).Running
 	}
 	p.believed.decisions++
 	p.believed.counted, p.believed.existing = p.believed.counted+counted, p.believed.existing+p.placed
@@ -39,13 +39,17 @@
 		return neighbor.StreamReport{}
 	}
 	settled := p.tickets[node].Settled()
-	return neighbor.StreamReport{Settled: settled, Loads: p.told[node].Changes(p.now, p.trackers[node], "0", p.heads)}
+	return neighbor.StreamReport{Settled: settled, Loads: p.told[node].Changes(p.now, p.trackers[node], p.dispatcherOf(node).name, p.heads)}
 }
 
 // applyReport applies a node's report at the dispatcher.
 func (p *zoneSimulation) applyReport(node int, ticket uint64, report neighbor.StreamReport) {
-	changes := p.table.MergeNode(p.now, strconv.Itoa(node), ticket, report.Loads)
-	p.trackers[0].Settle(p.now, p.heads, strconv.Itoa(node), report.Settled, changes)
+	d := p.dispatcherOf(node)
+	if d.name == strconv.Itoa(node) {
+		return
+	}
+	changes := d.table.MergeNode(p.now, strconv.Itoa(node), ticket, report.Loads)
+	d.tracker.Settle(p.now, p.heads, strconv.Itoa(node), report.Settled, changes)
 }
 
 // beliefCase is a load whose reports to the dispatcher are late.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -70,6 +70,11 @@
 	// its endpoints' rate limits, 0 if it can.
 	LimitedFor time.Duration
 
+	// Kept is the number of places at the groups of this zone that are kept for other
+	// requests, Promised reports whether one is kept for this request.
+	Kept     int
+	Promised bool
+
 	bias time.Duration // observed error of predictions
 	// timesOwnZone and timesAllZones are how many times what this node sends the other nodes of its
 	// zone, or those of all zones, send.
@@ -154,6 +159,9 @@
 	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluateGroup}
 	l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == request.Zone })
 	ownZoneBest := l.best
+	if l.leavesKept(t, heads) {
+		l.best, ownZoneBest = nil, nil
+	}
 	if ownZoneBest == nil || ownZoneBest.full || float64(ownZoneBest.predicted) > ownZoneThreshold*float64(request.Objective) {
 		t.otherZonesConsideredAt = now
 		l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != request.Zone })
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -50,13 +50,16 @@
 	if best == nil {
 		return Choice{}, l.refusal()
 	}
-	if !request.Resumed && best.predicted > request.Objective {
-		again := t.tryAgain(now, best, request, request.Objective, Request.evaluateGroup)
+	if latest := request.latestReserved(); !request.Resumed && best.predicted > latest {
+		again := t.tryAgain(now, best, request, latest, Request.evaluateGroup)
 		if again == nil {
 			return Choice{}, lateRefusal(now, best, request)
 		}
 		best = again
 	}
+	if l.leavesKept(t, heads) {
+		return Choice{}, lateRefusal(now, best, request)
+	}
 	best.state.reserve(now, requester, request.Prompt)
 	limited := best.state.limit.limit.Named
 	issued, _ := best.state.limit.issue(now, request.PermitShare) // there is one, or the group would have been skipped
@@ -65,6 +68,16 @@
 	}, nil
 }
 
+// latestReserved returns the latest predicted time to the first event with which a group
+// of this zone is reserved. A caller that was told to come back gets its place also where
+// the prediction varies a little: it has been refused once.
+func (r Request) latestReserved() time.Duration {
+	if r.Promised {
+		return latestStart(r.Objective)
+	}
+	return r.Objective
+}
+
 // AlternativeZone returns another zone that, by the loads it shared, may serve a
 // stream in time, "" if there is none.
 //
--- a/balance/zone_load_test.go
+++ b/balance/zone_load_test.go
@@ -13,7 +13,6 @@
 
 	"redwinghall/balance"
 	"redwinghall/fleet"
-	"redwinghall/neighbor"
 	"redwinghall/standin/passes"
 )
 
@@ -46,6 +45,14 @@
 	gathered bool
 	// answer is the mean length of an answer in tokens, 0 for 200.
 	answer float64
+	// promises reports whether the dispatcher promises room to refused callers; waits
+	// whether it holds them back for as long as they can still be served in time.
+	promises, waits bool
+	// impatient is the share of callers that return at once when they are refused.
+	impatient float64
+	// fault is what happens at faultAt, for faultFor.
+	fault             fault
+	faultAt, faultFor time.Duration
 }
 
 // The objectives for the first event and for pauses between events, and the latency
@@ -78,16 +85,21 @@
 	firsts      []time.Duration
 	retried     int // callers who were refused and retried
 	told        []balance.ToldLoads
-	table       *neighbor.LoadTable // at the dispatcher
-	placed      int                 // streams that the dispatcher has placed and that haven't ended
+	first       *dispatcher // chooses unless there is a fault
+	second      *dispatcher // chooses for the odd nodes while two do
+	silentUntil time.Time   // until when the dispatcher answers nobody
+	mostPlaced  int
+	placed      int // streams that the dispatcher has placed and that haven't ended
 	believed    belief
+	returned    returns
+	afterFault  returns // of callers that were refused some time after the fault
 	outcome
 }
 
 // run simulates the scenario until all callers have their answers.
 func (l zoneScenario) run(seed uint64) *zoneSimulation {
 	p := &zoneSimulation{zoneScenario: l, eventQueue: eventQueue{now: start}, random: rand.New(rand.NewPCG(seed, 7)), sharedLoads: make([]map[string]balance.Load, l.nodes),
-		tickets: make([]balance.Tickets, l.nodes), sharedAt: make([]time.Time, l.nodes), table: neighbor.NewLoadTable(), told: make([]balance.ToldLoads, l.nodes)}
+		tickets: make([]balance.Tickets, l.nodes), sharedAt: make([]time.Time, l.nodes), told: make([]balance.ToldLoads, l.nodes)}
 	for i := range l.groups {
 		p.groups = append(p.groups, passes.NewGroup(zoneEngine(), zoneEngine().Models[0]))
 		p.heads = append(p.heads, head(strconv.Itoa(i), "a", "small"))
@@ -96,6 +108,8 @@
 		p.trackers = append(p.trackers, balance.NewTracker())
 		p.after(time.Duration(i)*l.shareInterval/time.Duration(l.nodes), func() { p.shareLoads(i) })
 	}
+	p.first = p.newDispatcher(0)
+	p.scheduleFault()
 	p.after(0, p.arrive)
 	for p.inTime+p.late+p.refused < p.requests || p.now.Before(start.Add(l.length)) {
 		p.step()
@@ -132,10 +146,7 @@
 	p.sharedLoads[node], p.sharedAt[node] = own, p.now
 	p.trackers[node].SetOwnZoneLoads(p.now, p.others(node))
 	if p.dispatched && node != 0 {
-		p.told[node].Confirm("0", own)
-		p.table.SetNode(p.now, strconv.Itoa(node), own)
-		p.trackers[0].ReleaseReservations(strconv.Itoa(node), below)
-		p.trackers[0].SetOwnZoneLoads(p.now, p.table.SumOfOthers(p.now, "0"))
+		p.tellDispatcher(node, below, own)
 	}
 }
 
@@ -160,7 +171,9 @@
 	}
 	p.after(time.Duration(p.random.ExpFloat64()/p.rate()*float64(time.Second)), p.arrive)
 	p.requests++
-	p.try(p.caller(), p.node())
+	c := p.caller()
+	c.impatient, c.account = p.random.Float64() < p.impatient, strconv.Itoa(p.random.IntN(playAccounts))
+	p.try(c, p.node())
 }
 
 // node returns the node at which a request arrives.
@@ -168,6 +181,9 @@
 	if p.gathered {
 		return 1 + int(p.now.Sub(start)/gatheredFor)%(p.nodes-1)
 	}
+	if p.promises {
+		return 1 + p.random.IntN(p.nodes-1)
+	}
 	return p.random.IntN(p.nodes)
 }
 
@@ -203,7 +219,11 @@
 type caller struct {
 	arrived        time.Time
 	prompt, answer int
+	account        string
+	refusedAt      time.Time
 	again          bool
+	promised       bool // it came back to a place that it was promised
+	impatient      bool
 }
 
 // try makes one attempt of a caller at a node.
@@ -212,32 +232,50 @@
 		p.dispatch(node, c)
 		return
 	}
+	p.choose(c, node)
+}
+
+// choose has a node choose from its own view.
+func (p *zoneSimulation) choose(c caller, node int) {
 	request := p.newRequest(c.prompt)
-	request.IsDispatcher = p.dispatched
+	request.IsDispatcher = p.dispatched && node == 0
 	choice, refusal := p.trackers[node].ChooseGroup(p.now, p.heads, nil, request)
 	if refusal != nil {
 		p.refuse(c, refusal)
 		return
 	}
 	p.placed++
+	p.mostPlaced = max(p.mostPlaced, p.placed)
+	p.countReturn(c, true)
 	p.send(c, choice)
 }
 
 // refuse schedules a retry at a random node, or counts the caller as refused.
 func (p *zoneSimulation) refuse(c caller, refusal *balance.Refusal) {
+	p.countReturn(c, false)
 	if !p.retriesRefused || c.again {
 		p.refused++
 		return
 	}
 	p.retried++
-	c.again = true
-	p.after(refusal.RetryAfter, func() { p.try(c, p.random.IntN(p.nodes)) })
+	c.again, c.refusedAt = true, p.now
+	if c.impatient {
+		c.promised = false
+		p.after(impatientRetry, func() { p.try(c, p.node()) })
+		return
+	}
+	p.after(refusal.RetryAfter, func() { p.try(c, p.node()) })
 }
 
 // dispatch asks node 0 to choose, which takes the latency of a round trip.
 func (p *zoneSimulation) dispatch(node int, c caller) {
 	ticket := p.tickets[node].Open()
 	report := p.report(node)
+	if p.now.Before(p.silentUntil) {
+		p.tickets[node].Close(ticket)
+		p.after(reserveTimeout, func() { p.choose(c, node) })
+		return
+	}
 	p.after(zoneHop, func() {
 		if p.carriesLoads {
 			p.applyReport(node, ticket, report)
@@ -245,9 +283,16 @@
 		p.believe()
 		request := p.newRequest(c.prompt)
 		request.IsDispatcher = true
-		choice, refusal := p.trackers[0].Reserve(p.now, p.heads, nil, request, balance.Requester{Node: strconv.Itoa(node), Ticket: ticket})
+		choice, refusal := p.reserve(p.dispatcherOf(node), &c, request, balance.Requester{Node: strconv.Itoa(node), Ticket: ticket})
+		if refusal != nil && p.holds(c) {
+			p.tickets[node].Close(ticket)
+			p.after(heldInterval, func() { p.try(c, node) })
+			return
+		}
 		if refusal == nil {
 			p.placed++
+			p.mostPlaced = max(p.mostPlaced, p.placed)
+			p.countReturn(c, true)
 		}
 		p.after(zoneHop+p.delay(p.closesLate), func() {
 			defer p.tickets[node].Close(ticket)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	ReportStall func(endpointID string)
 	// Placer asks other zones before streams are sent to them; it may be nil.
 	Placer Placer
+	// Promiser keeps room for refused callers; nil if this node is the only one.
+	Promiser Promiser
 	// PermitIssuer issues permits for endpoints that announced a rate limit; nil if
 	// this node is the only one.
 	PermitIssuer PermitIssuer
@@ -80,6 +82,18 @@
 	Place(ctx context.Context, zone string, request fleet.PlacementRequest) (placement fleet.Placement, ok bool)
 }
 
+// Promiser promises room to callers that this node refuses for lack of it, while it
+// dispatches for its zone.
+type Promiser interface {
+	// WithKept returns a request with the places that are kept from it or for it.
+	WithKept(now time.Time, request balance.Request) balance.Request
+	// Placed records that a request got a place.
+	Placed(now time.Time, request balance.Request)
+	// Promise returns after what time the caller of a refused request has to come back to
+	// a place that is kept for it, 0 if none is. left is the time until its deadline.
+	Promise(now time.Time, heads []*fleet.Endpoint, request balance.Request, left time.Duration) time.Duration
+}
+
 // Gateway is the HTTP handler for client requests.
 type Gateway struct {
 	Options
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,6 +33,8 @@
 	tracker *balance.Tracker
 	config  *fleet.Configuration
 	placer  fakePlacer
+	// promiser is as in Options. It must be set before requests are sent.
+	promiser fakePromiser
 	// stop is the current planned stop. It must be set before requests are sent.
 	stop gateway.Stop
 	// ended is set once the node has closed its connections.
@@ -56,19 +58,22 @@
 	alternativeZone string
 	// hasDispatcher is true if another node chooses groups for this zone.
 	hasDispatcher bool
+	// retryAfter is when the dispatcher keeps a place for the caller, if it has no capacity.
+	retryAfter time.Duration
+	requests   []fleet.PlacementRequest
 	// onPlace is called while a zone is asked; it may be nil.
 	onPlace func()
 }
 
 func (p *fakePlacer) HasDispatcher(time.Time) bool { return p.hasDispatcher }
 
-func (p *fakePlacer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
-	p.asked = append(p.asked, zone)
+func (p *fakePlacer) Place(_ context.Context, zone string, request fleet.PlacementRequest) (fleet.Placement, bool) {
+	p.asked, p.requests = append(p.asked, zone), append(p.requests, request)
 	if p.onPlace != nil {
 		p.onPlace()
 	}
 	id, ok := p.offers[zone]
-	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone}, ok
+	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone, RetryAfter: p.retryAfter}, ok
 }
 
 func engine() *fleet.Engine {
@@ -121,7 +126,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, ReportStall: func(string) {},
-		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, Quarantine: s.quarantine,
+		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, Quarantine: s.quarantine,
 		Background: background.Task,
 	})
 	s.server = httptest.NewServer(g)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -114,6 +114,18 @@
 // ConnectionUnread counts a new connection that was closed unread, since this node gets more of them than it can serve.
 func (m *Metrics) ConnectionUnread() { m.count("connections.unread") }
 
+// RoomPromised counts a refused caller, by whether room was promised to it.
+func (m *Metrics) RoomPromised(given bool) {
+	if given {
+		m.count("room.promised")
+		return
+	}
+	m.count("room.not_promised")
+}
+
+// RoomTaken counts a caller that came back and got the room that was promised to it.
+func (m *Metrics) RoomTaken() { m.count("room.taken") }
+
 // Forwarded counts a request that another node sent to its endpoint for this node.
 func (m *Metrics) Forwarded() { m.count("paths.forwarded") }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -15,7 +15,7 @@
 func (c *streamCall) chooseGroup(ctx context.Context, now time.Time, req balance.Request) (balance.Choice, *balance.Refusal) {
 	heads := c.r.view.Heads(c.r.Service.Name, c.r.Info.Model)
 	if c.g.Placer == nil || !c.g.Placer.HasDispatcher(now) {
-		return c.chooseByZones(ctx, now, heads, req)
+		return c.chooseWithPromises(ctx, now, heads, req)
 	}
 	placement, answered := c.askDispatcher(ctx, heads, req)
 	switch {
@@ -25,7 +25,31 @@
 		req = req.WithOnlyZone(heads, placement.alternativeZone)
 		req.LimitedFor = placement.limitedFor
 	}
-	return c.chooseByZones(ctx, time.Now(), heads, req)
+	choice, refused := c.chooseByZones(ctx, time.Now(), heads, req)
+	if refused != nil && refused.Reason == balance.Overloaded && placement.retryAfter > 0 {
+		refused.RetryAfter = placement.retryAfter
+	}
+	return choice, refused
+}
+
+// chooseWithPromises is chooseByZones at the node that chooses for its zone: some places
+// may be kept for callers that it refused.
+func (c *streamCall) chooseWithPromises(ctx context.Context, now time.Time, heads []*fleet.Endpoint, req balance.Request) (balance.Choice, *balance.Refusal) {
+	if c.g.Promiser == nil {
+		return c.chooseByZones(ctx, now, heads, req)
+	}
+	req = c.g.Promiser.WithKept(now, req)
+	choice, refused := c.chooseByZones(ctx, now, heads, req)
+	now = time.Now()
+	switch {
+	case refused == nil:
+		c.g.Promiser.Placed(now, req)
+	case refused.Reason == balance.Overloaded:
+		if wait := c.g.Promiser.Promise(now, heads, req, c.r.Left(now)); wait > 0 {
+			refused.RetryAfter = wait
+		}
+	}
+	return choice, refused
 }
 
 // dispatcherChoice is the reply of the dispatcher of this zone: the chosen group, or
@@ -34,6 +58,7 @@
 	choice          *balance.Choice
 	alternativeZone string
 	limitedFor      time.Duration
+	retryAfter      time.Duration // when a place is kept for the caller, 0 if none is
 }
 
 // askDispatcher asks the dispatcher of this zone for a group. It reports false if
@@ -44,6 +69,7 @@
 	defer tickets.Close(ticket)
 	request := c.placementRequest(heads, req)
 	now := time.Now()
+	request.Left = c.r.Left(now)
 	request.Ticket, request.InBackoff = ticket, c.g.Tracker.InBackoff(now, heads)
 	request.Tried = append(request.Tried, c.g.Tracker.Unreached(now, heads)...)
 	placement, ok := c.g.Placer.Place(ctx, req.Zone, request)
@@ -52,11 +78,11 @@
 		return dispatcherChoice{}, false
 	case placement.Endpoint == "":
 		klog.InfoS("dispatcher_has_no_room", "request", c.r.Info.ID, "predicted", placement.Predicted, "elsewhere", placement.AlternativeZone,
-			"limited_for", placement.LimitedFor)
+			"limited_for", placement.LimitedFor, "promised", placement.RetryAfter)
 		// A reply with neither a prediction nor a rate limit means that the
 		// dispatcher's view has no group in this zone. Views differ briefly, so the
 		// view of this node may have one.
-		return dispatcherChoice{alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor}, placement.Predicted > 0 || placement.LimitedFor > 0
+		return dispatcherChoice{alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor, retryAfter: placement.RetryAfter}, placement.Predicted > 0 || placement.LimitedFor > 0
 	}
 	now = time.Now()
 	placed, usable := c.placedEndpoint(now, placement, req)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinghall/balance"
+	"redwinghall/fleet"
 )
 
 // remoteGroup adds a fake group of another zone, which stays cold for the given time.
@@ -150,3 +153,51 @@
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 }
+
+// The dispatcher keeps a place for a refused caller. Told another time, the caller would
+// find the place gone, and others would have been kept out for nothing.
+func TestRefusedCallerIsToldWhenItsPlaceIsKept(t *testing.T) {
+	s := newFixture(t)
+	s.remoteGroup("a", "a1", 0)
+	s.placer.hasDispatcher, s.placer.offers, s.placer.retryAfter = true, map[string]string{"a": ""}, 777*time.Millisecond
+	got := s.do(s.request(http.MethodPost, "/stream/x"))
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "0.777", got.header.Get("Retry-After"))
+	require.Positive(t, s.placer.requests[0].Left, "the dispatcher must know how long the caller can wait")
+	require.LessOrEqual(t, s.placer.requests[0].Left, 3*time.Second)
+}
+
+// fakePromiser keeps places for others, and promises one at a time. The zero value keeps and
+// promises none.
+type fakePromiser struct {
+	wait   time.Duration
+	placed int
+	kept   int
+}
+
+func (p *fakePromiser) WithKept(_ time.Time, request balance.Request) balance.Request {
+	request.Kept = p.kept
+	return request
+}
+
+func (p *fakePromiser) Placed(time.Time, balance.Request) { p.placed++ }
+
+func (p *fakePromiser) Promise(_ time.Time, _ []*fleet.Endpoint, _ balance.Request, left time.Duration) time.Duration {
+	return min(p.wait, left)
+}
+
+// A caller of the dispatcher itself must not take places that are kept for others.
+func TestCallerOfTheDispatcherTakesNoKeptPlace(t *testing.T) {
+	s := newFixture(t)
+	s.endpoint("near", "llm", func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		writeEvents(w, 1, 3)
+	})
+	s.promiser = fakePromiser{wait: 777 * time.Millisecond, kept: 1000}
+	got := s.do(s.request(http.MethodPost, "/stream/x"))
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "0.777", got.header.Get("Retry-After"))
+	s.promiser.kept = 1
+	require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, "/stream/x")).status, "there is another place")
+	require.Equal(t, 1, s.promiser.placed)
+}
--- a/node/memory.go
+++ b/node/memory.go
@@ -65,6 +65,7 @@
 		"memory.used": used, "memory.peak": peak, "memory.limit": n.currentSettings().MemoryBytes, "memory.runtime": runtimeMemory(),
 		"goroutines": int64(runtime.NumGoroutine()), "connections.open": int64(connections), "requests.in_progress": int64(requests),
 		"streams.in_progress": int64(n.gateway.Streams()), "forwards.in_progress": int64(n.gateway.Forwards()),
+		"room.unclaimed": n.promises.Counts().Unclaimed,
 	} {
 		n.metrics.SetGauge(name, value)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"redwinghall/members"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
+	"redwinghall/promise"
 	"redwinghall/quarantine"
 	"redwinghall/reach"
 	"redwinghall/relay"
@@ -65,6 +66,7 @@
 	loads     *neighbor.LoadTable // loads reported by the nodes of this zone and by other zones
 	loadsMu   sync.Mutex          // held while the tracker is brought up to date with loads
 	toldLoads balance.ToldLoads
+	promises  promise.Schedule // room of this zone, while this node dispatches
 	group     *kernel.Group
 	stopping  atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
 	conns     *connections
@@ -128,6 +130,7 @@
 		Shares:       n.shares,
 		ReportStall:  n.reportStall,
 		Placer:       newZonePlacer(n),
+		Promiser:     promiser{n},
 		PermitIssuer: permitIssuer{n},
 		Paths:        n.paths,
 		Forwarder:    forwards,
--- a/node/placement.go
+++ b/node/placement.go
@@ -121,8 +121,11 @@
 		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), IsDispatcher: n.dispatches(now), Resumed: request.Resumed,
 		PermitShare: n.permitShare(n.settings.Zone), Urgency: request.Urgency, Account: request.Account, ExpectedAnswer: request.Answer,
 	}
+	promises := promiser{n}
+	req = promises.WithKept(now, req)
 	choice, refused := n.tracker.Reserve(now, heads, view.ZonesOut, req, balance.Requester{Node: request.Node, Ticket: request.Ticket})
 	if refused == nil {
+		promises.Placed(now, req)
 		return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted, Permitted: choice.Permitted}, true
 	}
 	placement := fleet.Placement{Predicted: refused.Predicted}
@@ -131,6 +134,9 @@
 	}
 	if request.Ticket > 0 { // otherwise the requesting node is in another zone and asks the remaining zones itself
 		placement.AlternativeZone = n.tracker.AlternativeZone(now, heads, view.ZonesOut, req)
+		if placement.AlternativeZone == "" && refused.Reason == balance.Overloaded {
+			placement.RetryAfter = promises.Promise(now, heads, req, request.Left)
+		}
 	}
 	return placement, true
 }
