Dispatcher's belief: a new dispatcher counts no load twice

After a change of the dispatcher callers were refused at a predicted 506 to 511 ms (objective 500): the new one has the sum of the others' loads from the last one, and added what their requests told as if it were new. A node that hasn't told its loads lately now changes nothing in the sum.

--- a/neighbor/load_table.go
+++ b/neighbor/load_table.go
@@ -53,12 +53,16 @@
 // how much the loads of its zone change. A request that was overtaken by a later one
 // changes nothing. Tickets count from the node's last report, as they begin anew when its
 // process does.
+//
+// Of a node that hasn't told its loads lately nothing is known to change: a node that has
+// just become the dispatcher has the sum of their loads from the last one, and would count
+// them twice.
 func (t *LoadTable) MergeNode(now time.Time, node string, ticket uint64, loads map[string]balance.Load) map[string]balance.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.nodes[node]
-	if now.Sub(before.at) > loadMaxAge {
-		before = reportedLoads{}
+	before, known := t.nodes[node]
+	if known && now.Sub(before.at) > loadMaxAge {
+		before, known = reportedLoads{}, false
 	}
 	if ticket < before.ticket {
 		return nil
@@ -73,6 +77,9 @@
 		}
 	}
 	t.nodes[node] = reportedLoads{at: now, loads: merged, ticket: ticket}
+	if !known {
+		return nil
+	}
 	return changes
 }
 
