Tell a group that lost a member by what all nodes of its zone see

Cause: each node found out by its own streams alone that a group stands still, and a single stream may pause for 0.7 s (new streams) or 1.3 s (its own move) for other reasons.

Each node now says with its loads from which heads of its zone its begun streams get no events for longer than the engine's longest pass; nothing is said in calm times. The node that collects the loads decides (silence.Decide, pure) that a head is still if two nodes miss its events, none gets any and as many heads go on. New streams avoid it. It asks the holder of the lease, who asks the members: one whose address takes no connection, neither of the holder nor of the nodes that it asks, for 0.25 s in which others answer, is lost. The group's streams move at once and it is formed anew.

Ruled out: moving by the nodes' view alone, as a group whose member stands still for a second would have served its streams; a verdict after 0.15 s, which loses sound groups where all endpoints come back 0.2 s apart. A member that takes connections and answers nothing counts from the same moment as before.

Not covered: streams that nodes of other zones have at the head; a domain that goes dark with half of a zone's heads.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -90,7 +90,7 @@
 	a.start()
 	a.last, s.learnedAt = now, now
 	a.t.answeredAt = now
-	s.lastEvent, s.waitingSince = now, now
+	s.lastEvent, s.waitingSince, s.stillUntil = now, now, time.Time{}
 	s.backoff, s.backoffUntil = 0, time.Time{}
 }
 
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -321,7 +321,7 @@
 	if e.Zone != r.Zone {
 		c.score += otherZonePenalty
 	}
-	c.score += r.rejectingPenalty(now, s)
+	c.score += r.rejectingPenalty(now, s) + r.stillPenalty(now, s)
 	if c.full {
 		c.predicted += time.Hour
 		c.score += time.Hour
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -78,6 +78,8 @@
 	// zone, by their reports; rejectingElsewhereUntil is the same by what other zones and
 	// the collecting node of this zone passed on.
 	rejectingUntil, rejectingElsewhereUntil time.Time
+	// stillUntil is until when no node of the zone is known to get events from the endpoint.
+	stillUntil time.Time
 }
 
 // Tracker keeps the state of all endpoints.
--- a/formation/fakezone_test.go
+++ b/formation/fakezone_test.go
@@ -60,6 +60,7 @@
 type fakeEndpoint struct {
 	fleet.Endpoint
 	dead, unresponsive bool            // the process ended; requests to it time out
+	dark               bool            // its address takes no connections
 	unlisted           bool            // its entry is missing, but it keeps serving
 	notListening       bool            // it stopped listening and finishes its requests
 	ignores            fleet.OrderKind // orders of this kind are lost
@@ -291,6 +292,8 @@
 	switch {
 	case !ok || w.notListening || (w.dead && !w.unresponsive):
 		return nil, redwinghall.NewOpError("fakeZone.reach", platform.Absent, errUnreachable)
+	case w.dark:
+		return nil, redwinghall.NewOpError("fakeZone.reach", platform.NotReached, errUnreachable)
 	case w.unresponsive:
 		return nil, redwinghall.NewOpError("fakeZone.reach", platform.NoAnswer, errUnreachable)
 	}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -109,7 +109,15 @@
 	silentSince time.Time
 	// silentFrom is what the clock of answers showed at silentSince.
 	silentFrom time.Duration
-	unlisted   unlisted
+	// stillUntil is until when no node of the zone is known to get events from the endpoint's streams.
+	stillUntil time.Time
+	// early is set while the endpoint is asked only because its group is still for all nodes.
+	early bool
+	// unreached is the first of the questions that reached the endpoint neither by this node's own connection nor by
+	// way of others, and unreachedAt when that was last found, zero if the last one reached it.
+	unreached   question
+	unreachedAt time.Time
+	unlisted    unlisted
 	// unansweredJoin is the group of the last join order that got no answer, and
 	// unansweredJoinUntil is until when that order may still be carried out.
 	unansweredJoin      string
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -28,6 +28,7 @@
 		if e == nil || e.Domain != head.worker.Endpoint.Domain || e.Zone != head.worker.Endpoint.Zone {
 			continue
 		}
+		m.endEarly(now, n)
 		if m.probing[id] || now.Sub(n.probedAt) < probeInterval || now.Sub(n.seenAt) > time.Second {
 			continue
 		}
@@ -43,31 +44,38 @@
 	endpoint := n.worker.Endpoint
 	m.group.Task("probe", func(running context.Context) {
 		for {
-			asked := time.Now()
-			heard := m.answersAt(asked)
+			q := m.newQuestion(time.Now())
 			report, err := m.Orderer.Report(ctx, endpoint)
-			if m.recordProbe(asked, time.Now(), heard, n, report, err) || !kernel.Sleep(running, probeRetryDelay) {
+			if m.recordProbe(q, time.Now(), n, report, err) || !kernel.Sleep(running, probeRetryDelay) {
 				return
 			}
 		}
 	})
 }
 
-// answersAt returns what the clock of answers shows.
-func (m *Manager) answersAt(now time.Time) time.Duration {
+// question is one request for a report.
+type question struct {
+	asked time.Time
+	heard time.Duration // what the clock of answers showed
+}
+
+// newQuestion returns a question that is asked now.
+func (m *Manager) newQuestion(now time.Time) question {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.answers.at(now)
+	return question{asked: now, heard: m.answers.at(now)}
 }
 
-// recordProbe records the answer to a probe, for which the clock of answers showed heard. It reports
-// whether the endpoint answered or is known to be lost, or this node can't tell.
-func (m *Manager) recordProbe(asked, now time.Time, heard time.Duration, n *endpointState, report fleet.Report, err error) (done bool) {
+// recordProbe records the answer to a probe. It reports whether the endpoint answered or is known to be lost, or this
+// node can't tell.
+func (m *Manager) recordProbe(q question, now time.Time, n *endpointState, report fleet.Report, err error) (done bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	id := n.worker.Endpoint.ID
+	n.recordUnreached(q, now, err)
 	if err == nil {
 		m.answers.record(now)
+		m.suspectUnreached(now)
 		n.silentSince = time.Time{}
 		if n.bySilence {
 			n.suspectUntil, n.bySilence = now, false
@@ -82,12 +90,15 @@
 		delete(m.probing, id)
 		return true
 	}
-	silent := n.silence(asked, now)
-	if n.silentSince.Equal(asked) {
-		n.silentFrom = heard
+	absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
+	if n.early && !absent {
+		return m.recordEarlySilence(now, n, err)
+	}
+	silent := n.silence(q.asked, now)
+	if n.silentSince.Equal(q.asked) {
+		n.silentFrom = q.heard
 	}
 	klog.InfoS("member_silent", "endpoint", id, "group", n.worker.Member.Group, "since_report", m.answers.sinceAnswer(now), "silent", silent, "err", err)
-	absent := redwinghall.KindOf[platform.Kind](err) == platform.Absent
 	if !absent && m.answers.at(now)-n.silentFrom < minSilence {
 		m.askWitnesses(now, n.worker.Endpoint)
 		if silent < suspectDuration {
@@ -96,7 +107,7 @@
 		delete(m.probing, id) // it is asked again when streams are next reported as stalled
 		return true
 	}
-	n.suspect(asked, now, true)
+	n.suspect(q.asked, now, true)
 	delete(m.probing, id)
 	return true
 }
--- a/formation/witness.go
+++ b/formation/witness.go
@@ -60,7 +60,12 @@
 
 // askWitnesses asks other endpoints for a report while one is silent. The lock is held.
 func (m *Manager) askWitnesses(now time.Time, silent *fleet.Endpoint) {
-	if now.Sub(m.witnessedAt) < witnessInterval {
+	m.askWitnessesWithin(now, silent, witnessInterval)
+}
+
+// askWitnessesWithin is askWitnesses with another interval.
+func (m *Manager) askWitnessesWithin(now time.Time, silent *fleet.Endpoint, interval time.Duration) {
+	if now.Sub(m.witnessedAt) < interval {
 		return
 	}
 	m.witnessedAt = now
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 	// othersAskedAt is when endpoints were last asked whether they answer, in Unix nanoseconds.
 	othersAskedAt atomic.Int64
 	unproven      unprovenAttempts
+	stallWatches  stallWatches
 	// eventBytes and answerBytes bound what is held of unfinished events and answers.
 	eventBytes, answerBytes byteBudget
 	// unreadable holds the unreadable headers that were logged.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -30,6 +30,7 @@
 	t       testing.TB
 	cache   *directory.Cache
 	server  *httptest.Server
+	gateway *gateway.Gateway
 	tracker *balance.Tracker
 	config  *fleet.Configuration
 	placer  fakePlacer
@@ -124,6 +125,7 @@
 		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, Quarantine: s.quarantine,
 		Background: background.Task,
 	})
+	s.gateway = g
 	s.server = httptest.NewServer(g)
 	t.Cleanup(s.server.Close)
 	return s
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -56,6 +56,14 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// GroupStill counts the questions whether a still group lost a member.
+func (m *Metrics) GroupStill() { m.count("groups.still_asked") }
+
+// StreamsMoved counts streams that left a group which lost a member.
+func (m *Metrics) StreamsMoved(n int) {
+	metrics.GetOrRegisterCounter("streams.moved_from_lost_group", m.registry).Inc(int64(n))
+}
+
 // SetGauge sets the current value of something that rises and falls.
 func (m *Metrics) SetGauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -21,6 +21,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = kernel.AfterFunc(w.timeout, w.check)
+	c.g.stallWatches.add(w)
 	return w.stop
 }
 
@@ -63,6 +64,7 @@
 }
 
 func (w *stallWatch) stop() {
+	w.call.g.stallWatches.remove(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -109,6 +109,8 @@
 	// Quarantine is the digest of the parts of prompts under which endpoints ended, as the other
 	// node knows them.
 	Quarantine uint64
+	// Still holds the heads from which no node of the zone gets events.
+	Still []StillHead
 }
 
 // LoadReport is what a node reports about its loads.
@@ -130,6 +132,9 @@
 	Rejecting []string
 	// Leaving holds the endpoints of which the node recently learned that they leave.
 	Leaving []balance.LeavingReport
+	// Still holds the heads from which the node's begun streams get no events, with the time since the
+	// newest one.
+	Still map[string]time.Duration
 }
 
 // ZoneReport is what a node reports to another zone about its own.
@@ -152,14 +157,14 @@
 	out, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Node, Loads: encodeLoads(report.Loads), Settled: report.LowestOpenTicket, WithOthers: report.WithOthers,
 		WithZones: report.WithZones, Limits: encodeLimits(report.Limits), WithLimits: report.WithLimits, Rejecting: report.Rejecting,
-		Leaving: encodeLeaving(report.Leaving),
+		Leaving: encodeLeaving(report.Leaving), Still: encodeStill(report.Still),
 	})
 	if err != nil {
 		return ShareResult{}, c.callError("Client.Share", err)
 	}
 	return ShareResult{
 		Others: decodeLoads(out.GetLoads()), Zones: decodeLoads(out.GetZones()), Limits: decodeLimits(out.GetLimits()), Rejecting: out.GetRejecting(),
-		Leaving: decodeLeaving(out.GetLeaving()), Quarantine: out.GetQuarantine(),
+		Leaving: decodeLeaving(out.GetLeaving()), Quarantine: out.GetQuarantine(), Still: decodeStillHeads(out.GetStill()),
 	}, nil
 }
 
@@ -234,6 +239,18 @@
 	return nil
 }
 
+// SuspectGroup reports to a node that no node of a zone gets events from the group of an endpoint. It returns whether
+// the group is known to have lost a member.
+func (c *Client) SuspectGroup(ctx context.Context, address, headID string) (lost bool, err error) {
+	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := c.clientFor(address).Suspect(ctx, &rpc.SuspectRequest{Endpoint: headID, ByAll: true})
+	if err != nil {
+		return false, c.callError("Client.SuspectGroup", err)
+	}
+	return out.GetLost(), nil
+}
+
 // callError wraps an error and closes the idle connections, so that the next call does not
 // fail on a broken connection that it reuses.
 func (c *Client) callError(op string, err error) error {
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -13,6 +13,7 @@
 	"redwinghall/neighbor/rpc"
 	"redwinghall/quarantine"
 	"redwinghall/relay"
+	"redwinghall/silence"
 )
 
 // maxChangesWait bounds how long a call of Changes may wait.
@@ -23,6 +24,13 @@
 	Mirror  func(table string) *relay.Mirror
 	Loads   *LoadTable
 	Suspect func(ctx context.Context, endpointID string)
+	// SuspectGroup is called for a head from which no node of its zone gets events. It reports whether the
+	// group is known to have lost a member. It may be nil, as may OnProgress and StillHeads.
+	SuspectGroup func(ctx context.Context, headID string) (lost bool)
+	// OnProgress is called with what a node of this zone sees of the heads that it has streams at, and
+	// StillHeads returns those from which no node gets events.
+	OnProgress func(now time.Time, node string, report silence.Report)
+	StillHeads func(now time.Time) []StillHead
 	// OnLoads is called after a node of this zone has reported its loads and they are
 	// stored in Loads.
 	OnLoads func(now time.Time, node string, lowestOpenTicket uint64)
@@ -89,9 +97,11 @@
 	s.config.Tracker.RecordRejecting(now, in.GetRejecting())
 	s.config.Loads.SetNode(now, in.GetNode(), decodeLoads(in.GetLoads()))
 	s.config.OnLoads(now, in.GetNode(), in.GetSettled())
+	s.recordProgress(now, in)
 	out := &rpc.ShareResponse{
 		Limits: encodeLimits(s.config.Tracker.ChangedLimits(now)), Rejecting: s.config.Tracker.Rejecting(now),
 		Leaving: encodeLeaving(s.config.Tracker.RecentlyLeaving(now)), Quarantine: s.config.Quarantine.Digest(),
+		Still: s.stillHeads(now),
 	}
 	if in.GetWithLimits() {
 		out.Limits = encodeLimits(s.config.Tracker.Limits(now))
@@ -146,6 +156,9 @@
 
 // Suspect implements rpc.Neighbor.
 func (s *Server) Suspect(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
+	if in.GetByAll() && s.config.SuspectGroup != nil {
+		return &rpc.SuspectResponse{Lost: s.config.SuspectGroup(context.Background(), in.GetEndpoint())}, nil
+	}
 	s.config.Suspect(context.Background(), in.GetEndpoint())
 	return &rpc.SuspectResponse{}, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"redwinghall/quarantine"
 	"redwinghall/reach"
 	"redwinghall/relay"
+	"redwinghall/silence"
 )
 
 const (
@@ -63,9 +64,12 @@
 	source    *relay.Source
 	neighbors *neighbor.Client
 	loads     *neighbor.LoadTable // loads reported by the nodes of this zone and by other zones
-	group     *kernel.Group
-	stopping  atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
-	conns     *connections
+	// silences holds what the nodes of this zone see of heads, and stillHeads those that fell silent for all.
+	silences   *silence.Table
+	stillHeads stillHeads
+	group      *kernel.Group
+	stopping   atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
+	conns      *connections
 	// newConnections tells which new connections are more than the processor can serve.
 	newConnections *connectionRate
 	rosters        rosterCache
@@ -95,7 +99,8 @@
 	n := &Node{
 		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
-		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
+		silences: silence.NewTable(kernel.RunTime),
+		backoff:  relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
 		quarantine: quarantine.NewTable(), quarantineKnown: make(chan struct{}),
 	}
 	n.source = relay.NewSource(relay.Config{
@@ -175,6 +180,7 @@
 	n.manager.Start(g)
 	n.startSharing(g)
 	n.startZoneSharing(g)
+	n.startSilence(g)
 	n.startQuarantine(g)
 	n.startPathProbes(g)
 	n.startRechecks(g)
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -41,6 +41,8 @@
 	// sentRejecting and sentLeaving are the numbers of rejecting and leaving endpoints
 	// last sent.
 	sentRejecting, sentLeaving int
+	// sentStill is the number of still heads last sent.
+	sentStill int
 	// limitsFrom is the node from which all limits were fetched.
 	limitsFrom string
 	quarantine quarantineSync
@@ -62,13 +64,16 @@
 		Node: n.settings.Node, LowestOpenTicket: n.tracker.Tickets.LowestOpen(), Loads: n.tracker.OwnLoads(now), Limits: n.tracker.OwnLimitReports(now),
 		Rejecting: n.tracker.RejectingNode(now), Leaving: n.tracker.RecentlyLeaving(now),
 	}
+	progress := n.progress(now)
+	report.Still = progress.Still
 	if !s.due(now, report) {
 		return
 	}
 	s.sentAt, s.sentLoads, s.sentLimits, s.sentRejecting = now, report.Loads, len(report.Limits), len(report.Rejecting)
-	s.sentLeaving = len(report.Leaving)
+	s.sentLeaving, s.sentStill = len(report.Leaving), len(report.Still)
 	if n.collectsLoads(now) {
 		n.loads.SetNode(now, report.Node, report.Loads)
+		n.silences.Set(now, report.Node, progress)
 		n.applyLoads(now)
 		s.learnLimits(ctx, now, report)
 		return
@@ -96,7 +101,7 @@
 func (s *sharer) due(now time.Time, report neighbor.LoadReport) bool {
 	return now.Sub(s.sentAt) >= time.Duration(len(s.node.peers()))*sharePerNode ||
 		!maps.Equal(s.sentLoads, report.Loads) || s.sentLimits != len(report.Limits) || s.sentRejecting != len(report.Rejecting) ||
-		s.sentLeaving != len(report.Leaving)
+		s.sentLeaving != len(report.Leaving) || s.sentStill != len(report.Still) || s.sentStill > 0
 }
 
 // exchange sends a load report to the collecting node and applies its response.
@@ -116,6 +121,7 @@
 	n.tracker.MergeLimits(received, shared.Limits)
 	n.tracker.RecordRejectingElsewhere(received, shared.Rejecting)
 	n.onLeaving(received, peer.Name, shared.Leaving)
+	n.applyStill(received, shared.Still)
 	s.quarantine.compare(ctx, now, peer, shared.Quarantine)
 	if report.WithOthers {
 		s.othersReceivedAt = now
