Ask the holder for a lost member by a call of its own

A holder of the last landing would take the field for the report of a stalled stream and count a member's silence from 0.3 s instead of 0.7 s on. It doesn't know the new call, so during an update the old waits hold (TestOlderNodesTellOfNoStillHead).

--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -244,7 +244,7 @@
 func (c *Client) SuspectGroup(ctx context.Context, address, headID string) (lost bool, err error) {
 	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	out, err := c.clientFor(address).Suspect(ctx, &rpc.SuspectRequest{Endpoint: headID, ByAll: true})
+	out, err := c.clientFor(address).SuspectGroup(ctx, &rpc.SuspectRequest{Endpoint: headID})
 	if err != nil {
 		return false, c.callError("Client.SuspectGroup", err)
 	}
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -156,13 +156,18 @@
 
 // Suspect implements rpc.Neighbor.
 func (s *Server) Suspect(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
-	if in.GetByAll() && s.config.SuspectGroup != nil {
-		return &rpc.SuspectResponse{Lost: s.config.SuspectGroup(context.Background(), in.GetEndpoint())}, nil
-	}
 	s.config.Suspect(context.Background(), in.GetEndpoint())
 	return &rpc.SuspectResponse{}, nil
 }
 
+// SuspectGroup implements rpc.Neighbor.
+func (s *Server) SuspectGroup(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
+	if s.config.SuspectGroup == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this node forms no groups")
+	}
+	return &rpc.SuspectResponse{Lost: s.config.SuspectGroup(context.Background(), in.GetEndpoint())}, nil
+}
+
 // Commit implements rpc.Neighbor.
 func (s *Server) Commit(ctx context.Context, in *rpc.CommitRequest) (*rpc.CommitResponse, error) {
 	at, err := s.config.Commit(ctx, decodeTxn(in))
