Keep a small group closed once it was closed for a larger one

Cause: whether a large group is worth its donors was weighed with the donor counted as serving while it was open, and as not serving once it had finished its streams. With demand near the border it was closed for the large group, opened again 1.6 to 2 s later and closed again.

What follows a donor's close is weighed before it, and the same once it is closed. TestGroupClosedForALargerOneIsNotOpenedAgain plays all steps for 1,300 demands; before, the group was opened again at the first that closed one (large 4, small 32).

--- a/formation/convert.go
+++ b/formation/convert.go
@@ -90,6 +90,22 @@
 	return spare && p.countGroups()[model.Name] >= minGroups
 }
 
+// wouldConvertWithout is wouldConvert once the VMs in donated have left their present models. p.serving no longer counts
+// those in notServing.
+//
+// A group that is closed for a larger one no longer serves. If that alone made the larger one worth converting, the
+// group would be opened again, and closed again.
+func (p *planner) wouldConvertWithout(model fleet.Model, donated, notServing map[string]int) bool {
+	for name, n := range donated {
+		p.serving[name] -= n - notServing[name]
+	}
+	would := p.wouldConvert(model)
+	for name, n := range donated {
+		p.serving[name] += n - notServing[name]
+	}
+	return would
+}
+
 // countGroups counts the open groups of each model.
 func (p *planner) countGroups() map[string]int {
 	count := map[string]int{}
--- a/formation/gather.go
+++ b/formation/gather.go
@@ -40,13 +40,16 @@
 // members remain, or if the group would be converted to another model right away.
 func (p *planner) rebuildGroup(domain string, model fleet.Model) {
 	rest := p.freeWithModel(domain, model)
-	if 2*len(rest) < model.Size || p.wouldConvert(model) {
+	if 2*len(rest) < model.Size {
 		return
 	}
 	missing := model.Size - len(rest) - p.closingDonors(domain, model)
 	if missing > 0 && !p.dismantleDonors(domain, model, missing, 0) {
 		return
 	}
+	if missing <= 0 && p.wouldConvert(model) {
+		return
+	}
 	rest = p.freeWithModel(domain, model) // members of groups that were not open are free at once
 	if len(rest) >= model.Size {
 		p.joinRebuilt(domain, model, rest[:model.Size])
@@ -100,19 +103,22 @@
 // replacement.
 func (p *planner) dismantleDonors(domain string, model fleet.Model, missing, expectedLoss int) bool {
 	var chosen []*group
-	donated := map[string]int{}
+	donated, notServing := map[string]int{}, map[string]int{}
 	for _, g := range p.donors(domain, model) {
 		if missing <= 0 {
 			break
 		}
 		chosen = append(chosen, g)
 		donated[g.model.Name] += g.size()
+		if g.head().Member.State != fleet.Open {
+			notServing[g.model.Name] += g.size()
+		}
 		missing -= g.size()
 	}
 	p.serving[model.Name] -= expectedLoss
-	worth := missing <= 0 && p.worthDismantling(model, donated, nil)
+	worth := missing <= 0 && p.worthDismantling(model, donated, notServing)
 	p.serving[model.Name] += expectedLoss
-	if !worth {
+	if !worth || (expectedLoss == 0 && p.wouldConvertWithout(model, donated, notServing)) {
 		return false
 	}
 	for _, g := range chosen {
