Let the free members of a broken group wait for the others

Cause: the members of a group whose head can't be asked become free one after the other, as each confirms that it left. After a second the first ones, or a standby of another model in their domain, were told to load for another group; the rest were too few to make the group whole, and the model was gone from the hosts. Only for 14 s after a change of the holder did they wait.

--- a/formation/plan.go
+++ b/formation/plan.go
@@ -102,6 +102,7 @@
 		p.reconcile(g)
 	}
 	p.awaitUnsettled(groups)
+	p.awaitReleased()
 	for _, w := range z.Workers {
 		if w.Member.Group == "" && w.usable() {
 			p.freeWorker(w, Evidence{})
@@ -142,6 +143,7 @@
 	openGroups    []*group // open and complete
 	stagingCount  int      // workers that stage a model while they serve
 	closingGroups []*group // complete, and finishing their streams
+	released      []*group // their members are to become free
 	reserved      map[string]int
 }
 
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -152,6 +152,7 @@
 // So a reachable head is ordered to leave first: its confirmation frees all others at
 // once.
 func (p *planner) release(g *group) {
+	p.released = append(p.released, g)
 	evidence := g.evidence(p.zone)
 	if p.provenEnded(g, evidence) || !g.headReachable() {
 		p.releaseMembers(g, evidence)
