Count refused requests as demand for a model

Cause: the demand by which groups are formed and given away was what runs in a zone's own groups. A model that is short of groups refuses, and looked as if it had enough; the floor of half its share alone kept it.

What accounts asked and did not get (AccountUse, of the room part) counts as requests in progress: by work, half for each step less urgent, as much as the model's groups have at most. It acts only where Options.Uses is set; the node doesn't set it in this commit, as what accounts use is told by another part.

Refused work that moves every 6 s for a minute costs one round of joins at most.

--- a/formation/demand.go
+++ b/formation/demand.go
@@ -11,12 +11,12 @@
 	// than a response takes, shorter than a load.
 	demandWindow = 5 * time.Second
 	// minShareFraction is the fraction of its configured share that a model keeps
-	// regardless of demand. Refused requests don't show up as demand, so without this
-	// floor a model could lose all its groups.
+	// regardless of demand. Where nobody tells of refused requests, they don't show up as
+	// demand, so without this floor a model could lose all its groups.
 	minShareFraction = 0.5
 )
 
-// demand tracks the smoothed number of requests in the groups of each model of a zone.
+// demand tracks the smoothed number of requests in the groups of each model of a zone, and of those that were refused.
 type demand struct {
 	requests map[string]float64
 	since    time.Time // of the first reading, soon after the first request
@@ -46,7 +46,7 @@
 
 // updateDemand adds a reading to the smoothed demand of a zone and returns it, or nil
 // before the first request and for demandWindow after the first reading.
-func (m *Manager) updateDemand(now time.Time, z *Zone, zone string) map[string]float64 {
+func (m *Manager) updateDemand(now time.Time, z *Zone, zone, service string) map[string]float64 {
 	if !m.TrafficStarted() {
 		return nil
 	}
@@ -54,11 +54,14 @@
 	for _, model := range z.Engine.Models {
 		requests[model.Name] = 0
 	}
+	groups := map[string]int{}
 	for _, w := range z.Workers {
 		if w.Endpoint.Serves() {
 			requests[w.Endpoint.Model()] += float64(m.Running(now, w.Endpoint.ID))
+			groups[w.Endpoint.Model()]++
 		}
 	}
+	m.addRefused(now, z, zone, service, requests, groups)
 	d, ok := m.demands[zone]
 	if !ok {
 		d = &demand{}
--- a/formation/manager.go
+++ b/formation/manager.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwinghall"
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
@@ -66,6 +67,8 @@
 	Progressing func(now time.Time, endpointID string) bool
 	// IsLeaving reports whether an endpoint said itself that it leaves.
 	IsLeaving func(*fleet.Endpoint) bool
+	// Uses returns what client accounts asked of a zone and got there; nil if nobody tells.
+	Uses func(now time.Time, zone string) []redwinghall.AccountUse
 	// Running returns this node's estimate of how many requests a head has in progress.
 	Running func(now time.Time, endpointID string) int
 }
@@ -265,7 +268,7 @@
 	m.trackOrders(z.Workers, held)
 	budget := m.loadBudgetFor(zone, engine)
 	z.Loads, z.StageAtOnce = budget.available(now), max(1, engine.LoadsAtOnce/max(1, len(m.Settings().Zones)))
-	z.Demand = m.updateDemand(now, z, zone)
+	z.Demand = m.updateDemand(now, z, zone, service.Name)
 	steps := z.Plan(now)
 	m.confirmOrders(ctx, z.Workers)
 	for _, s := range steps {
--- a/formation/manager_test.go
+++ b/formation/manager_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall"
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/formation"
@@ -29,7 +30,9 @@
 	progressing map[string]bool
 	leaving     map[string]bool // endpoints that said that they leave
 	// demand is how many requests each open group of a model has.
-	demand     atomic.Pointer[map[string]int]
+	demand atomic.Pointer[map[string]int]
+	// uses is what accounts ask and get.
+	uses       []redwinghall.AccountUse
 	firstStart bool
 	era        int64 // of the store
 	// onLeaseCheck is called when the manager checks whether it holds the lease; it may be
@@ -62,7 +65,7 @@
 		Recovered:  func(int64) bool { return !locked(n, &n.unrecovered) },
 		HoldsLease: func(string) bool { n.leaseChecked(); return n.holdsLease.Load() }, Position: func() fleet.Position { return fleet.Position{Era: locked(n, &n.era), Version: locked(n, &n.version)} },
 		TrafficStarted: func() bool { return n.trafficStarted.Load() }, Progressing: func(_ time.Time, id string) bool { return n.has(n.progressing, id) },
-		Running:   n.running(cache),
+		Running: n.running(cache), Uses: func(time.Time, string) []redwinghall.AccountUse { return locked(n, &n.uses) },
 		IsLeaving: func(e *fleet.Endpoint) bool { return n.has(n.leaving, e.ID) },
 	})
 	n.manager.Start(n.group)
