--- a/formation/manager.go
+++ b/formation/manager.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwinghall"
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
@@ -66,6 +67,8 @@
 	Progressing func(now time.Time, endpointID string) bool
 	// IsLeaving reports whether an endpoint said itself that it leaves.
 	IsLeaving func(*fleet.Endpoint) bool
+	// Uses returns what client accounts asked of a zone and got there; nil if nobody tells.
+	Uses func(now time.Time, zone string) []redwinghall.AccountUse
 	// Running returns this node's estimate of how many requests a head has in progress.
 	Running func(now time.Time, endpointID string) int
 }
@@ -109,7 +112,15 @@
 	silentSince time.Time
 	// silentFrom is what the clock of answers showed at silentSince.
 	silentFrom time.Duration
-	unlisted   unlisted
+	// stillUntil is until when no node of the zone is known to get events from the endpoint's streams.
+	stillUntil time.Time
+	// early is set while the endpoint is asked only because its group is still for all nodes.
+	early bool
+	// unreached is the first of the questions that reached the endpoint neither by this node's own connection nor by
+	// way of others, and unreachedAt when that was last found, zero if the last one reached it.
+	unreached   question
+	unreachedAt time.Time
+	unlisted    unlisted
 	// unansweredJoin is the group of the last join order that got no answer, and
 	// unansweredJoinUntil is until when that order may still be carried out.
 	unansweredJoin      string
@@ -257,7 +268,7 @@
 	m.trackOrders(z.Workers, held)
 	budget := m.loadBudgetFor(zone, engine)
 	z.Loads, z.StageAtOnce = budget.available(now), max(1, engine.LoadsAtOnce/max(1, len(m.Settings().Zones)))
-	z.Demand = m.updateDemand(now, z, zone)
+	z.Demand = m.updateDemand(now, z, zone, service.Name)
 	steps := z.Plan(now)
 	m.confirmOrders(ctx, z.Workers)
 	for _, s := range steps {
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -13,6 +13,7 @@
 	"redwinghall/neighbor/rpc"
 	"redwinghall/quarantine"
 	"redwinghall/relay"
+	"redwinghall/silence"
 )
 
 // maxChangesWait bounds how long a call of Changes may wait.
@@ -23,6 +24,13 @@
 	Mirror  func(table string) *relay.Mirror
 	Loads   *LoadTable
 	Suspect func(ctx context.Context, endpointID string)
+	// SuspectGroup is called for a head from which no node of its zone gets events. It reports whether the
+	// group is known to have lost a member. It may be nil, as may OnProgress and StillHeads.
+	SuspectGroup func(ctx context.Context, headID string) (lost bool)
+	// OnProgress is called with what a node of this zone sees of the heads that it has streams at, and
+	// StillHeads returns those from which no node gets events.
+	OnProgress func(now time.Time, node string, report silence.Report)
+	StillHeads func(now time.Time) []StillHead
 	// OnLoads is called when a node of this zone reports its loads, which it stores in Loads.
 	OnLoads func(now time.Time, node string, loads map[string]balance.Load, lowestOpenTicket uint64)
 	// OnStreams is called with what a node's request for a group says about its streams,
@@ -89,10 +97,13 @@
 		return &rpc.ShareResponse{Quarantine: s.config.Quarantine.Digest()}, nil
 	}
 	s.config.Tracker.RecordRejecting(now, in.GetRejecting())
-	s.config.OnLoads(now, in.GetNode(), decodeLoads(in.GetLoads()), in.GetSettled())
+	loads := decodeLoads(in.GetLoads())
+	s.config.OnLoads(now, in.GetNode(), loads, in.GetSettled())
+	s.recordProgress(now, in, loads)
 	out := &rpc.ShareResponse{
 		Limits: encodeLimits(s.config.Tracker.ChangedLimits(now)), Rejecting: s.config.Tracker.Rejecting(now),
 		Leaving: encodeLeaving(s.config.Tracker.RecentlyLeaving(now)), Quarantine: s.config.Quarantine.Digest(),
+		Still: s.stillHeads(now),
 	}
 	if in.GetWithLimits() {
 		out.Limits = encodeLimits(s.config.Tracker.Limits(now))
@@ -158,6 +169,14 @@
 	return &rpc.SuspectResponse{}, nil
 }
 
+// SuspectGroup implements rpc.Neighbor.
+func (s *Server) SuspectGroup(_ context.Context, in *rpc.SuspectRequest) (*rpc.SuspectResponse, error) {
+	if s.config.SuspectGroup == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this node forms no groups")
+	}
+	return &rpc.SuspectResponse{Lost: s.config.SuspectGroup(context.Background(), in.GetEndpoint())}, nil
+}
+
 // Commit implements rpc.Neighbor.
 func (s *Server) Commit(ctx context.Context, in *rpc.CommitRequest) (*rpc.CommitResponse, error) {
 	at, err := s.config.Commit(ctx, decodeTxn(in))
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"redwinghall/quarantine"
 	"redwinghall/reach"
 	"redwinghall/relay"
+	"redwinghall/silence"
 )
 
 const (
@@ -64,7 +65,10 @@
 	source    *relay.Source
 	neighbors *neighbor.Client
 	loads     *neighbor.LoadTable // loads reported by the nodes of this zone and by other zones
-	loadsMu   sync.Mutex          // held while the tracker is brought up to date with loads
+	// silences holds what the nodes of this zone see of heads, and stillHeads those that fell silent for all.
+	silences   *silence.Table
+	stillHeads stillHeads
+	loadsMu    sync.Mutex // held while the tracker is brought up to date with loads
 	// loadsAppliedAt is when the loads of all nodes and zones were last applied.
 	loadsAppliedAt time.Time
 	toldLoads      balance.ToldLoads
@@ -101,7 +105,8 @@
 	n := &Node{
 		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
-		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
+		silences: silence.NewTable(kernel.RunTime),
+		backoff:  relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
 		quarantine: quarantine.NewTable(), quarantineKnown: make(chan struct{}),
 	}
 	n.source = relay.NewSource(relay.Config{
@@ -182,6 +187,7 @@
 	n.manager.Start(g)
 	n.startSharing(g)
 	n.startZoneSharing(g)
+	n.startSilence(g)
 	n.startQuarantine(g)
 	n.startPathProbes(g)
 	n.startRechecks(g)
