Memory: what all requests of a node hold is bounded by its VM

Cause: each body had a limit of its own and all together none. 240 callers that each sent 1 MiB but for a byte and stood still made a node hold 262 MB (trial of the users) where its VM has 184. Callers saw the kernel end the process.

Ruled out: taking the announced length at the beginning (callers that send nothing would shut the others out); passing bodies on as they come (a second attempt needs them).

Change: requests, bodies and answers are counted before they are allocated. Bodies end at half of a quarter of the VM's memory, requests at 0.8, less for the less urgent; the refused get 503 with a Retry-After of 1 s. A body that stands still for 5 s, or for 1 s while memory is short, ends with 408. Control calls and requests of other nodes count too. Without a memory limit in the settings the old decision holds (test).

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -120,7 +120,13 @@
 		notForwarded(w, in.Header, f, neighbor.Unusable, "path")
 		return
 	}
-	body, err := readBody(in, maxControlBytes)
+	call := &Request{Deadline: time.Now().Add(max(f.Timeout, bodyIdleTime))}
+	defer call.memory.release()
+	if !g.beginControlMemory(call) {
+		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		return
+	}
+	body, err := readBody(w, in, maxControlBytes, call)
 	if err != nil {
 		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
 		return
@@ -160,7 +166,18 @@
 	}
 	// The route here may be of a newer configuration than the one by which the request was accepted.
 	r.Deadline = now.Add(f.Timeout)
-	body, err := readBody(in, r.view.Config().Limits.BodyBytes)
+	defer r.memory.release()
+	if !g.beginMemory(r) {
+		g.logMemoryRefused(r, heldRequest, 0)
+		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		return
+	}
+	body, err := readBody(w, in, r.view.Config().Limits.BodyBytes, r)
+	if errors.Is(err, errBodyMemory) {
+		g.logMemoryRefused(r, heldBody, len(body))
+		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		return
+	}
 	if err != nil {
 		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -96,6 +95,8 @@
 	unproven      unprovenAttempts
 	// eventBytes and answerBytes bound what is held of unfinished events and answers.
 	eventBytes, answerBytes byteBudget
+	// memory counts what all requests hold.
+	memory heldMemory
 	// unreadable holds the unreadable headers that were logged.
 	unreadable unreadableHeaders
 }
@@ -141,7 +142,12 @@
 		return
 	}
 	g.served.Add(1)
-	body, err := readBody(in, request.view.Config().Limits.BodyBytes)
+	defer request.memory.release()
+	if !g.beginMemory(request) {
+		g.refuseMemory(w, request, heldRequest, 0)
+		return
+	}
+	body, err := readBody(w, in, request.view.Config().Limits.BodyBytes, request)
 	if err != nil {
 		g.refuseBody(w, request, len(body), err)
 		return
@@ -214,17 +220,6 @@
 	return split[len(split)-1].Service
 }
 
-// refuseBody ends a request whose body could not be read completely. read is how many bytes were.
-func (g *Gateway) refuseBody(w http.ResponseWriter, r *Request, read int, err error) {
-	var tooLarge *http.MaxBytesError
-	if errors.Is(err, errBodyTooLarge) || errors.As(err, &tooLarge) {
-		g.refuse(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
-		return
-	}
-	g.logUnanswered("request_broken_off", r, g.goneReason(), "body_read", read, "err", err)
-	panic(http.ErrAbortHandler) // the caller disconnected while sending its body
-}
-
 // balanceRequest returns the inputs of endpoint selection for a request.
 //
 // Until the list of nodes has been read, the budget for cold endpoints is 0: after a
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,6 +46,7 @@
 	// presences holds what is found of other endpoints than sound ones.
 	presences  sync.Map
 	quarantine *quarantine.Table
+	gateway    *gateway.Gateway
 }
 
 // fakePlacer holds the replies of other zones.
@@ -124,7 +125,7 @@
 		Placer: &s.placer, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, Quarantine: s.quarantine,
 		Background: background.Task,
 	})
-	s.server = httptest.NewServer(g)
+	s.gateway, s.server = g, httptest.NewServer(g)
 	t.Cleanup(s.server.Close)
 	return s
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -114,6 +114,9 @@
 // ConnectionUnread counts a new connection that was closed unread, since this node gets more of them than it can serve.
 func (m *Metrics) ConnectionUnread() { m.count("connections.unread") }
 
+// MemoryRefused counts a request that was turned away as too little memory was left, by what it needed it for.
+func (m *Metrics) MemoryRefused(kind string) { m.count("memory.refused." + kind) }
+
 // Forwarded counts a request that another node sent to its endpoint for this node.
 func (m *Metrics) Forwarded() { m.count("paths.forwarded") }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -322,6 +322,7 @@
 		g.refuse(w, r, refusal{status: http.StatusBadGateway, reason: "answer_unusable"})
 		return
 	}
+	r.releaseBody()
 	platform.CopyResponseHeaders(w.Header(), last.response.Header)
 	w.WriteHeader(status)
 	if sent, err := writeBody(w, last); err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -36,6 +34,14 @@
 	arrivedUnder int64
 	// left is closed once the connection to the caller has ended; nil for a request without one.
 	left <-chan struct{}
+	// memory is what the request holds.
+	memory requestMemory
+}
+
+// releaseBody drops the body once no endpoint will be sent it any more.
+func (r *Request) releaseBody() {
+	r.Body = nil
+	r.memory.giveBackAll(heldBody)
 }
 
 // takeView makes the request use the latest view.
@@ -85,38 +91,3 @@
 		r.ByRoute = false
 	}
 }
-
-// Limits on reading a request body.
-const (
-	defaultBodyBytes = 4 << 20
-	bodySlack        = 1 // one extra byte shows that a body exceeds the limit
-	// maxAllocatedAhead is the size up to which the announced length of a body is allocated
-	// before it arrives.
-	maxAllocatedAhead = 1 << 20
-)
-
-var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
-
-// readBody reads the complete body of a request, or returns what it read before an error: a retry at a second endpoint may
-// need it, and a slow caller must not occupy an endpoint.
-func readBody(in *http.Request, limit int64) ([]byte, error) {
-	if in.Body == nil || in.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if in.ContentLength > limit {
-		return nil, errBodyTooLarge
-	}
-	if in.ContentLength > 0 && in.ContentLength <= maxAllocatedAhead {
-		body := make([]byte, in.ContentLength)
-		n, err := io.ReadFull(in.Body, body)
-		return body[:n], err
-	}
-	body, err := io.ReadAll(io.LimitReader(in.Body, limit+bodySlack))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, err
-}
--- a/node/memory.go
+++ b/node/memory.go
@@ -68,4 +68,9 @@
 	} {
 		n.metrics.SetGauge(name, value)
 	}
+	held, limit := n.gateway.HeldMemory()
+	n.metrics.SetGauge("memory.held_limit", limit)
+	for kind, bytes := range held {
+		n.metrics.SetGauge("memory.held."+kind, bytes)
+	}
 }
