--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -130,8 +130,7 @@
 		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, Quarantine: s.quarantine,
 		Background: background.Task,
 	})
-	s.gateway = g
-	s.server = httptest.NewServer(g)
+	s.gateway, s.server = g, httptest.NewServer(g)
 	t.Cleanup(s.server.Close)
 	return s
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -134,6 +134,9 @@
 // RoomTaken counts a caller that came back and got the room that was promised to it.
 func (m *Metrics) RoomTaken() { m.count("room.taken") }
 
+// MemoryRefused counts a request that was turned away as too little memory was left, by what it needed it for.
+func (m *Metrics) MemoryRefused(kind string) { m.count("memory.refused." + kind) }
+
 // Forwarded counts a request that another node sent to its endpoint for this node.
 func (m *Metrics) Forwarded() { m.count("paths.forwarded") }
 
