--- a/node/promised_room.go
+++ b/node/promised_room.go
@@ -11,9 +11,9 @@
 	"redwinghall/promise"
 )
 
-// honoredShare is the part of the time until its deadline that a caller waits at most
+// honoredPart divides the time until a caller's deadline: it waits for one part at most
 // before it comes back.
-const honoredShare = 3
+const honoredPart = 3
 
 // promiser promises room of this node's zone to refused callers, while this node
 // dispatches and the configuration names client accounts.
@@ -52,7 +52,7 @@
 	}
 	longest := promise.Latest
 	if left > 0 {
-		longest = min(longest, left/honoredShare)
+		longest = min(longest, left/honoredPart)
 	}
 	interval := request.PlaceInterval(now, heads, p.node.cache.View().ZonesOut)
 	wait, ok := p.node.promises.Give(now, promisedModel(request), promisedCaller(request), interval, longest)
--- a/node/promised_room_test.go
+++ b/node/promised_room_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,18 +30,47 @@
 	return string(data)
 }
 
-// A zone without a dispatcher must refuse as it always did; one with a dispatcher promises room to those that it refuses.
+// withoutAccounts puts a configuration that names no client account, and waits until all nodes have it.
+func (z *zonedDeployment) withoutAccounts(t *testing.T) {
+	t.Helper()
+	config := platformtest.Configuration(2)
+	config["tenants"] = []any{}
+	require.NoError(t, z.nodes[0].store.PutConfiguration(config))
+	for _, d := range z.nodes {
+		require.Eventually(t, func() bool {
+			r, err := platformtest.NewRequest(context.Background(), http.MethodGet, d.settings.CallerAddress, "/look/x", nil, platformtest.RequestInfo{
+				ID: "open", Key: "nobody's", Timeout: 5 * time.Second,
+			})
+			require.NoError(t, err)
+			status, _ := d.send(http.DefaultClient, r)
+			return status == http.StatusOK
+		}, 10*time.Second, 50*time.Millisecond)
+	}
+}
+
+// A zone without a dispatcher, or without client accounts, must refuse as it always did; others promise room to those that they refuse.
 func TestRoomIsPromisedByDispatchersOnly(t *testing.T) {
 	t.Parallel()
-	for nodes, promised := range map[int]bool{3: false, 4: true} {
-		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+	for name, c := range map[string]struct {
+		nodes    int
+		accounts bool
+		promised bool
+	}{
+		"no dispatcher":            {3, true, false},
+		"a dispatcher":             {4, true, true},
+		"a dispatcher, no account": {4, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			z := deployZonesOf(t, map[string]int{"a": nodes}, 2, platformtest.EndpointConfig{Event: 20 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{})
+			z := deployZonesOf(t, map[string]int{"a": c.nodes}, 2, platformtest.EndpointConfig{Event: 20 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{})
+			if !c.accounts {
+				z.withoutAccounts(t)
+			}
 			var refused sync.Map
 			var all sync.WaitGroup
 			for i := range crowd {
 				all.Go(func() {
-					if status, _ := z.nodes[i%nodes].request(http.MethodPost, "/stream/x", fmt.Sprintf("c%d", i)); status == http.StatusServiceUnavailable {
+					if status, _ := z.nodes[i%c.nodes].request(http.MethodPost, "/stream/x", fmt.Sprintf("c%d", i)); status == http.StatusServiceUnavailable {
 						refused.Store(i, true)
 					}
 				})
@@ -53,7 +83,7 @@
 			for _, d := range z.nodes {
 				found = found || strings.Contains(d.metricsPage(), "room.promised")
 			}
-			require.Equal(t, promised, found, "%d refused", count)
+			require.Equal(t, c.promised, found, "%d refused", count)
 		})
 	}
 }
