Answers are read on while their callers take nothing

Cause: a write to a caller that doesn't read blocks the reading of its answer. The endpoint cuts the answer off after some seconds, and its group, silent to this node, was reported as stalled: callers of others were sent elsewhere. A caller that left with its side of the connection closed was noticed only when the write failed.

Ruled out: write deadlines (net/http can't go on after one); reading ahead for every answer (a goroutine and a copy for callers that keep up).

Change: once a write has taken 0.2 s, a goroutine reads the answer on and counts what it holds, up to 0.12 of what requests may hold. The endpoint's place is free once all was read; the rest is delivered late. An attempt may be canceled before its result is recorded. Without a memory limit nothing changes (test).

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// Cancel ends an attempt whose request was not sent.
+// Cancel ends an attempt whose request was not sent, or whose result is recorded later.
 func (a *Attempt) Cancel() {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
@@ -149,12 +149,14 @@
 	}
 }
 
-// Done ends the attempt. ok reports whether the request succeeded.
+// Done ends the attempt, unless it was canceled, and records its result. ok reports whether the request succeeded.
 func (a *Attempt) Done(now time.Time, ok bool) {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
 	s := a.s
-	a.finish()
+	if !a.ended {
+		a.finish()
+	}
 	failed := 1.0
 	s.learnedAt = now
 	if ok {
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -208,7 +208,7 @@
 	platform.CopyResponseHeaders(w.Header(), response.Header)
 	neighbor.SetForwardOutcome(w.Header(), neighbor.Delivered)
 	w.WriteHeader(response.Status)
-	if sent, err := g.copyForwarded(w, e, response); err != nil {
+	if sent, err := g.copyForwarded(w, r, e, response); err != nil {
 		g.logUnanswered("forward_failed", r, g.brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "status", response.Status,
 			"bytes", sent, "err", err)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
@@ -217,21 +217,26 @@
 }
 
 // copyForwarded passes the body on as it comes, and returns how many bytes it wrote.
-func (g *Gateway) copyForwarded(w http.ResponseWriter, e *fleet.Endpoint, response *Response) (sent int64, err error) {
+func (g *Gateway) copyForwarded(w http.ResponseWriter, r *Request, e *fleet.Endpoint, response *Response) (sent int64, err error) {
 	flush := http.NewResponseController(w)
 	buffer := make([]byte, forwardBufferSize)
+	ahead := g.newAheadBody(w, r, response.Body, aheadEvents{onBytes: func(now time.Time) { g.recordResponded(now, e, response) }})
+	defer ahead.close()
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := ahead.Read(buffer)
 		if n > 0 {
-			g.recordResponded(time.Now(), e, response)
+			now := time.Now()
+			g.recordResponded(now, e, response)
+			ahead.beginWrite(now)
 			written, writeErr := w.Write(buffer[:n])
+			if writeErr == nil {
+				writeErr = flush.Flush()
+			}
+			ahead.endWrite()
 			sent += int64(written)
 			if writeErr != nil {
 				return sent, writeErr
 			}
-			if flushErr := flush.Flush(); flushErr != nil {
-				return sent, flushErr
-			}
 		}
 		if errors.Is(err, io.EOF) {
 			return sent, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,8 @@
 	eventBytes, answerBytes byteBudget
 	// memory counts what all requests hold.
 	memory heldMemory
+	// callers holds the answers that are being passed on.
+	callers callers
 	// unreadable holds the unreadable headers that were logged.
 	unreadable unreadableHeaders
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -126,6 +126,7 @@
 		Background: background.Task,
 	})
 	s.gateway, s.server = g, httptest.NewServer(g)
+	background.Every("slow_callers", gateway.SlowCallerInterval, func(_ context.Context, now time.Time) { g.WatchCallers(now) })
 	t.Cleanup(s.server.Close)
 	return s
 }
--- a/gateway/held_memory.go
+++ b/gateway/held_memory.go
@@ -29,10 +29,11 @@
 	// freeBodyBytes is the part of a body that is counted in requestBytes.
 	freeBodyBytes = 8 << 10
 
-	// Bodies end below new requests, so that callers with small ones are served beside them, and new
-	// requests end below answers that have begun.
+	// Bodies end below new requests, so that callers with small ones are served beside them. Answers that
+	// have begun have a part of their own.
 	bodyCeiling    = 0.5
 	requestCeiling = 0.8
+	answerCeiling  = 0.12
 	// urgencyCeiling is by how much less may be held for each step of urgency.
 	urgencyCeiling = 0.03
 	maxUrgency     = 9
@@ -43,7 +44,8 @@
 // heldLimit returns how many bytes all requests may hold on a VM, 0 for any number.
 func heldLimit(vmMemory int64) int64 { return int64(heldShare * float64(vmMemory)) }
 
-// heldCeiling returns up to how many bytes of a limit may be held if one more piece of a kind is taken for a request.
+// heldCeiling returns up to how many bytes of a limit may be held if one more piece of a kind is taken for a request:
+// of all kinds together, or of answers alone.
 //
 // It answers callers that hold much at once and give nothing back. What would be refused anyhow is new
 // work, the least urgent first, and not whatever comes next.
@@ -55,7 +57,7 @@
 	case heldRequest:
 		return int64((requestCeiling - less) * float64(limit))
 	}
-	return limit
+	return int64(answerCeiling * float64(limit))
 }
 
 // heldMemory counts what all requests hold.
@@ -83,7 +85,11 @@
 		return true
 	}
 	m.all.add(kind, n)
-	if m.limit > 0 && m.all.total.Load() > heldCeiling(m.limit, kind, m.urgency) {
+	used := m.all.total.Load()
+	if kind == heldAnswer {
+		used = m.all.byKind[kind].Load()
+	}
+	if m.limit > 0 && used > heldCeiling(m.limit, kind, m.urgency) {
 		m.all.add(kind, -n)
 		return false
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -117,6 +117,9 @@
 // MemoryRefused counts a request that was turned away as too little memory was left, by what it needed it for.
 func (m *Metrics) MemoryRefused(kind string) { m.count("memory.refused." + kind) }
 
+// CallerSlow counts that an answer was read on while its caller took nothing.
+func (m *Metrics) CallerSlow() { m.count("callers.slow") }
+
 // Forwarded counts a request that another node sent to its endpoint for this node.
 func (m *Metrics) Forwarded() { m.count("paths.forwarded") }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -325,7 +326,7 @@
 	r.releaseBody()
 	platform.CopyResponseHeaders(w.Header(), last.response.Header)
 	w.WriteHeader(status)
-	if sent, err := writeBody(w, last); err != nil {
+	if sent, err := g.writeBody(w, r, last); err != nil {
 		g.logUnanswered("answer_broken_off", r, g.brokenReason(r, time.Now(), err), "status", status, "bytes", sent, "err", err)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
@@ -333,14 +334,24 @@
 }
 
 // writeBody writes the body of a response and returns how many bytes it wrote.
-func writeBody(w io.Writer, last plainAttempt) (int64, error) {
-	n, err := w.Write(last.body)
-	if err != nil || last.unread == nil {
+func (g *Gateway) writeBody(w http.ResponseWriter, r *Request, last plainAttempt) (int64, error) {
+	if last.unread == nil && len(last.body) <= smallBufferedResponse {
+		n, err := w.Write(last.body)
 		return int64(n), err
 	}
-	// Only the writer's own method: its larger buffer would be one for each request.
-	rest, err := io.CopyBuffer(struct{ io.Writer }{w}, last.unread, make([]byte, copyBufferSize))
-	return int64(n) + rest, err
+	rest := last.unread
+	if rest == nil {
+		rest = strings.NewReader("")
+	}
+	ahead := g.newAheadBody(w, r, rest, aheadEvents{})
+	defer ahead.close()
+	writer := aheadWriter{w, ahead} // without the writer's own method to read: its larger buffer would be one for each request
+	n, err := writer.Write(last.body)
+	if err != nil {
+		return int64(n), err
+	}
+	copied, err := io.CopyBuffer(writer, struct{ io.Reader }{ahead}, make([]byte, copyBufferSize))
+	return int64(n) + copied, err
 }
 
 // statusMeansNotRun reports whether a status tells the caller that its request was
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -42,6 +42,10 @@
 	if w.stopped {
 		return
 	}
+	if w.call.unread.Load() { // its caller is the cause
+		w.timer.Reset(stallCheckInterval)
+		return
+	}
 	now := time.Now()
 	silent := w.choice.Attempt.TimeWithoutEvent(now)
 	if silent < w.timeout {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,6 +53,10 @@
 	firstEventAt time.Time // when the first event arrived
 	longestPause time.Duration
 	lastEventAt  time.Time
+	// ahead is the body of the present attempt's answer.
+	ahead *aheadBody
+	// unread is set while nothing is read of the answer, so that its silence says nothing of the endpoint.
+	unread atomic.Bool
 	// blank holds the blank lines and comments before the first event of the present attempt.
 	blank []byte
 	// trial is set if the present attempt finds out whether a part of the prompt ends endpoints.
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -25,7 +25,13 @@
 // response was complete.
 func (c *streamCall) relay(choice balance.Choice, response *Response) error {
 	c.blank = nil
-	events := newEventSplitter(response.Body, &c.g.eventBytes)
+	c.unread.Store(false)
+	c.ahead = c.g.newAheadBody(c.w, c.r, response.Body, aheadEvents{unread: &c.unread, onEnd: choice.Attempt.Cancel, onBytes: func(now time.Time) {
+		choice.Attempt.RecordEvent(now, nil)
+		c.g.recordResponded(now, choice.Endpoint, response)
+	}})
+	defer c.ahead.close()
+	events := newEventSplitter(c.ahead, &c.g.eventBytes)
 	defer events.close()
 	pace := c.predictedPause()
 	for {
@@ -53,11 +59,7 @@
 			continue
 		}
 		now := time.Now()
-		choice.Attempt.RecordEvent(now, pace)
-		c.g.recordResponded(now, choice.Endpoint, response)
-		if !c.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
-			c.recordProven(now)
-		}
+		c.recordArrival(now, choice, response, pace)
 		if c.alreadySent(event) {
 			continue
 		}
@@ -74,14 +76,29 @@
 	}
 }
 
-func (c *streamCall) flushEvents() error { return c.flush.Flush() }
+// recordArrival records that an event came. One that was read on was recorded then.
+func (c *streamCall) recordArrival(now time.Time, choice balance.Choice, response *Response, pace func(int) time.Duration) {
+	if !c.ahead.isOld() {
+		choice.Attempt.RecordEvent(now, pace)
+	}
+	c.g.recordResponded(now, choice.Endpoint, response)
+	if !c.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
+		c.recordProven(now)
+	}
+}
+
+func (c *streamCall) flushEvents() error {
+	c.ahead.beginWrite(time.Now())
+	defer c.ahead.endWrite()
+	return c.flush.Flush()
+}
 
 func (c *streamCall) write(event []byte) error {
 	if len(c.blank) > 0 {
 		event = append(c.blank, event...)
 		c.blank = nil
 	}
-	n, err := c.w.Write(event)
+	n, err := aheadWriter{c.w, c.ahead}.Write(event)
 	c.bytes += int64(n)
 	return err
 }
--- a/node/memory_test.go
+++ b/node/memory_test.go
@@ -50,6 +50,10 @@
 	require.EqualValues(t, 1, got["requests.in_progress"])
 	require.GreaterOrEqual(t, got["connections.open"], got["requests.in_progress"])
 	require.Contains(t, got, "forwards.in_progress")
+	require.EqualValues(t, 284<<20/4, got["memory.held_limit"])
+	require.Positive(t, got["memory.held.requests"])
+	require.Contains(t, got, "memory.held.bodies")
+	require.Contains(t, got, "memory.held.answers")
 }
 
 func TestNodeNearTheLimitOfItsMemorySaysSo(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -178,6 +178,7 @@
 	n.startQuarantine(g)
 	n.startPathProbes(g)
 	n.startRechecks(g)
+	g.Every("slow_callers", gateway.SlowCallerInterval, func(_ context.Context, now time.Time) { n.gateway.WatchCallers(now) })
 	g.Every("slow_groups", slowInterval, func(_ context.Context, now time.Time) {
 		for _, id := range n.tracker.SlowEndpoints(now) {
 			n.reportStall(id)
