Requests that no group's memory holds are refused at once

Cause: kv_cache_tokens of an engine was not decoded. A request larger than a group's memory is rejected by each group as if it were full, so its caller waited for attempts that could not succeed, and got a 503 that invites others.

Change: fleet.Engine.CacheTokens is decoded; prompt and expected answer beyond it end with 413 exceeds_model_memory, and nothing is sent. That all nodes' requests together fit a group isn't decided yet.

--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -82,8 +82,10 @@
 
 // Engine describes the model endpoints of a service.
 type Engine struct {
-	Slots  int // requests that a group processes concurrently
-	Models []Model
+	Slots int // requests that a group processes concurrently
+	// CacheTokens is how many tokens of prompts and answers a group holds, 0 if unknown.
+	CacheTokens int
+	Models      []Model
 	// Step is the time of one decoding step, PerSequence the time that each decoding
 	// request adds, PerThousandContext the time that each 1,000 tokens of context add.
 	Step               time.Duration
@@ -123,3 +125,8 @@
 	}
 	return Model{}, false
 }
+
+// Holds reports whether a group has memory for a single request of that many tokens.
+func (e *Engine) Holds(prompt, answer int) bool {
+	return e.CacheTokens <= 0 || prompt+answer <= e.CacheTokens
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,6 +198,9 @@
 		return r, &refusal{status: http.StatusServiceUnavailable, reason: "service_unknown", retryAfter: defaultRetryAfter}
 	}
 	r.Service = service
+	if service.Engine != nil && !service.Engine.Holds(r.Info.Prompt, min(r.Info.LengthHint, r.Info.MaxAnswer)) {
+		return r, &refusal{status: http.StatusRequestEntityTooLarge, reason: "exceeds_model_memory"}
+	}
 	r.setDeadline()
 	return r, nil
 }
