--- a/cmd/rwhctl/main.go
+++ b/cmd/rwhctl/main.go
@@ -20,6 +20,7 @@
 
 Examples:
   rwhctl check manifest.json
+  rwhctl check-configuration --in-force current.json next.json
   rwhctl submit --replaces 7 manifest.json
   rwhctl status
   rwhctl zone out tartu
@@ -89,6 +90,7 @@
 	}
 	return errors.Join(
 		add("check", "check a manifest without a controller", checkHelp, &checkCommand{app: a}),
+		add("check-configuration", "check a configuration for the users' platform before it is sent", checkConfigurationHelp, &checkConfigurationCommand{app: a}),
 		add("submit", "submit a manifest", submitHelp, &submitCommand{app: a}),
 		add("status", "print the state of the deployment", statusHelp, &statusCommand{app: a}),
 		add("zone", "take an availability zone out of service or back into service", zoneHelp, &zoneCommand{app: a}),
--- a/strictjson/strictjson.go
+++ b/strictjson/strictjson.go
@@ -16,6 +16,8 @@
 type Problem struct {
 	Path    string
 	Message string
+	// Unknown says that the only problem is that the field isn't known.
+	Unknown bool
 }
 
 // Decode decodes data into dst, which must be a pointer to a struct. If it returns
@@ -83,7 +85,7 @@
 	for _, name := range sortedKeys(object) {
 		fieldType, known := fields[name]
 		if !known {
-			problems = append(problems, Problem{Path: join(path, name), Message: "this field is not known"})
+			problems = append(problems, Problem{Path: join(path, name), Message: "this field is not known", Unknown: true})
 			continue
 		}
 		problems = append(problems, check(join(path, name), object[name], fieldType)...)
@@ -152,6 +154,8 @@
 		return "text"
 	case reflect.Bool:
 		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
 	default:
 		return "a whole number"
 	}
