Room by urgency and account: less urgent requests leave room for those expected

A stream was refused where its first event was predicted later than its own objective, so the kind with the widest objective got the room, whatever its urgency, and an account that asked for ten times its share got ten times as much.

The tracker asks it in Reserve, ChooseGroup and ChoosePlain if one is set; without one the choices are the old ones, shown by a test.

--- /dev/null
+++ b/balance/admission.go
@@ -0,0 +1,178 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"redwinghall"
+	"redwinghall/fleet"
+)
+
+// hintWeight is the weight of a request's own hint of the length of its answer beside the
+// mean of its kind. Hints are right at the median but often far off.
+const hintWeight = 0.5
+
+// answerWeight is the weight of a new answer in the mean of its kind.
+const answerWeight = 0.05
+
+// requestKind identifies requests whose answers are alike.
+type requestKind struct {
+	service, model string
+	urgency        int
+}
+
+func (r Request) kind() requestKind { return requestKind{r.Service.Name, r.Model.Name, r.Urgency} }
+
+// admissionOf returns what decides who gets the room of a request's service, nil if
+// nothing does.
+func (t *Tracker) admissionOf(request Request) redwinghall.Admission {
+	if t.Admission == nil {
+		return nil
+	}
+	return t.Admission(request.Service.Name)
+}
+
+// room is the part of a lookup for which admission decides.
+type room struct {
+	endpoints []*fleet.Endpoint
+	wanted    func(*fleet.Endpoint) bool
+	latest    time.Duration // longest prediction with which a request is in time
+}
+
+// roomLimit returns the limit that a request exceeds with the best candidate of a lookup,
+// nil if it is accepted. The lock is held.
+//
+// Without it, the requests with the widest objective fill the queues up to it, and those
+// with a tighter one are refused, however urgent they are and whoever sends them.
+//
+// An idle group accepts any request. A resumed stream is worth finishing late.
+func (t *Tracker) roomLimit(l *lookup, r room) *redwinghall.AdmissionLimit {
+	best, request := l.best, l.request
+	if best == nil || best.full || best.predicted > r.latest || request.Resumed {
+		return nil
+	}
+	admission := t.admissionOf(request)
+	if admission == nil {
+		return nil
+	}
+	limit := admission.Limit(l.now, t.roomRequest(best, request, l.evaluated))
+	switch {
+	case limit.Reason == "" || best.running == 0:
+		return nil
+	case best.predicted > limit.Predicted:
+		return &limit
+	case limit.Ahead == 0 || request.places(best, limit.Predicted) >= limit.Ahead+1:
+		return nil
+	case t.places(l, r, limit.Predicted) >= limit.Ahead+1:
+		return nil
+	}
+	return &limit
+}
+
+// places returns how many more requests the endpoints of a lookup would serve within an
+// objective. The lock is held.
+func (t *Tracker) places(l *lookup, r room, objective time.Duration) float64 {
+	sum := 0.0
+	again := *l
+	again.best = nil
+	again.evaluate = func(now time.Time, s *State, e *fleet.Endpoint) candidate {
+		c := l.evaluate(now, s, e)
+		sum += l.request.places(&c, objective)
+		return c
+	}
+	again.consider(t, r.endpoints, r.wanted)
+	return sum
+}
+
+// recordRoom records that a request was made, and whether it was accepted. The lock is
+// held.
+func (t *Tracker) recordRoom(now time.Time, best *candidate, request Request, groups int, accepted bool) {
+	if admission := t.admissionOf(request); admission != nil && best != nil {
+		admission.Record(now, t.roomRequest(best, request, groups), accepted)
+	}
+}
+
+func (t *Tracker) roomRequest(best *candidate, request Request, groups int) redwinghall.RoomRequest {
+	return redwinghall.RoomRequest{
+		Service: request.Service.Name, Model: request.Model.Name, Account: request.Account, Urgency: request.Urgency,
+		Objective: request.Objective, Work: t.work(best, request), Groups: groups,
+	}
+}
+
+// work returns the time for which a request keeps one group or endpoint busy.
+func (t *Tracker) work(best *candidate, request Request) time.Duration {
+	engine := request.Service.Engine
+	if engine == nil {
+		return best.latency() / time.Duration(max(1, best.endpoint.Slots))
+	}
+	pace := NewPace(engine, request.Model, 1)
+	passes := t.expectedAnswer(request)/float64(max(1, engine.Stride)) + 1
+	slots := float64(max(1, engine.Slots))
+	return pace.readTime(request.Prompt) + predicted(passes*float64(pace.writeTime(engine.Slots))/slots)
+}
+
+// expectedAnswer returns the expected length of the answer in tokens.
+func (t *Tracker) expectedAnswer(request Request) float64 {
+	mean, learned := t.answers[request.kind()]
+	if !learned {
+		mean = request.Service.Engine.MeanAnswerTokens
+	}
+	if request.ExpectedAnswer <= 0 {
+		return mean
+	}
+	return hintWeight*float64(request.ExpectedAnswer) + (1-hintWeight)*mean
+}
+
+// learnAnswer records the length of an answer. The lock is held.
+func (t *Tracker) learnAnswer(kind requestKind, tokens float64) {
+	mean, learned := t.answers[kind]
+	if !learned {
+		t.answers[kind] = tokens
+		return
+	}
+	t.answers[kind] = mean + answerWeight*(tokens-mean)
+}
+
+// longPrompt is the length of a prompt for which room is left, as a multiple of the mean.
+const longPrompt = 2
+
+// places returns how many more requests with long prompts an endpoint would serve within
+// an objective. This request's own prompt doesn't count: large requests would otherwise be
+// refused for their size.
+func (r Request) places(c *candidate, objective time.Duration) float64 {
+	engine := r.Service.Engine
+	if c.full {
+		return 0
+	}
+	if engine == nil {
+		slots := float64(max(1, c.endpoint.Slots))
+		waiting := float64(objective-c.latency()) / float64(max(1, c.latency())) * slots
+		return whole(slots + waiting - float64(c.running))
+	}
+	pace := NewPace(engine, r.Model, max(1, c.state.slowdown))
+	long := pace.readTime(int(longPrompt * engine.MeanPromptTokens))
+	wait := objective - (c.predicted - c.queued - pace.readTime(r.Prompt) + long)
+	if wait < 0 {
+		return 0
+	}
+	return whole(pace.requestsWithin(wait, r.bias) - float64(c.running))
+}
+
+// whole rounds a number of requests down; it is at least 0.
+func whole(requests float64) float64 { return max(0, math.Floor(requests)) }
+
+// latency returns the latency of a plain service's endpoint.
+func (c *candidate) latency() time.Duration {
+	if c.state.latency == 0 {
+		return defaultLatency
+	}
+	return c.state.latency
+}
+
+// limitRefusal returns the refusal of a request that the best group could serve in time,
+// but whose room is for others.
+func limitRefusal(now time.Time, best *candidate, request Request, limit redwinghall.AdmissionLimit) *Refusal {
+	refusal := lateRefusal(now, best, request)
+	refusal.Reason, refusal.Limit = limit.Reason, limit
+	return refusal
+}
--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -24,6 +24,9 @@
 	predicted, queued time.Duration
 	// retest is nil unless the request is sent to learn whether the endpoint is fast again.
 	retest *retest
+	kind   requestKind
+	// stride is the number of tokens of an event, 0 if unknown; events counts the events.
+	stride, events int
 }
 
 // ForwardedAttempt returns an attempt for a request that this node sends for another one, which
@@ -44,19 +47,22 @@
 }
 
 // startAttempt counts a request that is sent to an endpoint. The lock is held.
-func (t *Tracker) startAttempt(now time.Time, c *candidate, prompt int) *Attempt {
+func (t *Tracker) startAttempt(now time.Time, c *candidate, request Request) *Attempt {
 	s := c.state
 	s.own++
 	t.totals.own++
 	s.unstarted++
-	s.unread += prompt
-	s.sent = s.sent.With(now, prompt)
+	s.unread += request.Prompt
+	s.sent = s.sent.With(now, request.Prompt)
 	if s.waitingSince.IsZero() {
 		s.waitingSince = now
 	}
 	a := &Attempt{
-		t: t, s: s, sentAt: now, prompt: prompt, startedMillis: c.endpoint.StartedMillis, last: now, predicted: c.predicted, queued: c.queued,
-		retest: c.retest,
+		t: t, s: s, sentAt: now, prompt: request.Prompt, startedMillis: c.endpoint.StartedMillis, last: now, predicted: c.predicted, queued: c.queued,
+		retest: c.retest, kind: request.kind(),
+	}
+	if engine := request.Service.Engine; engine != nil && !request.Resumed {
+		a.stride = engine.Stride
 	}
 	s.retryAfter.start(now, a)
 	return a
@@ -88,6 +94,7 @@
 		a.t.updateBias(now, a.t.runTime(a.sentAt, now)-a.predicted)
 	}
 	a.start()
+	a.events++
 	a.last, s.learnedAt = now, now
 	a.t.answeredAt = now
 	s.lastEvent, s.waitingSince = now, now
@@ -160,6 +167,9 @@
 	if ok {
 		failed = 0
 		a.confirm(a.responseTime(now))
+		if a.events > 0 && a.stride > 0 {
+			a.t.learnAnswer(a.kind, float64(a.events*a.stride))
+		}
 		s.latency += time.Duration(smoothing * float64(a.responseTime(now)-s.latency))
 	}
 	s.failures += smoothing * (failed - s.failures)
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -152,17 +152,29 @@
 	defer t.mu.Unlock()
 	request = t.prepare(now, request)
 	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluateGroup}
-	l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == request.Zone })
-	ownZoneBest := l.best
-	if ownZoneBest == nil || ownZoneBest.full || float64(ownZoneBest.predicted) > ownZoneThreshold*float64(request.Objective) {
+	latest := latestStart(request.Objective)
+	ownZone := func(e *fleet.Endpoint) bool { return e.Zone == request.Zone }
+	l.consider(t, heads, ownZone)
+	own, groups := l.chosen, l.evaluated
+	limit := t.roomLimit(l, room{heads, ownZone, latest})
+	if limit != nil {
+		l.best = nil
+	}
+	if l.best == nil || own.full || float64(own.predicted) > ownZoneThreshold*float64(request.Objective) {
 		t.otherZonesConsideredAt = now
 		l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone != request.Zone })
 	}
 	best := l.best
-	if best == nil {
+	if groups > 0 && len(request.ZonesFull) == 0 { // otherwise it was recorded before
+		t.recordRoom(now, &own, request, groups, best != nil && best.endpoint.Zone == request.Zone && best.predicted <= latest)
+	}
+	switch {
+	case best == nil && limit != nil:
+		return Choice{}, limitRefusal(now, &own, request, *limit)
+	case best == nil:
 		return Choice{}, l.refusal()
 	}
-	if latest := latestStart(request.Objective); !request.Resumed && best.predicted > latest {
+	if !request.Resumed && best.predicted > latest {
 		again := t.tryAgain(now, best, request, latest, Request.evaluateGroup)
 		if again == nil {
 			return Choice{}, lateRefusal(now, best, request)
@@ -188,6 +200,8 @@
 
 	best   *candidate // nil or &chosen, which saves an allocation
 	chosen candidate
+	// evaluated counts the endpoints that may serve the request.
+	evaluated int
 	// Numbers of suitable endpoints that were skipped: in full zones, in backoff
 	// after failed connections, and cold with no request left in their rate.
 	full, backedOff, cold int
@@ -293,6 +307,7 @@
 // offer keeps a candidate that scores better than the best so far; ties are broken
 // at random.
 func (l *lookup) offer(c candidate) {
+	l.evaluated++
 	if l.best == nil || c.score < l.best.score || (c.score == l.best.score && rand.N(2) == 0) {
 		l.chosen = c
 		l.best = &l.chosen
@@ -335,7 +350,7 @@
 		c.state.cold.take(now, share/2, share/2)
 	}
 	return Choice{
-		Endpoint: c.endpoint, Attempt: t.startAttempt(now, c, request.Prompt),
+		Endpoint: c.endpoint, Attempt: t.startAttempt(now, c, request),
 		Predicted: c.predicted, Expected: request.longestAnswer(c), Running: c.running, Age: c.state.reportAge(now),
 		Permitted: !c.state.limit.limit.Named,
 	}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"redwinghall/fleet"
@@ -102,3 +103,14 @@
 	beyond := max(0, placed+unsharedRequests-slots)
 	return predicted(beyond / slots * residence)
 }
+
+// requestsWithin returns how many requests wait no longer than some time for a slot.
+func (p Pace) requestsWithin(wait, outside time.Duration) float64 {
+	residence := float64(p.residenceTime(p.engine.Slots))
+	slots := float64(p.engine.Slots)
+	if residence <= 0 || slots <= 0 {
+		return math.Inf(1)
+	}
+	placed := float64(wait)/residence*slots + slots - unsharedRequests
+	return placed * (residence + float64(outside)) / residence
+}
--- a/balance/plain.go
+++ b/balance/plain.go
@@ -24,7 +24,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluatePlain}
-	l.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
+	every := func(*fleet.Endpoint) bool { return true }
+	l.consider(t, endpoints, every)
 	best := l.best
 	if best == nil {
 		return Choice{}, l.refusal()
@@ -33,20 +34,23 @@
 	if !request.Resumed && (best.full || best.predicted > latest) {
 		again := t.tryAgain(now, best, request, latest, Request.evaluatePlain)
 		if again == nil {
+			t.recordRoom(now, best, request, l.evaluated, false)
 			return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
 		}
 		best = again
 	}
+	if limit := t.roomLimit(l, room{endpoints, every, latest}); limit != nil {
+		t.recordRoom(now, best, request, l.evaluated, false)
+		return Choice{}, &Refusal{Reason: limit.Reason, Predicted: best.predicted, RetryAfter: retrySoon, Limit: *limit}
+	}
+	t.recordRoom(now, best, request, l.evaluated, true)
 	return t.startChosen(now, best, request), nil
 }
 
 func (r Request) evaluatePlain(now time.Time, s *State, e *fleet.Endpoint) candidate {
 	running := s.running(now)
 	c := candidate{endpoint: e, state: s, running: running}
-	work := s.latency
-	if work == 0 {
-		work = defaultLatency
-	}
+	work := c.latency()
 	waiting := max(0, running+1-max(1, e.Slots))
 	c.predicted = work + work*time.Duration(waiting)/time.Duration(max(1, e.Slots))
 	c.full = r.isFull(now, s)
--- a/balance/refusal.go
+++ b/balance/refusal.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"redwinghall"
 )
 
 // Refusal is the reason why no endpoint was chosen for a request.
@@ -17,6 +19,8 @@
 	Age     time.Duration
 	// InBackoff is the number of suitable endpoints that were skipped as they didn't answer.
 	InBackoff int
+	// Limit is the limit that the request exceeded, if its room is for others.
+	Limit redwinghall.AdmissionLimit
 }
 
 // Reasons for a refusal.
--- /dev/null
+++ b/balance/room_load_test.go
@@ -0,0 +1,490 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall"
+	"redwinghall/admission"
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/standin/passes"
+)
+
+// askers are callers of one kind and client account.
+type askers struct {
+	name      string
+	account   string
+	urgency   int
+	objective time.Duration
+	perSecond float64
+	// times multiplies the rate during the burst.
+	times          float64
+	prompt, answer float64 // mean tokens beyond a small minimum
+}
+
+// roomScenario is a load on a zone that has too little room for it during a burst.
+type roomScenario struct {
+	nodes, groups         int
+	askers                []askers
+	length                time.Duration
+	burstFrom, burstUntil time.Duration
+	off                   bool // without admission
+	// newDispatcherAt is when another node, without any counts, becomes the dispatcher.
+	newDispatcherAt time.Duration
+	// reportsLostFrom is from when nodes learn nothing of each other's counts.
+	reportsLostFrom time.Duration
+	// restartAt is when node 0 starts again.
+	restartAt time.Duration
+}
+
+// fate counts what became of requests.
+type fate struct{ requests, inTime, late, refused, large, largeServed int }
+
+// With returns the sum of two fates.
+func (f fate) With(more fate) fate {
+	return fate{
+		requests: f.requests + more.requests, inTime: f.inTime + more.inTime, late: f.late + more.late, refused: f.refused + more.refused,
+		large: f.large + more.large, largeServed: f.largeServed + more.largeServed,
+	}
+}
+
+// runSeeds runs the scenario with several seeds and returns the fates of those who asked
+// during the burst.
+func (s roomScenario) runSeeds(seeds int) map[string]fate {
+	sums := map[string]fate{}
+	for seed := range seeds {
+		for name, f := range s.run(uint64(seed)).burst { //nolint:gosec // small numbers
+			sums[name] = sums[name].With(*f)
+		}
+	}
+	return sums
+}
+
+func (f fate) refusedShare() float64 { return float64(f.refused) / float64(max(1, f.requests)) }
+func (f fate) inTimeShare() float64  { return float64(f.inTime) / float64(max(1, f.requests)) }
+
+// servedLarge compares how often the largest requests were served with how often all were.
+func (f fate) servedLarge() float64 {
+	return float64(f.largeServed) / float64(max(1, f.large)) / (1 - f.refusedShare())
+}
+
+func (f fate) String() string {
+	return fmt.Sprintf("%d: in time %.3f, refused %.3f, largest served %.2f as often", f.requests, f.inTimeShare(), f.refusedShare(), f.servedLarge())
+}
+
+// roomSimulation simulates a roomScenario in virtual time.
+type roomSimulation struct {
+	roomScenario
+	eventQueue
+	random     *rand.Rand
+	groups     []*passes.Group
+	heads      []*fleet.Endpoint
+	trackers   []*balance.Tracker
+	rooms      []*admission.Room
+	tickets    []balance.Tickets
+	dispatcher int // -1 if each node chooses
+	open       int
+	// burst holds the fates of those who asked during the burst, calm of the others.
+	burst, calm map[string]*fate
+}
+
+func (s roomScenario) run(seed uint64) *roomSimulation {
+	p := &roomSimulation{roomScenario: s, eventQueue: eventQueue{now: start}, random: rand.New(rand.NewPCG(seed, 11)), tickets: make([]balance.Tickets, s.nodes),
+		burst: map[string]*fate{}, calm: map[string]*fate{}}
+	if s.nodes <= 3 {
+		p.dispatcher = -1
+	}
+	for i := range s.groups {
+		p.groups = append(p.groups, passes.NewGroup(zoneEngine(), zoneEngine().Models[0]))
+		p.heads = append(p.heads, head(strconv.Itoa(i), "a", "small"))
+	}
+	for i := range s.nodes {
+		p.trackers, p.rooms = append(p.trackers, nil), append(p.rooms, nil)
+		p.startNode(i)
+		if p.dispatcher < 0 {
+			p.after(time.Duration(i)*shareIntervalFor(0)/time.Duration(s.nodes), func() { p.share(i) })
+		}
+	}
+	if p.dispatcher >= 0 {
+		p.after(0, p.shareWithDispatcher)
+	}
+	for _, a := range s.askers {
+		p.burst[a.name], p.calm[a.name] = &fate{}, &fate{}
+		p.after(0, func() { p.arrive(a) })
+	}
+	p.plan()
+	for p.open > 0 || p.now.Before(start.Add(s.length)) {
+		p.step()
+	}
+	return p
+}
+
+// plan schedules the scenario's failures.
+func (p *roomSimulation) plan() {
+	if p.newDispatcherAt > 0 {
+		p.after(p.newDispatcherAt, func() { p.dispatcher = 1 })
+	}
+	if p.restartAt > 0 {
+		p.after(p.restartAt, func() { p.startNode(0) })
+	}
+}
+
+func (p *roomSimulation) startNode(i int) {
+	room := admission.NewRoom()
+	p.trackers[i], p.rooms[i] = balance.NewTracker(), room
+	if !p.off {
+		p.trackers[i].Admission = func(string) redwinghall.Admission { return room }
+	}
+}
+
+func (p *roomSimulation) step() {
+	next, which := p.queue[0].at, -1
+	for i, g := range p.groups {
+		if end, busy := g.Next(); busy && end.Before(next) {
+			next, which = end, i
+		}
+	}
+	p.now = next
+	if which >= 0 {
+		p.groups[which].EndPass()
+		return
+	}
+	first := p.queue[0]
+	p.queue = p.queue[1:]
+	first.do()
+}
+
+// share gives a node the loads and the counts of the others.
+func (p *roomSimulation) share(node int) {
+	p.after(shareIntervalFor(0), func() { p.share(node) })
+	lost := p.reportsLostFrom > 0 && p.now.After(start.Add(p.reportsLostFrom))
+	for i := range p.nodes {
+		if i != node && !lost {
+			p.rooms[node].SetReport(p.now, strconv.Itoa(i), false, p.rooms[i].OwnUses(p.now, 24))
+		}
+	}
+	p.trackers[node].SetOwnZoneLoads(p.now, p.othersLoads(node))
+}
+
+// shareWithDispatcher gives the dispatcher the loads of the other nodes.
+func (p *roomSimulation) shareWithDispatcher() {
+	p.after(shareIntervalFor(0), p.shareWithDispatcher)
+	p.trackers[p.dispatcher].SetOwnZoneLoads(p.now, p.othersLoads(p.dispatcher))
+	for i := range p.nodes {
+		p.trackers[p.dispatcher].ReleaseReservations(strconv.Itoa(i), p.tickets[i].LowestOpen())
+	}
+}
+
+func (p *roomSimulation) othersLoads(node int) map[string]balance.Load {
+	others := map[string]balance.Load{}
+	for i, t := range p.trackers {
+		if i == node {
+			continue
+		}
+		for id, load := range t.OwnLoads(p.now) {
+			others[id] = others[id].With(load)
+		}
+	}
+	return others
+}
+
+func (p *roomSimulation) inBurst() bool {
+	at := p.now.Sub(start)
+	return at >= p.burstFrom && at < p.burstUntil
+}
+
+func (p *roomSimulation) arrive(a askers) {
+	if p.now.After(start.Add(p.length)) {
+		return
+	}
+	rate, count := a.perSecond, p.calm[a.name]
+	if p.inBurst() {
+		rate, count = rate*max(1, a.times), p.burst[a.name]
+	}
+	p.after(time.Duration(p.random.ExpFloat64()/rate*float64(time.Second)), func() { p.arrive(a) })
+	c := caller{
+		arrived: p.now,
+		prompt:  int(min(4*a.prompt, p.random.ExpFloat64()*a.prompt+60)), answer: int(min(3*a.answer, p.random.ExpFloat64()*a.answer+10)),
+	}
+	count.requests++
+	p.open++
+	p.try(a, c, count)
+}
+
+func (p *roomSimulation) try(a askers, c caller, count *fate) {
+	node := p.random.IntN(p.nodes)
+	request := p.newRequest(a, c)
+	if large := float64(c.prompt) > 2.3*a.prompt; large { // the largest tenth
+		count.large++
+	}
+	if p.dispatcher < 0 || node == p.dispatcher {
+		choice, refusal := p.trackers[node].ChooseGroup(p.now, p.heads, nil, request)
+		p.finish(a, c, count, choice, refusal)
+		return
+	}
+	ticket := p.tickets[node].Open()
+	p.after(zoneHop, func() {
+		choice, refusal := p.trackers[p.dispatcher].Reserve(p.now, p.heads, nil, request, balance.Requester{Node: strconv.Itoa(node), Ticket: ticket})
+		p.after(zoneHop, func() {
+			defer p.tickets[node].Close(ticket)
+			if refusal == nil {
+				choice = p.trackers[node].AcceptChoice(p.now, choice.Endpoint, request, choice.Predicted)
+			}
+			p.finish(a, c, count, choice, refusal)
+		})
+	})
+}
+
+func (p *roomSimulation) newRequest(a askers, c caller) balance.Request {
+	return balance.Request{
+		Service: fleet.Service{Name: "llm", Engine: zoneEngine()}, Model: zoneEngine().Models[0], Zone: "a", Prompt: c.prompt,
+		Objective: a.objective, Nodes: 3 * p.nodes, ZoneNodes: p.nodes, Node: "n", IsDispatcher: p.dispatcher >= 0,
+		Urgency: a.urgency, Account: a.account, ExpectedAnswer: int(float64(c.answer) * (0.4 + 1.2*p.random.Float64())),
+	}
+}
+
+// finish counts a refusal, or sends the request to the chosen group.
+func (p *roomSimulation) finish(a askers, c caller, count *fate, choice balance.Choice, refusal *balance.Refusal) {
+	if refusal != nil {
+		count.refused++
+		p.open--
+		return
+	}
+	if float64(c.prompt) > 2.3*a.prompt {
+		count.largeServed++
+	}
+	which, _ := strconv.Atoi(choice.Endpoint.ID)
+	started := false
+	pause := func(running int) time.Duration {
+		return balance.NewPace(zoneEngine(), zoneEngine().Models[0], 1).Pass(running, 0)
+	}
+	p.groups[which].Send(p.now, &passes.Request{PromptTokens: c.prompt, AnswerTokens: c.answer, OnEvent: func(at time.Time, end bool) {
+		choice.Attempt.RecordEvent(at, pause)
+		if !started {
+			started = true
+			if at.Sub(c.arrived) <= a.objective {
+				count.inTime++
+			} else {
+				count.late++
+			}
+		}
+		if end {
+			choice.Attempt.Done(at, true)
+			p.open--
+		}
+	}})
+}
+
+// zoneSizes are numbers of nodes and groups of a zone.
+var zoneSizes = []struct{ nodes, groups int }{{3, 7}, {36, 20}, {300, 40}}
+
+// orderSlack is by how much a more urgent kind may be refused more often than a less
+// urgent one.
+const orderSlack = 0.01
+
+// noneInHundred is the share that rounds to none of a hundred.
+const noneInHundred = 0.005
+
+func twoUrgencies(groups int) []askers {
+	each := float64(groups)
+	return []askers{
+		{name: "urgent", account: "x", urgency: 0, objective: 300 * time.Millisecond, perSecond: 4 * each, prompt: 600, answer: 190},
+		{name: "later", account: "y", urgency: 2, objective: 800 * time.Millisecond, perSecond: 3 * each, times: 6, prompt: 600, answer: 190},
+	}
+}
+
+// The least urgent kind comes six times as often for 8 s and has the widest objective.
+func TestBurstOfLessUrgentRequestsLeavesRoomForUrgentOnes(t *testing.T) {
+	for _, size := range zoneSizes {
+		for seed := range uint64(2) {
+			load := roomScenario{nodes: size.nodes, groups: size.groups, askers: twoUrgencies(size.groups), length: 15 * time.Second,
+				burstFrom: 3 * time.Second, burstUntil: 11 * time.Second}
+			on := load.run(seed)
+			load.off = true
+			off := load.run(seed)
+			for _, name := range []string{"urgent", "later"} {
+				t.Logf("%d nodes, %s: %s; without admission %s", size.nodes, name, on.burst[name], off.burst[name])
+			}
+			require.Less(t, on.burst["urgent"].refusedShare(), noneInHundred)
+			require.LessOrEqual(t, on.burst["urgent"].refusedShare(), on.burst["later"].refusedShare()+orderSlack)
+			require.GreaterOrEqual(t, on.burst["later"].servedLarge(), 0.5)
+		}
+	}
+}
+
+// twoAccounts are two accounts within the room in calm times, of which one then sends ten
+// times as much.
+func twoAccounts(groups int) []askers {
+	each := float64(groups)
+	return []askers{
+		{name: "steady", account: "x", objective: zoneObjective, perSecond: 2.5 * each, prompt: 600, answer: 190},
+		{name: "burst", account: "y", objective: zoneObjective, perSecond: 2.5 * each, times: 10, prompt: 600, answer: 190},
+	}
+}
+
+// ofCalm is how much of what it gets in calm times an account within its share gets
+// beside one that is over its own.
+const ofCalm = 0.95
+
+// One of two accounts sends ten times its share for 8 s.
+func TestAccountWithinItsShareIsServedBesideOneOverIt(t *testing.T) {
+	servedOn, servedOff := 0, 0
+	for _, size := range zoneSizes {
+		for seed := range uint64(2) {
+			load := roomScenario{nodes: size.nodes, groups: size.groups, askers: twoAccounts(size.groups), length: 15 * time.Second,
+				burstFrom: 3 * time.Second, burstUntil: 11 * time.Second}
+			on := load.run(seed)
+			load.off = true
+			off := load.run(seed)
+			for _, name := range []string{"steady", "burst"} {
+				t.Logf("%d nodes, %s: %s; without admission %s", size.nodes, name, on.burst[name], off.burst[name])
+			}
+			require.GreaterOrEqual(t, on.burst["steady"].inTimeShare(), ofCalm*on.calm["steady"].inTimeShare())
+			servedOn += on.burst["steady"].inTime + on.burst["burst"].inTime
+			servedOff += off.burst["steady"].inTime + off.burst["burst"].inTime
+		}
+	}
+	t.Logf("in time of all: %d, without admission %d", servedOn, servedOff)
+	require.GreaterOrEqual(t, float64(servedOn), 0.9*float64(servedOff)) // the room that one leaves is used by the other
+}
+
+// An account that asks alone for far more than there is gets as much as without admission.
+func TestAccountAloneGetsAllRoom(t *testing.T) {
+	load := roomScenario{nodes: 36, groups: 20, askers: twoAccounts(20)[1:], length: 12 * time.Second, burstFrom: 3 * time.Second, burstUntil: 11 * time.Second}
+	on := load.run(1)
+	load.off = true
+	off := load.run(1)
+	t.Logf("%s; without admission %s", on.burst["burst"], off.burst["burst"])
+	require.GreaterOrEqual(t, float64(on.burst["burst"].inTime), 0.97*float64(off.burst["burst"].inTime))
+}
+
+// floorShare is the share of a model's work that a kind gets if it asks for it.
+const floorShare = 0.05
+
+// The most urgent kind alone asks for twice the room. The least urgent one is not starved,
+// and refused no less often.
+func TestLeastUrgentKeepsAFloor(t *testing.T) {
+	all := []askers{
+		{name: "urgent", account: "x", urgency: 0, objective: 300 * time.Millisecond, perSecond: 500, prompt: 600, answer: 190},
+		{name: "middle", account: "x", urgency: 1, objective: 300 * time.Millisecond, perSecond: 60, prompt: 600, answer: 190},
+		{name: "later", account: "y", urgency: 2, objective: 800 * time.Millisecond, perSecond: 60, prompt: 600, answer: 190},
+	}
+	load := roomScenario{nodes: 36, groups: 20, askers: all, length: 15 * time.Second, burstFrom: 3 * time.Second, burstUntil: 15 * time.Second}
+	sums, served := load.runSeeds(3), 0
+	for name, f := range sums {
+		t.Logf("%s: %s", name, f)
+		served += f.requests - f.refused
+	}
+	for _, name := range []string{"middle", "later"} {
+		require.GreaterOrEqual(t, float64(sums[name].requests-sums[name].refused), floorShare*float64(served), name)
+	}
+	require.LessOrEqual(t, sums["urgent"].refusedShare(), sums["middle"].refusedShare()+orderSlack)
+	require.LessOrEqual(t, sums["middle"].refusedShare(), sums["later"].refusedShare()+orderSlack)
+}
+
+// The dispatcher ends during the burst, and the next one has counted nothing. A second
+// later more urgent requests go first again.
+func TestNewDispatcherWithoutCountsKeepsTheOrder(t *testing.T) {
+	load := roomScenario{nodes: 36, groups: 20, askers: twoUrgencies(20), length: 15 * time.Second, burstFrom: 7 * time.Second, burstUntil: 13 * time.Second,
+		newDispatcherAt: 6 * time.Second}
+	load.askers[1].perSecond *= load.askers[1].times // the burst lasts before and after the change
+	load.askers[1].times = 1
+	on := load.runSeeds(4)
+	t.Logf("urgent: %s; later: %s", on["urgent"], on["later"])
+	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+}
+
+// A node of a small zone starts again during the burst, with callers from its first moment
+// on, and has counted nothing.
+func TestRestartedNodeKeepsTheOrder(t *testing.T) {
+	load := roomScenario{nodes: 3, groups: 7, askers: twoUrgencies(7), length: 15 * time.Second, burstFrom: 7 * time.Second, burstUntil: 13 * time.Second,
+		restartAt: 6 * time.Second}
+	load.askers[1].perSecond *= load.askers[1].times
+	load.askers[1].times = 1
+	on := load.runSeeds(4)
+	t.Logf("urgent: %s; later: %s", on["urgent"], on["later"])
+	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+}
+
+// The nodes of a small zone learn nothing of each other's counts any more.
+func TestLostReportsKeepTheOrder(t *testing.T) {
+	load := roomScenario{nodes: 3, groups: 7, askers: append(twoUrgencies(7), twoAccounts(7)[0]), length: 15 * time.Second,
+		burstFrom: 3 * time.Second, burstUntil: 11 * time.Second, reportsLostFrom: 2 * time.Second}
+	load.askers[0].perSecond /= 2
+	load.askers[2].perSecond /= 2
+	on := load.runSeeds(4)
+	t.Logf("urgent: %s; steady: %s; later: %s", on["urgent"], on["steady"], on["later"])
+	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+	require.Less(t, on["steady"].refusedShare(), noneInHundred)
+}
+
+// Where the configuration doesn't call for admission, and where all requests are of one
+// kind and account, the choices are those of a tracker without it.
+func TestChoicesWithoutAdmissionAreUnchanged(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	rooms := map[string]func(string) redwinghall.Admission{
+		"off": func(string) redwinghall.Admission { return nil }, "one kind": func() func(string) redwinghall.Admission {
+			room := admission.NewRoom()
+			return func(string) redwinghall.Admission { return room }
+		}(),
+	}
+	refused := 0
+	for name, admission := range rooms {
+		for i := range 1000 {
+			loads, heads := map[string]balance.Load{}, []*fleet.Endpoint{}
+			for j := range 6 {
+				heads = append(heads, head(strconv.Itoa(j), "a", "small"))
+				loads[strconv.Itoa(j)] = balance.Load{Requests: 4 + 6*random.IntN(3) + j, Unread: random.IntN(2000)}
+			}
+			old, now := balance.NewTracker(), balance.NewTracker()
+			now.Admission = admission
+			old.SetOwnZoneLoads(start, loads)
+			now.SetOwnZoneLoads(start, loads)
+			request := (&roomSimulation{roomScenario: roomScenario{nodes: 36}, random: random}).newRequest(askers{objective: zoneObjective, account: "x"}, caller{prompt: 600, answer: 100})
+			wantReserved, wantRefusal := old.Reserve(start, heads, nil, request, balance.Requester{Node: "n2", Ticket: 1})
+			reserved, refusal := now.Reserve(start, heads, nil, request, balance.Requester{Node: "n2", Ticket: 1})
+			require.Equal(t, wantReserved, reserved, "%s, case %d", name, i)
+			require.Equal(t, wantRefusal == nil, refusal == nil)
+			want, wantRefusal := old.ChooseGroup(start, heads, nil, request)
+			got, refusal := now.ChooseGroup(start, heads, nil, request)
+			require.Equal(t, want.Endpoint, got.Endpoint)
+			require.Equal(t, want.Predicted, got.Predicted)
+			if wantRefusal != nil {
+				refused++
+				require.Equal(t, wantRefusal.Reason, refusal.Reason)
+			}
+		}
+	}
+	require.Positive(t, refused)
+}
+
+// A group without any request accepts the least urgent one, however many urgent ones are
+// expected; so does one with a free slot that leaves the urgent ones in time.
+func TestIdlePlaceIsNeverRefused(t *testing.T) {
+	room, tracker := admission.NewRoom(), balance.NewTracker()
+	tracker.Admission = func(string) redwinghall.Admission { return room }
+	urgent := redwinghall.RoomRequest{Service: "llm", Model: "small", Account: "x", Objective: 150 * time.Millisecond, Work: 50 * time.Millisecond, Groups: 1}
+	for i := range 400 {
+		room.Record(start.Add(time.Duration(i)*5*time.Millisecond), urgent, i%2 == 0)
+	}
+	now := start.Add(2 * time.Second)
+	later := (&roomSimulation{roomScenario: roomScenario{nodes: 36}, random: rand.New(rand.NewPCG(1, 2))}).newRequest(
+		askers{objective: 800 * time.Millisecond, account: "y", urgency: 2}, caller{prompt: 2300, answer: 500})
+	_, refusal := tracker.Reserve(now, []*fleet.Endpoint{head("idle", "a", "small")}, nil, later, balance.Requester{Node: "n2", Ticket: 1})
+	require.Nil(t, refusal)
+	busy := []*fleet.Endpoint{head("busy", "a", "small")}
+	tracker.SetOwnZoneLoads(now, map[string]balance.Load{"busy": {Requests: 13}})
+	_, refusal = tracker.Reserve(now, busy, nil, later, balance.Requester{Node: "n2", Ticket: 2})
+	require.NotNil(t, refusal)
+	require.Equal(t, redwinghall.LimitUrgency, refusal.Reason)
+	resumed := later
+	resumed.Resumed = true
+	_, refusal = tracker.Reserve(now, busy, nil, resumed, balance.Requester{Node: "n2", Ticket: 3})
+	require.Nil(t, refusal)
+}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"redwinghall"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 )
@@ -84,12 +85,17 @@
 type Tracker struct {
 	// Tickets numbers the requests of this node to its zone's dispatcher.
 	Tickets Tickets
+	// Admission returns what decides who gets the room of a service while there is too
+	// little of it, nil if nothing does. It has to be set before the tracker is used.
+	Admission func(service string) redwinghall.Admission
 
 	runTime func(from, to time.Time) time.Duration
 
 	mu     sync.Mutex
 	states map[string]*State
 	totals totals
+	// answers holds the mean length of the answers of each kind, in tokens.
+	answers map[requestKind]float64
 	// otherZonesConsideredAt is when a group of another zone was last considered.
 	otherZonesConsideredAt time.Time
 	// anyLimit reports whether any endpoint has reported a limit.
@@ -109,7 +115,7 @@
 // NewTrackerWithRunTime returns an empty tracker. runTime returns for how long the process ran in a
 // span of time.
 func NewTrackerWithRunTime(runTime func(from, to time.Time) time.Duration) *Tracker {
-	return &Tracker{states: map[string]*State{}, runTime: runTime}
+	return &Tracker{states: map[string]*State{}, answers: map[requestKind]float64{}, runTime: runTime}
 }
 
 // state returns an endpoint's state. The lock is held.
--- a/room.go
+++ b/room.go
@@ -14,6 +14,9 @@
 	// Work is the time for which the request keeps one group busy: the reading of its
 	// prompt, and its part of the time in which the group generates its answer.
 	Work time.Duration
+	// Groups is the number of groups, or of endpoints of a plain service, that could
+	// serve the request.
+	Groups int
 }
 
 // AdmissionLimit is the condition on which a request is accepted now.
@@ -21,10 +24,24 @@
 	// Predicted is the longest predicted time to the first event, or to the answer of a
 	// plain service, with which the request is accepted.
 	Predicted time.Duration
-	// Reason names why Predicted is below the request's objective, "" if it isn't.
+	// Ahead is the number of requests that are expected and go before this one. The groups
+	// have to have room for them, within Predicted, beside this one.
+	Ahead float64
+	// Reason names why the request leaves room for others, "" if it doesn't.
 	Reason string
+	// Asked, Given and Due are the work of each second that the client account asked for,
+	// got and is due, if its share is the reason.
+	Asked, Given, Due time.Duration
 }
 
+// Reasons for an AdmissionLimit.
+const (
+	// LimitUrgency means that more urgent requests are expected.
+	LimitUrgency = "urgency"
+	// LimitAccount means that the client account has more than its share.
+	LimitAccount = "account_over_share"
+)
+
 // Admission decides who gets the room of a zone while there is too little of it.
 type Admission interface {
 	// Limit returns the condition on which a request is accepted now.
