--- a/balance/admission.go
+++ b/balance/admission.go
@@ -33,11 +33,14 @@
 	return t.Admission(request.Service.Name)
 }
 
-// room is the part of a lookup for which admission decides.
-type room struct {
-	endpoints []*fleet.Endpoint
-	wanted    func(*fleet.Endpoint) bool
-	latest    time.Duration // longest prediction with which a request is in time
+// newLookup returns a lookup that keeps its candidates if admission decides on the request.
+// The lock is held.
+func (t *Tracker) newLookup(now time.Time, zonesOut map[string]bool, request Request, evaluate func(time.Time, *State, *fleet.Endpoint) candidate) *lookup {
+	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: evaluate, admission: t.admissionOf(request)}
+	if l.admission != nil {
+		l.candidates = t.candidates[:0]
+	}
+	return l
 }
 
 // roomLimit returns the limit that a request exceeds with the best candidate of a lookup,
@@ -49,16 +52,13 @@
 // Of several nodes that see the same places, each takes its part of them at random.
 //
 // An idle group accepts any request. A resumed stream is worth finishing late.
-func (t *Tracker) roomLimit(l *lookup, r room) *redwinghall.AdmissionLimit {
+func (t *Tracker) roomLimit(l *lookup, latest time.Duration) *redwinghall.AdmissionLimit {
 	best, request := l.best, l.request
-	if best == nil || best.full || best.predicted > r.latest || request.Resumed {
+	t.candidates = l.candidates // their memory is used again
+	if l.admission == nil || best == nil || best.full || best.predicted > latest || request.Resumed {
 		return nil
 	}
-	admission := t.admissionOf(request)
-	if admission == nil {
-		return nil
-	}
-	limit := admission.Limit(l.now, t.roomRequest(best, request, l.evaluated))
+	limit := l.admission.Limit(l.now, t.roomRequest(best, request, l.evaluated))
 	switch {
 	case limit.Reason == "" || best.running == 0:
 		return nil
@@ -67,7 +67,10 @@
 	case limit.Ahead == 0 || request.places(best, limit.Predicted) >= limit.Ahead+1+limit.Rivals:
 		return nil
 	}
-	free := t.places(l, r, limit.Predicted) - limit.Ahead
+	free := -limit.Ahead
+	for i := range l.candidates {
+		free += request.places(&l.candidates[i], limit.Predicted)
+	}
 	if request.Service.Engine != nil {
 		limit.Rivals = 0 // the prediction counts what other nodes send
 	}
@@ -77,26 +80,11 @@
 	return &limit
 }
 
-// places returns how many more requests the endpoints of a lookup would serve within an
-// objective. The lock is held.
-func (t *Tracker) places(l *lookup, r room, objective time.Duration) float64 {
-	sum := 0.0
-	again := *l
-	again.best = nil
-	again.evaluate = func(now time.Time, s *State, e *fleet.Endpoint) candidate {
-		c := l.evaluate(now, s, e)
-		sum += l.request.places(&c, objective)
-		return c
-	}
-	again.consider(t, r.endpoints, r.wanted)
-	return sum
-}
-
 // recordRoom records that a request was made, and whether it was accepted. The lock is
 // held.
-func (t *Tracker) recordRoom(now time.Time, best *candidate, request Request, groups int, accepted bool) {
-	if admission := t.admissionOf(request); admission != nil && best != nil {
-		admission.Record(now, t.roomRequest(best, request, groups), accepted)
+func (t *Tracker) recordRoom(l *lookup, best *candidate, groups int, accepted bool) {
+	if l.admission != nil {
+		l.admission.Record(l.now, t.roomRequest(best, l.request, groups), accepted)
 	}
 }
 
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"redwinghall"
 	"redwinghall/fleet"
 )
 
@@ -151,12 +152,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	request = t.prepare(now, request)
-	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluateGroup}
+	l := t.newLookup(now, zonesOut, request, request.evaluateGroup)
 	latest := latestStart(request.Objective)
-	ownZone := func(e *fleet.Endpoint) bool { return e.Zone == request.Zone }
-	l.consider(t, heads, ownZone)
+	l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == request.Zone })
 	own, groups := l.chosen, l.evaluated
-	limit := t.roomLimit(l, room{heads, ownZone, latest})
+	limit := t.roomLimit(l, latest)
 	if limit != nil {
 		l.best = nil
 	}
@@ -166,7 +166,7 @@
 	}
 	best := l.best
 	if groups > 0 && len(request.ZonesFull) == 0 { // otherwise it was recorded before
-		t.recordRoom(now, &own, request, groups, best != nil && best.endpoint.Zone == request.Zone && best.predicted <= latest)
+		t.recordRoom(l, &own, groups, best != nil && best.endpoint.Zone == request.Zone && best.predicted <= latest)
 	}
 	switch {
 	case best == nil && limit != nil:
@@ -202,6 +202,10 @@
 	chosen candidate
 	// evaluated counts the endpoints that may serve the request.
 	evaluated int
+	// admission decides who gets room, nil if nothing does; candidates holds the endpoints
+	// that may serve the request if something does.
+	admission  redwinghall.Admission
+	candidates []candidate
 	// Numbers of suitable endpoints that were skipped: in full zones, in backoff
 	// after failed connections, and cold with no request left in their rate.
 	full, backedOff, cold int
@@ -308,6 +312,9 @@
 // at random.
 func (l *lookup) offer(c candidate) {
 	l.evaluated++
+	if l.admission != nil {
+		l.candidates = append(l.candidates, c)
+	}
 	if l.best == nil || c.score < l.best.score || (c.score == l.best.score && rand.N(2) == 0) {
 		l.chosen = c
 		l.best = &l.chosen
--- a/balance/plain.go
+++ b/balance/plain.go
@@ -24,9 +24,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	request = t.prepare(now, request)
-	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluatePlain}
-	every := func(*fleet.Endpoint) bool { return true }
-	l.consider(t, endpoints, every)
+	l := t.newLookup(now, zonesOut, request, request.evaluatePlain)
+	l.consider(t, endpoints, func(*fleet.Endpoint) bool { return true })
 	best := l.best
 	if best == nil {
 		return Choice{}, l.refusal()
@@ -35,16 +34,16 @@
 	if !request.Resumed && (best.full || best.predicted > latest) {
 		again := t.tryAgain(now, best, request, latest, Request.evaluatePlain)
 		if again == nil {
-			t.recordRoom(now, best, request, l.evaluated, false)
+			t.recordRoom(l, best, l.evaluated, false)
 			return Choice{}, &Refusal{Reason: Overloaded, Predicted: best.predicted, RetryAfter: retrySoon}
 		}
 		best = again
 	}
-	if limit := t.roomLimit(l, room{endpoints, every, latest}); limit != nil {
-		t.recordRoom(now, best, request, l.evaluated, false)
+	if limit := t.roomLimit(l, latest); limit != nil {
+		t.recordRoom(l, best, l.evaluated, false)
 		return Choice{}, &Refusal{Reason: limit.Reason, Predicted: best.predicted, RetryAfter: retrySoon, Limit: *limit}
 	}
-	t.recordRoom(now, best, request, l.evaluated, true)
+	t.recordRoom(l, best, l.evaluated, true)
 	return t.startChosen(now, best, request), nil
 }
 
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -44,9 +44,8 @@
 	defer t.mu.Unlock()
 	request = t.prepare(now, request)
 	request.ForOtherNode = true
-	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluateGroup}
-	warm := func(e *fleet.Endpoint) bool { return e.Zone == request.Zone && !e.ColdAt(now) }
-	l.consider(t, heads, warm)
+	l := t.newLookup(now, zonesOut, request, request.evaluateGroup)
+	l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == request.Zone && !e.ColdAt(now) })
 	best := l.best
 	if best == nil {
 		return Choice{}, l.refusal()
@@ -54,16 +53,16 @@
 	if !request.Resumed && best.predicted > request.Objective {
 		again := t.tryAgain(now, best, request, request.Objective, Request.evaluateGroup)
 		if again == nil {
-			t.recordRoom(now, best, request, l.evaluated, false)
+			t.recordRoom(l, best, l.evaluated, false)
 			return Choice{}, lateRefusal(now, best, request)
 		}
 		best = again
 	}
-	if limit := t.roomLimit(l, room{heads, warm, request.Objective}); limit != nil {
-		t.recordRoom(now, best, request, l.evaluated, false)
+	if limit := t.roomLimit(l, request.Objective); limit != nil {
+		t.recordRoom(l, best, l.evaluated, false)
 		return Choice{}, limitRefusal(now, best, request, *limit)
 	}
-	t.recordRoom(now, best, request, l.evaluated, true)
+	t.recordRoom(l, best, l.evaluated, true)
 	best.state.reserve(now, requester, request.Prompt)
 	limited := best.state.limit.limit.Named
 	issued, _ := best.state.limit.issue(now, request.PermitShare) // there is one, or the group would have been skipped
--- a/balance/room_load_test.go
+++ b/balance/room_load_test.go
@@ -488,3 +488,43 @@
 	_, refusal = tracker.Reserve(now, busy, nil, resumed, balance.Requester{Node: "n2", Ticket: 3})
 	require.Nil(t, refusal)
 }
+
+// BenchmarkGroupWhileRoomIsShort measures one choice among 30 groups for a request whose
+// account is over its due, as the only one of a hundred, and without admission.
+func BenchmarkGroupWhileRoomIsShort(b *testing.B) {
+	for _, name := range []string{"on", "off"} {
+		b.Run(name, func(b *testing.B) {
+			room, tracker := admission.NewRoom(), balance.NewTracker()
+			if name == "on" {
+				tracker.Admission = func(string) redwinghall.Admission { return room }
+			}
+			p := &roomSimulation{roomScenario: roomScenario{nodes: 36}, random: rand.New(rand.NewPCG(1, 2))}
+			request := p.newRequest(askers{account: "account-0", urgency: 1, objective: zoneObjective}, caller{prompt: 600, answer: 100})
+			request.IsDispatcher = true
+			var heads []*fleet.Endpoint
+			loads := map[string]balance.Load{}
+			for i := range 30 {
+				heads = append(heads, head(strconv.Itoa(i), "a", "small"))
+				loads[strconv.Itoa(i)] = balance.Load{Requests: 12}
+			}
+			for i := range 100 {
+				for j := range 20 {
+					one := redwinghall.RoomRequest{Service: "llm", Model: "small", Account: "account-" + strconv.Itoa(i), Urgency: i % 2, Objective: zoneObjective, Work: 5 * time.Millisecond, Groups: 30, Deciders: 1}
+					if i == 0 {
+						one.Urgency, one.Work = 1, 50*time.Millisecond
+					}
+					room.Record(start.Add(time.Duration(50*j)*time.Millisecond), one, j%3 != 0)
+				}
+			}
+			tracker.SetOwnZoneLoads(start.Add(time.Second), loads)
+			b.ResetTimer()
+			for i := range b.N {
+				now := start.Add(time.Second + time.Duration(i%1000)*100*time.Microsecond)
+				choice, refusal := tracker.ChooseGroup(now, heads, nil, request)
+				if refusal == nil {
+					choice.Attempt.Done(now, true)
+				}
+			}
+		})
+	}
+}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -94,6 +94,8 @@
 	mu     sync.Mutex
 	states map[string]*State
 	totals totals
+	// candidates is memory that each lookup uses again.
+	candidates []candidate
 	// answers holds the mean length of the answers of each kind, in tokens.
 	answers map[requestKind]float64
 	// otherZonesConsideredAt is when a group of another zone was last considered.
