--- a/admission/room.go
+++ b/admission/room.go
@@ -25,9 +25,10 @@
 	// floorReach is up to how much of its floor a kind competes as an equal. Its share
 	// falls between its requests, so up to the floor alone it would have less on average.
 	floorReach = 1.5
-	// fullShare is the accepted chance that the room kept for requests that go before
-	// others is too small for them.
-	fullShare = 0.002
+	// fullForUrgent is the accepted chance that the room kept for more urgent requests is
+	// too small for them, fullForAccounts the same for accounts within their due.
+	fullForUrgent   = 0.002
+	fullForAccounts = 0.02
 	// maxBusy bounds the share of the room for which room is kept. Close to 1, the queue
 	// of those requests has no bound.
 	maxBusy = 0.95
@@ -108,14 +109,14 @@
 	limit, before := m.plan.behindUrgent(open, r.Urgency)
 	own, known := m.plan.kind(r.Urgency)
 	if !known {
-		limit.Ahead = ahead(before.asked(r.Deciders), r, m.work)
+		limit.Ahead = ahead(before.asked(r.Deciders), r, m.work, limit.Reason)
 		return limit
 	}
 	if limit.Reason != "" && m.plan.belowFloor(own) {
 		before = localUse{}
 	}
 	limit, before = own.behindAccounts(limit, before, r.Account)
-	limit.Ahead = ahead(before.asked(r.Deciders), r, m.work)
+	limit.Ahead = ahead(before.asked(r.Deciders), r, m.work, limit.Reason)
 	if limit.Reason != "" && r.Deciders > 1 {
 		limit.Rivals = requestsIn(unknownOthersTime, own.overAsked(r.Deciders), m.work)
 	}
@@ -175,21 +176,25 @@
 }
 
 // ahead returns the number of requests for which groups keep room, so that requests which
-// ask for this much work each second find none left with a chance of fullShare at most.
+// ask for this much work each second find none left with a small chance at most.
 //
 // Requests that wait while other requests fill each place that they leave are a queue with
 // random arrivals. The chance that it has n requests or more is the n-th power of the
 // share of the room that they use. Those that come before a free place is known are added.
-func ahead(asked float64, r redwinghall.RoomRequest, work time.Duration) float64 {
+func ahead(asked float64, r redwinghall.RoomRequest, work time.Duration, reason string) float64 {
 	busy := min(asked/float64(max(1, r.Groups)), maxBusy)
 	if busy <= 0 {
 		return 0
 	}
 	unknown := unknownTime
+	full := fullForUrgent
+	if reason == redwinghall.LimitAccount {
+		full = fullForAccounts
+	}
 	if r.Deciders > 1 {
 		unknown = unknownOthersTime
 	}
-	return math.Log(fullShare)/math.Log(busy) + requestsIn(unknown, asked, work)
+	return math.Log(full)/math.Log(busy) + requestsIn(unknown, asked, work)
 }
 
 // requestsIn returns the number of requests in some time if this much work is asked for.
