Room: nothing is kept of what accounts ask for beyond their due

An account that asks for more than its due and has less than nine tenths of it counted as within it, with all of its due kept for it, though it only has to catch up. Tests: two accounts that compete have their due in two seconds; two dispatchers keep the order.

--- a/admission/plan.go
+++ b/admission/plan.go
@@ -21,10 +21,11 @@
 	active    bool          // requests were made within activeTime
 	objective time.Duration // the tightest, 0 if unknown
 	use       localUse
-	// Accounts whose demand is above their due, and the work of the others.
+	// accounts holds those that ask for more than their due and have most of it, within what
+	// those ask for that ask for no more.
 	accounts map[string]accountPlan
 	within   localUse
-	// below is the part of their due that accounts above it have not got yet.
+	// below is what is missing to their due for those that ask for more.
 	below localUse
 }
 
@@ -103,11 +104,13 @@
 	due := fairLevel(supply, asked)
 	k.accounts = map[string]accountPlan{}
 	for name, u := range accounts {
-		if u.all.asked <= due || u.all.given < withinDue*due {
-			k.within = k.within.sum(u.here.times(min(1, due/max(u.all.asked, minReported))))
+		if u.all.asked <= due {
+			k.within = k.within.sum(u.here)
 			continue
 		}
-		k.accounts[name] = accountPlan{asked: u.all.asked, given: u.all.given, due: due, over: u.all.given > due}
+		if u.all.given >= withinDue*due {
+			k.accounts[name] = accountPlan{asked: u.all.asked, given: u.all.given, due: due, over: u.all.given > due}
+		}
 		if missing := due - u.all.given; missing > 0 {
 			k.below = k.below.sum(u.here.times(missing / u.all.asked))
 		}
--- a/balance/room_load_test.go
+++ b/balance/room_load_test.go
@@ -24,7 +24,9 @@
 	objective time.Duration
 	perSecond float64
 	// times multiplies the rate during the burst.
-	times          float64
+	times float64
+	// from is when they begin to ask.
+	from           time.Duration
 	prompt, answer float64 // mean tokens beyond a small minimum
 }
 
@@ -37,6 +39,8 @@
 	off                   bool // without admission
 	// newDispatcherAt is when another node, without any counts, becomes the dispatcher.
 	newDispatcherAt time.Duration
+	// twoDecideFrom is from when every other node takes node 1 for the dispatcher.
+	twoDecideFrom time.Duration
 	// reportsLostFrom is from when nodes learn nothing of each other's counts.
 	reportsLostFrom time.Duration
 	// restartAt is when node 0 starts again.
@@ -116,7 +120,7 @@
 	}
 	for _, a := range s.askers {
 		p.burst[a.name], p.calm[a.name] = &fate{}, &fate{}
-		p.after(0, func() { p.arrive(a) })
+		p.after(a.from, func() { p.arrive(a) })
 	}
 	p.plan()
 	for p.open > 0 || p.now.Before(start.Add(s.length)) {
@@ -175,10 +179,20 @@
 // shareWithDispatcher gives the dispatcher the loads of the other nodes.
 func (p *roomSimulation) shareWithDispatcher() {
 	p.after(shareIntervalFor(0), p.shareWithDispatcher)
-	p.trackers[p.dispatcher].SetOwnZoneLoads(p.now, p.othersLoads(p.dispatcher))
-	for i := range p.nodes {
-		p.trackers[p.dispatcher].ReleaseReservations(strconv.Itoa(i), p.tickets[i].LowestOpen())
+	for _, dispatcher := range []int{p.dispatcher, p.dispatcherOf(1)} {
+		p.trackers[dispatcher].SetOwnZoneLoads(p.now, p.othersLoads(dispatcher))
+		for i := range p.nodes {
+			p.trackers[dispatcher].ReleaseReservations(strconv.Itoa(i), p.tickets[i].LowestOpen())
+		}
+	}
+}
+
+// dispatcherOf returns the node that chooses for a node, -1 if none does.
+func (p *roomSimulation) dispatcherOf(node int) int {
+	if p.twoDecideFrom > 0 && !p.now.Before(start.Add(p.twoDecideFrom)) && node%2 == 1 {
+		return 1
 	}
+	return p.dispatcher
 }
 
 func (p *roomSimulation) othersLoads(node int) map[string]balance.Load {
@@ -223,14 +237,15 @@
 	if large := float64(c.prompt) > 2.3*a.prompt; large { // the largest tenth
 		count.large++
 	}
-	if p.dispatcher < 0 || node == p.dispatcher {
+	dispatcher := p.dispatcherOf(node)
+	if dispatcher < 0 || node == dispatcher {
 		choice, refusal := p.trackers[node].ChooseGroup(p.now, p.heads, nil, request)
 		p.finish(a, c, count, choice, refusal)
 		return
 	}
 	ticket := p.tickets[node].Open()
 	p.after(zoneHop, func() {
-		choice, refusal := p.trackers[p.dispatcher].Reserve(p.now, p.heads, nil, request, balance.Requester{Node: strconv.Itoa(node), Ticket: ticket})
+		choice, refusal := p.trackers[dispatcher].Reserve(p.now, p.heads, nil, request, balance.Requester{Node: strconv.Itoa(node), Ticket: ticket})
 		p.after(zoneHop, func() {
 			defer p.tickets[node].Close(ticket)
 			if refusal == nil {
@@ -400,6 +415,43 @@
 	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
 }
 
+// Half of the nodes take another node for the dispatcher, and each of the two sees half of
+// the requests. A second later more urgent requests go first all the same.
+func TestTwoDispatchersKeepTheOrder(t *testing.T) {
+	load := roomScenario{nodes: 36, groups: 20, askers: twoUrgencies(20), length: 15 * time.Second, burstFrom: 7 * time.Second, burstUntil: 13 * time.Second,
+		twoDecideFrom: 6 * time.Second}
+	load.askers[1].perSecond *= load.askers[1].times
+	load.askers[1].times = 1
+	on := load.runSeeds(4)
+	load.off = true
+	off := load.runSeeds(1)
+	t.Logf("urgent: %s; later: %s; without admission %s", on["urgent"], on["later"], off["urgent"])
+	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+	require.LessOrEqual(t, on["urgent"].refusedShare(), on["later"].refusedShare()+orderSlack)
+}
+
+// An account that used all room alone gets company by one that asks for three times the
+// room as well. Two seconds later each has what it is due, half of the room.
+func TestCompetingAccountsHaveTheirDueInTwoSeconds(t *testing.T) {
+	for _, size := range zoneSizes {
+		each := float64(size.groups)
+		all := []askers{
+			{name: "first", account: "x", objective: zoneObjective, perSecond: 30 * each, prompt: 600, answer: 190},
+			{name: "second", account: "y", objective: zoneObjective, perSecond: 15 * each, prompt: 600, answer: 190, from: 5 * time.Second},
+		}
+		load := roomScenario{nodes: size.nodes, groups: size.groups, askers: all, length: 12 * time.Second, burstFrom: 7 * time.Second, burstUntil: 12 * time.Second}
+		on := load.runSeeds(2)
+		load.off = true
+		off := load.runSeeds(2)
+		t.Logf("%d nodes: first %s, second %s; without admission %s, %s", size.nodes, on["first"], on["second"], off["first"], off["second"])
+		served := func(f fate) float64 { return float64(f.requests - f.refused) }
+		due := (served(on["first"]) + served(on["second"])) / 2
+		t.Logf("served %.0f, without admission %.0f", 2*due, served(off["first"])+served(off["second"]))
+		require.GreaterOrEqual(t, served(on["first"]), ofCalm*due)
+		require.GreaterOrEqual(t, served(on["second"]), ofCalm*due)
+	}
+}
+
 // A node of a small zone starts again during the burst, with callers from its first moment
 // on, and has counted nothing.
 func TestRestartedNodeKeepsTheOrder(t *testing.T) {
