--- a/admission/plan.go
+++ b/admission/plan.go
@@ -11,6 +11,7 @@
 // plan is the state of a model's room, summed up for the decisions of a short time.
 type plan struct {
 	at    time.Time
+	short bool       // it was too little lately
 	total localUse   // of all kinds
 	kinds []kindPlan // the most urgent first
 }
@@ -35,8 +36,11 @@
 	over              bool // it got all of its due
 }
 
+// catchUpTime is the time in which an account below its due is let to catch up.
+const catchUpTime = 100 * time.Millisecond
+
 // withinDue is the share of its due up to which an account isn't limited.
-const withinDue = 0.9
+const withinDue = 0.99
 
 // kind returns the plan of an urgency.
 func (p *plan) kind(urgency int) (*kindPlan, bool) {
@@ -56,8 +60,7 @@
 
 // makePlan sums up a model's room as of now.
 func (m *modelRoom) makePlan(now time.Time, key modelKey, reports map[string]report) plan {
-	p := plan{at: now}
-	short := now.Before(m.shortUntil) || anyAbout(now, key, reports, true)
+	p := plan{at: now, short: now.Before(m.shortUntil) || anyAbout(now, key, reports, true)}
 	for urgency, k := range m.kinds {
 		one := kindPlan{urgency: urgency, objective: k.objective}
 		uses := k.accountUses(now)
@@ -68,7 +71,7 @@
 			one.use = one.use.sum(u.here)
 		}
 		one.active = now.Sub(k.askedAt) < activeTime
-		if short {
+		if p.short {
 			one.divide(uses)
 		}
 		p.total = p.total.sum(one.use)
@@ -112,7 +115,8 @@
 			k.accounts[name] = accountPlan{asked: u.all.asked, given: u.all.given, due: due, over: u.all.given > due}
 		}
 		if missing := due - u.all.given; missing > 0 {
-			k.below = k.below.sum(u.here.times(missing / u.all.asked))
+			catchUp := min(missing*rateWindow.Seconds()/catchUpTime.Seconds(), due)
+			k.below = k.below.sum(u.here.times(catchUp / u.all.asked))
 		}
 	}
 }
--- a/admission/room.go
+++ b/admission/room.go
@@ -27,7 +27,7 @@
 	floorReach = 1.5
 	// fullForUrgent is the accepted chance that the room kept for more urgent requests is
 	// too small for them, fullForAccounts the same for accounts within their due.
-	fullForUrgent   = 0.002
+	fullForUrgent   = 0.0005
 	fullForAccounts = 0.02
 	// maxBusy bounds the share of the room for which room is kept. Close to 1, the queue
 	// of those requests has no bound.
@@ -106,6 +106,7 @@
 	if age := now.Sub(m.plan.at); age < 0 || age >= planInterval {
 		m.plan = m.makePlan(now, key, a.reports)
 	}
+	open.Short = m.plan.short
 	limit, before := m.plan.behindUrgent(open, r.Urgency)
 	own, known := m.plan.kind(r.Urgency)
 	if !known {
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -59,17 +59,26 @@
 		return nil
 	}
 	limit := l.admission.Limit(l.now, t.roomRequest(best, request, l.evaluated))
+	long := t.longPrompt(request)
 	switch {
-	case limit.Reason == "" || best.running == 0:
+	case best.running == 0:
+		return nil
+	case limit.Short && best.predicted+request.margin(best, long) > latest:
+		limit.Reason = redwinghall.LimitSize
+		return &limit
+	case limit.Reason == "":
 		return nil
 	case best.predicted > limit.Predicted:
 		return &limit
-	case limit.Ahead == 0 || request.places(best, limit.Predicted) >= limit.Ahead+1+limit.Rivals:
+	case limit.Ahead == 0 || request.places(best, limit.Predicted, long) >= limit.Ahead+1+limit.Rivals:
+		return nil
+	}
+	if best.queued == 0 && request.places(best, limit.Predicted, long) >= 2 {
 		return nil
 	}
 	free := -limit.Ahead
 	for i := range l.candidates {
-		free += request.places(&l.candidates[i], limit.Predicted)
+		free += request.places(&l.candidates[i], limit.Predicted, long)
 	}
 	if request.Service.Engine != nil {
 		limit.Rivals = 0 // the prediction counts what other nodes send
@@ -84,6 +93,7 @@
 // held.
 func (t *Tracker) recordRoom(l *lookup, best *candidate, groups int, accepted bool) {
 	if l.admission != nil {
+		t.learnPrompt(l.request)
 		l.admission.Record(l.now, t.roomRequest(best, l.request, groups), accepted)
 	}
 }
@@ -142,12 +152,60 @@
 }
 
 // longPrompt is the length of a prompt for which room is left, as a multiple of the mean.
-const longPrompt = 2
+const longPrompt = 3
+
+// promptWeight is the weight of a new prompt in the mean of its model.
+const promptWeight = 0.02
+
+func (r Request) promptKind() requestKind {
+	return requestKind{service: r.Service.Name, model: r.Model.Name}
+}
+
+// learnPrompt records the length of a prompt. The lock is held.
+func (t *Tracker) learnPrompt(request Request) {
+	if request.Service.Engine == nil {
+		return
+	}
+	mean := t.meanPrompt(request)
+	t.prompts[request.promptKind()] = mean + promptWeight*(float64(request.Prompt)-mean)
+}
+
+// meanPrompt returns the mean length of the prompts of a model's requests, in tokens.
+func (t *Tracker) meanPrompt(request Request) float64 {
+	if mean, learned := t.prompts[request.promptKind()]; learned {
+		return mean
+	}
+	return request.Service.Engine.MeanPromptTokens
+}
+
+// longPrompt returns the length of a long prompt, 0 for a plain service.
+func (t *Tracker) longPrompt(request Request) int {
+	if request.Service.Engine == nil {
+		return 0
+	}
+	return int(min(longPrompt*t.meanPrompt(request), maxPromptTokens))
+}
+
+// maxPromptTokens is more than any prompt has.
+const maxPromptTokens = 1 << 30
+
+// margin returns how much longer the reading of a long prompt takes than that of this
+// request's.
+//
+// While room is short, the small requests fill it up to their objective, and the large ones,
+// which take longer to read, would be late at each group. So all leave room for them.
+func (r Request) margin(c *candidate, long int) time.Duration {
+	if r.Service.Engine == nil {
+		return 0
+	}
+	pace := NewPace(r.Service.Engine, r.Model, max(1, c.state.slowdown))
+	return max(0, pace.readTime(long)-pace.readTime(r.Prompt))
+}
 
 // places returns how many more requests with long prompts an endpoint would serve within
 // an objective. This request's own prompt doesn't count: large requests would otherwise be
 // refused for their size.
-func (r Request) places(c *candidate, objective time.Duration) float64 {
+func (r Request) places(c *candidate, objective time.Duration, long int) float64 {
 	engine := r.Service.Engine
 	if c.full {
 		return 0
@@ -158,8 +216,7 @@
 		return whole(slots + waiting - float64(c.running))
 	}
 	pace := NewPace(engine, r.Model, max(1, c.state.slowdown))
-	long := pace.readTime(int(longPrompt * engine.MeanPromptTokens))
-	wait := objective - (c.predicted - c.queued - pace.readTime(r.Prompt) + long)
+	wait := objective - (c.predicted - c.queued - pace.readTime(r.Prompt) + pace.readTime(long))
 	if wait < 0 {
 		return 0
 	}
--- a/balance/room_load_test.go
+++ b/balance/room_load_test.go
@@ -303,6 +303,10 @@
 // urgent one.
 const orderSlack = 0.01
 
+// largeServed is how often the largest requests are served, as a share of how often their
+// kind is.
+const largeServed = 0.5
+
 // noneInHundred is the share that rounds to none of a hundred.
 const noneInHundred = 0.005
 
@@ -328,7 +332,7 @@
 			}
 			require.Less(t, on.burst["urgent"].refusedShare(), noneInHundred)
 			require.LessOrEqual(t, on.burst["urgent"].refusedShare(), on.burst["later"].refusedShare()+orderSlack)
-			require.GreaterOrEqual(t, on.burst["later"].servedLarge(), 0.5)
+			require.GreaterOrEqual(t, on.burst["later"].servedLarge(), largeServed)
 		}
 	}
 }
@@ -447,6 +451,8 @@
 		served := func(f fate) float64 { return float64(f.requests - f.refused) }
 		due := (served(on["first"]) + served(on["second"])) / 2
 		t.Logf("served %.0f, without admission %.0f", 2*due, served(off["first"])+served(off["second"]))
+		require.GreaterOrEqual(t, on["first"].servedLarge(), largeServed)
+		require.GreaterOrEqual(t, on["second"].servedLarge(), largeServed)
 		require.GreaterOrEqual(t, served(on["first"]), ofCalm*due)
 		require.GreaterOrEqual(t, served(on["second"]), ofCalm*due)
 	}
@@ -476,18 +482,15 @@
 	require.Less(t, on["steady"].refusedShare(), noneInHundred)
 }
 
-// Where the configuration doesn't call for admission, and where all requests are of one
-// kind and account, the choices are those of a tracker without it.
+// Where the configuration doesn't call for admission, and where room wasn't short and all
+// requests are of one kind and account, the choices are those of a tracker without it.
 func TestChoicesWithoutAdmissionAreUnchanged(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	rooms := map[string]func(string) redwinghall.Admission{
-		"off": func(string) redwinghall.Admission { return nil }, "one kind": func() func(string) redwinghall.Admission {
-			room := admission.NewRoom()
-			return func(string) redwinghall.Admission { return room }
-		}(),
+		"off": func(string) redwinghall.Admission { return nil }, "one kind": func(string) redwinghall.Admission { return admission.NewRoom() },
 	}
 	refused := 0
-	for name, admission := range rooms {
+	for name, admissionOf := range rooms {
 		for i := range 1000 {
 			loads, heads := map[string]balance.Load{}, []*fleet.Endpoint{}
 			for j := range 6 {
@@ -495,7 +498,7 @@
 				loads[strconv.Itoa(j)] = balance.Load{Requests: 4 + 6*random.IntN(3) + j, Unread: random.IntN(2000)}
 			}
 			old, now := balance.NewTracker(), balance.NewTracker()
-			now.Admission = admission
+			now.Admission = admissionOf
 			old.SetOwnZoneLoads(start, loads)
 			now.SetOwnZoneLoads(start, loads)
 			request := (&roomSimulation{roomScenario: roomScenario{nodes: 36}, random: random}).newRequest(askers{objective: zoneObjective, account: "x"}, caller{prompt: 600, answer: 100})
--- a/room.go
+++ b/room.go
@@ -33,6 +33,8 @@
 	// Rivals is the number of requests that other nodes accept on the same condition before
 	// this node knows of them.
 	Rivals float64
+	// Short says that the room was too little lately.
+	Short bool
 	// Reason names why the request leaves room for others, "" if it doesn't.
 	Reason string
 	// Asked, Given and Due are the work of each second that the client account asked for,
@@ -46,6 +48,8 @@
 	LimitUrgency = "urgency"
 	// LimitAccount means that the client account has more than its share.
 	LimitAccount = "account_over_share"
+	// LimitSize means that only smaller requests would get the room.
+	LimitSize = "room_for_large"
 )
 
 // Admission decides who gets the room of a zone while there is too little of it.
