--- a/balance/admission.go
+++ b/balance/admission.go
@@ -55,45 +55,46 @@
 func (t *Tracker) roomLimit(l *lookup, latest time.Duration) *redwinghall.AdmissionLimit {
 	best, request := l.best, l.request
 	t.candidates = l.candidates // their memory is used again
-	if l.admission == nil || best == nil || best.full || best.predicted > latest || request.Resumed {
+	if l.admission == nil || best == nil || best.full || best.running == 0 || best.predicted > latest || request.Resumed {
 		return nil
 	}
 	limit := l.admission.Limit(l.now, t.roomRequest(best, request, l.evaluated))
-	long := t.longPrompt(request)
+	model := t.modelOf(request)
 	switch {
-	case best.running == 0:
-		return nil
-	case limit.Short && best.predicted+request.margin(best, long) > latest:
+	case limit.Short && model.servesFewLarge(l.now) && best.predicted+request.margin(best, model.prompt(largePrompt)) > latest:
 		limit.Reason = redwinghall.LimitSize
-		return &limit
-	case limit.Reason == "":
-		return nil
-	case best.predicted > limit.Predicted:
-		return &limit
-	case limit.Ahead == 0 || request.places(best, limit.Predicted, long) >= limit.Ahead+1+limit.Rivals:
-		return nil
-	}
-	if best.queued == 0 && request.places(best, limit.Predicted, long) >= 2 {
+	case limit.Reason == "" || best.predicted <= limit.Predicted && l.leavesRoom(&limit, model):
 		return nil
 	}
-	free := -limit.Ahead
-	for i := range l.candidates {
-		free += request.places(&l.candidates[i], limit.Predicted, long)
+	return &limit
+}
+
+// leavesRoom reports whether the endpoints of a lookup have places within a limit for the
+// requests that go before this one, beside it.
+func (l *lookup) leavesRoom(limit *redwinghall.AdmissionLimit, model *modelState) bool {
+	prompt := model.prompt(keptPrompt)
+	here := l.request.places(l.best, limit.Predicted, prompt)
+	startsAtOnce := l.best.queued == 0 && here >= 2
+	if limit.Ahead == 0 || startsAtOnce || here >= limit.Ahead+1+limit.Rivals {
+		return true
 	}
-	if request.Service.Engine != nil {
+	if l.request.Service.Engine != nil {
 		limit.Rivals = 0 // the prediction counts what other nodes send
 	}
-	if free >= 1 && rand.Float64()*(1+limit.Rivals) < free {
-		return nil
+	free := -limit.Ahead
+	for i := range l.candidates {
+		free += l.request.places(&l.candidates[i], limit.Predicted, prompt)
 	}
-	return &limit
+	return free >= 1 && rand.Float64()*(1+limit.Rivals) < free
 }
 
 // recordRoom records that a request was made, and whether it was accepted. The lock is
 // held.
 func (t *Tracker) recordRoom(l *lookup, best *candidate, groups int, accepted bool) {
 	if l.admission != nil {
-		t.learnPrompt(l.request)
+		if l.request.Service.Engine != nil {
+			t.modelOf(l.request).record(l.now, l.request.Prompt, accepted)
+		}
 		l.admission.Record(l.now, t.roomRequest(best, l.request, groups), accepted)
 	}
 }
@@ -151,61 +152,23 @@
 	t.answers[kind] = mean + answerWeight*(tokens-mean)
 }
 
-// longPrompt is the length of a prompt for which room is left, as a multiple of the mean.
-const longPrompt = 3
-
-// promptWeight is the weight of a new prompt in the mean of its model.
-const promptWeight = 0.02
-
-func (r Request) promptKind() requestKind {
-	return requestKind{service: r.Service.Name, model: r.Model.Name}
-}
-
-// learnPrompt records the length of a prompt. The lock is held.
-func (t *Tracker) learnPrompt(request Request) {
-	if request.Service.Engine == nil {
-		return
-	}
-	mean := t.meanPrompt(request)
-	t.prompts[request.promptKind()] = mean + promptWeight*(float64(request.Prompt)-mean)
-}
-
-// meanPrompt returns the mean length of the prompts of a model's requests, in tokens.
-func (t *Tracker) meanPrompt(request Request) float64 {
-	if mean, learned := t.prompts[request.promptKind()]; learned {
-		return mean
-	}
-	return request.Service.Engine.MeanPromptTokens
-}
-
-// longPrompt returns the length of a long prompt, 0 for a plain service.
-func (t *Tracker) longPrompt(request Request) int {
-	if request.Service.Engine == nil {
-		return 0
-	}
-	return int(min(longPrompt*t.meanPrompt(request), maxPromptTokens))
-}
-
-// maxPromptTokens is more than any prompt has.
-const maxPromptTokens = 1 << 30
-
-// margin returns how much longer the reading of a long prompt takes than that of this
+// margin returns how much longer the reading of a large prompt takes than that of this
 // request's.
 //
 // While room is short, the small requests fill it up to their objective, and the large ones,
 // which take longer to read, would be late at each group. So all leave room for them.
-func (r Request) margin(c *candidate, long int) time.Duration {
+func (r Request) margin(c *candidate, large int) time.Duration {
 	if r.Service.Engine == nil {
 		return 0
 	}
 	pace := NewPace(r.Service.Engine, r.Model, max(1, c.state.slowdown))
-	return max(0, pace.readTime(long)-pace.readTime(r.Prompt))
+	return max(0, pace.readTime(large)-pace.readTime(r.Prompt))
 }
 
-// places returns how many more requests with long prompts an endpoint would serve within
-// an objective. This request's own prompt doesn't count: large requests would otherwise be
+// places returns how many more requests with a prompt of some length an endpoint would serve
+// within an objective. This request's own prompt doesn't count: large requests would otherwise be
 // refused for their size.
-func (r Request) places(c *candidate, objective time.Duration, long int) float64 {
+func (r Request) places(c *candidate, objective time.Duration, prompt int) float64 {
 	engine := r.Service.Engine
 	if c.full {
 		return 0
@@ -216,7 +179,7 @@
 		return whole(slots + waiting - float64(c.running))
 	}
 	pace := NewPace(engine, r.Model, max(1, c.state.slowdown))
-	wait := objective - (c.predicted - c.queued - pace.readTime(r.Prompt) + pace.readTime(long))
+	wait := objective - (c.predicted - c.queued - pace.readTime(r.Prompt) + pace.readTime(prompt))
 	if wait < 0 {
 		return 0
 	}
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -94,8 +94,8 @@
 	mu     sync.Mutex
 	states map[string]*State
 	totals totals
-	// prompts holds the mean length of the prompts of each model's requests, in tokens.
-	prompts map[requestKind]float64
+	// models holds what is known of the requests of each model.
+	models map[requestKind]*modelState
 	// candidates is memory that each lookup uses again.
 	candidates []candidate
 	// answers holds the mean length of the answers of each kind, in tokens.
@@ -119,7 +119,7 @@
 // NewTrackerWithRunTime returns an empty tracker. runTime returns for how long the process ran in a
 // span of time.
 func NewTrackerWithRunTime(runTime func(from, to time.Time) time.Duration) *Tracker {
-	return &Tracker{states: map[string]*State{}, answers: map[requestKind]float64{}, prompts: map[requestKind]float64{}, runTime: runTime}
+	return &Tracker{states: map[string]*State{}, answers: map[requestKind]float64{}, models: map[requestKind]*modelState{}, runTime: runTime}
 }
 
 // state returns an endpoint's state. The lock is held.
