--- a/balance/admission.go
+++ b/balance/admission.go
@@ -74,8 +74,11 @@
 func (l *lookup) leavesRoom(limit *redwinghall.AdmissionLimit, model *modelState) bool {
 	prompt := model.prompt(keptPrompt)
 	here := l.request.places(l.best, limit.Predicted, prompt)
-	startsAtOnce := l.best.queued == 0 && here >= 2
-	if limit.Ahead == 0 || startsAtOnce || here >= limit.Ahead+1+limit.Rivals {
+	if limit.Ahead == 0 || here >= limit.Ahead+1+limit.Rivals {
+		return true
+	}
+	startsAtOnce := l.best.queued == 0 && l.request.Service.Engine != nil
+	if startsAtOnce && (limit.Reason == redwinghall.LimitAccount || l.request.places(l.best, limit.Predicted, model.prompt(1)) >= 2) {
 		return true
 	}
 	if l.request.Service.Engine != nil {
