--- a/balance/admission.go
+++ b/balance/admission.go
@@ -102,6 +102,14 @@
 	}
 }
 
+// recordRefused records the refusal of another node's request. A request of another zone
+// was counted there: it is asked in each zone that may have room. The lock is held.
+func (t *Tracker) recordRefused(l *lookup, best *candidate, requester Requester) {
+	if requester.Ticket > 0 {
+		t.recordRoom(l, best, l.evaluated, false)
+	}
+}
+
 func (t *Tracker) roomRequest(best *candidate, request Request, groups int) redwinghall.RoomRequest {
 	return redwinghall.RoomRequest{
 		Service: request.Service.Name, Model: request.Model.Name, Account: request.Account, Urgency: request.Urgency,
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -53,13 +53,13 @@
 	if !request.Resumed && best.predicted > request.Objective {
 		again := t.tryAgain(now, best, request, request.Objective, Request.evaluateGroup)
 		if again == nil {
-			t.recordRoom(l, best, l.evaluated, false)
+			t.recordRefused(l, best, requester)
 			return Choice{}, lateRefusal(now, best, request)
 		}
 		best = again
 	}
 	if limit := t.roomLimit(l, request.Objective); limit != nil {
-		t.recordRoom(l, best, l.evaluated, false)
+		t.recordRefused(l, best, requester)
 		return Choice{}, limitRefusal(now, best, request, *limit)
 	}
 	t.recordRoom(l, best, l.evaluated, true)
