--- a/admission/room.go
+++ b/admission/room.go
@@ -32,9 +32,6 @@
 	// maxBusy bounds the share of the room for which room is kept. Close to 1, the queue
 	// of those requests has no bound.
 	maxBusy = 0.95
-	// keptForAccounts is the most places that each group keeps for accounts within their due.
-	// With few groups, more would stand empty than those accounts need.
-	keptForAccounts = 0.5
 	// unknownTime is how long a place that came free is unknown to the node that decides
 	// for all, and unknownOthersTime how long one of several doesn't know what the others
 	// accept.
@@ -198,11 +195,7 @@
 	if r.Deciders > 1 {
 		unknown = unknownOthersTime
 	}
-	kept := math.Log(full)/math.Log(busy) + requestsIn(unknown, asked, work)
-	if reason == redwinghall.LimitAccount {
-		return min(kept, keptForAccounts*float64(max(1, r.Groups)))
-	}
-	return kept
+	return math.Log(full)/math.Log(busy) + requestsIn(unknown, asked, work)
 }
 
 // requestsIn returns the number of requests in some time if this much work is asked for.
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -77,8 +77,9 @@
 	if limit.Ahead == 0 || here >= limit.Ahead+1+limit.Rivals {
 		return true
 	}
-	if l.best.queued == 0 && l.request.Service.Engine != nil {
-		return true // it starts at once
+	startsAtOnce := l.best.queued == 0 && l.request.Service.Engine != nil
+	if startsAtOnce && (limit.Reason == redwinghall.LimitAccount || l.request.places(l.best, limit.Predicted, model.prompt(1)) >= 2) {
+		return true
 	}
 	if l.request.Service.Engine != nil {
 		limit.Rivals = 0 // the prediction counts what other nodes send
