--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -44,7 +44,7 @@
 	defer t.mu.Unlock()
 	request = t.prepare(now, request)
 	request.ForOtherNode = true
-	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluateGroup}
+	l := t.newLookup(now, zonesOut, request, request.evaluateGroup)
 	l.consider(t, heads, func(e *fleet.Endpoint) bool { return e.Zone == request.Zone && !e.ColdAt(now) })
 	best := l.best
 	if best == nil {
@@ -53,13 +53,20 @@
 	if latest := request.latestReserved(); !request.Resumed && best.predicted > latest {
 		again := t.tryAgain(now, best, request, latest, Request.evaluateGroup)
 		if again == nil {
+			t.recordRefused(l, best, requester)
 			return Choice{}, lateRefusal(now, best, request)
 		}
 		best = again
 	}
 	if l.leavesKept(t, heads) {
+		t.recordRefused(l, best, requester)
 		return Choice{}, lateRefusal(now, best, request)
 	}
+	if limit := t.roomLimit(l, request.latestReserved()); limit != nil {
+		t.recordRefused(l, best, requester)
+		return Choice{}, limitRefusal(now, best, request, *limit)
+	}
+	t.recordRoom(l, best, l.evaluated, true)
 	best.state.reserve(now, requester, request.Prompt)
 	limited := best.state.limit.limit.Named
 	issued, _ := best.state.limit.issue(now, request.PermitShare) // there is one, or the group would have been skipped
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -57,6 +57,8 @@
 	asked  []string
 	// alternativeZone is the zone that the dispatcher names if it has no capacity.
 	alternativeZone string
+	// reason is why the dispatcher keeps its zone's room for others, or "".
+	reason string
 	// hasDispatcher is true if another node chooses groups for this zone.
 	hasDispatcher bool
 	// retryAfter is when the dispatcher keeps a place for the caller, if it has no capacity.
@@ -74,7 +76,7 @@
 		p.onPlace()
 	}
 	id, ok := p.offers[zone]
-	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone, RetryAfter: p.retryAfter}, ok
+	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone, RetryAfter: p.retryAfter, Reason: p.reason}, ok
 }
 
 func engine() *fleet.Engine {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -29,6 +29,9 @@
 	if refused != nil && refused.Reason == balance.Overloaded && placement.retryAfter > 0 {
 		refused.RetryAfter = placement.retryAfter
 	}
+	if refused != nil && refused.Reason == balance.Overloaded && placement.reason != "" {
+		refused.Reason, refused.Predicted = placement.reason, placement.predicted
+	}
 	return choice, refused
 }
 
@@ -59,6 +62,8 @@
 	alternativeZone string
 	limitedFor      time.Duration
 	retryAfter      time.Duration // when a place is kept for the caller, 0 if none is
+	reason          string        // why the room of this zone is for others, or ""
+	predicted       time.Duration
 }
 
 // askDispatcher asks the dispatcher of this zone for a group. It reports false if
@@ -78,11 +83,14 @@
 		return dispatcherChoice{}, false
 	case placement.Endpoint == "":
 		klog.InfoS("dispatcher_has_no_room", "request", c.r.Info.ID, "predicted", placement.Predicted, "elsewhere", placement.AlternativeZone,
-			"limited_for", placement.LimitedFor, "promised", placement.RetryAfter)
+			"limited_for", placement.LimitedFor, "promised", placement.RetryAfter, "ticket", ticket, "reason", placement.Reason)
 		// A reply with neither a prediction nor a rate limit means that the
 		// dispatcher's view has no group in this zone. Views differ briefly, so the
 		// view of this node may have one.
-		return dispatcherChoice{alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor, retryAfter: placement.RetryAfter}, placement.Predicted > 0 || placement.LimitedFor > 0
+		return dispatcherChoice{
+			alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor, retryAfter: placement.RetryAfter,
+			reason: placement.Reason, predicted: placement.Predicted,
+		}, placement.Predicted > 0 || placement.LimitedFor > 0
 	}
 	now = time.Now()
 	placed, usable := c.placedEndpoint(now, placement, req)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/fleet"
 )
@@ -201,3 +202,14 @@
 	require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, "/stream/x")).status, "there is another place")
 	require.Equal(t, 1, s.promiser.placed)
 }
+
+// The dispatcher keeps the room of its zone for others. The caller is told so.
+func TestStreamIsRefusedForTheReasonOfItsDispatcher(t *testing.T) {
+	s := newFixture(t)
+	s.remoteGroup("a", "a1", 0)
+	s.placer.hasDispatcher, s.placer.offers, s.placer.reason = true, map[string]string{"a": ""}, redwinghall.LimitAccount
+	got := s.do(s.request(http.MethodPost, "/stream/x"))
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, redwinghall.LimitAccount)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
