Dispatchers ask each other for room, and send streams on loan

Where more than one zone has a dispatcher and more than one serves the model, the dispatcher asks other zones for room (Lend), names a zone with a loan for a stream that finds none at home, and the lender's Reserve spends it. Zones of few nodes, deployments of one zone and models of one zone keep the old decision. An older node answers Lend with an error: each stream asks that zone as before.

The price of a KiB over a border is lend.price_ms_per_kib in the settings.

Left: the dispatcher's own callers choose as before; a loan goes by the declared length of answers.

--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -26,8 +26,11 @@
 	Processor                   float64 // cores of the VM that this node may use
 	MemoryBytes                 int64
 	FileDescriptors             int
-	Heartbeat                   time.Duration // interval at which an endpoint rewrites its entry
-	Bounds                      Bounds
+	// ZonePrice is the price of a KiB that crosses the border of a zone, as the time by which a
+	// caller has to be served sooner for it; 0 for the usual one.
+	ZonePrice time.Duration
+	Heartbeat time.Duration // interval at which an endpoint rewrites its entry
+	Bounds    Bounds
 }
 
 // Bounds are the operators' limits on how the whole deployment behaves.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,6 +54,9 @@
 	asked  []string
 	// alternativeZone is the zone that the dispatcher names if it has no capacity.
 	alternativeZone string
+	// onLoan means that alternativeZone lent room; askedOnLoan holds the zones that were asked for it.
+	onLoan      bool
+	askedOnLoan []string
 	// hasDispatcher is true if another node chooses groups for this zone.
 	hasDispatcher bool
 	// onPlace is called while a zone is asked; it may be nil.
@@ -62,13 +65,16 @@
 
 func (p *fakePlacer) HasDispatcher(time.Time) bool { return p.hasDispatcher }
 
-func (p *fakePlacer) Place(_ context.Context, zone string, _ fleet.PlacementRequest) (fleet.Placement, bool) {
+func (p *fakePlacer) Place(_ context.Context, zone string, request fleet.PlacementRequest) (fleet.Placement, bool) {
 	p.asked = append(p.asked, zone)
+	if request.OnLoan {
+		p.askedOnLoan = append(p.askedOnLoan, zone)
+	}
 	if p.onPlace != nil {
 		p.onPlace()
 	}
 	id, ok := p.offers[zone]
-	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone}, ok
+	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone, OnLoan: p.onLoan}, ok
 }
 
 func engine() *fleet.Engine {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -148,6 +148,21 @@
 // said that it leaves or asked this node to send nothing.
 func (m *Metrics) ChoiceDropped() { m.count("choice_dropped") }
 
+// RoomAsked counts a message by which this node's zone asked another one for room.
+func (m *Metrics) RoomAsked() { m.count("room.asked") }
+
+// RoomWished counts a wish of another zone for room, by whether anything was lent.
+func (m *Metrics) RoomWished(lent bool) {
+	if lent {
+		m.count("room.lent")
+		return
+	}
+	m.count("room.not_lent")
+}
+
+// LeftZone counts a stream that found no room in its zone, by how it left, if it did.
+func (m *Metrics) LeftZone(exit string) { m.count("left_zone." + exit) }
+
 // EndpointLeaving counts an endpoint that stated in a response that it leaves.
 func (m *Metrics) EndpointLeaving() { m.count("endpoint_leaving") }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -21,6 +21,8 @@
 	switch {
 	case placement.choice != nil:
 		return *placement.choice, nil
+	case placement.onLoan:
+		return c.chooseOnLoan(ctx, heads, placement.alternativeZone, req)
 	case answered:
 		req = req.WithOnlyZone(heads, placement.alternativeZone)
 		req.LimitedFor = placement.limitedFor
@@ -34,6 +36,22 @@
 	choice          *balance.Choice
 	alternativeZone string
 	limitedFor      time.Duration
+	onLoan          bool // alternativeZone has lent room, which the stream takes
+}
+
+// chooseOnLoan asks a zone that lent room for a group. Without room there, the stream goes to
+// no further zone: it has spent its loan.
+func (c *streamCall) chooseOnLoan(ctx context.Context, heads []*fleet.Endpoint, zone string, req balance.Request) (balance.Choice, *balance.Refusal) {
+	request := c.placementRequest(heads, req)
+	request.OnLoan = true
+	placement, answered := c.g.Placer.Place(ctx, zone, request)
+	now := time.Now()
+	placed, usable := c.placedEndpoint(now, placement, req)
+	klog.InfoS("stream_on_loan", "request", c.r.Info.ID, "zone", zone, "answered", answered, "endpoint", placement.Endpoint, "predicted", placement.Predicted)
+	if answered && usable {
+		return c.acceptPlacement(now, placed, req, placement), nil
+	}
+	return c.chooseByZones(ctx, now, heads, req.WithOnlyZone(heads, ""))
 }
 
 // askDispatcher asks the dispatcher of this zone for a group. It reports false if
@@ -52,11 +70,13 @@
 		return dispatcherChoice{}, false
 	case placement.Endpoint == "":
 		klog.InfoS("dispatcher_has_no_room", "request", c.r.Info.ID, "predicted", placement.Predicted, "elsewhere", placement.AlternativeZone,
-			"limited_for", placement.LimitedFor)
+			"on_loan", placement.OnLoan, "limited_for", placement.LimitedFor)
 		// A reply with neither a prediction nor a rate limit means that the
 		// dispatcher's view has no group in this zone. Views differ briefly, so the
 		// view of this node may have one.
-		return dispatcherChoice{alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor}, placement.Predicted > 0 || placement.LimitedFor > 0
+		return dispatcherChoice{
+			alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor, onLoan: placement.OnLoan,
+		}, placement.Predicted > 0 || placement.LimitedFor > 0
 	}
 	now = time.Now()
 	placed, usable := c.placedEndpoint(now, placement, req)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -150,3 +150,32 @@
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 }
+
+// The dispatcher has no room, and another zone lent some: the stream takes it. If that zone
+// has none left, or doesn't answer, the stream goes over no further border.
+func TestStreamOnLoan(t *testing.T) {
+	for name, c := range map[string]struct {
+		offers map[string]string
+		status int
+		served string
+	}{
+		"it is placed":        {map[string]string{"a": "", "b": "b1", "c": "c1"}, 200, "b1"},
+		"its room was needed": {map[string]string{"a": "", "b": "", "c": "c1"}, 503, ""},
+		"no reply":            {map[string]string{"a": "", "c": "c1"}, 503, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t)
+			s.remoteGroup("b", "b1", 0)
+			s.remoteGroup("c", "c1", 0)
+			s.placer.hasDispatcher, s.placer.offers, s.placer.alternativeZone, s.placer.onLoan = true, c.offers, "b", true
+			got := s.do(s.request(http.MethodPost, "/stream/x"))
+			require.Equal(t, c.status, got.status)
+			require.Equal(t, c.served, got.header.Get("Served-By"))
+			require.Equal(t, []string{"b"}, s.placer.askedOnLoan)
+			require.NotContains(t, s.placer.asked, "c")
+			if c.status != http.StatusOK {
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -226,3 +227,38 @@
 	require.NoError(t, client.Suspect(ctx, address, "e1"))
 	require.Equal(t, []string{"e1"}, o.suspected)
 }
+
+// A zone asks another one for room, and gets what that one lends; wishes that it doesn't grant
+// have no loan.
+func TestLend(t *testing.T) {
+	wishes := []redwinghall.RoomWish{
+		{Service: "llm", Model: "large", Urgency: 1, Objective: 300 * time.Millisecond, Streams: 20, Gain: 250 * time.Millisecond},
+		{Service: "llm", Model: "small", Streams: 7},
+	}
+	want := redwinghall.RoomLoan{Service: "llm", Model: "large", Urgency: 1, Streams: 12, Lasts: 1500 * time.Millisecond}
+	var asked []redwinghall.RoomWish
+	server := httptest.NewServer(neighbor.NewHandler(neighbor.ServerConfig{
+		Lend: func(_ time.Time, borrower string, wish redwinghall.RoomWish) redwinghall.RoomLoan {
+			require.Equal(t, "a", borrower)
+			asked = append(asked, wish)
+			if wish.Model == "large" {
+				return want
+			}
+			return redwinghall.RoomLoan{}
+		},
+	}))
+	defer server.Close()
+	loans, err := neighbor.NewClient().Lend(context.Background(), server.Listener.Addr().String(), "a", wishes)
+	require.NoError(t, err)
+	require.Equal(t, []redwinghall.RoomLoan{want}, loans)
+	require.Equal(t, wishes, asked)
+}
+
+// A node of a version that doesn't know of loans must answer with an error, and not like a zone
+// that lends nothing.
+func TestLendAtOlderNode(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	_, err := neighbor.NewClient().Lend(context.Background(), server.Listener.Addr().String(), "a", nil)
+	require.Error(t, err)
+}
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -61,6 +61,7 @@
 		Mirror: n.source.Mirror, Loads: n.loads, Suspect: n.manager.ReportStall,
 		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads,
 		Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving, Quarantine: n.quarantine,
+		Lend: n.lendRoom,
 	})
 	return &http.Server{
 		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout,
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"redwinghall/formation"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
+	"redwinghall/lend"
 	"redwinghall/members"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
@@ -74,7 +75,9 @@
 	paths   *reach.Table
 	// quarantine holds the parts of prompts under which endpoints ended. quarantineKnown is closed once
 	// another node has sent its evidence on them.
-	quarantine      *quarantine.Table
+	quarantine *quarantine.Table
+	// book holds what this zone borrows and lends, if this node dispatches.
+	book            *lend.Book
 	quarantineKnown chan struct{}
 	quarantineHeard sync.Once
 	callers         net.Listener
@@ -98,6 +101,7 @@
 		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
 		quarantine: quarantine.NewTable(), quarantineKnown: make(chan struct{}),
 	}
+	n.book = newBook(n)
 	n.source = relay.NewSource(relay.Config{
 		Store: store, PeerClient: n.neighbors, Self: s.Node, Peers: n.peers, RemotePeers: n.remotePeers, Leader: n.leader, EqualFor: equalFor,
 	})
@@ -175,6 +179,7 @@
 	n.manager.Start(g)
 	n.startSharing(g)
 	n.startZoneSharing(g)
+	n.startBorrowing(g)
 	n.startQuarantine(g)
 	n.startPathProbes(g)
 	n.startRechecks(g)
@@ -185,6 +190,7 @@
 	})
 	g.Every("forget", forgetInterval, func(_ context.Context, now time.Time) {
 		n.tracker.Forget(now)
+		n.book.Forget(now)
 		n.paths.Forget(now)
 		n.quarantine.Forget(now)
 	})
--- a/node/placement.go
+++ b/node/placement.go
@@ -109,7 +109,13 @@
 		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), IsDispatcher: n.dispatches(now), Resumed: request.Resumed,
 		PermitShare: n.permitShare(n.settings.Zone), Urgency: request.Urgency, Account: request.Account, ExpectedAnswer: request.Answer,
 	}
+	if request.Ticket == 0 && !n.mayTakeRoom(now, heads, request) {
+		return fleet.Placement{}, true
+	}
 	choice, refused := n.tracker.Reserve(now, heads, view.ZonesOut, req, balance.Requester{Node: request.Node, Ticket: request.Ticket})
+	if request.Ticket > 0 {
+		n.book.Record(now, streamOf(req, 0), refused == nil)
+	}
 	if refused == nil {
 		return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted, Permitted: choice.Permitted}, true
 	}
@@ -118,7 +124,7 @@
 		placement.LimitedFor = refused.RetryAfter
 	}
 	if request.Ticket > 0 { // otherwise the requesting node is in another zone and asks the remaining zones itself
-		placement.AlternativeZone = n.tracker.AlternativeZone(now, heads, view.ZonesOut, req)
+		placement.AlternativeZone, placement.OnLoan = n.leave(now, heads, view.ZonesOut, req, refused.Predicted)
 	}
 	return placement, true
 }
