--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -26,8 +26,12 @@
 	Processor                   float64 // cores of the VM that this node may use
 	MemoryBytes                 int64
 	FileDescriptors             int
-	Heartbeat                   time.Duration // interval at which an endpoint rewrites its entry
-	Bounds                      Bounds
+	// ZonePrice is the price of a KiB that crosses the border of a zone, as the time by which a
+	// caller has to be served sooner for it. If it is 0, zones lend each other no room, and each
+	// stream without room in its own zone asks the one that looks emptiest.
+	ZonePrice time.Duration
+	Heartbeat time.Duration // interval at which an endpoint rewrites its entry
+	Bounds    Bounds
 }
 
 // Bounds are the operators' limits on how the whole deployment behaves.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -59,6 +59,9 @@
 	alternativeZone string
 	// reason is why the dispatcher keeps its zone's room for others, or "".
 	reason string
+	// onLoan means that alternativeZone lent room; askedOnLoan holds the zones that were asked for it.
+	onLoan      bool
+	askedOnLoan []string
 	// hasDispatcher is true if another node chooses groups for this zone.
 	hasDispatcher bool
 	// retryAfter is when the dispatcher keeps a place for the caller, if it has no capacity.
@@ -72,11 +75,16 @@
 
 func (p *fakePlacer) Place(_ context.Context, zone string, request fleet.PlacementRequest) (fleet.Placement, bool) {
 	p.asked, p.requests = append(p.asked, zone), append(p.requests, request)
+	if request.OnLoan {
+		p.askedOnLoan = append(p.askedOnLoan, zone)
+	}
 	if p.onPlace != nil {
 		p.onPlace()
 	}
 	id, ok := p.offers[zone]
-	return fleet.Placement{Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone, RetryAfter: p.retryAfter, Reason: p.reason}, ok
+	return fleet.Placement{
+		Endpoint: id, Predicted: 100 * time.Millisecond, AlternativeZone: p.alternativeZone, RetryAfter: p.retryAfter, Reason: p.reason, OnLoan: p.onLoan,
+	}, ok
 }
 
 func engine() *fleet.Engine {
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -63,6 +63,7 @@
 		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads, OnStreams: n.onStreams,
 		Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving, Quarantine: n.quarantine,
 		OnUses: n.onUses, UsesFor: n.usesFor,
+		Lend: n.lendRoom,
 	})
 	return &http.Server{
 		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout,
--- a/node/placement.go
+++ b/node/placement.go
@@ -101,33 +101,58 @@
 	if !ok {
 		return fleet.Placement{}, false
 	}
-	tried := map[string]bool{}
-	for _, id := range request.Tried {
-		tried[id] = true
+	n.recordRequester(now, request)
+	heads := view.Heads(request.Service, request.Model)
+	if request.Ticket == 0 && !n.mayTakeRoom(now, heads, request) {
+		return fleet.Placement{}, true
+	}
+	promises := promiser{n}
+	req := promises.WithKept(now, n.reservationRequest(now, service, model, request))
+	choice, refused := n.tracker.Reserve(now, heads, view.ZonesOut, req, balance.Requester{Node: request.Node, Ticket: request.Ticket})
+	if request.Ticket > 0 && n.settings.ZonePrice > 0 {
+		n.book.Record(now, streamOf(req, 0), refused == nil)
 	}
+	if refused == nil {
+		promises.Placed(now, req)
+		return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted, Permitted: choice.Permitted}, true
+	}
+	placement := n.refusedPlacement(request, refused)
+	if request.Ticket > 0 { // otherwise the requesting node is in another zone and asks the remaining zones itself
+		placement.AlternativeZone, placement.OnLoan = n.leave(now, heads, view.ZonesOut, req, refused.Predicted)
+		if placement.AlternativeZone == "" && refused.Reason == balance.Overloaded {
+			placement.RetryAfter = promises.Promise(now, heads, req, request.Left)
+		}
+	}
+	return placement, true
+}
+
+// recordRequester records what a node's request tells about endpoints.
+func (n *Node) recordRequester(now time.Time, request fleet.PlacementRequest) {
 	for _, id := range request.InBackoff {
-		tried[id] = true
 		n.tracker.RecordFailureReport(now, id, request.Node)
 	}
-	for _, id := range request.InRetryAfter {
-		tried[id] = true
-	}
 	if request.Ticket > 0 { // otherwise the requesting node's zone reports them
 		n.tracker.RecordRejecting(now, request.InRetryAfter)
 	}
-	heads := view.Heads(request.Service, request.Model)
-	req := balance.Request{
+}
+
+// reservationRequest returns the inputs of the choice for another node's stream.
+func (n *Node) reservationRequest(now time.Time, service fleet.Service, model fleet.Model, request fleet.PlacementRequest) balance.Request {
+	tried := map[string]bool{}
+	for _, ids := range [][]string{request.Tried, request.InBackoff, request.InRetryAfter} {
+		for _, id := range ids {
+			tried[id] = true
+		}
+	}
+	return balance.Request{
 		Service: service, Model: model, Zone: n.settings.Zone, Prompt: request.Prompt, Objective: request.Objective, Tried: tried,
 		Node: n.settings.Node, Nodes: len(n.table.Nodes()), ZoneNodes: len(n.peers()), IsDispatcher: n.dispatches(now), Resumed: request.Resumed,
 		PermitShare: n.permitShare(n.settings.Zone), Urgency: request.Urgency, Account: request.Account, ExpectedAnswer: request.Answer,
 	}
-	promises := promiser{n}
-	req = promises.WithKept(now, req)
-	choice, refused := n.tracker.Reserve(now, heads, view.ZonesOut, req, balance.Requester{Node: request.Node, Ticket: request.Ticket})
-	if refused == nil {
-		promises.Placed(now, req)
-		return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted, Permitted: choice.Permitted}, true
-	}
+}
+
+// refusedPlacement returns the reply to a request for which this zone has no room.
+func (n *Node) refusedPlacement(request fleet.PlacementRequest, refused *balance.Refusal) fleet.Placement {
 	placement := fleet.Placement{Predicted: refused.Predicted, Reason: refused.Limit.Reason}
 	if placement.Reason != "" {
 		n.recordRoomRefused(request, refused)
@@ -135,11 +160,5 @@
 	if refused.Reason == balance.Limited {
 		placement.LimitedFor = refused.RetryAfter
 	}
-	if request.Ticket > 0 { // otherwise the requesting node is in another zone and asks the remaining zones itself
-		placement.AlternativeZone = n.tracker.AlternativeZone(now, heads, view.ZonesOut, req)
-		if placement.AlternativeZone == "" && refused.Reason == balance.Overloaded {
-			placement.RetryAfter = promises.Promise(now, heads, req, request.Left)
-		}
-	}
-	return placement, true
+	return placement
 }
