--- a/balance/choose.go
+++ b/balance/choose.go
@@ -179,16 +179,25 @@
 	case best == nil:
 		return Choice{}, l.refusal()
 	}
-	if !request.Resumed && best.predicted > latest {
-		again := t.tryAgain(now, best, request, latest, Request.evaluateGroup)
-		if again == nil {
-			return Choice{}, lateRefusal(now, best, request)
-		}
-		best = again
+	best, refused := t.inTime(now, best, request, latest)
+	if refused != nil {
+		return Choice{}, refused
 	}
 	return t.startChosen(now, best, request), nil
 }
 
+// inTime returns the best candidate of a stream if it is in time, or if the stream is worth a
+// test whether its group is fast again; otherwise the refusal. The lock is held.
+func (t *Tracker) inTime(now time.Time, best *candidate, request Request, latest time.Duration) (*candidate, *Refusal) {
+	if request.Resumed || best.predicted <= latest {
+		return best, nil
+	}
+	if again := t.tryAgain(now, best, request, latest, Request.evaluateGroup); again != nil {
+		return again, nil
+	}
+	return nil, lateRefusal(now, best, request)
+}
+
 // latestStart returns the latest predicted time to the first event, or to the answer of a plain
 // service, with which a request is accepted.
 func latestStart(objective time.Duration) time.Duration {
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -50,13 +50,10 @@
 	if best == nil {
 		return Choice{}, l.refusal()
 	}
-	if latest := request.latestReserved(); !request.Resumed && best.predicted > latest {
-		again := t.tryAgain(now, best, request, latest, Request.evaluateGroup)
-		if again == nil {
-			t.recordRefused(l, best, requester)
-			return Choice{}, lateRefusal(now, best, request)
-		}
-		best = again
+	best, refused := t.inTime(now, best, request, request.latestReserved())
+	if refused != nil {
+		t.recordRefused(l, l.best, requester)
+		return Choice{}, refused
 	}
 	if l.leavesKept(t, heads) {
 		t.recordRefused(l, best, requester)
