Memory: three faults at the edges of reading answers on

Found by reading. A write to a caller that had gone was ended without a look at whether its request had ended meanwhile: the connection may carry the next request, whose answer would be cut. The record that nothing is read of an answer could be set just after the write that it belongs to had ended: it then stayed until the next write, and a group that stalls in between was not seen. A control call that found no memory for its body was answered as unusable, though the node was only busy; the test shows that one, it fails without the change. The first two are races of a few instructions, without a test of their own.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -127,6 +127,10 @@
 		return
 	}
 	body, err := readBody(w, in, maxControlBytes, call)
+	if errors.Is(err, errBodyMemory) {
+		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		return
+	}
 	if err != nil {
 		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
 		return
--- a/gateway/forwarded_memory_test.go
+++ b/gateway/forwarded_memory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall/directory"
 	"redwinghall/neighbor"
 	"redwinghall/platform/platformtest"
 	"redwinghall/rwhtest/logtest"
@@ -49,6 +50,25 @@
 	require.Eventually(t, func() bool { return s.held()["bodies"] == 0 && s.held()["requests"] == 0 }, time.Second, time.Millisecond)
 }
 
+// A control call that finds no memory doesn't make its endpoint pass for unusable.
+func TestForwardedControlCallFindsNoMemory(t *testing.T) {
+	log := logtest.Open(t)
+	s, sent := newHeldFixture(t, 4<<20)
+	desk := s.config.Services["desk"]
+	desk.HealthPath = "/health"
+	s.config.Services["desk"] = desk
+	s.cache.Apply(time.Now(), directory.Change{Config: s.config})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://e1/health", bytes.NewReader(make([]byte, 600<<10)))
+	require.NoError(t, err)
+	response, outcome, err := neighbor.NewForwardClient().Send(t.Context(), s.forwardServer().Listener.Addr().String(),
+		neighbor.Forward{Kind: neighbor.ForwardControl, Endpoint: "e1", Node: "n2", Timeout: requestTimeout}, r)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, neighbor.Busy, outcome)
+	require.Zero(t, sent.Load())
+	requireLine(t, log, "not_forwarded", `why="memory"`)
+}
+
 // A node whose caller takes nothing doesn't take what is forwarded to it. The answer is read on and delivered late.
 func TestForwardedAnswerIsReadOn(t *testing.T) {
 	s, _ := newHeldFixture(t, largeVM)
--- a/gateway/slow_caller.go
+++ b/gateway/slow_caller.go
@@ -167,7 +167,7 @@
 	stopped := callerStopped(now, a.r.Deadline, took)
 	if stopped || a.r.callerLeft() {
 		klog.InfoS("write_ended", "request", a.r.Info.ID, "took", took, "left", a.r.Left(now), "stopped", stopped)
-		_ = a.caller.SetWriteDeadline(now) // fails only if the connection is closed
+		a.endWriteAt(now)
 		return
 	}
 	if a.beginReading() {
@@ -177,6 +177,16 @@
 	}
 }
 
+// endWriteAt makes the present write fail. After the end of the request the connection may carry another one, whose
+// answer would be cut.
+func (a *aheadBody) endWriteAt(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.closed && a.writingSince.Load() != 0 {
+		_ = a.caller.SetWriteDeadline(now) // fails only if the connection is closed
+	}
+}
+
 // callerStopped reports whether a caller that has taken nothing for some time counts as stopped. Before its time is
 // over it never does.
 func callerStopped(now, deadline time.Time, took time.Duration) bool {
@@ -225,7 +235,7 @@
 		a.taken = 0
 	}
 	if len(a.ahead) == cap(a.ahead) && !a.grow() {
-		a.events.unread.Store(a.writingSince.Load() != 0)
+		a.recordUnread()
 		a.endReading()
 		a.g.logMemoryRefused(a.r, heldAnswer, len(a.ahead))
 		return nil
@@ -233,6 +243,15 @@
 	return a.ahead[len(a.ahead):cap(a.ahead)]
 }
 
+// recordUnread records that nothing is read while the caller is written to. A write that ends meanwhile may not have seen
+// the record, which would hide a stalled endpoint from then on.
+func (a *aheadBody) recordUnread() {
+	a.events.unread.Store(true)
+	if a.writingSince.Load() == 0 {
+		a.events.unread.Store(false)
+	}
+}
+
 // store keeps the n bytes that were read into the space, and reports whether to read on.
 func (a *aheadBody) store(now time.Time, n int, err error) bool {
 	a.mu.Lock()
