--- a/configcheck/check_test.go
+++ b/configcheck/check_test.go
@@ -77,6 +77,12 @@
 		{"fewer connections than slots", func(c *fleet.Configuration) {
 			withModels(c, func(s *fleet.Service) { s.MaxConnections = 5 })
 		}, "error: service models: an endpoint accepts 5 connections"},
+		{"less memory than a request needs", func(c *fleet.Configuration) {
+			withModels(c, func(s *fleet.Service) { s.Engine.CacheTokens = 999 })
+		}, "error: service models: a group holds 999 tokens and a request of mean length has 1000"},
+		{"as much memory as a request needs", func(c *fleet.Configuration) {
+			withModels(c, func(s *fleet.Service) { s.Engine.CacheTokens = 1000 })
+		}, ""},
 		{"model twice", func(c *fleet.Configuration) {
 			withModels(c, func(s *fleet.Service) { s.Engine.Models = append(s.Engine.Models, s.Engine.Models[0]) })
 		}, "error: service models: model m stands there twice"},
--- a/configcheck/service.go
+++ b/configcheck/service.go
@@ -45,6 +45,9 @@
 	if e.Step <= 0 || e.ReadPerSecond <= 0 {
 		f.warning(subject, "its engine has no time for a step or for the reading of a prompt, so no response can be predicted to be late")
 	}
+	if mean := int(e.MeanPromptTokens + e.MeanAnswerTokens); !e.Holds(mean, 0) {
+		f.error(subject, "a group holds %d tokens and a request of mean length has %d, so most are refused as too large", e.CacheTokens, mean)
+	}
 	checkModels(f, subject, e)
 }
 
