Balance: the length of an answer that was read on isn't learned

While a caller takes nothing, its answer's events are recorded as they are read, several at once, so their number says little of the length. Done after Cancel no longer learns. An answer that was read on in part only still is learned too short.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -156,12 +156,14 @@
 	}
 }
 
-// Done ends the attempt, unless it was canceled, and records its result. ok reports whether the request succeeded.
+// Done ends the attempt, unless it was canceled, and records its result. ok reports whether the request succeeded. The length
+// of the answer is learned only if its events were recorded one by one, which those of a canceled attempt may not be.
 func (a *Attempt) Done(now time.Time, ok bool) {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
 	s := a.s
-	if !a.ended {
+	canceled := a.ended
+	if !canceled {
 		a.finish()
 	}
 	failed := 1.0
@@ -169,7 +171,7 @@
 	if ok {
 		failed = 0
 		a.confirm(a.responseTime(now))
-		if a.events > 0 && a.stride > 0 {
+		if a.events > 0 && a.stride > 0 && !canceled {
 			a.t.learnAnswer(a.kind, float64(a.events*a.stride))
 		}
 		s.latency += time.Duration(smoothing * float64(a.responseTime(now)-s.latency))
