Silence and loans: bounds of the targets, other zones' heads, a late answer

Faults, found by reading and shown by tests: one answer to a wish that came late, as by a pause of the asking process, was taken for the length of the way to that zone for good, so that no stream went there any more and it was never asked again. Streams of a node at groups of other zones counted as heads that move, so that the silence of all groups of the zone was told of each.

--- a/gateway/lost_test.go
+++ b/gateway/lost_test.go
@@ -55,7 +55,7 @@
 	require.NoError(t, got.err)
 	require.Equal(t, wholeStream(4), got.body)
 	require.Equal(t, int32(2), s.runs.Load())
-	require.Less(t, time.Since(begun), 600*time.Millisecond)
+	require.Less(t, time.Since(begun), 500*time.Millisecond)
 }
 
 // The news is old: an event has come within the last 0.2 s. The stream stays.
--- a/lend/book.go
+++ b/lend/book.go
@@ -122,7 +122,8 @@
 // zone is what is known about another zone.
 type zone struct {
 	askedAt       time.Time
-	roundTrip     time.Duration
+	answeredAt    time.Time
+	lastRoundTrip time.Duration
 	standingUntil time.Time
 	lends         bool // it has a node that chooses for it
 }
--- a/lend/book_test.go
+++ b/lend/book_test.go
@@ -152,6 +152,16 @@
 	require.Equal(t, lend.Stays, exit)
 }
 
+// An answer came late because this process stood still: the zone is asked again, as the way to it
+// isn't longer than before.
+func TestZoneIsAskedAgainAfterLateAnswer(t *testing.T) {
+	b := rooms{"b": ample}.book("a")
+	recordSecond(b, after(2*time.Second), 50, 50)
+	b.RecordAnswer(after(2*time.Second), after(4*time.Second), b.Ask(after(2*time.Second), others)[0], loans(30), nil)
+	recordSecond(b, after(9*time.Second), 50, 50)
+	require.NotEmpty(t, b.Ask(after(9*time.Second), others))
+}
+
 // The lender's zone is evacuated: it lends nothing, and a loan of before isn't used.
 func TestLenderIsEvacuated(t *testing.T) {
 	g := rooms{}.book("b").Grant(start, "a", wishFor(10, 0))
--- a/lend/borrow.go
+++ b/lend/borrow.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		there := b.Room(now, name, m, a.tightest())
-		gain := Gain(max(own.FirstEvent, a.tightest()), Away{FirstEvent: there.FirstEvent, Age: there.Age, RoundTrip: z.roundTrip})
+		gain := Gain(max(own.FirstEvent, a.tightest()), Away{FirstEvent: there.FirstEvent, Age: there.Age, RoundTrip: z.roundTrip(now)})
 		if there.Free == 0 || !Pays(gain, a.lastStream.Bytes(), b.Price) {
 			continue
 		}
@@ -175,6 +175,16 @@
 	return !now.Before(z.standingUntil) && (z.askedAt.IsZero() || now.Sub(z.askedAt) >= askInterval)
 }
 
+// roundTrip returns the time of the way to the zone and back, 0 if it isn't known. One late answer
+// would keep all streams from the zone for good: nothing is asked where nothing pays, so no further
+// answer would show that the way is short again.
+func (z *zone) roundTrip(now time.Time) time.Duration {
+	if now.Sub(z.answeredAt) >= standingTime {
+		return 0
+	}
+	return z.lastRoundTrip
+}
+
 // lentTo reports whether a zone still has a loan of this one.
 func (a *account) lentTo(now time.Time, zone string) bool {
 	for p, l := range a.lent {
@@ -218,7 +228,7 @@
 		}
 		return
 	}
-	z.roundTrip = now.Sub(sentAt)
+	z.lastRoundTrip, z.answeredAt = now.Sub(sentAt), now
 	wished, granted := map[Model]int{}, map[Model]int{}
 	for _, w := range ask.Wishes {
 		m := Model{w.Service, w.Model}
@@ -268,7 +278,7 @@
 
 func (b *Book) pays(now time.Time, name string, s Stream) bool {
 	there := b.Room(now, name, s.Model, s.Objective)
-	gain := Gain(max(s.Here, s.Objective), Away{FirstEvent: there.FirstEvent, Age: there.Age, RoundTrip: b.zone(name).roundTrip})
+	gain := Gain(max(s.Here, s.Objective), Away{FirstEvent: there.FirstEvent, Age: there.Age, RoundTrip: b.zone(name).roundTrip(now)})
 	return Pays(gain, s.Bytes(), b.Price)
 }
 
--- a/lend/play_load_test.go
+++ b/lend/play_load_test.go
@@ -46,7 +46,7 @@
 	logPlay(t, "lent", lent)
 	requireServedAsEven(t, lent)
 	excess := alone.zones[0].asked - alone.zones[0].inTime
-	perStream := float64(lent.sum(bytesSent)) / float64(lent.sum(sent))
+	perStream := float64(alone.zones[0].bytesAsked) / float64(alone.zones[0].asked)
 	require.Less(t, float64(lent.sum(bytesSent)), 1.2*float64(excess)*perStream)
 	requireOneBorder(t, lent)
 }
--- a/lend/play_test.go
+++ b/lend/play_test.go
@@ -68,7 +68,7 @@
 	book                                           *lend.Book
 	asked, inTime, late, refused                   int
 	sent, received, twice, tickets, unlent, onLoan int
-	bytesSent                                      int
+	bytesAsked, bytesSent                          int
 	asks                                           map[string]int // messages by zone asked
 }
 
@@ -220,6 +220,7 @@
 // place places one stream in its own zone, or in another one.
 func (p *play) place(zone *playedZone, prompt, answer int) {
 	zone.asked++
+	zone.bytesAsked += lend.Stream{Prompt: prompt, Answer: answer}.Bytes()
 	request := p.request(zone.name, prompt)
 	zone.tickets++
 	choice, refused := zone.tracker.Reserve(p.now, p.heads, p.zonesOut(), request, balance.Requester{Node: zone.name, Ticket: uint64(zone.tickets)})
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -59,7 +59,7 @@
 func (n *Node) neighborServer() *http.Server {
 	calls := neighbor.NewHandler(neighbor.ServerConfig{
 		Mirror: n.source.Mirror, Loads: n.loads, Suspect: n.manager.ReportStall,
-		SuspectGroup: n.manager.ReportSilentGroup, OnProgress: n.silences.Set, StillHeads: n.stillHeads.list,
+		SuspectGroup: n.manager.ReportSilentGroup, OnProgress: n.onProgress, StillHeads: n.stillHeads.list,
 		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads, OnStreams: n.onStreams,
 		Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving, Quarantine: n.quarantine,
 		OnUses: n.onUses, UsesFor: n.usesFor,
--- a/node/silence.go
+++ b/node/silence.go
@@ -132,6 +132,19 @@
 	}
 }
 
+// onProgress processes what another node of the zone sees of heads.
+func (n *Node) onProgress(now time.Time, node string, report silence.Report) {
+	view := n.cache.View()
+	n.silences.Set(now, node, report.Of(func(id string) bool {
+		e, ok := view.Endpoints[id]
+		if !ok || e.Zone != n.settings.Zone {
+			return false
+		}
+		_, isHead := paceOf(view.Service, e, 1)
+		return isHead
+	}))
+}
+
 // progress returns what this node sees of the heads of its zone.
 func (n *Node) progress(now time.Time) silence.Report {
 	view := n.cache.View()
--- a/silence/silence.go
+++ b/silence/silence.go
@@ -32,6 +32,23 @@
 	Moving []string
 }
 
+// Of returns what the report says of some heads. A node whose streams at other zones go on would else
+// count as one that sees heads of its own zone move.
+func (r Report) Of(included func(endpoint string) bool) Report {
+	of := Report{Still: map[string]time.Duration{}}
+	for id, still := range r.Still {
+		if included(id) {
+			of.Still[id] = still
+		}
+	}
+	for _, id := range r.Moving {
+		if included(id) {
+			of.Moving = append(of.Moving, id)
+		}
+	}
+	return of
+}
+
 // Head is the head of a group that fell silent for all nodes of the zone.
 type Head struct {
 	Endpoint string
--- a/silence/silence_test.go
+++ b/silence/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,8 +30,8 @@
 	paused func(node int, now time.Time) bool
 	// streams holds the groups at which each node has streams that have begun.
 	streams [][]string
-	// found holds when each group was first found silent.
-	found map[string]time.Duration
+	// found holds when each group was first found silent, lastFound when it was last.
+	found, lastFound map[string]time.Duration
 }
 
 // newPlay returns a play in which each group has 30 streams, spread over the nodes, and sends an event
@@ -39,7 +40,7 @@
 	p := &play{
 		runTime: func(from, to time.Time) time.Duration { return to.Sub(from) },
 		paused:  func(int, time.Time) bool { return false },
-		streams: make([][]string, nodes), found: map[string]time.Duration{},
+		streams: make([][]string, nodes), found: map[string]time.Duration{}, lastFound: map[string]time.Duration{},
 	}
 	random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // a seeded play
 	for g := range groups {
@@ -71,6 +72,7 @@
 			if _, known := p.found[head.Endpoint]; !known {
 				p.found[head.Endpoint] = at
 			}
+			p.lastFound[head.Endpoint] = at
 		}
 	}
 }
@@ -104,7 +106,7 @@
 	p.silentFrom(time.Second, func(_ int, group string) bool { return group == lostGroup })
 	p.run(3 * time.Second)
 	require.Len(t, p.found, 1)
-	require.LessOrEqual(t, p.found[lostGroup], 1300*time.Millisecond+100*time.Millisecond)
+	require.LessOrEqual(t, p.found[lostGroup], time.Second+300*time.Millisecond)
 }
 
 // Beside a group that lost a member another one is slow: its passes take 240 ms, and it goes on.
@@ -189,6 +191,16 @@
 	require.Empty(t, p.found)
 }
 
+// All groups of the zone fall silent, while streams of its nodes at groups of another zone go on.
+func TestStreamsAtOtherZonesSayNothing(t *testing.T) {
+	still := map[string]time.Duration{"own-1": stillAfter, "own-2": stillAfter}
+	report := silence.Report{Still: still, Moving: []string{"other-1", "other-2", "other-3"}}
+	own := func(id string) bool { return strings.HasPrefix(id, "own-") }
+	silent, most := silence.Decide([]silence.Report{report.Of(own), report.Of(own), report.Of(own)})
+	require.Empty(t, silent)
+	require.True(t, most)
+}
+
 // All groups fall silent within 0.2 s, and go on within 0.2 s.
 func TestReturnOfAllSaysNothing(t *testing.T) {
 	for _, lasts := range []time.Duration{400, 500, 600, 800, 1200} {
@@ -204,7 +216,7 @@
 				return steady(node, group, now)
 			}
 			p.run(4 * time.Second)
-			for group, at := range p.found {
+			for group, at := range p.lastFound {
 				require.Less(t, at, time.Second+lasts*time.Millisecond, group) // before any goes on
 			}
 		})
