Loans: room by how long answers are

Cause: room for a second was worked out from the declared length of answers. Where answers are far shorter, a lender with most places free counted 36 streams a second for its groups, while its own callers alone took 290 there, lent nothing, and callers of the other zone were refused beside free places.

The book compares the streams that began in the last second, its own callers' and other zones', with what those in progress would be at the declared length, and counts the room by that factor from 1.5 on. Streams refused don't count.

--- a/balance/zone_room.go
+++ b/balance/zone_room.go
@@ -13,7 +13,10 @@
 	// FirstEvent is the predicted time to the first event in the best group, 0 if there is none.
 	FirstEvent time.Duration
 	// Age is the age of the loads of other zones' nodes.
-	Age time.Duration
+	Age        time.Duration
+	InProgress int // streams that the groups have now
+	// UsualRate is how many streams would begin in each second if those in progress were of usual length.
+	UsualRate float64
 }
 
 // RoomOfZone returns the room of a zone for streams like the request.
@@ -47,6 +50,10 @@
 	if occupied > 0 {
 		r.PerSecond += float64(engine.Slots) / occupied.Seconds()
 	}
+	r.InProgress += c.running
+	if residence := pace.residenceTime(c.running) + time.Duration(c.running)*reading; residence > 0 {
+		r.UsualRate += float64(c.running) / residence.Seconds()
+	}
 	if c.predicted > request.Objective {
 		return r
 	}
--- a/lend/book.go
+++ b/lend/book.go
@@ -33,6 +33,9 @@
 	// FirstEvent is the predicted time to the first event, 0 if no group serves the model.
 	FirstEvent time.Duration
 	Age        time.Duration // of the loads that this is based on
+	InProgress int           // streams that the groups have now
+	// UsualRate is how many streams would begin in each second if those in progress were of usual length.
+	UsualRate float64
 }
 
 // Options are what a Book needs.
@@ -96,6 +99,8 @@
 	wishes      map[party]wish    // of other zones
 	answers     map[string]answer // by zone asked
 	spare       spareLimit
+	received    demand // of other zones
+	shorter     shorter
 }
 
 // wish is what another zone last asked for.
--- a/lend/book_test.go
+++ b/lend/book_test.go
@@ -265,6 +265,33 @@
 	require.LessOrEqual(t, a+c, 225) // a second of the groups, and a quarter of the free places
 }
 
+// Answers are eight times shorter than usual, and the lender's own callers ask for more than its
+// groups would serve of usual length, while most of its places are free.
+func TestShortAnswersLeaveRoomToLend(t *testing.T) {
+	for name, c := range map[string]struct{ asked, inProgress int }{"short": {300, 20}, "usual": {38, 20}} {
+		t.Run(name, func(t *testing.T) {
+			b := rooms{"b": {Free: 80, PerSecond: 180, InProgress: c.inProgress, UsualRate: 36, FirstEvent: 100 * time.Millisecond}}.book("b")
+			for tick := range 60 {
+				recordPart(b, after(time.Duration(tick)*100*time.Millisecond), c.asked/10)
+				b.Ask(after(time.Duration(tick+1)*100*time.Millisecond), nil)
+			}
+			loan := b.Lend(after(6*time.Second), "a", wishFor(1000, 0))
+			if name == "short" {
+				require.Greater(t, loan.Streams, 300)
+				return
+			}
+			require.LessOrEqual(t, loan.Streams, 180+20-c.asked)
+		})
+	}
+}
+
+// recordPart records streams that found room, in the tenth of a second after a time.
+func recordPart(b *lend.Book, from time.Time, placed int) {
+	for i := range placed {
+		b.Record(from.Add(time.Duration(i)*100*time.Millisecond/time.Duration(placed)), stream(0), true)
+	}
+}
+
 // A more urgent wish is granted before a less urgent one.
 func TestUrgentWishesFirst(t *testing.T) {
 	b := rooms{"b": ample}.book("b")
--- a/lend/borrow.go
+++ b/lend/borrow.go
@@ -104,11 +104,10 @@
 
 // askFor adds the wishes for a model.
 func (b *Book) askFor(now time.Time, m Model, a *account, lenders []string, asks map[string]*Ask) {
-	rates := b.rates(now, a)
+	rates, own := b.rates(now, a), b.ownRoom(now, m, a, a.tightest())
 	if rates.asked+rates.missed == 0 {
 		return
 	}
-	own := b.Room(now, b.Zone, m, a.tightest())
 	short := shortBy(rates, own)
 	if short <= 0 {
 		return
--- a/lend/lender.go
+++ b/lend/lender.go
@@ -55,7 +55,7 @@
 	if own := a.tightest(); own > 0 {
 		objective = min(objective, own)
 	}
-	g.Room = b.Room(now, b.Zone, m, objective)
+	g.Room = b.ownRoom(now, m, a, objective)
 	if g.Room.Free == 0 {
 		return g.denied(lenderFull)
 	}
--- a/lend/play_test.go
+++ b/lend/play_test.go
@@ -128,7 +128,7 @@
 			request.Nodes = 2
 		}
 		r := zone.tracker.RoomOfZone(now, p.heads, p.zonesOut(), of, request)
-		return lend.Room{Free: r.Free, PerSecond: r.PerSecond, FirstEvent: r.FirstEvent}
+		return lend.Room{Free: r.Free, PerSecond: r.PerSecond, FirstEvent: r.FirstEvent, InProgress: r.InProgress, UsualRate: r.UsualRate}
 	}})
 	p.zones = append(p.zones, zone)
 }
@@ -268,6 +268,7 @@
 	if choice.Endpoint.Zone != to.name {
 		from.twice++
 	}
+	to.book.RecordReceived(p.now, model)
 	from.sent++
 	if lent {
 		from.onLoan++
--- a/node/gathered_test.go
+++ b/node/gathered_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/kernel"
+	"redwinghall/lend"
 	"redwinghall/platform/platformtest"
 )
 
@@ -97,16 +98,24 @@
 	return float64(served) / float64(max(1, all))
 }
 
+// zonesThatLend names the load under which zones with dispatchers lend each other room.
+const zonesThatLend = "zones that lend"
+
 // For some seconds one node gets most new connections, while endpoints and the other nodes have room.
 func TestNodeThatGetsMostConnectionsServesThem(t *testing.T) {
 	t.Parallel()
 	for name, nodes := range map[string]map[string]int{
-		"zones of few nodes": {"a": 3, "b": 2}, "zones with dispatchers": {"a": 4, "b": 4}, "one zone": {"a": 8},
+		"zones of few nodes": {"a": 3, "b": 2}, "zones with dispatchers": {"a": 4, "b": 4}, "one zone": {"a": 8}, zonesThatLend: {"a": 4, "b": 4},
 	} {
 		for path, method := range map[string]string{"/stream/x": http.MethodPost, "/look/x": http.MethodGet} {
 			t.Run(name+path, func(t *testing.T) {
 				t.Parallel()
-				z := deployZonesOf(t, nodes, gatheredEngines/len(nodes), platformtest.EndpointConfig{Event: 20 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{Work: 100 * time.Millisecond})
+				engine, desk := platformtest.EndpointConfig{Event: 20 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{Work: 100 * time.Millisecond}
+				z := deployZonesVaried(t, nodes, gatheredEngines/len(nodes), engine, desk, func(s *platformtest.NodeSettings) {
+					if name == zonesThatLend {
+						s.ZonePrice = lend.DefaultPrice
+					}
+				})
 				for _, d := range z.nodes {
 					status, _ := d.request(method, path, "warm")
 					require.Equal(t, http.StatusOK, status)
--- a/node/lending.go
+++ b/node/lending.go
@@ -83,7 +83,7 @@
 		req.Nodes, req.PermitShare = 2, 0 // as in Tracker.AlternativeZone
 	}
 	r := n.tracker.RoomOfZone(now, view.Heads(m.Service, m.Name), view.ZonesOut, zone, req)
-	room := lend.Room{Free: r.Free, PerSecond: r.PerSecond, FirstEvent: r.FirstEvent}
+	room := lend.Room{Free: r.Free, PerSecond: r.PerSecond, FirstEvent: r.FirstEvent, InProgress: r.InProgress, UsualRate: r.UsualRate}
 	if zone != n.settings.Zone {
 		room.Age = r.Age + zoneInterval/2
 	}
@@ -131,6 +131,17 @@
 	return s
 }
 
+// recordDemand records that a stream was to be placed here.
+func (n *Node) recordDemand(now time.Time, request fleet.PlacementRequest, req balance.Request, placed bool) {
+	s := streamOf(req, 0)
+	switch {
+	case request.Ticket > 0:
+		n.book.Record(now, s, placed)
+	case placed: // it comes from another zone
+		n.book.RecordReceived(now, s.Model)
+	}
+}
+
 // leave returns the zone for a stream of this zone's callers that finds no room here, "" if
 // there is none, and whether the zone lent room for it.
 func (n *Node) leave(now time.Time, heads []*fleet.Endpoint, zonesOut map[string]bool, req balance.Request, here time.Duration) (zone string, onLoan bool) {
--- a/node/placement.go
+++ b/node/placement.go
@@ -109,8 +109,8 @@
 	promises := promiser{n}
 	req := promises.WithKept(now, n.reservationRequest(now, service, model, request))
 	choice, refused := n.tracker.Reserve(now, heads, view.ZonesOut, req, balance.Requester{Node: request.Node, Ticket: request.Ticket})
-	if request.Ticket > 0 && n.settings.ZonePrice > 0 {
-		n.book.Record(now, streamOf(req, 0), refused == nil)
+	if n.settings.ZonePrice > 0 {
+		n.recordDemand(now, request, req, refused == nil)
 	}
 	if refused == nil {
 		promises.Placed(now, req)
