--- a/lend/play_test.go
+++ b/lend/play_test.go
@@ -68,7 +68,7 @@
 	book                                           *lend.Book
 	asked, inTime, late, refused                   int
 	sent, received, twice, tickets, unlent, onLoan int
-	bytesSent                                      int
+	bytesAsked, bytesSent                          int
 	asks                                           map[string]int // messages by zone asked
 }
 
@@ -128,7 +128,7 @@
 			request.Nodes = 2
 		}
 		r := zone.tracker.RoomOfZone(now, p.heads, p.zonesOut(), of, request)
-		return lend.Room{Free: r.Free, PerSecond: r.PerSecond, FirstEvent: r.FirstEvent}
+		return lend.Room{Free: r.Free, PerSecond: r.PerSecond, FirstEvent: r.FirstEvent, InProgress: r.InProgress, UsualRate: r.UsualRate}
 	}})
 	p.zones = append(p.zones, zone)
 }
@@ -220,6 +220,7 @@
 // place places one stream in its own zone, or in another one.
 func (p *play) place(zone *playedZone, prompt, answer int) {
 	zone.asked++
+	zone.bytesAsked += lend.Stream{Prompt: prompt, Answer: answer}.Bytes()
 	request := p.request(zone.name, prompt)
 	zone.tickets++
 	choice, refused := zone.tracker.Reserve(p.now, p.heads, p.zonesOut(), request, balance.Requester{Node: zone.name, Ticket: uint64(zone.tickets)})
@@ -267,6 +268,7 @@
 	if choice.Endpoint.Zone != to.name {
 		from.twice++
 	}
+	to.book.RecordReceived(p.now, model)
 	from.sent++
 	if lent {
 		from.onLoan++
