--- a/neighbor/still.go
+++ b/neighbor/still.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// stillHeads returns the heads of which the calling node is told.
+// stillHeads returns the still heads for the response to the calling node.
 func (s *Server) stillHeads(now time.Time) []*rpc.StillHead {
 	if s.config.StillHeads == nil {
 		return nil
--- a/node/silence.go
+++ b/node/silence.go
@@ -21,7 +21,7 @@
 	heads map[string]*stillHead
 }
 
-// stillHead is what is known of one such head.
+// stillHead is the state of one such head.
 type stillHead struct {
 	foundAt time.Time
 	at      time.Time // when it was last found to be still
@@ -29,7 +29,7 @@
 	asking  bool // the holder of the lease is being asked
 }
 
-// stillHeadTTL is how long a head is told as still after it was last found to be.
+// stillHeadTTL is how long a head is reported as still after it was last found so.
 const stillHeadTTL = 150 * time.Millisecond
 
 // found records that heads are still, and returns those of which the holder of the lease isn't being asked.
@@ -61,7 +61,7 @@
 	return toAsk
 }
 
-// asked records what the holder of the lease said of a head.
+// asked records the lease holder's answer about a head.
 func (s *stillHeads) asked(now time.Time, id string, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/silence/silence.go
+++ b/silence/silence.go
@@ -16,7 +16,7 @@
 const (
 	// reportTTL is how long a node's report is used. It outlasts one lost report.
 	reportTTL = 250 * time.Millisecond
-	// settleTime is how long nothing is said of any head after most of them stood still: they go on one
+	// settleTime is how long no head is reported after most of them stood still: they go on one
 	// after the other.
 	settleTime = 600 * time.Millisecond
 	// minNodes is how many nodes have to miss events of a head: one node may be parted from it.
