--- a/balance/belief_test.go
+++ b/balance/belief_test.go
@@ -78,7 +78,7 @@
 					carried := c.run(true)
 					t.Logf("loads with each request: %s", carried.belief())
 					require.LessOrEqual(t, float64(carried.believed.counted), beliefFactor*float64(carried.believed.existing))
-					require.GreaterOrEqual(t, 1-carried.share(carried.refused), servedWhileLate)
+					require.Zero(t, carried.refused, "half of the slots are free")
 				})
 			}
 		}
@@ -91,9 +91,5 @@
 		float64(b.existing)/float64(b.decisions), b.excess, p.share(p.refused), p)
 }
 
-const (
-	// beliefFactor is the most streams that the dispatcher may count for each that there is.
-	beliefFactor = 1.1
-	// servedWhileLate is the least share of requests served while reports are late.
-	servedWhileLate = 0.95
-)
+// beliefFactor is the most streams that the dispatcher may count for each that there is.
+const beliefFactor = 1.1
--- a/balance/plain_room_test.go
+++ b/balance/plain_room_test.go
@@ -173,7 +173,7 @@
 			for _, name := range []string{"urgent", "later"} {
 				t.Logf("%s: %s; without admission %s", name, on.burst[name], off.burst[name])
 			}
-			require.Less(t, on.burst["urgent"].refusedShare(), noneInHundred)
+			require.Zero(t, on.burst["urgent"].refused)
 			require.LessOrEqual(t, on.burst["urgent"].refusedShare(), on.burst["later"].refusedShare()+orderSlack)
 		})
 	}
--- a/balance/promised_room_test.go
+++ b/balance/promised_room_test.go
@@ -52,7 +52,7 @@
 // countReturn counts a caller that returned.
 func (p *zoneSimulation) countReturn(c caller, accepted bool) {
 	p.returned.count(c, accepted)
-	if p.fault != "" && c.refusedAt.Sub(start) > p.faultAt+p.faultFor+orderHoldsAgainIn {
+	if p.fault != "" && c.refusedAt.Sub(start) > p.faultAt+orderHoldsAgainIn {
 		p.afterFault.count(c, accepted)
 	}
 }
@@ -155,7 +155,8 @@
 			require.LessOrEqual(t, float64(back.promisedAgain), refusedAgainAtMost*float64(back.promised), "were promised a place")
 			require.GreaterOrEqual(t, with.share(with.inTime), before.share(before.inTime)-inTimeMargin)
 			require.LessOrEqual(t, with.share(with.refused), before.share(before.refused)+0.01)
-			require.Greater(t, float64(back.impatientAgain)/float64(back.impatient), float64(back.promisedAgain)/float64(back.promised), "return at once")
+			require.Greater(t, float64(back.impatientAgain)/float64(back.impatient),
+				float64(back.promisedAgain+back.othersAgain)/float64(back.promised+back.others), "return at once")
 		})
 		t.Run(fmt.Sprintf("burst of %s, all who obey", lasts), func(t *testing.T) {
 			require.LessOrEqual(t, float64(back.promisedAgain+back.othersAgain), refusedAgainAtMost*float64(back.promised+back.others))
--- a/balance/room_load_test.go
+++ b/balance/room_load_test.go
@@ -307,9 +307,6 @@
 // kind is.
 const largeServed = 0.5
 
-// noneInHundred is the share that rounds to none of a hundred.
-const noneInHundred = 0.005
-
 func twoUrgencies(groups int) []askers {
 	each := float64(groups)
 	return []askers{
@@ -330,8 +327,9 @@
 			for _, name := range []string{"urgent", "later"} {
 				t.Logf("%d nodes, %s: %s; without admission %s", size.nodes, name, on.burst[name], off.burst[name])
 			}
-			require.Less(t, on.burst["urgent"].refusedShare(), noneInHundred)
+			require.Zero(t, on.burst["urgent"].refused)
 			require.LessOrEqual(t, on.burst["urgent"].refusedShare(), on.burst["later"].refusedShare()+orderSlack)
+			require.GreaterOrEqual(t, on.burst["urgent"].servedLarge(), largeServed)
 			require.GreaterOrEqual(t, on.burst["later"].servedLarge(), largeServed)
 		}
 	}
@@ -365,6 +363,8 @@
 				t.Logf("%d nodes, %s: %s; without admission %s", size.nodes, name, on.burst[name], off.burst[name])
 			}
 			require.GreaterOrEqual(t, on.burst["steady"].inTimeShare(), ofCalm*on.calm["steady"].inTimeShare())
+			require.GreaterOrEqual(t, on.burst["steady"].servedLarge(), largeServed)
+			require.GreaterOrEqual(t, on.burst["burst"].servedLarge(), largeServed)
 			servedOn += on.burst["steady"].inTime + on.burst["burst"].inTime
 			servedOff += off.burst["steady"].inTime + off.burst["burst"].inTime
 		}
@@ -376,11 +376,11 @@
 // An account that asks alone for far more than there is gets as much as without admission.
 func TestAccountAloneGetsAllRoom(t *testing.T) {
 	load := roomScenario{nodes: 36, groups: 20, askers: twoAccounts(20)[1:], length: 12 * time.Second, burstFrom: 3 * time.Second, burstUntil: 11 * time.Second}
-	on := load.run(1)
+	on := load.runSeeds(4)["burst"]
 	load.off = true
-	off := load.run(1)
-	t.Logf("%s; without admission %s", on.burst["burst"], off.burst["burst"])
-	require.GreaterOrEqual(t, float64(on.burst["burst"].inTime), 0.97*float64(off.burst["burst"].inTime))
+	off := load.runSeeds(4)["burst"]
+	t.Logf("%s; without admission %s", on, off)
+	require.GreaterOrEqual(t, on.inTime, off.inTime)
 }
 
 // floorShare is the share of a model's work that a kind gets if it asks for it.
@@ -416,7 +416,7 @@
 	load.askers[1].times = 1
 	on := load.runSeeds(4)
 	t.Logf("urgent: %s; later: %s", on["urgent"], on["later"])
-	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+	require.Zero(t, on["urgent"].refused)
 }
 
 // Half of the nodes take another node for the dispatcher, and each of the two sees half of
@@ -430,7 +430,7 @@
 	load.off = true
 	off := load.runSeeds(1)
 	t.Logf("urgent: %s; later: %s; without admission %s", on["urgent"], on["later"], off["urgent"])
-	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+	require.Zero(t, on["urgent"].refused)
 	require.LessOrEqual(t, on["urgent"].refusedShare(), on["later"].refusedShare()+orderSlack)
 }
 
@@ -467,7 +467,7 @@
 	load.askers[1].times = 1
 	on := load.runSeeds(4)
 	t.Logf("urgent: %s; later: %s", on["urgent"], on["later"])
-	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
+	require.Zero(t, on["urgent"].refused)
 }
 
 // The nodes of a small zone learn nothing of each other's counts any more.
@@ -478,8 +478,8 @@
 	load.askers[2].perSecond /= 2
 	on := load.runSeeds(4)
 	t.Logf("urgent: %s; steady: %s; later: %s", on["urgent"], on["steady"], on["later"])
-	require.Less(t, on["urgent"].refusedShare(), noneInHundred)
-	require.Less(t, on["steady"].refusedShare(), noneInHundred)
+	require.Zero(t, on["urgent"].refused)
+	require.Zero(t, on["steady"].refused)
 }
 
 // Where the configuration doesn't call for admission, and where room wasn't short and all
