Admission: what others reported is summed up when it comes, not for each decision

At a node that collects the reports of a zone of 300 nodes, each decision whose sums were made anew walked all reports with the lock held: .99 ms every 20 ms, 54 us on average at 1,000 requests a second (target 5 us); and each answer to a report walked them again, 1.1 ms for each of 300 nodes twice a second. Decisions are the same: a report counts for 3 s, and says for 2 s that room is short.

--- a/admission/plan.go
+++ b/admission/plan.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"redwinghall"
 )
 
 // plan is the state of a model's room, summed up for the decisions of a short time.
@@ -59,14 +57,11 @@
 }
 
 // makePlan sums up a model's room as of now.
-func (m *modelRoom) makePlan(now time.Time, key modelKey, reports map[string]report) plan {
-	p := plan{at: now, short: now.Before(m.shortUntil) || anyAbout(now, key, reports, true)}
+func (m *modelRoom) makePlan(now time.Time, key modelKey) plan {
+	p := plan{at: now, short: now.Before(m.shortUntil) || now.Sub(m.reportedAt) < shortTime}
 	for urgency, k := range m.kinds {
 		one := kindPlan{urgency: urgency, objective: k.objective}
-		uses := k.accountUses(now)
-		for _, r := range reports {
-			r.addTo(now, key, urgency, uses)
-		}
+		uses := k.accountUses(now, key.model)
 		for _, u := range uses {
 			one.use = one.use.sum(u.here)
 		}
@@ -81,22 +76,6 @@
 	return p
 }
 
-// anyAbout reports whether other nodes of this zone, or also other zones, reported uses of a
-// model lately, which they do while its room is short for them.
-func anyAbout(now time.Time, key modelKey, reports map[string]report, otherZones bool) bool {
-	for _, r := range reports {
-		if r.otherZone && !otherZones {
-			continue
-		}
-		if now.Sub(r.at) < shortTime && slices.ContainsFunc(r.uses, func(one redwinghall.AccountUse) bool {
-			return one.Service == key.service && one.Model == key.model
-		}) {
-			return true
-		}
-	}
-	return false
-}
-
 // divide finds the accounts that ask for more than they are due.
 func (k *kindPlan) divide(accounts map[string]accountUse) {
 	supply, asked := 0.0, make([]float64, 0, len(accounts))
--- a/admission/room.go
+++ b/admission/room.go
@@ -60,12 +60,16 @@
 	kinds      map[int]*kind // by urgency
 	work       time.Duration // mean of a request
 	shortUntil time.Time
-	plan       plan
+	// reportedAt and zoneReportedAt are when others, or other nodes of this zone, last
+	// reported uses of the model, which they do while its room is short for them.
+	reportedAt, zoneReportedAt time.Time
+	plan                       plan
 }
 
 // kind counts the requests of one urgency.
 type kind struct {
 	accounts   map[string]use
+	reported   map[string]reportedUse // by others
 	askedAt    time.Time
 	objective  time.Duration // the tightest lately
 	tightestAt time.Time
@@ -104,7 +108,8 @@
 		return open
 	}
 	if age := now.Sub(m.plan.at); age < 0 || age >= planInterval {
-		m.plan = m.makePlan(now, key, a.reports)
+		a.expire(now)
+		m.plan = m.makePlan(now, key)
 	}
 	open.Short = m.plan.short
 	limit, before := m.plan.behindUrgent(open, r.Urgency)
@@ -217,19 +222,25 @@
 func (m *modelRoom) kind(urgency int) *kind {
 	k, ok := m.kinds[urgency]
 	if !ok {
-		k = &kind{accounts: map[string]use{}}
+		k = &kind{accounts: map[string]use{}, reported: map[string]reportedUse{}}
 		m.kinds[urgency] = k
 	}
 	return k
 }
 
-// accountUses returns the uses of each account as counted here.
-func (k *kind) accountUses(now time.Time) map[string]accountUse {
+// accountUses returns the uses of each account, as counted here and as reported by others.
+func (k *kind) accountUses(now time.Time, model string) map[string]accountUse {
 	uses := make(map[string]accountUse, len(k.accounts))
 	for name, counted := range k.accounts {
 		u := counted.decayed(now)
 		uses[name] = accountUse{all: u, here: localUse{own: u, known: u}}
 	}
+	for name, more := range k.reported {
+		u := uses[name]
+		u.all = u.all.sum(more.all.decayed(now))
+		u.here.known = u.here.known.sum(more.here(model).decayed(now))
+		uses[name] = u
+	}
 	return uses
 }
 
@@ -237,6 +248,7 @@
 func (a *Room) Forget(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expire(now)
 	for key, m := range a.models {
 		for urgency, k := range m.kinds {
 			for name, u := range k.accounts {
@@ -244,7 +256,7 @@
 					delete(k.accounts, name)
 				}
 			}
-			if len(k.accounts) == 0 && now.Sub(k.askedAt) > forgetAfter {
+			if len(k.accounts) == 0 && len(k.reported) == 0 && now.Sub(k.askedAt) > forgetAfter {
 				delete(m.kinds, urgency)
 			}
 		}
--- a/admission/room_test.go
+++ b/admission/room_test.go
@@ -128,6 +128,34 @@
 	require.Empty(t, second.Limit(now, request("light", 0)).Reason)
 }
 
+// What a node reports takes the place of what it reported before, and it isn't told its own
+// counts again.
+func TestReportReplacesTheLastOne(t *testing.T) {
+	here, there := admission.NewRoom(), admission.NewRoom()
+	record(there, start, time.Second, 100, request("heavy", 0), 3)
+	record(here, start, time.Second, 40, request("own", 0), 3)
+	now := start.Add(time.Second)
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		here.SetReport(now, "n2", false, there.OwnUses(now, 24))
+	}
+	told, uses := there.OwnUses(now, 24), here.ZoneUses(now, 24)
+	require.Len(t, uses, 2)
+	require.InDelta(t, told[0].Asked.Seconds(), uses[0].Asked.Seconds(), 0.001)
+	except := here.UsesExcept(now, "n2", 24)
+	require.Len(t, except, 1)
+	require.Equal(t, "own", except[0].Account)
+	require.Len(t, here.UsesExcept(now, "n3", 24), 2)
+	require.Empty(t, here.PlainUsesExcept(now, "n3", 24))
+	here.SetReport(now, "n2", false, nil)
+	require.Len(t, here.ZoneUses(now, 24), 1)
+	here.SetReport(now, "n2", false, told)
+	now = now.Add(2900 * time.Millisecond)
+	record(here, now, 50*time.Millisecond, 40, request("own", 0), 1)
+	now = now.Add(200 * time.Millisecond)
+	require.Len(t, here.ZoneUses(now, 24), 1, "the report is too old")
+}
+
 func TestReportsAreBoundedAndLargestFirst(t *testing.T) {
 	room := admission.NewRoom()
 	for i := range 100 {
