Tests: callers of one size find their places, free slots are refused to nobody

A promise is known by account, urgency, prompt and hint; ten callers that are alike have one promise between them. A plain service refuses a less urgent request although a worker has free slots and the urgent ones would be in time; the test for streams didn't have a group with free slots, which its comment names: it has now, and passes.

--- a/balance/plain_room_test.go
+++ b/balance/plain_room_test.go
@@ -195,3 +195,23 @@
 		})
 	}
 }
+
+// A worker with free slots starts a request at once, and leaves the urgent ones in time.
+func TestIdleSlotOfPlainServiceIsNeverRefused(t *testing.T) {
+	for running := range plainSlots - 1 {
+		room, tracker := admission.NewRoom(), balance.NewTracker()
+		tracker.Admission = func(string) redwinghall.Admission { return room }
+		urgent := redwinghall.RoomRequest{Service: "desk", Account: "x", Objective: 300 * time.Millisecond, Work: 10 * time.Millisecond, Groups: 1, Deciders: 1}
+		for i := range 400 {
+			room.Record(start.Add(time.Duration(i)*10*time.Millisecond), urgent, i%20 != 0)
+		}
+		now := start.Add(4 * time.Second)
+		tracker.SetOwnZoneLoads(now, map[string]balance.Load{"w": {Requests: running}})
+		worker := &fleet.Endpoint{ID: "w", Service: "desk", Zone: "a", State: fleet.EndpointReady, Slots: plainSlots}
+		later := balance.Request{
+			Service: fleet.Service{Name: "desk"}, Zone: "a", Objective: 800 * time.Millisecond, Nodes: 1, ZoneNodes: 1, Node: "n", Urgency: 2, Account: "y",
+		}
+		_, refusal := tracker.ChoosePlain(now, []*fleet.Endpoint{worker}, nil, later)
+		require.Nil(t, refusal, "%d of %d slots taken", running, plainSlots)
+	}
+}
--- a/balance/room_load_test.go
+++ b/balance/room_load_test.go
@@ -533,6 +533,12 @@
 		askers{objective: 800 * time.Millisecond, account: "y", urgency: 2}, caller{prompt: 2300, answer: 500})
 	_, refusal := tracker.Reserve(now, []*fleet.Endpoint{head("idle", "a", "small")}, nil, later, balance.Requester{Node: "n2", Ticket: 1})
 	require.Nil(t, refusal)
+	for running := 1; running <= 9; running++ {
+		free := head("free"+strconv.Itoa(running), "a", "small")
+		tracker.SetOwnZoneLoads(now, map[string]balance.Load{free.ID: {Requests: running}})
+		_, refusal = tracker.Reserve(now, []*fleet.Endpoint{free}, nil, later, balance.Requester{Node: "n2", Ticket: 1})
+		require.Nil(t, refusal, "%d of 13 slots taken", running)
+	}
 	busy := []*fleet.Endpoint{head("busy", "a", "small")}
 	tracker.SetOwnZoneLoads(now, map[string]balance.Load{"busy": {Requests: 13}})
 	_, refusal = tracker.Reserve(now, busy, nil, later, balance.Requester{Node: "n2", Ticket: 2})
--- a/promise/schedule_test.go
+++ b/promise/schedule_test.go
@@ -104,6 +104,27 @@
 	require.False(t, own, "the first place is no longer kept")
 }
 
+// Callers of one account often ask for the same size. Each is told a time of its own, and
+// finds its place then.
+func TestCallersOfOneSizeEachFindTheirPlaces(t *testing.T) {
+	var s promise.Schedule
+	var waits []time.Duration
+	for range 10 {
+		wait, ok := s.Give(start, model, caller(0), interval, promise.Latest)
+		require.True(t, ok)
+		waits = append(waits, wait)
+	}
+	refused := 0
+	for _, wait := range waits {
+		if _, own := s.Kept(start.Add(wait), model, caller(0)); !own {
+			refused++
+			continue
+		}
+		s.Take(start.Add(wait), model, caller(0))
+	}
+	require.LessOrEqual(t, refused, 1, "one in ten")
+}
+
 // Room for less urgent callers must not keep more urgent ones out.
 func TestLessUrgentPlacesAreNotKeptFromMoreUrgentCallers(t *testing.T) {
 	var s promise.Schedule
