--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,7 +173,7 @@
 // promises none.
 type fakePromiser struct {
 	wait   time.Duration
-	placed int
+	placed atomic.Int32
 	kept   int
 }
 
@@ -181,7 +182,7 @@
 	return request
 }
 
-func (p *fakePromiser) Placed(time.Time, balance.Request) { p.placed++ }
+func (p *fakePromiser) Placed(time.Time, balance.Request) { p.placed.Add(1) }
 
 func (p *fakePromiser) Promise(_ time.Time, _ []*fleet.Endpoint, _ balance.Request, left time.Duration) time.Duration {
 	return min(p.wait, left)
@@ -200,7 +201,7 @@
 	require.Equal(t, "0.777", got.header.Get("Retry-After"))
 	s.promiser.kept = 1
 	require.Equal(t, http.StatusOK, s.do(s.request(http.MethodPost, "/stream/x")).status, "there is another place")
-	require.Equal(t, 1, s.promiser.placed)
+	require.Equal(t, int32(1), s.promiser.placed.Load())
 }
 
 // The dispatcher keeps the room of its zone for others. The caller is told so.
