--- a/node/room.go
+++ b/node/room.go
@@ -49,35 +49,31 @@
 	return n.room
 }
 
-// servicesWithOrder returns the services whose requests have more than one urgency or more
-// than one client account.
+// servicesWithOrder returns the services whose routes have more than one priority. Elsewhere
+// the configuration names no order in which the requests of a service go, and keeping room
+// for some accounts would only leave places empty that others could use.
 func servicesWithOrder(config *fleet.Configuration) map[string]bool {
 	services := map[string]bool{}
 	if config == nil {
 		return services
 	}
 	for name := range config.Services {
-		services[name] = len(config.Accounts) > 1 || len(urgenciesOf(config, name)) > 1
+		services[name] = len(prioritiesOf(config, name)) > 1
 	}
 	return services
 }
 
-// urgenciesOf returns the urgencies of a service's requests.
-func urgenciesOf(config *fleet.Configuration, service string) map[int]bool {
-	urgencies := map[int]bool{}
+// prioritiesOf returns the priorities of a service's routes.
+func prioritiesOf(config *fleet.Configuration, service string) map[int]bool {
+	priorities := map[int]bool{}
 	for _, route := range config.Routes {
 		for _, share := range route.Split {
 			if share.Service == service {
-				urgencies[route.Priority] = true
+				priorities[route.Priority] = true
 			}
 		}
 	}
-	for _, account := range config.Accounts {
-		if account.HasPriority && len(urgencies) > 0 {
-			urgencies[account.Priority] = true
-		}
-	}
-	return urgencies
+	return priorities
 }
 
 // onUses stores what client accounts use at another node of this zone, or in another zone.
