--- a/balance/model_state.go
+++ b/balance/model_state.go
@@ -22,7 +22,7 @@
 	maxPromptTokens = 1 << 30
 )
 
-// modelState is what is known of the requests of a model.
+// modelState summarizes the requests of a model.
 type modelState struct {
 	meanPrompt float64 // tokens
 	// Numbers of requests as of at.
--- a/balance/tracker.go
+++ b/balance/tracker.go
@@ -96,7 +96,7 @@
 	mu     sync.Mutex
 	states map[string]*State
 	totals totals
-	// models holds what is known of the requests of each model.
+	// models holds a summary of the requests of each model.
 	models map[requestKind]*modelState
 	// candidates is memory that each lookup uses again.
 	candidates []candidate
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -204,7 +204,7 @@
 	require.Equal(t, int32(1), s.promiser.placed.Load())
 }
 
-// The dispatcher keeps the room of its zone for others. The caller is told so.
+// The dispatcher keeps the room of its zone for others. The refusal names that reason.
 func TestStreamIsRefusedForTheReasonOfItsDispatcher(t *testing.T) {
 	s := newFixture(t)
 	s.remoteGroup("a", "a1", 0)
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -281,7 +281,7 @@
 	require.Equal(t, []string{"e1"}, o.suspected)
 }
 
-// What client accounts use is told to the collecting node and to other zones, and returned
+// The uses of client accounts are reported to the collecting node and to other zones, and returned
 // with the loads of the other nodes.
 func TestUsesOfAccountsAreShared(t *testing.T) {
 	o, client, address := serve(t)
--- a/neighbor/still_test.go
+++ b/neighbor/still_test.go
@@ -14,7 +14,7 @@
 	"redwinghall/silence"
 )
 
-// A node reports heads that are still to the node that collects the loads, is told which are still for all, and asks the
+// A node reports heads that are still to the node that collects the loads, receives those that are still for all, and asks the
 // holder of the lease for a lost member.
 func TestStillHeadsAreTold(t *testing.T) {
 	var seen silence.Report
--- a/node/room.go
+++ b/node/room.go
@@ -16,7 +16,7 @@
 const (
 	// usesInterval is how often a node tells another one what client accounts use.
 	usesInterval = 250 * time.Millisecond
-	// maxUses bounds what is told at a time.
+	// maxUses is the most uses in one report.
 	maxUses = 24
 	// plainUsesInterval and maxPlainUses are the same for the nodes of a large zone, which
 	// choose only among the endpoints of plain services.
--- a/promise/schedule.go
+++ b/promise/schedule.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// soonest is the shortest time after which a refused caller is told to come back.
+	// soonest is the shortest Retry-After of a refused caller.
 	soonest = 300 * time.Millisecond
 	// Latest is the longest such time.
 	Latest = 2 * time.Second
@@ -29,7 +29,7 @@
 // Model names what the promised room is for.
 type Model struct{ Service, Name string }
 
-// Caller is who is told to come back. Each attempt of a caller has an id of its own; its
+// Caller identifies a refused caller. Each attempt of a caller has an id of its own; its
 // account and the size of its request tell it from other callers.
 type Caller struct {
 	Account string
--- a/promise/schedule_test.go
+++ b/promise/schedule_test.go
@@ -104,7 +104,7 @@
 	require.False(t, own, "the first place is no longer kept")
 }
 
-// Callers of one account often ask for the same size. Each is told a time of its own, and
+// Callers of one account often ask for the same size. Each gets a time of its own, and
 // finds its place then.
 func TestCallersOfOneSizeEachFindTheirPlaces(t *testing.T) {
 	var s promise.Schedule
--- a/silence/silence.go
+++ b/silence/silence.go
@@ -32,7 +32,7 @@
 	Moving []string
 }
 
-// Of returns what the report says of some heads. A node whose streams at other zones go on would else
+// Of returns the part of the report that concerns some heads. A node whose streams at other zones go on would else
 // count as one that sees heads of its own zone move.
 func (r Report) Of(included func(endpoint string) bool) Report {
 	of := Report{Still: map[string]time.Duration{}}
