--- a/admission/plan.go
+++ b/admission/plan.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"redwinghall"
 )
 
 // plan is the state of a model's room, summed up for the decisions of a short time.
 type plan struct {
 	at    time.Time
-	total use        // of all kinds
+	total localUse   // of all kinds
 	kinds []kindPlan // the most urgent first
 }
 
@@ -18,12 +20,12 @@
 	urgency   int
 	active    bool          // requests were made within activeTime
 	objective time.Duration // the tightest, 0 if unknown
-	use       use           // in the groups that this node decides on
+	use       localUse
 	// Accounts whose demand is above their due, and the work of the others.
 	accounts map[string]accountPlan
-	within   use
+	within   localUse
 	// below is the part of their due that accounts above it have not got yet.
-	below use
+	below localUse
 }
 
 // accountPlan is what an account that asks for more than its due has.
@@ -48,15 +50,15 @@
 // accountUse is what an account uses of a kind.
 type accountUse struct {
 	all  use // in all zones
-	here use // in the groups that this node decides on
+	here localUse
 }
 
 // makePlan sums up a model's room as of now.
 func (m *modelRoom) makePlan(now time.Time, key modelKey, reports map[string]report) plan {
 	p := plan{at: now}
-	short := now.Before(m.shortUntil)
+	short := now.Before(m.shortUntil) || anyAbout(now, key, reports, true)
 	for urgency, k := range m.kinds {
-		one := kindPlan{urgency: urgency, objective: k.objective, use: use{at: now}}
+		one := kindPlan{urgency: urgency, objective: k.objective}
 		uses := k.accountUses(now)
 		for _, r := range reports {
 			r.addTo(now, key, urgency, uses)
@@ -64,7 +66,7 @@
 		for _, u := range uses {
 			one.use = one.use.sum(u.here)
 		}
-		one.active = now.Sub(k.askedAt) < activeTime || one.use.asked > minReported
+		one.active = now.Sub(k.askedAt) < activeTime
 		if short {
 			one.divide(uses)
 		}
@@ -75,6 +77,22 @@
 	return p
 }
 
+// anyAbout reports whether other nodes of this zone, or also other zones, reported uses of a
+// model lately, which they do while its room is short for them.
+func anyAbout(now time.Time, key modelKey, reports map[string]report, otherZones bool) bool {
+	for _, r := range reports {
+		if r.otherZone && !otherZones {
+			continue
+		}
+		if now.Sub(r.at) < shortTime && slices.ContainsFunc(r.uses, func(one redwinghall.AccountUse) bool {
+			return one.Service == key.service && one.Model == key.model
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
 // divide finds the accounts that ask for more than they are due.
 func (k *kindPlan) divide(accounts map[string]accountUse) {
 	supply, asked := 0.0, make([]float64, 0, len(accounts))
@@ -95,3 +113,9 @@
 		}
 	}
 }
+
+// overAsked returns the work that the accounts ask for which aren't within their due; if
+// accounts weren't compared, that of all.
+func (k *kindPlan) overAsked(deciders float64) float64 {
+	return max(0, k.use.asked(deciders)-k.within.asked(deciders))
+}
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -52,3 +52,27 @@
 	}
 	return max(0, 1-u.given/u.asked)
 }
+
+// localUse is what uses the room that this node gives out.
+type localUse struct {
+	own   use // counted by this node
+	known use // counted by this node, or reported by others that give out the same room
+}
+
+func (u localUse) sum(more localUse) localUse {
+	return localUse{own: u.own.sum(more.own), known: u.known.sum(more.known)}
+}
+
+func (u localUse) times(factor float64) localUse {
+	return localUse{own: u.own.times(factor), known: u.known.times(factor)}
+}
+
+// asked returns the work that is asked for if all nodes that give out the room decide on
+// some times as many requests as this one. Without reports, the others are taken to be
+// asked the same as this node.
+func (u localUse) asked(deciders float64) float64 {
+	if u.known.asked > u.own.asked {
+		return u.known.asked
+	}
+	return u.own.asked * max(1, deciders)
+}
--- a/admission/room.go
+++ b/admission/room.go
@@ -31,8 +31,11 @@
 	// maxBusy bounds the share of the room for which room is kept. Close to 1, the queue
 	// of those requests has no bound.
 	maxBusy = 0.95
-	// unknownTime is how long a place that came free is unknown to the node that decides.
-	unknownTime = 50 * time.Millisecond
+	// unknownTime is how long a place that came free is unknown to the node that decides
+	// for all, and unknownOthersTime how long one of several doesn't know what the others
+	// accept.
+	unknownTime       = 50 * time.Millisecond
+	unknownOthersTime = 150 * time.Millisecond
 	// workWeight is the weight of a new request in the mean work of a model's requests.
 	workWeight = 0.02
 	// forgetAfter is how long the counts of an account without requests are kept.
@@ -105,28 +108,24 @@
 	limit, before := m.plan.behindUrgent(open, r.Urgency)
 	own, known := m.plan.kind(r.Urgency)
 	if !known {
-		return limit.With(before, r.Groups, m.work)
+		limit.Ahead = ahead(before.asked(r.Deciders), r, m.work)
+		return limit
 	}
 	if limit.Reason != "" && m.plan.belowFloor(own) {
-		before = use{}
+		before = localUse{}
 	}
 	limit, before = own.behindAccounts(limit, before, r.Account)
-	return limit.With(before, r.Groups, m.work)
-}
-
-// limitBefore is a limit without the number of requests that go before.
-type limitBefore struct{ redwinghall.AdmissionLimit }
-
-// With returns the limit with the number of requests that go before this one.
-func (l limitBefore) With(before use, groups int, work time.Duration) redwinghall.AdmissionLimit {
-	l.Ahead = ahead(before, groups, work)
-	return l.AdmissionLimit
+	limit.Ahead = ahead(before.asked(r.Deciders), r, m.work)
+	if limit.Reason != "" && r.Deciders > 1 {
+		limit.Rivals = requestsIn(unknownOthersTime, own.overAsked(r.Deciders), m.work)
+	}
+	return limit
 }
 
 // behindUrgent returns the limit of requests of an urgency behind the more urgent ones,
 // and the use of these.
-func (p *plan) behindUrgent(open redwinghall.AdmissionLimit, urgency int) (limitBefore, use) {
-	limit, before := limitBefore{open}, use{}
+func (p *plan) behindUrgent(open redwinghall.AdmissionLimit, urgency int) (redwinghall.AdmissionLimit, localUse) {
+	limit, before := open, localUse{}
 	for i := range p.kinds {
 		k := &p.kinds[i]
 		if k.urgency >= urgency {
@@ -150,17 +149,17 @@
 	urgentRefused := 0.0
 	for _, k := range p.kinds {
 		if k.urgency < own.urgency {
-			urgentRefused = max(urgentRefused, k.use.refusedShare())
+			urgentRefused = max(urgentRefused, k.use.known.refusedShare())
 		}
 	}
-	return own.use.given < floorReach*floorShare*p.total.given && own.use.refusedShare() > urgentRefused
+	return own.use.known.given < floorReach*floorShare*p.total.known.given && own.use.known.refusedShare() > urgentRefused
 }
 
 // behindAccounts returns the limit of an account that asks for more than its due behind
 // the accounts that don't.
-func (k *kindPlan) behindAccounts(limit limitBefore, before use, account string) (limitBefore, use) {
+func (k *kindPlan) behindAccounts(limit redwinghall.AdmissionLimit, before localUse, account string) (redwinghall.AdmissionLimit, localUse) {
 	one, above := k.accounts[account]
-	if !above || k.within.asked+k.below.asked <= 0 {
+	if !above || k.within.known.asked+k.below.known.asked <= 0 {
 		return limit, before
 	}
 	limit.Reason = redwinghall.LimitAccount
@@ -176,20 +175,26 @@
 }
 
 // ahead returns the number of requests for which groups keep room, so that requests which
-// use this much find none left with a chance of fullShare at most.
+// ask for this much work each second find none left with a chance of fullShare at most.
 //
 // Requests that wait while other requests fill each place that they leave are a queue with
 // random arrivals. The chance that it has n requests or more is the n-th power of the
 // share of the room that they use. Those that come before a free place is known are added.
-func ahead(before use, groups int, work time.Duration) float64 {
-	room := float64(max(1, groups))
-	busy := min(max(before.asked/room, 0), maxBusy)
+func ahead(asked float64, r redwinghall.RoomRequest, work time.Duration) float64 {
+	busy := min(asked/float64(max(1, r.Groups)), maxBusy)
 	if busy <= 0 {
 		return 0
 	}
-	waiting := math.Log(fullShare) / math.Log(busy)
-	unknown := before.asked / max(work, time.Millisecond).Seconds() * unknownTime.Seconds()
-	return waiting + unknown
+	unknown := unknownTime
+	if r.Deciders > 1 {
+		unknown = unknownOthersTime
+	}
+	return math.Log(fullShare)/math.Log(busy) + requestsIn(unknown, asked, work)
+}
+
+// requestsIn returns the number of requests in some time if this much work is asked for.
+func requestsIn(span time.Duration, asked float64, work time.Duration) float64 {
+	return asked / max(work, time.Millisecond).Seconds() * span.Seconds()
 }
 
 // room returns the room of a model. The lock is held.
@@ -217,23 +222,11 @@
 	uses := make(map[string]accountUse, len(k.accounts))
 	for name, counted := range k.accounts {
 		u := counted.decayed(now)
-		uses[name] = accountUse{all: u, here: u}
+		uses[name] = accountUse{all: u, here: localUse{own: u, known: u}}
 	}
 	return uses
 }
 
-// Short reports whether the room of any model was short lately.
-func (a *Room) Short(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, m := range a.models {
-		if now.Before(m.shortUntil) {
-			return true
-		}
-	}
-	return false
-}
-
 // Forget drops counts that are out of use. It has to be called periodically.
 func (a *Room) Forget(now time.Time) {
 	a.mu.Lock()
--- a/admission/use.go
+++ b/admission/use.go
@@ -30,10 +30,11 @@
 		if one.Service != key.service || one.Model != key.model || one.Urgency != urgency {
 			continue
 		}
-		u, more := accounts[one.Account], r.useOf(now, one)
+		u := accounts[one.Account]
+		more := r.useOf(now, one)
 		u.all = u.all.sum(more)
 		if !r.otherZone || key.model == "" { // endpoints of plain services serve all zones
-			u.here = u.here.sum(more)
+			u.here.known = u.here.known.sum(more)
 		}
 		accounts[one.Account] = u
 	}
@@ -58,20 +59,39 @@
 	}
 }
 
-// OwnUses returns what this node counted itself, the largest uses first.
+// OwnUses returns what this node counted itself at models whose room was short for it
+// lately, the largest uses first.
+//
+// What others reported doesn't make a room short here: nodes would keep each other
+// reporting for ever.
 func (a *Room) OwnUses(now time.Time, most int) []redwinghall.AccountUse {
-	return a.uses(now, most, func(string, report) bool { return false })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sums := map[useKey]use{}
+	for key, m := range a.models {
+		if now.Before(m.shortUntil) {
+			m.addTo(now, key, sums)
+		}
+	}
+	return largest(sums, most)
 }
 
 // ZoneUses returns what this node and the others of its zone counted, the largest uses first.
 func (a *Room) ZoneUses(now time.Time, most int) []redwinghall.AccountUse {
-	return a.uses(now, most, func(_ string, r report) bool { return !r.otherZone })
+	return a.uses(now, most, func(_ string, r report, _ string) bool { return !r.otherZone })
 }
 
-// UsesExcept returns what all nodes and zones except one node counted, the largest uses
-// first.
+// UsesExcept returns what all nodes of this zone except one counted, the largest uses
+// first. For plain services, whose endpoints serve all zones, it adds the other zones.
 func (a *Room) UsesExcept(now time.Time, node string, most int) []redwinghall.AccountUse {
-	return a.uses(now, most, func(source string, _ report) bool { return source != node })
+	return a.uses(now, most, func(source string, r report, model string) bool {
+		return source != node && (!r.otherZone || model == "")
+	})
+}
+
+// PlainUsesExcept is UsesExcept for plain services alone.
+func (a *Room) PlainUsesExcept(now time.Time, node string, most int) []redwinghall.AccountUse {
+	return a.uses(now, most, func(source string, _ report, model string) bool { return source != node && model == "" })
 }
 
 // useKey identifies an AccountUse.
@@ -81,28 +101,47 @@
 	urgency int
 }
 
-// uses sums up this node's counts and the wanted reports.
-func (a *Room) uses(now time.Time, most int, wanted func(source string, r report) bool) []redwinghall.AccountUse {
+// uses sums up the wanted reports, and this node's own counts, whose source is "". It leaves
+// out models whose room was short lately neither for this node nor for others of its zone.
+func (a *Room) uses(now time.Time, most int, wanted func(source string, r report, model string) bool) []redwinghall.AccountUse {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sums := map[useKey]use{}
 	for key, m := range a.models {
-		for urgency, k := range m.kinds {
-			for account, u := range k.accounts {
-				sums[useKey{key, account, urgency}] = u.decayed(now)
+		if !now.Before(m.shortUntil) && !anyAbout(now, key, a.reports, false) {
+			continue
+		}
+		if wanted("", report{}, key.model) {
+			m.addTo(now, key, sums)
+		}
+		for source, r := range a.reports {
+			if wanted(source, r, key.model) {
+				r.sumTo(now, key, sums)
 			}
 		}
 	}
-	for source, r := range a.reports {
-		if now.Sub(r.at) > reportTTL || !wanted(source, r) {
-			continue
+	return largest(sums, most)
+}
+
+// addTo adds a model's counts to sums.
+func (m *modelRoom) addTo(now time.Time, key modelKey, sums map[useKey]use) {
+	for urgency, k := range m.kinds {
+		for account, u := range k.accounts {
+			sums[useKey{key, account, urgency}] = sums[useKey{key, account, urgency}].sum(u.decayed(now))
 		}
-		for _, one := range r.uses {
-			key := useKey{modelKey{one.Service, one.Model}, one.Account, one.Urgency}
-			sums[key] = sums[key].sum(r.useOf(now, one))
+	}
+}
+
+// sumTo adds what a report says of a model to sums.
+func (r report) sumTo(now time.Time, key modelKey, sums map[useKey]use) {
+	if now.Sub(r.at) > reportTTL {
+		return
+	}
+	for _, one := range r.uses {
+		if one.Service == key.service && one.Model == key.model {
+			sums[useKey{key, one.Account, one.Urgency}] = sums[useKey{key, one.Account, one.Urgency}].sum(r.useOf(now, one))
 		}
 	}
-	return largest(sums, most)
 }
 
 // largest returns the largest uses, at most most of them.
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"redwinghall"
@@ -45,6 +46,8 @@
 // Without it, the requests with the widest objective fill the queues up to it, and those
 // with a tighter one are refused, however urgent they are and whoever sends them.
 //
+// Of several nodes that see the same places, each takes its part of them at random.
+//
 // An idle group accepts any request. A resumed stream is worth finishing late.
 func (t *Tracker) roomLimit(l *lookup, r room) *redwinghall.AdmissionLimit {
 	best, request := l.best, l.request
@@ -61,9 +64,14 @@
 		return nil
 	case best.predicted > limit.Predicted:
 		return &limit
-	case limit.Ahead == 0 || request.places(best, limit.Predicted) >= limit.Ahead+1:
+	case limit.Ahead == 0 || request.places(best, limit.Predicted) >= limit.Ahead+1+limit.Rivals:
 		return nil
-	case t.places(l, r, limit.Predicted) >= limit.Ahead+1:
+	}
+	free := t.places(l, r, limit.Predicted) - limit.Ahead
+	if request.Service.Engine != nil {
+		limit.Rivals = 0 // the prediction counts what other nodes send
+	}
+	if free >= 1 && rand.Float64()*(1+limit.Rivals) < free {
 		return nil
 	}
 	return &limit
@@ -95,8 +103,20 @@
 func (t *Tracker) roomRequest(best *candidate, request Request, groups int) redwinghall.RoomRequest {
 	return redwinghall.RoomRequest{
 		Service: request.Service.Name, Model: request.Model.Name, Account: request.Account, Urgency: request.Urgency,
-		Objective: request.Objective, Work: t.work(best, request), Groups: groups,
+		Objective: request.Objective, Work: t.work(best, request), Groups: groups, Deciders: request.deciders(),
+	}
+}
+
+// deciders returns how many times the requests that this node decides on all nodes decide
+// on that give out the same room.
+func (r Request) deciders() float64 {
+	switch {
+	case r.Service.Engine == nil:
+		return 1 + r.timesAllZones
+	case r.IsDispatcher:
+		return 1
 	}
+	return 1 + r.timesOwnZone
 }
 
 // work returns the time for which a request keeps one group or endpoint busy.
--- a/balance/plain.go
+++ b/balance/plain.go
@@ -23,6 +23,7 @@
 func (t *Tracker) ChoosePlain(now time.Time, endpoints []*fleet.Endpoint, zonesOut map[string]bool, request Request) (Choice, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	request = t.prepare(now, request)
 	l := &lookup{request: request, now: now, zonesOut: zonesOut, evaluate: request.evaluatePlain}
 	every := func(*fleet.Endpoint) bool { return true }
 	l.consider(t, endpoints, every)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -76,6 +76,10 @@
 	m.count("requests.refused." + m.series(r))
 }
 
+// RoomRefused counts a stream of another node that this node refused although a group would
+// serve it in time.
+func (m *Metrics) RoomRefused(reason string) { m.count("room.refused." + reason) }
+
 // Answered counts a response of an endpoint that was forwarded.
 func (m *Metrics) Answered(r *Request, status int, took time.Duration) {
 	m.count("answered." + strconv.Itoa(status))
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -25,7 +25,11 @@
 		req = req.WithOnlyZone(heads, placement.alternativeZone)
 		req.LimitedFor = placement.limitedFor
 	}
-	return c.chooseByZones(ctx, time.Now(), heads, req)
+	choice, refused := c.chooseByZones(ctx, time.Now(), heads, req)
+	if refused != nil && refused.Reason == balance.Overloaded && placement.reason != "" {
+		refused.Reason, refused.Predicted = placement.reason, placement.predicted
+	}
+	return choice, refused
 }
 
 // dispatcherChoice is the reply of the dispatcher of this zone: the chosen group, or
@@ -34,6 +38,8 @@
 	choice          *balance.Choice
 	alternativeZone string
 	limitedFor      time.Duration
+	reason          string // why the room of this zone is for others, or ""
+	predicted       time.Duration
 }
 
 // askDispatcher asks the dispatcher of this zone for a group. It reports false if
@@ -52,11 +58,13 @@
 		return dispatcherChoice{}, false
 	case placement.Endpoint == "":
 		klog.InfoS("dispatcher_has_no_room", "request", c.r.Info.ID, "predicted", placement.Predicted, "elsewhere", placement.AlternativeZone,
-			"limited_for", placement.LimitedFor)
+			"limited_for", placement.LimitedFor, "ticket", ticket, "reason", placement.Reason)
 		// A reply with neither a prediction nor a rate limit means that the
 		// dispatcher's view has no group in this zone. Views differ briefly, so the
 		// view of this node may have one.
-		return dispatcherChoice{alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor}, placement.Predicted > 0 || placement.LimitedFor > 0
+		return dispatcherChoice{
+			alternativeZone: placement.AlternativeZone, limitedFor: placement.LimitedFor, reason: placement.Reason, predicted: placement.Predicted,
+		}, placement.Predicted > 0 || placement.LimitedFor > 0
 	}
 	now = time.Now()
 	placed, usable := c.placedEndpoint(now, placement, req)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"redwinghall"
 )
 
 // remoteGroup adds a fake group of another zone, which stays cold for the given time.
@@ -150,3 +152,14 @@
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 }
+
+// The dispatcher keeps the room of its zone for others. The caller is told so.
+func TestStreamIsRefusedForTheReasonOfItsDispatcher(t *testing.T) {
+	s := newFixture(t)
+	s.remoteGroup("a", "a1", 0)
+	s.placer.hasDispatcher, s.placer.offers, s.placer.reason = true, map[string]string{"a": ""}, redwinghall.LimitAccount
+	got := s.do(s.request(http.MethodPost, "/stream/x"))
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, redwinghall.LimitAccount)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/platform"
 )
@@ -33,12 +34,14 @@
 	nodeLeft time.Duration
 	// inBackoff is the number of endpoints that were skipped as they didn't answer.
 	inBackoff int
+	// limit is the limit that the request exceeded, if its room is for others.
+	limit redwinghall.AdmissionLimit
 }
 
 func fromBalance(r *balance.Refusal) refusal {
 	return refusal{
 		status: http.StatusServiceUnavailable, reason: r.Reason, retryAfter: r.RetryAfter, predicted: r.Predicted,
-		best: r.Best, running: r.Running, loadAge: r.Age, inBackoff: r.InBackoff,
+		best: r.Best, running: r.Running, loadAge: r.Age, inBackoff: r.InBackoff, limit: r.Limit,
 	}
 }
 
@@ -84,7 +87,8 @@
 		"route", routeName(r), "predicted", why.predicted, "objective", routeObjective(r), "best", why.best, "running", why.running,
 		"load_age", why.loadAge, "node_left", why.nodeLeft, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
 		"configuration", r.configVersion(), "in_backoff", why.inBackoff, "since_answer", g.Tracker.SinceAnswer(time.Now()),
-		"caller_left", r.callerLeft())
+		"caller_left", r.callerLeft(), "urgency", urgencyOf(r), "limit", why.limit.Predicted, "ahead", why.limit.Ahead, "asked", why.limit.Asked,
+		"given", why.limit.Given, "due", why.limit.Due)
 	g.Metrics.Refused(r, why)
 	h := w.Header()
 	platform.SetRequestID(h, r.Info.ID)
@@ -111,6 +115,13 @@
 	return r.Route.Name
 }
 
+func urgencyOf(r *Request) int {
+	if r.Route == nil {
+		return 0
+	}
+	return r.Priority()
+}
+
 func routeObjective(r *Request) time.Duration {
 	if r.Route == nil {
 		return 0
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -106,6 +106,8 @@
 	Rejecting []string
 	// Leaving holds the endpoints of which the other node recently learned that they leave.
 	Leaving []balance.LeavingReport
+	// Uses holds what client accounts asked and got at other nodes and zones.
+	Uses []redwinghall.AccountUse
 	// Quarantine is the digest of the parts of prompts under which endpoints ended, as the other
 	// node knows them.
 	Quarantine uint64
@@ -130,6 +132,8 @@
 	Rejecting []string
 	// Leaving holds the endpoints of which the node recently learned that they leave.
 	Leaving []balance.LeavingReport
+	// Uses holds what client accounts asked and got at the node.
+	Uses []redwinghall.AccountUse
 }
 
 // ZoneReport is what a node reports to another zone about its own.
@@ -143,6 +147,8 @@
 	Rejecting []string
 	// Leaving holds the endpoints of which the zone recently learned that they leave.
 	Leaving []balance.LeavingReport
+	// Uses holds what client accounts asked and got in the zone.
+	Uses []redwinghall.AccountUse
 }
 
 // Share reports this node's loads and returns the total loads that the report requests.
@@ -152,14 +158,14 @@
 	out, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Node, Loads: encodeLoads(report.Loads), Settled: report.LowestOpenTicket, WithOthers: report.WithOthers,
 		WithZones: report.WithZones, Limits: encodeLimits(report.Limits), WithLimits: report.WithLimits, Rejecting: report.Rejecting,
-		Leaving: encodeLeaving(report.Leaving),
+		Leaving: encodeLeaving(report.Leaving), Uses: encodeUses(report.Uses),
 	})
 	if err != nil {
 		return ShareResult{}, c.callError("Client.Share", err)
 	}
 	return ShareResult{
 		Others: decodeLoads(out.GetLoads()), Zones: decodeLoads(out.GetZones()), Limits: decodeLimits(out.GetLimits()), Rejecting: out.GetRejecting(),
-		Leaving: decodeLeaving(out.GetLeaving()), Quarantine: out.GetQuarantine(),
+		Leaving: decodeLeaving(out.GetLeaving()), Quarantine: out.GetQuarantine(), Uses: decodeUses(out.GetUses()),
 	}, nil
 }
 
@@ -170,7 +176,7 @@
 	defer cancel()
 	out, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Zone, Loads: encodeLoads(report.Loads), Zone: true, Limits: encodeLimits(report.Limits), Rejecting: report.Rejecting,
-		Leaving: encodeLeaving(report.Leaving),
+		Leaving: encodeLeaving(report.Leaving), Uses: encodeUses(report.Uses),
 	})
 	if err != nil {
 		return 0, c.callError("Client.ShareZone", err)
--- a/neighbor/room.go
+++ b/neighbor/room.go
@@ -42,3 +42,32 @@
 	}
 	return loans
 }
+
+func encodeUses(uses []redwinghall.AccountUse) []*rpc.AccountUse {
+	var out []*rpc.AccountUse
+	for _, u := range uses {
+		out = append(out, &rpc.AccountUse{
+			Service: u.Service, Model: u.Model, Account: u.Account, Urgency: int32(u.Urgency), //nolint:gosec // a small number
+			AskedUs: u.Asked.Microseconds(), GivenUs: u.Given.Microseconds(),
+		})
+	}
+	return out
+}
+
+func decodeUses(in []*rpc.AccountUse) []redwinghall.AccountUse {
+	var uses []redwinghall.AccountUse
+	for _, u := range in {
+		uses = append(uses, redwinghall.AccountUse{
+			Service: u.GetService(), Model: u.GetModel(), Account: u.GetAccount(), Urgency: int(u.GetUrgency()),
+			Asked: usedTime(u.GetAskedUs()), Given: usedTime(u.GetGivenUs()),
+		})
+	}
+	return uses
+}
+
+// maxUsed is more than the work that a deployment's groups do in a second.
+const maxUsed = 10 * time.Hour
+
+func usedTime(microseconds int64) time.Duration {
+	return time.Duration(min(max(microseconds, 0), maxUsed.Microseconds())) * time.Microsecond
+}
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -39,6 +39,12 @@
 	Quarantine *quarantine.Table
 	// Lend decides how much room of this zone another zone gets; nil if none is lent.
 	Lend func(now time.Time, borrower string, wish redwinghall.RoomWish) redwinghall.RoomLoan
+	// OnUses is called with what client accounts asked and got at a node of this zone, or in
+	// another zone; nil if nobody needs it.
+	OnUses func(now time.Time, from string, otherZone bool, uses []redwinghall.AccountUse)
+	// UsesFor returns what client accounts asked and got, as far as a node of this zone
+	// needs it; nil if none does.
+	UsesFor func(now time.Time, node string) []redwinghall.AccountUse
 	// Commit commits a transaction directly at the store.
 	Commit func(ctx context.Context, txn fleet.Txn) (fleet.Position, error)
 }
@@ -81,6 +87,9 @@
 	now := time.Now()
 	s.config.Tracker.MergeLimits(now, decodeLimits(in.GetLimits()))
 	s.config.OnLeaving(now, in.GetNode(), decodeLeaving(in.GetLeaving()))
+	if uses := decodeUses(in.GetUses()); len(uses) > 0 && s.config.OnUses != nil {
+		s.config.OnUses(now, in.GetNode(), in.GetZone(), uses)
+	}
 	if in.GetZone() {
 		s.config.Tracker.RecordRejectingElsewhere(now, in.GetRejecting())
 		s.config.Loads.SetZone(now, in.GetNode(), decodeLoads(in.GetLoads()))
@@ -93,6 +102,9 @@
 		Limits: encodeLimits(s.config.Tracker.ChangedLimits(now)), Rejecting: s.config.Tracker.Rejecting(now),
 		Leaving: encodeLeaving(s.config.Tracker.RecentlyLeaving(now)), Quarantine: s.config.Quarantine.Digest(),
 	}
+	if in.GetWithOthers() && s.config.UsesFor != nil {
+		out.Uses = encodeUses(s.config.UsesFor(now, in.GetNode()))
+	}
 	if in.GetWithLimits() {
 		out.Limits = encodeLimits(s.config.Tracker.Limits(now))
 	}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"redwinghall/fleet"
 )
 
 // FailPart makes a part of a running node fail.
@@ -15,3 +17,6 @@
 func ExceedsConnectionRate(processor float64) func(now time.Time) bool {
 	return newConnectionRate(processor).exceeded
 }
+
+// ServicesWithOrder returns the services for which a configuration calls for admission.
+func ServicesWithOrder(config *fleet.Configuration) map[string]bool { return servicesWithOrder(config) }
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -61,6 +61,7 @@
 		Mirror: n.source.Mirror, Loads: n.loads, Suspect: n.manager.ReportStall,
 		Commit: n.source.CommitDirect, Reserve: n.reserve, OnLoads: n.onLoads,
 		Tracker: n.tracker, Permit: n.issuePermit, OnLeaving: n.onLeaving, Quarantine: n.quarantine,
+		OnUses: n.onUses, UsesFor: n.usesFor,
 	})
 	return &http.Server{
 		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout,
@@ -89,7 +90,7 @@
 			}
 			report := neighbor.ZoneReport{
 				Zone: n.settings.Zone, Loads: n.loads.SumOfZone(now), Limits: n.tracker.ChangedLimits(now), Rejecting: n.tracker.RejectingZone(now),
-				Leaving: n.tracker.RecentlyLeaving(now),
+				Leaving: n.tracker.RecentlyLeaving(now), Uses: n.room.ZoneUses(now, maxUses),
 			}
 			digest, err := n.neighbors.ShareZone(ctx, theirs.Address, report)
 			if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/admission"
 	"redwinghall/balance"
 	"redwinghall/dial"
 	"redwinghall/directory"
@@ -62,6 +63,8 @@
 	// source is the store as read through the zone's reader nodes.
 	source    *relay.Source
 	neighbors *neighbor.Client
+	room      *admission.Room // what client accounts ask of this zone's room
+	roomUse   roomUse
 	loads     *neighbor.LoadTable // loads reported by the nodes of this zone and by other zones
 	group     *kernel.Group
 	stopping  atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
@@ -98,6 +101,8 @@
 		backoff: relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
 		quarantine: quarantine.NewTable(), quarantineKnown: make(chan struct{}),
 	}
+	n.room = admission.NewRoom()
+	n.tracker.Admission = n.admissionOf
 	n.source = relay.NewSource(relay.Config{
 		Store: store, PeerClient: n.neighbors, Self: s.Node, Peers: n.peers, RemotePeers: n.remotePeers, Leader: n.leader, EqualFor: equalFor,
 	})
@@ -187,6 +192,7 @@
 		n.tracker.Forget(now)
 		n.paths.Forget(now)
 		n.quarantine.Forget(now)
+		n.room.Forget(now)
 	})
 	g.Go("stop", func(running context.Context) error {
 		select {
--- a/node/placement.go
+++ b/node/placement.go
@@ -113,7 +113,10 @@
 	if refused == nil {
 		return fleet.Placement{Endpoint: choice.Endpoint.ID, Predicted: choice.Predicted, Permitted: choice.Permitted}, true
 	}
-	placement := fleet.Placement{Predicted: refused.Predicted}
+	placement := fleet.Placement{Predicted: refused.Predicted, Reason: refused.Limit.Reason}
+	if placement.Reason != "" {
+		n.recordRoomRefused(request, refused)
+	}
 	if refused.Reason == balance.Limited {
 		placement.LimitedFor = refused.RetryAfter
 	}
--- /dev/null
+++ b/node/room_test.go
@@ -0,0 +1,27 @@
+package node_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/fleet"
+	"redwinghall/node"
+)
+
+// Where a configuration has neither several urgencies at a service nor several accounts,
+// the old decision holds.
+func TestAdmissionOnlyWhereTheConfigurationCallsForIt(t *testing.T) {
+	share := func(service string) []fleet.Share { return []fleet.Share{{Service: service, Weight: 1}} }
+	config := &fleet.Configuration{
+		Services: map[string]fleet.Service{"one": {}, "two": {}},
+		Routes:   []fleet.Route{{Priority: 1, Split: share("one")}, {Priority: 1, Split: share("two")}, {Priority: 2, Split: share("two")}},
+		Accounts: []fleet.Account{{Name: "a"}},
+	}
+	require.Empty(t, node.ServicesWithOrder(nil))
+	require.Equal(t, map[string]bool{"one": false, "two": true}, node.ServicesWithOrder(config))
+	config.Accounts[0].HasPriority = true
+	require.Equal(t, map[string]bool{"one": true, "two": true}, node.ServicesWithOrder(config))
+	config.Accounts = []fleet.Account{{Name: "a"}, {Name: "b"}}
+	require.Equal(t, map[string]bool{"one": true, "two": true}, node.ServicesWithOrder(config))
+}
--- a/node/sharing.go
+++ b/node/sharing.go
@@ -35,6 +35,7 @@
 	// When this node's loads were last sent, and when those of the zone's other nodes
 	// and of the other zones were last received.
 	sentAt, othersReceivedAt, zonesReceivedAt time.Time
+	usesSentAt                                time.Time
 
 	sentLoads  map[string]balance.Load
 	sentLimits int
@@ -106,6 +107,9 @@
 	report.WithOthers = !hasDispatcher || now.Sub(s.othersReceivedAt) >= othersInterval
 	report.WithZones = n.tracker.ConsidersOtherZones(now) && now.Sub(s.zonesReceivedAt) >= zonesInterval
 	report.WithLimits = peer.Name != s.limitsFrom
+	if now.Sub(s.usesSentAt) >= usesInterval {
+		s.usesSentAt, report.Uses = now, n.room.OwnUses(now, maxUses)
+	}
 	shared, err := n.neighbors.Share(ctx, peer.Address, report)
 	if err != nil {
 		n.noteSilent(time.Now(), n.settings.Zone, peer, err)
@@ -116,6 +120,7 @@
 	n.tracker.MergeLimits(received, shared.Limits)
 	n.tracker.RecordRejectingElsewhere(received, shared.Rejecting)
 	n.onLeaving(received, peer.Name, shared.Leaving)
+	n.onUses(received, peer.Name, false, shared.Uses)
 	s.quarantine.compare(ctx, now, peer, shared.Quarantine)
 	if report.WithOthers {
 		s.othersReceivedAt = now
--- a/room.go
+++ b/room.go
@@ -17,6 +17,9 @@
 	// Groups is the number of groups, or of endpoints of a plain service, that could
 	// serve the request.
 	Groups int
+	// Deciders is how many times the requests that this node decides on all nodes decide on
+	// that give out the same room; 1 if it decides for all.
+	Deciders float64
 }
 
 // AdmissionLimit is the condition on which a request is accepted now.
@@ -27,6 +30,9 @@
 	// Ahead is the number of requests that are expected and go before this one. The groups
 	// have to have room for them, within Predicted, beside this one.
 	Ahead float64
+	// Rivals is the number of requests that other nodes accept on the same condition before
+	// this node knows of them.
+	Rivals float64
 	// Reason names why the request leaves room for others, "" if it doesn't.
 	Reason string
 	// Asked, Given and Due are the work of each second that the client account asked for,
