--- a/directory/cache.go
+++ b/directory/cache.go
@@ -30,6 +30,8 @@
 	// graceUntil is the time from which missing entries again count as gone at once.
 	graceUntil time.Time
 	read       atomic.Pointer[fleet.Position]
+	// confirmed is when the store last answered with the operators' table, in Unix nanoseconds; 0 if never.
+	confirmed  atomic.Int64
 	configured chan struct{} // closed once a configuration has been read
 	listed     chan struct{} // closed once the endpoints' entries have been read
 }
@@ -65,6 +67,19 @@
 	c.read.Store(&next)
 }
 
+// noteConfirmed records that the store answered with the operators' table.
+func (c *Cache) noteConfirmed(at time.Time) { c.confirmed.Store(at.UnixNano()) }
+
+// SinceConfirmed returns how long ago the store answered, this node or the one that reads for it, with the operators'
+// table; -1 if it never did.
+func (c *Cache) SinceConfirmed(now time.Time) time.Duration {
+	at := c.confirmed.Load()
+	if at == 0 {
+		return -1
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
 // Configured returns a channel that is closed once a configuration has been read.
 func (c *Cache) Configured() <-chan struct{} { return c.configured }
 
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -138,7 +138,7 @@
 		wait := feed.interval() - time.Since(started)
 		switch {
 		case err != nil:
-			wait = f.failed(feed, err)
+			wait = f.failed(feed, time.Since(started), err)
 		case rows.Relayed:
 			wait = relayedInterval - time.Since(started)
 		case rows.More:
@@ -154,15 +154,15 @@
 	return nil
 }
 
-// failed records a failed call and returns how long to wait before the next one.
-func (f *Follower) failed(feed *feed, err error) time.Duration {
+// failed records a failed call, which took some time, and returns how long to wait before the next one.
+func (f *Follower) failed(feed *feed, took time.Duration, err error) time.Duration {
 	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 		klog.InfoS("store_history_gone", "table", feed.table, "era", feed.at.Era, "after", feed.at.Version)
 		feed.listed = false
 		return minPause // a store that keeps dropping its history must not be called without a pause
 	}
 	if !feed.failing {
-		klog.InfoS("store_lost", "table", feed.table, "era", feed.at.Era, "version", feed.at.Version, "err", err)
+		klog.InfoS("store_lost", "table", feed.table, "era", feed.at.Era, "version", feed.at.Version, "took", took, "err", err)
 	}
 	feed.failing = true
 	feed.pause = min(max(2*feed.pause, minPause), maxPause)
@@ -181,8 +181,11 @@
 	}
 	f.cache.Apply(now, feed.changes(now, rows)...)
 	feed.at, feed.listed = feed.at.Later(rows.At), true
-	if feed.table == platform.TableEndpoints {
+	switch feed.table {
+	case platform.TableEndpoints:
 		f.cache.NoteRead(rows.At)
+	case platform.TableOperators:
+		f.cache.noteConfirmed(now.Add(-rows.Age))
 	}
 	return rows, nil
 }
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -26,6 +26,8 @@
 	More bool
 	// Relayed says that the rows came from another node and the store was not called.
 	Relayed bool
+	// Age is how long ago the store answered with the rows, 0 if it just did.
+	Age time.Duration
 }
 
 // Expect is a precondition of a transaction: the version that a row must have, or 0 if the
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -221,7 +221,7 @@
 		choice.Attempt.Done(now, false)
 		c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](last.err))
 		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
-			"kind", redwinghall.KindOf[Kind](last.err), "running", choice.Running, "err", last.err)
+			"kind", redwinghall.KindOf[Kind](last.err), "running", choice.Running, "identity", c.r.identity(), "err", last.err)
 		return
 	}
 	load := last.response.Info.Load
@@ -263,7 +263,7 @@
 	}
 	c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](err))
 	klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
-		"kind", redwinghall.KindOf[Kind](err), "running", choice.Running, "err", err)
+		"kind", redwinghall.KindOf[Kind](err), "running", choice.Running, "identity", c.r.identity(), "err", err)
 	return plainAttempt{err: err}
 }
 
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -86,7 +86,7 @@
 	klog.InfoS("refused", "request", r.Info.ID, "status", why.status, "reason", why.reason, "account", r.account(),
 		"route", routeName(r), "predicted", why.predicted, "objective", routeObjective(r), "best", why.best, "running", why.running,
 		"load_age", why.loadAge, "node_left", why.nodeLeft, "retry_after", why.retryAfter, "held", time.Since(r.Arrived),
-		"configuration", r.configVersion(), "in_backoff", why.inBackoff, "since_answer", g.Tracker.SinceAnswer(time.Now()),
+		"configuration", r.configVersion(), "since_confirmed", g.Cache.SinceConfirmed(time.Now()), "in_backoff", why.inBackoff, "since_answer", g.Tracker.SinceAnswer(time.Now()),
 		"caller_left", r.callerLeft(), "urgency", urgencyOf(r), "limit", why.limit.Predicted, "ahead", why.limit.Ahead, "asked", why.limit.Asked,
 		"given", why.limit.Given, "due", why.limit.Due)
 	g.Metrics.Refused(r, why)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"redwinghall/directory"
@@ -36,6 +37,9 @@
 	left <-chan struct{}
 	// memory is what the request holds.
 	memory requestMemory
+	// ownIdentity is computed at its first use, before the body is released.
+	ownIdentity     string
+	computeIdentity sync.Once
 }
 
 // releaseBody drops the body once no endpoint will be sent it any more.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -194,7 +194,7 @@
 		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
 			"group", choice.Endpoint.Member.Group, "kind", redwinghall.KindOf[Kind](last.err), "not_run", last.notRun,
 			"status", last.status(), "stalled", stalled.Load(), "last_event", c.lastID, "since_first_event", choice.Attempt.SinceFirstEvent(now),
-			"parts", c.r.Info.PromptParts, "endpoint_now", presence, "running", choice.Running, "predicted", choice.Predicted, "via", last.response.via(), "err", last.err)
+			"parts", c.r.Info.PromptParts, "identity", c.r.identity(), "endpoint_now", presence, "running", choice.Running, "predicted", choice.Predicted, "via", last.response.via(), "err", last.err)
 	}
 	return last
 }
--- a/relay/source.go
+++ b/relay/source.go
@@ -131,6 +131,7 @@
 		var answer Answer
 		if answer, readerErr = s.readFromPeer(peer, table, listStaleAfter, list); readerErr == nil {
 			s.Mirror(table).ApplyList(time.Now().Add(-answer.Age), answer.Rows)
+			answer.Rows.Age = answer.Age
 			return answer.Rows, nil
 		}
 	}
@@ -231,7 +232,7 @@
 		return fleet.Rows{}, err
 	}
 	updates := s.Mirror(table).ApplyChanges(time.Now().Add(-answer.Age), after, answer.Rows)
-	updates.Relayed = true
+	updates.Relayed, updates.Age = true, answer.Age
 	return updates, nil
 }
 
@@ -298,6 +299,7 @@
 	answer, err := s.readFromPeer(peer, table, maxAge, read)
 	s.recordUnreachable(peer, err)
 	if err == nil || redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
+		answer.Rows.Age = answer.Age
 		return answer.Rows, err
 	}
 	return fleet.Rows{}, cause
@@ -306,6 +308,7 @@
 // readFromPeer reads from another node. It rejects an answer that is older than maxAge or
 // from an earlier era, and puts a node that failed in backoff.
 func (s *Source) readFromPeer(peer Peer, table string, maxAge time.Duration, read func(Peer) (Answer, error)) (Answer, error) {
+	begun := time.Now()
 	answer, err := read(peer)
 	switch {
 	case redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone:
@@ -317,7 +320,7 @@
 		s.recordEra(answer.Rows.At)
 		return answer, nil
 	}
-	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "err", err)
+	klog.InfoS("reader_not_trusted", "reader", peer.Name, "table", table, "age", answer.Age, "took", time.Since(begun), "err", err)
 	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreUnreachable || err == nil {
 		// The node works but its copy is out of date; the store may be unreachable for all nodes.
 		return Answer{}, redwinghall.NewOpError("Source.readFromPeer", fleet.StoreUnreachable, err)
