--- a/directory/quiet_table_test.go
+++ b/directory/quiet_table_test.go
@@ -24,8 +24,10 @@
 
 	mu      sync.Mutex
 	version int64
-	changed chan struct{}
-	calls   map[string]int
+	// config is the configuration in the operators' table, written at configAt; 0 is none.
+	config, configAt int64
+	changed          chan struct{}
+	calls            map[string]int
 }
 
 func newQuietStore(latency time.Duration) *quietStore {
@@ -41,12 +43,26 @@
 	s.changed = make(chan struct{})
 }
 
+// configure writes a version of the configuration.
+func (s *quietStore) configure(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.config, s.configAt = version, s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // rows returns the table's row if it is newer than after, and a channel that is closed at
 // the next write.
 func (s *quietStore) rows(table string, after int64) (fleet.Rows, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows := fleet.Rows{At: fleet.Position{Version: s.version}}
+	if table == "op" && s.configAt > after {
+		value := fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/","kind":"safe","service":"s"}],"services":[{"name":"s"}]}`, s.config)
+		rows.Rows = []fleet.Row{{Table: table, Key: "config", Value: value, Version: s.configAt}}
+	}
 	if table == "servers" && s.version > after {
 		value := fmt.Appendf(nil, `{"service":"s","address":"e:80","state":"ready","sequence":%d}`, s.version)
 		rows.Rows = []fleet.Row{{Table: table, Key: "e", Value: value, Version: s.version}}
