Reading: a call that isn't answered is made again at once, over a new connection

What callers saw: a version that was acknowledged wasn't in force in time at nodes that had been in touch; requests with a new key or on a new route were refused. Cause: open connections may fall silent for good while new ones work. A node took an unanswered call for the silence of what it called. It waited 1.2 to 2.4 s for that, then called the next one over a connection that was as dead, and then kept away from the store for 1.5 s and more (probeInterval). The change: a read that has no answer 0.3 s after its wait, or whose connection broke, is made once more, without a wait. The failed call has closed the idle connections, so the second one opens a new one. Only if that isn't answered either does the store or the reader count as silent. Ruled out: a shorter bound for the reader alone (its followers' connections are as dead); closing all connections after one failure (other calls on them may be answered).

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -20,7 +20,7 @@
 const (
 	// feedWait is the long-poll timeout. It bounds how long a dead connection to the
 	// store goes unnoticed, and so how late a configuration takes effect.
-	feedWait = 1500 * time.Millisecond
+	feedWait = 1200 * time.Millisecond
 	// operatorsInterval is the time between reads of the operators' table, which rarely changes.
 	operatorsInterval = 150 * time.Millisecond
 	// endpointsInterval is the time between reads of the endpoints' table, which changes
--- a/relay/source.go
+++ b/relay/source.go
@@ -34,8 +34,8 @@
 	readerWait = 700 * time.Millisecond
 	// confirmAfter is the age of a reader's copy at which its wait for changes ends, so that the
 	// store confirms a table without changes before the copy is stale. The difference to
-	// staleAfter is for the store's answer and its way to the other nodes.
-	confirmAfter = staleAfter - 300*time.Millisecond
+	// staleAfter is for a call that has to be repeated, the store's answer and its way to the other nodes.
+	confirmAfter = staleAfter - answerPatience - 100*time.Millisecond
 	// peerWait is the longest wait of a node for changes from its reader. A reader that
 	// stopped responding is detected after peerWait and the timeout of the call.
 	peerWait = 700 * time.Millisecond
@@ -193,7 +193,9 @@
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after fleet.Position, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) {
-		return s.config.PeerClient.Changes(ctx, peer.Address, table, after, min(wait, peerWait))
+		return waitTwice(ctx, targetPeer, table, min(wait, peerWait), func(ctx context.Context, wait time.Duration) (Answer, error) {
+			return s.config.PeerClient.Changes(ctx, peer.Address, table, after, wait)
+		})
 	}
 	peer, useReader := s.reader(time.Now())
 	var readerErr error
@@ -208,7 +210,9 @@
 		return fleet.Rows{}, redwinghall.NewOpError("Source.Changes", fleet.StoreHistoryGone, nil)
 	}
 	rows, err := s.callStore(time.Now(), table, func() (fleet.Rows, error) {
-		return s.config.Store.Changes(ctx, table, after, s.limitWait(time.Now(), table, wait))
+		return waitTwice(ctx, targetStore, table, s.limitWait(time.Now(), table, wait), func(ctx context.Context, wait time.Duration) (fleet.Rows, error) {
+			return s.config.Store.Changes(ctx, table, after, wait)
+		})
 	})
 	if err == nil && rows.At.Era != after.Era {
 		// The new era may have written rows at versions up to after, which the answer lacks.
