Reading: a list that is older than what was read undoes nothing

Cause: the age of lists was bounded for the members' table, which is listed every 2 s, and the same bound held for tables that are followed; Mirror.ApplyList and Follower.step kept the later position. The change: lists of followed tables are as fresh as their changes (1.2 s); a list at an earlier position of the same era is refused, by the source, the mirror and the follower, and asked for again. What is known stays in force meanwhile.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -245,6 +245,10 @@
 		if err == nil && rows.At.Era < feed.at.Era {
 			return fleet.Rows{}, redwinghall.NewOpError("Follower.read", fleet.StoreUnavailable, errEarlierEra)
 		}
+		if err == nil && rows.At.Before(feed.at) {
+			// What was read after the list's position would be lost for good, as changes are asked for after feed.at.
+			return fleet.Rows{}, redwinghall.NewOpError("Follower.read", fleet.StoreUnavailable, errOlderList)
+		}
 		return rows, err
 	}
 	rows, err := f.store.Changes(ctx, feed.table, feed.at, feedWait)
@@ -256,6 +260,7 @@
 
 var (
 	errEarlierEra = errors.New("list is of an earlier era of the store")
+	errOlderList  = errors.New("list is older than what was read before")
 	errOtherEra   = errors.New("changes are of another era of the store")
 )
 
--- a/members/members.go
+++ b/members/members.go
@@ -59,6 +59,9 @@
 	nodePrefix = "node/"
 )
 
+// IsTable reports whether a table of the store is the members' table.
+func IsTable(name string) bool { return name == tableName }
+
 // Config configures a Table.
 type Config struct {
 	Self  Node
--- a/node/node.go
+++ b/node/node.go
@@ -120,6 +120,7 @@
 	n.book = newBook(n)
 	n.source = relay.NewSource(relay.Config{
 		Store: store, PeerClient: n.neighbors, Self: s.Node, Peers: n.peers, RemotePeers: n.remotePeers, Leader: n.leader, EqualFor: equalFor,
+		Polled: members.IsTable,
 	})
 	n.newConnections = newConnectionRate(s.Processor)
 	n.conns.leavesUnread = n.leavesUnread
--- a/relay/mirror.go
+++ b/relay/mirror.go
@@ -50,13 +50,16 @@
 //
 // When the store is restored from an older copy, its versions are lower than before.
 // A listing of a new era replaces all rows, and nodes that read changes at a position
-// of the old era have to list the table again. A listing of an earlier era is ignored.
+// of the old era have to list the table again. A listing of an earlier era is ignored, and
+// so is one at an earlier position than a copy without gaps: the changes between the two
+// would never be read again.
 func (m *Mirror) ApplyList(now time.Time, rows fleet.Rows) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rows.At.Era < m.at.Era {
+	if rows.At.Era < m.at.Era || (m.complete && rows.At.Before(m.at)) {
 		return
 	}
+	m.at = rows.At
 	m.rows = map[string]fleet.Row{}
 	m.removed = map[string]time.Time{}
 	m.oldest = rows.At
@@ -65,6 +68,13 @@
 	m.notify() // also for a table without rows
 }
 
+// isNewer reports whether the copy has no gap and is newer, in the same era, than a position.
+func (m *Mirror) isNewer(than fleet.Position) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.complete && than.Era == m.at.Era && than.Before(m.at)
+}
+
 // Continues reports whether changes after a position can be applied without a gap.
 func (m *Mirror) Continues(after fleet.Position) bool {
 	m.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -240,6 +240,7 @@
 		sources[name] = relay.NewSource(relay.Config{
 			Store: stores[name], PeerClient: nodes, Self: name, Peers: func() []relay.Peer { return peers },
 			RemotePeers: func() []relay.Peer { return nil }, Leader: func() string { return "n4" }, EqualFor: noEquality,
+			Polled: func(table string) bool { return table == "polled" },
 		})
 		nodes[name] = sources[name]
 	}
--- a/relay/source.go
+++ b/relay/source.go
@@ -26,8 +26,7 @@
 	// the limit, a reader that lost its connection to the store would keep the others from
 	// rows that they could read themselves, and new configurations would apply late.
 	staleAfter = 1200 * time.Millisecond
-	// listStaleAfter is the same limit for listings. It is above the polling interval of the
-	// members' table, the only table that is listed repeatedly.
+	// listStaleAfter is the same limit for lists of a polled table. It is above the polling interval.
 	listStaleAfter = 4 * time.Second
 	// readerWait is the longest wait of a reader for changes from the store. It detects a
 	// store that stopped responding after readerWait and the timeout of the call.
@@ -75,6 +74,9 @@
 	// EqualFor returns how values of a table's rows are compared; nil means that every
 	// write counts as a change.
 	EqualFor func(table string) EqualValues
+	// Polled reports whether a table is only listed, again and again; nil if none is. A list of it may be older than
+	// one of a table whose changes are followed.
+	Polled func(table string) bool
 }
 
 // Source is a fleet.Store whose tables are read by one node of the zone on behalf of all,
@@ -124,12 +126,19 @@
 
 // List implements fleet.Store.
 func (s *Source) List(ctx context.Context, table string) (fleet.Rows, error) {
-	list := func(peer Peer) (Answer, error) { return s.config.PeerClient.List(ctx, peer.Address, table) }
+	list := func(peer Peer) (Answer, error) {
+		answer, err := s.config.PeerClient.List(ctx, peer.Address, table)
+		if err == nil {
+			err = s.checkNotOlder(table, answer.Rows.At)
+		}
+		return answer, err
+	}
+	maxAge := s.maxListAge(table)
 	peer, useReader := s.reader(time.Now())
 	var readerErr error
 	if useReader {
 		var answer Answer
-		if answer, readerErr = s.readFromPeer(peer, table, listStaleAfter, list); readerErr == nil {
+		if answer, readerErr = s.readFromPeer(peer, table, maxAge, list); readerErr == nil {
 			s.Mirror(table).ApplyList(time.Now().Add(-answer.Age), answer.Rows)
 			answer.Rows.Age = answer.Age
 			return answer.Rows, nil
@@ -138,13 +147,35 @@
 	rows, err := s.callStore(time.Now(), table, func() (fleet.Rows, error) { return s.config.Store.List(ctx, table) })
 	if err != nil {
 		s.Mirror(table).SetStoreUnreachable()
-		return s.readFromFallback(table, listStaleAfter, err, list)
+		return s.readFromFallback(table, maxAge, err, list)
 	}
 	s.recordUnreachable(peer, readerErr)
+	if err := s.checkNotOlder(table, rows.At); err != nil {
+		return fleet.Rows{}, err
+	}
 	s.Mirror(table).ApplyList(time.Now(), rows)
 	return rows, nil
 }
 
+// maxListAge returns the age from which a list of a table that was read from another node is rejected.
+func (s *Source) maxListAge(table string) time.Duration {
+	if s.config.Polled != nil && s.config.Polled(table) {
+		return listStaleAfter
+	}
+	return staleAfter
+}
+
+// checkNotOlder returns an error if a list at a position is older than this node's copy of the table. The other node
+// may be behind, and the store may answer from an older copy for some time after it has dropped its history.
+func (s *Source) checkNotOlder(table string, at fleet.Position) error {
+	if !s.Mirror(table).isNewer(at) {
+		return nil
+	}
+	return redwinghall.NewOpError("Source.List", fleet.StoreUnavailable, errOlderList)
+}
+
+var errOlderList = errors.New("the list is older than this node's copy")
+
 // callStore calls the store, unless it recently failed to answer this node.
 //
 // In an outage no reader has rows to pass on. Without the limit, every node would keep
