Quarantine: a request is known by what it holds, whatever its id

Cause: evidence was kept of the shared parts of prompts alone. Each attempt of a caller has an id of its own, so repeats weren't known as the same request; the last part of a prompt was dropped, and calls to plain services recorded no end at all. The change: a request has two parts of its own, a hash of what it holds and the last part of its prompt. They go through the evidence, trials and verdict of shared parts; plain calls go through the quarantine as streams do. Two trials condemn an own part whatever else ends. Suspects with own parts only are forgotten after 5 minutes. Ruled out: that the evidence came too late (0.15 s between tries), and the shared part as the cause (it was condemned with nothing wrong in it).

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -25,3 +25,6 @@
 
 // Until returns when the body counts as standing still.
 func (p *BodyPace) Until(pressed bool) time.Time { return p.pace.until(pressed) }
+
+// Identity returns what a request and its caller's repeats have in common.
+func Identity(r *Request) string { return r.identity() }
--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -5,6 +5,9 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"slices"
+
+	"redwinghall/quarantine"
 )
 
 // identityBytes is the length of an identity's hash: no caller can find another request with the same one.
@@ -28,6 +31,19 @@
 	return r.ownIdentity
 }
 
+// parts returns what the quarantine knows a request by: the parts of its prompt, and the request as a whole.
+func (r *Request) parts() []string {
+	identity := r.identity()
+	r.computeParts.Do(func() {
+		r.allParts = slices.Clone(r.Info.PromptParts)
+		if r.Info.LastPart != "" {
+			r.allParts = append(r.allParts, quarantine.LastPart(r.Info.LastPart))
+		}
+		r.allParts = append(r.allParts, quarantine.WholeRequest(identity))
+	})
+	return r.allParts
+}
+
 // hashField adds a field with its length, so that no two lists of fields give the same bytes.
 func hashField(w io.Writer, field []byte) {
 	var length [8]byte
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -38,6 +38,7 @@
 
 // plainAttempt is the result of one attempt at a plain service.
 type plainAttempt struct {
+	endpoint *fleet.Endpoint
 	response *Response
 	body     []byte
 	err      error // of kind NotSent or Unknown
@@ -70,24 +71,32 @@
 	failedDials int // failed connection attempts
 	// mayHaveRun is true if an endpoint may have executed the request.
 	mayHaveRun bool
+	gate       quarantineGate
 }
 
 // servePlain handles a request whose response is a single body.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
-	call := &plainCall{g: g, r: r, tried: map[string]bool{}}
+	call := &plainCall{g: g, r: r, tried: map[string]bool{}, gate: quarantineGate{g: g, r: r}}
 	if !call.fitsPlannedStop(time.Now()) {
 		g.refuse(w, r, g.stop().refusal(time.Now(), g.callTimes.longest(r.Route.Name)))
 		return
 	}
 	defer call.recordCallTime()
 	for {
+		if why := call.gate.pass(ctx); why != nil {
+			g.refuse(w, r, call.truthful(*why))
+			return
+		}
 		choice, refused := g.choosePlain(ctx, r, g.balanceRequest(r, call.tried))
+		if refused != nil {
+			call.gate.endTrial()
+		}
 		if refused != nil && g.awaitEndpoints(ctx, time.Now(), r, refused) {
 			r.takeView(g.Cache)
 			continue
 		}
 		if refused != nil {
-			g.refuse(w, r, call.noEndpointRefusal(refused))
+			g.refuse(w, r, call.truthful(g.noEndpointRefusal(refused)))
 			return
 		}
 		last := call.attempt(ctx, choice)
@@ -124,11 +133,9 @@
 	}
 }
 
-// noEndpointRefusal returns the refusal of a request for which no endpoint is left.
-// It uses a status that guarantees that nothing was executed only if no endpoint may
-// have run the request.
-func (c *plainCall) noEndpointRefusal(refused *balance.Refusal) refusal {
-	why := c.g.noEndpointRefusal(refused)
+// truthful returns a refusal with a status that guarantees that nothing was executed only if no endpoint may have
+// run the request.
+func (c *plainCall) truthful(why refusal) refusal {
 	if c.mayHaveRun {
 		why.status = http.StatusBadGateway
 	}
@@ -141,18 +148,26 @@
 	c.tried[choice.Endpoint.ID] = true
 	defer choice.Attempt.Cancel() // if the exchange panics
 	ctx, timer, cancel := withAttemptTimer(ctx, c.attemptTimeout(time.Now()))
+	c.g.unproven.add(&c.gate, cancel)
+	defer c.g.unproven.remove(&c.gate)
+	defer c.gate.endTrial()
 	response, err := c.g.send(ctx, c.r, choice.Endpoint, "", c.sendMode())
 	if err != nil {
-		cancel()
+		c.recordBrokenOff(ctx, choice.Endpoint, err)
+		cancel(nil)
 		return c.recordSendFailure(choice, err)
 	}
 	c.sent++
 	c.g.recordResponded(time.Now(), choice.Endpoint, response)
 	c.g.recordResponseInfo(c.r, choice, response)
-	last := c.readResponse(response)
+	last := c.readResponse(choice.Endpoint, response)
 	last.release = func() {
 		_ = response.Body.Close() // the part that is needed has been read
-		cancel()
+		cancel(nil)
+	}
+	c.recordBrokenOff(ctx, choice.Endpoint, last.err)
+	if last.err == nil && !last.notRun && last.unread == nil {
+		c.gate.recordProven(time.Now())
 	}
 	c.recordAttempt(choice, last)
 	timer.Stop() // what is unread can't be replaced by a retry any more
@@ -163,14 +178,43 @@
 	return last
 }
 
+// recordBrokenOff finds out whether the endpoint's process ended, if an attempt broke off without this node's doing.
+func (c *plainCall) recordBrokenOff(ctx context.Context, e *fleet.Endpoint, err error) {
+	if redwinghall.KindOf[Kind](err) != Unknown || ctx.Err() != nil {
+		return
+	}
+	found := c.g.presence(ctx, e)
+	c.gate.recordPresence(time.Now(), e, found)
+}
+
+// forward sends the endpoint's response to the caller. One that wasn't read completely before shows only then whether
+// the endpoint lives on.
+func (c *plainCall) forward(ctx context.Context, w http.ResponseWriter, last plainAttempt) {
+	if last.unread == nil {
+		c.g.forwardResponse(w, c.r, last)
+		return
+	}
+	complete := false
+	defer func() {
+		if !complete && !c.r.callerLeft() {
+			c.recordBrokenOff(ctx, last.endpoint, errBrokenOff)
+		}
+	}()
+	c.g.forwardResponse(w, c.r, last)
+	complete = true
+	c.gate.recordProven(time.Now())
+}
+
+var errBrokenOff = redwinghall.NewOpError("plainCall.forward", Unknown, nil)
+
 // withAttemptTimer returns a context that is canceled once this process has run for timeout, unless the
 // timer is stopped.
-func withAttemptTimer(parent context.Context, timeout time.Duration) (context.Context, *kernel.Timer, func()) {
+func withAttemptTimer(parent context.Context, timeout time.Duration) (context.Context, *kernel.Timer, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	timer := kernel.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-	return ctx, timer, func() {
+	return ctx, timer, func(cause error) {
 		timer.Stop()
-		cancel(nil)
+		cancel(cause)
 	}
 }
 
@@ -184,8 +228,8 @@
 }
 
 // readResponse reads a response, or the first part of a large one.
-func (c *plainCall) readResponse(response *Response) plainAttempt {
-	last := plainAttempt{response: response, notRun: response.Info.NotRun}
+func (c *plainCall) readResponse(e *fleet.Endpoint, response *Response) plainAttempt {
+	last := plainAttempt{endpoint: e, response: response, notRun: response.Info.NotRun}
 	body, complete, err := readUpTo(response.Body, nil, smallBufferedResponse)
 	if err == nil && !complete && c.g.answerBytes.take(maxBufferedResponse) {
 		last.giveBack = func() { c.g.answerBytes.giveBack(maxBufferedResponse) }
@@ -300,7 +344,7 @@
 	case last.response != nil && last.notRun && !call.mayHaveRun:
 		g.refuse(w, r, g.rejectedRefusal(r))
 	case last.response != nil && !last.notRun:
-		g.forwardResponse(w, r, last)
+		call.forward(ctx, w, last)
 	case redwinghall.KindOf[Kind](last.err) == NotSent && !call.mayHaveRun && !outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -31,14 +31,14 @@
 	suspectedRetryAfter = time.Second
 )
 
-// Reasons of refusals for a part of the prompt.
+// Reasons of refusals for a part of the request.
 const (
 	reasonQuarantined = "prompt_quarantined"
 	reasonSuspected   = "prompt_suspected"
 )
 
-// ErrQuarantined is the cause of the end of an attempt whose prompt has a part that was quarantined meanwhile.
-var ErrQuarantined = errors.New("a part of the prompt is quarantined")
+// ErrQuarantined is the cause of the end of an attempt whose request has a part that was quarantined meanwhile.
+var ErrQuarantined = errors.New("a part of the request is quarantined")
 
 // TrialGranter grants the trials of requests with suspected parts, for all nodes.
 type TrialGranter interface {
@@ -58,62 +58,82 @@
 
 func (t localTrials) EndTrial(request string) { t.table.EndTrial(request) }
 
-// passQuarantine decides whether the next attempt may be sent, as far as the parts of the prompt are concerned.
+// quarantineGate passes the attempts of one request through the quarantine, and tells it what became of them.
+type quarantineGate struct {
+	g *Gateway
+	r *Request
+	// trial is set if the present attempt finds out whether a part of the request ends endpoints.
+	trial bool
+	// proven is set once the present attempt has shown that the parts of the request end no endpoint.
+	proven bool
+	// ended is set once the endpoint's process has ended under the present attempt.
+	ended bool
+}
+
+// pass decides whether the next attempt may be sent, as far as the parts of the request are concerned.
 // It returns a refusal if not.
-func (c *streamCall) passQuarantine(ctx context.Context) *refusal {
-	c.trial, c.proven, c.ended = false, false, false
-	if len(c.r.Info.PromptParts) == 0 {
-		return nil
-	}
-	c.g.awaitQuarantine(ctx)
-	decision := c.decide()
+func (q *quarantineGate) pass(ctx context.Context) *refusal {
+	q.trial, q.proven, q.ended = false, false, false
+	q.g.awaitQuarantine(ctx)
+	decision := q.decide()
 	if decision.Verdict == quarantine.Send {
 		return nil
 	}
-	if c.g.held.Add(1) > maxHeld && decision.Verdict == quarantine.Trial {
-		c.g.held.Add(-1)
-		return c.suspectedRefusal(decision)
+	if q.g.held.Add(1) > maxHeld && decision.Verdict == quarantine.Trial {
+		q.g.held.Add(-1)
+		return q.suspectedRefusal(decision)
 	}
-	defer c.g.held.Add(-1)
-	return c.awaitTrial(ctx)
+	defer q.g.held.Add(-1)
+	return q.awaitTrial(ctx)
 }
 
-func (c *streamCall) decide() quarantine.Decision {
-	return c.g.Quarantine.Check(time.Now(), c.r.Service.Name, c.r.Info.PromptParts)
+func (q *quarantineGate) decide() quarantine.Decision {
+	if !q.g.Quarantine.IsSuspecting() {
+		return quarantine.Decision{Verdict: quarantine.Send}
+	}
+	return q.g.Quarantine.Check(time.Now(), q.r.Service.Name, q.r.parts())
 }
 
 // awaitTrial waits until nothing speaks against the request any more, it is granted the next trial, or its
 // waiting time is over.
-func (c *streamCall) awaitTrial(ctx context.Context) *refusal {
+func (q *quarantineGate) awaitTrial(ctx context.Context) *refusal {
 	begun := time.Now()
-	limit := min(maxTrialWait, c.r.Left(begun)/trialWaitShare)
+	limit := min(maxTrialWait, q.r.Left(begun)/trialWaitShare)
 	for {
-		changed := c.g.Quarantine.Changed()
-		decision := c.decide()
+		changed := q.g.Quarantine.Changed()
+		decision := q.decide()
 		switch decision.Verdict {
 		case quarantine.Send:
 			return nil
 		case quarantine.Refuse:
-			return c.quarantinedRefusal(decision)
+			return q.quarantinedRefusal(decision)
 		}
-		switch c.g.Trials.RequestTrial(ctx, c.r.Info.ID, c.r.Service.Name, c.r.Info.PromptParts) {
+		switch q.g.Trials.RequestTrial(ctx, q.r.Info.ID, q.r.Service.Name, q.r.parts()) {
 		case quarantine.TrialGranted:
-			c.trial = true
-			klog.InfoS("trial", "request", c.r.Info.ID, "part", decision.Part.ID, "waited", time.Since(begun))
-			c.g.Metrics.Trial()
+			q.trial = true
+			klog.InfoS("trial", "request", q.r.Info.ID, "part", decision.Part.ID, "waited", time.Since(begun))
+			q.g.Metrics.Trial()
 			return nil
 		case quarantine.TrialNeedless:
 			return nil
 		case quarantine.TrialRefused:
-			return c.quarantinedRefusal(c.decide())
+			return q.quarantinedRefusal(q.decide())
 		}
 		if time.Since(begun) >= limit || ctx.Err() != nil {
-			return c.suspectedRefusal(decision)
+			return q.suspectedRefusal(decision)
 		}
 		waitForChange(ctx, changed, trialInterval)
 	}
 }
 
+// endTrial ends the trial of an attempt that told nothing of the parts of its request. What it told ends it at
+// the node that granted it, together with the news.
+func (q *quarantineGate) endTrial() {
+	if q.trial && !q.proven && !q.ended {
+		q.g.Trials.EndTrial(q.r.Info.ID)
+	}
+}
+
 func waitForChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -124,13 +144,13 @@
 	}
 }
 
-func (c *streamCall) quarantinedRefusal(decision quarantine.Decision) *refusal {
-	klog.InfoS("part_refused", "request", c.r.Info.ID, "part", decision.Part.ID, "retry_after", decision.Wait)
+func (q *quarantineGate) quarantinedRefusal(decision quarantine.Decision) *refusal {
+	klog.InfoS("part_refused", "request", q.r.Info.ID, "part", decision.Part.ID, "retry_after", decision.Wait)
 	return &refusal{status: http.StatusServiceUnavailable, reason: reasonQuarantined, retryAfter: max(decision.Wait, suspectedRetryAfter)}
 }
 
-func (c *streamCall) suspectedRefusal(decision quarantine.Decision) *refusal {
-	klog.InfoS("part_refused", "request", c.r.Info.ID, "part", decision.Part.ID, "suspected", true)
+func (q *quarantineGate) suspectedRefusal(decision quarantine.Decision) *refusal {
+	klog.InfoS("part_refused", "request", q.r.Info.ID, "part", decision.Part.ID, "suspected", true)
 	return &refusal{status: http.StatusServiceUnavailable, reason: reasonSuspected, retryAfter: suspectedRetryAfter}
 }
 
@@ -145,16 +165,16 @@
 }
 
 // recordPresence records what was found of an endpoint's process after an attempt without a proven answer broke off.
-func (c *streamCall) recordPresence(now time.Time, e *fleet.Endpoint, found fleet.Presence) {
+func (q *quarantineGate) recordPresence(now time.Time, e *fleet.Endpoint, found fleet.Presence) {
 	suspect := quarantine.Suspect{
 		Process: quarantine.Process{Endpoint: e.ID, StartedMillis: e.StartedMillis},
-		Request: c.r.Info.ID, Service: c.r.Service.Name, Parts: c.r.Info.PromptParts, Trial: c.trial, At: now,
+		Request: q.r.Info.ID, Service: q.r.Service.Name, Parts: q.r.parts(), Trial: q.trial, At: now,
 	}
 	switch {
 	case found == fleet.PresenceGone:
-		c.ended = c.g.recordEnd(e, suspect)
-	case found == fleet.PresenceUnknown && len(suspect.Parts) > 0 && c.g.Background != nil:
-		c.g.Background("presence", func(ctx context.Context) { c.g.recheckPresence(ctx, e, suspect) })
+		q.ended = q.g.recordEnd(e, suspect)
+	case found == fleet.PresenceUnknown && q.g.Background != nil:
+		q.g.Background("presence", func(ctx context.Context) { q.g.recheckPresence(ctx, e, suspect) })
 	}
 }
 
@@ -194,46 +214,53 @@
 	return true
 }
 
-// recordProven records that the endpoint has answered on the parts of the prompt and lives on.
-func (c *streamCall) recordProven(now time.Time) {
-	c.proven = true
-	c.g.unproven.remove(c)
-	c.g.Quarantine.RecordProven(now, c.r.Service.Name, c.r.Info.PromptParts)
+// recordProven records that the endpoint has answered the request and lives on.
+//
+// While nothing is suspected, only what other requests have too is remembered: the parts of a prompt that requests
+// share, and calls without a prompt, of which many are equal.
+func (q *quarantineGate) recordProven(now time.Time) {
+	q.proven = true
+	q.g.unproven.remove(q)
+	parts := q.r.Info.PromptParts
+	if q.r.Service.Engine == nil || q.g.Quarantine.IsSuspecting() {
+		parts = q.r.parts()
+	}
+	q.g.Quarantine.RecordProven(now, q.r.Service.Name, parts)
 }
 
-// unprovenAttempts are the attempts in progress that don't speak for the parts of their prompts yet. The zero
+// unprovenAttempts are the attempts in progress that don't speak for the parts of their requests yet. The zero
 // value is empty.
 type unprovenAttempts struct {
 	mu      sync.Mutex
-	cancels map[*streamCall]context.CancelCauseFunc
+	cancels map[*quarantineGate]context.CancelCauseFunc
 }
 
-func (u *unprovenAttempts) add(c *streamCall, cancel context.CancelCauseFunc) {
-	if len(c.r.Info.PromptParts) == 0 {
-		return
-	}
+func (u *unprovenAttempts) add(q *quarantineGate, cancel context.CancelCauseFunc) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.cancels == nil {
-		u.cancels = map[*streamCall]context.CancelCauseFunc{}
+		u.cancels = map[*quarantineGate]context.CancelCauseFunc{}
 	}
-	u.cancels[c] = cancel
+	u.cancels[q] = cancel
 }
 
-func (u *unprovenAttempts) remove(c *streamCall) {
+func (u *unprovenAttempts) remove(q *quarantineGate) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.cancels, c)
+	delete(u.cancels, q)
 }
 
-// CancelQuarantined cancels the attempts whose prompts have a part that is quarantined by now, before the
+// CancelQuarantined cancels the attempts whose requests have a part that is quarantined by now, before the
 // endpoints begin to answer them.
 func (g *Gateway) CancelQuarantined() {
+	if !g.Quarantine.IsSuspecting() {
+		return
+	}
 	g.unproven.mu.Lock()
 	defer g.unproven.mu.Unlock()
-	for c, cancel := range g.unproven.cancels {
-		if c.decide().Verdict == quarantine.Refuse {
-			klog.InfoS("attempt_quarantined", "request", c.r.Info.ID)
+	for q, cancel := range g.unproven.cancels {
+		if q.decide().Verdict == quarantine.Refuse {
+			klog.InfoS("attempt_quarantined", "request", q.r.Info.ID)
 			cancel(ErrQuarantined)
 		}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -40,6 +40,9 @@
 	// ownIdentity is computed at its first use, before the body is released.
 	ownIdentity     string
 	computeIdentity sync.Once
+	// allParts is computed at its first use too.
+	allParts     []string
+	computeParts sync.Once
 }
 
 // releaseBody drops the body once no endpoint will be sent it any more.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,30 +59,25 @@
 	unread atomic.Bool
 	// blank holds the blank lines and comments before the first event of the present attempt.
 	blank []byte
-	// trial is set if the present attempt finds out whether a part of the prompt ends endpoints.
-	trial bool
-	// proven is set once the present attempt has shown that the parts of its prompt end no endpoint.
-	proven bool
-	// ended is set once the endpoint's process has ended under the present attempt.
-	ended bool
+	gate  quarantineGate
 }
 
 // serveStream handles a request whose response is a stream of events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *Request) {
 	g.streams.Add(1)
 	defer g.streams.Add(-1)
-	call := &streamCall{g: g, r: r, w: w, flush: http.NewResponseController(w), tried: map[string]bool{}}
+	call := &streamCall{g: g, r: r, w: w, flush: http.NewResponseController(w), tried: map[string]bool{}, gate: quarantineGate{g: g, r: r}}
 	if id, err := strconv.ParseInt(r.Info.LastEvent, 10, 64); err == nil {
 		call.lastID, call.hasID = id, true
 	}
 	for {
-		if why := call.passQuarantine(ctx); why != nil {
+		if why := call.gate.pass(ctx); why != nil {
 			call.refuse(*why)
 			return
 		}
 		choice, refused := call.choose(ctx)
 		if refused != nil {
-			call.endTrial()
+			call.gate.endTrial()
 		}
 		if refused != nil && g.awaitEndpoints(ctx, time.Now(), r, refused) {
 			r.takeView(g.Cache)
@@ -94,7 +89,7 @@
 		}
 		if now, stop := time.Now(), g.stop(); !call.headersSent && !stop.Accepts(now, choice.Expected, r.Deadline) {
 			choice.Attempt.Cancel()
-			call.endTrial()
+			call.gate.endTrial()
 			call.refuse(stop.refusal(now, choice.Expected))
 			return
 		}
@@ -158,9 +153,9 @@
 	defer choice.Attempt.Cancel() // if the exchange panics, as it does when the caller has left
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c.g.unproven.add(c, cancel)
-	defer c.g.unproven.remove(c)
-	defer c.endTrial()
+	c.g.unproven.add(&c.gate, cancel)
+	defer c.g.unproven.remove(&c.gate)
+	defer c.gate.endTrial()
 	var stalled atomic.Bool
 	stop := c.watchStall(choice, func() { stalled.Store(true); cancel(ErrStalled) })
 	defer stop()
@@ -180,8 +175,8 @@
 	case redwinghall.KindOf[Kind](last.err) == Unknown && ctx.Err() == nil:
 		c.g.recordBroken(now, choice.Endpoint, last.response)
 		presence = c.g.presence(ctx, choice.Endpoint)
-		if !c.proven {
-			c.recordPresence(now, choice.Endpoint, presence)
+		if !c.gate.proven {
+			c.gate.recordPresence(now, choice.Endpoint, presence)
 		}
 	case last.notRun && c.r.Service.Engine != nil && !last.response.rejectedWithRetryAfter():
 		// While the store is unreachable, the head of a closed group still looks open
@@ -280,7 +275,7 @@
 		return c.failedDials < maxDials && c.r.Left(now) > minRemaining
 	case last.notRun:
 		return c.g.mayRetry(c.r, int(c.sent.Load()), now)
-	case !c.resumable(), c.decide().Verdict == quarantine.Refuse:
+	case !c.resumable(), c.gate.decide().Verdict == quarantine.Refuse:
 		return false
 	}
 	return last.retryCharged || c.g.mayRetry(c.r, int(c.sent.Load()), now)
@@ -292,14 +287,6 @@
 	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && (!c.headersSent || c.hasID || c.firstEventAt.IsZero())
 }
 
-// endTrial ends the trial of an attempt that told nothing of the parts of its prompt. What it told ends it at
-// the node that granted it, together with the news.
-func (c *streamCall) endTrial() {
-	if c.trial && !c.proven && !c.ended {
-		c.g.Trials.EndTrial(c.r.Info.ID)
-	}
-}
-
 // giveUp ends a stream that no endpoint can complete.
 func (c *streamCall) giveUp(ctx context.Context) {
 	switch {
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -38,7 +38,7 @@
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if response.endsSoundly() {
-				c.recordProven(time.Now())
+				c.gate.recordProven(time.Now())
 			}
 			c.sendHeaders(response)
 			if len(c.blank) > 0 {
@@ -82,8 +82,8 @@
 		choice.Attempt.RecordEvent(now, pace)
 	}
 	c.g.recordResponded(now, choice.Endpoint, response)
-	if !c.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
-		c.recordProven(now)
+	if !c.gate.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
+		c.gate.recordProven(now)
 	}
 }
 
--- a/node/crashing_request_test.go
+++ b/node/crashing_request_test.go
@@ -19,6 +19,10 @@
 const (
 	crashingRepeats     = 20
 	crashingRepeatPause = 150 * time.Millisecond
+	// repeatedPlay leaves time for sound requests after the last end.
+	repeatedPlay = 9 * time.Second
+	// largeAnswerEvents are more than a node reads of an answer before it passes it on.
+	largeAnswerEvents = 20_000
 )
 
 // repeatedRequest is a request that ends workers, as its caller repeats it.
@@ -26,6 +30,7 @@
 	method, path string
 	parts        []string // of its prompt
 	body         string
+	events       int // what the worker sends of its answer before it ends
 	matches      func(r *http.Request) bool
 }
 
@@ -35,11 +40,12 @@
 
 // repeatedRequests are requests of each kind that end workers.
 var repeatedRequests = map[string]repeatedRequest{
-	"a stream whose only part is its own": {http.MethodPost, "/stream/x", []string{"dead"}, "", platformtest.LastPartIs("dead")},
-	"a stream without parts":              {http.MethodPost, "/stream/bad", nil, "a prompt", pathIs("/stream/bad")},
-	"a look-up":                           {http.MethodGet, "/look/bad", nil, "", pathIs("/look/bad")},
-	"a booking":                           {http.MethodPost, "/book/bad", nil, "one deposit", pathIs("/book/bad")},
-	"a stream with a sound shared part and its own": {http.MethodPost, "/stream/x", []string{soundPart, "dead"}, "", platformtest.LastPartIs("dead")},
+	"a stream whose only part is its own":           {http.MethodPost, "/stream/x", []string{"dead"}, "", 0, platformtest.LastPartIs("dead")},
+	"a stream without parts":                        {http.MethodPost, "/stream/bad", nil, "a prompt", 0, pathIs("/stream/bad")},
+	"a look-up":                                     {http.MethodGet, "/look/bad", nil, "", 0, pathIs("/look/bad")},
+	"a look-up with a large answer":                 {http.MethodGet, "/look/bad", nil, "", largeAnswerEvents, pathIs("/look/bad")},
+	"a booking":                                     {http.MethodPost, "/book/bad", nil, "one deposit", 0, pathIs("/book/bad")},
+	"a stream with a sound shared part and its own": {http.MethodPost, "/stream/x", []string{soundPart, "dead"}, "", 0, platformtest.LastPartIs("dead")},
 }
 
 // repeatPlay sends a request that ends workers again and again, beside sound ones of all kinds.
@@ -101,7 +107,7 @@
 func (p *repeatPlay) run(t *testing.T) (begun time.Time) {
 	t.Helper()
 	begun = time.Now()
-	ctx, stop := context.WithTimeout(context.Background(), crashingPlay)
+	ctx, stop := context.WithTimeout(context.Background(), repeatedPlay)
 	defer stop()
 	g := kernel.NewGroup(ctx)
 	for i, d := range p.z.nodes {
@@ -121,7 +127,7 @@
 				t.Parallel()
 				z := deployZonesOf(t, nodes, crashEnginesPerZone, platformtest.EndpointConfig{Event: 10 * time.Millisecond, Events: answerEvents},
 					platformtest.EndpointConfig{Work: 20 * time.Millisecond})
-				crash := platformtest.Crash{Matches: bad.matches, After: 60 * time.Millisecond, Away: crashAway}
+				crash := platformtest.Crash{Matches: bad.matches, Events: bad.events, After: 60 * time.Millisecond, Away: crashAway}
 				for _, e := range append(z.engines(), z.desks...) {
 					e.CrashOn(crash)
 				}
@@ -144,7 +150,7 @@
 				require.Zero(t, p.whole, "broken answers that looked complete")
 				again := seen.Ends[len(seen.Ends)-1].Add(crashAway + soundAgain)
 				for path, tries := range p.sound {
-					share, n := (&crashPlay{sound: tries}).servedBetween(again, begun.Add(crashingPlay))
+					share, n := (&crashPlay{sound: tries}).servedBetween(again, begun.Add(repeatedPlay))
 					require.Greater(t, n, 10, path)
 					require.GreaterOrEqual(t, share, minSoundShare, "sound first tries of %s served, of %d", path, n)
 				}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -192,10 +192,13 @@
 	current := make(map[quarantine.Part]bool, len(statuses))
 	quarantined := 0
 	for _, one := range statuses {
-		current[one.Part] = one.Quarantined
 		if one.Quarantined {
 			quarantined++
 		}
+		if one.Own && !one.Quarantined {
+			continue // each end brings some, and its own line names them
+		}
+		current[one.Part] = one.Quarantined
 		before, known := logged[one.Part]
 		if known && before == one.Quarantined {
 			continue
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,7 +1,8 @@
-// Package quarantine decides which requests are not sent to endpoints because of a part of their prompt.
+// Package quarantine decides which requests are not sent to endpoints because of what they have in common with others:
+// a part of their prompt, or that they are the same request.
 //
-// A part of a prompt may end the process of each endpoint that begins to answer on it. Such a request ends one
-// endpoint after the other: its node sends it on, its caller sends it again, and others have the same part. So nodes
+// A request may end the process of each endpoint that begins to answer it, one after the other: its node sends it on,
+// its caller sends it again under another id, and others have the same part in their prompts. So nodes
 // tell each other which requests were at an endpoint, without a proven answer, as its process ended. A part that was
 // there is suspected until some endpoint answers on it. Suspected parts are sent one request at a time, over all
 // nodes: a trial. A part that goes on to end endpoints is quarantined: its requests are refused.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -20,6 +20,9 @@
 	// condemningTrials is the number of trials in a row that condemns a part whatever else ends: a trial
 	// is one request, and takes less than a second.
 	condemningTrials = 3
+	// condemningOwnTrials is the same for a request's own part. Only its own request pays if it was there by
+	// chance, and the third end must be the last.
+	condemningOwnTrials = 2
 	// firstRetest is the time until a quarantined part is tried again, by one request of all nodes. Each
 	// end doubles it, up to lastRetest: an endpoint may be mended meanwhile, and nobody tells.
 	firstRetest = 10 * time.Minute
@@ -31,7 +34,7 @@
 	score  int // ends that count one by one
 	trials int // ends of trials
 	ends   int // processes that ended
-	all    int // processes that ended from the first of them to the last, under whatever
+	all    int // processes that ended from the first of them to the last, under whatever; 0 if the score is too low to count
 	// firstAt and lastAt are the times of the first and the last end.
 	firstAt, lastAt time.Time
 	// companions are the suspected parts that all its requests had, itself included. Parts that endpoints
@@ -64,7 +67,9 @@
 	}
 	e.ends = len(ends)
 	e.count(ends)
-	e.all = t.endsBetween(e.firstAt, e.lastAt)
+	if e.score >= condemningScore {
+		e.all = t.endsBetween(e.firstAt, e.lastAt)
+	}
 	e.companions = slices.DeleteFunc(e.companions, func(p Part) bool { return p != part && trusted(t.provenAt(p), e.firstAt) })
 	return e
 }
@@ -102,11 +107,15 @@
 }
 
 // condemns reports whether requests with the part, and its companions, are refused.
-func (e evidence) condemns() bool {
+func (e evidence) condemns(part Part) bool {
 	if e.score < condemningScore || e.trials == 0 {
 		return false
 	}
-	return e.trials >= condemningTrials || 100*e.ends >= condemningShare*e.all
+	trials := condemningTrials
+	if isOwn(part.ID) {
+		trials = condemningOwnTrials
+	}
+	return e.trials >= trials || 100*e.ends >= condemningShare*e.all
 }
 
 // retestAt returns when one request with the part may be sent again.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -112,7 +112,9 @@
 
 // Status is what a table holds against one part, for operators.
 type Status struct {
-	Part        Part
+	Part Part
+	// Own is set if the part belongs to one request, or to its session.
+	Own         bool
 	Quarantined bool
 	Since       time.Time // the first end
 	Last        time.Time // the last one
@@ -130,7 +132,7 @@
 		if !e.suspicious(t.provenAt(part)) {
 			continue
 		}
-		one := Status{Part: part, Quarantined: e.condemns(), Since: e.firstAt, Last: e.lastAt}
+		one := Status{Part: part, Own: isOwn(part.ID), Quarantined: e.condemns(part), Since: e.firstAt, Last: e.lastAt}
 		if one.Quarantined {
 			one.RetestAt = e.retestAt()
 		}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -8,12 +8,30 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part is a part of a prompt, as requests of one service share it.
+// Part is what requests of one service may have in common: a part of their prompts, or that they are the same request,
+// as its caller repeats it.
 type Part struct {
 	Service string
 	ID      string
 }
 
+// Prefixes of the ids of a request's own parts. Ids of shared parts hold no colon.
+const (
+	lastPrefix  = "last:"
+	wholePrefix = "request:"
+)
+
+// LastPart returns the id of the last part of a prompt, which belongs to the request itself or to its session.
+func LastPart(id string) string { return lastPrefix + id }
+
+// WholeRequest returns the id of a request as a whole. identity is the same for all attempts with the request.
+func WholeRequest(identity string) string { return wholePrefix + identity }
+
+// isOwn reports whether a part belongs to one request, or to its session.
+func isOwn(id string) bool {
+	return strings.HasPrefix(id, lastPrefix) || strings.HasPrefix(id, wholePrefix)
+}
+
 // Process is one run of an endpoint's process.
 type Process struct {
 	Endpoint      string
@@ -28,7 +46,7 @@
 	Process Process
 	Request string // id of the request
 	Service string
-	Parts   []string // ids of the shared parts of its prompt
+	Parts   []string // ids of its parts
 	// Trial is set if the request was sent alone to find out whether its parts end endpoints.
 	Trial bool
 	At    time.Time // when the process was found to have ended
@@ -56,9 +74,15 @@
 
 func (s *Suspect) key() suspectKey { return suspectKey{s.Process, s.Request} }
 
-// digest is the same for the same suspect at all nodes.
-func (s *Suspect) digest() uint64 {
-	return xxhash.Sum64String(strings.Join([]string{s.Process.Endpoint, time.UnixMilli(s.Process.StartedMillis).UTC().String(), s.Request}, "\x00"))
+// digest is the same for the same suspect with the same suspected parts at all nodes.
+func (s *suspect) digest() uint64 {
+	fields := []string{s.Process.Endpoint, time.UnixMilli(s.Process.StartedMillis).UTC().String(), s.Request}
+	first := len(fields)
+	for _, part := range s.live {
+		fields = append(fields, part.ID)
+	}
+	slices.Sort(fields[first:])
+	return xxhash.Sum64String(strings.Join(fields, "\x00"))
 }
 
 // own returns a copy that doesn't keep the request's headers in memory, without doubled parts.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -16,6 +16,9 @@
 	// keepClearedAfter is how long a suspect without suspected parts is kept, to be counted among the
 	// ends and told to other nodes.
 	keepClearedAfter = time.Minute
+	// keepOwnAfter is how long a suspect is kept of which only its request's own parts are suspected. A caller
+	// that repeats its request does so sooner.
+	keepOwnAfter = 5 * time.Minute
 )
 
 // Verdict says what becomes of a request.
@@ -51,9 +54,11 @@
 	// cleared holds when any node last had an answer on a part that was suspected.
 	cleared map[Part]*clearing
 	proven  recentParts
-	trials  map[Part]trial
-	seq     uint64
-	changed chan struct{} // closed at the next change
+	// provenOwn holds the same of requests' own parts. They are many, and would push out those that are shared.
+	provenOwn recentParts
+	trials    map[Part]trial
+	seq       uint64
+	changed   chan struct{} // closed at the next change
 }
 
 // clearing is the time of an endpoint's answer on a part.
@@ -84,6 +89,9 @@
 	t.changed = make(chan struct{})
 }
 
+// IsSuspecting reports whether any part is suspected or quarantined.
+func (t *Table) IsSuspecting() bool { return t.suspecting.Load() }
+
 // Check decides about a request with these parts.
 func (t *Table) Check(now time.Time, service string, parts []string) Decision {
 	if len(parts) == 0 || !t.suspecting.Load() {
@@ -106,7 +114,7 @@
 		e := t.evidenceOn(part)
 		// Of parts that were always together only a request that has all of them is refused. One that has
 		// some shows which of them ends endpoints: else a caller could shut out the part of another one.
-		if e.condemns() && containsAll(service, parts, e.companions) && now.Before(e.retestAt()) {
+		if e.condemns(part) && containsAll(service, parts, e.companions) && now.Before(e.retestAt()) {
 			return Decision{Verdict: Refuse, Part: part, Wait: e.retestAt().Sub(now)}, nil
 		}
 		if e.suspicious(t.provenAt(part)) {
@@ -134,13 +142,21 @@
 
 // provenAt returns when an endpoint last answered on a part, zero if that isn't known. The lock is held.
 func (t *Table) provenAt(part Part) time.Time {
-	at := t.proven.at(part)
+	at := t.provenOf(part).at(part)
 	if one, ok := t.cleared[part]; ok && one.at.After(at) {
 		return one.at
 	}
 	return at
 }
 
+// provenOf returns the record that holds a part. The lock is held.
+func (t *Table) provenOf(part Part) *recentParts {
+	if isOwn(part.ID) {
+		return &t.provenOwn
+	}
+	return &t.proven
+}
+
 // RecordProven records that an endpoint answered on some parts and lived on.
 func (t *Table) RecordProven(now time.Time, service string, parts []string) {
 	if len(parts) == 0 {
@@ -151,7 +167,7 @@
 	changed := false
 	for _, id := range parts {
 		part := Part{service, id}
-		t.proven.set(part, now)
+		t.provenOf(part).set(part, now)
 		if len(t.live[part]) > 0 {
 			changed = t.clear(part, now, true) || changed
 		}
@@ -240,7 +256,7 @@
 	for _, id := range s.Parts {
 		part := Part{s.Service, id}
 		proven := t.provenAt(part)
-		if !proven.IsZero() && t.proven.at(part).Equal(proven) {
+		if !proven.IsZero() && t.provenOf(part).at(part).Equal(proven) {
 			t.clear(part, proven, true) // the other nodes may not know
 		}
 		if s.At.After(proven) {
@@ -309,15 +325,34 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.suspects {
-		age := now.Sub(s.At)
-		if age > keepAfter || (len(s.live) == 0 && age > keepClearedAfter) {
+		if age := now.Sub(s.At); age > keepClearedAfter && age > t.keepTime(s) {
 			t.remove(s)
 		}
 	}
+	named := map[Part]bool{}
+	for _, s := range t.suspects {
+		for _, id := range s.Parts {
+			named[Part{s.Service, id}] = true
+		}
+	}
 	for part, one := range t.cleared {
-		if now.Sub(one.at) > keepClearedAfter && len(t.live[part]) == 0 {
+		// A node that missed the answer would otherwise suspect the part on, as long as it has the suspect.
+		if now.Sub(one.at) > keepClearedAfter && !named[part] {
 			delete(t.cleared, part)
 		}
 	}
 	t.suspecting.Store(len(t.live) > 0)
 }
+
+// keepTime returns how long a suspect is kept. The lock is held.
+func (t *Table) keepTime(s *suspect) time.Duration {
+	if len(s.live) == 0 {
+		return keepClearedAfter
+	}
+	for _, part := range s.live {
+		if !isOwn(part.ID) || t.evidenceOn(part).condemns(part) {
+			return keepAfter
+		}
+	}
+	return keepOwnAfter
+}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -289,3 +289,25 @@
 	h.prove(parts...)
 	require.Zero(t, testing.AllocsPerRun(100, func() { h.prove(parts...) }))
 }
+
+// Many processes end for another reason while a request ends one after the other: it is refused after the third all the same.
+func TestRequestIsRefusedAfterItsThirdEndBesideManyOthers(t *testing.T) {
+	t.Parallel()
+	h := newHistory()
+	whole := quarantine.WholeRequest("r")
+	sent := 0
+	for ; sent < 10; sent++ {
+		request := fmt.Sprint("try-", sent)
+		answer := h.RequestTrial(h.now, request, service, []string{whole})
+		if answer == quarantine.TrialRefused {
+			break
+		}
+		h.end(answer == quarantine.TrialGranted, whole)
+		h.EndTrial(request)
+		for range 10 {
+			h.pass(20 * time.Millisecond)
+			h.end(false, quarantine.WholeRequest(fmt.Sprint("other-", h.ends)))
+		}
+	}
+	require.Equal(t, maxRequestEnds, sent)
+}
