Quarantine: an endpoint that ends again before its new entry is read counts again

What callers saw: a request that its caller repeats ended four workers, not three. The change: ends of one process that are found more than a second apart are two ends. Nodes find the same one within 0.6 s. TestEndOfAnEndpointsNextProcessCounts failed before.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -12,6 +12,9 @@
 	// clusterGap separates ends that count one by one. Processes that end together have another cause in
 	// common than a part of which requests wait at all of them.
 	clusterGap = 100 * time.Millisecond
+	// sameEndTime is how far apart nodes may find the same end of a process. What is found later is the end of the
+	// next process of the endpoint, whose entry the node hadn't read yet.
+	sameEndTime = time.Second
 	// condemningScore is the number of ends that condemns a part.
 	condemningScore = 3
 	// condemningShare is the least share of the ends, from the first to the last one at which the part was, in
@@ -50,15 +53,9 @@
 
 // evidenceOn collects what speaks against a part. The lock is held.
 func (t *Table) evidenceOn(part Part) evidence {
-	ends := map[Process]end{}
 	var e evidence
+	ends := endsOf(t.live[part])
 	for i, s := range t.live[part] {
-		one, known := ends[s.Process]
-		if !known || s.At.Before(one.at) {
-			one.at = s.At
-		}
-		one.trial = one.trial || s.Trial
-		ends[s.Process] = one
 		if i == 0 {
 			e.companions = slices.Clone(s.live)
 		} else {
@@ -74,18 +71,30 @@
 	return e
 }
 
+// endsOf returns the ends of processes at which some suspects were, in the order of time.
+func endsOf(suspects []*suspect) []end {
+	sorted := slices.SortedFunc(slices.Values(suspects), func(a, b *suspect) int { return a.At.Compare(b.At) })
+	latest := map[Process]int{} // index of the process's latest end
+	var ends []end
+	for _, s := range sorted {
+		i, known := latest[s.Process]
+		if !known || s.At.Sub(ends[i].at) > sameEndTime {
+			i = len(ends)
+			latest[s.Process] = i
+			ends = append(ends, end{at: s.At})
+		}
+		ends[i].trial = ends[i].trial || s.Trial
+	}
+	return ends
+}
+
 // trusted reports whether an endpoint's answer on a part speaks for the part at some later time.
 func trusted(proven, at time.Time) bool { return !proven.IsZero() && at.Sub(proven) < trustTime }
 
-// count derives the figures from the ends.
-func (e *evidence) count(ends map[Process]end) {
-	sorted := make([]end, 0, len(ends))
-	for _, one := range ends {
-		sorted = append(sorted, one)
-	}
-	slices.SortFunc(sorted, func(a, b end) int { return a.at.Compare(b.at) })
+// count derives the figures from the ends, which are in the order of time.
+func (e *evidence) count(ends []end) {
 	var counted time.Time // when the last end came that wasn't a trial's
-	for _, one := range sorted {
+	for _, one := range ends {
 		switch {
 		case one.trial:
 			e.trials++
@@ -95,8 +104,8 @@
 			counted = one.at
 		}
 	}
-	if len(sorted) > 0 {
-		e.firstAt, e.lastAt = sorted[0].at, sorted[len(sorted)-1].at
+	if len(ends) > 0 {
+		e.firstAt, e.lastAt = ends[0].at, ends[len(ends)-1].at
 	}
 }
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -311,3 +311,19 @@
 	}
 	require.Equal(t, maxRequestEnds, sent)
 }
+
+// An endpoint starts again and ends under the same request before a node has read its new entry: that is another end.
+func TestEndOfAnEndpointsNextProcessCounts(t *testing.T) {
+	t.Parallel()
+	h := newHistory()
+	whole := quarantine.WholeRequest("r")
+	h.endOf("e1", false, whole)
+	h.pass(200 * time.Millisecond)
+	h.endOf("e2", true, whole)
+	h.pass(50 * time.Millisecond)
+	h.endOf("e2", true, whole) // another node tells of the same end
+	require.Equal(t, quarantine.Trial, h.verdict(whole), "two ended")
+	h.pass(2300 * time.Millisecond)
+	h.endOf("e2", true, whole)
+	require.Equal(t, quarantine.Refuse, h.verdict(whole), "three ended")
+}
