--- a/gateway/cut_head_test.go
+++ b/gateway/cut_head_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -25,12 +26,13 @@
 // cutHeads are the heads of responses, by the framing of their bodies.
 func cutHeads() map[string]string {
 	begin := platformtest.ResponseHead(http.StatusOK, "r-1")
+	status, rest, _ := strings.Cut(begin, "\r\n")
 	return map[string]string{
 		"a length":                begin + "Content-Length: 200\r\n\r\n",
 		"chunks":                  begin + "Transfer-Encoding: chunked\r\n\r\n",
 		"neither":                 begin + "Connection: close\r\n\r\n",
 		"a length, early hints":   informational + begin + "Content-Length: 200\r\n\r\n",
-		"nothing in front of it":  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nResponse-Signature: sig\r\nRequest-Id: r-1\r\n\r\n",
+		"a length of 0 in front":  status + "\r\nContent-Length: 0\r\n" + rest + "\r\n",
 		"a failure with a length": platformtest.ResponseHead(http.StatusInternalServerError, "r-1") + "Content-Length: 0\r\n\r\n",
 	}
 }
@@ -78,8 +80,7 @@
 	service := map[bool]string{true: "llm", false: "desk"}[path == "/stream/"]
 	endpoint := s.endpoint("e1", service, func(w http.ResponseWriter, r *http.Request) {
 		if calls.Add(1) == 1 && reused {
-			w.Header().Set("Request-Id", "r-1")
-			w.Header().Set("Response-Signature", "sig")
+			sign(w, r)
 			_, _ = io.WriteString(w, wholeStream(1)) // checked below
 			return
 		}
--- a/node/odd_entries_test.go
+++ b/node/odd_entries_test.go
@@ -3,44 +3,30 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/platform/platformtest"
+	"redwinghall/platform/platformtest/badinput"
 )
 
-// oddEntryValues are entries that another writer may leave; %s stands for the fields of a usable one.
-var oddEntryValues = []string{
-	strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000),
-	`{"more":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + `,%s}`,
-	`{"domain":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + `,%s}`,
-	`{%s,"address":"127.0.0.1:99999"}`, `{%s,"address":"127.0.0.1:0"}`, `{%s,"address":"127.0.0.1:-7"}`, `{%s,"address":":"}`, `{%s,"address":"[::1"}`,
-	`{%s,"address":"127.0.0.1:1\r\nX: y"}`, `{%s,"address":"nowhere.invalid:80"}`, `{%s,"slots":1e400}`, `{%s,"born":1e400}`, `{%s,"cold_remaining_ms":1e400}`,
-	`{%s,"group":{"name":"odd","epoch":4611686018427387904,"rank":9223372036854775807,"state":"open"}}`,
-	`{%s,"group":{"name":"odd","epoch":99999999999999999999,"rank":0,"state":"open"}}`, "\xff\xfe", "",
-}
-
 // Another writer leaves odd entries among those of the endpoints: nodes must neither end, nor stop following, nor use them.
 func TestOddEntriesHarmNobody(t *testing.T) {
 	t.Parallel()
 	z := deployZonesOf(t, map[string]int{"a": 4}, 4, platformtest.EndpointConfig{Event: 10 * time.Millisecond, Events: answerEvents}, platformtest.EndpointConfig{})
 	store := z.nodes[0].store
-	usable := map[string]string{
-		"llm":  `"service":"llm","address":"127.0.0.1:9","zone":"a","state":"ready","slots":26,"models":[{"name":"m0"}],"group":{"name":"odd","epoch":1,"rank":0,"state":"broken"}`,
-		"desk": `"service":"desk","address":"127.0.0.1:9","zone":"a","state":"ready","slots":26`,
-	}
-	for service, fields := range usable {
-		for i, value := range oddEntryValues {
-			store.PutBytes("servers", fmt.Sprint("odd-", service, "-", i), []byte(strings.ReplaceAll(value, "%s", fields)))
+	for _, service := range []string{"llm", "desk"} {
+		for i, value := range badinput.OddEntries(service, "m0") {
+			store.PutBytes("servers", fmt.Sprint("odd-", service, "-", i), []byte(value))
 		}
 	}
-	for i, value := range oddEntryValues {
-		store.PutBytes("redwinghall", fmt.Sprint("node/odd-", i), []byte(strings.ReplaceAll(value, "%s", fmt.Sprintf(`"name":"odd-%d","zone":"a","capacity":9`, i))))
-		store.PutBytes("redwinghall", fmt.Sprint("odd-", i), []byte(value))
-		store.PutBytes("op", fmt.Sprint("odd-", i), []byte(value))
+	for i := range badinput.Odd("") {
+		fields := fmt.Sprintf(`"name":"odd-%d","zone":"a","capacity":9`, i)
+		store.PutBytes("redwinghall", fmt.Sprint("node/odd-", i), []byte(badinput.Odd(fields)[i]))
+		store.PutBytes("redwinghall", fmt.Sprint("odd-", i), []byte(badinput.Odd(fields)[i]))
+		store.PutBytes("op", fmt.Sprint("odd-", i), []byte(badinput.Odd(fields)[i]))
 	}
 	time.Sleep(3 * time.Second) // the members' table is listed every 2 s
 	begun := time.Now()
