Quarantine: the end of a process that started after its endpoint was chosen counts

What callers saw: a request that its caller repeats ended four workers, not three. The desk ended, and the end was taken for one of a process that had to end, as the entry was of another process. The change: after a break the process of the latest entry is asked for; if it is gone, it has ended under the request. TestEndOfAProcessThatStartedAfterTheChoiceCounts failed before, for streams and calls.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -182,6 +182,7 @@
 	if redwinghall.KindOf[Kind](err) != Unknown || ctx.Err() != nil {
 		return
 	}
+	e = c.g.latestEntry(e)
 	found := c.g.presence(ctx, e)
 	c.gate.recordPresence(time.Now(), e, found)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/platform/platformtest"
 	"redwinghall/quarantine"
@@ -43,3 +44,24 @@
 		})
 	}
 }
+
+// An endpoint has started again, and ends under a request that was sent by its earlier entry: its next process has ended.
+func TestEndOfAProcessThatStartedAfterTheChoiceCounts(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"a stream": "/stream/", "a call": "/book/"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t)
+			service := map[bool]string{true: "llm", false: "desk"}[path == "/stream/"]
+			s.endpoint("e1", service, func(http.ResponseWriter, *http.Request) {
+				next := *s.cache.View().Endpoints["e1"]
+				next.StartedMillis++
+				s.cache.Apply(time.Now(), directory.Change{Endpoint: &next})
+				s.presences.Store("e1", fleet.PresenceGone)
+				panic(http.ErrAbortHandler)
+			})
+			require.Equal(t, http.StatusBadGateway, s.do(s.request(http.MethodPost, path)).status)
+			require.True(t, s.quarantine.IsSuspecting())
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -174,9 +174,10 @@
 	switch {
 	case redwinghall.KindOf[Kind](last.err) == Unknown && ctx.Err() == nil:
 		c.g.recordBroken(now, choice.Endpoint, last.response)
-		presence = c.g.presence(ctx, choice.Endpoint)
+		latest := c.g.latestEntry(choice.Endpoint)
+		presence = c.g.presence(ctx, latest)
 		if !c.gate.proven {
-			c.gate.recordPresence(now, choice.Endpoint, presence)
+			c.gate.recordPresence(now, latest, presence)
 		}
 	case last.notRun && c.r.Service.Engine != nil && !last.response.rejectedWithRetryAfter():
 		// While the store is unreachable, the head of a closed group still looks open
