--- a/gateway/lost.go
+++ b/gateway/lost.go
@@ -78,6 +78,7 @@
 	}
 	w.stopped = true
 	w.timer.Stop()
+	w.logMoved(now, "group_lost")
 	w.cancel()
 	return true
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -122,7 +122,12 @@
 // this node. The estimate is kept per route, since calls of one service differ: it
 // may answer look-ups immediately and take seconds for bookings.
 func (c *plainCall) fitsPlannedStop(now time.Time) bool {
-	return c.g.stop().Accepts(now, c.g.callTimes.longest(c.r.Route.Name), c.r.Deadline)
+	stop, expected := c.g.stop(), c.g.callTimes.longest(c.r.Route.Name)
+	if !stop.Accepts(now, expected, c.r.Deadline) {
+		return false
+	}
+	stop.logAccepted(now, c.r, expected)
+	return true
 }
 
 // recordCallTime records the duration of the call for its route, whatever its result.
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"redwinghall/balance"
 	"redwinghall/kernel"
 )
@@ -60,6 +62,7 @@
 	g, e := w.call.g, w.choice.Endpoint
 	lost := g.Paths.ServesOthers(now, e.ID) || (silent >= silenceTolerance && g.othersAnswer(now, e))
 	if lost && w.call.mayResumeElsewhere(now) {
+		w.logMoved(now, "silent")
 		w.cancel()
 		return
 	}
@@ -67,6 +70,13 @@
 	w.timer.Reset(stallCheckInterval)
 }
 
+// logMoved writes the line of a stream that is about to resume elsewhere.
+func (w *stallWatch) logMoved(now time.Time, reason string) {
+	klog.InfoS("stream_moves", "request", w.call.r.Info.ID, "endpoint", w.choice.Endpoint.ID, "group", w.choice.Endpoint.Member.Group,
+		"reason", reason, "silent", w.choice.Attempt.TimeWithoutEvent(now), "since_first_event", w.choice.Attempt.SinceFirstEvent(now),
+		"attempts", w.call.sent.Load(), "node_stopping", w.call.g.stop().Active())
+}
+
 func (w *stallWatch) stop() {
 	w.call.g.stallWatches.remove(w)
 	w.mu.Lock()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // Stop is the schedule of a planned stop of this node, from which it decides which
@@ -84,6 +86,14 @@
 	}
 }
 
+// logAccepted writes the line of a request that is sent to an endpoint although this node stops.
+func (s Stop) logAccepted(now time.Time, r *Request, expected time.Duration) {
+	if s.Active() {
+		klog.InfoS("accepted_while_stopping", "request", r.Info.ID, "route", routeName(r), "expected", expected, "node_left", s.End.Sub(now),
+			"left", r.Left(now), "stopping_for", now.Sub(s.Begun))
+	}
+}
+
 // stop returns the current planned stop, the zero value if there is none.
 func (g *Gateway) stop() Stop {
 	if g.Stopping == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,6 +92,8 @@
 			call.gate.endTrial()
 			call.refuse(stop.refusal(now, choice.Expected))
 			return
+		} else if !call.headersSent {
+			stop.logAccepted(now, r, choice.Expected)
 		}
 		last := call.attempt(ctx, choice)
 		if last.done {
