Streams: a silent endpoint's attempt lives until another one has shown that it serves

Callers saw a 200 that ends in the middle, 1.3 s after the last event, when a sound endpoint was silent for longer and the one that the stream was moved to rejected it, reset, failed, sent no signature, or sent one event and closed. stallWatch.check canceled the silent attempt before it knew whether another endpoint takes the stream; after a rejection no attempt was left. Class: giving up what works before its replacement has shown that it does.

Now a takeover runs beside the silent attempt (takeover.go). Its events are held until there are two, or one for 50 ms, or the end; then the silent attempt ends. If that one has an event first, the takeover ends. One lock decides, so events of two runs are never joined. A takeover that fails costs an attempt and the retry budget as before. Streams of lost groups go the same way. The silent attempt that breaks by itself leaves the stream to the takeover without a wait.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -164,7 +164,7 @@
 	case r.configVersion() < f.Configuration || r.Service.Name != e.Service:
 		notForwarded(w, in.Header, f, neighbor.Unusable, "configuration")
 		return
-	case !balance.Usable(&r.Service, e, r.view.ZonesOut) || g.Tracker.IsLeaving(e) || g.Tracker.RetryAfterLeft(now, e) > 0:
+	case !balance.Usable(&r.Service, e, r.view().ZonesOut) || g.Tracker.IsLeaving(e) || g.Tracker.RetryAfterLeft(now, e) > 0:
 		notForwarded(w, in.Header, f, neighbor.Unusable, "endpoint")
 		return
 	}
@@ -176,7 +176,7 @@
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
-	body, err := readBody(w, in, r.view.Config().Limits.BodyBytes, r)
+	body, err := readBody(w, in, r.view().Config().Limits.BodyBytes, r)
 	if errors.Is(err, errBodyMemory) {
 		g.logMemoryRefused(r, heldBody, len(body))
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,7 +164,7 @@
 		g.refuseMemory(w, request, heldRequest, 0)
 		return
 	}
-	body, err := readBody(w, in, request.view.Config().Limits.BodyBytes, request)
+	body, err := readBody(w, in, request.view().Config().Limits.BodyBytes, request)
 	if err != nil {
 		g.refuseBody(w, request, len(body), err)
 		return
@@ -193,22 +193,22 @@
 	if in.URL.IsAbs() {
 		r.Target = in.URL.RequestURI()
 	}
-	if r.view.Config() == nil {
+	if r.view().Config() == nil {
 		return r, &refusal{status: http.StatusServiceUnavailable, reason: "configuration_unknown", retryAfter: defaultRetryAfter}
 	}
-	route, ok := r.view.Route(in.Host, in.URL.Path)
+	route, ok := r.view().Route(in.Host, in.URL.Path)
 	if !ok {
 		return r, &refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
 	r.Route = route
-	if !route.Public && r.view.RequiresKey() {
-		account, ok := r.view.Account(r.Info.Key)
+	if !route.Public && r.view().RequiresKey() {
+		account, ok := r.view().Account(r.Info.Key)
 		if !ok {
 			return r, &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
 		}
 		r.Account = account
 	}
-	service, ok := r.view.Service(pickService(route.Split, r.Info.ID))
+	service, ok := r.view().Service(pickService(route.Split, r.Info.ID))
 	if !ok {
 		return r, &refusal{status: http.StatusServiceUnavailable, reason: "service_unknown", retryAfter: defaultRetryAfter}
 	}
--- a/gateway/lost.go
+++ b/gateway/lost.go
@@ -69,16 +69,12 @@
 	}
 }
 
-// moveFromLost ends the attempt if the stream may go on elsewhere, and reports whether it did.
+// moveFromLost starts a takeover if the stream may go on elsewhere, and reports whether it did.
 func (w *stallWatch) moveFromLost(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.choice.Attempt.TimeWithoutEvent(now) < minLostSilence || !w.call.mayResumeElsewhere(now) {
+	if w.stopped || w.choice.Attempt.TimeWithoutEvent(now) < minLostSilence {
 		return false
 	}
-	w.stopped = true
-	w.timer.Stop()
-	w.logMoved(now, "group_lost")
-	w.cancel()
-	return true
+	return w.startTakeover(now, "group_lost")
 }
--- a/gateway/others.go
+++ b/gateway/others.go
@@ -29,11 +29,11 @@
 	if g.Presence == nil || g.Background == nil || !g.mayAskOthers(now) {
 		return
 	}
-	candidates := g.candidates(c.r)
+	candidates, tried := g.candidates(c.r), c.triedEndpoints()
 	asked := 0
 	for _, i := range rand.Perm(len(candidates)) {
 		e := candidates[i]
-		if c.tried[e.ID] {
+		if tried[e.ID] {
 			continue
 		}
 		if asked++; asked > askedAtOnce {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -13,7 +13,7 @@
 // chooseGroup chooses the group for a stream. If another node dispatches for this
 // zone, it is asked first; without its reply this node chooses from its own view.
 func (c *streamCall) chooseGroup(ctx context.Context, now time.Time, req balance.Request) (balance.Choice, *balance.Refusal) {
-	heads := c.r.view.Heads(c.r.Service.Name, c.r.Info.Model)
+	heads := c.r.view().Heads(c.r.Service.Name, c.r.Info.Model)
 	if c.g.Placer == nil || !c.g.Placer.HasDispatcher(now) {
 		return c.chooseWithPromises(ctx, now, heads, req)
 	}
@@ -129,8 +129,8 @@
 // it. Where views differ, the view of this node decides: it may already show that the
 // group has become cold or closed.
 func (c *streamCall) placedEndpoint(now time.Time, placement fleet.Placement, req balance.Request) (*fleet.Endpoint, bool) {
-	placed, known := c.r.view.Endpoints[placement.Endpoint]
-	usable := known && !placed.ColdAt(now) && balance.Usable(&req.Service, placed, c.r.view.ZonesOut)
+	placed, known := c.r.view().Endpoints[placement.Endpoint]
+	usable := known && !placed.ColdAt(now) && balance.Usable(&req.Service, placed, c.r.view().ZonesOut)
 	return placed, usable && !c.g.Tracker.IsLeaving(placed) && c.g.Tracker.RetryAfterLeft(now, placed) == 0
 }
 
@@ -143,7 +143,7 @@
 // for a connection that is never established. So such a zone is used only if no other
 // zone accepts the stream.
 func (c *streamCall) chooseByZones(ctx context.Context, now time.Time, heads []*fleet.Endpoint, req balance.Request) (balance.Choice, *balance.Refusal) {
-	view := c.r.view
+	view := c.r.view()
 	var unanswered *balance.Choice
 	for {
 		choice, refused := c.g.Tracker.ChooseGroup(now, heads, view.ZonesOut, req)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -114,7 +114,7 @@
 // choosePlain chooses the endpoint of a plain service.
 func (g *Gateway) choosePlain(ctx context.Context, r *Request, req balance.Request) (balance.Choice, *balance.Refusal) {
 	return g.withinLimits(ctx, r, func(now time.Time) (balance.Choice, *balance.Refusal) {
-		return g.Tracker.ChoosePlain(now, r.view.ByService[r.Service.Name], r.view.ZonesOut, req)
+		return g.Tracker.ChoosePlain(now, r.view().ByService[r.Service.Name], r.view().ZonesOut, req)
 	})
 }
 
--- /dev/null
+++ b/gateway/proving_body.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"redwinghall/kernel"
+)
+
+const (
+	// provingEvents is how many new events show that an endpoint serves a stream, and provingTime how long the first
+	// of them is held for a second one: an endpoint may send an event and fail.
+	provingEvents = 2
+	provingTime   = 50 * time.Millisecond
+	// maxProvingBytes is how much is held of a response at the most.
+	maxProvingBytes = 16 << 10
+)
+
+// provingBody is the body of a response that is held until it has shown that its endpoint serves the stream. One goroutine
+// calls prove, and another one Read, once the response is to be passed on.
+type provingBody struct {
+	from io.Reader
+
+	mu      sync.Mutex
+	changed sync.Cond // signals that bytes were read or that proving has ended
+	proving bool      // a goroutine reads the body
+	wanted  bool      // the response is passed on
+	held    []byte    // what was read and not passed on
+	err     error     // the end of the body
+}
+
+func newProvingBody(from io.Reader) *provingBody {
+	b := &provingBody{from: from}
+	b.changed.L = &b.mu
+	return b
+}
+
+// Read implements io.Reader.
+func (b *provingBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	b.wanted = true
+	for len(b.held) == 0 && b.proving {
+		b.changed.Wait()
+	}
+	if len(b.held) > 0 {
+		defer b.mu.Unlock()
+		n := copy(p, b.held)
+		b.held = b.held[n:]
+		return n, nil
+	}
+	err := b.err
+	b.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return b.from.Read(p)
+}
+
+// prove reads until the body has shown that the stream goes on behind the event with the id after, or is passed on
+// anyway. It calls onServes if the first new event isn't followed by another one or the end soon. The error is nil if the
+// endpoint serves the stream.
+func (b *provingBody) prove(after int64, onServes func()) error {
+	b.mu.Lock()
+	b.proving = true
+	b.mu.Unlock()
+	defer b.endProving()
+	var timer *kernel.Timer
+	buffer := make([]byte, connBufferSize)
+	for {
+		n, err := b.from.Read(buffer)
+		events, done := b.hold(buffer[:n], err, after)
+		if timer == nil && events > 0 && err == nil && !done {
+			timer = kernel.AfterFunc(provingTime, func() { b.unlessFailed(onServes) })
+			defer timer.Stop()
+		}
+		switch {
+		case errors.Is(err, io.EOF), err == nil && done:
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// hold keeps what was read. It returns how many new events are held, and whether that is enough.
+func (b *provingBody) hold(read []byte, err error, after int64) (events int, done bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held = append(b.held, read...)
+	b.err = err
+	b.changed.Broadcast()
+	if b.wanted {
+		return 0, true
+	}
+	events = countNewEvents(b.held, after)
+	return events, events >= provingEvents || len(b.held) >= maxProvingBytes
+}
+
+// unlessFailed calls fn unless the body has ended with an error.
+func (b *provingBody) unlessFailed(fn func()) {
+	b.mu.Lock()
+	failed := b.err != nil && !errors.Is(b.err, io.EOF)
+	b.mu.Unlock()
+	if !failed {
+		fn()
+	}
+}
+
+func (b *provingBody) endProving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.proving = false
+	b.changed.Broadcast()
+}
+
+// countNewEvents returns how many complete events behind the one with the id after a part of a stream has.
+func countNewEvents(part []byte, after int64) int {
+	events := 0
+	for {
+		end := eventEnd(part)
+		if end < 0 {
+			return events
+		}
+		event := part[:end]
+		part = part[end:]
+		if id, ok := eventID(event); !isBlank(event) && (!ok || id > after) {
+			events++
+		}
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwinghall/directory"
@@ -28,9 +29,10 @@
 	Deadline time.Time
 	// ByRoute is true if the route's timeout is the earlier one.
 	ByRoute bool
-	view    *directory.View
-	// endpointsRead reports whether view was taken after the first read of the endpoints' entries.
-	endpointsRead bool
+	// latestView is the view that applies. Attempts in progress at the same time may take a newer one.
+	latestView atomic.Pointer[directory.View]
+	// endpointsRead reports whether latestView was taken after the first read of the endpoints' entries.
+	endpointsRead atomic.Bool
 	// arrivedUnder is the version of the configuration when the request arrived, 0 if none was known.
 	arrivedUnder int64
 	// left is closed once the connection to the caller has ended; nil for a request without one.
@@ -53,10 +55,13 @@
 
 // takeView makes the request use the latest view.
 func (r *Request) takeView(cache *directory.Cache) {
-	r.endpointsRead = isClosed(cache.Listed()) // asked first: a later view has what was read before
-	r.view = cache.View()
+	r.endpointsRead.Store(isClosed(cache.Listed())) // asked first: a later view has what was read before
+	r.latestView.Store(cache.View())
 }
 
+// view returns the view that applies to the request.
+func (r *Request) view() *directory.View { return r.latestView.Load() }
+
 // Priority returns the priority of the request; 0 is the highest.
 func (r *Request) Priority() int {
 	if r.Account != nil && r.Account.HasPriority {
@@ -67,7 +72,7 @@
 
 // configVersion returns the version of the configuration that applies to the request,
 // 0 if none is known.
-func (r *Request) configVersion() int64 { return configVersion(r.view) }
+func (r *Request) configVersion() int64 { return configVersion(r.view()) }
 
 // callerLeft reports whether the connection to the caller has ended.
 func (r *Request) callerLeft() bool { return isClosed(r.left) }
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -10,29 +10,35 @@
 	"redwinghall/kernel"
 )
 
-// watchStall calls cancel once the group has made no progress for silenceTolerance, or for the
-// stall timeout if it serves other nodes meanwhile, other endpoints answer, and the stream can resume at
-// another group.
+// watchStall starts a takeover once the group has made no progress for silenceTolerance, or for the stall timeout if
+// it serves other nodes meanwhile, other endpoints answer, and the stream can resume at another group.
 // The returned function stops the watch.
 //
 // A group that lost a member makes no progress for seconds, while its callers
-// disconnect after 2 s. A stream that no other group can continue is not cancelled,
-// since it may only be slow.
-func (c *streamCall) watchStall(choice balance.Choice, cancel func()) func() {
-	w := &stallWatch{call: c, choice: choice, cancel: cancel, timeout: c.stallTimeout()}
+// disconnect after 2 s.
+func (run *streamRun) watchStall() func() { return run.watch(true) }
+
+// watchSilence only reports that the group makes no progress.
+func (run *streamRun) watchSilence() func() { return run.watch(false) }
+
+func (run *streamRun) watch(mayMove bool) func() {
+	w := &stallWatch{run: run, call: run.call, choice: run.choice, mayMove: mayMove, timeout: run.call.stallTimeout()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = kernel.AfterFunc(w.timeout, w.check)
-	c.g.stallWatches.add(w)
+	if mayMove {
+		w.call.g.stallWatches.add(w)
+	}
 	return w.stop
 }
 
 // stallWatch detects that the group of one attempt is stalled.
 type stallWatch struct {
 	mu       sync.Mutex
+	run      *streamRun
 	call     *streamCall
 	choice   balance.Choice
-	cancel   func()
+	mayMove  bool
 	timeout  time.Duration
 	timer    *kernel.Timer
 	stopped  bool
@@ -61,15 +67,22 @@
 	}
 	g, e := w.call.g, w.choice.Endpoint
 	lost := g.Paths.ServesOthers(now, e.ID) || (silent >= silenceTolerance && g.othersAnswer(now, e))
-	if lost && w.call.mayResumeElsewhere(now) {
-		w.logMoved(now, "silent")
-		w.cancel()
-		return
+	if !lost || !w.startTakeover(now, "silent") {
+		w.call.askOthers(now)
 	}
-	w.call.askOthers(now)
 	w.timer.Reset(stallCheckInterval)
 }
 
+// startTakeover starts a takeover if the stream may go on elsewhere, and reports whether it did.
+func (w *stallWatch) startTakeover(now time.Time, reason string) bool {
+	if !w.mayMove || w.call.hasTakeover() || !w.call.mayResumeElsewhere(now) {
+		return false
+	}
+	w.logMoved(now, reason)
+	w.call.startTakeover(w.run)
+	return true
+}
+
 // logMoved writes the line of a stream that is about to resume elsewhere.
 func (w *stallWatch) logMoved(now time.Time, reason string) {
 	klog.InfoS("stream_moves", "request", w.call.r.Info.ID, "endpoint", w.choice.Endpoint.ID, "group", w.choice.Endpoint.Member.Group,
@@ -99,7 +112,7 @@
 
 // hasAlternative reports whether an endpoint that hasn't been tried could take the stream.
 func (c *streamCall) hasAlternative(now time.Time) bool {
-	return c.g.hasAlternative(now, c.r, c.tried)
+	return c.g.hasAlternative(now, c.r, c.triedEndpoints())
 }
 
 // hasAlternative reports whether an endpoint that isn't among the tried ones could take a
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -45,5 +45,5 @@
 // chosen because the request's view is older than that read, which may have ended during
 // the choice. It reports whether the choice should be repeated with a new view.
 func (g *Gateway) awaitEndpoints(ctx context.Context, now time.Time, r *Request, refused *balance.Refusal) bool {
-	return refused.Reason == balance.NoEndpoint && !r.endpointsRead && g.awaitStartup(ctx, now, g.Cache.Listed())
+	return refused.Reason == balance.NoEndpoint && !r.endpointsRead.Load() && g.awaitStartup(ctx, now, g.Cache.Listed())
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 	"redwinghall/quarantine"
 )
 
@@ -40,17 +39,15 @@
 	r           *Request
 	w           http.ResponseWriter
 	flush       *http.ResponseController
-	tried       map[string]bool
 	sent        atomic.Int64 // attempts whose request may have reached a group
-	failedDials int
+	failedDials atomic.Int64
 	// mayHaveRun is true if a group may have executed the request or may still be
 	// executing it.
-	mayHaveRun   bool
-	headersSent  bool  // the response headers were sent to the caller
-	bytes        int64 // bytes of events sent to the caller
-	lastID       int64 // id of the last event sent to the caller, valid if hasID
-	hasID        bool
-	firstEventAt time.Time // when the first event arrived
+	mayHaveRun   atomic.Bool
+	headersSent  atomic.Bool // the response headers were sent to the caller
+	bytes        int64       // bytes of events sent to the caller
+	hasEvents    atomic.Bool // an event has arrived
+	firstEventAt time.Time   // when the first event arrived
 	longestPause time.Duration
 	lastEventAt  time.Time
 	// ahead is the body of the present attempt's answer.
@@ -59,43 +56,36 @@
 	unread atomic.Bool
 	// blank holds the blank lines and comments before the first event of the present attempt.
 	blank []byte
-	gate  quarantineGate
+
+	// mu guards what the attempt whose events are passed on shares with a takeover.
+	mu       sync.Mutex
+	tried    map[string]bool // endpoints that got an attempt
+	lastID   int64           // id of the last event sent to the caller, valid if hasID
+	hasID    bool
+	takeover *takeover // the takeover in progress or won, nil if there is none
+	// takeovers runs all takeovers of the stream, nil before the first.
+	takeovers *kernel.Group
 }
 
 // serveStream handles a request whose response is a stream of events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *Request) {
 	g.streams.Add(1)
 	defer g.streams.Add(-1)
-	call := &streamCall{g: g, r: r, w: w, flush: http.NewResponseController(w), tried: map[string]bool{}, gate: quarantineGate{g: g, r: r}}
+	call := &streamCall{g: g, r: r, w: w, flush: http.NewResponseController(w), tried: map[string]bool{}}
 	if id, err := strconv.ParseInt(r.Info.LastEvent, 10, 64); err == nil {
 		call.lastID, call.hasID = id, true
 	}
+	defer call.endTakeovers()
 	for {
-		if why := call.gate.pass(ctx); why != nil {
+		run, why := call.begin(ctx)
+		if why != nil {
 			call.refuse(*why)
 			return
 		}
-		choice, refused := call.choose(ctx)
-		if refused != nil {
-			call.gate.endTrial()
-		}
-		if refused != nil && g.awaitEndpoints(ctx, time.Now(), r, refused) {
-			r.takeView(g.Cache)
-			continue
-		}
-		if refused != nil {
-			call.refuse(g.noEndpointRefusal(refused))
-			return
-		}
-		if now, stop := time.Now(), g.stop(); !call.headersSent && !stop.Accepts(now, choice.Expected, r.Deadline) {
-			choice.Attempt.Cancel()
-			call.gate.endTrial()
-			call.refuse(stop.refusal(now, choice.Expected))
-			return
-		} else if !call.headersSent {
-			stop.logAccepted(now, r, choice.Expected)
+		last := call.attempt(run)
+		for next := call.awaitTakeover(last); next != nil; next = call.awaitTakeover(last) {
+			last = call.attempt(next)
 		}
-		last := call.attempt(ctx, choice)
 		if last.done {
 			return
 		}
@@ -107,10 +97,50 @@
 	}
 }
 
+// begin chooses the endpoint of the next attempt, or returns why there is none.
+func (c *streamCall) begin(ctx context.Context) (*streamRun, *refusal) {
+	for {
+		gate := &quarantineGate{g: c.g, r: c.r}
+		if why := gate.pass(ctx); why != nil {
+			return nil, why
+		}
+		choice, refused := c.choose(ctx)
+		if refused != nil {
+			gate.endTrial()
+			if c.g.awaitEndpoints(ctx, time.Now(), c.r, refused) {
+				c.r.takeView(c.g.Cache)
+				continue
+			}
+			why := c.g.noEndpointRefusal(refused)
+			return nil, &why
+		}
+		if why := c.checkStop(time.Now(), choice); why != nil {
+			choice.Attempt.Cancel()
+			gate.endTrial()
+			return nil, why
+		}
+		return c.newRun(ctx, choice, gate), nil
+	}
+}
+
+// checkStop refuses a stream whose response hasn't begun if a planned stop of this node leaves no time for it.
+func (c *streamCall) checkStop(now time.Time, choice balance.Choice) *refusal {
+	if c.headersSent.Load() {
+		return nil
+	}
+	stop := c.g.stop()
+	if !stop.Accepts(now, choice.Expected, c.r.Deadline) {
+		why := stop.refusal(now, choice.Expected)
+		return &why
+	}
+	stop.logAccepted(now, c.r, choice.Expected)
+	return nil
+}
+
 // choose returns the endpoint for the stream: the head of a group that serves its
 // model, or an endpoint of a plain service.
 func (c *streamCall) choose(ctx context.Context) (balance.Choice, *balance.Refusal) {
-	req := c.g.balanceRequest(c.r, c.tried)
+	req := c.g.balanceRequest(c.r, c.triedEndpoints())
 	req.Resumed = c.sent.Load() > 0
 	if c.r.Service.Engine == nil {
 		return c.g.choosePlain(ctx, c.r, req)
@@ -130,136 +160,6 @@
 	return max(minStallTimeout, plainStallPauses*c.r.Route.PauseObjective)
 }
 
-// streamAttempt is the result of one attempt of a stream.
-type streamAttempt struct {
-	done   bool // the caller has the complete response
-	notRun bool
-	// retryCharged is true if the retry budget was already charged for the next
-	// attempt.
-	retryCharged bool
-	err          error
-	response     *Response
-}
-
-// status returns the status of the endpoint's response, 0 if there was none.
-func (a streamAttempt) status() int {
-	if a.response == nil {
-		return 0
-	}
-	return a.response.Status
-}
-
-// attempt sends the request to one group and relays its response.
-func (c *streamCall) attempt(ctx context.Context, choice balance.Choice) streamAttempt {
-	c.tried[choice.Endpoint.ID] = true
-	defer choice.Attempt.Cancel() // if the exchange panics, as it does when the caller has left
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	c.g.unproven.add(&c.gate, cancel)
-	defer c.g.unproven.remove(&c.gate)
-	defer c.gate.endTrial()
-	var stalled atomic.Bool
-	stop := c.watchStall(choice, func() { stalled.Store(true); cancel(ErrStalled) })
-	defer stop()
-	last := c.exchange(ctx, choice)
-	stop()
-	last.retryCharged = stalled.Load()
-	c.mayHaveRun = c.mayHaveRun || redwinghall.KindOf[Kind](last.err) == Unknown
-	ok := last.err == nil && !last.notRun
-	now := time.Now()
-	if last.response.rejectedWithRetryAfter() {
-		choice.Attempt.Cancel()
-	} else {
-		choice.Attempt.Done(now, ok || (ctx.Err() != nil && !stalled.Load()))
-	}
-	presence := fleet.PresenceUnknown
-	switch {
-	case redwinghall.KindOf[Kind](last.err) == Unknown && ctx.Err() == nil:
-		c.g.recordBroken(now, choice.Endpoint, last.response)
-		latest := c.g.latestEntry(choice.Endpoint)
-		presence = c.g.presence(ctx, latest)
-		if !c.gate.proven {
-			c.gate.recordPresence(now, latest, presence)
-		}
-	case last.notRun && c.r.Service.Engine != nil && !last.response.rejectedWithRetryAfter():
-		// While the store is unreachable, the head of a closed group still looks open
-		// here, and less loaded than all others. Streams would be sent to it one
-		// after the other and use up their only retry.
-		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
-	}
-	if !ok {
-		c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](last.err))
-		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
-			"group", choice.Endpoint.Member.Group, "kind", redwinghall.KindOf[Kind](last.err), "not_run", last.notRun,
-			"status", last.status(), "stalled", stalled.Load(), "last_event", c.lastID, "since_first_event", choice.Attempt.SinceFirstEvent(now),
-			"parts", c.r.Info.PromptParts, "identity", c.r.identity(), "endpoint_now", presence, "running", choice.Running, "predicted", choice.Predicted, "via", last.response.via(), "err", last.err)
-	}
-	return last
-}
-
-// exchange sends the request and relays the events of the response.
-func (c *streamCall) exchange(ctx context.Context, choice balance.Choice) streamAttempt {
-	lastEvent := ""
-	if c.hasID {
-		lastEvent = strconv.FormatInt(c.lastID, 10)
-	}
-	c.sent.Add(1)
-	response, err := c.g.send(ctx, c.r, choice.Endpoint, lastEvent, c.sendMode())
-	if err != nil {
-		if redwinghall.KindOf[Kind](err) == NotSent {
-			c.failedDials++
-			c.sent.Add(-1)
-		}
-		return streamAttempt{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	c.g.recordResponseInfo(c.r, choice, response)
-	if response.Info.Load.Known {
-		choice.Attempt.RecordLoad(time.Now(), response.Info.Load.Running+response.Info.Load.Waiting)
-	}
-	switch {
-	case response.Info.NotRun:
-		return streamAttempt{notRun: true, response: response}
-	case response.Status != http.StatusOK:
-		return c.forwardFailure(response)
-	case !response.Info.Signed || response.Info.RequestID != c.r.Info.ID || response.Info.Encoded:
-		return streamAttempt{err: redwinghall.NewOpError("streamCall.exchange", Unknown, errWrongResponse)}
-	}
-	err = c.relay(choice, response)
-	if err != nil {
-		return streamAttempt{response: response, err: redwinghall.NewOpError("streamCall.exchange", Unknown, err)}
-	}
-	first, took := c.firstEventAt.Sub(c.r.Arrived), time.Since(c.r.Arrived)
-	klog.InfoS("streamed", "request", c.r.Info.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "zone", choice.Endpoint.Zone,
-		"running", choice.Running, "load_age", choice.Age, "predicted", choice.Predicted, "first", first, "expected", choice.Expected, "pause", c.longestPause,
-		"took", took, "attempts", c.sent.Load(), "via", response.Peer, "configuration", c.r.configVersion())
-	c.g.Metrics.Streamed(c.r, first, c.longestPause, took)
-	return streamAttempt{done: true}
-}
-
-// sendMode returns how the next attempt is sent. A stream that was just broken off goes on over
-// a new connection: the open ones may have broken with it, and it has no attempt to lose.
-func (c *streamCall) sendMode() sendMode {
-	return sendMode{fresh: c.mayHaveRun, insist: func() bool { return c.failedDials > 0 || !c.hasAlternative(time.Now()) }}
-}
-
-// forwardFailure forwards an endpoint's error response to the caller, unless a retry
-// may succeed.
-func (c *streamCall) forwardFailure(response *Response) streamAttempt {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody+1))
-	if len(body) > maxErrorBody {
-		err = errErrorTooLarge
-	}
-	if err != nil || c.headersSent || statusMeansNotRun(response.Status) || response.Status < http.StatusMultipleChoices {
-		return streamAttempt{err: redwinghall.NewOpError("streamCall.forwardFailure", Unknown, errors.Join(errEndpointFailed, err))}
-	}
-	if response.Status >= http.StatusInternalServerError && c.r.Idempotent() && c.sent.Load() < int64(c.r.Route.MaxAttempts) {
-		return streamAttempt{err: redwinghall.NewOpError("streamCall.forwardFailure", Unknown, errEndpointFailed)}
-	}
-	c.g.forwardResponse(c.w, c.r, plainAttempt{response: response, body: body})
-	return streamAttempt{done: true}
-}
-
 // maxErrorBody is the largest error response of a stream that is passed on.
 const maxErrorBody = 16 << 10
 
@@ -275,19 +175,26 @@
 	case ctx.Err() != nil:
 		return false
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
-		return c.failedDials < maxDials && c.r.Left(now) > minRemaining
+		return c.failedDials.Load() < maxDials && c.r.Left(now) > minRemaining
 	case last.notRun:
 		return c.g.mayRetry(c.r, int(c.sent.Load()), now)
-	case !c.resumable(), c.gate.decide().Verdict == quarantine.Refuse:
+	case !c.resumable(), c.isQuarantined():
 		return false
 	}
-	return last.retryCharged || c.g.mayRetry(c.r, int(c.sent.Load()), now)
+	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
+}
+
+// isQuarantined reports whether requests with a part of this one are refused.
+func (c *streamCall) isQuarantined() bool {
+	gate := quarantineGate{g: c.g, r: c.r}
+	return gate.decide().Verdict == quarantine.Refuse
 }
 
 // resumable reports whether another group can continue the stream after the last
 // event that the caller has.
 func (c *streamCall) resumable() bool {
-	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && (!c.headersSent || c.hasID || c.firstEventAt.IsZero())
+	_, hasID := c.lastEvent()
+	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && (!c.headersSent.Load() || hasID || !c.hasEvents.Load())
 }
 
 // giveUp ends a stream that no endpoint can complete.
@@ -297,7 +204,7 @@
 		c.g.callerGone(c.r, "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load())
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
-	case !c.mayHaveRun:
+	case !c.mayHaveRun.Load():
 		c.refuse(c.g.rejectedRefusal(c.r))
 	default:
 		c.refuse(refusal{status: http.StatusBadGateway, reason: "stream_lost"})
@@ -307,13 +214,13 @@
 // refuse sends an error response, or aborts the connection if the response has begun:
 // a truncated stream must not look complete.
 func (c *streamCall) refuse(why refusal) {
-	if c.headersSent {
+	if c.headersSent.Load() {
 		c.g.logUnanswered("stream_broken_off", c.r, why.reason, "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load(),
 			"attempts_allowed", c.r.Route.MaxAttempts, "left", c.r.Left(time.Now()))
 		c.g.Metrics.Refused(c.r, why)
 		panic(http.ErrAbortHandler)
 	}
-	if c.mayHaveRun && why.status == http.StatusServiceUnavailable {
+	if c.mayHaveRun.Load() && why.status == http.StatusServiceUnavailable {
 		why.status = http.StatusBadGateway // 503 would guarantee that it was not executed
 	}
 	c.g.refuse(c.w, c.r, why)
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -13,20 +13,20 @@
 // sendHeaders sends the response headers of the first endpoint; those of later
 // endpoints are dropped.
 func (c *streamCall) sendHeaders(response *Response) {
-	if c.headersSent {
+	if c.headersSent.Swap(true) {
 		return
 	}
-	c.headersSent = true
 	platform.CopyResponseHeaders(c.w.Header(), response.Header)
 	c.w.WriteHeader(response.Status)
 }
 
 // relay forwards events until the response ends. The error is nil only if the
 // response was complete.
-func (c *streamCall) relay(choice balance.Choice, response *Response) error {
+func (c *streamCall) relay(run *streamRun) error {
+	choice, response := run.choice, run.response
 	c.blank = nil
 	c.unread.Store(false)
-	c.ahead = c.g.newAheadBody(c.w, c.r, response.Body, aheadEvents{unread: &c.unread, onEnd: choice.Attempt.Cancel, onBytes: func(now time.Time) {
+	c.ahead = c.g.newAheadBody(c.w, c.r, run.body, aheadEvents{unread: &c.unread, onEnd: choice.Attempt.Cancel, onBytes: func(now time.Time) {
 		choice.Attempt.RecordEvent(now, nil)
 		c.g.recordResponded(now, choice.Endpoint, response)
 	}})
@@ -36,15 +36,11 @@
 	pace := c.predictedPause()
 	for {
 		event, err := events.next()
+		if (err == nil || errors.Is(err, io.EOF)) && !c.mayPassOn(run) {
+			return ErrStalled
+		}
 		if errors.Is(err, io.EOF) {
-			if response.endsSoundly() {
-				c.gate.recordProven(time.Now())
-			}
-			c.sendHeaders(response)
-			if len(c.blank) > 0 {
-				return errors.Join(c.write(nil), c.flushEvents())
-			}
-			return c.flushEvents()
+			return c.endRelay(run)
 		}
 		if err != nil {
 			return err
@@ -59,7 +55,7 @@
 			continue
 		}
 		now := time.Now()
-		c.recordArrival(now, choice, response, pace)
+		c.recordArrival(now, run, pace)
 		if c.alreadySent(event) {
 			continue
 		}
@@ -76,14 +72,29 @@
 	}
 }
 
+// endRelay passes on what is left at the end of a complete response.
+func (c *streamCall) endRelay(run *streamRun) error {
+	if run.response.endsSoundly() {
+		run.gate.recordProven(time.Now())
+	}
+	c.sendHeaders(run.response)
+	if len(c.blank) > 0 {
+		if err := c.write(nil); err != nil {
+			return errors.Join(err, c.flushEvents())
+		}
+	}
+	return c.flushEvents()
+}
+
 // recordArrival records that an event came. One that was read on was recorded then.
-func (c *streamCall) recordArrival(now time.Time, choice balance.Choice, response *Response, pace func(int) time.Duration) {
+func (c *streamCall) recordArrival(now time.Time, run *streamRun, pace func(int) time.Duration) {
+	choice := run.choice
 	if !c.ahead.isOld() {
 		choice.Attempt.RecordEvent(now, pace)
 	}
-	c.g.recordResponded(now, choice.Endpoint, response)
-	if !c.gate.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
-		c.gate.recordProven(now)
+	c.g.recordResponded(now, choice.Endpoint, run.response)
+	if !run.gate.proven && choice.Attempt.SinceFirstEvent(now) >= provenAfter {
+		run.gate.recordProven(now)
 	}
 }
 
@@ -107,7 +118,7 @@
 // show that the endpoint answers.
 func (c *streamCall) writeBlank(e *fleet.Endpoint, response *Response, event []byte) error {
 	c.g.recordResponded(time.Now(), e, response)
-	if !c.headersSent {
+	if !c.headersSent.Load() {
 		c.blank = append(c.blank, event...)
 		return nil
 	}
@@ -124,6 +135,8 @@
 	if !ok {
 		return false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.hasID && id <= c.lastID {
 		return true
 	}
@@ -132,6 +145,7 @@
 }
 
 func (c *streamCall) recordEventTime(now time.Time) {
+	c.hasEvents.Store(true)
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = now
 	} else {
--- /dev/null
+++ b/gateway/takeover.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+
+	"k8s.io/klog/v2"
+
+	"redwinghall"
+	"redwinghall/kernel"
+)
+
+// takeover is a second attempt of a stream whose endpoint is silent, at another endpoint.
+//
+// A silent endpoint may be sound and go on, and the other one may reject the stream, fail it or be silent itself. So the
+// attempt at the silent one goes on until the takeover has shown that it serves: whichever has events first goes
+// on, and the other one ends. The events of a takeover are held until then.
+type takeover struct {
+	call   *streamCall
+	from   *streamRun // the attempt at the silent endpoint
+	ctx    context.Context
+	cancel context.CancelFunc
+	// settled is closed once the takeover has won, failed or been dropped.
+	settled chan struct{}
+
+	// The rest is guarded by call.mu.
+	isSettled bool
+	alone     bool       // the attempt at the silent endpoint has ended
+	candidate *streamRun // has an open response and hasn't won yet
+	won       *streamRun
+}
+
+// startTakeover begins a takeover from a silent attempt.
+func (c *streamCall) startTakeover(from *streamRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.takeovers == nil {
+		c.takeovers = kernel.NewGroup(from.parent)
+	}
+	t := &takeover{call: c, from: from, settled: make(chan struct{})}
+	t.ctx, t.cancel = context.WithCancel(c.takeovers.Context())
+	c.takeover = t
+	c.takeovers.Task("takeover", func(context.Context) {
+		defer t.fail()
+		t.run()
+	})
+}
+
+// hasTakeover reports whether a takeover is in progress or has won.
+func (c *streamCall) hasTakeover() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.takeover != nil
+}
+
+// run makes attempts until one goes on with the stream, or no other may be made.
+func (t *takeover) run() {
+	for t.ctx.Err() == nil {
+		run := t.begin()
+		if run == nil {
+			return
+		}
+		last, proven := t.try(run)
+		if proven {
+			return
+		}
+		if t.ctx.Err() != nil {
+			klog.InfoS("takeover_dropped", "request", t.call.r.Info.ID, "endpoint", run.choice.Endpoint.ID)
+			t.call.mayHaveRun.Store(true)
+			run.close()
+			return
+		}
+		run.record(last)
+		run.close()
+		if !t.call.shouldRetry(t.ctx, last) {
+			return
+		}
+	}
+}
+
+// begin chooses the endpoint of the next attempt. It returns nil if there is none.
+func (t *takeover) begin() *streamRun {
+	t.call.r.takeView(t.call.g.Cache)
+	run, why := t.call.begin(t.ctx)
+	if why != nil {
+		klog.InfoS("takeover_refused", "request", t.call.r.Info.ID, "reason", why.reason)
+		return nil
+	}
+	return run
+}
+
+// try makes one attempt, and reports whether it has won.
+func (t *takeover) try(run *streamRun) (last streamAttempt, won bool) {
+	stop := run.watchSilence()
+	defer stop()
+	mode := t.call.sendMode()
+	mode.fresh = true // the connections to the silent endpoint may have broken with others
+	response, last := run.open(mode)
+	if response == nil {
+		return last, false
+	}
+	if run.response == nil {
+		_ = response.Body.Close()
+		return streamAttempt{response: response, err: redwinghall.NewOpError("takeover.try", Unknown, errEndpointFailed)}, false
+	}
+	body := newProvingBody(response.Body)
+	run.body = body
+	after, _ := t.call.lastEvent()
+	if t.enter(run) {
+		return last, true
+	}
+	if err := body.prove(after, func() { t.win(run) }); err != nil && !t.hasWon(run) {
+		return streamAttempt{response: response, err: redwinghall.NewOpError("takeover.try", Unknown, err)}, false
+	}
+	return last, t.win(run)
+}
+
+// enter makes an attempt with an open response the candidate, and reports whether it has won at once.
+func (t *takeover) enter(run *streamRun) bool {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	t.candidate = run
+	return t.alone && t.winLocked(run)
+}
+
+// win ends the attempt at the silent endpoint, unless that has gone on meanwhile. It reports whether the run goes on
+// with the stream.
+func (t *takeover) win(run *streamRun) bool {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	return t.winLocked(run)
+}
+
+func (t *takeover) winLocked(run *streamRun) bool {
+	if t.isSettled {
+		return t.won == run
+	}
+	t.won = run
+	t.from.abandoned = true
+	t.from.cancel(ErrStalled)
+	t.settleLocked()
+	return true
+}
+
+func (t *takeover) hasWon(run *streamRun) bool {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	return t.won == run
+}
+
+// fail settles a takeover that has not won.
+func (t *takeover) fail() {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	if !t.isSettled {
+		t.settleLocked()
+		t.call.takeover = nil
+	}
+}
+
+func (t *takeover) settleLocked() {
+	t.isSettled = true
+	close(t.settled)
+}
+
+// dropLocked ends a takeover that has not won. The caller holds call.mu.
+func (t *takeover) dropLocked() {
+	if t.isSettled {
+		return
+	}
+	t.settleLocked()
+	t.call.takeover = nil
+	t.cancel()
+}
+
+// mayPassOn reports whether what an attempt has received may be passed on to the caller: not if a takeover has won.
+// One that hasn't is dropped, as the endpoint isn't silent any more.
+func (c *streamCall) mayPassOn(run *streamRun) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if run.abandoned {
+		return false
+	}
+	if c.takeover != nil {
+		c.takeover.dropLocked()
+	}
+	return true
+}
+
+// awaitTakeover returns the attempt that goes on with the stream after another one has ended, nil if there is none.
+func (c *streamCall) awaitTakeover(last streamAttempt) *streamRun {
+	c.mu.Lock()
+	t := c.takeover
+	if t == nil || last.done {
+		c.mu.Unlock()
+		return nil
+	}
+	if t.alone = true; t.candidate != nil {
+		t.winLocked(t.candidate)
+	}
+	c.mu.Unlock()
+	<-t.settled
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.takeover == t {
+		c.takeover = nil
+	}
+	return t.won
+}
+
+// endTakeovers ends what is left of takeovers as their request ends.
+func (c *streamCall) endTakeovers() {
+	c.mu.Lock()
+	group, t := c.takeovers, c.takeover
+	if t != nil {
+		t.dropLocked()
+	}
+	c.mu.Unlock()
+	if group == nil {
+		return
+	}
+	group.Stop()
+	if t != nil && t.won != nil {
+		t.won.close()
+	}
+	_ = group.Wait() // tasks return no error
+}
+
+// lastEvent returns the id of the last event that was passed on, or with which the caller came.
+func (c *streamCall) lastEvent() (id int64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastID, c.hasID
+}
+
+// triedEndpoints returns the endpoints that got an attempt.
+func (c *streamCall) triedEndpoints() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.tried)
+}
+
+// isAbandoned reports whether another attempt goes on with the stream.
+func (run *streamRun) isAbandoned() bool {
+	run.call.mu.Lock()
+	defer run.call.mu.Unlock()
+	return run.abandoned
+}
