Soak: endpoints that are silent for a moment while all others reject

Plan silences: beside versions and planned stops, one engine sends nothing for 1.2 to 1.9 s, half of the times while all others reject.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/standin demo --bin $(BIN) --example examples/pohjatee
 	$(BIN)/standin demo --bin $(BIN) --example examples/blue-mahoe
 
-# Real nodes under a plan of faults (PLAN=stops, partitions, pauses, versions); all can be set.
+# Real nodes under a plan of faults (PLAN=stops, partitions, pauses, versions, silences); all can be set.
 PLAN := faults
 NODES := 4
 SEED := 1
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -49,6 +49,10 @@
           still and go on, or all endpoints, the store or both fall silent for a second. Each end has its own time: a
           node that hasn't reached it may cut off no response, and those that live on may
           neither refuse more than one in ten first tries nor send a stream to a second endpoint.
+  silences
+          endpoints fall silent for 1.2 to 1.9 s and go on, half of the times while all others
+          reject requests, beside versions and planned stops. A response may be cut off by
+          nothing but its caller's timeout.
 
 In each plan a process that ends though nobody ended it is a violation.
 
@@ -72,7 +76,7 @@
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" choice:"silences" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
 	Calls  int           `long:"sessions" description:"number of callers in the plans versions and ends (default: 48 or one a node)"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -68,7 +68,9 @@
 	return max(minEnginesPerZone, 2*c.Sessions/len(zones)/sessionsPerGroup+1)
 }
 
-func (c Config) supervised() bool { return c.Plan == PlanVersions || c.Plan == PlanEnds }
+func (c Config) supervised() bool {
+	return c.Plan == PlanVersions || c.Plan == PlanEnds || c.Plan == PlanSilences
+}
 
 // Plan is the kind of a run.
 type Plan string
@@ -89,6 +91,9 @@
 	// PlanEnds ends all nodes or nearly all in series, by kill, after silence, or after a standstill,
 	// right after versions of the configuration.
 	PlanEnds Plan = "ends"
+	// PlanSilences lets endpoints fall silent for a moment while others reject requests, beside versions and
+	// planned stops.
+	PlanSilences Plan = "silences"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
--- a/soak/run.go
+++ b/soak/run.go
@@ -67,6 +67,8 @@
 		return d.runVersions // each node has a supervisor
 	case PlanEnds:
 		return d.runEnds
+	case PlanSilences:
+		return d.runSilences
 	}
 	return d.watchingExits(d.runFaults)
 }
