Streams: one whose events have no ids is never moved

A stream whose endpoint was silent for 1.3 s got a takeover though its events have no ids. A caller that came with a Last-Event-Id and gets events without ids was moved in the same way.

A stream may be resumed only until an event without an id is passed on. That is recorded under the lock under which a takeover starts, so no event slips between the check and the start.

TestStreamWithoutEventIDsIsNeverJoined failed in both cases before, and passes; such a stream now outlives the silence at its endpoint.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -101,7 +101,7 @@
 // mayResumeElsewhere reports whether the stream may resume at another group now, and
 // spends the retry budget if so.
 func (c *streamCall) mayResumeElsewhere(now time.Time) bool {
-	if !c.r.Idempotent() || c.sent.Load() >= int64(c.r.Route.MaxAttempts) {
+	if !c.resumable() || c.sent.Load() >= int64(c.r.Route.MaxAttempts) {
 		return false
 	}
 	if !c.hasAlternative(now) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,7 +46,6 @@
 	mayHaveRun   atomic.Bool
 	headersSent  atomic.Bool // the response headers were sent to the caller
 	bytes        int64       // bytes of events sent to the caller
-	hasEvents    atomic.Bool // an event has arrived
 	firstEventAt time.Time   // when the first event arrived
 	longestPause time.Duration
 	lastEventAt  time.Time
@@ -58,11 +57,13 @@
 	blank []byte
 
 	// mu guards what the attempt whose events are passed on shares with a takeover.
-	mu       sync.Mutex
-	tried    map[string]bool // endpoints that got an attempt
-	lastID   int64           // id of the last event sent to the caller, valid if hasID
-	hasID    bool
-	takeover *takeover // the takeover in progress or won, nil if there is none
+	mu     sync.Mutex
+	tried  map[string]bool // endpoints that got an attempt
+	lastID int64           // id of the last event sent to the caller, valid if hasID
+	hasID  bool
+	// unnumbered is set once an event without an id is passed on: nothing tells from where the stream would go on.
+	unnumbered bool
+	takeover   *takeover // the takeover in progress or won, nil if there is none
 	// takeovers runs all takeovers of the stream, nil before the first.
 	takeovers *kernel.Group
 }
@@ -193,8 +194,13 @@
 // resumable reports whether another group can continue the stream after the last
 // event that the caller has.
 func (c *streamCall) resumable() bool {
-	_, hasID := c.lastEvent()
-	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && (!c.headersSent.Load() || hasID || !c.hasEvents.Load())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resumableLocked()
+}
+
+func (c *streamCall) resumableLocked() bool {
+	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && !c.unnumbered
 }
 
 // giveUp ends a stream that no endpoint can complete.
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -36,7 +36,7 @@
 	pace := c.predictedPause()
 	for {
 		event, err := events.next()
-		if (err == nil || errors.Is(err, io.EOF)) && !c.mayPassOn(run) {
+		if (err == nil || errors.Is(err, io.EOF)) && !c.mayPassOn(run, event) {
 			return ErrStalled
 		}
 		if errors.Is(err, io.EOF) {
@@ -145,7 +145,6 @@
 }
 
 func (c *streamCall) recordEventTime(now time.Time) {
-	c.hasEvents.Store(true)
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = now
 	} else {
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -34,6 +34,9 @@
 func (c *streamCall) startTakeover(from *streamRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.resumableLocked() { // an event came meanwhile
+		return
+	}
 	if c.takeovers == nil {
 		c.takeovers = kernel.NewGroup(from.parent)
 	}
@@ -173,14 +176,17 @@
 	t.cancel()
 }
 
-// mayPassOn reports whether what an attempt has received may be passed on to the caller: not if a takeover has won.
-// One that hasn't is dropped, as the endpoint isn't silent any more.
-func (c *streamCall) mayPassOn(run *streamRun) bool {
+// mayPassOn reports whether an event, or with nil the end of a response, may be passed on to the caller: not if a takeover
+// has won. One that hasn't is dropped, as the endpoint isn't silent any more.
+func (c *streamCall) mayPassOn(run *streamRun, event []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if run.abandoned {
 		return false
 	}
+	if _, ok := eventID(event); !ok && !isBlank(event) {
+		c.unnumbered = true
+	}
 	if c.takeover != nil {
 		c.takeover.dropLocked()
 	}
--- /dev/null
+++ b/gateway/takeover_test.go
@@ -0,0 +1,62 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/platform/platformtest"
+)
+
+// addRuns adds three groups that serve the stream. Its attempts are handled in their order, whichever group gets them.
+func (s *fixture) addRuns(handlers ...http.HandlerFunc) *atomic.Int32 {
+	s.t.Helper()
+	var runs atomic.Int32
+	for _, id := range []string{"e1", "e2", "e3"} {
+		s.endpoint(id, "llm", func(w http.ResponseWriter, r *http.Request) {
+			n := int(runs.Add(1))
+			if n > len(handlers) {
+				platformtest.SetNotExecuted(w)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			sign(w, r)
+			handlers[n-1](w, r)
+		})
+	}
+	return &runs
+}
+
+// The events of a stream have no ids: it can't go on at another endpoint, and stays at the silent one.
+func TestStreamWithoutEventIDsIsNeverJoined(t *testing.T) {
+	t.Run("from its beginning", func(t *testing.T) { testStreamWithoutEventIDs(t, "") })
+	t.Run("resumed by its caller", func(t *testing.T) { testStreamWithoutEventIDs(t, "7") })
+}
+
+func testStreamWithoutEventIDs(t *testing.T, lastEvent string) {
+	t.Helper()
+	t.Parallel()
+	s := newFixture(t)
+	write := func(w http.ResponseWriter, words ...string) {
+		for _, word := range words {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", word) // the reader checks what it received
+			w.(http.Flusher).Flush()
+		}
+	}
+	s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		write(w, "a", "b")
+		time.Sleep(1800 * time.Millisecond)
+		write(w, "c", "d")
+	}, func(w http.ResponseWriter, _ *http.Request) { write(w, "a", "b", "c", "d") })
+	r := s.request(http.MethodPost, "/stream/")
+	if lastEvent != "" {
+		r.Header.Set("Last-Event-Id", lastEvent)
+	}
+	got := s.do(r)
+	require.NoError(t, got.err)
+	require.Equal(t, "data: a\n\ndata: b\n\ndata: c\n\ndata: d\n\n", got.body)
+}
