Streams: comments of a silent endpoint don't drop a takeover

Each blank line or comment of the silent endpoint dropped the takeover, though they are no progress (writeBlank, TimeWithoutEvent). An endpoint that had stopped and sent a comment every 50 ms was never left: the takeover was dropped before the other endpoint's first event came, the attempts were used up, and callers got a 200 cut at their deadline.

Only an event or the end of the response drops a takeover now. A comment is still passed on, unless the takeover has won.

TestStreamLeavesAnEndpointThatSendsOnlyComments failed before (cut after 3 s; it passes on, without takeovers) and passes.

--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -177,17 +177,18 @@
 }
 
 // mayPassOn reports whether an event, or with nil the end of a response, may be passed on to the caller: not if a takeover
-// has won. One that hasn't is dropped, as the endpoint isn't silent any more.
+// has won. One that hasn't is dropped, as the endpoint isn't silent any more; blank lines and comments don't show that.
 func (c *streamCall) mayPassOn(run *streamRun, event []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if run.abandoned {
 		return false
 	}
-	if _, ok := eventID(event); !ok && !isBlank(event) {
+	isEvent := !isBlank(event)
+	if _, ok := eventID(event); isEvent && !ok {
 		c.unnumbered = true
 	}
-	if c.takeover != nil {
+	if c.takeover != nil && (isEvent || event == nil) {
 		c.takeover.dropLocked()
 	}
 	return true
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,3 +62,25 @@
 	require.NoError(t, got.err)
 	require.Equal(t, "data: a\n\ndata: b\n\ndata: c\n\ndata: d\n\n", got.body)
 }
+
+// An endpoint that has stopped sends comments all the while: the stream still leaves it.
+func TestStreamLeavesAnEndpointThatSendsOnlyComments(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, ": wait\n\n") // fails once the attempt has ended
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		writeEvents(w, 3, silentEvents)
+	})
+	begun := time.Now()
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), strings.ReplaceAll(got.body, ": wait\n\n", ""))
+	require.Less(t, time.Since(begun), callerPatience)
+}
