Streams: a takeover's attempt that has failed can't win any more

An attempt with an open response stayed the takeover's candidate after it had failed. If the silent endpoint broke while the takeover was at its next attempt (or still asked whether the failed one's endpoint lives), the stream was given to the failed attempt, and the next one was left: with max_attempts 3 callers saw a cut though the third endpoint would have gone on. In the same way the timer of the first event could choose an attempt just after it had failed.

A failed attempt is withdrawn under the lock that decides, and only the candidate can win.

TestStreamGoesOnAtTheLastAttemptOfATakeover failed before and passes. The timer was found by reading; no run shows it.

--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -112,7 +112,7 @@
 	if t.enter(run) {
 		return last, true
 	}
-	if err := body.prove(after, func() { t.win(run) }); err != nil && !t.hasWon(run) {
+	if err := body.prove(after, func() { t.win(run) }); err != nil && t.withdraw(run) {
 		return streamAttempt{response: response, err: redwinghall.NewOpError("takeover.try", Unknown, err)}, false
 	}
 	return last, t.win(run)
@@ -135,7 +135,7 @@
 }
 
 func (t *takeover) winLocked(run *streamRun) bool {
-	if t.isSettled {
+	if t.isSettled || t.candidate != run {
 		return t.won == run
 	}
 	t.won = run
@@ -145,10 +145,15 @@
 	return true
 }
 
-func (t *takeover) hasWon(run *streamRun) bool {
+// withdraw makes a candidate that has failed none, and reports whether it did: not if the attempt has won.
+func (t *takeover) withdraw(run *streamRun) bool {
 	t.call.mu.Lock()
 	defer t.call.mu.Unlock()
-	return t.won == run
+	if t.won == run {
+		return false
+	}
+	t.candidate = nil
+	return true
 }
 
 // fail settles a takeover that has not won.
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall/directory"
 	"redwinghall/platform/platformtest"
 )
 
@@ -84,3 +85,27 @@
 	require.Equal(t, wholeStream(silentEvents), strings.ReplaceAll(got.body, ": wait\n\n", ""))
 	require.Less(t, time.Since(begun), callerPatience)
 }
+
+// The silent endpoint fails while the third one, after the second has failed too, hasn't answered yet: the stream goes on
+// at the third.
+func TestStreamGoesOnAtTheLastAttemptOfATakeover(t *testing.T) {
+	t.Parallel()
+	s := newUnconfiguredFixture(t)
+	s.config.Routes[0].MaxAttempts = 3
+	s.cache.Apply(time.Now(), directory.Change{Config: s.config})
+	runs := s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		writeEvents(w, 1, 2)
+		time.Sleep(1600 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		writeEvents(w, 3, silentEvents)
+	})
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.Equal(t, int32(3), runs.Load(), "attempts")
+}
