Streams: an end in the middle of an event shows no service

A takeover whose response ended orderly in the middle of an event (a complete last chunk, or a connection that ends) counted as proven, and the silent attempt ended. The relay then refused the truncated event, and no attempt was left: callers saw a 200 cut 1.3 s after the last event, though the first endpoint would have gone on.

The end of a response is proof only behind a complete event. The held body ends with errTruncatedEvent otherwise, as the splitter would say.

--- a/gateway/proving_body.go
+++ b/gateway/proving_body.go
@@ -70,7 +70,7 @@
 	buffer := make([]byte, connBufferSize)
 	for {
 		n, err := b.from.Read(buffer)
-		events, done := b.hold(buffer[:n], err, after)
+		events, done, err := b.hold(buffer[:n], err, after)
 		if timer == nil && events > 0 && err == nil && !done {
 			timer = kernel.AfterFunc(provingTime, func() { b.unlessFailed(onServes) })
 			defer timer.Stop()
@@ -84,18 +84,22 @@
 	}
 }
 
-// hold keeps what was read. It returns how many new events are held, and whether that is enough.
-func (b *provingBody) hold(read []byte, err error, after int64) (events int, done bool) {
+// hold keeps what was read and the error of the read. It returns how many new events are held, whether that is enough, and
+// the error, which tells of an end in the middle of an event too.
+func (b *provingBody) hold(read []byte, err error, after int64) (events int, done bool, end error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.changed.Broadcast()
 	b.held = append(b.held, read...)
 	b.err = err
-	b.changed.Broadcast()
 	if b.wanted {
-		return 0, true
+		return 0, true, err
+	}
+	events, rest := countNewEvents(b.held, after)
+	if errors.Is(err, io.EOF) && rest > 0 {
+		b.err = errTruncatedEvent
 	}
-	events = countNewEvents(b.held, after)
-	return events, events >= provingEvents || len(b.held) >= maxProvingBytes
+	return events, events >= provingEvents || len(b.held) >= maxProvingBytes, b.err
 }
 
 // unlessFailed calls fn unless the body has ended with an error.
@@ -115,13 +119,13 @@
 	b.changed.Broadcast()
 }
 
-// countNewEvents returns how many complete events behind the one with the id after a part of a stream has.
-func countNewEvents(part []byte, after int64) int {
-	events := 0
+// countNewEvents returns how many complete events behind the one with the id after a part of a stream has, and how many
+// bytes follow its last complete event.
+func countNewEvents(part []byte, after int64) (events, rest int) {
 	for {
 		end := eventEnd(part)
 		if end < 0 {
-			return events
+			return events, len(part)
 		}
 		event := part[:end]
 		part = part[end:]
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -83,6 +84,11 @@
 			writeEvents(w, 3, 3)
 			panic(http.ErrAbortHandler)
 		},
+		"ends in the middle of an event": func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			writeEvents(w, 3, 3)
+			_, _ = io.WriteString(w, "id: 4\nda") // the reader checks what it received
+		},
 		"is silent too": func(w http.ResponseWriter, r *http.Request) {
 			sign(w, r)
 			w.(http.Flusher).Flush()
