Streams: only prove reads a body until it has ended

A held body counted as being proven only from the first line of prove on, but its attempt may win as soon as it is the candidate (awaitTakeover). A relay that reads between the two would read the body beside prove, and bytes could change their order. Found by reading: the moment is microseconds long, and no run shows it.

A body is being proven from its creation until prove has returned, or until an attempt that wins at once ends that.

--- a/gateway/proving_body.go
+++ b/gateway/proving_body.go
@@ -19,20 +19,20 @@
 )
 
 // provingBody is the body of a response that is held until it has shown that its endpoint serves the stream. One goroutine
-// calls prove, and another one Read, once the response is to be passed on.
+// calls prove or endProving, and another one Read, once the response is to be passed on.
 type provingBody struct {
 	from io.Reader
 
 	mu      sync.Mutex
 	changed sync.Cond // signals that bytes were read or that proving has ended
-	proving bool      // a goroutine reads the body
+	proving bool      // only prove may read from the body
 	wanted  bool      // the response is passed on
 	held    []byte    // what was read and not passed on
 	err     error     // the end of the body
 }
 
 func newProvingBody(from io.Reader) *provingBody {
-	b := &provingBody{from: from}
+	b := &provingBody{from: from, proving: true}
 	b.changed.L = &b.mu
 	return b
 }
@@ -62,9 +62,6 @@
 // anyway. It calls onServes if the first new event isn't followed by another one or the end soon. The error is nil if the
 // endpoint serves the stream.
 func (b *provingBody) prove(after int64, onServes func()) error {
-	b.mu.Lock()
-	b.proving = true
-	b.mu.Unlock()
 	defer b.endProving()
 	var timer *kernel.Timer
 	buffer := make([]byte, connBufferSize)
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -110,6 +110,7 @@
 	run.body = body
 	after, _ := t.call.lastEvent()
 	if t.enter(run) {
+		body.endProving()
 		return last, true
 	}
 	if err := body.prove(after, func() { t.win(run) }); err != nil && t.withdraw(run) {
