Streams: a takeover that was never sent spends one retry

A takeover that found no room (a dispatcher without a place, a permit that was refused, a zone out) spent the retry budget, and the next check 0.1 s later began another one that spent it again: up to 10 a second for each silent stream. Callers of the service then got no retries at all, and the stream itself was not moved once room came: with a budget of two it stayed at the silent endpoint until its deadline. Before takeovers such a stream was cut at the first refusal.

What was spent for an attempt that wasn't sent counts for the next one.

TestRefusedTakeoversSpendOneRetry failed before (cut at 3 s) and passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -290,7 +290,7 @@
 // mayRetry reports whether a request may be sent to another endpoint. It spends the
 // retry budget if so.
 func (g *Gateway) mayRetry(r *Request, sent int, now time.Time) bool {
-	if sent >= r.Route.MaxAttempts || r.Left(now) < minRemaining {
+	if !mayAttempt(r, sent, now) {
 		return false
 	}
 	slack := 0.0
@@ -300,6 +300,11 @@
 	return g.budget.Spend(now, r.Service.Name, slack)
 }
 
+// mayAttempt reports whether the route's attempts and the time left allow one more attempt.
+func mayAttempt(r *Request, sent int, now time.Time) bool {
+	return sent < r.Route.MaxAttempts && r.Left(now) >= minRemaining
+}
+
 // minRemaining is the remaining time below which no endpoint can respond before the
 // deadline.
 const minRemaining = 15 * time.Millisecond
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -107,7 +107,7 @@
 	if !c.hasAlternative(now) {
 		return false
 	}
-	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
+	return c.mayRetry(now)
 }
 
 // hasAlternative reports whether an endpoint that hasn't been tried could take the stream.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,7 +43,9 @@
 	failedDials atomic.Int64
 	// mayHaveRun is true if a group may have executed the request or may still be
 	// executing it.
-	mayHaveRun   atomic.Bool
+	mayHaveRun atomic.Bool
+	// retrySpent is set while the retry budget is spent for an attempt that wasn't sent.
+	retrySpent   atomic.Bool
 	headersSent  atomic.Bool // the response headers were sent to the caller
 	bytes        int64       // bytes of events sent to the caller
 	firstEventAt time.Time   // when the first event arrived
@@ -178,11 +180,25 @@
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
 		return c.failedDials.Load() < maxDials && c.r.Left(now) > minRemaining
 	case last.notRun:
-		return c.g.mayRetry(c.r, int(c.sent.Load()), now)
+		return c.mayRetry(now)
 	case !c.resumable(), c.isQuarantined():
 		return false
 	}
-	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
+	return c.mayRetry(now)
+}
+
+// mayRetry reports whether one more attempt may be made now. It spends the retry budget, unless that was done for an
+// attempt that wasn't sent.
+func (c *streamCall) mayRetry(now time.Time) bool {
+	sent := int(c.sent.Load())
+	if c.retrySpent.Load() {
+		return mayAttempt(c.r, sent, now)
+	}
+	if !c.g.mayRetry(c.r, sent, now) {
+		return false
+	}
+	c.retrySpent.Store(true)
+	return true
 }
 
 // isQuarantined reports whether requests with a part of this one are refused.
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -110,11 +110,13 @@
 	c := run.call
 	c.sent.Add(1)
 	response, err := c.g.send(run.ctx, c.r, run.choice.Endpoint, c.lastEventHeader(), mode)
+	if redwinghall.KindOf[Kind](err) == NotSent {
+		c.failedDials.Add(1)
+		c.sent.Add(-1)
+	} else {
+		c.retrySpent.Store(false)
+	}
 	if err != nil {
-		if redwinghall.KindOf[Kind](err) == NotSent {
-			c.failedDials.Add(1)
-			c.sent.Add(-1)
-		}
 		return nil, streamAttempt{err: err}
 	}
 	c.g.recordResponseInfo(c.r, run.choice, response)
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -109,3 +109,31 @@
 	require.Equal(t, wholeStream(silentEvents), got.body)
 	require.Equal(t, int32(3), runs.Load(), "attempts")
 }
+
+// No group has room for a while: a takeover that was never sent uses up no retries of others.
+func TestRefusedTakeoversSpendOneRetry(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.settings.Bounds.RetrySlack = 3
+	s.placer.hasDispatcher = true
+	asked := 0
+	s.placer.onPlace = func() {
+		asked++
+		switch {
+		case asked == 1:
+			s.placer.offers = map[string]string{"a": "e1"}
+		case asked <= 5:
+			s.placer.offers = map[string]string{"a": ""}
+		default:
+			s.placer.offers = map[string]string{"a": "e2"}
+		}
+	}
+	s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		<-r.Context().Done()
+	}, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 3, silentEvents) })
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.Equal(t, 6, asked, "placements")
+}
