Streams: a takeover that panics closes its attempt

A panic in a takeover ended its goroutine without closing its attempt: the endpoint's response, its place in the tracker, a trial and the entry among the unproven attempts, with the request and its body, would have stayed. The main attempt closes by a defer for that reason.

Each attempt of a takeover is closed by a defer too, unless it has won.

--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -58,26 +58,31 @@
 
 // run makes attempts until one goes on with the stream, or no other may be made.
 func (t *takeover) run() {
-	for t.ctx.Err() == nil {
+	for again := true; again && t.ctx.Err() == nil; {
 		run := t.begin()
-		if run == nil {
-			return
-		}
-		last, proven := t.try(run)
-		if proven {
-			return
-		}
-		if t.ctx.Err() != nil {
-			klog.InfoS("takeover_dropped", "request", t.call.r.Info.ID, "endpoint", run.choice.Endpoint.ID)
-			t.call.mayHaveRun.Store(true)
-			run.close()
-			return
-		}
-		run.record(last)
+		again = run != nil && t.attempt(run)
+	}
+}
+
+// attempt makes one attempt, and reports whether another one may follow. It closes the attempt unless that has won.
+func (t *takeover) attempt(run *streamRun) (again bool) {
+	defer t.closeUnlessWon(run) // also if it panics
+	last, won := t.try(run)
+	switch {
+	case won:
+		return false
+	case t.ctx.Err() != nil:
+		klog.InfoS("takeover_dropped", "request", t.call.r.Info.ID, "endpoint", run.choice.Endpoint.ID)
+		t.call.mayHaveRun.Store(true)
+		return false
+	}
+	run.record(last)
+	return t.call.shouldRetry(t.ctx, last)
+}
+
+func (t *takeover) closeUnlessWon(run *streamRun) {
+	if !t.hasWon(run) {
 		run.close()
-		if !t.call.shouldRetry(t.ctx, last) {
-			return
-		}
 	}
 }
 
@@ -146,6 +151,12 @@
 	return true
 }
 
+func (t *takeover) hasWon(run *streamRun) bool {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	return t.won == run
+}
+
 // withdraw makes a candidate that has failed none, and reports whether it did: not if the attempt has won.
 func (t *takeover) withdraw(run *streamRun) bool {
 	t.call.mu.Lock()
