Streams: a failed takeover doesn't end the trial of the silent endpoint

A stream with a suspected part holds one trial, of its request. A takeover from a silent attempt joins it (RequestTrial grants it again to the same request), and gave it back as it failed, was dropped or found no room, while the silent endpoint still ran the request. The next request with that part was then sent to one more endpoint, and callers there lost their answers if the part ends endpoints. The same held for the silent attempt that ends after a takeover won.

The trial is given back with the last attempt that takes part in it.

TestFailedTakeoverLeavesTheTrialOfTheSilentEndpoint failed before (granted instead of busy) and passes.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,7 +65,9 @@
 	hasID  bool
 	// unnumbered is set once an event without an id is passed on: nothing tells from where the stream would go on.
 	unnumbered bool
-	takeover   *takeover // the takeover in progress or won, nil if there is none
+	// trials are the gates of the attempts in progress that take part in the trial of the request.
+	trials   map[*quarantineGate]bool
+	takeover *takeover // the takeover in progress or won, nil if there is none
 	// takeovers runs all takeovers of the stream, nil before the first.
 	takeovers *kernel.Group
 }
@@ -107,9 +109,10 @@
 		if why := gate.pass(ctx); why != nil {
 			return nil, why
 		}
+		c.beginTrial(gate)
 		choice, refused := c.choose(ctx)
 		if refused != nil {
-			gate.endTrial()
+			c.endTrial(gate)
 			if c.g.awaitEndpoints(ctx, time.Now(), c.r, refused) {
 				c.r.takeView(c.g.Cache)
 				continue
@@ -119,7 +122,7 @@
 		}
 		if why := c.checkStop(time.Now(), choice); why != nil {
 			choice.Attempt.Cancel()
-			gate.endTrial()
+			c.endTrial(gate)
 			return nil, why
 		}
 		return c.newRun(ctx, choice, gate), nil
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -44,7 +44,7 @@
 
 // close ends an attempt, also if its exchange panicked, as it does when the caller has left.
 func (run *streamRun) close() {
-	run.gate.endTrial()
+	run.call.endTrial(run.gate)
 	run.call.g.unproven.remove(run.gate)
 	if run.response != nil {
 		_ = run.response.Body.Close()
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -250,6 +250,30 @@
 	_ = group.Wait() // tasks return no error
 }
 
+// beginTrial records that an attempt takes part in the trial of its request, if it does.
+func (c *streamCall) beginTrial(gate *quarantineGate) {
+	if !gate.trial {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.trials == nil {
+		c.trials = map[*quarantineGate]bool{}
+	}
+	c.trials[gate] = true
+}
+
+// endTrial ends the trial of the request with its last attempt.
+func (c *streamCall) endTrial(gate *quarantineGate) {
+	c.mu.Lock()
+	delete(c.trials, gate)
+	last := len(c.trials) == 0
+	c.mu.Unlock()
+	if last {
+		gate.endTrial()
+	}
+}
+
 // lastEvent returns the id of the last event that was passed on, or with which the caller came.
 func (c *streamCall) lastEvent() (id int64, ok bool) {
 	c.mu.Lock()
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,7 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/directory"
+	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
+	"redwinghall/quarantine"
 )
 
 // addRuns adds three groups that serve the stream. Its attempts are handled in their order, whichever group gets them.
@@ -137,3 +140,35 @@
 	require.Equal(t, wholeStream(silentEvents), got.body)
 	require.Equal(t, 6, asked, "placements")
 }
+
+// A part of a stream is suspected and on trial at a silent endpoint: the trial goes on when a takeover has failed.
+func TestFailedTakeoverLeavesTheTrialOfTheSilentEndpoint(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.quarantine.RecordEnd(quarantine.Suspect{
+		Process: quarantine.Process{Endpoint: "e0"}, Request: "r-0", Service: "llm", Parts: []string{"bad"}, At: time.Now(),
+	})
+	failed := make(chan struct{})
+	s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		time.Sleep(1800 * time.Millisecond)
+		writeEvents(w, 1, silentEvents)
+	}, func(http.ResponseWriter, *http.Request) {
+		close(failed)
+		panic(http.ErrAbortHandler)
+	})
+	var answer quarantine.TrialAnswer
+	others := kernel.NewGroup(t.Context())
+	others.Task("other", func(context.Context) {
+		<-failed
+		time.Sleep(100 * time.Millisecond)
+		answer = s.quarantine.RequestTrial(time.Now(), "other", "llm", []string{"bad"})
+	})
+	r := s.request(http.MethodPost, "/stream/")
+	platformtest.SetParts(r, "bad", "own")
+	got := s.do(r)
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.NoError(t, others.Wait())
+	require.Equal(t, quarantine.TrialBusy, answer)
+}
