--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,10 +43,11 @@
 	failedDials atomic.Int64
 	// mayHaveRun is true if a group may have executed the request or may still be
 	// executing it.
-	mayHaveRun   atomic.Bool
+	mayHaveRun atomic.Bool
+	// retrySpent is set while the retry budget is spent for an attempt that wasn't sent.
+	retrySpent   atomic.Bool
 	headersSent  atomic.Bool // the response headers were sent to the caller
 	bytes        int64       // bytes of events sent to the caller
-	hasEvents    atomic.Bool // an event has arrived
 	firstEventAt time.Time   // when the first event arrived
 	longestPause time.Duration
 	lastEventAt  time.Time
@@ -58,10 +59,14 @@
 	blank []byte
 
 	// mu guards what the attempt whose events are passed on shares with a takeover.
-	mu       sync.Mutex
-	tried    map[string]bool // endpoints that got an attempt
-	lastID   int64           // id of the last event sent to the caller, valid if hasID
-	hasID    bool
+	mu     sync.Mutex
+	tried  map[string]bool // endpoints that got an attempt
+	lastID int64           // id of the last event sent to the caller, valid if hasID
+	hasID  bool
+	// unnumbered is set once an event without an id is passed on: nothing tells from where the stream would go on.
+	unnumbered bool
+	// trials are the gates of the attempts in progress that take part in the trial of the request.
+	trials   map[*quarantineGate]bool
 	takeover *takeover // the takeover in progress or won, nil if there is none
 	// takeovers runs all takeovers of the stream, nil before the first.
 	takeovers *kernel.Group
@@ -104,9 +109,10 @@
 		if why := gate.pass(ctx); why != nil {
 			return nil, why
 		}
+		c.beginTrial(gate)
 		choice, refused := c.choose(ctx)
 		if refused != nil {
-			gate.endTrial()
+			c.endTrial(gate)
 			if c.g.awaitEndpoints(ctx, time.Now(), c.r, refused) {
 				c.r.takeView(c.g.Cache)
 				continue
@@ -116,7 +122,7 @@
 		}
 		if why := c.checkStop(time.Now(), choice); why != nil {
 			choice.Attempt.Cancel()
-			gate.endTrial()
+			c.endTrial(gate)
 			return nil, why
 		}
 		return c.newRun(ctx, choice, gate), nil
@@ -177,11 +183,25 @@
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
 		return c.failedDials.Load() < maxDials && c.r.Left(now) > minRemaining
 	case last.notRun:
-		return c.g.mayRetry(c.r, int(c.sent.Load()), now)
+		return c.mayRetry(now)
 	case !c.resumable(), c.isQuarantined():
 		return false
 	}
-	return c.g.mayRetry(c.r, int(c.sent.Load()), now)
+	return c.mayRetry(now)
+}
+
+// mayRetry reports whether one more attempt may be made now. It spends the retry budget, unless that was done for an
+// attempt that wasn't sent.
+func (c *streamCall) mayRetry(now time.Time) bool {
+	sent := int(c.sent.Load())
+	if c.retrySpent.Load() {
+		return mayAttempt(c.r, sent, now)
+	}
+	if !c.g.mayRetry(c.r, sent, now) {
+		return false
+	}
+	c.retrySpent.Store(true)
+	return true
 }
 
 // isQuarantined reports whether requests with a part of this one are refused.
@@ -193,8 +213,13 @@
 // resumable reports whether another group can continue the stream after the last
 // event that the caller has.
 func (c *streamCall) resumable() bool {
-	_, hasID := c.lastEvent()
-	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && (!c.headersSent.Load() || hasID || !c.hasEvents.Load())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resumableLocked()
+}
+
+func (c *streamCall) resumableLocked() bool {
+	return c.r.Route.Kind == fleet.Streaming && c.r.Route.Resumable && !c.unnumbered
 }
 
 // giveUp ends a stream that no endpoint can complete.
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -44,7 +44,7 @@
 
 // close ends an attempt, also if its exchange panicked, as it does when the caller has left.
 func (run *streamRun) close() {
-	run.gate.endTrial()
+	run.call.endTrial(run.gate)
 	run.call.g.unproven.remove(run.gate)
 	if run.response != nil {
 		_ = run.response.Body.Close()
@@ -110,11 +110,13 @@
 	c := run.call
 	c.sent.Add(1)
 	response, err := c.g.send(run.ctx, c.r, run.choice.Endpoint, c.lastEventHeader(), mode)
+	if redwinghall.KindOf[Kind](err) == NotSent {
+		c.failedDials.Add(1)
+		c.sent.Add(-1)
+	} else {
+		c.retrySpent.Store(false)
+	}
 	if err != nil {
-		if redwinghall.KindOf[Kind](err) == NotSent {
-			c.failedDials.Add(1)
-			c.sent.Add(-1)
-		}
 		return nil, streamAttempt{err: err}
 	}
 	c.g.recordResponseInfo(c.r, run.choice, response)
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -34,6 +34,9 @@
 func (c *streamCall) startTakeover(from *streamRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.resumableLocked() { // an event came meanwhile
+		return
+	}
 	if c.takeovers == nil {
 		c.takeovers = kernel.NewGroup(from.parent)
 	}
@@ -55,26 +58,31 @@
 
 // run makes attempts until one goes on with the stream, or no other may be made.
 func (t *takeover) run() {
-	for t.ctx.Err() == nil {
+	for again := true; again && t.ctx.Err() == nil; {
 		run := t.begin()
-		if run == nil {
-			return
-		}
-		last, proven := t.try(run)
-		if proven {
-			return
-		}
-		if t.ctx.Err() != nil {
-			klog.InfoS("takeover_dropped", "request", t.call.r.Info.ID, "endpoint", run.choice.Endpoint.ID)
-			t.call.mayHaveRun.Store(true)
-			run.close()
-			return
-		}
-		run.record(last)
+		again = run != nil && t.attempt(run)
+	}
+}
+
+// attempt makes one attempt, and reports whether another one may follow. It closes the attempt unless that has won.
+func (t *takeover) attempt(run *streamRun) (again bool) {
+	defer t.closeUnlessWon(run) // also if it panics
+	last, won := t.try(run)
+	switch {
+	case won:
+		return false
+	case t.ctx.Err() != nil:
+		klog.InfoS("takeover_dropped", "request", t.call.r.Info.ID, "endpoint", run.choice.Endpoint.ID)
+		t.call.mayHaveRun.Store(true)
+		return false
+	}
+	run.record(last)
+	return t.call.shouldRetry(t.ctx, last)
+}
+
+func (t *takeover) closeUnlessWon(run *streamRun) {
+	if !t.hasWon(run) {
 		run.close()
-		if !t.call.shouldRetry(t.ctx, last) {
-			return
-		}
 	}
 }
 
@@ -107,9 +115,10 @@
 	run.body = body
 	after, _ := t.call.lastEvent()
 	if t.enter(run) {
+		body.endProving()
 		return last, true
 	}
-	if err := body.prove(after, func() { t.win(run) }); err != nil && !t.hasWon(run) {
+	if err := body.prove(after, func() { t.win(run) }); err != nil && t.withdraw(run) {
 		return streamAttempt{response: response, err: redwinghall.NewOpError("takeover.try", Unknown, err)}, false
 	}
 	return last, t.win(run)
@@ -132,7 +141,7 @@
 }
 
 func (t *takeover) winLocked(run *streamRun) bool {
-	if t.isSettled {
+	if t.isSettled || t.candidate != run {
 		return t.won == run
 	}
 	t.won = run
@@ -148,6 +157,17 @@
 	return t.won == run
 }
 
+// withdraw makes a candidate that has failed none, and reports whether it did: not if the attempt has won.
+func (t *takeover) withdraw(run *streamRun) bool {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	if t.won == run {
+		return false
+	}
+	t.candidate = nil
+	return true
+}
+
 // fail settles a takeover that has not won.
 func (t *takeover) fail() {
 	t.call.mu.Lock()
@@ -173,15 +193,19 @@
 	t.cancel()
 }
 
-// mayPassOn reports whether what an attempt has received may be passed on to the caller: not if a takeover has won.
-// One that hasn't is dropped, as the endpoint isn't silent any more.
-func (c *streamCall) mayPassOn(run *streamRun) bool {
+// mayPassOn reports whether an event, or with nil the end of a response, may be passed on to the caller: not if a takeover
+// has won. One that hasn't is dropped, as the endpoint isn't silent any more; blank lines and comments don't show that.
+func (c *streamCall) mayPassOn(run *streamRun, event []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if run.abandoned {
 		return false
 	}
-	if c.takeover != nil {
+	isEvent := !isBlank(event)
+	if _, ok := eventID(event); isEvent && !ok {
+		c.unnumbered = true
+	}
+	if c.takeover != nil && (isEvent || event == nil) {
 		c.takeover.dropLocked()
 	}
 	return true
@@ -226,6 +250,30 @@
 	_ = group.Wait() // tasks return no error
 }
 
+// beginTrial records that an attempt takes part in the trial of its request, if it does.
+func (c *streamCall) beginTrial(gate *quarantineGate) {
+	if !gate.trial {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.trials == nil {
+		c.trials = map[*quarantineGate]bool{}
+	}
+	c.trials[gate] = true
+}
+
+// endTrial ends the trial of the request with its last attempt.
+func (c *streamCall) endTrial(gate *quarantineGate) {
+	c.mu.Lock()
+	delete(c.trials, gate)
+	last := len(c.trials) == 0
+	c.mu.Unlock()
+	if last {
+		gate.endTrial()
+	}
+}
+
 // lastEvent returns the id of the last event that was passed on, or with which the caller came.
 func (c *streamCall) lastEvent() (id int64, ok bool) {
 	c.mu.Lock()
--- /dev/null
+++ b/gateway/takeover_test.go
@@ -0,0 +1,174 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/directory"
+	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
+	"redwinghall/quarantine"
+)
+
+// addRuns adds three groups that serve the stream. Its attempts are handled in their order, whichever group gets them.
+func (s *fixture) addRuns(handlers ...http.HandlerFunc) *atomic.Int32 {
+	s.t.Helper()
+	var runs atomic.Int32
+	for _, id := range []string{"e1", "e2", "e3"} {
+		s.endpoint(id, "llm", func(w http.ResponseWriter, r *http.Request) {
+			n := int(runs.Add(1))
+			if n > len(handlers) {
+				platformtest.SetNotExecuted(w)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			sign(w, r)
+			handlers[n-1](w, r)
+		})
+	}
+	return &runs
+}
+
+// The events of a stream have no ids: it can't go on at another endpoint, and stays at the silent one.
+func TestStreamWithoutEventIDsIsNeverJoined(t *testing.T) {
+	t.Run("from its beginning", func(t *testing.T) { testStreamWithoutEventIDs(t, "") })
+	t.Run("resumed by its caller", func(t *testing.T) { testStreamWithoutEventIDs(t, "7") })
+}
+
+func testStreamWithoutEventIDs(t *testing.T, lastEvent string) {
+	t.Helper()
+	t.Parallel()
+	s := newFixture(t)
+	write := func(w http.ResponseWriter, words ...string) {
+		for _, word := range words {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", word) // the reader checks what it received
+			w.(http.Flusher).Flush()
+		}
+	}
+	s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		write(w, "a", "b")
+		time.Sleep(1800 * time.Millisecond)
+		write(w, "c", "d")
+	}, func(w http.ResponseWriter, _ *http.Request) { write(w, "a", "b", "c", "d") })
+	r := s.request(http.MethodPost, "/stream/")
+	if lastEvent != "" {
+		r.Header.Set("Last-Event-Id", lastEvent)
+	}
+	got := s.do(r)
+	require.NoError(t, got.err)
+	require.Equal(t, "data: a\n\ndata: b\n\ndata: c\n\ndata: d\n\n", got.body)
+}
+
+// An endpoint that has stopped sends comments all the while: the stream still leaves it.
+func TestStreamLeavesAnEndpointThatSendsOnlyComments(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, ": wait\n\n") // fails once the attempt has ended
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		writeEvents(w, 3, silentEvents)
+	})
+	begun := time.Now()
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), strings.ReplaceAll(got.body, ": wait\n\n", ""))
+	require.Less(t, time.Since(begun), callerPatience)
+}
+
+// The silent endpoint fails while the third one, after the second has failed too, hasn't answered yet: the stream goes on
+// at the third.
+func TestStreamGoesOnAtTheLastAttemptOfATakeover(t *testing.T) {
+	t.Parallel()
+	s := newUnconfiguredFixture(t)
+	s.config.Routes[0].MaxAttempts = 3
+	s.cache.Apply(time.Now(), directory.Change{Config: s.config})
+	runs := s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		writeEvents(w, 1, 2)
+		time.Sleep(1600 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		writeEvents(w, 3, silentEvents)
+	})
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.Equal(t, int32(3), runs.Load(), "attempts")
+}
+
+// No group has room for a while: a takeover that was never sent uses up no retries of others.
+func TestRefusedTakeoversSpendOneRetry(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.settings.Bounds.RetrySlack = 3
+	s.placer.hasDispatcher = true
+	asked := 0
+	s.placer.onPlace = func() {
+		asked++
+		switch {
+		case asked == 1:
+			s.placer.offers = map[string]string{"a": "e1"}
+		case asked <= 5:
+			s.placer.offers = map[string]string{"a": ""}
+		default:
+			s.placer.offers = map[string]string{"a": "e2"}
+		}
+	}
+	s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		<-r.Context().Done()
+	}, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 3, silentEvents) })
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.Equal(t, 6, asked, "placements")
+}
+
+// A part of a stream is suspected and on trial at a silent endpoint: the trial goes on when a takeover has failed.
+func TestFailedTakeoverLeavesTheTrialOfTheSilentEndpoint(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.quarantine.RecordEnd(quarantine.Suspect{
+		Process: quarantine.Process{Endpoint: "e0"}, Request: "r-0", Service: "llm", Parts: []string{"bad"}, At: time.Now(),
+	})
+	failed := make(chan struct{})
+	s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		time.Sleep(1800 * time.Millisecond)
+		writeEvents(w, 1, silentEvents)
+	}, func(http.ResponseWriter, *http.Request) {
+		close(failed)
+		panic(http.ErrAbortHandler)
+	})
+	var answer quarantine.TrialAnswer
+	others := kernel.NewGroup(t.Context())
+	others.Task("other", func(context.Context) {
+		<-failed
+		time.Sleep(100 * time.Millisecond)
+		answer = s.quarantine.RequestTrial(time.Now(), "other", "llm", []string{"bad"})
+	})
+	r := s.request(http.MethodPost, "/stream/")
+	platformtest.SetParts(r, "bad", "own")
+	got := s.do(r)
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.NoError(t, others.Wait())
+	require.Equal(t, quarantine.TrialBusy, answer)
+}
