Callers: a request that waited in the backlog gets a status, not a close

Cause: connections.connState decided at the accept that a new connection is too much and closed it unread, however long its request had waited.

Fix: the socket itself tells how long ago bytes came last (TCP_INFO), so the node need not infer it from its own pauses or bursts. A connection whose bytes are 0.1 s old or older is read and refused: 503, Retry-After 0.02 (the node sheds only while the others of its zone have far fewer requests), Connection: close. Younger ones are closed unread as before: their next try meets another node, and TestWeakNodeLeavesConnectionsUnreadForOthers holds. The question is asked only of connections that would be closed.

Ruled out: RunTime and PauseMeter (a busy process isn't paused); bytes that are readable alone (nearly every request's are at its accept).

--- a/kernel/listener.go
+++ b/kernel/listener.go
@@ -1,8 +1,10 @@
 package kernel
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -74,6 +76,15 @@
 	return c.SetReadDeadline(deadline)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/node/caller_handler.go
+++ b/node/caller_handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -66,16 +67,33 @@
 }
 
 func refusePanicked(w http.ResponseWriter, id string) {
+	clear(w.Header())
+	refuseAndClose(w, id, http.StatusBadGateway, "panicked")
+}
+
+// excessRetryAfter is the Retry-After of a request that is too much for this node. It is short because the
+// caller's next try meets another one.
+const excessRetryAfter = 20 * time.Millisecond
+
+// refuseExcess refuses a request that is more than this node can serve.
+func refuseExcess(w http.ResponseWriter, r *http.Request) {
+	id := platform.DecodeRequestInfo(r.Header).ID
+	klog.InfoS("refused_late", "request", id, "retry_after", excessRetryAfter)
+	w.Header().Set("Retry-After", strconv.FormatFloat(excessRetryAfter.Seconds(), 'f', -1, 64))
+	refuseAndClose(w, id, http.StatusServiceUnavailable, "node_busy")
+}
+
+// refuseAndClose sends an error response, after which the connection is closed.
+func refuseAndClose(w http.ResponseWriter, id string, status int, reason string) {
 	h := w.Header()
-	clear(h)
 	platform.SetRequestID(h, id)
 	h.Set("Content-Type", "application/json")
 	h.Set("Connection", "close")
-	body, err := json.Marshal(map[string]string{"error": "panicked", "request_id": id})
+	body, err := json.Marshal(map[string]string{"error": reason, "request_id": id})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(http.StatusBadGateway)
+	w.WriteHeader(status)
 	_, _ = w.Write(body) // the caller may have left
 }
--- a/node/connections.go
+++ b/node/connections.go
@@ -34,6 +34,7 @@
 	busy      bool
 	idleSince time.Time // start of the idle period
 	closed    bool      // this node has closed the connection or is about to
+	refused   bool      // its first request is refused: this node gets more than it serves
 
 	opened      time.Time
 	requests    int    // number of requests received
@@ -66,7 +67,7 @@
 // connState is the http.Server ConnState hook.
 func (c *connections) connState(conn net.Conn, change http.ConnState) {
 	if change == http.StateNew && c.leavesUnread != nil && c.leavesUnread(time.Now()) {
-		closeConnection(conn)
+		c.endNew(conn)
 		return
 	}
 	if c.updateState(conn, change, time.Now()) {
@@ -74,6 +75,29 @@
 	}
 }
 
+// lateAccept is how long the request of a new connection may have waited for the connection to be closed unread. Callers
+// count on an answer once it has waited for 200 ms.
+const lateAccept = 100 * time.Millisecond
+
+// endNew closes a new connection unread, or has its request refused if that has waited in the backlog of a node that was
+// slow to accept it.
+func (c *connections) endNew(conn net.Conn) {
+	if arrival, ok := kernel.ReadArrival(conn); ok && arrival.Since >= lateAccept {
+		c.refuse(conn)
+		return
+	}
+	closeConnection(conn)
+}
+
+// refuse makes the first request on a connection be refused.
+func (c *connections) refuse(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state, ok := c.all[conn]; ok {
+		state.refused = true
+	}
+}
+
 // updateState records a connection's new state and reports whether the
 // connection must be closed now.
 //
@@ -110,14 +134,20 @@
 }
 
 // wrap returns a handler that aborts requests on connections that this node has
-// closed. During a planned stop, responses carry "Connection: close".
+// closed, and refuses those on connections that are too many. During a planned stop,
+// responses carry "Connection: close".
 func (c *connections) wrap(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
 	next = NewCallerHandler(next, plannedStop)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.beginRequest(state, r, plannedStop()) {
+		state, ok := r.Context().Value(connectionKey{}).(*connection)
+		switch {
+		case ok && !c.beginRequest(state, r, plannedStop()):
 			panic(http.ErrAbortHandler)
+		case ok && state.refused:
+			refuseExcess(w, r)
+		default:
+			next.ServeHTTP(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"redwinghall/fleet"
+	"redwinghall/gateway"
 )
 
 // FailPart makes a part of a running node fail.
@@ -20,3 +22,32 @@
 
 // ServicesWithOrder returns the services for which a configuration calls for admission.
 func ServicesWithOrder(config *fleet.Configuration) map[string]bool { return servicesWithOrder(config) }
+
+// CallerConnections tracks connections that are served by a handler.
+type CallerConnections struct{ conns *connections }
+
+// NewCallerConnections returns connections of which leavesUnread tells which new ones are too many.
+func NewCallerConnections(leavesUnread func(now time.Time) bool) CallerConnections {
+	c := CallerConnections{newConnections()}
+	c.conns.leavesUnread = leavesUnread
+	return c
+}
+
+// Server returns a server of callers with the handler.
+func (c CallerConnections) Server(next http.Handler) *http.Server {
+	return &http.Server{
+		Handler:   c.conns.wrap(next, func() gateway.Stop { return gateway.Stop{} }),
+		ConnState: c.conns.connState, ConnContext: c.conns.connContext, ReadHeaderTimeout: callerHeaderTimeout,
+	}
+}
+
+// CloseIdle closes the connections that have been idle for longer than limit.
+func (c CallerConnections) CloseIdle(now time.Time, limit time.Duration) {
+	c.conns.closeIdle(now, limit)
+}
+
+// CloseIfInactive closes all connections if none is active, and reports whether it did.
+func (c CallerConnections) CloseIfInactive(now time.Time) bool { return c.conns.closeIfInactive(now) }
+
+// CloseAfterResponses makes every connection close after its current or next response.
+func (c CallerConnections) CloseAfterResponses() { c.conns.closeAfterResponses() }
--- a/node/shed.go
+++ b/node/shed.go
@@ -51,8 +51,9 @@
 	return false
 }
 
-// leavesUnread reports whether a new connection is closed unread: this node gets more than it can serve, and far
-// more than the other nodes of its zone. If all get too much, none of them would read it sooner.
+// leavesUnread reports whether a new connection is left to other nodes, unread if it is accepted in time: this node gets
+// more than it can serve, and far more than the other nodes of its zone. If all get too much, none of them would read it
+// sooner.
 func (n *Node) leavesUnread(now time.Time) bool {
 	if !n.newConnections.exceeded(now) || !n.tracker.CarriesMost(now, len(n.peers())) {
 		return false
