Callers: a request that lies in the socket keeps its connection open

On a node that is slow to read (0.4 of a core beside a version of thousands of routes, or right after a pause) a whole request may lie in the socket, or be read in part: the connection counted as idle and was closed with it. Callers saw a reset; a node that read the request just then aborted it (request_on_closed_connection).

Fix: a connection receives a request if bytes wait in its socket, or came after it became idle and less than the limit ago; the socket tells both (SIOCINQ, TCP_INFO). Check and close of a connection follow each other under the lock, instead of after the check of all of them, so little can arrive between.

Ruled out: answering on a connection that is marked: it is closed already. Operators' idle timeout and its 5 s stay as they are.

--- a/node/connections.go
+++ b/node/connections.go
@@ -20,6 +20,9 @@
 // to an endpoint would leave its caller with a closed connection and no response.
 // A connection is therefore marked before it is closed, and a request on a marked
 // connection is dropped unread, so that the caller knows it can safely retry.
+//
+// A slow node may not have read yet what lies in a connection's socket. So a
+// connection on which something arrives isn't idle, and is not closed.
 type connections struct {
 	mu  sync.Mutex
 	all map[net.Conn]*connection
@@ -117,8 +120,9 @@
 		state.busy = true
 	case http.StateIdle:
 		state.busy, state.idleSince = false, now
-		state.closed = state.closed || c.closeAfterResponse
-		return c.closeAfterResponse
+		ends = c.closeAfterResponse && !hasUnread(conn) // the next response says that the connection closes
+		state.closed = state.closed || ends
+		return ends
 	case http.StateClosed, http.StateHijacked:
 		delete(c.all, conn)
 	case http.StateNew:
@@ -214,45 +218,60 @@
 }
 
 func (c *connections) activeLocked(now time.Time) bool {
-	for _, state := range c.all {
-		if state.busy || (state.requests == 0 && now.Sub(state.opened) < firstRequestTime) {
+	for conn, state := range c.all {
+		if state.busy || (state.requests == 0 && now.Sub(state.opened) < firstRequestTime) || state.receives(conn, now, firstRequestTime) {
 			return true
 		}
 	}
 	return false
 }
 
+// arrivalResolution is by how much an arrival may be older than its socket tells.
+const arrivalResolution = 10 * time.Millisecond
+
+// receives reports whether a request is arriving on an idle connection: bytes wait in its socket, or some of a
+// request were read less than limit ago.
+func (c *connection) receives(conn net.Conn, now time.Time, limit time.Duration) bool {
+	if c.closed {
+		return false
+	}
+	arrival, ok := kernel.ReadArrival(conn)
+	at := now.Add(-arrival.Since)
+	return ok && (arrival.Unread > 0 || (at.Sub(c.idleSince) > arrivalResolution && kernel.RunTime(at, now) < limit))
+}
+
+func hasUnread(conn net.Conn) bool {
+	arrival, ok := kernel.ReadArrival(conn)
+	return ok && arrival.Unread > 0
+}
+
 // closeIfInactive closes all connections if none is active, and reports whether
-// it did. Check and marking happen under one lock, so that no request can start
+// it did. Check and closing happen under one lock, so that no request can start
 // in between.
 func (c *connections) closeIfInactive(now time.Time) bool {
-	idle, inactive := c.markAllIfInactive(now)
-	closeConnections(idle)
-	return inactive
-}
-
-func (c *connections) markAllIfInactive(now time.Time) (idle []net.Conn, inactive bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.activeLocked(now) {
-		return nil, false
+		return false
 	}
-	return c.markIdleLocked(now, 0), true
+	c.closeIdleLocked(now, 0)
+	return true
 }
 
 // closeIdle closes the connections that have been idle for longer than limit.
 func (c *connections) closeIdle(now time.Time, limit time.Duration) {
-	closeConnections(c.markIdle(now, limit))
-}
-
-func (c *connections) markIdle(now time.Time, limit time.Duration) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.markIdleLocked(now, limit)
+	c.closeIdleLocked(now, limit)
 }
 
-func closeConnections(all []net.Conn) {
-	for _, conn := range all {
+func (c *connections) closeIdleLocked(now time.Time, limit time.Duration) {
+	for conn, state := range c.all {
+		// A request may have arrived while the process was paused.
+		if state.busy || state.closed || kernel.RunTime(state.idleSince, now) < limit || state.receives(conn, now, limit) {
+			continue
+		}
+		state.closed = true
 		closeConnection(conn)
 	}
 }
@@ -262,15 +281,3 @@
 		klog.V(1).InfoS("idle_connection_not_closed", "err", err)
 	}
 }
-
-func (c *connections) markIdleLocked(now time.Time, limit time.Duration) (idle []net.Conn) {
-	for conn, state := range c.all {
-		// A request may have arrived while the process was paused.
-		if state.busy || state.closed || kernel.RunTime(state.idleSince, now) < limit {
-			continue
-		}
-		state.closed = true
-		idle = append(idle, conn)
-	}
-	return idle
-}
