--- a/node/connections.go
+++ b/node/connections.go
@@ -20,6 +20,9 @@
 // to an endpoint would leave its caller with a closed connection and no response.
 // A connection is therefore marked before it is closed, and a request on a marked
 // connection is dropped unread, so that the caller knows it can safely retry.
+//
+// A slow node may not have read yet what lies in a connection's socket. So a
+// connection on which something arrives isn't idle, and is not closed.
 type connections struct {
 	mu  sync.Mutex
 	all map[net.Conn]*connection
@@ -34,6 +37,7 @@
 	busy      bool
 	idleSince time.Time // start of the idle period
 	closed    bool      // this node has closed the connection or is about to
+	refused   bool      // its first request is refused: this node gets more than it serves
 
 	opened      time.Time
 	requests    int    // number of requests received
@@ -66,7 +70,7 @@
 // connState is the http.Server ConnState hook.
 func (c *connections) connState(conn net.Conn, change http.ConnState) {
 	if change == http.StateNew && c.leavesUnread != nil && c.leavesUnread(time.Now()) {
-		closeConnection(conn)
+		c.endNew(conn)
 		return
 	}
 	if c.updateState(conn, change, time.Now()) {
@@ -74,6 +78,29 @@
 	}
 }
 
+// lateAccept is how long the request of a new connection may have waited for the connection to be closed unread. Callers
+// count on an answer once it has waited for 200 ms.
+const lateAccept = 100 * time.Millisecond
+
+// endNew closes a new connection unread, or has its request refused if that has waited in the backlog of a node that was
+// slow to accept it.
+func (c *connections) endNew(conn net.Conn) {
+	if arrival, ok := kernel.ReadArrival(conn); ok && arrival.Since >= lateAccept {
+		c.refuse(conn)
+		return
+	}
+	closeConnection(conn)
+}
+
+// refuse makes the first request on a connection be refused.
+func (c *connections) refuse(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state, ok := c.all[conn]; ok {
+		state.refused = true
+	}
+}
+
 // updateState records a connection's new state and reports whether the
 // connection must be closed now.
 //
@@ -93,8 +120,9 @@
 		state.busy = true
 	case http.StateIdle:
 		state.busy, state.idleSince = false, now
-		state.closed = state.closed || c.closeAfterResponse
-		return c.closeAfterResponse
+		ends = c.closeAfterResponse && !hasUnread(conn) // the next response says that the connection closes
+		state.closed = state.closed || ends
+		return ends
 	case http.StateClosed, http.StateHijacked:
 		delete(c.all, conn)
 	case http.StateNew:
@@ -110,14 +138,20 @@
 }
 
 // wrap returns a handler that aborts requests on connections that this node has
-// closed. During a planned stop, responses carry "Connection: close".
+// closed, and refuses those on connections that are too many. During a planned stop,
+// responses carry "Connection: close".
 func (c *connections) wrap(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
 	next = NewCallerHandler(next, plannedStop)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if state, ok := r.Context().Value(connectionKey{}).(*connection); ok && !c.beginRequest(state, r, plannedStop()) {
+		state, ok := r.Context().Value(connectionKey{}).(*connection)
+		switch {
+		case ok && !c.beginRequest(state, r, plannedStop()):
 			panic(http.ErrAbortHandler)
+		case ok && state.refused:
+			refuseExcess(w, r)
+		default:
+			next.ServeHTTP(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
@@ -184,45 +218,60 @@
 }
 
 func (c *connections) activeLocked(now time.Time) bool {
-	for _, state := range c.all {
-		if state.busy || (state.requests == 0 && now.Sub(state.opened) < firstRequestTime) {
+	for conn, state := range c.all {
+		if state.busy || (state.requests == 0 && now.Sub(state.opened) < firstRequestTime) || state.receives(conn, now, firstRequestTime) {
 			return true
 		}
 	}
 	return false
 }
 
+// arrivalResolution is by how much an arrival may be older than its socket tells.
+const arrivalResolution = 10 * time.Millisecond
+
+// receives reports whether a request is arriving on an idle connection: bytes wait in its socket, or some of a
+// request were read less than limit ago.
+func (c *connection) receives(conn net.Conn, now time.Time, limit time.Duration) bool {
+	if c.closed {
+		return false
+	}
+	arrival, ok := kernel.ReadArrival(conn)
+	at := now.Add(-arrival.Since)
+	return ok && (arrival.Unread > 0 || (at.Sub(c.idleSince) > arrivalResolution && kernel.RunTime(at, now) < limit))
+}
+
+func hasUnread(conn net.Conn) bool {
+	arrival, ok := kernel.ReadArrival(conn)
+	return ok && arrival.Unread > 0
+}
+
 // closeIfInactive closes all connections if none is active, and reports whether
-// it did. Check and marking happen under one lock, so that no request can start
+// it did. Check and closing happen under one lock, so that no request can start
 // in between.
 func (c *connections) closeIfInactive(now time.Time) bool {
-	idle, inactive := c.markAllIfInactive(now)
-	closeConnections(idle)
-	return inactive
-}
-
-func (c *connections) markAllIfInactive(now time.Time) (idle []net.Conn, inactive bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.activeLocked(now) {
-		return nil, false
+		return false
 	}
-	return c.markIdleLocked(now, 0), true
+	c.closeIdleLocked(now, 0)
+	return true
 }
 
 // closeIdle closes the connections that have been idle for longer than limit.
 func (c *connections) closeIdle(now time.Time, limit time.Duration) {
-	closeConnections(c.markIdle(now, limit))
-}
-
-func (c *connections) markIdle(now time.Time, limit time.Duration) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.markIdleLocked(now, limit)
+	c.closeIdleLocked(now, limit)
 }
 
-func closeConnections(all []net.Conn) {
-	for _, conn := range all {
+func (c *connections) closeIdleLocked(now time.Time, limit time.Duration) {
+	for conn, state := range c.all {
+		// A request may have arrived while the process was paused.
+		if state.busy || state.closed || kernel.RunTime(state.idleSince, now) < limit || state.receives(conn, now, limit) {
+			continue
+		}
+		state.closed = true
 		closeConnection(conn)
 	}
 }
@@ -232,15 +281,3 @@
 		klog.V(1).InfoS("idle_connection_not_closed", "err", err)
 	}
 }
-
-func (c *connections) markIdleLocked(now time.Time, limit time.Duration) (idle []net.Conn) {
-	for conn, state := range c.all {
-		// A request may have arrived while the process was paused.
-		if state.busy || state.closed || kernel.RunTime(state.idleSince, now) < limit {
-			continue
-		}
-		state.closed = true
-		idle = append(idle, conn)
-	}
-	return idle
-}
