Streams: no takeover while the caller has yet to take what has arrived

A caller took nothing for some seconds while its answer was read ahead, and the endpoint fell silent before the end. The takeover won beside the blocked write: its response stayed unread until its endpoint cut it off, and what had been read ahead was dropped. Callers that went on reading got a 200 that ends in the middle. Without takeovers they got the whole answer: what was held was passed on first. The same for a lost group, though the whole answer may be held by then.

--- a/gateway/slow_caller.go
+++ b/gateway/slow_caller.go
@@ -158,6 +158,13 @@
 	return kernel.RunTime(time.Unix(0, since), now)
 }
 
+// callerIsBehind reports whether the caller has yet to take something that has arrived.
+func (a *aheadBody) callerIsBehind(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.taken < len(a.ahead) || a.writeTime(now) >= slowWriteTime
+}
+
 // watch reads the answer on if its caller takes nothing, and ends the write to one that has gone or stopped.
 func (a *aheadBody) watch(now time.Time) {
 	took := a.writeTime(now)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -75,7 +75,7 @@
 
 // startTakeover starts a takeover if the stream may go on elsewhere, and reports whether it did.
 func (w *stallWatch) startTakeover(now time.Time, reason string) bool {
-	if !w.mayMove || w.call.hasTakeover() || !w.call.mayResumeElsewhere(now) {
+	if !w.mayMove || w.call.hasTakeover() || w.call.callerIsBehind(now) || !w.call.mayResumeElsewhere(now) {
 		return false
 	}
 	w.logMoved(now, reason)
@@ -83,6 +83,13 @@
 	return true
 }
 
+// callerIsBehind reports whether the caller has yet to take events that have arrived. What another endpoint sent meanwhile
+// would remain unread until it cuts the response off, and what has arrived would be dropped.
+func (c *streamCall) callerIsBehind(now time.Time) bool {
+	ahead := c.ahead.Load()
+	return ahead != nil && ahead.callerIsBehind(now)
+}
+
 // logMoved writes the line of a stream that is about to resume elsewhere.
 func (w *stallWatch) logMoved(now time.Time, reason string) {
 	klog.InfoS("stream_moves", "request", w.call.r.Info.ID, "endpoint", w.choice.Endpoint.ID, "group", w.choice.Endpoint.Member.Group,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,8 +51,8 @@
 	firstEventAt time.Time   // when the first event arrived
 	longestPause time.Duration
 	lastEventAt  time.Time
-	// ahead is the body of the present attempt's answer.
-	ahead *aheadBody
+	// ahead is the body of the present attempt's answer, nil before the first.
+	ahead atomic.Pointer[aheadBody]
 	// unread is set while nothing is read of the answer, so that its silence says nothing of the endpoint.
 	unread atomic.Bool
 	// blank holds the blank lines and comments before the first event of the present attempt.
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -26,12 +26,13 @@
 	choice, response := run.choice, run.response
 	c.blank = nil
 	c.unread.Store(false)
-	c.ahead = c.g.newAheadBody(c.w, c.r, run.body, aheadEvents{unread: &c.unread, onEnd: choice.Attempt.Cancel, onBytes: func(now time.Time) {
+	ahead := c.g.newAheadBody(c.w, c.r, run.body, aheadEvents{unread: &c.unread, onEnd: choice.Attempt.Cancel, onBytes: func(now time.Time) {
 		choice.Attempt.RecordEvent(now, nil)
 		c.g.recordResponded(now, choice.Endpoint, response)
 	}})
-	defer c.ahead.close()
-	events := newEventSplitter(c.ahead, &c.g.eventBytes)
+	defer ahead.close()
+	c.ahead.Store(ahead)
+	events := newEventSplitter(ahead, &c.g.eventBytes)
 	defer events.close()
 	pace := c.predictedPause()
 	for {
@@ -89,7 +90,7 @@
 // recordArrival records that an event came. One that was read on was recorded then.
 func (c *streamCall) recordArrival(now time.Time, run *streamRun, pace func(int) time.Duration) {
 	choice := run.choice
-	if !c.ahead.isOld() {
+	if !c.ahead.Load().isOld() {
 		choice.Attempt.RecordEvent(now, pace)
 	}
 	c.g.recordResponded(now, choice.Endpoint, run.response)
@@ -99,8 +100,9 @@
 }
 
 func (c *streamCall) flushEvents() error {
-	c.ahead.beginWrite(time.Now())
-	defer c.ahead.endWrite()
+	ahead := c.ahead.Load()
+	ahead.beginWrite(time.Now())
+	defer ahead.endWrite()
 	return c.flush.Flush()
 }
 
@@ -109,7 +111,7 @@
 		event = append(c.blank, event...)
 		c.blank = nil
 	}
-	n, err := aheadWriter{c.w, c.ahead}.Write(event)
+	n, err := aheadWriter{c.w, c.ahead.Load()}.Write(event)
 	c.bytes += int64(n)
 	return err
 }
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -172,3 +174,42 @@
 	require.NoError(t, others.Wait())
 	require.Equal(t, quarantine.TrialBusy, answer)
 }
+
+// A caller takes nothing for longer than endpoints wait, and the endpoint that sent most of the answer is silent: nothing is
+// sent to another one that the caller can't take.
+func TestNoTakeoverWhileTheCallerTakesNothing(t *testing.T) {
+	s, _ := newHeldFixture(t, largeVM)
+	config := *s.config
+	config.Routes = slices.Clone(config.Routes)
+	config.Routes[0].Timeout = 20 * time.Second
+	config.Version++
+	s.cache.Apply(time.Now(), directory.Change{Config: &config})
+	text := strings.Repeat("x", slowEventBytes)
+	write := func(w http.ResponseWriter, from, to int) {
+		control := http.NewResponseController(w)
+		for i := from; i <= to; i++ {
+			_ = control.SetWriteDeadline(time.Now().Add(unreadTime)) // fails only if the connection is closed
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, text); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		_ = control.Flush() // the reader checks what it received
+	}
+	runs := s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		write(w, 1, slowEvents-1)
+		<-r.Context().Done()
+	}, func(w http.ResponseWriter, r *http.Request) {
+		last, err := strconv.Atoi(platformtest.ReadHeaders(r).LastEvent)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		write(w, last+1, slowEvents)
+	})
+	conn := s.beginSlow("slow", http.MethodPost, "/stream/x")
+	time.Sleep(2*time.Second + 2*unreadTime)
+	require.EqualValues(t, 1, runs.Load())
+	_, size, err := readWhole(conn, 10*time.Second)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, size, slowEvents*slowEventBytes)
+	require.EqualValues(t, 2, runs.Load())
+}
