Callers: a socket that doesn't tell when bytes came keeps no connection open

What was read in part is now told by our own reads (kernel.LastRead); the socket is asked for unread bytes only, and for the age of the last ones where a connection would be closed unread.

TestIdleConnectionsOfSocketsThatTellNothingAreClosed guards a socket that can't be asked at all; one that always says now isn't asked any more.

--- a/kernel/arrival.go
+++ b/kernel/arrival.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -8,38 +9,56 @@
 	"golang.org/x/sys/unix"
 )
 
-// Arrival is what a connection's socket tells of the bytes that came from its peer.
-type Arrival struct {
-	// Unread is how many bytes wait in the socket.
-	Unread int
-	// Since is how long ago bytes came last, or the connection was established if none have. A process that is slow
-	// or paused learns from it how long a request has waited in the backlog or the socket.
-	Since time.Duration
+// UnreadBytes returns how many bytes wait in the socket of a TCP connection, 0 if the socket doesn't tell.
+func UnreadBytes(c net.Conn) int {
+	unread := 0
+	err := control(c, func(fd int) (err error) {
+		unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
+		return err
+	})
+	if err != nil {
+		return 0
+	}
+	return unread
 }
 
-// ReadArrival returns the arrival of a TCP connection, without reading from it. It reports false if the socket doesn't tell.
-func ReadArrival(c net.Conn) (arrival Arrival, ok bool) {
+// SinceArrival returns how long ago bytes came last on a TCP connection, or it was established if none have; 0 if the
+// socket doesn't tell. A process that is slow or paused learns from it how long a request has waited in the backlog.
+func SinceArrival(c net.Conn) time.Duration {
+	var since time.Duration
+	err := control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+		return err
+	})
+	if err != nil {
+		return 0
+	}
+	return since
+}
+
+// control calls ask with the descriptor of a connection's socket.
+func control(c net.Conn, ask func(fd int) error) error {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return Arrival{}, false
+		return errors.ErrUnsupported
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return Arrival{}, false
+		return err
 	}
-	var read error
-	err = raw.Control(func(fd uintptr) { arrival, read = readArrival(int(fd)) })
-	return arrival, err == nil && read == nil
+	var asked error
+	err = raw.Control(func(fd uintptr) { asked = ask(int(fd)) })
+	return errors.Join(err, asked)
 }
 
-func readArrival(fd int) (Arrival, error) {
-	unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
-	if err != nil {
-		return Arrival{}, err
-	}
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return Arrival{}, err
+// LastRead returns when a read of a connection of NewListener brought bytes last, the zero time before the first.
+func LastRead(c net.Conn) time.Time {
+	own, ok := c.(*conn)
+	if !ok || own.lastRead.Load() == nil {
+		return time.Time{}
 	}
-	return Arrival{Unread: unread, Since: time.Duration(info.Last_data_recv) * time.Millisecond}, nil
+	return *own.lastRead.Load()
 }
--- a/kernel/listener.go
+++ b/kernel/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,6 +35,18 @@
 	mu       sync.Mutex
 	timer    *Timer    // nil until a deadline is set
 	deadline time.Time // of reads, zero if none is set
+
+	lastRead atomic.Pointer[time.Time] // nil before the first read that brought bytes
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		now := time.Now()
+		c.lastRead.Store(&now)
+	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. A deadline that has passed takes effect at once.
--- a/node/connections.go
+++ b/node/connections.go
@@ -85,7 +85,7 @@
 // endNew closes a new connection unread, or has its request refused if that has waited in the backlog of a node that was
 // slow to accept it.
 func (c *connections) endNew(conn net.Conn) {
-	if arrival, ok := kernel.ReadArrival(conn); ok && arrival.Since >= lateAccept {
+	if kernel.SinceArrival(conn) >= lateAccept {
 		c.refuse(conn)
 		return
 	}
@@ -120,7 +120,7 @@
 		state.busy = true
 	case http.StateIdle:
 		state.busy, state.idleSince = false, now
-		ends = c.closeAfterResponse && !hasUnread(conn) // the next response says that the connection closes
+		ends = c.closeAfterResponse && kernel.UnreadBytes(conn) == 0 // the next response says that the connection closes
 		state.closed = state.closed || ends
 		return ends
 	case http.StateClosed, http.StateHijacked:
@@ -226,23 +226,14 @@
 	return false
 }
 
-// arrivalResolution is by how much an arrival may be older than its socket tells.
-const arrivalResolution = 10 * time.Millisecond
-
 // receives reports whether a request is arriving on an idle connection: bytes wait in its socket, or some of a
 // request were read less than limit ago.
 func (c *connection) receives(conn net.Conn, now time.Time, limit time.Duration) bool {
 	if c.closed {
 		return false
 	}
-	arrival, ok := kernel.ReadArrival(conn)
-	at := now.Add(-arrival.Since)
-	return ok && (arrival.Unread > 0 || (at.Sub(c.idleSince) > arrivalResolution && kernel.RunTime(at, now) < limit))
-}
-
-func hasUnread(conn net.Conn) bool {
-	arrival, ok := kernel.ReadArrival(conn)
-	return ok && arrival.Unread > 0
+	read := kernel.LastRead(conn)
+	return (read.After(c.idleSince) && kernel.RunTime(read, now) < limit) || kernel.UnreadBytes(conn) > 0
 }
 
 // closeIfInactive closes all connections if none is active, and reports whether
--- a/node/crossing_request_test.go
+++ b/node/crossing_request_test.go
@@ -26,6 +26,8 @@
 type slowReader struct {
 	net.Listener
 	mu sync.RWMutex
+	// mute means that the sockets tell nothing of what came.
+	mute bool
 }
 
 // Accept implements net.Listener.
@@ -34,9 +36,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &slowConn{TCPConn: conn.(*net.TCPConn), reader: l}, nil
+	slow := &slowConn{TCPConn: conn.(*net.TCPConn), reader: l}
+	if l.mute {
+		return muteConn{slow}, nil
+	}
+	return slow, nil
 }
 
+// muteConn is a connection whose socket can't be asked.
+type muteConn struct{ net.Conn }
+
 type slowConn struct {
 	*net.TCPConn
 	reader *slowReader
@@ -180,3 +189,14 @@
 		})
 	}
 }
+
+// A socket that doesn't tell when bytes came keeps no idle connection open: a planned stop would last for its whole grace.
+func TestIdleConnectionsOfSocketsThatTellNothingAreClosed(t *testing.T) {
+	t.Parallel()
+	c := newCrossing(t)
+	c.reader.mute = true
+	c.send(wholeGet)
+	c.requireStatus()
+	c.conns.CloseAfterResponses()
+	require.Eventually(t, func() bool { return c.conns.CloseIfInactive(time.Now()) }, time.Second, idleLimit)
+}
