Streams: a takeover leaves an endpoint that is silent too

A takeover whose endpoint was silent waited for it without an end, though the attempts of the route allowed one more, and news of a lost group didn't reach it. With max_attempts 3, two endpoints that had stopped and a sound third, callers saw a 200 cut at their deadline; without takeovers the stream went on at the third.

The watch of a takeover's attempt decides as the watch of a stream does, and ends that attempt, so that the takeover makes its next one. The first silent attempt goes on beside it. What the retry budget was spent for is recorded as spent before an attempt is sent, as the next one may be chosen meanwhile.

--- a/gateway/lost.go
+++ b/gateway/lost.go
@@ -69,12 +69,12 @@
 	}
 }
 
-// moveFromLost starts a takeover if the stream may go on elsewhere, and reports whether it did.
+// moveFromLost starts the next attempt if the stream may go on elsewhere, and reports whether it did.
 func (w *stallWatch) moveFromLost(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.choice.Attempt.TimeWithoutEvent(now) < minLostSilence {
 		return false
 	}
-	return w.startTakeover(now, "group_lost")
+	return w.move(now, "group_lost")
 }
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -16,19 +16,17 @@
 //
 // A group that lost a member makes no progress for seconds, while its callers
 // disconnect after 2 s.
-func (run *streamRun) watchStall() func() { return run.watch(true) }
+func (run *streamRun) watchStall() func() { return run.watch(nil) }
 
-// watchSilence only reports that the group makes no progress.
-func (run *streamRun) watchSilence() func() { return run.watch(false) }
+// watchSilence is watchStall for an attempt of a takeover, which makes its next one instead.
+func (run *streamRun) watchSilence(t *takeover) func() { return run.watch(t) }
 
-func (run *streamRun) watch(mayMove bool) func() {
-	w := &stallWatch{run: run, call: run.call, choice: run.choice, mayMove: mayMove, timeout: run.call.stallTimeout()}
+func (run *streamRun) watch(t *takeover) func() {
+	w := &stallWatch{run: run, call: run.call, choice: run.choice, takeover: t, timeout: run.call.stallTimeout()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = kernel.AfterFunc(w.timeout, w.check)
-	if mayMove {
-		w.call.g.stallWatches.add(w)
-	}
+	w.call.g.stallWatches.add(w)
 	return w.stop
 }
 
@@ -38,7 +36,7 @@
 	run      *streamRun
 	call     *streamCall
 	choice   balance.Choice
-	mayMove  bool
+	takeover *takeover // whose attempt it is, nil for the attempt whose events are passed on
 	timeout  time.Duration
 	timer    *kernel.Timer
 	stopped  bool
@@ -67,22 +65,34 @@
 	}
 	g, e := w.call.g, w.choice.Endpoint
 	lost := g.Paths.ServesOthers(now, e.ID) || (silent >= silenceTolerance && g.othersAnswer(now, e))
-	if !lost || !w.startTakeover(now, "silent") {
+	if !lost || !w.move(now, "silent") {
 		w.call.askOthers(now)
 	}
 	w.timer.Reset(stallCheckInterval)
 }
 
-// startTakeover starts a takeover if the stream may go on elsewhere, and reports whether it did.
-func (w *stallWatch) startTakeover(now time.Time, reason string) bool {
-	if !w.mayMove || w.call.hasTakeover() || w.call.callerIsBehind(now) || !w.call.mayResumeElsewhere(now) {
+// move starts the next attempt if the stream may go on elsewhere, and reports whether it did.
+func (w *stallWatch) move(now time.Time, reason string) bool {
+	if !w.mayMove(now) || !w.call.mayResumeElsewhere(now) {
 		return false
 	}
 	w.logMoved(now, reason)
-	w.call.startTakeover(w.run)
+	if w.takeover != nil {
+		w.takeover.leave(w.run)
+	} else {
+		w.call.startTakeover(w.run)
+	}
 	return true
 }
 
+// mayMove reports whether another attempt would be of use.
+func (w *stallWatch) mayMove(now time.Time) bool {
+	if w.takeover != nil {
+		return !w.run.isAbandoned() && !w.takeover.hasWon(w.run)
+	}
+	return !w.call.hasTakeover() && !w.call.callerIsBehind(now)
+}
+
 // callerIsBehind reports whether the caller has yet to take events that have arrived. What another endpoint sent meanwhile
 // would remain unread until it cuts the response off, and what has arrived would be dropped.
 func (c *streamCall) callerIsBehind(now time.Time) bool {
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -109,12 +109,14 @@
 func (run *streamRun) open(mode sendMode) (*Response, streamAttempt) {
 	c := run.call
 	c.sent.Add(1)
+	spent := c.retrySpent.Swap(false)
 	response, err := c.g.send(run.ctx, c.r, run.choice.Endpoint, c.lastEventHeader(), mode)
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		c.failedDials.Add(1)
 		c.sent.Add(-1)
-	} else {
-		c.retrySpent.Store(false)
+		if spent {
+			c.retrySpent.Store(true)
+		}
 	}
 	if err != nil {
 		return nil, streamAttempt{err: err}
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -99,7 +99,7 @@
 
 // try makes one attempt, and reports whether it has won.
 func (t *takeover) try(run *streamRun) (last streamAttempt, won bool) {
-	stop := run.watchSilence()
+	stop := run.watchSilence(t)
 	defer stop()
 	mode := t.call.sendMode()
 	mode.fresh = true // the connections to the silent endpoint may have broken with others
@@ -128,7 +128,9 @@
 func (t *takeover) enter(run *streamRun) bool {
 	t.call.mu.Lock()
 	defer t.call.mu.Unlock()
-	t.candidate = run
+	if !run.abandoned {
+		t.candidate = run
+	}
 	return t.alone && t.winLocked(run)
 }
 
@@ -168,6 +170,20 @@
 	return true
 }
 
+// leave ends an attempt at an endpoint that is silent too, unless it has won.
+func (t *takeover) leave(run *streamRun) {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	if t.won == run {
+		return
+	}
+	if t.candidate == run {
+		t.candidate = nil
+	}
+	run.abandoned = true
+	run.cancel(ErrStalled)
+}
+
 // fail settles a takeover that has not won.
 func (t *takeover) fail() {
 	t.call.mu.Lock()
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -213,3 +213,32 @@
 	require.GreaterOrEqual(t, size, slowEvents*slowEventBytes)
 	require.EqualValues(t, 2, runs.Load())
 }
+
+// Two endpoints have stopped: the stream goes on at a third one if its attempts allow that.
+func TestStreamLeavesTwoSilentEndpoints(t *testing.T) {
+	t.Parallel()
+	s := newUnconfiguredFixture(t)
+	s.config.Routes[0].MaxAttempts = 3
+	s.cache.Apply(time.Now(), directory.Change{Config: s.config})
+	silent := make(chan struct{}, 2)
+	runs := s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		<-r.Context().Done()
+		silent <- struct{}{}
+	}, func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		silent <- struct{}{}
+	}, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 3, silentEvents) })
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.Equal(t, int32(3), runs.Load(), "attempts")
+	for range 2 {
+		select {
+		case <-silent:
+		case <-time.After(time.Second):
+			require.Fail(t, "a silent endpoint still works")
+		}
+	}
+}
