Streams: a takeover that found no room pauses

A silent stream asked for a place every 0.1 s while no group had room: 11 times in 1.2 s in the test. Each request that a dispatcher refuses moves the time of its next promise on (Schedule.Give), so callers that were refused would be told to come back later, or get no promise, for streams that never come back. That effect follows from the code; the test shows the requests.

After a refusal no takeover of the stream starts for 0.3 s, the shortest Retry-After of a refused caller.

TestRefusedTakeoversPause failed before (12 placements, at most 6 allowed) and passes.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -90,7 +90,7 @@
 	if w.takeover != nil {
 		return !w.run.isAbandoned() && !w.takeover.hasWon(w.run)
 	}
-	return !w.call.hasTakeover() && !w.call.callerIsBehind(now)
+	return w.call.mayStartTakeover(now) && !w.call.callerIsBehind(now)
 }
 
 // callerIsBehind reports whether the caller has yet to take events that have arrived. What another endpoint sent meanwhile
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,9 @@
 	silenceTolerance = 1300 * time.Millisecond
 	// stallCheckInterval is the minimum time between two checks for a stall.
 	stallCheckInterval = 100 * time.Millisecond
+	// takeoverPause is how long no takeover starts after one that found no room: each asks for a place, and a dispatcher
+	// keeps room for those that it refuses.
+	takeoverPause = 300 * time.Millisecond
 	// plainStallPauses is the stall timeout of a plain service's stream, in multiples
 	// of the route's pause objective.
 	plainStallPauses = 6
@@ -70,6 +73,8 @@
 	takeover *takeover // the takeover in progress or won, nil if there is none
 	// takeovers runs all takeovers of the stream, nil before the first.
 	takeovers *kernel.Group
+	// refusedAt is when a takeover last found no room.
+	refusedAt time.Time
 }
 
 // serveStream handles a request whose response is a stream of events.
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -56,6 +57,13 @@
 	return c.takeover != nil
 }
 
+// mayStartTakeover reports whether a takeover may start: none is in progress, and none was refused just now.
+func (c *streamCall) mayStartTakeover(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.takeover == nil && now.Sub(c.refusedAt) >= takeoverPause
+}
+
 // run makes attempts until one goes on with the stream, or no other may be made.
 func (t *takeover) run() {
 	for again := true; again && t.ctx.Err() == nil; {
@@ -92,11 +100,18 @@
 	run, why := t.call.begin(t.ctx)
 	if why != nil {
 		klog.InfoS("takeover_refused", "request", t.call.r.Info.ID, "reason", why.reason)
+		t.call.recordRefused(time.Now())
 		return nil
 	}
 	return run
 }
 
+func (c *streamCall) recordRefused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusedAt = now
+}
+
 // try makes one attempt, and reports whether it has won.
 func (t *takeover) try(run *streamRun) (last streamAttempt, won bool) {
 	stop := run.watchSilence(t)
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -242,3 +242,27 @@
 		}
 	}
 }
+
+// No group has room: a silent stream doesn't ask for it all the time.
+func TestRefusedTakeoversPause(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.placer.hasDispatcher = true
+	asked := 0
+	s.placer.onPlace = func() {
+		if asked++; asked == 1 {
+			s.placer.offers = map[string]string{"a": "e1"}
+			return
+		}
+		s.placer.offers = map[string]string{"a": ""}
+	}
+	s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		writeEvents(w, 1, 2)
+		time.Sleep(2500 * time.Millisecond)
+		writeEvents(w, 3, silentEvents)
+	})
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+	require.LessOrEqual(t, asked, 6, "placements")
+}
