Tests of takeovers that end with their request, and of two failures

A caller leaves or its time is over while a takeover has no head, a head or a part of an event, with and without events passed on; the silent endpoint fails before its head; both reject.

--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -266,3 +266,87 @@
 	require.Equal(t, wholeStream(silentEvents), got.body)
 	require.LessOrEqual(t, asked, 6, "placements")
 }
+
+// The caller leaves, or its time is over, while a takeover is open: both endpoints stop, and nothing is left.
+func TestTakeoverEndsWithItsRequest(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	states := map[string]http.HandlerFunc{
+		"before its head": silent,
+		"behind its head": func(w http.ResponseWriter, r *http.Request) {
+			w.(http.Flusher).Flush()
+			silent(w, r)
+		},
+		"behind an event": func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "id: 3\n") // the reader checks what it received
+			w.(http.Flusher).Flush()
+			silent(w, r)
+		},
+	}
+	for name, second := range states {
+		for end, limit := range map[string]time.Duration{"caller leaves": 1600 * time.Millisecond, "time is over": time.Minute} {
+			for _, from := range []int{0, 2} {
+				t.Run(fmt.Sprintf("%s/%s/%d events", name, end, from), func(t *testing.T) {
+					t.Parallel()
+					s := newFixture(t)
+					var open atomic.Int32
+					count := func(handler http.HandlerFunc) http.HandlerFunc {
+						return func(w http.ResponseWriter, r *http.Request) {
+							open.Add(1)
+							defer open.Add(-1)
+							handler(w, r)
+						}
+					}
+					runs := s.addRuns(count(func(w http.ResponseWriter, r *http.Request) {
+						writeEvents(w, 1, from)
+						silent(w, r)
+					}), count(second))
+					ctx, cancel := context.WithTimeout(t.Context(), limit)
+					defer cancel()
+					out, err := http.DefaultTransport.RoundTrip(s.request(http.MethodPost, "/stream/").WithContext(ctx))
+					if err == nil {
+						_, _ = io.Copy(io.Discard, out.Body) // ends with the request
+						_ = out.Body.Close()
+					}
+					require.EqualValues(t, 2, runs.Load())
+					require.Eventually(t, func() bool {
+						return open.Load() == 0 && s.gateway.Streams() == 0 && len(s.tracker.OwnLoads(time.Now())) == 0
+					}, 500*time.Millisecond, 10*time.Millisecond)
+				})
+			}
+		}
+	}
+}
+
+// The silent endpoint answers 500 before its first event while a takeover is open: the caller gets the takeover's answer.
+func TestFailureOfTheSilentEndpointLeavesTheStreamToTheTakeover(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.addRuns(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		w.WriteHeader(http.StatusInternalServerError)
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		writeEvents(w, 1, silentEvents)
+	})
+	got := s.do(s.request(http.MethodPost, "/stream/"))
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, wholeStream(silentEvents), got.body)
+}
+
+// The silent endpoint and the one that the stream was to move to both say that they ran nothing: the caller is told so.
+func TestTwoRejectionsBesideATakeoverPromiseThatNothingRan(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.addRuns(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		notExecuted("")(w, r)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(400 * time.Millisecond)
+		notExecuted("")(w, r)
+	})
+	require.Equal(t, http.StatusServiceUnavailable, s.do(s.request(http.MethodPost, "/stream/")).status)
+}
