Streams: comments show no service

A takeover whose endpoint sent only comments counted as proven after 16 KiB, and the silent attempt ended. The relay then refused the comments (8 KiB at most between two events): callers saw a 200 cut 1.3 s after the last event, though the first endpoint would have gone on.

Blank lines and comments before a takeover's first event are dropped, and too many of them fail it, as in the relay.

--- a/gateway/proving_body.go
+++ b/gateway/proving_body.go
@@ -28,6 +28,7 @@
 	proving bool      // only prove may read from the body
 	wanted  bool      // the response is passed on
 	held    []byte    // what was read and not passed on
+	blank   int       // bytes of blank lines and comments that were dropped
 	err     error     // the end of the body
 }
 
@@ -92,13 +93,26 @@
 	if b.wanted {
 		return 0, true, err
 	}
+	b.dropBlank()
 	events, rest := countNewEvents(b.held, after)
-	if errors.Is(err, io.EOF) && rest > 0 {
+	switch {
+	case errors.Is(err, io.EOF) && rest > 0:
 		b.err = errTruncatedEvent
+	case err == nil && b.blank > maxBlankBytes:
+		b.err = errBlankStream
 	}
 	return events, events >= provingEvents || len(b.held) >= maxProvingBytes, b.err
 }
 
+// dropBlank drops the blank lines and comments before the first event: they show nothing, and may come without end.
+// The caller holds b.mu.
+func (b *provingBody) dropBlank() {
+	for end := eventEnd(b.held); end > 0 && isBlank(b.held[:end]); end = eventEnd(b.held) {
+		b.blank += end
+		b.held = b.held[end:]
+	}
+}
+
 // unlessFailed calls fn unless the body has ended with an error.
 func (b *provingBody) unlessFailed(fn func()) {
 	b.mu.Lock()
--- a/gateway/silent_endpoint_test.go
+++ b/gateway/silent_endpoint_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -89,6 +90,12 @@
 			writeEvents(w, 3, 3)
 			_, _ = io.WriteString(w, "id: 4\nda") // the reader checks what it received
 		},
+		"sends only comments": func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			_, _ = io.WriteString(w, strings.Repeat(": wait\n\n", 4<<10)) // the reader checks what it received
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		},
 		"is silent too": func(w http.ResponseWriter, r *http.Request) {
 			sign(w, r)
 			w.(http.Flusher).Flush()
