--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -56,6 +57,13 @@
 	return c.takeover != nil
 }
 
+// mayStartTakeover reports whether a takeover may start: none is in progress, and none was refused just now.
+func (c *streamCall) mayStartTakeover(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.takeover == nil && now.Sub(c.refusedAt) >= takeoverPause
+}
+
 // run makes attempts until one goes on with the stream, or no other may be made.
 func (t *takeover) run() {
 	for again := true; again && t.ctx.Err() == nil; {
@@ -92,14 +100,21 @@
 	run, why := t.call.begin(t.ctx)
 	if why != nil {
 		klog.InfoS("takeover_refused", "request", t.call.r.Info.ID, "reason", why.reason)
+		t.call.recordRefused(time.Now())
 		return nil
 	}
 	return run
 }
 
+func (c *streamCall) recordRefused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusedAt = now
+}
+
 // try makes one attempt, and reports whether it has won.
 func (t *takeover) try(run *streamRun) (last streamAttempt, won bool) {
-	stop := run.watchSilence()
+	stop := run.watchSilence(t)
 	defer stop()
 	mode := t.call.sendMode()
 	mode.fresh = true // the connections to the silent endpoint may have broken with others
@@ -128,7 +143,9 @@
 func (t *takeover) enter(run *streamRun) bool {
 	t.call.mu.Lock()
 	defer t.call.mu.Unlock()
-	t.candidate = run
+	if !run.abandoned {
+		t.candidate = run
+	}
 	return t.alone && t.winLocked(run)
 }
 
@@ -168,6 +185,20 @@
 	return true
 }
 
+// leave ends an attempt at an endpoint that is silent too, unless it has won.
+func (t *takeover) leave(run *streamRun) {
+	t.call.mu.Lock()
+	defer t.call.mu.Unlock()
+	if t.won == run {
+		return
+	}
+	if t.candidate == run {
+		t.candidate = nil
+	}
+	run.abandoned = true
+	run.cancel(ErrStalled)
+}
+
 // fail settles a takeover that has not won.
 func (t *takeover) fail() {
 	t.call.mu.Lock()
