Stop: plain calls are held against the end of the stop right before they are sent

Callers saw a connection closed without an answer, for a call that a stopping node took shortly before its end and sent after a wait.

Cause: a plain call was held against the stop only at its arrival and before a retry. It then may wait for a trial (up to 0.5 s), for permits, or for the first read of the endpoints (up to 1 s), and was sent whatever time was left. A call that arrived before the signal wasn't held against the stop at all.

The check at the arrival stays, so that what can't fit is refused at once. A second one stands right before the attempt; what doesn't fit is refused with 503 and a short Retry-After, or 502 if an earlier attempt may have run. The line accepted_while_stopping is now written only for what is sent.

TestStoppingGatewayChecksCallsRightBeforeTheyAreSent: 0.8 s left, a permit that takes 0.6 s, calls of 0.3 s.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -76,8 +76,8 @@
 // servePlain handles a request whose response is a single body.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
 	call := &plainCall{g: g, r: r, tried: map[string]bool{}, gate: quarantineGate{g: g, r: r}}
-	if !call.fitsPlannedStop(time.Now()) {
-		g.refuse(w, r, g.stop().refusal(time.Now(), g.callTimes.longest(r.Route.Name)))
+	if why := call.checkStop(time.Now()); why != nil {
+		g.refuse(w, r, *why)
 		return
 	}
 	defer call.recordCallTime()
@@ -98,6 +98,14 @@
 			g.refuse(w, r, call.truthful(g.noEndpointRefusal(refused)))
 			return
 		}
+		// Time has passed if the call waited for a trial, a permit or the first endpoints.
+		if why := call.checkStop(time.Now()); why != nil {
+			choice.Attempt.Cancel()
+			call.gate.endTrial()
+			g.refuse(w, r, call.truthful(*why))
+			return
+		}
+		call.logAccepted(time.Now())
 		last := call.attempt(ctx, choice)
 		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
 		if call.shouldRetry(ctx, last) {
@@ -118,16 +126,21 @@
 	})
 }
 
-// fitsPlannedStop reports whether one more attempt would end before a planned stop of
-// this node. The estimate is kept per route, since calls of one service differ: it
-// may answer look-ups immediately and take seconds for bookings.
-func (c *plainCall) fitsPlannedStop(now time.Time) bool {
+// checkStop refuses an attempt that would not end before a planned stop of this node. The estimate is
+// kept per route, since calls of one service differ: it may answer look-ups immediately and
+// take seconds for bookings.
+func (c *plainCall) checkStop(now time.Time) *refusal {
 	stop, expected := c.g.stop(), c.g.callTimes.longest(c.r.Route.Name)
-	if !stop.Accepts(now, expected, c.r.Deadline) {
-		return false
+	if stop.Accepts(now, expected, c.r.Deadline) {
+		return nil
 	}
-	stop.logAccepted(now, c.r, expected)
-	return true
+	why := stop.refusal(now, expected)
+	return &why
+}
+
+// logAccepted writes the line of a call that is sent although this node stops.
+func (c *plainCall) logAccepted(now time.Time) {
+	c.g.stop().logAccepted(now, c.r, c.g.callTimes.longest(c.r.Route.Name))
 }
 
 // recordCallTime records the duration of the call for its route, whatever its result.
@@ -300,7 +313,7 @@
 func (c *plainCall) shouldRetry(ctx context.Context, last plainAttempt) bool {
 	now := time.Now()
 	switch {
-	case ctx.Err() != nil || !c.fitsPlannedStop(now):
+	case ctx.Err() != nil || c.checkStop(now) != nil:
 		return false
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
 		return c.failedDials < maxDials && c.r.Left(now) > minRemaining
