Stop: rejected, failed and aborted calls don't shorten the expected time of a route

Callers saw a booking's connection closed without an answer, for a booking that a stopping node took with less time left than bookings take.

Cause: what a stopping node expects of a call is a decaying maximum of the route's calls, and each call took part in it, "whatever its result". An endpoint that rejects, fails calls at once, or callers that leave, make it forget the served ones within some dozens of calls; a route that had only been rejected was even known, with the millisecond that a rejection takes.

Now the maximum is known and decays by calls that an endpoint served. Others count only if they took longer. A route of which none was served yet is unknown, and refused by a stopping node unless its deadline is near, as before its first call.

--- a/gateway/call_times.go
+++ b/gateway/call_times.go
@@ -7,6 +7,9 @@
 
 // callTimes tracks a decaying maximum of the call duration of each route of a plain
 // service. It is safe for concurrent use.
+//
+// It is known and decays by served calls only. Endpoints reject and fail calls at once, and after
+// these a served call would be expected to be as short.
 type callTimes struct {
 	mu      sync.Mutex
 	byRoute map[string]time.Duration
@@ -25,11 +28,14 @@
 )
 
 // record adds the duration of a call, from the arrival of its request to the end of
-// its response.
-func (c *callTimes) record(route string, took time.Duration) {
+// its response. served reports whether an endpoint has served the call; one that wasn't may only be longer than expected.
+func (c *callTimes) record(route string, took time.Duration, served bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	longest, known := c.byRoute[route]
+	if !served && (!known || took <= longest) {
+		return
+	}
 	if !known && len(c.byRoute) >= maxCallTimeRoutes {
 		clear(c.byRoute)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -61,6 +61,11 @@
 	}
 }
 
+// isServed reports whether the endpoint has served the request.
+func (t plainAttempt) isServed() bool {
+	return t.err == nil && !t.notRun && t.response.Status < http.StatusInternalServerError && !statusMeansNotRun(t.response.Status)
+}
+
 // plainCall is the state of one request to a plain service.
 type plainCall struct {
 	g           *Gateway
@@ -70,7 +75,9 @@
 	failedDials int // failed connection attempts
 	// mayHaveRun is true if an endpoint may have executed the request.
 	mayHaveRun bool
-	gate       quarantineGate
+	// served is set once the caller has the whole response of a call that an endpoint has served.
+	served bool
+	gate   quarantineGate
 }
 
 // servePlain handles a request whose response is a single body.
@@ -115,6 +122,7 @@
 		}
 		defer last.close()
 		g.finishPlain(ctx, w, call, last)
+		call.served = last.isServed()
 		return
 	}
 }
@@ -143,10 +151,10 @@
 	c.g.stop().logAccepted(now, c.r, c.g.callTimes.longest(c.r.Route.Name))
 }
 
-// recordCallTime records the duration of the call for its route, whatever its result.
+// recordCallTime records the duration of the call for its route.
 func (c *plainCall) recordCallTime() {
 	if c.sent > 0 {
-		c.g.callTimes.record(c.r.Route.Name, kernel.RunTime(c.r.Arrived, time.Now()))
+		c.g.callTimes.record(c.r.Route.Name, kernel.RunTime(c.r.Arrived, time.Now()), c.served)
 	}
 }
 
