--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -61,6 +61,11 @@
 	}
 }
 
+// isServed reports whether the endpoint has served the request.
+func (t plainAttempt) isServed() bool {
+	return t.err == nil && !t.notRun && t.response.Status < http.StatusInternalServerError && !statusMeansNotRun(t.response.Status)
+}
+
 // plainCall is the state of one request to a plain service.
 type plainCall struct {
 	g           *Gateway
@@ -70,14 +75,16 @@
 	failedDials int // failed connection attempts
 	// mayHaveRun is true if an endpoint may have executed the request.
 	mayHaveRun bool
-	gate       quarantineGate
+	// served is set once the caller has the whole response of a call that an endpoint has served.
+	served bool
+	gate   quarantineGate
 }
 
 // servePlain handles a request whose response is a single body.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
 	call := &plainCall{g: g, r: r, tried: map[string]bool{}, gate: quarantineGate{g: g, r: r}}
-	if !call.fitsPlannedStop(time.Now()) {
-		g.refuse(w, r, g.stop().refusal(time.Now(), g.callTimes.longest(r.Route.Name)))
+	if why := call.checkStop(time.Now()); why != nil {
+		g.refuse(w, r, *why)
 		return
 	}
 	defer call.recordCallTime()
@@ -98,6 +105,14 @@
 			g.refuse(w, r, call.truthful(g.noEndpointRefusal(refused)))
 			return
 		}
+		// Time has passed if the call waited for a trial, a permit or the first endpoints.
+		if why := call.checkStop(time.Now()); why != nil {
+			choice.Attempt.Cancel()
+			call.gate.endTrial()
+			g.refuse(w, r, call.truthful(*why))
+			return
+		}
+		call.logAccepted(time.Now())
 		last := call.attempt(ctx, choice)
 		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
 		if call.shouldRetry(ctx, last) {
@@ -107,6 +122,7 @@
 		}
 		defer last.close()
 		g.finishPlain(ctx, w, call, last)
+		call.served = last.isServed()
 		return
 	}
 }
@@ -118,22 +134,27 @@
 	})
 }
 
-// fitsPlannedStop reports whether one more attempt would end before a planned stop of
-// this node. The estimate is kept per route, since calls of one service differ: it
-// may answer look-ups immediately and take seconds for bookings.
-func (c *plainCall) fitsPlannedStop(now time.Time) bool {
+// checkStop refuses an attempt that would not end before a planned stop of this node. The estimate is
+// kept per route, since calls of one service differ: it may answer look-ups immediately and
+// take seconds for bookings.
+func (c *plainCall) checkStop(now time.Time) *refusal {
 	stop, expected := c.g.stop(), c.g.callTimes.longest(c.r.Route.Name)
-	if !stop.Accepts(now, expected, c.r.Deadline) {
-		return false
+	if stop.Accepts(now, expected, c.r.Deadline) {
+		return nil
 	}
-	stop.logAccepted(now, c.r, expected)
-	return true
+	why := stop.refusal(now, expected)
+	return &why
+}
+
+// logAccepted writes the line of a call that is sent although this node stops.
+func (c *plainCall) logAccepted(now time.Time) {
+	c.g.stop().logAccepted(now, c.r, c.g.callTimes.longest(c.r.Route.Name))
 }
 
-// recordCallTime records the duration of the call for its route, whatever its result.
+// recordCallTime records the duration of the call for its route.
 func (c *plainCall) recordCallTime() {
 	if c.sent > 0 {
-		c.g.callTimes.record(c.r.Route.Name, kernel.RunTime(c.r.Arrived, time.Now()))
+		c.g.callTimes.record(c.r.Route.Name, kernel.RunTime(c.r.Arrived, time.Now()), c.served)
 	}
 }
 
@@ -300,7 +321,7 @@
 func (c *plainCall) shouldRetry(ctx context.Context, last plainAttempt) bool {
 	now := time.Now()
 	switch {
-	case ctx.Err() != nil || !c.fitsPlannedStop(now):
+	case ctx.Err() != nil || c.checkStop(now) != nil:
 		return false
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
 		return c.failedDials < maxDials && c.r.Left(now) > minRemaining
