Look-ups: a silent endpoint's attempt lives until another one has answered

Callers of an idempotent plain call got a 5xx 1.3 s after it was sent (or 0.4 of its time) when a sound endpoint was silent for longer and the second one rejected it, reset, failed, answered garbage or was silent too, although the first would have answered 0.2 or 0.6 s later. The attempt's timer canceled it before anything showed that another endpoint answers, even if there was no other endpoint, no retry budget, or a planned stop left no time for a second. Class: giving up what works before its replacement has shown that it does.

Now a hedge runs beside the silent attempt (hedge.go), after the same time, at the same cost in attempts and retry budget. The first response that may be passed on is claimed under one lock (of a large one, its head and first part) and ends all other attempts; they have ended before it is passed on. Any other result of either leaves the other one going. A hedge that is ended as the first one answered isn't counted as a failure of its endpoint.

Failed before: TestLookUpOutlivesTheSilenceOfItsEndpoint 20 of 30 cases, TestForwardedLookUpOutlivesTheSilenceOfItsEndpoint 20 of 20, TestLookUpThatMayNotBeSentAgainWaitsForItsEndpoint 3 of 3, and TestSilentLookUpThatNobodyRan, TestLookUpThatIsNotNeededIsNoFailure and TestSecondAttemptBesideASilentOneSpendsTheRetryBudget. None now, with the race detector, one run. An endpoint that stays silent is left as soon as before.

Streams through another node needed nothing more: the choosing node decides.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -28,7 +29,7 @@
 	// maxDials bounds how many failed connection attempts to endpoints one request
 	// may cause.
 	maxDials = 3
-	// attemptTimeShare is the fraction of the remaining time that one attempt gets
+	// attemptTimeShare is the fraction of the remaining time that one attempt is alone
 	// while a retry is still possible.
 	attemptTimeShare = 0.4
 )
@@ -40,7 +41,12 @@
 	endpoint *fleet.Endpoint
 	response *Response
 	body     []byte
+	gate     *quarantineGate
 	err      error // of kind NotSent or Unknown
+	// refused is set if there was no endpoint for the attempt.
+	refused *refusal
+	// answers is set if the response is the one that the caller gets.
+	answers bool
 	// notRun is true if the endpoint guaranteed that it did not execute the request.
 	notRun bool
 	// unread is the remainder of a response that is too large to be buffered; nil if
@@ -63,51 +69,75 @@
 
 // plainCall is the state of one request to a plain service.
 type plainCall struct {
-	g           *Gateway
-	r           *Request
+	g *Gateway
+	r *Request
+
+	// mu guards the rest, which attempts in progress at the same time share.
+	mu          sync.Mutex
 	tried       map[string]bool
 	sent        int // attempts whose request may have reached an endpoint
 	failedDials int // failed connection attempts
 	// mayHaveRun is true if an endpoint may have executed the request.
 	mayHaveRun bool
-	gate       quarantineGate
+	// answered is true once an attempt has the answer for the caller.
+	answered bool
+	running  []*plainRun
+	// hedges runs all hedges of the call, nil before the first.
+	hedges *kernel.Group
 }
 
 // servePlain handles a request whose response is a single body.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *Request) {
-	call := &plainCall{g: g, r: r, tried: map[string]bool{}, gate: quarantineGate{g: g, r: r}}
+	call := &plainCall{g: g, r: r, tried: map[string]bool{}}
 	if !call.fitsPlannedStop(time.Now()) {
 		g.refuse(w, r, g.stop().refusal(time.Now(), g.callTimes.longest(r.Route.Name)))
 		return
 	}
 	defer call.recordCallTime()
+	last := call.answer(ctx)
+	defer last.close()
+	if last.refused != nil {
+		g.refuse(w, r, call.truthful(*last.refused))
+		return
+	}
+	g.finishPlain(ctx, w, call, last)
+}
+
+// answer returns the result for the caller, after all other attempts have ended.
+func (c *plainCall) answer(ctx context.Context) plainAttempt {
+	defer c.endHedges()
+	return c.tryEndpoints(ctx, false)
+}
+
+// tryEndpoints makes attempts until one has an answer, or no other may be made. It is called for the hedges of an
+// attempt too.
+func (c *plainCall) tryEndpoints(ctx context.Context, isHedge bool) plainAttempt {
 	for {
-		if why := call.gate.pass(ctx); why != nil {
-			g.refuse(w, r, call.truthful(*why))
-			return
+		gate := &quarantineGate{g: c.g, r: c.r}
+		if why := gate.pass(ctx); why != nil {
+			return plainAttempt{refused: why}
 		}
-		choice, refused := g.choosePlain(ctx, r, g.balanceRequest(r, call.tried))
+		choice, refused := c.g.choosePlain(ctx, c.r, c.g.balanceRequest(c.r, c.triedEndpoints()))
 		if refused != nil {
-			call.gate.endTrial()
+			gate.endTrial()
+			if c.g.awaitEndpoints(ctx, time.Now(), c.r, refused) {
+				c.r.takeView(c.g.Cache)
+				continue
+			}
+			why := c.g.noEndpointRefusal(refused)
+			return plainAttempt{refused: &why}
 		}
-		if refused != nil && g.awaitEndpoints(ctx, time.Now(), r, refused) {
-			r.takeView(g.Cache)
-			continue
+		run := c.beginRun(ctx, choice, gate)
+		run.fresh = isHedge || c.ranSomewhere() // the connections to a silent endpoint may have broken with others
+		last := c.attempt(run)
+		if result, ok := c.join(run, last); ok {
+			return result
 		}
-		if refused != nil {
-			g.refuse(w, r, call.truthful(g.noEndpointRefusal(refused)))
-			return
+		if !c.shouldRetry(ctx, last) {
+			return last
 		}
-		last := call.attempt(ctx, choice)
-		call.mayHaveRun = call.mayHaveRun || (!last.notRun && redwinghall.KindOf[Kind](last.err) != NotSent)
-		if call.shouldRetry(ctx, last) {
-			last.close()
-			r.takeView(g.Cache)
-			continue
-		}
-		defer last.close()
-		g.finishPlain(ctx, w, call, last)
-		return
+		last.close()
+		c.r.takeView(c.g.Cache)
 	}
 }
 
@@ -132,7 +162,7 @@
 
 // recordCallTime records the duration of the call for its route, whatever its result.
 func (c *plainCall) recordCallTime() {
-	if c.sent > 0 {
+	if c.sentAttempts() > 0 {
 		c.g.callTimes.record(c.r.Route.Name, kernel.RunTime(c.r.Arrived, time.Now()))
 	}
 }
@@ -140,7 +170,7 @@
 // truthful returns a refusal with a status that guarantees that nothing was executed only if no endpoint may have
 // run the request.
 func (c *plainCall) truthful(why refusal) refusal {
-	if c.mayHaveRun {
+	if c.ranSomewhere() {
 		why.status = http.StatusBadGateway
 	}
 	return why
@@ -148,34 +178,32 @@
 
 // attempt sends the request to one endpoint and reads the response, a large one only
 // in part.
-func (c *plainCall) attempt(ctx context.Context, choice balance.Choice) plainAttempt {
-	c.tried[choice.Endpoint.ID] = true
-	defer choice.Attempt.Cancel() // if the exchange panics
-	ctx, timer, cancel := withAttemptTimer(ctx, c.attemptTimeout(time.Now()))
-	c.g.unproven.add(&c.gate, cancel)
-	defer c.g.unproven.remove(&c.gate)
-	defer c.gate.endTrial()
-	response, err := c.g.send(ctx, c.r, choice.Endpoint, "", c.sendMode())
+func (c *plainCall) attempt(run *plainRun) plainAttempt {
+	defer c.endRun(run)
+	defer c.hedgeIfSilent(time.Now(), run)()
+	endpoint := run.choice.Endpoint
+	response, err := c.g.send(run.ctx, c.r, endpoint, "", c.sendMode(run.fresh))
 	if err != nil {
-		c.recordBrokenOff(ctx, choice.Endpoint, err)
-		cancel(nil)
-		return c.recordSendFailure(choice, err)
+		c.recordBrokenOff(run.ctx, run.gate, endpoint, err)
+		c.recordSendFailure(run, err)
+		run.cancel(nil)
+		return plainAttempt{err: err}
 	}
-	c.sent++
-	c.g.recordResponded(time.Now(), choice.Endpoint, response)
-	c.g.recordResponseInfo(c.r, choice, response)
-	last := c.readResponse(choice.Endpoint, response)
+	c.g.recordResponded(time.Now(), endpoint, response)
+	c.g.recordResponseInfo(c.r, run.choice, response)
+	last := c.readResponse(endpoint, response)
+	last.gate = run.gate
 	last.release = func() {
 		_ = response.Body.Close() // the part that is needed has been read
-		cancel(nil)
+		run.cancel(nil)
 	}
-	c.recordBrokenOff(ctx, choice.Endpoint, last.err)
+	last = c.claim(run, last)
+	c.recordBrokenOff(run.ctx, run.gate, endpoint, last.err)
 	if last.err == nil && !last.notRun && last.unread == nil {
-		c.gate.recordProven(time.Now())
+		run.gate.recordProven(time.Now())
 	}
-	c.recordAttempt(choice, last)
-	timer.Stop() // what is unread can't be replaced by a retry any more
-	if last.unread == nil {
+	c.recordAttempt(run, last)
+	if last.unread == nil && last.release != nil {
 		last.release()
 		last.release = nil
 	}
@@ -183,32 +211,21 @@
 }
 
 // recordBrokenOff finds out whether the endpoint's process ended, if an attempt broke off without this node's doing.
-func (c *plainCall) recordBrokenOff(ctx context.Context, e *fleet.Endpoint, err error) {
+func (c *plainCall) recordBrokenOff(ctx context.Context, gate *quarantineGate, e *fleet.Endpoint, err error) {
 	if redwinghall.KindOf[Kind](err) != Unknown || ctx.Err() != nil {
 		return
 	}
 	e = c.g.latestEntry(e)
 	found := c.g.presence(ctx, e)
-	c.gate.recordPresence(time.Now(), e, found)
-}
-
-// withAttemptTimer returns a context that is canceled once this process has run for timeout, unless the
-// timer is stopped.
-func withAttemptTimer(parent context.Context, timeout time.Duration) (context.Context, *kernel.Timer, context.CancelCauseFunc) {
-	ctx, cancel := context.WithCancelCause(parent)
-	timer := kernel.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-	return ctx, timer, func(cause error) {
-		timer.Stop()
-		cancel(cause)
-	}
+	gate.recordPresence(time.Now(), e, found)
 }
 
 // sendMode returns how the next attempt is sent. One that may not be repeated isn't written to
 // an open connection that may be dead: its outcome would be unknown until its deadline.
-func (c *plainCall) sendMode() sendMode {
+func (c *plainCall) sendMode(fresh bool) sendMode {
 	return sendMode{
-		fresh:  c.mayHaveRun,
-		insist: func() bool { return c.failedDials > 0 || !c.g.hasAlternative(time.Now(), c.r, c.tried) },
+		fresh:  fresh,
+		insist: func() bool { return c.dialsFailed() > 0 || !c.g.hasAlternative(time.Now(), c.r, c.triedEndpoints()) },
 	}
 }
 
@@ -244,15 +261,14 @@
 }
 
 // recordAttempt reports the result of an attempt to the tracker and logs it.
-func (c *plainCall) recordAttempt(choice balance.Choice, last plainAttempt) {
-	now := time.Now()
+func (c *plainCall) recordAttempt(run *plainRun, last plainAttempt) {
+	choice := run.choice
+	c.recordOutcome(last.err, last.notRun)
 	if last.err != nil {
-		choice.Attempt.Done(now, false)
-		c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](last.err))
-		klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
-			"kind", redwinghall.KindOf[Kind](last.err), "running", choice.Running, "identity", c.r.identity(), "err", last.err)
+		c.recordFailure(time.Now(), run, last.err)
 		return
 	}
+	now := time.Now()
 	load := last.response.Info.Load
 	if load.Known {
 		choice.Attempt.RecordLoad(now, load.Running+load.Waiting)
@@ -266,34 +282,44 @@
 		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
 	}
 	klog.InfoS("answered", "request", c.r.Info.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "status", last.response.Status,
-		"not_run", last.notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sent, "took", now.Sub(c.r.Arrived), "via", last.response.Peer,
+		"not_run", last.notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sentAttempts(), "took", now.Sub(c.r.Arrived), "via", last.response.Peer,
 		"configuration", c.r.configVersion())
 }
 
-// attemptTimeout returns the timeout of the next attempt. A sound endpoint may be silent for
-// silenceTolerance.
-func (c *plainCall) attemptTimeout(now time.Time) time.Duration {
-	left := c.r.Left(now)
-	if c.r.Idempotent() && c.sent+1 < c.r.Route.MaxAttempts {
-		return min(left, max(silenceTolerance, time.Duration(attemptTimeShare*float64(left))))
+// recordSendFailure records and logs an attempt that got no response.
+func (c *plainCall) recordSendFailure(run *plainRun, err error) {
+	now := time.Now()
+	c.recordOutcome(err, false)
+	if c.recordFailure(now, run, err) && redwinghall.KindOf[Kind](err) != NotSent {
+		c.g.recordBroken(now, run.choice.Endpoint, nil)
 	}
-	return left
 }
 
-// recordSendFailure records and logs an attempt that got no response.
-func (c *plainCall) recordSendFailure(choice balance.Choice, err error) plainAttempt {
-	now := time.Now()
-	choice.Attempt.Done(now, false)
-	if redwinghall.KindOf[Kind](err) == NotSent {
+// recordOutcome counts an attempt that has ended.
+func (c *plainCall) recordOutcome(err error, notRun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case redwinghall.KindOf[Kind](err) == NotSent:
 		c.failedDials++
-	} else {
-		c.sent++
-		c.g.recordBroken(now, choice.Endpoint, nil)
+		c.sent--
+	case !notRun:
+		c.mayHaveRun = true
 	}
+}
+
+// recordFailure reports a failed attempt to the tracker and logs it, unless it was ended as it wasn't needed any more.
+// It reports whether it did.
+func (c *plainCall) recordFailure(now time.Time, run *plainRun, err error) bool {
+	if c.recordDropped(run) {
+		return false
+	}
+	choice := run.choice
+	choice.Attempt.Done(now, false)
 	c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](err))
 	klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
 		"kind", redwinghall.KindOf[Kind](err), "running", choice.Running, "identity", c.r.identity(), "err", err)
-	return plainAttempt{err: err}
+	return true
 }
 
 // shouldRetry reports whether the request may be sent to another endpoint.
@@ -303,13 +329,13 @@
 	case ctx.Err() != nil || !c.fitsPlannedStop(now):
 		return false
 	case redwinghall.KindOf[Kind](last.err) == NotSent:
-		return c.failedDials < maxDials && c.r.Left(now) > minRemaining
+		return c.dialsFailed() < maxDials && c.r.Left(now) > minRemaining
 	case last.notRun:
-		return c.g.mayRetry(c.r, c.sent, now)
+		return c.g.mayRetry(c.r, c.sentAttempts(), now)
 	case !c.r.Idempotent():
 		return false
 	case last.err != nil || last.response.Status >= http.StatusInternalServerError:
-		return c.g.mayRetry(c.r, c.sent, now)
+		return c.g.mayRetry(c.r, c.sentAttempts(), now)
 	}
 	return false
 }
--- a/gateway/plain_response.go
+++ b/gateway/plain_response.go
@@ -24,12 +24,12 @@
 	complete := false
 	defer func() {
 		if !complete && !c.r.callerLeft() {
-			c.recordBrokenOff(ctx, last.endpoint, errBrokenOff)
+			c.recordBrokenOff(ctx, last.gate, last.endpoint, errBrokenOff)
 		}
 	}()
 	c.g.forwardResponse(w, c.r, last)
 	complete = true
-	c.gate.recordProven(time.Now())
+	last.gate.recordProven(time.Now())
 }
 
 var errBrokenOff = redwinghall.NewOpError("plainCall.forward", Unknown, nil)
@@ -45,15 +45,16 @@
 		kernel.Sleep(ctx, left) // it can end in nothing but a timeout
 	}
 	outOfTime := ctx.Err() != nil || r.Left(time.Now()) <= 0 // the timer of ctx may fire after that of the last attempt
+	mayHaveRun := call.ranSomewhere()
 	switch {
-	case last.response != nil && last.notRun && !call.mayHaveRun:
+	case last.response != nil && last.notRun && !mayHaveRun:
 		g.refuse(w, r, g.rejectedRefusal(r))
 	case last.response != nil && !last.notRun:
 		call.forward(ctx, w, last)
-	case redwinghall.KindOf[Kind](last.err) == NotSent && !call.mayHaveRun && !outOfTime:
+	case redwinghall.KindOf[Kind](last.err) == NotSent && !mayHaveRun && !outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.Canceled):
-		g.callerGone(r, "attempts", call.sent)
+		g.callerGone(r, "attempts", call.sentAttempts())
 	case outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	default:
@@ -68,7 +69,7 @@
 // request, so the caller gets 502, which guarantees nothing.
 func (g *Gateway) forwardResponse(w http.ResponseWriter, r *Request, last plainAttempt) {
 	status := last.response.Status
-	if statusMeansNotRun(status) || (status < http.StatusMultipleChoices && !signedFor(r, last.response)) {
+	if !isUsable(r, last.response) {
 		g.refuse(w, r, refusal{status: http.StatusBadGateway, reason: "answer_unusable"})
 		return
 	}
@@ -113,6 +114,14 @@
 	return false
 }
 
+// isUsable reports whether an endpoint's response may be passed on.
+func isUsable(r *Request, response *Response) bool {
+	if response.Status < http.StatusMultipleChoices {
+		return signedFor(r, response)
+	}
+	return !statusMeansNotRun(response.Status)
+}
+
 // signedFor reports whether a successful response is signed by the endpoint and
 // belongs to this request.
 func signedFor(r *Request, response *Response) bool {
