Stop: the listener closes at a moment at which no connection waits to be accepted

Callers saw a reset connection, with no answer and no refusal, for a whole request on a new connection as a stopping node closed its listener.

Cause: the operating system resets what waits to be accepted when a listener is closed. And Close takes effect only once the accept loop has run and let go of the socket; until then connections are opened that nobody accepts any more. A node runs on one processor, so with other work that is a while.

A stop now lets the accept loop take what waits, then makes the operating system refuse new connections (shutdown of the listening socket, right behind the last look, without the accept loop's part) and closes it. Later callers find a refused connection.

Not whole: a moment lies between the last look and the refusal.

--- a/kernel/reopen.go
+++ b/kernel/reopen.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,19 +21,21 @@
 
 // Listen returns the listener that open opens, or its error. Failures to accept don't reach its server, which would
 // end: accepting is tried again, and a listener that can't accept any more is opened again.
-func Listen(open func() (net.Listener, error)) (net.Listener, error) {
+func Listen(open func() (net.Listener, error)) (*ReopenedListener, error) {
 	current, err := open()
 	if err != nil {
 		return nil, err
 	}
-	return &reopened{open: open, address: current.Addr(), closed: make(chan struct{}), current: current}, nil
+	return &ReopenedListener{open: open, address: current.Addr(), closed: make(chan struct{}), current: current}, nil
 }
 
-// reopened is a listener that is opened again if it fails.
-type reopened struct {
+// ReopenedListener is a listener that is opened again if it fails.
+type ReopenedListener struct {
 	open    func() (net.Listener, error)
 	address net.Addr
 	closed  chan struct{} // closed by Close
+	// ending is set once the operating system refuses new connections as Close follows.
+	ending atomic.Bool
 
 	mu       sync.Mutex
 	current  net.Listener
@@ -40,17 +43,17 @@
 }
 
 // Addr implements net.Listener.
-func (l *reopened) Addr() net.Addr { return l.address }
+func (l *ReopenedListener) Addr() net.Addr { return l.address }
 
 // Accept implements net.Listener. It fails only after Close, with net.ErrClosed.
-func (l *reopened) Accept() (net.Conn, error) {
+func (l *ReopenedListener) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
 		current := l.listener()
 		conn, err := current.Accept()
 		if err == nil {
 			return conn, nil
 		}
-		if l.isClosed() {
+		if l.ending.Load() || l.isClosed() {
 			return nil, net.ErrClosed // a listener that died before fails otherwise
 		}
 		l.logFailure(time.Now(), err)
@@ -64,7 +67,7 @@
 }
 
 // Close implements net.Listener.
-func (l *reopened) Close() error {
+func (l *ReopenedListener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.isClosed() {
@@ -74,13 +77,13 @@
 	return l.current.Close()
 }
 
-func (l *reopened) listener() net.Listener {
+func (l *ReopenedListener) listener() net.Listener {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.current
 }
 
-func (l *reopened) isClosed() bool {
+func (l *ReopenedListener) isClosed() bool {
 	select {
 	case <-l.closed:
 		return true
@@ -89,7 +92,7 @@
 	}
 }
 
-func (l *reopened) sleep(d time.Duration) bool {
+func (l *ReopenedListener) sleep(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -100,7 +103,7 @@
 	}
 }
 
-func (l *reopened) logFailure(now time.Time, err error) {
+func (l *ReopenedListener) logFailure(now time.Time, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Sub(l.loggedAt) >= acceptLogInterval {
@@ -120,7 +123,7 @@
 	return false
 }
 
-func (l *reopened) reopen(dead net.Listener) {
+func (l *ReopenedListener) reopen(dead net.Listener) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.isClosed() {
--- a/node/listen.go
+++ b/node/listen.go
@@ -84,7 +84,7 @@
 
 // serve runs a server until the group stops. Closing the returned listener stops
 // only the accepting of new connections.
-func serve(g *kernel.Group, server *http.Server) (net.Listener, error) {
+func serve(g *kernel.Group, server *http.Server) (*kernel.ReopenedListener, error) {
 	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
 		return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -93,7 +93,7 @@
 	book            *lend.Book
 	quarantineKnown chan struct{}
 	quarantineHeard sync.Once
-	callers         net.Listener
+	callers         *kernel.ReopenedListener
 	started         time.Time
 	ending          ending
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -64,7 +64,7 @@
 	// A connection accepted after the check above would be cut off with its request.
 	// So the listener is closed first, and connections accepted just before that get
 	// time to be served.
-	if err := n.callers.Close(); err != nil {
+	if err := n.callers.CloseDrained(ctx); err != nil {
 		klog.ErrorS(err, "listener_not_closed")
 	}
 	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(begun))
