Look-ups: a request on trial gets no hedge

A hedge of a request with a suspected part was granted the same trial (it goes by the request's id), so the part was at two endpoints at once, and the end of either attempt ended the trial of both. Now the attempt on trial waits for its endpoint, up to the request's deadline; one whose endpoint stays silent isn't sent elsewhere.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -97,16 +97,16 @@
 	return last
 }
 
-// hedgeDelay returns after what time without an answer the latest attempt gets a hedge; ok is false if it gets none.
-// A sound endpoint may be silent for silenceTolerance.
-func (c *plainCall) hedgeDelay(now time.Time) (delay time.Duration, ok bool) {
+// hedgeDelay returns after what time without an answer an attempt that begins gets a hedge; ok is false if it gets none.
+// A sound endpoint may be silent for silenceTolerance. A trial gets none: a suspected part is at one endpoint at a time.
+func (c *plainCall) hedgeDelay(now time.Time, run *plainRun) (delay time.Duration, ok bool) {
 	share := time.Duration(attemptTimeShare * float64(c.r.Left(now)))
-	return max(silenceTolerance, share), c.r.Idempotent() && c.sentAttempts() < c.r.Route.MaxAttempts
+	return max(silenceTolerance, share), !run.gate.trial && c.r.Idempotent() && c.sentAttempts() < c.r.Route.MaxAttempts
 }
 
 // hedgeIfSilent starts a hedge if the attempt gets no answer for some time. The returned function stops the timer.
 func (c *plainCall) hedgeIfSilent(now time.Time, run *plainRun) (stop func()) {
-	delay, ok := c.hedgeDelay(now)
+	delay, ok := c.hedgeDelay(now, run)
 	if !ok {
 		return func() {}
 	}
--- a/gateway/silent_look_up_test.go
+++ b/gateway/silent_look_up_test.go
@@ -14,6 +14,7 @@
 	"redwinghall/directory"
 	"redwinghall/gateway"
 	"redwinghall/platform/platformtest"
+	"redwinghall/quarantine"
 )
 
 const (
@@ -290,6 +291,21 @@
 	s.requireNothingHeld()
 }
 
+// A request with a suspected part is at one endpoint at a time, also while that is silent.
+func TestLookUpOnTrialIsAtOneEndpointAtATime(t *testing.T) {
+	s := newSilentLookUp(t, 2, 1500*time.Millisecond, answers(secondAnswer))
+	now := time.Now()
+	s.quarantine.RecordEnd(quarantine.Suspect{
+		Process: quarantine.Process{Endpoint: "ended", StartedMillis: 1}, Request: "r-0", Service: "desk", Parts: []string{"bad"}, At: now,
+	})
+	require.Equal(t, quarantine.Trial, s.quarantine.Check(now, "desk", []string{"bad"}).Verdict)
+	r := s.request(http.MethodGet, "/look/")
+	platformtest.SetParts(r, "bad", "own")
+	require.Equal(t, firstAnswer, s.do(r).body)
+	require.EqualValues(t, 1, s.runs.Load())
+	s.requireNothingHeld()
+}
+
 // A booking's endpoint is silent: it is waited for, and no other one gets the booking.
 func TestBookingWaitsForItsSilentEndpoint(t *testing.T) {
 	for _, path := range []string{"/book/", "/book2/"} {
