Balance: short streams that ended don't make groups look full

Nodes take times what they sent in the last 150 ms for load that others have yet to share. Of streams of 120 ms most of it has ended, at the other nodes too: they replace each other in the loads that were shared. And a place that a zone reserved for another zone's stream counted for 0.4 s, three times as long as the stream, also in what the zone reports.

Now nodes spread streams by all that others may have sent, as before, and refuse by what is likely there: others have times what this node has in progress, including what they shared. Nothing changes where others shared nothing (a group that has just opened), nor where admission decides. A reservation for another zone counts no longer than a stream of the learned length is expected to last, 0.4 s at most.

TestReservationEndsWithTheStreamItIsFor fails without the second part (1 counted, 0 expected).

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -145,6 +145,7 @@
 	state     *State
 	predicted time.Duration
 	queued    time.Duration // the part of predicted spent waiting for a slot
+	likely    time.Duration // predicted with the likely load of other nodes; predicted counts all that they may have
 	running   int
 	score     time.Duration
 	full      bool    // this node may open no further connection there
@@ -188,10 +189,17 @@
 
 // inTime returns the best candidate of a stream if it is in time, or if the stream is worth a
 // test whether its group is fast again; otherwise the refusal. The lock is held.
+//
+// Streams spread over groups by all that other nodes may have sent, but where nothing decides
+// who gets room they are refused by what is likely there.
 func (t *Tracker) inTime(now time.Time, best *candidate, request Request, latest time.Duration) (*candidate, *Refusal) {
 	if request.Resumed || best.predicted <= latest {
 		return best, nil
 	}
+	if best.likely <= latest && t.admissionOf(request) == nil {
+		best.predicted = best.likely
+		return best, nil
+	}
 	if again := t.tryAgain(now, best, request, latest, Request.evaluateGroup); again != nil {
 		return again, nil
 	}
@@ -346,13 +354,9 @@
 		times = 0
 	}
 	known, unshared := s.others(now), s.unsharedLoad(now, times)
-	others := known.With(unshared)
-	running := s.runningWith(now, known) + unshared.Requests
-	waiting := s.unstarted + others.Unstarted
-	c.running = running
-	c.queued = pace.slotWait(running+1, r.bias)
-	c.predicted = pace.FirstEvent(running-waiting, s.unread+others.Unread, r.Prompt) + r.bias + c.queued
-	c.score = c.predicted + pace.Pass(running+1, 0)
+	c.likely = c.predict(now, r, pace, known, s.likelyUnshared(unshared, known, times))
+	c.predicted = c.predict(now, r, pace, known, unshared)
+	c.score = c.predicted + pace.Pass(c.running+1, 0)
 	c.full = r.isFull(now, s)
 	if e.Zone != r.Zone {
 		c.score += otherZonePenalty
@@ -360,11 +364,22 @@
 	c.score += r.rejectingPenalty(now, s) + r.stillPenalty(now, s)
 	if c.full {
 		c.predicted += time.Hour
+		c.likely += time.Hour
 		c.score += time.Hour
 	}
 	return c
 }
 
+// predict predicts the first event of a stream in a group where other nodes have some known
+// and some unshared load, and sets the number of requests there.
+func (c *candidate) predict(now time.Time, r Request, pace Pace, known, unshared Load) time.Duration {
+	s, others := c.state, known.With(unshared)
+	c.running = s.runningWith(now, known) + unshared.Requests
+	c.queued = pace.slotWait(c.running+1, r.bias)
+	waiting := s.unstarted + others.Unstarted
+	return pace.FirstEvent(c.running-waiting, s.unread+others.Unread, r.Prompt) + r.bias + c.queued
+}
+
 func (t *Tracker) startChosen(now time.Time, c *candidate, request Request) Choice {
 	if request.Service.ColdPerSecond > 0 && c.endpoint.ColdAt(now) {
 		share := request.coldShare(c.endpoint)
--- a/balance/load.go
+++ b/balance/load.go
@@ -67,6 +67,19 @@
 	return Load{Requests: n, Unstarted: n, Unread: int(times * r.tokens)}
 }
 
+// likelyUnshared returns the part of the unshared load that is there if the other nodes
+// have times what this node has in progress at the endpoint, of which they shared known.
+//
+// What they sent lately replaces streams that ended. Where streams are short, it would
+// count several times over in addition to what they shared.
+func (s *State) likelyUnshared(unshared, known Load, times float64) Load {
+	missing := max(0, int(times*float64(s.own)+0.5)-known.Requests)
+	if unshared.Requests <= missing {
+		return unshared
+	}
+	return Load{Requests: missing, Unstarted: missing, Unread: unshared.Unread / unshared.Requests * missing}
+}
+
 // OwnLoads returns the load of this node at each endpoint, including what it has
 // reserved there for others.
 func (t *Tracker) OwnLoads(now time.Time) map[string]Load {
--- a/balance/reserve.go
+++ b/balance/reserve.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// reservationTTL is how long a reservation for a node of another zone counts. By
-	// then that zone has shared the stream as part of its load.
+	// reservationTTL is how long a reservation for a node of another zone counts at most.
+	// By then that zone has shared the stream as part of its load.
 	reservationTTL = 400 * time.Millisecond
 	// ownZoneReservationTTL is the same for a node of this zone. Its reservations end
 	// when it shares its loads, so this outlasts a few lost messages.
@@ -64,7 +64,7 @@
 		return Choice{}, limitRefusal(now, best, request, *limit)
 	}
 	t.recordRoom(l, best, l.evaluated, true)
-	best.state.reserve(now, requester, request.Prompt)
+	best.state.reserve(now, requester, request.Prompt, t.expectedTime(best, request))
 	limited := best.state.limit.limit.Named
 	issued, _ := best.state.limit.issue(now, request.PermitShare) // there is one, or the group would have been skipped
 	return Choice{
@@ -104,8 +104,19 @@
 	return best.endpoint.Zone
 }
 
-func (s *State) reserve(now time.Time, requester Requester, prompt int) {
-	until := now.Add(reservationTTL)
+// expectedTime returns how long a stream of usual length is expected to last in a group, as fast
+// as the group was observed to be.
+func (t *Tracker) expectedTime(c *candidate, request Request) time.Duration {
+	engine := request.Service.Engine
+	passes := t.expectedAnswer(request) / float64(max(1, engine.Stride))
+	pass := NewPace(engine, request.Model, c.state.slowdown).Pass(c.running+1, 0)
+	return c.predicted + predicted(passes*float64(pass))
+}
+
+// reserve counts a stream that another node is about to send. Another zone doesn't tell when
+// it ends, so that it counts no longer than streams like it last.
+func (s *State) reserve(now time.Time, requester Requester, prompt int, lasts time.Duration) {
+	until := now.Add(min(reservationTTL, lasts))
 	if requester.Ticket > 0 {
 		until = now.Add(ownZoneReservationTTL)
 	}
--- a/balance/reserve_test.go
+++ b/balance/reserve_test.go
@@ -179,3 +179,22 @@
 	require.Positive(t, named["c"])
 	require.Greater(t, named[""], 50)
 }
+
+// A zone takes streams of another zone that have ended for load until that zone shares its loads, and refuses callers.
+func TestReservationEndsWithTheStreamItIsFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer          float64 // usual length in tokens
+		running, ticket int
+	}{
+		"short, other zone": {6, 0, 0}, "long, other zone": {150, 1, 0}, "short, own zone": {6, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker, request := balance.NewTracker(), newRequest()
+			request.Service.Engine.MeanAnswerTokens = c.answer
+			placed, refused := tracker.Reserve(start, []*fleet.Endpoint{head("one", "a", "large")}, nil, request, balance.Requester{Node: "n2", Ticket: uint64(c.ticket)})
+			require.Nil(t, refused)
+			require.Equal(t, 1, tracker.Running(start.Add(placed.Predicted), "one"), "it has just begun")
+			require.Equal(t, c.running, tracker.Running(start.Add(350*time.Millisecond), "one"))
+		})
+	}
+}
