Formation: VMs that hold no model don't wait for a lost member before they load one

A request that reaches the holder of the zone's lease ends the zone's startup, also one that is refused because no group has formed yet, and from then on VMs wait 6 s, as if they had a model to keep for a lost member that comes back. Zone a's groups open and alone serve all callers for the first seconds of the play. A VM that has neither a model loaded nor one staged has nothing to keep: it loads after it was free for 1 s. Those that hold another model wait as before.

--- a/formation/form.go
+++ b/formation/form.go
@@ -154,13 +154,18 @@
 // they wait for reloadDelay first.
 func (p *planner) load(next *proposal) {
 	var cold []*Worker
+	changing := 0
 	for _, w := range next.members {
-		if w.needsLoad(next.model) {
-			cold = append(cold, w)
+		if !w.needsLoad(next.model) {
+			continue
+		}
+		cold = append(cold, w)
+		if w.holdsModel() {
+			changing++
 		}
 	}
 	delay := loadDelay
-	if 2*len(cold) > next.model.Size {
+	if 2*changing > next.model.Size {
 		delay = reloadDelay
 	}
 	for _, w := range cold {
--- a/formation/worker.go
+++ b/formation/worker.go
@@ -103,3 +103,6 @@
 	}
 	return w.LastModel != m.Name && !w.Endpoint.HasStaged(m.Name)
 }
+
+// holdsModel reports whether the worker has a model loaded or staged.
+func (w *Worker) holdsModel() bool { return w.LastModel != "" || len(w.Endpoint.Staged) > 0 }
