Callers: one that shut its sending side gets a status

Cause: a caller that shuts its sending side after a whole request looks to net/http like one that has left. The request was canceled and its connection aborted: the caller, which still reads, got neither an answer nor a refusal.

Fix: before the response has begun, the connection gets a status: 503 with Retry-After if no endpoint may have run the request, else 502. One that has really gone never sees it. Line and metric stay those of a caller that left.

Weighed: serving it to the end. A FIN says the same in both cases, and going on for all who gave up would keep endpoints busy for nobody, just when room is short (TestCallerDisconnectClosesEndpointConnection). Ruled out for now: telling the two apart by an informational response that a closed socket would reset.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -316,10 +316,21 @@
 
 // callerGone ends a request whose connection to the caller has ended. more are further keys and
 // values of its line.
-func (g *Gateway) callerGone(r *Request, more ...any) {
+//
+// A caller that only shut its sending side looks the same, so the connection gets a status. mayHaveRun tells whether an
+// endpoint may have run the request, and begun whether the response has begun.
+func (g *Gateway) callerGone(w http.ResponseWriter, r *Request, mayHaveRun, begun bool, more ...any) {
 	g.logUnanswered("caller_gone", r, g.goneReason(), more...)
 	g.Metrics.CallerGone(r)
-	panic(http.ErrAbortHandler)
+	if begun {
+		panic(http.ErrAbortHandler)
+	}
+	why := refusal{status: http.StatusServiceUnavailable, reason: reasonCallerLeft, retryAfter: defaultRetryAfter}
+	if mayHaveRun {
+		why = refusal{status: http.StatusBadGateway, reason: reasonCallerLeft}
+	}
+	w.Header().Set("Connection", "close")
+	_ = writeRefusal(w, r, why) // the caller has left in most cases
 }
 
 // forwardHeaders returns the headers that are added to a request for an endpoint.
--- a/gateway/plain_response.go
+++ b/gateway/plain_response.go
@@ -53,7 +53,7 @@
 	case redwinghall.KindOf[Kind](last.err) == NotSent && !call.mayHaveRun && !outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.Canceled):
-		g.callerGone(r, "attempts", call.sent)
+		g.callerGone(w, r, call.mayHaveRun, false, "attempts", call.sent)
 	case outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	default:
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -90,6 +90,12 @@
 		"caller_left", r.callerLeft(), "urgency", urgencyOf(r), "limit", why.limit.Predicted, "ahead", why.limit.Ahead, "asked", why.limit.Asked,
 		"given", why.limit.Given, "due", why.limit.Due)
 	g.Metrics.Refused(r, why)
+	if err := writeRefusal(w, r, why); err != nil {
+		g.logUnanswered("caller_gone", r, g.goneReason(), "refusal", why.reason, "err", err)
+	}
+}
+
+func writeRefusal(w http.ResponseWriter, r *Request, why refusal) error {
 	h := w.Header()
 	platform.SetRequestID(h, r.Info.ID)
 	h.Set("Content-Type", "application/json")
@@ -103,9 +109,8 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(why.status)
-	if _, err := w.Write(body); err != nil {
-		g.logUnanswered("caller_gone", r, g.goneReason(), "refusal", why.reason, "err", err)
-	}
+	_, err = w.Write(body)
+	return err
 }
 
 func routeName(r *Request) string {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -201,7 +201,7 @@
 func (c *streamCall) giveUp(ctx context.Context) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		c.g.callerGone(c.r, "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load())
+		c.g.callerGone(c.w, c.r, c.mayHaveRun.Load(), c.headersSent.Load(), "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load())
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	case !c.mayHaveRun.Load():
