Callers: a body that can't be read gets a 400

Cause: each error of a body that was none of this node's own ended the request with an abort, as if its caller had left: also a chunk or trailer that can't be parsed, whose caller waits, and a body whose caller shut its sending side.

Shown: TestUnreadableBodyGetsAStatus; before the change all 5 cases ended without a status.

Fix: 400 and Connection: close. What can't be parsed is logged and counted as refused (body_unreadable); what ended with its connection keeps its line, request_broken_off. Ruled out: a body that ends by this node's own deadline; it had a 408 before.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -242,6 +243,18 @@
 		g.refuse(w, r, refusal{status: http.StatusRequestTimeout, reason: "body_slow"})
 		return
 	}
+	why := refusal{status: http.StatusBadRequest, reason: "body_unreadable"}
+	w.Header().Set("Connection", "close")
+	if !bodyBrokeOff(err) {
+		g.refuse(w, r, why)
+		return
+	}
 	g.logUnanswered("request_broken_off", r, g.goneReason(), "body_read", read, "err", err)
-	panic(http.ErrAbortHandler) // the caller disconnected while sending its body
+	_ = writeRefusal(w, r, why) // the caller has left, or only shut its sending side
+}
+
+// bodyBrokeOff reports whether a body ended with its connection, and not as it can't be read.
+func bodyBrokeOff(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &network)
 }
