--- a/gateway/plain_response.go
+++ b/gateway/plain_response.go
@@ -54,7 +54,7 @@
 	case redwinghall.KindOf[Kind](last.err) == NotSent && !mayHaveRun && !outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: balance.Unreachable, retryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.Canceled):
-		g.callerGone(r, "attempts", call.sentAttempts())
+		g.callerGone(w, r, mayHaveRun, false, "attempts", call.sentAttempts())
 	case outOfTime:
 		g.refuse(w, r, refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
 	default:
