--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -37,7 +37,7 @@
 	pace := c.predictedPause()
 	for {
 		event, err := events.next()
-		if (err == nil || errors.Is(err, io.EOF)) && !c.mayPassOn(run, event) {
+		if (err == nil || errors.Is(err, io.EOF)) && !c.admit(run, event) {
 			return ErrStalled
 		}
 		if errors.Is(err, io.EOF) {
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,6 +15,9 @@
 // A silent endpoint may be sound and go on, and the other one may reject the stream, fail it or be silent itself. So the
 // attempt at the silent one goes on until the takeover has shown that it serves: whichever has events first goes
 // on, and the other one ends. The events of a takeover are held until then.
+//
+// A takeover settles once: one of its attempts wins, it fails as no other attempt may be made, or it is dropped as the
+// silent endpoint goes on. An attempt that has failed is withdrawn; one at an endpoint that is silent too is left.
 type takeover struct {
 	call   *streamCall
 	from   *streamRun // the attempt at the silent endpoint
@@ -106,12 +108,6 @@
 	return run
 }
 
-func (c *streamCall) recordRefused(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.refusedAt = now
-}
-
 // try makes one attempt, and reports whether it has won.
 func (t *takeover) try(run *streamRun) (last streamAttempt, won bool) {
 	stop := run.watchSilence(t)
@@ -224,24 +220,6 @@
 	t.cancel()
 }
 
-// mayPassOn reports whether an event, or with nil the end of a response, may be passed on to the caller: not if a takeover
-// has won. One that hasn't is dropped, as the endpoint isn't silent any more; blank lines and comments don't show that.
-func (c *streamCall) mayPassOn(run *streamRun, event []byte) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if run.abandoned {
-		return false
-	}
-	isEvent := !isBlank(event)
-	if _, ok := eventID(event); isEvent && !ok {
-		c.unnumbered = true
-	}
-	if c.takeover != nil && (isEvent || event == nil) {
-		c.takeover.dropLocked()
-	}
-	return true
-}
-
 // awaitTakeover returns the attempt that goes on with the stream after another one has ended, nil if there is none.
 func (c *streamCall) awaitTakeover(last streamAttempt) *streamRun {
 	c.mu.Lock()
@@ -280,48 +258,3 @@
 	}
 	_ = group.Wait() // tasks return no error
 }
-
-// beginTrial records that an attempt takes part in the trial of its request, if it does.
-func (c *streamCall) beginTrial(gate *quarantineGate) {
-	if !gate.trial {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.trials == nil {
-		c.trials = map[*quarantineGate]bool{}
-	}
-	c.trials[gate] = true
-}
-
-// endTrial ends the trial of the request with its last attempt.
-func (c *streamCall) endTrial(gate *quarantineGate) {
-	c.mu.Lock()
-	delete(c.trials, gate)
-	last := len(c.trials) == 0
-	c.mu.Unlock()
-	if last {
-		gate.endTrial()
-	}
-}
-
-// lastEvent returns the id of the last event that was passed on, or with which the caller came.
-func (c *streamCall) lastEvent() (id int64, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lastID, c.hasID
-}
-
-// triedEndpoints returns the endpoints that got an attempt.
-func (c *streamCall) triedEndpoints() map[string]bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return maps.Clone(c.tried)
-}
-
-// isAbandoned reports whether another attempt goes on with the stream.
-func (run *streamRun) isAbandoned() bool {
-	run.call.mu.Lock()
-	defer run.call.mu.Unlock()
-	return run.abandoned
-}
