Review, case 1: an answer that ended early passes as complete

A server crashes in the middle of an answer without a length while the node that passes it on stands still, and starts again under its id, slow.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -50,6 +51,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // the nodes end with the thread that started them
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD FOLDER")
 		os.Exit(notRun)
@@ -63,7 +65,7 @@
 	time.AfterFunc(timeLimit, func() { couldNotRun("it takes too long") })
 	trouble := os.Getenv("TROUBLE") != "0"
 	note("case %s, trouble %t", os.Args[1], trouble)
-	cases := map[string]func(folder string, trouble bool) int{"gone": goneAfterCut}
+	cases := map[string]func(folder string, trouble bool) int{"gone": goneAfterCut, "early": answerEndsEarly}
 	one, ok := cases[os.Args[1]]
 	if !ok {
 		couldNotRun("no such case")
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -42,8 +42,13 @@
 	arrivals []arrival
 	sequence int64
 	removed  bool
+	down     bool // it has crashed
 	busy     int
 	handler  http.HandlerFunc // nil for the usual one
+	http     *http.Server
+	// slowUntil is until when each answer takes slowBy.
+	slowUntil time.Time
+	slowBy    time.Duration
 }
 
 const slots = 6
@@ -52,9 +57,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	one := &server{id: id, service: service, zone: zone, address: listener.Addr().String(), store: s, born: time.Now().UnixMilli(), work: work, listener: listener}
-	go func() {
-		_ = (&http.Server{Handler: http.HandlerFunc(one.serve), IdleTimeout: 15 * time.Second}).Serve(listener)
-	}()
+	one.listen(listener)
 	one.register()
 	go func() {
 		for range time.Tick(heartbeat) {
@@ -66,6 +69,42 @@
 	return one
 }
 
+func (s *server) listen(listener net.Listener) {
+	s.listener = listener
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), IdleTimeout: 15 * time.Second}
+	go func(one *http.Server) { _ = one.Serve(listener) }(s.http)
+}
+
+// handle sets what answers the next requests, nil for the usual answer.
+func (s *server) handle(handler http.HandlerFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handler = handler
+}
+
+// crash ends the server as the end of its process does: its connections are closed, and its address refuses others.
+func (s *server) crash() {
+	s.mu.Lock()
+	s.down = true
+	s.mu.Unlock()
+	_ = s.http.Close()
+}
+
+// restart starts the server again under its id and address. For some time it is slow.
+func (s *server) restart(slowFor, slowBy time.Duration) {
+	listener, err := net.Listen("tcp", s.address)
+	check(err)
+	s.mu.Lock()
+	s.down = false
+	s.handler = nil
+	s.born = time.Now().UnixMilli()
+	s.sequence = 0
+	s.slowUntil, s.slowBy = time.Now().Add(slowFor), slowBy
+	s.listen(listener)
+	s.mu.Unlock()
+	s.register()
+}
+
 // register writes the entry, unless the server has left.
 func (s *server) register() bool {
 	s.mu.Lock()
@@ -73,6 +112,9 @@
 	if s.removed {
 		return false
 	}
+	if s.down {
+		return true
+	}
 	s.sequence++
 	s.store.put("servers", s.id, beat{Service: s.service, Address: s.address, Zone: s.zone, Version: "v1", Slots: slots, State: "ready", Sequence: s.sequence, Born: s.born})
 	return true
@@ -90,6 +132,12 @@
 func (s *server) exit() { _ = s.listener.Close() }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	slow, by, born := time.Now().Before(s.slowUntil), s.slowBy, s.born
+	s.mu.Unlock()
+	if slow {
+		time.Sleep(by)
+	}
 	h := w.Header()
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.id {
 		h.Set("Instance-Id", s.id)
@@ -103,7 +151,7 @@
 	}
 	if r.URL.Path == "/redwinghall/report" {
 		h.Set("Content-Type", "application/json")
-		_, _ = fmt.Fprintf(w, `{"stage":"both","models":[],"busy":false,"sequence":0,"waiting_requests":0,"running_requests":0,"born":%d}`, s.born)
+		_, _ = fmt.Fprintf(w, `{"stage":"both","models":[],"busy":false,"sequence":0,"waiting_requests":0,"running_requests":0,"born":%d}`, born)
 		return
 	}
 	id := r.Header.Get("Request-Id")
