--- a/review/rig/early.go
+++ b/review/rig/early.go
@@ -18,7 +18,7 @@
 	wakeAt      = 1000 * time.Millisecond // frozen for about 1 s of the 4 s of the site
 	slowFor     = 3 * time.Second         // a server that has just started is slow for some seconds
 	slowAnswer  = 250 * time.Millisecond
-	earlyTrials = 4
+	earlyTrials = 6
 )
 
 // answerEndsEarly lets a server crash in the middle of an answer that ends with its connection, while the node that
@@ -34,7 +34,7 @@
 	c := newClient(n, "key-hauliers")
 	violations := 0
 	for trial := range earlyTrials {
-		route := []string{"/book/deposit", "/stock/chains"}[trial%2]
+		route := []string{"/book/deposit", "/stock/chains", "/advice/chains"}[trial%3]
 		if !tryAnswer(c, one, n, fmt.Sprintf("early-%d", trial), route, trouble) {
 			violations++
 		}
@@ -51,13 +51,23 @@
 func tryAnswer(c *client, one *server, n *node, id, path string, trouble bool) bool {
 	begun := make(chan time.Time, 1)
 	crash := make(chan struct{})
-	whole := wholeBody(one.id, id)
+	whole, kind, rule := wholeBody(one.id, id), "text/plain", "MIXED"
+	if strings.HasPrefix(path, "/advice") {
+		whole, kind, rule = wholeStream(), "text/event-stream", "MIXED, ORDER"
+	}
+	half := strings.Index(whole[len(whole)/2:], "\n\n")
+	if half < 0 {
+		half = 0
+	} else {
+		half += 2 // whole events
+	}
+	half += len(whole) / 2
 	one.handle(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		conn, buffered, err := w.(http.Hijacker).Hijack()
 		check(err)
 		defer func() { _ = conn.Close() }()
-		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig.%s.%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", id, one.id, id, whole[:len(whole)/2])
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig.%s.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n%s", id, one.id, id, kind, whole[:half])
 		_ = buffered.Flush()
 		begun <- time.Now()
 		if trouble {
@@ -65,7 +75,7 @@
 			return
 		}
 		time.Sleep(crashAt)
-		_, _ = io.WriteString(buffered, whole[len(whole)/2:])
+		_, _ = io.WriteString(buffered, whole[half:])
 		_ = buffered.Flush()
 	})
 	type result struct {
@@ -117,7 +127,7 @@
 	early := got.err == nil && got.status/100 == 2 && got.body != whole
 	note("%s: the client gets status %d, signature %q, %d of %d bytes, end of the body: %v", id, got.status, got.proof, len(got.body), len(whole), got.err)
 	if early {
-		note("MIXED: %s got a complete 2xx answer that isn't the server's whole body", id)
+		note("%s: %s got a complete 2xx answer that isn't the server's whole body", rule, id)
 	}
 	if !trouble && (got.err != nil || got.body != whole) {
 		couldNotRun("%s failed without trouble", id)
@@ -125,6 +135,15 @@
 	return !early
 }
 
+// wholeStream returns the events of a server's stream.
+func wholeStream() string {
+	var b strings.Builder
+	for i := range 28 {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: piece %02d of 28\n\n", i+1, i+1)
+	}
+	return b.String()
+}
+
 // wholeBody returns the body of a server's answer.
 func wholeBody(server, id string) string {
 	return strings.Repeat(fmt.Sprintf("%s booked %s, %04d\n", server, id, 1), 20) + "end\n"
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -81,9 +81,11 @@
 			"priority": 2, "service": "desk", "max_attempts": attempts, "public": false, "sticky": false, "resumable": false,
 		}
 	}
+	advice := route("advice", "streaming", 2)
+	advice["resumable"], advice["gap_target_ms"], advice["timeout_ms"] = true, 250, 8000
 	return map[string]any{
 		"version": version,
-		"routes":  []any{route("book", "unsafe", 1), route("stock", "safe", 2)},
+		"routes":  []any{route("book", "unsafe", 1), route("stock", "safe", 2), advice},
 		"services": []any{
 			map[string]any{"name": "desk", "health_check_path": "/health", "connection_limit": 96, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0},
 		},
