Review, case 1: shown behind a cut in one direction, too

The first three requests of review/1/run.sh: a server is cut off in one direction, crashes behind the cut and starts again; half of its answer passes as a whole one (MIXED; its stream: ORDER).

--- a/review/rig/link.go
+++ b/review/rig/link.go
@@ -20,6 +20,7 @@
 	mu       sync.Mutex
 	cond     *sync.Cond
 	cut      bool
+	oneWay   bool // while it is cut, what the far end sends still arrives
 	filler   []net.Conn
 }
 
@@ -73,16 +74,25 @@
 		_ = from.Close()
 		return
 	}
-	go l.pump(from, to)
-	l.pump(to, from)
+	go l.pump(from, to, l.wait)
+	l.pump(to, from, l.waitBack)
+}
+
+// waitBack blocks while the link is cut in both directions.
+func (l *link) waitBack() {
+	l.mu.Lock()
+	for l.cut && !l.oneWay {
+		l.cond.Wait()
+	}
+	l.mu.Unlock()
 }
 
 // pump passes on what it reads, and holds it while the link is cut.
-func (l *link) pump(from, to net.Conn) {
+func (l *link) pump(from, to net.Conn, wait func()) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		l.wait()
+		wait()
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				break
@@ -100,6 +110,14 @@
 	_ = to.Close()
 }
 
+// CutOneWay is Cut for a partition in one direction: what the far end sends still arrives.
+func (l *link) CutOneWay() bool {
+	l.mu.Lock()
+	l.oneWay = true
+	l.mu.Unlock()
+	return l.Cut()
+}
+
 // Cut begins the partition. It reports whether new connections are dropped from now on.
 func (l *link) Cut() bool {
 	l.mu.Lock()
@@ -122,7 +140,7 @@
 	}
 	l.filler = nil
 	l.mu.Lock()
-	l.cut = false
+	l.cut, l.oneWay = false, false
 	l.cond.Broadcast()
 	l.mu.Unlock()
 }
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -33,6 +33,7 @@
 // server is a stand-in of a worker of a plain service.
 type server struct {
 	id, service, zone, address string
+	entryAddress               string // what the entry says, if not address
 	store                      *store
 	born                       int64
 	work                       time.Duration
@@ -116,7 +117,11 @@
 		return true
 	}
 	s.sequence++
-	s.store.put("servers", s.id, beat{Service: s.service, Address: s.address, Zone: s.zone, Version: "v1", Slots: slots, State: "ready", Sequence: s.sequence, Born: s.born})
+	address := s.address
+	if s.entryAddress != "" {
+		address = s.entryAddress
+	}
+	s.store.put("servers", s.id, beat{Service: s.service, Address: address, Zone: s.zone, Version: "v1", Slots: slots, State: "ready", Sequence: s.sequence, Born: s.born})
 	return true
 }
 
