--- a/node/node_test.go
+++ b/node/node_test.go
@@ -29,6 +29,7 @@
 	store      *platformtest.Store
 	runCounter *platformtest.RunCounter
 	engines    []*platformtest.Endpoint
+	desks      []*platformtest.Endpoint
 	settings   platformtest.NodeSettings
 	// partition stands between the node and all endpoints.
 	partition *link.Partition
@@ -98,6 +99,8 @@
 	d.t.Cleanup(e.Close)
 	if config.Engine {
 		d.engines = append(d.engines, e)
+	} else {
+		d.desks = append(d.desks, e)
 	}
 }
 
