Stop: no booking on a guess once callers reach other nodes

Callers saw: one node, a plain service of 0.3 s that takes 9 s from the signal on. Bookings sent 2.5 to 5 s after the signal, with 6 s to their deadlines, were sent to the endpoint, run once, and their connections ended without an answer at the end of the stop.

Cause: Stop.Accepts took a call whose deadline lies behind the end if the longest time of its route so far fitted with a reserve. That is a guess, and if the service became slower its caller pays: it must not repeat a booking and doesn't know whether it ran. A refusal costs it one more attempt. Ruled out: waits between the check and the sending (checked right before the attempt is begun), calls whose deadlines lie before the end (answered with 504 at their deadlines), a route that is known to be slow (refused).

Chosen, by what a cut costs the caller (gateway.Loss): - may be repeated or resumed (safe, resumable streams): as before. The caller loses time; refusing it costs an attempt of few. - unsafe calls: by their deadlines alone once the balancer has noticed, whatever the route's times. Before the notice by expectation with the larger reserve (1.9 s or six tenths): a refused caller may meet this node again, so refusing by deadline from the signal on would leave callers of routes with long timeouts unserved for 2.4 s. - streams that can't be resumed: by expectation with the larger reserve from the signal on. The request limits their length, so only the pace is guessed, and a cut one has said that it ran; by deadlines (5 to 8 s) nearly all would be refused from the signal on. Plain services' streams have no expectation and go by their deadlines, as before. Hedges are made of what may be repeated only and pass the same check; so do retries, and calls and streams behind a permit, a trial or a place. Weighed and left: counting the age of running calls as the route's time. It learns of a slowdown earlier, but only for calls that may be repeated, and a call at a silent endpoint would lose its hedge.

Without the new case in Accepts four tests fail (the decision, the gateway's rows, behind a permit, a retry); with the small reserve for streams that can't be resumed, TestStoppingGatewayReservesASilenceForStreamsThatCantBeResumed.

Rows that stated the old decision, each replaced by one that is as strict: - TestStoppingGatewayRefusesRequestsThatOutlastIt: a booking with a recorded duration after the notice is refused now; the row that it is taken by its expected time is a look-up's, with the row before it that one without a recorded duration is refused. - TestStopAcceptsOnlyRequestsThatEndInTime: rows that hold for all run for all three losses, the others for theirs. "The same, after the notice" at 4 s stays refused for all; at 3 s taken except for bookings. - TestExpectedCallTimeIgnoresCallsThatWereNotServed, TestStoppingGatewayPredictsDurationByRoute, the booking rows of TestStoppingGatewayChecksRetriesAgainstItsEnd and ...ChecksCallsRightBeforeTheyAreSent: before the notice now, as bookings aren't taken by expectation after it and the tests would show nothing. The figures are the same, as the larger reserve holds there; each was seen to fail without what it guards. PredictsDurationByRoute makes 100 look-ups: with 40 it passed with one time for all routes. Both of the latter get a row in which the notice comes during the wait. - TestStoppingGatewayTakesWhatEndsDespiteASilence: for streams that can't be resumed and bookings from the signal on, too.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -168,7 +168,7 @@
 // take seconds for bookings.
 func (c *plainCall) checkStop(now time.Time) *refusal {
 	stop, expected := c.g.stop(), c.g.callTimes.longest(c.r.Route.Name)
-	if stop.Accepts(now, expected, c.r.Deadline) {
+	if stop.Accepts(now, c.r.ending(expected)) {
 		return nil
 	}
 	why := stop.refusal(now, expected)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -91,6 +91,19 @@
 	return r.Route.Kind == fleet.Safe || (r.Route.Kind == fleet.Streaming && r.Route.Resumable)
 }
 
+// ending returns what is known of the request's end; expected is 0 if unknown.
+func (r *Request) ending(expected time.Duration) Ending {
+	out := Ending{Deadline: r.Deadline, Expected: expected}
+	switch {
+	case r.Idempotent():
+	case r.Route.Kind == fleet.Streaming:
+		out.Cut = LosesAnswer
+	default:
+		out.Cut = LosesCertainty
+	}
+	return out
+}
+
 // Left returns the time remaining until the deadline.
 func (r *Request) Left(now time.Time) time.Duration { return r.Deadline.Sub(now) }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -44,18 +44,42 @@
 // request, as a fraction of that duration: responses take longer while prompts of
 // other requests are processed.
 const (
-	// noticedMargin applies once callers can reach another node.
-	noticedMargin = 0.6
-	// unnoticedMargin is smaller: until then, a refused caller may well reach another
-	// stopping node, or this one again.
+	// largeMargin applies once callers can reach another node, and to what can't be repeated.
+	largeMargin = 0.6
+	// unnoticedMargin is smaller: until callers reach other nodes, a refused one may well
+	// meet another stopping node, or this one again.
 	unnoticedMargin = 0.1
-	// silenceReserve is for how long a sound endpoint may send nothing in the middle of an answer. It is reserved once
-	// callers can reach another node.
+	// silenceReserve is for how long a sound endpoint may send nothing in the middle of an answer. It is reserved
+	// wherever largeMargin applies.
 	silenceReserve = 1900 * time.Millisecond
 )
 
-// Accepts reports whether the node accepts a request that is expected to take at most
-// the given time (0 if unknown) and that ends by its deadline at the latest.
+// Loss is what the caller of a request loses if a stop cuts it.
+type Loss int
+
+// The losses, from the smallest to the largest.
+const (
+	// LosesTime is the loss of a caller that may repeat the request, or go on with it at another node.
+	LosesTime Loss = iota
+	// LosesAnswer is the loss of a caller whose stream can't be resumed. The length of its answer is limited by the
+	// request, so that only its pace is a guess.
+	LosesAnswer
+	// LosesCertainty is the loss of a caller that must not repeat the request and can't tell whether it was
+	// executed. How long it takes is known from other calls only, and the service may have become slower.
+	LosesCertainty
+)
+
+// Ending is what is known of the end of a request.
+type Ending struct {
+	// Deadline is when it ends at the latest.
+	Deadline time.Time
+	// Expected is how long it is expected to take at most, 0 if unknown.
+	Expected time.Duration
+	// Cut is what its caller loses if it is cut before.
+	Cut Loss
+}
+
+// Accepts reports whether the node accepts a request.
 //
 // A request that can't finish is cut off when the grace period ends, and its caller
 // gets a truncated response. Callers keep using their open connections whatever the
@@ -63,18 +87,28 @@
 // would accept requests until it exits. An accepted request therefore either has a
 // deadline before the end, or is expected to finish in time, judged by the longest
 // response that it may get.
-func (s Stop) Accepts(now time.Time, expected time.Duration, deadline time.Time) bool {
-	if !s.Active() || !deadline.After(s.End) {
+//
+// The expectation is a guess that the caller pays for. A refusal costs one more attempt, so what must not be
+// repeated is never taken on a guess once callers reach other nodes.
+func (s Stop) Accepts(now time.Time, r Ending) bool {
+	switch {
+	case !s.Active() || !r.Deadline.After(s.End):
 		return true
-	}
-	if expected <= 0 {
+	case r.Expected <= 0, r.Cut == LosesCertainty && s.isNoticed(now):
 		return false
 	}
-	reserve := time.Duration(unnoticedMargin * float64(expected))
-	if !now.Before(s.Noticed) {
-		reserve = max(silenceReserve, time.Duration(noticedMargin*float64(expected)))
+	return !now.Add(r.Expected + s.reserve(now, r)).After(s.End)
+}
+
+// isNoticed reports whether callers reach other nodes.
+func (s Stop) isNoticed(now time.Time) bool { return !now.Before(s.Noticed) }
+
+// reserve returns the time that must be left beyond the expected end of a request.
+func (s Stop) reserve(now time.Time, r Ending) time.Duration {
+	if r.Cut == LosesTime && !s.isNoticed(now) {
+		return time.Duration(unnoticedMargin * float64(r.Expected))
 	}
-	return !now.Add(expected + reserve).After(s.End)
+	return max(silenceReserve, time.Duration(largeMargin*float64(r.Expected)))
 }
 
 // stopRetryAfter is the Retry-After of a stopping node. It is short because the
--- a/gateway/stop_call_time_test.go
+++ b/gateway/stop_call_time_test.go
@@ -73,7 +73,7 @@
 				cancel()
 			}
 			now := time.Now()
-			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(2500 * time.Millisecond)}
+			s.stop = gateway.Stop{Begun: now, Noticed: now.Add(2 * time.Second), End: now.Add(2500 * time.Millisecond)}
 			status, err := send(context.Background(), "late")
 			require.NoError(t, err)
 			require.Zero(t, late.Load(), "a booking takes 1 s, which with a silence is more than the 2.5 s that the node had")
--- a/gateway/stop_expected_test.go
+++ b/gateway/stop_expected_test.go
@@ -40,11 +40,11 @@
 		return s.do(r)
 	}
 	require.Equal(t, http.StatusOK, send("/book/x", "early").status)
-	for range 40 {
+	for range 100 {
 		require.Equal(t, http.StatusOK, send("/look/x", "look").status)
 	}
 	now := time.Now()
-	s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(2900 * time.Millisecond)}
+	s.stop = gateway.Stop{Begun: now, Noticed: now.Add(2 * time.Second), End: now.Add(2900 * time.Millisecond)}
 	got := send("/book/x", "late")
 	require.Zero(t, late.Load(), "a booking takes %s, which with a silence is more than the 2.9 s that the node had", bookingTime)
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
--- a/gateway/stop_retry_test.go
+++ b/gateway/stop_retry_test.go
@@ -21,14 +21,16 @@
 // stop.
 func TestStoppingGatewayChecksRetriesAgainstItsEnd(t *testing.T) {
 	t.Parallel()
-	for _, one := range []struct {
+	for name, one := range map[string]struct {
 		path, service string
 		left          time.Duration // until the node ends, when the request arrives
+		noticed       time.Duration // until the load balancer notices the stop
 	}{
-		{"/book2/x", "desk", 2600 * time.Millisecond},
-		{"/stream/x", "llm", 2700 * time.Millisecond},
+		"desk":                               {"/book2/x", "desk", 2600 * time.Millisecond, 2 * time.Second},
+		"desk, with time, behind the notice": {"/book2/x", "desk", 2950 * time.Millisecond, 300 * time.Millisecond},
+		"llm":                                {"/stream/x", "llm", 2700 * time.Millisecond, -2 * time.Second},
 	} {
-		t.Run(one.service, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newFixture(t)
 			var tries atomic.Int32
@@ -56,9 +58,9 @@
 			}
 			require.Equal(t, http.StatusOK, send("earlier").status, "a stopping node accepts no call of a route without a recorded duration")
 			now := time.Now()
-			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(one.left)}
+			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(one.noticed), End: now.Add(one.left)}
 			got := send("r-1")
-			require.EqualValues(t, 1, tries.Load(), "the retry began with less time left than it is expected to take")
+			require.EqualValues(t, 1, tries.Load(), "the retry began though it may outlast the node")
 			require.Equal(t, http.StatusServiceUnavailable, got.status)
 		})
 	}
--- a/gateway/stop_silence_test.go
+++ b/gateway/stop_silence_test.go
@@ -17,9 +17,12 @@
 	stop := gateway.Stop{Begun: begun, Noticed: begun.Add(2 * time.Second), End: begun.Add(7 * time.Second)}
 	for _, expected := range []time.Duration{time.Millisecond, 300 * time.Millisecond, time.Second, 3 * time.Second} {
 		for _, silence := range []time.Duration{1200 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
-			for at := 2 * time.Second; at < 7*time.Second; at += 10 * time.Millisecond {
-				if now := begun.Add(at); stop.Accepts(now, expected, now.Add(time.Minute)) {
-					require.False(t, now.Add(expected+silence).After(stop.End), "at %s, %s and a silence of %s", at, expected, silence)
+			for cut, from := range map[gateway.Loss]time.Duration{gateway.LosesTime: 2 * time.Second, gateway.LosesAnswer: 0, gateway.LosesCertainty: 0} {
+				for at := from; at < 7*time.Second; at += 10 * time.Millisecond {
+					now := begun.Add(at)
+					if stop.Accepts(now, gateway.Ending{Deadline: now.Add(time.Minute), Expected: expected, Cut: cut}) {
+						require.False(t, now.Add(expected+silence).After(stop.End), "at %s, %s and a silence of %s", at, expected, silence)
+					}
 				}
 			}
 		}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -17,32 +17,56 @@
 // A stopping node gets requests until it exits, and cuts off those that it accepts
 // and can't finish. An accepted request must end in time, either by its own deadline
 // or by its expected duration plus a margin, which is larger once callers can reach
-// another node.
+// another node, and for what can't be repeated. A call that must not be repeated is
+// only accepted by its deadline once callers can reach another node.
 func TestStopAcceptsOnlyRequestsThatEndInTime(t *testing.T) {
 	t.Parallel()
 	begun := time.Unix(1000, 0)
 	stop := gateway.Stop{Begun: begun, Noticed: begun.Add(2 * time.Second), End: begun.Add(7 * time.Second)}
 	const long = 20 * time.Second
-	for _, one := range []struct {
+	type row struct {
 		name               string
 		at, expected, left time.Duration
 		accepts            bool
-	}{
+	}
+	all := []gateway.Loss{gateway.LosesTime, gateway.LosesAnswer, gateway.LosesCertainty}
+	require.True(t, gateway.Stop{}.Accepts(begun, gateway.Ending{Deadline: begun.Add(long), Cut: gateway.LosesCertainty}), "no planned stop")
+	check := func(rows []row, losses ...gateway.Loss) {
+		for _, one := range rows {
+			for _, cut := range losses {
+				now := begun.Add(one.at)
+				require.Equal(t, one.accepts, stop.Accepts(now, gateway.Ending{Deadline: now.Add(one.left), Expected: one.expected, Cut: cut}),
+					"%s, loss %d", one.name, cut)
+			}
+		}
+	}
+	check([]row{
 		{"at once, with time enough", 0, 4 * time.Second, long, true},
 		{"at once, of unknown length", 0, 0, long, false},
 		{"at once, longer than the node has", 0, 8 * time.Second, long, false},
 		{"at once, hardly in time", 0, 6900 * time.Millisecond, long, false},
-		{"before the notice, in time with a small reserve", 1900 * time.Millisecond, 4 * time.Second, long, true},
-		{"after the notice, the same", 2100 * time.Millisecond, 4 * time.Second, long, false},
-		{"after the notice, in time with a large reserve", 2100 * time.Millisecond, 3 * time.Second, long, true},
+		{"before the notice, in time with a large reserve", 1900 * time.Millisecond, 3 * time.Second, long, true},
+		{"after the notice, in time with a small reserve", 2100 * time.Millisecond, 4 * time.Second, long, false},
 		{"after the notice, by its deadline", 2100 * time.Millisecond, 0, 4900 * time.Millisecond, true},
 		{"after the notice, past the end by its deadline", 2100 * time.Millisecond, 0, 4901 * time.Millisecond, false},
 		{"at the end", 7 * time.Second, time.Millisecond, long, false},
-	} {
-		now := begun.Add(one.at)
-		require.Equal(t, one.accepts, stop.Accepts(now, one.expected, now.Add(one.left)), one.name)
-	}
-	require.True(t, gateway.Stop{}.Accepts(begun, 0, begun.Add(long)), "no planned stop")
+	}, all...)
+	check([]row{{"before the notice, in time with a small reserve", 1900 * time.Millisecond, 4 * time.Second, long, true}}, gateway.LosesTime)
+	check([]row{
+		{"before the notice, in time with a small reserve", 1900 * time.Millisecond, 4 * time.Second, long, false},
+		{"before the notice, short, and in time with a silence", 1900 * time.Millisecond, 100 * time.Millisecond, long, true},
+	}, gateway.LosesAnswer, gateway.LosesCertainty)
+	check([]row{
+		{"after the notice, in time with a large reserve", 2100 * time.Millisecond, 3 * time.Second, long, true},
+		{"after the notice, short, and in time with a silence", 5 * time.Second, 50 * time.Millisecond, long, true},
+	}, gateway.LosesTime, gateway.LosesAnswer)
+	check([]row{
+		{"just before the notice, by expectation", 1999 * time.Millisecond, 300 * time.Millisecond, long, true},
+		{"at the notice, by expectation", 2 * time.Second, 300 * time.Millisecond, long, false},
+		{"after the notice, in time with a large reserve", 2100 * time.Millisecond, 3 * time.Second, long, false},
+		{"after the notice, of a route that was never long", 2100 * time.Millisecond, time.Millisecond, long, false},
+		{"after the notice, hardly past the end by its deadline", 2100 * time.Millisecond, time.Millisecond, 4901 * time.Millisecond, false},
+	}, gateway.LosesCertainty)
 }
 
 // A VM is suspended for two seconds while its node stops, and the operator's grace
@@ -57,8 +81,8 @@
 	require.Equal(t, stop, awake)
 	require.Equal(t, stop.End.Add(-2*time.Second), suspended.End)
 	const stream, timeout = 5 * time.Second, 20 * time.Second
-	require.True(t, awake.Accepts(now, stream, now.Add(timeout)))
-	require.False(t, suspended.Accepts(now, stream, now.Add(timeout)))
+	require.True(t, awake.Accepts(now, gateway.Ending{Deadline: now.Add(timeout), Expected: stream}))
+	require.False(t, suspended.Accepts(now, gateway.Ending{Deadline: now.Add(timeout), Expected: stream}))
 	require.Equal(t, stop, stop.AdjustForSuspend(now, boot), "a boot clock that lags behind must not extend the stop")
 }
 
@@ -91,8 +115,10 @@
 		{"/feed/x", 0, 3 * time.Second, http.StatusServiceUnavailable},
 		{"/book/x", 0, 3 * time.Second, http.StatusServiceUnavailable}, // the route has no recorded duration yet
 		{"/book/x", 0, time.Second, http.StatusOK},
-		{"/book/x", 0, 2900 * time.Millisecond, http.StatusOK}, // expected to take as long as the previous call
+		{"/book/x", 0, 2900 * time.Millisecond, http.StatusServiceUnavailable}, // the service may have become slower since the previous call
+		{"/look/x", 0, 2900 * time.Millisecond, http.StatusServiceUnavailable},
 		{"/look/x", 0, time.Second, http.StatusOK},
+		{"/look/x", 0, 2950 * time.Millisecond, http.StatusOK}, // expected to take as long as the previous call
 	} {
 		id := fmt.Sprintf("%s, %d tokens, %s", one.path, one.answer, one.timeout)
 		r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), one.path, nil, platformtest.RequestInfo{
--- a/gateway/stop_wait_test.go
+++ b/gateway/stop_wait_test.go
@@ -26,8 +26,15 @@
 // Guards against a call that a stopping node sends though its time has passed while the call waited for a permit.
 func TestStoppingGatewayChecksCallsRightBeforeTheyAreSent(t *testing.T) {
 	t.Parallel()
-	for _, path := range []string{"/book/x", "/look/x"} {
-		t.Run(path, func(t *testing.T) {
+	for name, one := range map[string]struct {
+		path          string
+		left, noticed time.Duration // until the node ends, and until the load balancer notices the stop
+	}{
+		"look-up":                               {"/look/x", 2700 * time.Millisecond, -2 * time.Second},
+		"booking":                               {"/book/x", 2700 * time.Millisecond, 2 * time.Second},
+		"booking, with time, behind the notice": {"/book/x", 2950 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newFixture(t)
 			s.gateway.PermitIssuer = slowPermits{after: 600 * time.Millisecond}
@@ -41,15 +48,15 @@
 				sign(w, r)
 			})
 			send := func(id string) response {
-				r := s.request(http.MethodPost, path)
+				r := s.request(http.MethodPost, one.path)
 				r.Header.Set("Request-Id", id)
 				return s.do(r)
 			}
 			require.Equal(t, http.StatusOK, send("early").status)
 			now := time.Now()
-			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(-2 * time.Second), End: now.Add(2700 * time.Millisecond)}
+			s.stop = gateway.Stop{Begun: now.Add(-4 * time.Second), Noticed: now.Add(one.noticed), End: now.Add(one.left)}
 			got := send("late")
-			require.Zero(t, late.Load(), "sent with 2.1 s left, and expected to take 2.2 s with a silence")
+			require.Zero(t, late.Load(), "sent %s before the end, less 0.6 s of waiting, and expected to take 2.2 s with a silence", one.left)
 			require.Equal(t, http.StatusServiceUnavailable, got.status)
 			require.NotEmpty(t, got.header.Get("Retry-After"))
 		})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	stop := c.g.stop()
-	if !stop.Accepts(now, choice.Expected, c.r.Deadline) {
+	if !stop.Accepts(now, c.r.ending(choice.Expected)) {
 		why := stop.refusal(now, choice.Expected)
 		return &why
 	}
