Stop: a forwarded call whose body came after the signal isn't sent

A node takes no calls of other nodes while it stops, but looked only before it read their bodies. A stop that began meanwhile was not seen, and the call was sent with any time to its deadline. Callers whose node chose this way: a booking that its stop may cut, 502 at the caller.

Now it looks again right before the call is sent, and says "busy" as before: the other node asks the next one. TestStoppingGatewaySendsNoCallWhoseBodyCameAfterTheSignal failed before (2 of 2 kinds of call delivered).

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -186,6 +186,10 @@
 		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
 		return
 	}
+	if g.stop().Active() { // the stop may have begun while the body came
+		notForwarded(w, in.Header, f, neighbor.Busy, "stopping")
+		return
+	}
 	r.Body = body
 	ctx, cancel := context.WithDeadline(in.Context(), r.Deadline)
 	defer cancel()
