--- /dev/null
+++ b/neighbor/answer_size.go
@@ -0,0 +1,46 @@
+package neighbor
+
+import (
+	"context"
+	"net/http"
+)
+
+// The largest answers of other nodes. The generated clients read an answer whole, whatever comes.
+const (
+	// maxShortAnswer is for the calls that a node makes for each request of a caller, or many at once.
+	maxShortAnswer = 16 << 10
+	// maxReportAnswer is for loads and loans, of which a node asks few others at a time.
+	maxReportAnswer = 1 << 20
+	// maxRowsAnswer is for rows, which a node reads once for each table at a time. A page of the store may be as large.
+	maxRowsAnswer = 8 << 20
+	// maxCallHeadBytes is for the head of an answer, which has no headers but those of net/http.
+	maxCallHeadBytes = 8 << 10
+)
+
+type answerSizeKey struct{}
+
+// withAnswerSize returns a context for one call whose answer may have up to a number of bytes.
+func withAnswerSize(ctx context.Context, most int64) context.Context {
+	return context.WithValue(ctx, answerSizeKey{}, most)
+}
+
+// answerSize returns how large the answer of a call may be.
+func answerSize(ctx context.Context) int64 {
+	if most, ok := ctx.Value(answerSizeKey{}).(int64); ok {
+		return most
+	}
+	return maxShortAnswer
+}
+
+// sizedTransport ends the answers that are too large with an error.
+type sizedTransport struct{ *answeringTransport }
+
+// RoundTrip implements http.RoundTripper.
+func (t sizedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.answeringTransport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, answerSize(request.Context()))
+	return response, nil
+}
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -46,9 +46,9 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: newAnsweringTransport(&http.Transport{
-		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	})}}
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: sizedTransport{newAnsweringTransport(&http.Transport{
+		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
+	})}}}
 }
 
 func (c *Client) clientFor(address string) rpc.Neighbor {
@@ -64,7 +64,7 @@
 
 // List implements relay.PeerClient.
 func (c *Client) List(ctx context.Context, address, table string) (relay.Answer, error) {
-	ctx, cancel := withIdleTimeout(ctx, listTimeout)
+	ctx, cancel := withIdleTimeout(withAnswerSize(ctx, maxRowsAnswer), listTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).List(ctx, &rpc.ListRequest{Table: table})
 	return c.decodeAnswer("Client.List", table, out, err)
@@ -72,7 +72,7 @@
 
 // Changes implements relay.PeerClient.
 func (c *Client) Changes(ctx context.Context, address, table string, after fleet.Position, wait time.Duration) (relay.Answer, error) {
-	ctx, cancel := withIdleTimeout(ctx, wait+callTimeout)
+	ctx, cancel := withIdleTimeout(withAnswerSize(ctx, maxRowsAnswer), wait+callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Changes(ctx, &rpc.ChangesRequest{Table: table, After: after.Version, Era: after.Era, WaitMs: wait.Milliseconds()})
 	return c.decodeAnswer("Client.Changes", table, out, err)
@@ -158,7 +158,7 @@
 
 // Share reports this node's loads and returns the total loads that the report requests.
 func (c *Client) Share(ctx context.Context, address string, report LoadReport) (ShareResult, error) {
-	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(withAnswerSize(ctx, maxReportAnswer), callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Node, Loads: encodeLoads(report.Loads), Settled: report.LowestOpenTicket, WithOthers: report.WithOthers,
@@ -177,7 +177,7 @@
 // ShareZone reports to a node of another zone. It returns the other node's digest of the parts of prompts
 // under which endpoints ended.
 func (c *Client) ShareZone(ctx context.Context, address string, report ZoneReport) (quarantineDigest uint64, err error) {
-	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(withAnswerSize(ctx, maxReportAnswer), callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Share(ctx, &rpc.ShareRequest{
 		Node: report.Zone, Loads: encodeLoads(report.Loads), Zone: true, Limits: encodeLimits(report.Limits), Rejecting: report.Rejecting,
@@ -228,7 +228,7 @@
 
 // Lend asks a node of another zone to lend room of its zone to a zone.
 func (c *Client) Lend(ctx context.Context, address, borrower string, wishes []redwinghall.RoomWish) ([]redwinghall.RoomLoan, error) {
-	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(withAnswerSize(ctx, maxReportAnswer), callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Lend(ctx, &rpc.LendRequest{Zone: borrower, Wishes: encodeWishes(wishes)})
 	if err != nil {
--- /dev/null
+++ b/neighbor/endless_test.go
@@ -0,0 +1,92 @@
+package neighbor_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/balance"
+	"redwinghall/fleet"
+	"redwinghall/kernel"
+	"redwinghall/neighbor"
+	"redwinghall/platform/platformtest"
+)
+
+const (
+	// endlessSent is how much a node sends of an answer that it never ends.
+	endlessSent = 20 << 20
+	// endlessSockets is how much of that may be in the buffers of sockets.
+	endlessSockets = 8 << 20
+	endlessMemory  = 10 << 20
+	endlessTime    = 3 * time.Second
+)
+
+// peerCalls are the calls to other nodes, with how many a node makes at once and the largest answer that is read.
+var peerCalls = map[string]struct {
+	atOnce int
+	most   int64
+	call   func(ctx context.Context, c *neighbor.Client, address string) error
+}{
+	"Reserve": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.Reserve(ctx, address, fleet.PlacementRequest{}, neighbor.StreamReport{})
+		return err
+	}},
+	"Permit": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.Permit(ctx, address, "z", balance.LimitReport{})
+		return err
+	}},
+	"Commit": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.Commit(ctx, address, fleet.Txn{})
+		return err
+	}},
+	"Suspect": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+		return c.Suspect(ctx, address, "e")
+	}},
+	"SuspectGroup": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.SuspectGroup(ctx, address, "e")
+		return err
+	}},
+	"Lend": {4, 1 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.Lend(ctx, address, "z", nil)
+		return err
+	}},
+	"Share": {4, 1 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.Share(ctx, address, neighbor.LoadReport{})
+		return err
+	}},
+	"ShareZone": {4, 1 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.ShareZone(ctx, address, neighbor.ZoneReport{})
+		return err
+	}},
+	"List": {1, 8 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.List(ctx, address, "t")
+		return err
+	}},
+	"Changes": {1, 8 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+		_, err := c.Changes(ctx, address, "t", fleet.Position{}, time.Second)
+		return err
+	}},
+}
+
+// A node that sends bytes without end instead of an answer took the memory of all nodes that had called it.
+func TestAnswersOfNodesWithoutEndTakeLittleMemory(t *testing.T) {
+	for name, c := range peerCalls {
+		for form, endless := range platformtest.EndlessForms(endlessSent) {
+			t.Run(name+"/"+form, func(t *testing.T) {
+				endless.Listen(t)
+				client := neighbor.NewClient()
+				idle := platformtest.LiveHeap()
+				begun := time.Now()
+				most := platformtest.MostHeap(t, c.atOnce, func(int) { require.Error(t, c.call(t.Context(), client, endless.Address)) })
+				require.Less(t, kernel.RunTime(begun, time.Now()), endlessTime)
+				t.Logf("%d answers took %d KiB, the largest %d KiB", endless.Requests.Load(), (int64(most)-int64(idle))>>10, endless.Largest.Load()>>10)
+				require.Positive(t, endless.Requests.Load())
+				require.LessOrEqual(t, most, idle+endlessMemory+2*uint64(c.most))
+				require.Eventually(t, func() bool { return endless.Largest.Load() > 0 }, time.Second, 10*time.Millisecond)
+				require.LessOrEqual(t, endless.Largest.Load(), c.most+endlessSockets)
+			})
+		}
+	}
+}
