--- a/neighbor/compress.go
+++ b/neighbor/compress.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"net/http"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -69,15 +70,15 @@
 }
 
 // maxDecompressedBytes limits the size of decompressed rows, since a few compressed bytes
-// can expand to very many.
-const maxDecompressedBytes = 64 << 20
+// can expand to very many. Three tables may be read at once, each with copies of its rows.
+const maxDecompressedBytes = 16 << 20
 
 // decompress replaces the compressed rows of a response by the rows.
 func decompress(response *rpc.RowsResponse) error {
 	if len(response.GetPacked()) == 0 {
 		return nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(response.GetPacked())), maxDecompressedBytes))
+	plain, err := io.ReadAll(http.MaxBytesReader(nil, flate.NewReader(bytes.NewReader(response.GetPacked())), maxDecompressedBytes))
 	if err != nil {
 		return err
 	}
--- a/neighbor/endless_test.go
+++ b/neighbor/endless_test.go
@@ -1,16 +1,24 @@
 package neighbor_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"redwinghall/balance"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 	"redwinghall/neighbor"
+	"redwinghall/neighbor/rpc"
 	"redwinghall/platform/platformtest"
 )
 
@@ -90,3 +98,49 @@
 		}
 	}
 }
+
+// growingList returns a list that is small as it travels, and has size bytes after that.
+func growingList(t *testing.T, size int) []byte {
+	t.Helper()
+	var rows rpc.RowsResponse
+	for range size / growingRow {
+		rows.Rows = append(rows.Rows, &rpc.Row{Key: "k", Value: make([]byte, growingRow), Version: 1})
+	}
+	plain, err := proto.Marshal(&rows)
+	require.NoError(t, err)
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	require.NoError(t, err)
+	_, err = w.Write(plain)
+	require.NoError(t, errors.Join(err, w.Close()))
+	body, err := proto.Marshal(&rpc.RowsResponse{Packed: packed.Bytes()})
+	require.NoError(t, err)
+	return body
+}
+
+const (
+	growingRow    = 64 << 10
+	growingLists  = 3        // a node reads as many tables
+	growingMemory = 48 << 20 // of a list
+)
+
+// A list of a few compressed bytes took more memory than the smallest VM has.
+func TestListThatGrowsWithoutEndTakesBoundedMemory(t *testing.T) {
+	body := growingList(t, 60<<20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		_, _ = w.Write(body) // the test checks what the client read
+	}))
+	t.Cleanup(server.Close)
+	client := neighbor.NewClient()
+	idle := platformtest.LiveHeap()
+	var failed atomic.Int32
+	most := platformtest.MostHeap(t, growingLists, func(int) {
+		if _, err := client.List(t.Context(), server.Listener.Addr().String(), "t"); err != nil {
+			failed.Add(1)
+		}
+	})
+	t.Logf("%d lists of %d KiB took %d KiB", growingLists, len(body)>>10, (int64(most)-int64(idle))>>10)
+	require.LessOrEqual(t, most, idle+growingLists*growingMemory)
+	require.EqualValues(t, growingLists, failed.Load(), "none may look whole")
+}
