--- a/caller/sse.go
+++ b/caller/sse.go
@@ -8,9 +8,9 @@
 	"strconv"
 )
 
-// Limits of one server-sent event.
+// Limits of one server-sent event, with the comments and the events without data before it.
 const (
-	maxEventLine = 256 << 10
+	maxEventSize = 256 << 10
 	readBuffer   = 8 << 10
 )
 
@@ -38,6 +38,7 @@
 	r    *bufio.Reader
 	data []byte
 	line []byte
+	size int // of what was read since the last event
 }
 
 // NewEventReader returns a reader of events from r.
@@ -54,7 +55,7 @@
 // the response is complete only if the end mark was read before.
 func (e *EventReader) Next() (Event, error) {
 	var event Event
-	e.data = e.data[:0]
+	e.data, e.size = e.data[:0], 0
 	hasData := false
 	for {
 		line, err := e.readLine()
@@ -86,13 +87,13 @@
 	e.line = e.line[:0]
 	for {
 		part, err := e.r.ReadSlice('\n')
+		if e.size += len(part); e.size > maxEventSize {
+			return nil, errBadStream
+		}
 		if err == nil && len(e.line) == 0 {
 			return trimEnd(part), nil
 		}
 		e.line = append(e.line, part...)
-		if len(e.line) > maxEventLine {
-			return nil, errBadStream
-		}
 		if err == nil {
 			return trimEnd(e.line), nil
 		}
@@ -107,7 +108,7 @@
 
 // drain reads the rest of the stream after the end mark, normally just its end.
 func (e *EventReader) drain() {
-	_, _ = io.CopyN(io.Discard, e.r, maxEventLine) // an error ends the stream too
+	_, _ = io.CopyN(io.Discard, e.r, maxEventSize) // an error ends the stream too
 }
 
 func trimEnd(line []byte) []byte {
