--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -36,25 +36,48 @@
 	endlessError = platformtest.ResponseHead(http.StatusInternalServerError, "%s")
 )
 
+// endlessForm is a way in which bytes come without end.
+type endlessForm struct{ path, begin, repeat string }
+
+// endlessForms returns the forms by their names.
+func endlessForms() map[string]endlessForm {
+	line := strings.Repeat("x", 1000)
+	chunked := endlessHead + "Transfer-Encoding: chunked\r\n\r\n"
+	return map[string]endlessForm{
+		"one header":                    {"/stream/", endlessHead + "X-Long: ", line},
+		"headers":                       {"/look/", endlessHead, "X-More: " + line + "\r\n"},
+		"empty headers":                 {"/book/", endlessHead, strings.Repeat("a:\r\n", 200)},
+		"informational responses":       {"/stream/", "", "HTTP/1.1 100 Continue\r\nX-More: x\r\n\r\n"},
+		"early hints":                   {"/book/", "", "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X-More: "+line+"\r\n", 10) + "\r\n"},
+		"one informational response":    {"/look/", "HTTP/1.1 103 Early Hints\r\n", "X-More: " + line + "\r\n"},
+		"no response":                   {"/book/", "", line},
+		"a status line":                 {"/look/", "HTTP/1.1 200 ", line},
+		"one event":                     {"/stream/", endlessHead + "\r\nid: 1\ndata: ", line},
+		"one event of many lines":       {"/stream/", endlessHead + "\r\nid: 1\ndata: ", line + "\ndata: "},
+		"one event behind another":      {"/stream/", endlessHead + "\r\nid: 1\ndata: x\n\nid: 2\ndata: ", line},
+		"one event again":               {"/stream/", endlessHead + "\r\n", strings.Repeat("id: 1\ndata: x\n\n", 50)},
+		"blank events":                  {"/stream/", endlessHead + "\r\n", strings.Repeat("\n\n", 500)},
+		"comments":                      {"/stream/", endlessHead + "\r\nid: 1\ndata: x\n\n", strings.Repeat(": ping\n\n", 100)},
+		"a body":                        {"/look/", endlessHead + "\r\n", line},
+		"a body of a booking":           {"/book/", endlessHead + "\r\n", line},
+		"a body in chunks":              {"/look/", chunked, "3e8\r\n" + line + "\r\n"},
+		"a body in small chunks":        {"/look/", chunked, strings.Repeat("1\r\nx\r\n", 150)},
+		"a chunk extension":             {"/look/", chunked + "3e8;", line},
+		"chunk extensions":              {"/look/", chunked, strings.Repeat("1;"+line+"\r\nx\r\n", 4)},
+		"a chunk extension of a stream": {"/stream/", chunked + "3e8;", line},
+		"a chunk length":                {"/stream/", chunked, strings.Repeat("0", 1000)},
+		"a trailer":                     {"/look/", chunked + "0\r\n", "X-More: " + line + "\r\n"},
+		"a trailer of a stream":         {"/stream/", chunked + "13\r\nid: 1\ndata: one\n\n\r\n0\r\n", "X-More: " + line + "\r\n"},
+		"an error of a stream":          {"/stream/", endlessError + "\r\n", line},
+		"an error in chunks":            {"/stream/", endlessError + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + line + "\r\n"},
+		"an error":                      {"/book/", endlessError + "\r\n", line},
+	}
+}
+
 // An endpoint may send bytes without end that are no answer, to all requests at once. They must take neither the
 // node's memory nor the callers' time.
 func TestBytesWithoutEndTakeLittleMemory(t *testing.T) {
-	line := strings.Repeat("x", 1000)
-	for name, c := range map[string]struct{ path, begin, repeat string }{
-		"one header":               {"/stream/", endlessHead + "X-Long: ", line},
-		"headers":                  {"/look/", endlessHead, "X-More: " + line + "\r\n"},
-		"informational responses":  {"/stream/", "", "HTTP/1.1 100 Continue\r\nX-More: x\r\n\r\n"},
-		"one event":                {"/stream/", endlessHead + "\r\nid: 1\ndata: ", line},
-		"one event behind another": {"/stream/", endlessHead + "\r\nid: 1\ndata: x\n\nid: 2\ndata: ", line},
-		"blank events":             {"/stream/", endlessHead + "\r\n", strings.Repeat("\n\n", 500)},
-		"comments":                 {"/stream/", endlessHead + "\r\nid: 1\ndata: x\n\n", strings.Repeat(": ping\n\n", 100)},
-		"a body":                   {"/look/", endlessHead + "\r\n", line},
-		"a body in chunks":         {"/look/", endlessHead + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + line + "\r\n"},
-		"a chunk extension":        {"/look/", endlessHead + "Transfer-Encoding: chunked\r\n\r\n3e8;", line},
-		"a trailer":                {"/look/", endlessHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: " + line + "\r\n"},
-		"an error of a stream":     {"/stream/", endlessError + "\r\n", line},
-		"an error":                 {"/book/", endlessError + "\r\n", line},
-	} {
+	for name, c := range endlessForms() {
 		t.Run(name, func(t *testing.T) {
 			service := map[bool]string{true: "llm", false: "desk"}[c.path == "/stream/"]
 			silent := newEndlessFixture(t, service, func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) })
@@ -66,15 +89,55 @@
 				sendWithoutEnd(w, r, c.begin, c.repeat)
 			})
 			begun := time.Now()
-			whole, most := s.requestAll(t, c.path)
+			replies, most := s.requestAll(t, c.path)
 			// A busy machine may end the time of a few before they are sent.
 			require.GreaterOrEqual(t, sent.Load(), int64(endlessRequests*3/4))
 			require.Less(t, time.Since(begun), endlessTime+2*time.Second)
 			t.Logf("%d responses took %d KiB", sent.Load(), (int64(most)-int64(idle))>>10)
 			require.LessOrEqual(t, most, idle+endlessMemory)
-			for i, one := range whole {
-				require.False(t, one, "request %d got a response that looks complete", i)
+			for i, one := range replies {
+				require.False(t, one.whole, "request %d got a response that looks complete", i)
+			}
+			require.Eventually(t, func() bool { return ended.Load() == sent.Load() }, 2*time.Second, 10*time.Millisecond, "connections to endpoints are closed")
+		})
+	}
+}
+
+// An endpoint goes on sending behind its answer, at once or on the idle connection. The bytes are neither kept nor taken
+// for the next answer. Callers get the answer, or a refusal if their request met them on an open connection before it was
+// sent.
+func TestBytesBehindAnAnswerTakeLittleMemory(t *testing.T) {
+	line := strings.Repeat("x", 1000)
+	again := endlessHead + "Content-Length: 5\r\n\r\nother"
+	for name, c := range map[string]struct {
+		endlessForm
+		pause time.Duration
+	}{
+		"a body":                    {endlessForm{"/look/", endlessHead + "Content-Length: 2\r\n\r\nok", line}, 0},
+		"a body, idle":              {endlessForm{"/look/", endlessHead + "Content-Length: 2\r\n\r\nok", line}, 20 * time.Millisecond},
+		"a body, further responses": {endlessForm{"/book/", endlessHead + "Content-Length: 2\r\n\r\nok", strings.ReplaceAll(again, "%s", "r0")}, 0},
+		"chunks":                    {endlessForm{"/look/", endlessHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", line}, 0},
+		"a stream":                  {endlessForm{"/stream/", endlessHead + "Content-Length: 15\r\n\r\nid: 1\ndata: x\n\n", line}, 0},
+		"a stream, idle":            {endlessForm{"/stream/", endlessHead + "Content-Length: 15\r\n\r\nid: 1\ndata: x\n\n", line}, 20 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			service := map[bool]string{true: "llm", false: "desk"}[c.path == "/stream/"]
+			silent := newEndlessFixture(t, service, func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) })
+			_, idle := silent.requestAll(t, c.path)
+			var sent, ended atomic.Int64
+			s := newEndlessFixture(t, service, func(w http.ResponseWriter, r *http.Request) {
+				sent.Add(1)
+				defer ended.Add(1)
+				sendBehind(w, r, c.begin, c.repeat, c.pause)
+			})
+			replies, most := s.requestAll(t, c.path)
+			t.Logf("%d responses took %d KiB", sent.Load(), (int64(most)-int64(idle))>>10)
+			require.LessOrEqual(t, most, idle+endlessMemory)
+			require.GreaterOrEqual(t, sent.Load(), int64(endlessRequests*3/4))
+			for i, one := range replies {
+				require.True(t, one.whole || one.status == http.StatusServiceUnavailable, "request %d got %d and no answer", i, one.status)
 			}
+			require.GreaterOrEqual(t, len(slices.DeleteFunc(replies, func(one reply) bool { return !one.whole })), endlessRequests*9/10)
 			require.Eventually(t, func() bool { return ended.Load() == sent.Load() }, 2*time.Second, 10*time.Millisecond, "connections to endpoints are closed")
 		})
 	}
@@ -93,23 +156,28 @@
 	return s
 }
 
-// requestAll sends endlessRequests requests at once. It returns which got a complete success, and the largest live
-// heap meanwhile.
-func (s *fixture) requestAll(t *testing.T, path string) (whole []bool, most uint64) {
+// reply is what a request got: a status, 0 if none, and whether that was a complete success.
+type reply struct {
+	status int
+	whole  bool
+}
+
+// requestAll sends endlessRequests requests at once. It returns what they got, and the largest live heap meanwhile.
+func (s *fixture) requestAll(t *testing.T, path string) (replies []reply, most uint64) {
 	t.Helper()
-	whole = make([]bool, endlessRequests)
+	replies = make([]reply, endlessRequests)
 	var last []uint64
 	done := make(chan error, 1)
 	g := kernel.NewGroup(t.Context())
 	for i := range endlessRequests {
-		g.Go("caller", func(ctx context.Context) error { whole[i] = s.readAll(ctx, path, fmt.Sprint("r", i)); return nil })
+		g.Go("caller", func(ctx context.Context) error { replies[i] = s.readAll(ctx, path, fmt.Sprint("r", i)); return nil })
 	}
 	kernel.NewGroup(t.Context()).Go("wait", func(context.Context) error { done <- g.Wait(); return nil })
 	for {
 		select {
 		case err := <-done:
 			require.NoError(t, err)
-			return whole, most
+			return replies, most
 		case <-time.After(20 * time.Millisecond):
 			// What is allocated while the collector runs counts as live, so the least of several counts.
 			last = append(last, liveHeap())
@@ -128,6 +196,11 @@
 
 // sendWithoutEnd sends bytes, and then nothing, until the other side closes the connection.
 func sendWithoutEnd(w http.ResponseWriter, r *http.Request, begin, repeat string) {
+	sendBehind(w, r, begin, repeat, 0)
+}
+
+// sendBehind does the same with a pause behind the begin.
+func sendBehind(w http.ResponseWriter, r *http.Request, begin, repeat string, pause time.Duration) {
 	id := platformtest.ReadHeaders(r).ID
 	_, _ = io.Copy(io.Discard, r.Body)
 	conn, _, err := w.(http.Hijacker).Hijack()
@@ -135,9 +208,11 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	if begin != "" {
-		_, _ = fmt.Fprintf(conn, begin, id)
+	if strings.Contains(begin, "%s") {
+		begin = fmt.Sprintf(begin, id)
 	}
+	_, _ = io.WriteString(conn, begin)
+	time.Sleep(pause)
 	again := []byte(repeat) // once, as all that is allocated here is measured too
 	for range endlessBytes / len(again) {
 		if _, err := conn.Write(again); err != nil {
@@ -147,8 +222,8 @@
 	_, _ = conn.Read(make([]byte, 1))
 }
 
-// readAll sends a request and reads the response without keeping it. It reports whether that was a complete success.
-func (s *fixture) readAll(ctx context.Context, path, id string) bool {
+// readAll sends a request and reads the response without keeping it.
+func (s *fixture) readAll(ctx context.Context, path, id string) reply {
 	method := http.MethodPost
 	if path == "/look/" {
 		method = http.MethodGet
@@ -160,11 +235,11 @@
 	client := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}
 	response, err := client.RoundTrip(r)
 	if err != nil {
-		return false
+		return reply{}
 	}
 	defer func() { _ = response.Body.Close() }() // the read has failed or ended
 	_, err = io.Copy(io.Discard, response.Body)
-	return err == nil && response.StatusCode == http.StatusOK
+	return reply{response.StatusCode, err == nil && response.StatusCode == http.StatusOK}
 }
 
 func liveHeap() uint64 {
