--- a/neighbor/forward.go
+++ b/neighbor/forward.go
@@ -75,8 +75,9 @@
 	headerForwardAnswered      = "Rwh-Answered-Ms"
 )
 
-// maxHeadBytes is the largest head of another node's response: that of an endpoint's, and this project's own headers.
-const maxHeadBytes = 64 << 10
+// maxHeadBytes is the largest head of another node's response: that of an endpoint's, which may grow by two thirds as it
+// is written anew, and this project's own headers.
+const maxHeadBytes = 32 << 10
 
 // forwardDialTimeout bounds the wait for a connection to the forwarding node.
 const forwardDialTimeout = 100 * time.Millisecond
