Stop: a node that ends answers the requests that are still running

Cause: at the end of a planned stop the node wrote a line for each running request and the process exited; if a part of the node failed, all servers were closed at once. Callers whose answer hadn't begun got the end of their connection without a byte, though it was known whether the request may have run. That the exit came before the kernel had sent written answers was ruled out by reading: nothing was written.

Now a node has a last moment, in a planned stop and when a part fails. The contexts of all requests (callers' and those that other nodes forward) end with a cause, reads of bodies end, and the node waits, for a bounded time, until the answers are sent; only then its servers are closed. Each request ends by the path that it had for a caller that left: 502 if it may have run, 503 with Retry-After if it did not, reason node_ended. A stream that has begun ends without its end, behind a whole event. A forwarded request that wasn't sent is answered "busy", not "unreached". A slow caller's write goes on until the process exits.

The time: 0.4 ms of processor time for each request that runs at the signal, divided by the share, at least 0.25 s and at most a quarter of the stop, taken before the exit margin; Stop.End, by which requests are accepted, lies before it. If fewer run later, the stop waits on for the rest of it. A failed part: 1 s at most.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -34,6 +34,7 @@
 	errBodyTooLarge = errors.New("the body is larger than the configuration allows")
 	errBodyMemory   = errors.New("the bodies of all requests are too large together")
 	errBodySlow     = errors.New("the body stands still")
+	errBodyEnded    = errors.New("the node ended before the body")
 )
 
 // bodyPace tells how long a body may take for its next bytes.
@@ -70,7 +71,8 @@
 	length   int64 // as announced, -1 if unknown
 	limit    int64
 	memory   *requestMemory
-	deadline time.Time // of the request
+	deadline time.Time   // of the request
+	isEnded  func() bool // reports whether the node ends all requests
 	response http.ResponseWriter
 	pace     bodyPace
 }
@@ -79,7 +81,7 @@
 // need it, and a slow caller must not occupy an endpoint.
 //
 // Memory is taken in steps as bytes come, since many callers may announce large bodies and send little.
-func readBody(w http.ResponseWriter, in *http.Request, limit int64, r *Request) ([]byte, error) {
+func (g *Gateway) readBody(w http.ResponseWriter, in *http.Request, limit int64, r *Request) ([]byte, error) {
 	if in.Body == nil || in.ContentLength == 0 {
 		return nil, nil
 	}
@@ -90,7 +92,7 @@
 		return nil, errBodyTooLarge
 	}
 	b := bodyRead{
-		from: in.Body, length: in.ContentLength, limit: limit, memory: &r.memory, deadline: r.Deadline,
+		from: in.Body, length: in.ContentLength, limit: limit, memory: &r.memory, deadline: r.Deadline, isEnded: g.isEnded,
 		response: w, pace: newBodyPace(time.Now()),
 	}
 	body, err := b.readAll()
@@ -177,7 +179,10 @@
 	for {
 		now := time.Now()
 		until := b.until()
-		if !now.Before(until) {
+		switch {
+		case b.isEnded():
+			return 0, errBodyEnded
+		case !now.Before(until):
 			return 0, errBodySlow
 		}
 		if b.length > 0 { // a length that is known survives a read that failed
@@ -238,6 +243,10 @@
 	case errors.Is(err, errBodyMemory):
 		g.refuseMemory(w, r, heldBody, read)
 		return
+	case g.isEnded():
+		w.Header().Set("Connection", "close")
+		g.refuse(w, r, g.goneRefusal(false))
+		return
 	case errors.Is(err, errBodySlow):
 		klog.InfoS("body_slow", "request", r.Info.ID, "read", read, "pressed", r.memory.pressed(), "took", kernel.RunTime(r.Arrived, time.Now()))
 		g.refuse(w, r, refusal{status: http.StatusRequestTimeout, reason: "body_slow"})
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -126,7 +126,7 @@
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
-	body, err := readBody(w, in, maxControlBytes, call)
+	body, err := g.readBody(w, in, maxControlBytes, call)
 	if errors.Is(err, errBodyMemory) {
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
@@ -176,7 +176,7 @@
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
-	body, err := readBody(w, in, r.view().Config().Limits.BodyBytes, r)
+	body, err := g.readBody(w, in, r.view().Config().Limits.BodyBytes, r)
 	if errors.Is(err, errBodyMemory) {
 		g.logMemoryRefused(r, heldBody, len(body))
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
@@ -197,6 +197,10 @@
 	attempt := g.Tracker.ForwardedAttempt(time.Now(), e)
 	defer attempt.EndForwarded()
 	response, err := g.sendDirect(ctx, r, e, f.LastEvent, f.LastEvent != "")
+	if redwinghall.KindOf[Kind](err) == NotSent && g.isEnded() {
+		notForwarded(w, r.Header, f, neighbor.Busy, reasonNodeEnded)
+		return
+	}
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		g.recordUnreached(time.Now(), e)
 		notForwarded(w, r.Header, f, neighbor.Unreached, "not_connected")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,7 +164,7 @@
 		g.refuseMemory(w, request, heldRequest, 0)
 		return
 	}
-	body, err := readBody(w, in, request.view().Config().Limits.BodyBytes, request)
+	body, err := g.readBody(w, in, request.view().Config().Limits.BodyBytes, request)
 	if err != nil {
 		g.refuseBody(w, request, len(body), err)
 		return
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -360,25 +360,34 @@
 	return false
 }
 
-// callerGone ends a request whose connection to the caller has ended. more are further keys and
-// values of its line.
+// callerGone ends a request whose connection to the caller has ended, or which this node ends as it ends itself. more are
+// further keys and values of its line.
 //
-// A caller that only shut its sending side looks the same, so the connection gets a status. mayHaveRun tells whether an
-// endpoint may have run the request, and begun whether the response has begun.
+// A caller that only shut its sending side looks the same as one that has left, so the connection gets a status. mayHaveRun
+// tells whether an endpoint may have run the request, and begun whether the response has begun.
 func (g *Gateway) callerGone(w http.ResponseWriter, r *Request, mayHaveRun, begun bool, more ...any) {
-	g.logUnanswered("caller_gone", r, g.goneReason(), more...)
+	why := g.goneRefusal(mayHaveRun)
+	if begun {
+		why.status = 0
+	}
+	g.logUnanswered("caller_gone", r, why.reason, append(more, "status", why.status)...)
 	g.Metrics.CallerGone(r)
 	if begun {
 		panic(http.ErrAbortHandler)
 	}
-	why := refusal{status: http.StatusServiceUnavailable, reason: reasonCallerLeft, retryAfter: defaultRetryAfter}
-	if mayHaveRun {
-		why = refusal{status: http.StatusBadGateway, reason: reasonCallerLeft}
-	}
 	w.Header().Set("Connection", "close")
 	_ = writeRefusal(w, r, why) // the caller has left in most cases
 }
 
+// goneRefusal returns the answer to a request that ended before its response began.
+func (g *Gateway) goneRefusal(mayHaveRun bool) refusal {
+	why := refusal{status: http.StatusServiceUnavailable, reason: g.goneReason(), retryAfter: defaultRetryAfter}
+	if mayHaveRun {
+		why.status, why.retryAfter = http.StatusBadGateway, 0
+	}
+	return why
+}
+
 // forwardHeaders returns the headers that are added to a request for an endpoint.
 func (g *Gateway) forwardHeaders(r *Request, e *fleet.Endpoint, lastEvent string) platform.ForwardHeaders {
 	return platform.ForwardHeaders{
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -231,6 +231,9 @@
 func (c *streamCall) giveUp(ctx context.Context) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
+		if c.headersSent.Load() && c.g.isEnded() {
+			_ = c.flush.Flush() // the events before the end, none of them in part
+		}
 		c.g.callerGone(c.w, c.r, c.mayHaveRun.Load(), c.headersSent.Load(), "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load())
 	case ctx.Err() != nil:
 		c.refuse(refusal{status: http.StatusGatewayTimeout, reason: reasonTimeout})
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -16,7 +16,7 @@
 	reasonTimeout = "timeout"
 	// reasonCallerLeft means that the connection to the caller ended, and not by this node.
 	reasonCallerLeft = "caller_left"
-	// reasonNodeEnded means that this node ends and has closed its connections.
+	// reasonNodeEnded means that this node has ended the request as it ends itself.
 	reasonNodeEnded = "node_ended"
 	// reasonAttemptTimeout means that the time of the attempt was over before that of the request.
 	reasonAttemptTimeout   = "attempt_timeout"
@@ -40,9 +40,12 @@
 	kernel.WarningSDepth(1, nil, event, line...)
 }
 
+// isEnded reports whether this node ends all requests as it ends itself.
+func (g *Gateway) isEnded() bool { return g.Ended != nil && g.Ended() }
+
 // goneReason returns why the connection to the caller has ended.
 func (g *Gateway) goneReason() string {
-	if g.Ended != nil && g.Ended() {
+	if g.isEnded() {
 		return reasonNodeEnded
 	}
 	return reasonCallerLeft
--- a/node/connections.go
+++ b/node/connections.go
@@ -37,6 +37,7 @@
 	busy      bool
 	idleSince time.Time // start of the idle period
 	closed    bool      // this node has closed the connection or is about to
+	answered  bool      // the handler of the current or last request has returned
 	refused   bool      // its first request is refused: this node gets more than it serves
 
 	opened      time.Time
@@ -151,10 +152,21 @@
 			refuseExcess(w, r)
 		default:
 			next.ServeHTTP(w, r)
+			c.endRequest(state)
 		}
 	})
 }
 
+// endRequest records that a request has its answer. state is nil for one without a connection of its own.
+func (c *connections) endRequest(state *connection) {
+	if state == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state.answered = true
+}
+
 // beginRequest records a request on a connection. It reports false if this
 // node has closed the connection.
 func (c *connections) beginRequest(state *connection, r *http.Request, stop gateway.Stop) bool {
@@ -162,6 +174,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	state.requests++
+	state.answered = false
 	state.requestID, state.requestedAt = platform.DecodeRequestInfo(r.Header).ID, now
 	if state.closed {
 		klog.InfoS("request_on_closed_connection", "request", state.requestID, "connection", state.kind(),
@@ -175,7 +188,7 @@
 	return true
 }
 
-// logInterrupted logs the requests that are still running when the process exits, and returns how many
+// logInterrupted logs the requests that are still running when the node ends them, and returns how many
 // there are.
 func (c *connections) logInterrupted(now time.Time, reason string) int {
 	c.mu.Lock()
@@ -205,6 +218,30 @@
 	return len(c.all), requests
 }
 
+// unanswered returns how many requests are in progress whose answers aren't complete.
+func (c *connections) unanswered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unanswered := 0
+	for _, state := range c.all {
+		if state.busy && !state.answered {
+			unanswered++
+		}
+	}
+	return unanswered
+}
+
+// endReads makes the reads of the requests in progress fail that wait for more of a body.
+func (c *connections) endReads(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, state := range c.all {
+		if state.busy && !state.answered {
+			_ = conn.SetReadDeadline(now) // fails only if the connection is closed
+		}
+	}
+}
+
 // firstRequestTime is how long a new connection may take to send its first
 // request before it counts as idle.
 const firstRequestTime = 200 * time.Millisecond
--- a/node/ending.go
+++ b/node/ending.go
@@ -27,7 +27,8 @@
 	cause       string // the signal, for a planned stop
 	begun       time.Time
 	byGrace     bool // the grace period was over before all requests were
-	interrupted int  // requests that ended with the process
+	interrupted int  // requests that the node ended
+	unanswered  int  // those of them that were still without their answer when the process exited
 }
 
 // begin records the reason and the beginning of the end.
@@ -40,13 +41,27 @@
 	}
 }
 
-// interrupt records how many requests end with the process.
+// interrupt records how many requests the node ends.
 func (e *ending) interrupt(requests int, byGrace bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.interrupted, e.byGrace = requests, byGrace
 }
 
+// leave records how many requests are without their answer when the process exits.
+func (e *ending) leave(unanswered int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unanswered = unanswered
+}
+
+// failed reports whether the node ends as a part of it has failed.
+func (e *ending) failed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reason == endedByFailure
+}
+
 // stopAsPlanned shuts the node down after the context of its caller ended. running is the context
 // of the node's parts.
 func (n *Node) stopAsPlanned(running, caller context.Context) {
@@ -54,13 +69,6 @@
 	n.stop(running, context.Cause(caller))
 }
 
-// logFailing records the requests that end with the node because a part has failed.
-func (n *Node) logFailing() {
-	now := time.Now()
-	n.ending.begin(now, endedByFailure, nil)
-	n.ending.interrupt(n.conns.logInterrupted(now, endedByFailure), false)
-}
-
 // logStopped writes the last line of the node.
 func (n *Node) logStopped(now time.Time, err error) {
 	e := &n.ending
@@ -68,7 +76,7 @@
 	defer e.mu.Unlock()
 	line := []any{
 		"node", n.settings.Node, "reason", e.reason, "cause", e.cause, "took", now.Sub(e.begun), "ran_for", now.Sub(n.started),
-		"by_grace", e.byGrace, "interrupted", e.interrupted, "err", err,
+		"by_grace", e.byGrace, "interrupted", e.interrupted, "unanswered", e.unanswered, "err", err,
 	}
 	if err != nil || e.reason != endedByStop || e.interrupted > 0 {
 		kernel.WarningS(nil, "node_stopped", line...)
--- a/node/listen.go
+++ b/node/listen.go
@@ -42,13 +42,16 @@
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
 		Handler: newInternalHandler(n.operatorRoutes()), ReadHeaderTimeout: internalHeaderTimeout,
 	}
-	listener, err := serve(g, callers)
+	listener, err := n.last.serve(g, callers)
 	if err != nil {
 		return err
 	}
 	n.callers = listener
-	for _, server := range []*http.Server{readiness, metricsServer, n.neighborServer()} {
-		if _, err := serve(g, server); err != nil {
+	if _, err := n.last.serve(g, n.neighborServer()); err != nil {
+		return err
+	}
+	for _, server := range []*http.Server{readiness, metricsServer} {
+		if err := serve(g, server); err != nil {
 			return err
 		}
 	}
@@ -82,13 +85,12 @@
 	metrics.WriteJSONOnce(n.metrics.Registry(), w)
 }
 
-// serve runs a server until the group stops. Closing the returned listener stops
-// only the accepting of new connections.
-func serve(g *kernel.Group, server *http.Server) (*kernel.ReopenedListener, error) {
+// serve runs a server until the group stops.
+func serve(g *kernel.Group, server *http.Server) error {
 	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
-		return nil, err
+		return err
 	}
 	g.Serve("serve "+server.Addr, server, listener)
-	return listener, nil
+	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -96,6 +96,7 @@
 	callers         *kernel.ReopenedListener
 	started         time.Time
 	ending          ending
+	last            lastMoment
 }
 
 // New assembles a node. path is the settings file that is reloaded while the node
@@ -114,6 +115,7 @@
 		silences: silence.NewTable(kernel.RunTime),
 		backoff:  relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
 		quarantine: quarantine.NewTable(), quarantineKnown: make(chan struct{}),
+		last: newLastMoment(),
 	}
 	n.room = admission.NewRoom()
 	n.tracker.Admission = n.admissionOf
@@ -186,6 +188,7 @@
 	if err := n.listen(g); err != nil {
 		klog.ErrorS(err, "node_not_started", "node", n.settings.Node)
 		g.Stop()
+		n.last.close()
 		return err
 	}
 	klog.InfoS("node_started", "node", n.settings.Node, "zone", n.settings.Zone, "callers", n.settings.CallerAddress,
@@ -216,11 +219,12 @@
 		n.room.Forget(now)
 	})
 	g.Go("stop", func(running context.Context) error {
+		defer n.last.close()
 		select {
 		case <-ctx.Done():
 			n.stopAsPlanned(running, ctx)
 		case <-running.Done():
-			n.logFailing()
+			n.fail()
 		}
 		g.Stop()
 		return nil
@@ -267,9 +271,6 @@
 	}
 }
 
-// ended reports whether this node has stopped its parts and closes all connections.
-func (n *Node) ended() bool { return n.group != nil && n.group.Context().Err() != nil }
-
 // ready reports whether the load balancer should send new connections to this node.
 func (n *Node) ready() bool {
 	return n.stopping.Load() == nil && n.cache.View().Config() != nil
--- a/node/stop.go
+++ b/node/stop.go
@@ -36,10 +36,13 @@
 	return gateway.Stop{}
 }
 
-// newStop returns a stop that begins now and must complete within a grace period.
-func newStop(now, boot time.Time, grace time.Duration) gateway.Stop {
+// newStop returns a stop that begins now and must complete within a grace period, and how much of that its last moment
+// may take for the requests that are running.
+func (n *Node) newStop(now, boot time.Time, grace time.Duration, requests int) (stop gateway.Stop, answers time.Duration) {
 	lasts := max(0, grace-exitMargin)
-	return gateway.Stop{Begun: now, Boot: boot, Noticed: now.Add(min(balancerNoticeTime, lasts)), End: now.Add(lasts)}
+	answers = answerTime(requests, n.settings.Processor, lasts)
+	lasts -= answers
+	return gateway.Stop{Begun: now, Boot: boot, Noticed: now.Add(min(balancerNoticeTime, lasts)), End: now.Add(lasts)}, answers
 }
 
 // stop shuts a node down gracefully. The node reports that it isn't ready, from now
@@ -49,11 +52,12 @@
 func (n *Node) stop(ctx context.Context, cause error) {
 	begun := time.Now()
 	protectStep("stop_reload", n.reload) // the grace period in the file may have changed
-	stop := newStop(begun, kernel.BootTime(), n.currentSettings().Bounds.Grace)
+	connections, requests := n.conns.counts()
+	stop, answers := n.newStop(begun, kernel.BootTime(), n.currentSettings().Bounds.Grace, requests+n.gateway.Forwards())
+	n.last.answers = answers
 	n.stopping.Store(&stop)
 	n.conns.closeAfterResponses()
-	connections, requests := n.conns.counts()
-	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "connections", connections,
+	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "answer_time", answers, "connections", connections,
 		"requests", requests, "forwards", n.gateway.Forwards())
 	protectStep("stop_planning", n.manager.Stop)
 	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(stop.End)))
@@ -64,18 +68,28 @@
 	// A connection accepted after the check above would be cut off with its request.
 	// So the listener is closed first, and connections accepted just before that get
 	// time to be served.
-	if err := n.callers.CloseDrained(ctx); err != nil {
-		klog.ErrorS(err, "listener_not_closed")
-	}
+	n.closeListener(ctx)
 	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(begun))
-	kernel.Sleep(ctx, stopPollInterval)
+	kernel.Sleep(ctx, min(stopPollInterval, time.Until(n.lastMomentBegins())))
 	// Idle connections stay open until now: closing one may race with a request on it,
 	// whose caller could then not tell whether it was executed.
 	inactive := n.conns.closeIfInactive(time.Now())
 	for !inactive && n.waitStopPoll(ctx) {
 		inactive = n.conns.closeIfInactive(time.Now())
 	}
-	n.ending.interrupt(n.conns.logInterrupted(time.Now(), cutByGrace), !inactive)
+	switch {
+	case ctx.Err() != nil:
+		n.answerRunning(time.Now().Add(maxFailedTime), endedByFailure)
+	case !inactive:
+		n.answerRunning(n.plannedStop().End.Add(answers), cutByGrace)
+	}
+}
+
+// closeListener closes the listener of callers once it has taken what waits there.
+func (n *Node) closeListener(ctx context.Context) {
+	if err := n.callers.CloseDrained(ctx); err != nil {
+		klog.ErrorS(err, "listener_not_closed")
+	}
 }
 
 // awaitInactive waits until no request has been running for stopPollInterval, or the stop is over.
@@ -99,7 +113,7 @@
 // logDrainTime returns how long the last log lines may wait for their reader.
 func (n *Node) logDrainTime(now time.Time) time.Duration {
 	stop := n.stopping.Load()
-	if stop == nil {
+	if stop == nil || n.ending.failed() {
 		return maxLogDrainTime
 	}
 	return min(maxLogDrainTime, minLogDrainTime+max(0, stop.End.Sub(now)))
@@ -113,5 +127,14 @@
 
 // waitStopPoll waits for stopPollInterval, and reports false when the stop is over.
 func (n *Node) waitStopPoll(ctx context.Context) bool {
-	return time.Now().Before(n.plannedStop().End) && kernel.Sleep(ctx, stopPollInterval)
+	return time.Now().Before(n.lastMomentBegins()) && kernel.Sleep(ctx, stopPollInterval)
+}
+
+// lastMomentBegins returns when the requests that are still running are to be answered. That is after the end for which
+// requests are accepted if fewer are running than at the signal.
+func (n *Node) lastMomentBegins() time.Time {
+	stop := n.plannedStop()
+	_, requests := n.conns.counts()
+	needed := answerTime(requests+n.gateway.Forwards(), n.settings.Processor, stop.End.Add(n.last.answers).Sub(stop.Begun))
+	return stop.End.Add(max(0, n.last.answers-needed))
 }
