DRAIN: what the store reports as new after its first answer is no lapse

A feed's first answer after any failed read of this node counted as the return of the store from an outage, and from then on, for 2.2 s, each endpoint whose entry was removed was kept, also if the removal was new; each of the two feeds began that time again.

Only the first response of the endpoints' feed after calls that weren't answered (all its pages), or the first list of a restored store, can report lapses: entries lapse while the store is away. Removals that come after it were made while the store answered, and hold at once. That first response is asked for without a wait; before, the call waited for changes and came back with the first removal that was new. The operators' feed starts no grace; its failures count only if the endpoints' own feed got no answer for longer than it can while the store answers. An entry that can't be read isn't kept: its row is there.

What is left is a removal that the first response itself reports: lapsed in an outage, or removed while this node was cut off. It is kept for at most 2.2 s and at most 2.8 s from the last moment at which the store is known not to have answered, so that a node that was cut off is right once it is held to be in touch (3 s). For that calls that aren't answered begin at most 0.7 s apart, or 0.1 s after the last one.

Ruled out: a shorter grace from the first answer (endpoints may take 2 s), row_version as a sign of others' writes (above).

TestEntriesThatLapsedInAnOutage... gave the cache its grace by StoreReturned; it now gives the same time with each change, its demands are the same; TestRestoredCopyUndoesNothing... no longer calls StoreReturned, which had no part in it.

--- /dev/null
+++ b/directory/absence.go
@@ -0,0 +1,52 @@
+package directory
+
+import (
+	"sync"
+	"time"
+)
+
+// answeredWithin is the time within which a store that is reached answers a call without a wait, or opens a connection,
+// packets that are sent again included.
+const answeredWithin = 500 * time.Millisecond
+
+// absence records the calls of both feeds that the store didn't answer. It can't tell a store that is away from one
+// from which this node is cut off.
+type absence struct {
+	mu    sync.Mutex
+	begun time.Time // when the last of these calls began
+	until time.Time // when the store was last known not to answer
+}
+
+// note records a call that wasn't answered and ended at now. It may have waited for changes or have been made
+// twice, so only its last part shows that nobody answered.
+func (a *absence) note(begun, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if begun.After(a.begun) {
+		a.begun = begun
+	}
+	if until := laterTime(begun, now.Add(-answeredWithin)); until.After(a.until) {
+		a.until = until
+	}
+}
+
+// since reports whether a call that began after a time wasn't answered, and when the store was last known not to answer.
+func (a *absence) since(answered time.Time) (until time.Time, away bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.until, a.begun.After(answered)
+}
+
+func laterTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlierTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/directory/cache.go
+++ b/directory/cache.go
@@ -15,6 +15,11 @@
 // gone: endpoints need some time to rewrite their entries.
 const LapseGrace = 2200 * time.Millisecond
 
+// cutGrace bounds LapseGrace, from the last moment at which the store is known not to have answered this node. It may
+// have been cut off from a store that answered others, and an entry that is missing then was removed. It is below the
+// time after which users ask of a node that was cut off that it knows what was removed meanwhile.
+const cutGrace = 2800 * time.Millisecond
+
 // Cache holds the state that was read from the store and publishes it as immutable views.
 // It is safe for concurrent use.
 type Cache struct {
@@ -27,8 +32,6 @@
 	restored  restored
 	// rejections logs configurations that didn't come into force.
 	rejections rejections
-	// graceUntil is the time from which missing entries again count as gone at once.
-	graceUntil time.Time
 	read       atomic.Pointer[fleet.Position]
 	// confirmed is when the store last answered with the operators' table, in Unix nanoseconds; 0 if never.
 	confirmed  atomic.Int64
@@ -48,14 +51,6 @@
 // View returns the latest view.
 func (c *Cache) View() *View { return c.view.Load() }
 
-// StoreReturned starts the grace for missing entries. It is called when the store responds
-// again after an outage or was restored from an older copy.
-func (c *Cache) StoreReturned(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.graceUntil = now.Add(LapseGrace)
-}
-
 // NoteRead records the position of the store up to which the endpoints' entries were read.
 func (c *Cache) NoteRead(at fleet.Position) {
 	c.mu.Lock()
@@ -89,13 +84,16 @@
 // Read returns the position of the store up to which the endpoints' entries have been read.
 func (c *Cache) Read() fleet.Position { return *c.read.Load() }
 
-// Change is one change read from the store. Exactly one field other than Restored is set.
+// Change is one change read from the store. Exactly one field other than Restored and LapsedUntil is set.
 type Change struct {
 	Config   *fleet.Configuration
 	Endpoint *fleet.Endpoint
 	Gone     string // id of an endpoint whose entry is missing
 	ZoneOut  string
 	ZoneIn   string
+	// LapsedUntil is the time until which an endpoint whose entry is missing is kept, as the entry may have lapsed
+	// while the store was away. It is zero if the entry was removed.
+	LapsedUntil time.Time
 	// Restored is set if the store was restored from an older copy, so that the change may
 	// be older than the known state.
 	Restored bool
@@ -135,7 +133,7 @@
 		}
 		c.put(change.Endpoint)
 	case change.Gone != "":
-		c.remove(now, change.Gone)
+		c.remove(now, change.Gone, change.LapsedUntil)
 	case change.ZoneOut != "":
 		c.zonesOut[change.ZoneOut] = true
 		delete(c.restored.zonesIn, change.ZoneOut)
@@ -170,11 +168,11 @@
 	c.restored.forget(e.ID)
 }
 
-// remove drops an endpoint, or keeps it until the grace after a store outage ends.
-func (c *Cache) remove(now time.Time, id string) {
-	if now.Before(c.graceUntil) {
+// remove drops an endpoint, or keeps it if its entry may have lapsed.
+func (c *Cache) remove(now time.Time, id string, lapsedUntil time.Time) {
+	if now.Before(lapsedUntil) {
 		if _, known := c.lapsed[id]; !known {
-			c.lapsed[id] = c.graceUntil
+			c.lapsed[id] = lapsedUntil
 		}
 		return
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -72,8 +72,8 @@
 func TestEntriesThatLapsedInAnOutageMayComeBack(t *testing.T) {
 	cache := directory.NewCache()
 	cache.Apply(start, directory.Change{Endpoint: endpoint("back")}, directory.Change{Endpoint: endpoint("gone")})
-	cache.StoreReturned(start)
-	cache.Apply(start, directory.Change{Gone: "back"}, directory.Change{Gone: "gone"})
+	until := start.Add(directory.LapseGrace)
+	cache.Apply(start, directory.Change{Gone: "back", LapsedUntil: until}, directory.Change{Gone: "gone", LapsedUntil: until})
 	require.Len(t, cache.View().Endpoints, 2)
 	cache.Apply(start.Add(time.Second), directory.Change{Endpoint: endpoint("back")})
 	cache.Expire(start.Add(directory.LapseGrace))
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -69,7 +69,6 @@
 		cache := directory.NewCache()
 		cache.Apply(start, directory.Change{Endpoint: leaving}, directory.Change{Endpoint: gone}, directory.Change{ZoneOut: "a"})
 		cache.Apply(start.Add(time.Second), directory.Change{Gone: "gone"})
-		cache.StoreReturned(back)
 		cache.Apply(back, restored(directory.Change{Endpoint: ready}, directory.Change{Endpoint: gone}, directory.Change{ZoneIn: "a"})...)
 		require.Equal(t, fleet.EndpointDraining, cache.View().Endpoints["leaving"].State)
 		require.NotContains(t, cache.View().Endpoints, "gone")
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -26,6 +26,9 @@
 	// endpointsInterval is the time between reads of the endpoints' table, which changes
 	// all the time. It is shorter than the notice that endpoints give before they leave.
 	endpointsInterval = 800 * time.Millisecond
+	// longestGap is above the time between two responses with the endpoints' table while each call is answered. If it is
+	// longer, a call may have waited for a store that was away.
+	longestGap = endpointsInterval + feedWait + 200*time.Millisecond
 	// urgentEndpointsInterval is the interval while this node forms groups.
 	urgentEndpointsInterval = 250 * time.Millisecond
 	// relayedInterval is the time between reads relayed by another node, which put no load
@@ -33,9 +36,12 @@
 	relayedInterval = 150 * time.Millisecond
 	// knownWait bounds the wait for the list of nodes, which can't be read while the
 	// store is unavailable.
-	knownWait      = 2 * time.Second
-	minPause       = 100 * time.Millisecond
-	maxPause       = time.Second
+	knownWait = 2 * time.Second
+	minPause  = 100 * time.Millisecond
+	maxPause  = time.Second
+	// retryWithin is the longest time between the beginnings of two calls to a store that doesn't
+	// answer, if the first one ends within it: a late notice of its return leaves lapsed entries less of cutGrace.
+	retryWithin    = 700 * time.Millisecond
 	expireInterval = 200 * time.Millisecond
 )
 
@@ -50,6 +56,8 @@
 	known <-chan struct{}
 	// rejections logs rows of the operators' table that can't be used.
 	rejections rejections
+	// absence records the calls that weren't answered.
+	absence *absence
 	// decodeEntry decodes a row of the endpoints' table.
 	decodeEntry func(row fleet.Row, now time.Time) (Change, bool)
 }
@@ -59,7 +67,7 @@
 	if urgent == nil {
 		urgent = func() bool { return false }
 	}
-	return &Follower{store: store, cache: cache, urgent: urgent, decodeEntry: decodeEndpoint}
+	return &Follower{store: store, cache: cache, urgent: urgent, absence: &absence{}, decodeEntry: decodeEndpoint}
 }
 
 // WithKnown returns a follower that waits up to knownWait before its first read until
@@ -120,6 +128,11 @@
 	at fleet.Position
 	// restoredUntil is the time until which a list may be older than the known state.
 	restoredUntil time.Time
+	// answeredAt is when the store last answered, and more says that it had more changes then.
+	answeredAt time.Time
+	more       bool
+	// lapsedUntil is the time until which endpoints are kept whose entries a response reports as missing.
+	lapsedUntil time.Time
 
 	listed  bool
 	failing bool // the last call failed
@@ -138,7 +151,7 @@
 		wait := feed.interval() - time.Since(started)
 		switch {
 		case err != nil:
-			wait = f.failed(feed, time.Since(started), err)
+			wait = f.failed(feed, started, time.Now(), err)
 		case rows.Relayed:
 			wait = relayedInterval - time.Since(started)
 		case rows.More:
@@ -154,19 +167,22 @@
 	return nil
 }
 
-// failed records a failed call, which took some time, and returns how long to wait before the next one.
-func (f *Follower) failed(feed *feed, took time.Duration, err error) time.Duration {
+// failed records a failed call and returns how long to wait before the next one.
+func (f *Follower) failed(feed *feed, started, now time.Time, err error) time.Duration {
 	if redwinghall.KindOf[fleet.StoreKind](err) == fleet.StoreHistoryGone {
 		klog.InfoS("store_history_gone", "table", feed.table, "era", feed.at.Era, "after", feed.at.Version)
 		feed.listed = false
 		return minPause // a store that keeps dropping its history must not be called without a pause
 	}
+	took := now.Sub(started)
+	f.absence.note(started, now)
 	if !feed.failing {
 		klog.InfoS("store_lost", "table", feed.table, "era", feed.at.Era, "version", feed.at.Version, "took", took, "err", err)
 	}
 	feed.failing = true
 	feed.pause = min(max(2*feed.pause, minPause), maxPause)
-	return feed.pause/2 + rand.N(feed.pause/2+1)
+	wait := feed.pause/2 + rand.N(feed.pause/2+1)
+	return min(wait, max(minPause, retryWithin-took))
 }
 
 // step reads a table once and applies the changes.
@@ -176,9 +192,9 @@
 		return rows, err
 	}
 	now := time.Now()
-	if feed.recordResponse(now, rows.At) {
-		f.cache.StoreReturned(now)
-	}
+	until, unanswered := f.absence.since(feed.answeredAt)
+	wasAway := feed.failing || (unanswered && now.Sub(feed.answeredAt) > longestGap)
+	feed.recordResponse(now, rows, wasAway, until)
 	f.cache.Apply(now, feed.changes(now, rows)...)
 	feed.at, feed.listed = feed.at.Later(rows.At), true
 	switch feed.table {
@@ -190,20 +206,27 @@
 	return rows, nil
 }
 
-// recordResponse records a response of the store. It reports whether the store was unavailable
-// before, or has been restored from an older copy.
-func (f *feed) recordResponse(now time.Time, at fleet.Position) bool {
-	wasRestored := !f.at.IsZero() && at.Era > f.at.Era
-	if wasRestored {
-		klog.InfoS("store_era", "table", f.table, "era", at.Era, "before", f.at.Era, "version", at.Version, "version_before", f.at.Version)
+// recordResponse records a response of the store. wasAway says that the store may have been away since the last
+// one, until awayUntil at least.
+//
+// Entries lapse while the store is away, so only the first response after that reports lapses, or the first list of a
+// store that was restored from an older copy. What is reported after it was removed while the store answered.
+func (f *feed) recordResponse(now time.Time, rows fleet.Rows, wasAway bool, awayUntil time.Time) {
+	switch {
+	case !f.at.IsZero() && rows.At.Era > f.at.Era:
+		klog.InfoS("store_era", "table", f.table, "era", rows.At.Era, "before", f.at.Era, "version", rows.At.Version, "version_before", f.at.Version)
 		f.restoredUntil = now.Add(RestoredGrace)
+		f.lapsedUntil = now.Add(LapseGrace)
+	case wasAway:
+		f.lapsedUntil = earlierTime(now.Add(LapseGrace), awayUntil.Add(cutGrace))
+	case !f.more:
+		f.lapsedUntil = time.Time{}
 	}
-	wasFailing := f.failing
-	if wasFailing {
-		klog.InfoS("store_regained", "table", f.table, "version", at.Version)
+	if f.failing {
+		klog.InfoS("store_regained", "table", f.table, "version", rows.At.Version)
 		f.failing, f.pause = false, 0
 	}
-	return wasRestored || wasFailing
+	f.answeredAt, f.more = now, rows.More
 }
 
 // changes returns the changes in a response. A list also yields changes for what it lacks,
@@ -213,9 +236,15 @@
 	if !f.listed {
 		klog.InfoS("store_listed", "table", f.table, "era", rows.At.Era, "version", rows.At.Version, "rows", len(rows.Rows))
 		changes = f.missing(rows.Rows)
+		for i := range changes {
+			changes[i].LapsedUntil = f.lapsedUntil
+		}
 	}
 	for _, row := range rows.Rows {
 		if change, ok := f.decodeRow(row, now); ok {
+			if row.Removed {
+				change.LapsedUntil = f.lapsedUntil
+			}
 			changes = append(changes, change)
 		}
 	}
@@ -251,13 +280,22 @@
 		}
 		return rows, err
 	}
-	rows, err := f.store.Changes(ctx, feed.table, feed.at, feedWait)
+	rows, err := f.store.Changes(ctx, feed.table, feed.at, feed.wait())
 	if err == nil && rows.At.Era != feed.at.Era {
 		return fleet.Rows{}, redwinghall.NewOpError("Follower.read", fleet.StoreHistoryGone, errOtherEra)
 	}
 	return rows, err
 }
 
+// wait returns how long the store may wait for changes. The first response after calls that weren't answered comes at
+// once: what it doesn't report was changed after the store's return.
+func (f *feed) wait() time.Duration {
+	if f.failing {
+		return 0
+	}
+	return feedWait
+}
+
 var (
 	errEarlierEra = errors.New("list is of an earlier era of the store")
 	errOlderList  = errors.New("list is older than what was read before")
