A compressed list is kept by its position, not by its version alone

neighbor.rowCompressor kept the last list of each table by its version. After the store was restored from an older copy versions are given again: once the new era came to the version of the list that was kept, other nodes of the zone got the rows from before the return with the position of the new era, and would never read what differed. Endpoints that left came back, and changes lost.

TestCompressedListIsOfItsEra failed before, with the rows of the earlier era in the later one.

--- a/neighbor/compress.go
+++ b/neighbor/compress.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"redwinghall/fleet"
 	"redwinghall/neighbor/rpc"
 )
 
@@ -24,8 +25,8 @@
 }
 
 type compressedRows struct {
-	version int64
-	bytes   []byte
+	at    fleet.Position
+	bytes []byte
 }
 
 // compress replaces the rows of a response by their compressed form, if there are at least
@@ -36,13 +37,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	at := fleet.Position{Era: response.GetEra(), Version: response.GetVersion()}
 	last, ok := c.last[table]
-	if !ok || last.version != response.GetVersion() {
+	if !ok || last.at != at {
 		packed, err := deflateRows(response.GetRows())
 		if err != nil {
 			return err
 		}
-		last = compressedRows{version: response.GetVersion(), bytes: packed}
+		last = compressedRows{at: at, bytes: packed}
 		c.last[table] = last
 	}
 	response.Rows, response.Packed = nil, last.bytes
--- a/neighbor/neighbor_test.go
+++ b/neighbor/neighbor_test.go
@@ -113,6 +113,27 @@
 	require.Equal(t, int64(901), list.Rows.At.Version)
 }
 
+// Guards against a list from before the store was restored, with the position of the restored store: a version that both
+// eras have is another list in each.
+func TestCompressedListIsOfItsEra(t *testing.T) {
+	o, client, address := serve(t)
+	rowsOf := func(value string) []fleet.Row {
+		var rows []fleet.Row
+		for i := range 60 {
+			rows = append(rows, fleet.Row{Table: "t", Key: fmt.Sprint("i-", 1000+i), Value: []byte(value), Version: int64(i + 1)})
+		}
+		return rows
+	}
+	for era, value := range []string{"before", "after"} {
+		rows := rowsOf(value)
+		o.mirror.ApplyList(time.Now(), fleet.Rows{At: fleet.Position{Era: int64(era + 1), Version: 60}, Rows: rows})
+		list, err := client.List(context.Background(), address, "t")
+		require.NoError(t, err)
+		require.Equal(t, rows, list.Rows.Rows, value)
+		require.Equal(t, int64(era+1), list.Rows.At.Era)
+	}
+}
+
 func TestCommit(t *testing.T) {
 	o, client, address := serve(t)
 	txn := fleet.Txn{
