Members: nodes that couldn't write their rows aren't dead as the store returns

A node counts as dead once its row hasn't changed for 13 s. Rows are written each 5 s, and nobody writes while the store is away: after 9 s or more of that, the first read took all other nodes for dead until they had written again, up to 3 s later. Each node then used the limits of all of them for itself and read the store for itself, at the moment of its return.

After a time without a read (over two intervals) the nodes that were alive at the last one now count for 5 s, scaled by the number of nodes as the other times are: a read interval, the spread of their announcements and a busy node's delay.

TestNodesThatCouldNotWriteStillCount failed before at 9, 12 and 14 s (4 and 40 s held, the latter by the phase of the play); TestNodeThatDiesWhileTheStoreIsAwayIsForgotten guards the other side and held before.

--- a/members/members.go
+++ b/members/members.go
@@ -43,7 +43,8 @@
 	// time between two announcements of any nodes.
 	announcePerNode = 200 * time.Millisecond
 	// restoreGrace is how long nodes that are missing since the store was restored from an
-	// older copy have to write their rows again: a read interval, and the delay of a busy node.
+	// older copy, or couldn't write while it was away, have to write their rows again: a read
+	// interval, and the delay of a busy node.
 	restoreGrace = 5 * time.Second
 	// firstStartDelay is how long a node waits at the first start of a deployment between writing
 	// its row and reading the table, so that the other nodes can write theirs.
@@ -229,6 +230,7 @@
 	}
 	boot := t.config.Now()
 	t.noteEra(boot, rows.At)
+	t.excuseUnread(boot)
 	t.listedAt = boot
 	if t.unannounced && t.announceAgainAt.IsZero() {
 		t.announceAgainAt = boot.Add(rand.N(t.scaledByNodes(announceSpread)))
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -337,3 +337,47 @@
 	f.run(10 * time.Second)
 	require.Len(t, f.holders("a"), 1, "nodes with low capacity take the lease if no strong node is left")
 }
+
+// Guards against nodes that take all others for dead as the store returns, because nobody could write to it: each would
+// use the limits of all nodes, and read the store for itself.
+func TestNodesThatCouldNotWriteStillCount(t *testing.T) {
+	for _, away := range []time.Duration{4 * time.Second, 9 * time.Second, 12 * time.Second, 14 * time.Second, 40 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			zones := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+			f := newFleet(t, zones)
+			f.run(20 * time.Second)
+			f.setDown(true, "a1", "a2", "b1")
+			f.run(away)
+			f.setDown(false, "a1", "a2", "b1")
+			for end := f.now.Add(15 * time.Second); f.now.Before(end); {
+				f.run(100 * time.Millisecond)
+				for name := range zones {
+					require.Len(t, f.nodes[name].Nodes(), 3, "%s, %s before the end", name, end.Sub(f.now))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a node that counts on though it died while the store was away.
+func TestNodeThatDiesWhileTheStoreIsAwayIsForgotten(t *testing.T) {
+	f := newFleet(t, map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	f.run(20 * time.Second)
+	f.setDown(true, "a1", "a2", "b1")
+	f.run(2 * time.Second)
+	f.dead["a2"] = true
+	f.run(14 * time.Second)
+	f.setDown(false, "a1", "b1")
+	f.run(8 * time.Second)
+	require.Len(t, f.nodes["a1"].Nodes(), 2)
+	require.Len(t, f.nodes["b1"].Nodes(), 2)
+}
+
+// setDown cuts nodes off from the store, or ends that.
+func (f *testFleet) setDown(down bool, names ...string) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	for _, name := range names {
+		f.store.down[name] = down
+	}
+}
--- a/members/nodes.go
+++ b/members/nodes.go
@@ -85,6 +85,22 @@
 	t.nodes.Store(&nodes)
 }
 
+// excuseUnread lets nodes that were alive at the last read count for a while if this node then didn't read the table for
+// long. They couldn't write their rows if the store was away, and only their new rows tell that from their deaths.
+func (t *Table) excuseUnread(boot time.Time) {
+	if t.listedAt.IsZero() || boot.Sub(t.listedAt) <= 2*listInterval {
+		return
+	}
+	timeout := t.scaledByNodes(memberTimeout)
+	latest := boot.Add(t.scaledByNodes(restoreGrace) - timeout)
+	for key, s := range t.seen {
+		if t.listedAt.Sub(s.since) < timeout && s.since.Before(latest) {
+			s.since = latest
+			t.seen[key] = s
+		}
+	}
+}
+
 // unlistedNodes returns the live nodes whose rows are missing since the store was restored
 // from an older copy, and copies them to next. It returns none once restoreGrace is over.
 func (t *Table) unlistedNodes(boot time.Time, next map[string]seenNode) []Node {
