Zones with a reader: its return is noticed at once, and a new list repeats no lapse

- A list that is read after the first response named the lapsed entries as missing once more, without their time, and dropped sound endpoints 1 s after the store's return.
A list tells nothing new of an entry that was missing before (Cache.Known).
- While nobody reached the store, each failed read put one more node in backoff, the zone's reader too, for 3 s and more: nodes noticed up to 2 s after their reader that the store was back, and by their own calls.
The reader that was just asked is now no candidate of the fallback, and a node whose own call is the first to be answered doesn't skip its reader for 1 s.
A read that called no store (StoreUnreachable) is repeated after 150 ms: it costs a call between nodes, none to the store.
- What such a read shows of the store is as old as the reader's last call; it counts as 0.8 s old.

While entries are missing that may be written again, the endpoints' table is read each 0.25 s, as while groups are formed, so that an entry that is back at the end of its time is seen in time.

--- a/directory/absence.go
+++ b/directory/absence.go
@@ -9,6 +9,10 @@
 // packets that are sent again included.
 const answeredWithin = 500 * time.Millisecond
 
+// toldWithin is the time between two reads of a node that others read from while the store doesn't answer it. What it
+// says of the store is at most that old.
+const toldWithin = 800 * time.Millisecond
+
 // absence records the calls of both feeds that the store didn't answer. It can't tell a store that is away from one
 // from which this node is cut off.
 type absence struct {
@@ -17,17 +21,19 @@
 	until time.Time // when the store was last known not to answer
 }
 
-// note records a call that wasn't answered and ended at now. It may have waited for changes or have been made
-// twice, so only its last part shows that nobody answered.
-func (a *absence) note(begun, now time.Time) {
+// note records a read that failed at now. It may have waited for changes or have called the store twice, so only its
+// last part shows that nobody answered. If called isn't set, other nodes said that the store didn't answer them.
+func (a *absence) note(begun, now time.Time, called bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if begun.After(a.begun) {
 		a.begun = begun
 	}
-	if until := laterTime(begun, now.Add(-answeredWithin)); until.After(a.until) {
-		a.until = until
+	until := laterTime(begun, now.Add(-answeredWithin))
+	if !called {
+		until = now.Add(-toldWithin)
 	}
+	a.until = laterTime(a.until, until)
 }
 
 // since reports whether a call that began after a time wasn't answered, and when the store was last known not to answer.
--- a/directory/cache.go
+++ b/directory/cache.go
@@ -216,13 +216,22 @@
 	}
 }
 
-// Known returns the IDs of all endpoints and the zones taken out of service, for
-// comparison with a new list.
+// hasLapsed reports whether endpoints are kept whose entries are missing.
+func (c *Cache) hasLapsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.lapsed) > 0
+}
+
+// Known returns the IDs of all endpoints that have an entry and the zones taken out of service, for
+// comparison with a new list. A list tells nothing new of an entry that was missing before.
 func (c *Cache) Known() (ids, zonesOut []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id := range c.endpoints {
-		ids = append(ids, id)
+		if _, lapsed := c.lapsed[id]; !lapsed {
+			ids = append(ids, id)
+		}
 	}
 	for zone := range c.zonesOut {
 		zonesOut = append(zonesOut, zone)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -29,7 +29,8 @@
 	// longestGap is above the time between two responses with the endpoints' table while each call is answered. If it is
 	// longer, a call may have waited for a store that was away.
 	longestGap = endpointsInterval + feedWait + 200*time.Millisecond
-	// urgentEndpointsInterval is the interval while this node forms groups.
+	// urgentEndpointsInterval is the interval while this node forms groups, or keeps endpoints whose entries may be
+	// written again.
 	urgentEndpointsInterval = 250 * time.Millisecond
 	// relayedInterval is the time between reads relayed by another node, which put no load
 	// on the store.
@@ -110,7 +111,7 @@
 }
 
 func (f *Follower) endpointsInterval() time.Duration {
-	if f.urgent() {
+	if f.urgent() || f.cache.hasLapsed() {
 		return urgentEndpointsInterval
 	}
 	return endpointsInterval
@@ -175,12 +176,16 @@
 		return minPause // a store that keeps dropping its history must not be called without a pause
 	}
 	took := now.Sub(started)
-	f.absence.note(started, now)
+	called := redwinghall.KindOf[fleet.StoreKind](err) != fleet.StoreUnreachable
+	f.absence.note(started, now, called)
 	if !feed.failing {
 		klog.InfoS("store_lost", "table", feed.table, "era", feed.at.Era, "version", feed.at.Version, "took", took, "err", err)
 	}
 	feed.failing = true
 	feed.pause = min(max(2*feed.pause, minPause), maxPause)
+	if !called {
+		return relayedInterval // only other nodes were asked, and tell when the store has answered them
+	}
 	wait := feed.pause/2 + rand.N(feed.pause/2+1)
 	return min(wait, max(minPause, retryWithin-took))
 }
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -61,7 +61,8 @@
 const (
 	// StoreUnavailable: the call failed and had no effect.
 	StoreUnavailable StoreKind = "store_unavailable"
-	// StoreUnreachable: the node that was called can't reach the store itself.
+	// StoreUnreachable: the node that was called can't reach the store itself, or the store wasn't called as it
+	// recently didn't answer this node.
 	StoreUnreachable StoreKind = "store_away"
 	// StoreOutcomeUnknown: the transaction may have been applied, or may be applied later.
 	StoreOutcomeUnknown StoreKind = "store_unknown"
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -45,11 +45,11 @@
 }
 
 // fallbackPeer returns a node to call when this node cannot reach the store: one of
-// this zone if possible, else one of another zone.
-func (s *Source) fallbackPeer(now time.Time) (Peer, bool) {
+// this zone if possible, else one of another zone, and never the one that was asked already.
+func (s *Source) fallbackPeer(now time.Time, asked string) (Peer, bool) {
 	for _, peers := range [][]Peer{s.config.Peers(), s.config.RemotePeers()} {
 		for _, peer := range RankPeers(peers, Reader) {
-			if peer.Name != s.config.Self && !s.backoff.InBackoff(now, peer.Name) {
+			if peer.Name != s.config.Self && peer.Name != asked && !s.backoff.InBackoff(now, peer.Name) {
 				return peer, true
 			}
 		}
@@ -65,6 +65,17 @@
 	}
 }
 
+// recordReader is recordUnreachable for a reader whose rows this node has read from the store itself. When the store
+// has just returned, the reader is the one through which all nodes notice that.
+func (s *Source) recordReader(now time.Time, reader Peer, readerErr error) {
+	s.mu.Lock()
+	regaining := now.Sub(s.regainedAt) < regainTime
+	s.mu.Unlock()
+	if !regaining {
+		s.recordUnreachable(reader, readerErr)
+	}
+}
+
 // leaderFirst moves the leader of a zone to the front of peers, in place.
 func leaderFirst(peers []Peer, leader string) []Peer {
 	for i, peer := range peers {
--- a/relay/source.go
+++ b/relay/source.go
@@ -48,6 +48,9 @@
 	probeInterval = 1500 * time.Millisecond
 	probePerNode  = 100 * time.Millisecond
 	probeJitter   = 0.33 // fraction of the interval
+	// regainTime is how long after the store has answered this node again the zone's reader may
+	// take to notice that. Until then it isn't skipped for not reaching the store.
+	regainTime = time.Second
 	// backoffInitial is how long a reader that failed is not called; each further failure
 	// doubles the delay up to backoffMaximum.
 	backoffInitial = 3 * time.Second
@@ -99,6 +102,8 @@
 	lastAnswer atomic.Int64
 	// era is the newest era of the store that this node has seen.
 	era atomic.Int64
+	// regainedAt is when the store first answered this node again after it had not.
+	regainedAt time.Time
 	// probeAt is, by table, the earliest time of the next call after the store failed to answer.
 	probeAt map[string]time.Time
 }
@@ -147,9 +152,9 @@
 	rows, err := s.callStore(time.Now(), table, func() (fleet.Rows, error) { return s.config.Store.List(ctx, table) })
 	if err != nil {
 		s.Mirror(table).SetStoreUnreachable()
-		return s.readFromFallback(table, maxAge, err, list)
+		return s.readFromFallback(peer, table, maxAge, err, list)
 	}
-	s.recordUnreachable(peer, readerErr)
+	s.recordReader(time.Now(), peer, readerErr)
 	if err := s.checkNotOlder(table, rows.At); err != nil {
 		return fleet.Rows{}, err
 	}
@@ -182,13 +187,16 @@
 // calling the store, and the calls of all nodes would overload it when it recovers.
 func (s *Source) callStore(now time.Time, table string, read func() (fleet.Rows, error)) (fleet.Rows, error) {
 	if !s.mayCallStore(now, table) {
-		return fleet.Rows{}, redwinghall.NewOpError("Source.callStore", fleet.StoreUnavailable, errStoreBackoff)
+		return fleet.Rows{}, redwinghall.NewOpError("Source.callStore", fleet.StoreUnreachable, errStoreBackoff)
 	}
 	rows, err := read()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch redwinghall.KindOf[fleet.StoreKind](err) {
 	case "", fleet.StoreHistoryGone:
+		if _, failed := s.probeAt[table]; failed {
+			s.regainedAt = time.Now()
+		}
 		delete(s.probeAt, table)
 		s.recordAnswer()
 		s.recordEra(rows.At)
@@ -254,9 +262,9 @@
 	}
 	if err != nil {
 		s.Mirror(table).SetStoreUnreachable()
-		return s.readFromFallback(table, staleAfter, err, changes)
+		return s.readFromFallback(peer, table, staleAfter, err, changes)
 	}
-	s.recordUnreachable(peer, readerErr)
+	s.recordReader(time.Now(), peer, readerErr)
 	return s.Mirror(table).ApplyChanges(time.Now(), after, rows), nil
 }
 
@@ -284,7 +292,7 @@
 	default:
 		return at, err
 	}
-	peer, ok := s.fallbackPeer(time.Now())
+	peer, ok := s.fallbackPeer(time.Now(), "")
 	if !ok {
 		return at, err
 	}
@@ -326,8 +334,10 @@
 // The store may refuse some nodes, or a network failure may cut them off, while other
 // nodes still reach it. Without the fallback they would send requests to endpoints that
 // left and to groups that closed, until the store answers them again.
-func (s *Source) readFromFallback(table string, maxAge time.Duration, cause error, read func(Peer) (Answer, error)) (fleet.Rows, error) {
-	peer, ok := s.fallbackPeer(time.Now())
+//
+// The reader has just been asked and is asked again at the next read, so that its return is noticed at once.
+func (s *Source) readFromFallback(reader Peer, table string, maxAge time.Duration, cause error, read func(Peer) (Answer, error)) (fleet.Rows, error) {
+	peer, ok := s.fallbackPeer(time.Now(), reader.Name)
 	if !ok {
 		return fleet.Rows{}, cause
 	}
