Answers that end with their connection: whole only if the same process answers after the end

Cause: an answer with neither a length nor chunks ends with its connection, and the connections of a process that ends are closed like those after a whole answer. unframedBody.Read asked once, over this node's own connection, within 150 ms, and passed the answer on as whole unless it learned that the process was gone. Behind a cut that lets nothing to the endpoint there is no answer; a process that has started again at the address is slow for some seconds and names its later start too late.

Now an answer is whole only if the process of the entry (same id, same born) answers a question that was asked after the end. "Somebody answered and names no start", or an entry without one, is a finding of its own (PresenceAnswered) and no proof: users' pages say that a process names its start in all that it says of itself, and another process under the id can't be told apart otherwise. A newer entry under the id shows the end without a question.

While it isn't known, the question is asked again, longer each time, and by way of other nodes, whose answer counts for the same start only. How long: what may run again (a look-up, a resumable stream, with an attempt and an endpoint left) 1.3 s or 0.4 of the time left, as with a silent endpoint; everything else 0.9 of the time left, as no better answer can come. Then a look-up runs again, a resumable stream goes on elsewhere after its last event, a booking gets 502, and what has begun (a stream that can't be resumed, an answer too large to be read whole, an answer that is passed on for another node) is aborted. Rejections and answers to HEAD need no proof.

TestUnframedResponseOfAnUnknownEndIsNoProof stated the old belief (passed on if unknown). Its row for "unknown" asks for an abort now, and "answered" is a second row: half an answer that looks complete is what the users' rule MIXED forbids.

Weighed and not done: a refused connection still counts as gone, so the whole answer of a process that leaves and has stopped listening is cut as before; answers to other requests and store entries aren't taken as proof that a process lives, as they may have been sent before the end; the questions of several ends at one process aren't joined.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -196,7 +196,10 @@
 func (g *Gateway) exchangeForwarded(ctx context.Context, w http.ResponseWriter, r *Request, f neighbor.Forward, e *fleet.Endpoint) {
 	attempt := g.Tracker.ForwardedAttempt(time.Now(), e)
 	defer attempt.EndForwarded()
-	response, err := g.sendDirect(ctx, r, e, f.LastEvent, f.LastEvent != "")
+	response, err := g.sendDirect(ctx, r, e, f.LastEvent, sendMode{
+		fresh:       f.LastEvent != "",
+		mayRunAgain: func() bool { return r.Idempotent() && r.Route.MaxAttempts > 1 }, // the other node counts the attempts
+	})
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		g.recordUnreached(time.Now(), e)
 		notForwarded(w, r.Header, f, neighbor.Unreached, "not_connected")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,8 +52,9 @@
 	// Control makes an order, a report or a health check for another node, over this node's
 	// own connection. The kind of an error is one of platform.Kind.
 	Control func(ctx context.Context, e *fleet.Endpoint, method, path string, body []byte, timeout time.Duration) (platform.ControlResponse, error)
-	// Presence finds out whether an endpoint's process still runs; nil if nobody can tell.
-	Presence func(ctx context.Context, e *fleet.Endpoint) fleet.Presence
+	// Presence finds out within timeout whether an endpoint's process still runs, over this node's own connection; nil
+	// if nobody can tell. PresenceElsewhere does so by way of another node; nil if there is none.
+	Presence, PresenceElsewhere func(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence
 	// Background runs fn beside the requests, until the node stops; nil if nothing can.
 	Background func(name string, fn func(ctx context.Context))
 	// Quarantine holds the parts of prompts under which endpoints ended.
@@ -104,6 +105,8 @@
 	forwards  atomic.Int64 // requests of other nodes in progress
 	controls  atomic.Int64 // control calls of other nodes in progress
 	held      atomic.Int64 // requests that wait for the outcome of a trial
+	// askedElsewhere is how many questions after processes are in progress by way of other nodes.
+	askedElsewhere atomic.Int64
 	// othersAskedAt is when endpoints were last asked whether they answer, in Unix nanoseconds.
 	othersAskedAt atomic.Int64
 	unproven      unprovenAttempts
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
+	"redwinghall/platform"
 	"redwinghall/platform/platformtest"
 	"redwinghall/quarantine"
 )
@@ -47,7 +48,11 @@
 	// gone holds the ids of endpoints whose processes have ended.
 	gone sync.Map
 	// presences holds what is found of other endpoints than sound ones.
-	presences  sync.Map
+	presences sync.Map
+	// client asks the endpoints themselves; nil for presences. It must be set before requests are sent.
+	client *platform.EndpointClient
+	// other is another node's client; nil if no other node reaches the endpoints. It must be set before requests are sent.
+	other      *platform.EndpointClient
 	quarantine *quarantine.Table
 }
 
@@ -109,6 +114,7 @@
 			route("book2", "/book2/", "desk", fleet.Unsafe, 2),
 			route("look", "/look/", "desk", fleet.Safe, 2),
 			route("feed", "/feed/", "desk", fleet.Streaming, 2),
+			unresumable(route("once", "/once/", "desk", fleet.Streaming, 2)),
 		},
 		Services: map[string]fleet.Service{
 			"llm":  {Name: "llm", Engine: engine(), MaxConnections: 100},
@@ -119,6 +125,11 @@
 	}
 }
 
+func unresumable(route fleet.Route) fleet.Route {
+	route.Resumable = false
+	return route
+}
+
 func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	s := newUnconfiguredFixture(t)
@@ -137,7 +148,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, ReportStall: func(string) {},
-		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, Quarantine: s.quarantine,
+		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, PresenceElsewhere: s.presenceElsewhere, Quarantine: s.quarantine,
 		Background: background.Task,
 	})
 	s.gateway, s.server = g, httptest.NewServer(g)
@@ -146,7 +157,10 @@
 	return s
 }
 
-func (s *fixture) presence(_ context.Context, e *fleet.Endpoint) fleet.Presence {
+func (s *fixture) presence(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
+	if s.client != nil {
+		return s.client.Presence(ctx, e, timeout)
+	}
 	if _, gone := s.gone.Load(e.ID); gone {
 		return fleet.PresenceGone
 	}
@@ -156,6 +170,13 @@
 	return fleet.PresenceAlive
 }
 
+func (s *fixture) presenceElsewhere(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
+	if s.other == nil {
+		return fleet.PresenceUnknown
+	}
+	return s.other.Presence(ctx, e, timeout)
+}
+
 // endpoint adds a fake endpoint of a service.
 func (s *fixture) endpoint(id, service string, handler http.HandlerFunc) *httptest.Server {
 	s.t.Helper()
--- a/gateway/others.go
+++ b/gateway/others.go
@@ -40,7 +40,7 @@
 			return
 		}
 		g.Background("ask_endpoint", func(ctx context.Context) {
-			if g.Presence(ctx, e) == fleet.PresenceAlive {
+			if found := g.Presence(ctx, e, firstQuestion); found == fleet.PresenceAlive || found == fleet.PresenceAnswered {
 				g.Paths.Responded(time.Now(), e.Service, e.ID)
 			}
 		})
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -32,6 +32,8 @@
 	// insist reports whether the request goes to this endpoint through other nodes if this
 	// node doesn't reach it. Otherwise another endpoint is tried first.
 	insist func() bool
+	// mayRunAgain reports whether the request may be sent to another endpoint if this attempt fails.
+	mayRunAgain func() bool
 }
 
 // send sends the request of one attempt to an endpoint, over this node's own connection or
@@ -49,7 +51,7 @@
 			return nil, err
 		}
 	}
-	response, err := g.sendDirect(ctx, r, to, lastEvent, mode.fresh || asked)
+	response, err := g.sendDirect(ctx, r, to, lastEvent, sendMode{fresh: mode.fresh || asked, mayRunAgain: mode.mayRunAgain})
 	if redwinghall.KindOf[Kind](err) != NotSent || ctx.Err() != nil {
 		return response, err
 	}
@@ -67,11 +69,11 @@
 }
 
 // sendDirect sends the request over this node's own connection.
-func (g *Gateway) sendDirect(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, fresh bool) (*Response, error) {
+func (g *Gateway) sendDirect(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, mode sendMode) (*Response, error) {
 	now := time.Now()
 	doubtful := g.Paths.SeemsParted(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.Service, to.ID))
 	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), SendOptions{
-		Fresh:       fresh || doubtful,
+		Fresh:       mode.fresh || doubtful,
 		Keep:        g.keptConnections(r.Service),
 		OnConnected: func() { g.recordConnected(time.Now(), to) },
 	})
@@ -79,7 +81,7 @@
 		g.Paths.Failed(time.Now(), to.Service, to.ID)
 	}
 	if err == nil {
-		g.checkUnframed(ctx, r, to, response, lastEvent)
+		g.checkUnframed(ctx, r, to, response, lastEvent, mode.mayRunAgain)
 	}
 	return response, err
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -246,9 +246,19 @@
 	return sendMode{
 		fresh:  fresh,
 		insist: func() bool { return c.dialsFailed() > 0 || !c.g.hasAlternative(time.Now(), c.r, c.triedEndpoints()) },
+
+		mayRunAgain: func() bool { return c.mayRunAgain(time.Now()) },
 	}
 }
 
+// mayRunAgain reports whether the call may be sent to another endpoint: not once its caller gets a part of an answer.
+func (c *plainCall) mayRunAgain(now time.Time) bool {
+	c.mu.Lock()
+	answered := c.answered
+	c.mu.Unlock()
+	return !answered && c.r.Idempotent() && c.sentAttempts() < c.r.Route.MaxAttempts && c.g.hasAlternative(now, c.r, c.triedEndpoints())
+}
+
 // readResponse reads a response, or the first part of a large one.
 func (c *plainCall) readResponse(e *fleet.Endpoint, response *Response) plainAttempt {
 	last := plainAttempt{endpoint: e, response: response, notRun: response.Info.NotRun}
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -2,8 +2,23 @@
 
 import (
 	"context"
+	"time"
 
 	"redwinghall/fleet"
+	"redwinghall/kernel"
+)
+
+const (
+	// firstQuestion is how long an endpoint has for the first question after its process: a few round trips between
+	// zones. A process that has just started is slow, and a question on a path that breaks gets no answer, so each
+	// further one may take twice as long, up to maxQuestion.
+	firstQuestion = 150 * time.Millisecond
+	maxQuestion   = 2 * time.Second
+	// questionPause is the time between two questions that were answered at once, by nothing that tells.
+	questionPause = 100 * time.Millisecond
+	// maxAskedElsewhere bounds how many questions this node asks by way of other nodes at a time: those bound them too,
+	// and pass over a node that asks for more.
+	maxAskedElsewhere = 16
 )
 
 // latestEntry returns the entry of the process that runs at an endpoint by now. The endpoint may have started again
@@ -16,12 +31,83 @@
 	return e
 }
 
-// presence finds out whether an endpoint's process still runs after its response broke off.
+// presence finds out with one question whether an endpoint's process still runs after its response broke off.
 func (g *Gateway) presence(ctx context.Context, e *fleet.Endpoint) fleet.Presence {
+	found := g.askOnce(ctx, e, firstQuestion)
+	g.Metrics.BrokenOff(found)
+	return found
+}
+
+func (g *Gateway) askOnce(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
 	if g.Presence == nil {
 		return fleet.PresenceUnknown
 	}
-	found := g.Presence(ctx, e)
-	g.Metrics.BrokenOff(found)
+	return g.Presence(ctx, e, timeout)
+}
+
+// awaitPresence asks until it is known whether an endpoint's process still runs, for limit at most.
+//
+// The first question goes over this node's own connection alone, as most processes answer it. This node may be cut off
+// from the endpoint, so the next ones go by way of other nodes too.
+func (g *Gateway) awaitPresence(ctx context.Context, e *fleet.Endpoint, limit time.Duration) fleet.Presence {
+	begun := time.Now()
+	if g.Presence == nil || limit <= 0 {
+		return fleet.PresenceUnknown
+	}
+	if g.hasSuccessor(e) {
+		return fleet.PresenceGone
+	}
+	found := g.askOnce(ctx, e, min(firstQuestion, limit))
+	if left := limit - kernel.RunTime(begun, time.Now()); !found.IsKnown() && left > 0 {
+		found = g.askAllWays(ctx, e, left)
+	}
 	return found
 }
+
+// askAllWays asks over this node's own connection and by way of other nodes at the same time.
+func (g *Gateway) askAllWays(ctx context.Context, e *fleet.Endpoint, limit time.Duration) fleet.Presence {
+	ctx, cancel := kernel.WithTimeout(ctx, limit)
+	defer cancel()
+	group := kernel.NewGroup(ctx) // nobody waits for it: other nodes may answer after the end of ctx
+	answers := make(chan fleet.Presence, 2)
+	group.Task("ask_process", func(ctx context.Context) { g.askOn(ctx, e, g.Presence, answers) })
+	if g.PresenceElsewhere != nil {
+		group.Task("ask_process_elsewhere", func(ctx context.Context) { g.askOn(ctx, e, g.askElsewhere, answers) })
+	}
+	select {
+	case found := <-answers:
+		return found
+	case <-ctx.Done():
+		return fleet.PresenceUnknown
+	}
+}
+
+// askOn asks in one way until it is known whether the process runs or ctx has ended.
+func (g *Gateway) askOn(ctx context.Context, e *fleet.Endpoint, ask func(context.Context, *fleet.Endpoint, time.Duration) fleet.Presence, answers chan<- fleet.Presence) {
+	for timeout := 2 * firstQuestion; ctx.Err() == nil; timeout = min(2*timeout, maxQuestion) {
+		found := ask(ctx, e, timeout)
+		if !found.IsKnown() && g.hasSuccessor(e) {
+			found = fleet.PresenceGone
+		}
+		if found.IsKnown() {
+			answers <- found
+			return
+		}
+		kernel.Sleep(ctx, questionPause)
+	}
+}
+
+func (g *Gateway) askElsewhere(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
+	defer g.askedElsewhere.Add(-1)
+	if g.askedElsewhere.Add(1) > maxAskedElsewhere {
+		return fleet.PresenceUnknown
+	}
+	return g.PresenceElsewhere(ctx, e, timeout)
+}
+
+// hasSuccessor reports whether another process has registered under the endpoint's id, so that the one of the entry
+// has ended.
+func (g *Gateway) hasSuccessor(e *fleet.Endpoint) bool {
+	latest, listed := g.Cache.View().Endpoints[e.ID]
+	return listed && e.StartedMillis != 0 && latest.StartedMillis > e.StartedMillis
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -118,13 +118,7 @@
 // mayResumeElsewhere reports whether the stream may resume at another group now, and
 // spends the retry budget if so.
 func (c *streamCall) mayResumeElsewhere(now time.Time) bool {
-	if !c.resumable() || c.sent.Load() >= int64(c.r.Route.MaxAttempts) {
-		return false
-	}
-	if !c.hasAlternative(now) {
-		return false
-	}
-	return c.mayRetry(now)
+	return c.mayGoOnElsewhere(now) && c.mayRetry(now)
 }
 
 // hasAlternative reports whether an endpoint that hasn't been tried could take the stream.
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -191,7 +191,16 @@
 // sendMode returns how the next attempt is sent. A stream that was just broken off goes on over
 // a new connection: the open ones may have broken with it, and it has no attempt to lose.
 func (c *streamCall) sendMode() sendMode {
-	return sendMode{fresh: c.mayHaveRun.Load(), insist: func() bool { return c.failedDials.Load() > 0 || !c.hasAlternative(time.Now()) }}
+	return sendMode{
+		fresh:       c.mayHaveRun.Load(),
+		insist:      func() bool { return c.failedDials.Load() > 0 || !c.hasAlternative(time.Now()) },
+		mayRunAgain: func() bool { return c.mayGoOnElsewhere(time.Now()) },
+	}
+}
+
+// mayGoOnElsewhere reports whether another attempt may go on with the stream.
+func (c *streamCall) mayGoOnElsewhere(now time.Time) bool {
+	return c.resumable() && c.sent.Load() < int64(c.r.Route.MaxAttempts) && c.hasAlternative(now)
 }
 
 // forwardFailure forwards an endpoint's error response to the caller, unless a retry
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"redwinghall/fleet"
 )
@@ -15,13 +16,21 @@
 	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
 }
 
+// lastProofShare is the share of the time left that the end of a response may be asked about if the request can't run
+// again. The rest is for a status.
+const lastProofShare = 0.9
+
+// errUnprovenEnd is the end of a response of which nothing shows that it is complete.
+var errUnprovenEnd = errors.New("nothing shows that the response is complete")
+
 // unframedBody is the body of a response that ends with its connection.
 //
 // The connections of a process that ends are closed like those after a complete response, and a part of the
-// response would pass for all of it. So at the end the endpoint is asked whether it still runs.
+// response would pass for all of it. So the response is complete only if the same process answers a question that was
+// asked after the end.
 type unframedBody struct {
 	io.ReadCloser
-	// presence finds out whether the endpoint still runs, and found is its answer, "" before the end.
+	// presence finds out whether the process still runs, and found is its answer, "" before the end.
 	presence func() fleet.Presence
 	found    fleet.Presence
 	// mayBeEmpty is false for a stream from its beginning: it has at least one event.
@@ -42,29 +51,42 @@
 	if b.found == "" {
 		b.found = b.presence()
 	}
-	if b.found == fleet.PresenceGone {
+	switch b.found {
+	case fleet.PresenceAlive:
+		return n, err
+	case fleet.PresenceGone:
 		return n, io.ErrUnexpectedEOF
 	}
-	return n, err
+	return n, errUnprovenEnd
 }
 
-// endsSoundly reports whether the end of a response shows that its endpoint lived on. One that ends with its connection
-// may be passed on as complete although nobody could tell, and what another node passed on may be such a response.
-func (r *Response) endsSoundly() bool {
-	if body, ok := r.Body.(*unframedBody); ok {
-		return body.found == fleet.PresenceAlive
-	}
-	return r.Peer == ""
-}
+// endsSoundly reports whether the end of a response shows that its endpoint lived on. What another node passed on shows
+// it only if that node knew.
+func (r *Response) endsSoundly() bool { return r.Peer == "" }
 
-// checkUnframed makes the body of an unframed response end with an error if its endpoint is gone.
-func (g *Gateway) checkUnframed(ctx context.Context, r *Request, e *fleet.Endpoint, response *Response, lastEvent string) {
-	if !response.Unframed {
+// checkUnframed makes the body of an unframed response end with an error unless its endpoint lives on. A rejection needs
+// no proof, as nobody gets its body.
+func (g *Gateway) checkUnframed(ctx context.Context, r *Request, e *fleet.Endpoint, response *Response, lastEvent string, mayRunAgain func() bool) {
+	if !response.Unframed || response.Info.NotRun {
 		return
 	}
 	response.Body = &unframedBody{
 		ReadCloser: response.Body,
-		presence:   func() fleet.Presence { return g.presence(ctx, e) },
+		presence: func() fleet.Presence {
+			found := g.awaitPresence(ctx, e, proofTime(time.Now(), r, mayRunAgain()))
+			g.Metrics.BrokenOff(found)
+			return found
+		},
 		mayBeEmpty: r.Route.Kind != fleet.Streaming || response.Status != http.StatusOK || lastEvent != "",
 	}
 }
+
+// proofTime returns for how long the end of a response may be asked about. A request that may run again has to do so
+// while its caller still waits; another one gets no better answer than that of the question.
+func proofTime(now time.Time, r *Request, mayRunAgain bool) time.Duration {
+	left := float64(r.Left(now))
+	if mayRunAgain {
+		return min(silenceTolerance, time.Duration(attemptTimeShare*left))
+	}
+	return time.Duration(lastProofShare * left)
+}
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -88,11 +88,16 @@
 	}
 }
 
-// Nobody can tell whether the endpoint still runs: the response is passed on, but says nothing for the parts of its prompt.
+// Nobody can tell whether the endpoint still runs: the response may be a part of one, and says nothing for the parts of its prompt.
 func TestUnframedResponseOfAnUnknownEndIsNoProof(t *testing.T) {
 	t.Parallel()
-	for presence, want := range map[fleet.Presence]quarantine.Verdict{
-		fleet.PresenceUnknown: quarantine.Trial, fleet.PresenceAlive: quarantine.Send,
+	for presence, c := range map[fleet.Presence]struct {
+		cut  bool
+		want quarantine.Verdict
+	}{
+		fleet.PresenceUnknown:  {true, quarantine.Trial},
+		fleet.PresenceAnswered: {true, quarantine.Trial},
+		fleet.PresenceAlive:    {false, quarantine.Send},
 	} {
 		t.Run(string(presence), func(t *testing.T) {
 			t.Parallel()
@@ -104,7 +109,8 @@
 			platformtest.SetParts(r, "bad", "own")
 			got := s.do(r)
 			require.Equal(t, wholeStream(1), got.body)
-			require.Equal(t, want, s.quarantine.Check(time.Now(), "llm", []string{"bad"}).Verdict)
+			require.Equal(t, c.cut, got.err != nil, "%v", got.err)
+			require.Equal(t, c.want, s.quarantine.Check(time.Now(), "llm", []string{"bad"}).Verdict)
 		})
 	}
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -289,7 +289,7 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: response.Body,
-		Length: response.ContentLength, Unframed: isUnframed(response), Info: info,
+		Length: response.ContentLength, Unframed: in.Method != http.MethodHead && isUnframed(response), Info: info,
 	}, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -132,8 +132,9 @@
 	}, n.source)
 	forwards := newForwarder(n)
 	client := platform.NewEndpointClientWithDialer(n.onLeavingResponse, open)
+	withPeers := client.WithPeers(controlPeers{n, forwards})
 	n.manager = formation.NewManager(formation.Options{
-		Settings: n.currentSettings, Cache: n.cache, Orderer: client.WithPeers(controlPeers{n, forwards}), Position: n.table.Position,
+		Settings: n.currentSettings, Cache: n.cache, Orderer: withPeers, Position: n.table.Position,
 		HoldsLease:     func(zone string) bool { return n.table.HoldsLease(zone, kernel.BootTime()) },
 		LeasePosition:  n.table.LeasePosition,
 		Recovered:      n.table.Recovered,
@@ -152,9 +153,9 @@
 		Paths:        n.paths,
 		Forwarder:    forwards,
 		Control:      controlOf(client),
-		Presence:     client.Presence,
-		Background:   func(name string, fn func(context.Context)) { n.group.Task(name, fn) },
-		Quarantine:   n.quarantine, Trials: trialGranter{n}, QuarantineKnown: n.quarantineKnown,
+		Presence:     client.Presence, PresenceElsewhere: withPeers.PresenceElsewhere,
+		Background: func(name string, fn func(context.Context)) { n.group.Task(name, fn) },
+		Quarantine: n.quarantine, Trials: trialGranter{n}, QuarantineKnown: n.quarantineKnown,
 		Stopping: n.plannedStop,
 		Ended:    n.ended,
 	})
