Quarantine: an end under a request is found though the next process is slow

Cause: recheckPresence asked four times, 150 ms each, over this node's own connection. A process that has started again answers later than that for some seconds, and behind a cut nobody answers: the end was never recorded, and the part of the prompt that may have caused it went on to the next endpoint without a trial.

Failed before: TestEndIsFoundThoughTheNextProcessIsSlow, 3 of 3 cases.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -179,25 +179,22 @@
 }
 
 const (
-	// presenceRechecks is how often an endpoint is asked again if nobody could tell whether its process ended, and
-	// presenceInterval the time between: a node that is slow itself gets no answer in time.
-	presenceRechecks = 4
+	// presenceInterval is the time until an endpoint is asked again if nobody could tell whether its process ended: a
+	// node that is slow itself gets no answer in time.
 	presenceInterval = 150 * time.Millisecond
+	// recheckTime is for how long it is asked then: a process that has just started is slow for some seconds.
+	recheckTime = 4 * time.Second
 )
 
 // recheckPresence finds out later whether an endpoint's process ended.
 func (g *Gateway) recheckPresence(ctx context.Context, e *fleet.Endpoint, suspect quarantine.Suspect) {
-	for range presenceRechecks {
-		if !kernel.Sleep(ctx, presenceInterval) {
-			return
-		}
-		switch g.presence(ctx, e) {
-		case fleet.PresenceGone:
-			g.recordEnd(e, suspect)
-			return
-		case fleet.PresenceAlive:
-			return
-		}
+	if !kernel.Sleep(ctx, presenceInterval) {
+		return
+	}
+	found := g.awaitPresence(ctx, e, recheckTime)
+	g.Metrics.BrokenOff(found)
+	if found == fleet.PresenceGone {
+		g.recordEnd(e, suspect)
 	}
 }
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"redwinghall/directory"
 	"redwinghall/fleet"
+	"redwinghall/platform"
 	"redwinghall/platform/platformtest"
 	"redwinghall/quarantine"
 )
@@ -65,3 +66,38 @@
 		})
 	}
 }
+
+// A process that ended under a request starts again, and is slow: its end must be found, or the part goes on to the next one.
+func TestEndIsFoundThoughTheNextProcessIsSlow(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		end     func(*restartable)
+		byOther bool
+	}{
+		"asked by this node":      {startAgain, false},
+		"asked by way of another": {func(e *restartable) { cutAway(e); startAgain(e) }, true},
+		"behind a cut that ends late": {func(e *restartable) {
+			cutAway(e)
+			e.born.Store(laterStart)
+			time.AfterFunc(1500*time.Millisecond, func() { e.cut.Store(false) })
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newUnconfiguredFixture(t)
+			s.config.Routes[0].MaxAttempts = 1 // another endpoint's answer would speak for the part
+			s.cache.Apply(time.Now(), directory.Change{Config: s.config})
+			if c.byOther {
+				s.other = platform.NewEndpointClient(nil)
+			}
+			s.restartables("llm", "", wholeStream(4), c.end)
+			r := s.request(http.MethodPost, "/stream/")
+			platformtest.SetParts(r, "bad", "own")
+			require.Equal(t, http.StatusBadGateway, s.do(r).status)
+			suspected := func() bool {
+				return s.quarantine.Check(time.Now(), "llm", []string{"bad"}).Verdict == quarantine.Trial
+			}
+			require.Eventually(t, suspected, 4*time.Second, 10*time.Millisecond)
+		})
+	}
+}
