Answers of an unproven end: the caller isn't held for one more question

Cause: behind an end that nobody could prove, the attempt asked once more, for 150 ms, whether the process still runs, for the quarantine. The quarantine asks in the background anyway.

The pause between two questions grows with them: many requests break off together when a path is cut.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -236,7 +236,7 @@
 		return
 	}
 	e = c.g.latestEntry(e)
-	found := c.g.presence(ctx, e)
+	found := c.g.presenceAfter(ctx, e, err)
 	gate.recordPresence(time.Now(), e, found)
 }
 
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"redwinghall/fleet"
@@ -14,8 +15,9 @@
 	// further one may take twice as long, up to maxQuestion.
 	firstQuestion = 150 * time.Millisecond
 	maxQuestion   = 2 * time.Second
-	// questionPause is the time between two questions that were answered at once, by nothing that tells.
-	questionPause = 100 * time.Millisecond
+	// questionPauseShare is the pause behind a question, as a share of the time that it had: many requests may have broken
+	// off together, and a path that is cut fails each of their questions early.
+	questionPauseShare = 0.25
 	// maxAskedElsewhere bounds how many questions this node asks by way of other nodes at a time: those bound them too,
 	// and pass over a node that asks for more.
 	maxAskedElsewhere = 16
@@ -31,8 +33,12 @@
 	return e
 }
 
-// presence finds out with one question whether an endpoint's process still runs after its response broke off.
-func (g *Gateway) presence(ctx context.Context, e *fleet.Endpoint) fleet.Presence {
+// presenceAfter finds out with one question whether an endpoint's process still runs after its response broke off with err.
+// A caller that has waited in vain for the proof of an end doesn't wait once more.
+func (g *Gateway) presenceAfter(ctx context.Context, e *fleet.Endpoint, err error) fleet.Presence {
+	if errors.Is(err, errUnprovenEnd) {
+		return fleet.PresenceUnknown
+	}
 	found := g.askOnce(ctx, e, firstQuestion)
 	g.Metrics.BrokenOff(found)
 	return found
@@ -93,7 +99,7 @@
 			answers <- found
 			return
 		}
-		kernel.Sleep(ctx, questionPause)
+		kernel.Sleep(ctx, time.Duration(questionPauseShare*float64(timeout)))
 	}
 }
 
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -167,7 +167,7 @@
 	case unknown && run.ctx.Err() == nil:
 		c.g.recordBroken(now, choice.Endpoint, last.response)
 		latest := c.g.latestEntry(choice.Endpoint)
-		presence = c.g.presence(run.ctx, latest)
+		presence = c.g.presenceAfter(run.ctx, latest, last.err)
 		if !run.gate.proven {
 			run.gate.recordPresence(now, latest, presence)
 		}
