--- a/gateway/endless_forwarded_test.go
+++ b/gateway/endless_forwarded_test.go
@@ -23,8 +23,9 @@
 		c := forms[name]
 		t.Run(name, func(t *testing.T) {
 			service := map[bool]string{true: "llm", false: "desk"}[c.path == "/stream/"]
-			silent := newPartedFixture(t, newEndlessFixture(t, service, func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) }))
-			_, idle := silent.requestAll(t, c.path)
+			idle := idleHeap(t, func(silent http.HandlerFunc) *fixture {
+				return newPartedFixture(t, newEndlessFixture(t, "desk", silent)).fixture
+			})
 			var sent, ended atomic.Int64
 			s := newPartedFixture(t, newEndlessFixture(t, service, func(w http.ResponseWriter, r *http.Request) {
 				sent.Add(1)
@@ -49,8 +50,7 @@
 func TestForwardingNodeWithoutEndTakesLittleMemory(t *testing.T) {
 	for name, c := range endlessForms() {
 		t.Run(name, func(t *testing.T) {
-			silent := newFixtureBehind(t, c.path, func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) })
-			_, idle := silent.requestAll(t, c.path)
+			idle := idleHeap(t, func(silent http.HandlerFunc) *fixture { return newFixtureBehind(t, "/book/", silent).fixture })
 			var sent, ended atomic.Int64
 			begin := strings.Replace(c.begin, "\r\n", "\r\nRwh-Outcome: delivered\r\n", 1)
 			s := newFixtureBehind(t, c.path, func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -30,6 +30,9 @@
 // requests begin at once, and what they have given up by then isn't collected yet.
 const liveSamples = 6
 
+// idleSamples is how many of them show what requests take that wait for their endpoints.
+const idleSamples = 3 * liveSamples
+
 // The begins of responses, as formats for the id of the request.
 var (
 	endlessHead  = platformtest.ResponseHead(http.StatusOK, "%s")
@@ -80,8 +83,7 @@
 	for name, c := range endlessForms() {
 		t.Run(name, func(t *testing.T) {
 			service := map[bool]string{true: "llm", false: "desk"}[c.path == "/stream/"]
-			silent := newEndlessFixture(t, service, func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) })
-			_, idle := silent.requestAll(t, c.path) // what callers, connections and endpoints take by themselves
+			idle := idleHeap(t, func(silent http.HandlerFunc) *fixture { return newEndlessFixture(t, "desk", silent) })
 			var sent, ended atomic.Int64
 			s := newEndlessFixture(t, service, func(w http.ResponseWriter, r *http.Request) {
 				sent.Add(1)
@@ -122,8 +124,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			service := map[bool]string{true: "llm", false: "desk"}[c.path == "/stream/"]
-			silent := newEndlessFixture(t, service, func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) })
-			_, idle := silent.requestAll(t, c.path)
+			idle := idleHeap(t, func(silent http.HandlerFunc) *fixture { return newEndlessFixture(t, "desk", silent) })
 			var sent, ended atomic.Int64
 			s := newEndlessFixture(t, service, func(w http.ResponseWriter, r *http.Request) {
 				sent.Add(1)
@@ -162,11 +163,34 @@
 	whole  bool
 }
 
+// idleHeap returns the live heap with endlessRequests requests that wait for endpoints which send nothing: what callers,
+// connections and endpoints take by themselves. They are bookings, which are sent once, and wait until that is measured,
+// however busy the machine is.
+func idleHeap(t *testing.T, newNode func(silent http.HandlerFunc) *fixture) uint64 {
+	t.Helper()
+	measured := make(chan struct{})
+	s := newNode(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then the server notices that the node leaves
+		select {
+		case <-measured:
+		case <-r.Context().Done():
+		}
+	})
+	_, most := s.requestUntil(t, "/book/", measured)
+	return most
+}
+
 // requestAll sends endlessRequests requests at once. It returns what they got, and the largest live heap meanwhile.
 func (s *fixture) requestAll(t *testing.T, path string) (replies []reply, most uint64) {
+	t.Helper()
+	return s.requestUntil(t, path, make(chan struct{}))
+}
+
+// requestUntil does the same, and closes a channel once idleSamples measurements were made.
+func (s *fixture) requestUntil(t *testing.T, path string, measured chan struct{}) (replies []reply, most uint64) {
 	t.Helper()
 	replies = make([]reply, endlessRequests)
-	var last []uint64
+	var heap heapSamples
 	done := make(chan error, 1)
 	g := kernel.NewGroup(t.Context())
 	for i := range endlessRequests {
@@ -177,20 +201,34 @@
 		select {
 		case err := <-done:
 			require.NoError(t, err)
-			return replies, most
+			return replies, heap.most
 		case <-time.After(20 * time.Millisecond):
-			// What is allocated while the collector runs counts as live, so the least of several counts.
-			last = append(last, liveHeap())
-			if len(last) > liveSamples {
-				last = last[1:]
-			}
-			if len(last) == liveSamples {
-				most = max(most, slices.Min(last))
+			if heap.add(); heap.count == idleSamples {
+				close(measured)
 			}
 		}
 	}
 }
 
+// heapSamples are measurements of the live heap.
+type heapSamples struct {
+	last  []uint64
+	count int
+	most  uint64 // the most that was held for liveSamples of them
+}
+
+// add measures once more. What is allocated while the collector runs counts as live, so the least of several counts.
+func (h *heapSamples) add() {
+	h.count++
+	h.last = append(h.last, liveHeap())
+	if len(h.last) > liveSamples {
+		h.last = h.last[1:]
+	}
+	if len(h.last) == liveSamples {
+		h.most = max(h.most, slices.Min(h.last))
+	}
+}
+
 // endlessBytes is how much an endpoint sends of what it never ends.
 const endlessBytes = 4 << 20
 
