--- a/gateway/plain_response.go
+++ b/gateway/plain_response.go
@@ -100,7 +100,8 @@
 	if err != nil {
 		return int64(n), err
 	}
-	copied, err := io.CopyBuffer(writer, struct{ io.Reader }{ahead}, make([]byte, copyBufferSize))
+	// What was written isn't needed any more: each of many answers without end would hold it beside another buffer.
+	copied, err := io.CopyBuffer(writer, struct{ io.Reader }{ahead}, last.body[:copyBufferSize])
 	return int64(n) + copied, err
 }
 
