Soak: endpoints that are removed just after a zone's cut from the store

The plan removals cuts the nodes of a zone off for 2.5 to 6.5 s, removes the entry of a plain endpoint 0.3 to 2 s after that, which serves on, and counts what reaches it 2 s after the removal, and 3 s after the end of the cut. Until now endpoints that left in the soak said so or ended.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -53,6 +53,10 @@
           endpoints fall silent for 1.2 to 1.9 s and go on, half of the times while all others
           reject requests, beside versions and planned stops. A response may be cut off by
           nothing but its caller's timeout.
+  removals
+          a zone's nodes are cut off from the store for 2.5 to 6.5 s, and 0.3 to 2 s later
+          the entry of an endpoint is removed that serves on for a while. No request may reach it
+          2 s after that, and 3 s after the end of the cut.
 
 In each plan a process that ends though nobody ended it is a violation.
 
@@ -76,7 +80,7 @@
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" choice:"silences" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" choice:"silences" choice:"removals" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
 	Calls  int           `long:"sessions" description:"number of callers in the plans versions and ends (default: 48 or one a node)"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -40,6 +40,7 @@
 	{soak.PlanVersions, 2, 6, 14 * time.Second, "a node ends by SIGHUP before it handles it, or after it no longer does"},
 	{soak.PlanEnds, 1, 8, 10 * time.Second, "the holder of a zone cancels sound groups after all endpoints were silent together"},
 	{soak.PlanSilences, 1, 4, 10 * time.Second, "a stream ends as it leaves an endpoint that is silent for a moment"},
+	{soak.PlanRemovals, 1, 4, 12 * time.Second, "a node that was cut off from the store takes a removal after that for a lapse"},
 }
 
 // TestSoak runs the plan of each regression for a short time, with real node processes,
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -94,6 +94,8 @@
 	// PlanSilences lets endpoints fall silent for a moment while others reject requests, beside versions and
 	// planned stops.
 	PlanSilences Plan = "silences"
+	// PlanRemovals removes endpoints' entries just after a zone's nodes were cut off from the store.
+	PlanRemovals Plan = "removals"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -75,6 +75,9 @@
 	if d.config.Plan == PlanPauses {
 		return d.pauseNodes(ctx)
 	}
+	if d.config.Plan == PlanRemovals {
+		return d.removeAfterCuts(ctx)
+	}
 	g := kernel.NewGroup(ctx)
 	from := faults
 	if d.config.Plan == PlanPartitions {
