--- a/node/last_moment_test.go
+++ b/node/last_moment_test.go
@@ -190,7 +190,7 @@
 	d.store.SetFaults(platformtest.Faults{Silent: true})
 	end := d.startEnding(waysToEnd["a part failed"])
 	c := newCallers(d)
-	time.Sleep(200 * time.Millisecond)
+	require.Eventually(t, d.listens, time.Second, 10*time.Millisecond)
 	for _, path := range []string{"/book/x", "/look/x", "/stream/x"} {
 		c.send(path, path)
 	}
@@ -238,6 +238,16 @@
 	}
 }
 
+// listens reports whether the node has opened its listeners.
+func (d *deployment) listens() bool {
+	response, err := http.Get("http://" + d.settings.ReadinessAddress + platform.PathReadiness)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // it isn't read
+	return true
+}
+
 // runs returns how many of a number of requests have run.
 func (d *deployment) runs(prefix string, count int) (ran int) {
 	for i := range count {
