Bodies: a request whose body pauses for a second is served

A body of known length was read in steps of 1 s, so that a shortage of memory is noticed meanwhile. net/http ends the context of a request at a read that fails, also at its deadline: a request whose body paused for more than 1 s was refused once the body was whole, with 503 and the reason caller_left, though its caller was there and its time not over. Callers lost an attempt (nothing ran, as the status says).

A read now gets all the time that it may have, and a timer of the body ends it if memory has become short meanwhile. A body whose read was ended so, and which then has room again, is still refused in that way. Bodies in chunks are ended under a shortage too, as those of known length were.

Found through the last moment of a node, where the end of the context was taken for the end of the node.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -74,7 +75,12 @@
 	deadline time.Time   // of the request
 	isEnded  func() bool // reports whether the node ends all requests
 	response http.ResponseWriter
-	pace     bodyPace
+
+	// mu guards the rest, which the timer uses too.
+	mu    sync.Mutex
+	pace  bodyPace
+	timer *kernel.Timer // nil before the first read
+	done  bool          // no further read follows
 }
 
 // readBody reads the complete body of a request, or returns what it read before an error: a retry at a second endpoint may
@@ -96,6 +102,7 @@
 		response: w, pace: newBodyPace(time.Now()),
 	}
 	body, err := b.readAll()
+	b.endTimer()
 	switch {
 	case err != nil:
 		b.endReads()
@@ -172,27 +179,26 @@
 }
 
 // read reads more of the body, or fails once it counts as standing still.
+//
+// net/http takes a read that fails for the caller's end. So no read is given less time than it may have, and a timer ends
+// those that have less as memory becomes short meanwhile.
 func (b *bodyRead) read(into []byte) (int, error) {
 	if !b.memory.bounded() {
 		return b.from.Read(into)
 	}
 	for {
-		now := time.Now()
-		until := b.until()
+		until := b.startTimer()
 		switch {
 		case b.isEnded():
 			return 0, errBodyEnded
-		case !now.Before(until):
+		case !time.Now().Before(until):
 			return 0, errBodySlow
 		}
-		if b.length > 0 { // a length that is known survives a read that failed
-			until = minTime(until, now.Add(bodyPressedTime))
-		}
 		if err := b.endReadsAt(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
 			return 0, err
 		}
 		n, err := b.from.Read(into)
-		b.pace.record(time.Now(), n)
+		b.record(time.Now(), n)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, ignoreTimeout(err)
 		}
@@ -202,7 +208,44 @@
 	}
 }
 
-// until returns when the body counts as standing still, at the latest with the time of the request.
+// startTimer starts the timer with the first read, and returns until when the next one may take.
+func (b *bodyRead) startTimer() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.timer == nil {
+		b.timer = kernel.AfterFunc(bodyPressedTime, b.endIfSlow)
+	}
+	return b.until()
+}
+
+// endIfSlow ends the present read if the body counts as standing still by now.
+func (b *bodyRead) endIfSlow() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.done {
+		return
+	}
+	b.timer.Reset(bodyPressedTime)
+	if now := time.Now(); !now.Before(b.until()) {
+		_ = b.endReadsAt(now) // fails only if the connection is closed
+	}
+}
+
+func (b *bodyRead) endTimer() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.done = true; b.timer != nil {
+		b.timer.Stop()
+	}
+}
+
+func (b *bodyRead) record(now time.Time, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pace.record(now, n)
+}
+
+// until returns when the body counts as standing still, at the latest with the time of the request. The caller holds b.mu.
 func (b *bodyRead) until() time.Time { return minTime(b.pace.until(b.memory.pressed()), b.deadline) }
 
 // ignoreTimeout drops the timeout of a read that brought bytes.
--- a/gateway/held_memory_test.go
+++ b/gateway/held_memory_test.go
@@ -256,3 +256,16 @@
 		require.Equal(b, http.StatusOK, s.do(r).status)
 	}
 }
+
+// Guards against bodies that pause for longer than one read may take, and whose requests then count as left by their callers.
+func TestBodyThatPausesIsServed(t *testing.T) {
+	t.Parallel()
+	s, sent := newHeldFixture(t, smallVM)
+	conn := s.beginBody("pauses", "key-1", 100, 10)
+	time.Sleep(1400 * time.Millisecond)
+	_, err := conn.Write(bytes.Repeat([]byte("x"), 90))
+	require.NoError(t, err)
+	status, _ := readResponse(conn, 2*time.Second)
+	require.Equal(t, http.StatusOK, status)
+	require.EqualValues(t, 1, sent.Load())
+}
