Router: a drain answers the calls that outlast it

When the drain of a router was over, http.Server.Close ended the connections of the requests that were still in progress, without an answer: a call that may have run looked like one that was never read.

The last quarter of the drain's timeout, 0.3 s at most, now belongs to the answers: requests are accepted up to its beginning only, and those that are still in progress then are ended by the context of the server. Each answers by the path that it has for a deadline: outcome_unknown (502) if the call was sent, deadline_passed ("not_run") if it wasn't, an error event in a stream. Connections are closed only if that takes longer than the drain.

--- a/daemon/router.go
+++ b/daemon/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -22,6 +23,10 @@
 	refreshInterval    = 100 * time.Millisecond
 	drainCheckInterval = 20 * time.Millisecond
 	grantInterval      = ramp.GrantTTL / 4
+	// answerTime is how much of the drain is kept to answer the requests that are still in progress, and answerShare the
+	// most that it takes of the drain's timeout.
+	answerTime  = 300 * time.Millisecond
+	answerShare = 0.25
 )
 
 // Router is a router process.
@@ -100,6 +105,9 @@
 func (r *Router) Run(ctx context.Context) error {
 	g := kernel.NewGroup(context.Background())
 	callers := r.Server.HTTPServer(r.settings.CallerAddress)
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	peers := peerServer(r.settings.PeerAddress, r.Node.Handler())
 	if err := serve(g, "peer.listener", peers, peerMaxConnections); err != nil {
 		return err
@@ -125,7 +133,7 @@
 	case <-ctx.Done():
 	case <-g.Context().Done():
 	}
-	r.drain(callers)
+	r.drain(callers, endRequests)
 	g.Stop()
 	_ = peers.Close()
 	r.calls.Stop()
@@ -167,25 +175,39 @@
 //
 // If the router closed its listener at once, requests that the load balancer still
 // sends to it would fail. If it exited before the outcomes are recorded, callers could
-// not retrieve them by a retry.
-func (r *Router) drain(callers *http.Server) {
+// not retrieve them by a retry. Requests that are still in progress near the end are
+// ended by endRequests, so that their callers learn that the outcome is unknown.
+func (r *Router) drain(callers *http.Server, endRequests context.CancelCauseFunc) {
 	klog.InfoS("router_draining", "id", r.settings.ID)
 	started := time.Now()
 	end := started.Add(r.settings.DrainDelay.Std() + r.settings.DrainTimeout.Std())
-	r.Server.Drain(end)
+	requestsEnd := end.Add(-min(answerTime, time.Duration(answerShare*float64(r.settings.DrainTimeout.Std()))))
+	r.Server.Drain(requestsEnd)
 	r.Node.Leave(started)
 	time.Sleep(r.settings.DrainDelay.Std())
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := shutdownBy(requestsEnd, callers); err != nil {
 		klog.ErrorS(err, "drain_incomplete")
-		_ = callers.Close()
+		endRequests(errRouterEnds)
+		if err := callers.Shutdown(ctx); err != nil {
+			_ = callers.Close()
+		}
 	}
 	waitUntil(ctx, r.Server.CallsDone)
 	waitUntil(ctx, func() bool { return r.Keeper.PendingOutcomes() == 0 })
 	klog.InfoS("router_drained", "id", r.settings.ID, "outcomes_not_recorded", r.Keeper.PendingOutcomes())
 }
 
+// errRouterEnds is the cause of the end of requests that are still in progress when the router stops.
+var errRouterEnds = errors.New("this router ends")
+
+func shutdownBy(end time.Time, server *http.Server) error {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
 func waitUntil(ctx context.Context, done func() bool) {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -82,3 +82,37 @@
 	return d.Call(t.Context(), http.MethodPost, address, "/v1/services/"+rwhtest.Service+"/deposits", `{"amount":50}`,
 		map[string]string{"Idempotency-Key": key})
 }
+
+// Guards against calls that outlast the drain of their router and end without an answer.
+func TestDrainedRouterAnswersCallsInProgress(t *testing.T) {
+	var platform string
+	d := rwhtest.Start(t, rwhtest.Options{PlatformProxy: func(address string) string {
+		platform = address
+		return address
+	}})
+	d.Submit("v1")
+	router, address := newDrainingRouter(t, platform, d.Controllers[0].Node.Members("tartu"))
+	stopping, stop := context.WithCancel(context.Background())
+	g := kernel.NewGroup(context.Background())
+	g.Go("router", func(context.Context) error { return router.Run(stopping) })
+	d.Eventually("the router executes calls", func() bool {
+		r, err := sendDeposit(t, d, address, "warm")
+		return err == nil && r.Status == http.StatusOK
+	})
+	for _, s := range d.Services {
+		s.SetFaults(service.Faults{Delay: redwinghall.Duration(4 * time.Second)})
+	}
+	d.Client.CloseIdleConnections() // Go's client retries a request if a reused connection is closed
+	var reply rwhtest.Reply
+	calls := kernel.NewGroup(t.Context())
+	calls.Go("call", func(context.Context) (err error) {
+		reply, err = sendDeposit(t, d, address, "in-progress")
+		return err
+	})
+	time.Sleep(200 * time.Millisecond)
+	stop()
+	require.NoError(t, calls.Wait(), "its connection was closed without a response")
+	require.Equal(t, http.StatusBadGateway, reply.Status)
+	require.Contains(t, reply.Body, redwinghall.OutcomeUnknown)
+	require.NoError(t, g.Wait())
+}
