Quarantine: full tables have nothing new for each other

Cause, shown by a test: since each request has parts of its own, an end of many processes gives more suspects than a table holds (512). A full table took each suspect that another node sent for one of its own, the older one too, so nodes gave each other again, at each exchange and without end, what they had dropped, and the first node of a zone told all others each time.

Now a full table doesn't take a suspect that tells less than all that it holds, so all keep the newest. Tables that stay different, as nodes know the times of ends to milliseconds only, are exchanged once and then only after one of them has changed.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -19,8 +19,6 @@
 	// quarantineGatherTime is how long news of ended endpoints are gathered before they are sent: all nodes
 	// that had requests there find out at the same moment.
 	quarantineGatherTime = 5 * time.Millisecond
-	// quarantineSyncInterval is how often two nodes whose tables differ exchange all of them.
-	quarantineSyncInterval = time.Second
 	// quarantineTries is how many nodes are asked one after the other if those before don't respond.
 	quarantineTries = 3
 	// QuarantinePath is where a node shows the suspected and quarantined parts to operators.
@@ -107,23 +105,24 @@
 // and after a start.
 type quarantineSync struct {
 	node *Node
-	at   time.Time
+	done quarantine.Exchanges
 }
 
 // compare exchanges the tables if the other node's digest differs.
 func (s *quarantineSync) compare(ctx context.Context, now time.Time, peer relay.Peer, digest uint64) {
 	n := s.node
-	if digest != n.quarantine.Digest() {
-		if now.Sub(s.at) < quarantineSyncInterval {
+	if own := n.quarantine.Digest(); own != digest {
+		if !s.done.IsDue(now, own, digest) {
 			return
 		}
-		s.at = now
+		s.done = s.done.With(now, 0, 0)
 		theirs, err := n.neighbors.Quarantine(ctx, peer.Address, n.settings.Node, n.quarantine.All(now), true)
 		if err != nil {
 			klog.InfoS("quarantine_not_told", "node", peer.Name, "err", err)
 			return
 		}
 		n.quarantine.Merge(time.Now(), theirs)
+		s.done = s.done.With(now, n.quarantine.Digest(), digest)
 	}
 	n.quarantineHeard.Do(func() { close(n.quarantineKnown) })
 }
--- a/quarantine/merge_test.go
+++ b/quarantine/merge_test.go
@@ -48,6 +48,49 @@
 	})
 }
 
+// Guards against full tables that give each other again what they have dropped, at each exchange and without end.
+func TestFullTablesHaveNothingNewForEachOther(t *testing.T) {
+	t.Parallel()
+	const (
+		nodes  = 7
+		ends   = 200 // of each node; all together more than a table holds
+		rounds = 3   // until all tables hold the same
+	)
+	tables := make([]*quarantine.Table, nodes)
+	for i := range tables {
+		tables[i] = quarantine.NewTable()
+		for j := range ends {
+			request := fmt.Sprint("r", i, "-", j)
+			tables[i].RecordEnd(quarantine.Suspect{
+				Process: quarantine.Process{Endpoint: fmt.Sprint("e", j), StartedMillis: 1}, Request: request, Service: service,
+				Parts: []string{quarantine.WholeRequest(request)}, At: start.Add(time.Duration(j*nodes+i) * time.Millisecond),
+			})
+		}
+	}
+	now := start.Add(2 * time.Second)
+	for round := range 2 * rounds {
+		for i, table := range tables[1:] {
+			changed, firstChanged := table.Changed(), tables[0].Changed()
+			tables[0].Merge(now, table.All(now))
+			table.Merge(now, tables[0].All(now))
+			if round < rounds {
+				continue
+			}
+			require.False(t, isClosed(changed) || isClosed(firstChanged), "node %d, round %d", i+1, round)
+			require.Equal(t, tables[0].Digest(), table.Digest(), "node %d, round %d", i+1, round)
+		}
+	}
+}
+
+func isClosed(changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	default:
+		return false
+	}
+}
+
 func TestNewsNamesEachThingOnce(t *testing.T) {
 	t.Parallel()
 	h := newHistory()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -250,7 +250,9 @@
 		}
 		return false
 	}
-	t.makeRoom()
+	if !t.makeRoom(one) {
+		return false
+	}
 	s := &suspect{Suspect: one, news: t.nextNews(local)}
 	t.suspects[s.key()] = s
 	for _, id := range s.Parts {
@@ -267,11 +269,13 @@
 	return true
 }
 
-// makeRoom drops the suspect that tells least if the table is full: the oldest one, those without suspected
-// parts first, those of quarantined parts last. The lock is held.
-func (t *Table) makeRoom() {
+// makeRoom makes room for a suspect. If the table is full, it drops the suspect that tells least: the oldest one, those
+// without suspected parts first, those of quarantined parts last. It reports false if that is the new one. The lock is held.
+//
+// Two full tables would otherwise give each other again what both have dropped, at each exchange and without end.
+func (t *Table) makeRoom(one Suspect) bool {
 	if len(t.suspects) < maxSuspects {
-		return
+		return true
 	}
 	var least *suspect
 	var leastRank int
@@ -281,7 +285,24 @@
 			least, leastRank = s, rank
 		}
 	}
+	rank := t.rankOfNew(one)
+	if rank < leastRank || (rank == leastRank && !one.At.After(least.At)) {
+		return false
+	}
 	t.remove(least)
+	return true
+}
+
+// rankOfNew is the rank of a suspect that the table doesn't hold yet. The lock is held.
+func (t *Table) rankOfNew(one Suspect) int {
+	most := 0
+	for _, id := range one.Parts {
+		part := Part{one.Service, id}
+		if one.At.After(t.provenAt(part)) {
+			most = max(most, len(t.live[part])+1)
+		}
+	}
+	return most
 }
 
 // rank orders suspects by how much they tell. The lock is held.
