--- a/peer/client.go
+++ b/peer/client.go
@@ -38,6 +38,10 @@
 	dialTimeout     = 500 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
 	maxIdlePerPeer  = 1
+	// maxAnswerBytes is the largest answer of a peer, which the generated client reads whole: twice the
+	// largest manifest. maxHeadBytes is for its head.
+	maxAnswerBytes = 16 << 20
+	maxHeadBytes   = 8 << 10
 )
 
 func newClient(traffic *Traffic, token string) *http.Client {
@@ -53,11 +57,13 @@
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &http.Client{Transport: tokenTransport{next: transport, token: token}}
 }
 
-// tokenTransport adds the peer token to each request.
+// tokenTransport adds the peer token to each request, and ends answers that are too large with an error.
 type tokenTransport struct {
 	next  *http.Transport
 	token string
@@ -67,7 +73,12 @@
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.token)
 	r.Header.Set("User-Agent", "") // omitted to save bytes: no peer reads it
-	return t.next.RoundTrip(r)
+	response, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxAnswerBytes)
+	return response, nil
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
