--- a/kernel/timeout.go
+++ b/kernel/timeout.go
@@ -107,7 +107,7 @@
 	return stopped
 }
 
-// IdleTimer ends a call once this process has run for some time without a byte of the response.
+// IdleTimer ends a call once this process has run for some time without idleStep bytes of the response.
 //
 // A process that is slow, or behind a slow link, would never get a large response within a total
 // timeout: each attempt starts anew.
@@ -117,7 +117,7 @@
 }
 
 // WithIdleTimeout returns a context that is canceled once this process has run for timeout since the
-// last byte read through the timer's Reader, or since now before the first one.
+// last idleStep bytes were read through the timer's Reader, or since now before them.
 func WithIdleTimeout(parent context.Context, timeout time.Duration) (context.Context, *IdleTimer, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	timer := &IdleTimer{timeout: timeout, timer: AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })}
@@ -127,18 +127,24 @@
 	}
 }
 
-// Reader returns a reader whose bytes begin the timeout anew.
-func (t *IdleTimer) Reader(r io.Reader) io.Reader { return idleReader{r, t} }
+// idleStep is how many bytes begin an idle timeout anew. With single ones, a response that never ends and brings
+// next to nothing would be read for ever.
+const idleStep = 1 << 10
+
+// Reader returns a reader of the response. Each idleStep bytes of it begin the timeout anew.
+func (t *IdleTimer) Reader(r io.Reader) io.Reader { return &idleReader{Reader: r, timer: t} }
 
 type idleReader struct {
 	io.Reader
 	timer *IdleTimer
+	read  int // since the timeout began
 }
 
 // Read implements io.Reader.
-func (r idleReader) Read(p []byte) (int, error) {
+func (r *idleReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
-	if n > 0 {
+	if r.read += n; r.read >= idleStep {
+		r.read = 0
 		r.timer.timer.Reset(r.timer.timeout)
 	}
 	return n, err
--- a/neighbor/endless_test.go
+++ b/neighbor/endless_test.go
@@ -144,3 +144,21 @@
 	require.LessOrEqual(t, most, idle+growingLists*growingMemory)
 	require.EqualValues(t, growingLists, failed.Load(), "none may look whole")
 }
+
+// A list that brings a few bytes now and then, and never ends, was read for ever, and no other node was asked.
+func TestListThatTricklesWithoutEndIsGivenUp(t *testing.T) {
+	for form, begin := range map[string]string{"a body": platformtest.EndlessBody, "an error": platformtest.EndlessError} {
+		t.Run(form, func(t *testing.T) {
+			t.Parallel()
+			endless := &platformtest.Endless{Begin: begin, Repeat: "x", Pause: 50 * time.Millisecond, Most: trickleBytes}
+			endless.Listen(t)
+			begun := time.Now()
+			_, err := neighbor.NewClient().List(t.Context(), endless.Address, "t")
+			require.Error(t, err)
+			require.Less(t, kernel.RunTime(begun, time.Now()), 2*time.Second)
+		})
+	}
+}
+
+// trickleBytes take 5 s to send.
+const trickleBytes = 100
--- a/neighbor/progress.go
+++ b/neighbor/progress.go
@@ -9,8 +9,8 @@
 	"redwinghall/kernel"
 )
 
-// withIdleTimeout returns a context for one call, which ends once no byte of the response has come
-// for timeout.
+// withIdleTimeout returns a context for one call, which ends once next to nothing of the response has
+// come for timeout.
 func withIdleTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, timer, cancel := kernel.WithIdleTimeout(parent, timeout)
 	return context.WithValue(ctx, idleTimerKey{}, timer), cancel
