Last moment: a node whose time is over answers all the same

In a run of half of the package's tests (load 20), the process of a stopping node stood still for 0.98 s beyond the time for its answers. It then ended the requests and closed their connections at once: their handlers had an answer, and six callers got none (unanswered=6).

If the time is over, the node now waits for the answers for up to 0.1 s of the time for which it runs, out of the 0.4 s for the exit. The last log lines may take 0.2 s of those, so 0.1 s is left.

--- a/node/last_moment.go
+++ b/node/last_moment.go
@@ -17,6 +17,8 @@
 	answerCost = 400 * time.Microsecond
 	// minAnswerTime is the least that the last moment is given. The listener may take 150 ms of it to close.
 	minAnswerTime = 250 * time.Millisecond
+	// leastAnswerTime is what it gets of the margin for the exit if its time is over, as after a pause of the process.
+	leastAnswerTime = exitMargin / 4
 	// maxAnswerShare bounds what it takes of the time that a node has to end.
 	maxAnswerShare = 0.25
 	// maxFailedTime is the most that it takes at a node of which a part has failed.
@@ -78,11 +80,13 @@
 // ended reports whether this node ends all requests.
 func (n *Node) ended() bool { return n.last.requests.Err() != nil }
 
-// answerRunning ends the requests that are still running, and waits until their answers are sent, at most until a time.
+// answerRunning ends the requests that are still running, and waits until their answers are sent, until a time or for
+// leastAnswerTime at most.
 func (n *Node) answerRunning(until time.Time, reason string) {
 	n.ending.interrupt(n.conns.logInterrupted(time.Now(), reason), reason == cutByGrace)
 	n.last.end(errNodeEnds)
-	for running := true; running && time.Now().Before(until); {
+	begun := time.Now()
+	for running := true; running && (time.Now().Before(until) || kernel.RunTime(begun, time.Now()) < leastAnswerTime); {
 		n.conns.endReads(time.Now())
 		kernel.Sleep(context.Background(), answerPollInterval)
 		_, requests := n.conns.counts()
--- a/node/last_moment_test.go
+++ b/node/last_moment_test.go
@@ -184,6 +184,20 @@
 	}
 }
 
+// Guards against a node that answers nothing as it has stood still, or waited for its listener, until its time was over.
+func TestEndingNodeAnswersAlthoughItsTimeIsOver(t *testing.T) {
+	t.Parallel()
+	d := deployWith(t, platformtest.EndpointConfig{Event: longPause, Events: longEvents}, platformtest.EndpointConfig{Work: slowCall})
+	d.withGrace("0.4") // all of it is for the exit
+	end := d.startEnding(waysToEnd["grace over"])
+	d.waitOpen()
+	c := newCallers(d)
+	c.send("booking", "/book/x")
+	require.Eventually(t, func() bool { return d.runCounter.Runs("booking") > 0 }, 5*time.Second, 10*time.Millisecond)
+	end()
+	require.Equal(t, http.StatusBadGateway, c.wait()["booking"].status)
+}
+
 // Guards against requests that wait for the first reads of a node which fails, and end without a status.
 func TestNodeThatFailsWhileItStartsAnswersThoseThatWait(t *testing.T) {
 	t.Parallel()
