Soak: endpoints that crash behind a cut in answers without a length

The plan halves: all answers end with their connections; endpoints are cut off in one direction (a new mode of links, deaf: what they send arrives, nothing reaches them), crash in their answers and start again behind the cut, beside nodes that stand still. No part of an answer may look complete.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,9 @@
           in some of the pauses an endpoint ends. Nodes that run again must serve nine
           of ten requests of the next seconds; no request goes to a second endpoint and
           no group is closed for a pause alone.
+  halves  endpoints whose answers end with their connections are cut off in one
+          direction, crash and start again, beside nodes that stand still. No part of an
+          answer may look complete.
   versions
           the configuration changes every 20 to 300 ms, at first alone, then beside SIGHUPs
           to all nodes (also as they start and stop), replaced settings files, planned
@@ -76,7 +79,7 @@
 	Seed   uint64        `long:"seed" description:"first seed" default:"1"`
 	Seeds  int           `long:"seeds" description:"number of seeds, one run each" default:"1"`
 	Length time.Duration `long:"length" description:"how long faults or stops are started" default:"20s"`
-	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" choice:"silences" default:"faults"`
+	Plan   string        `long:"plan" description:"plan of each run" choice:"faults" choice:"stops" choice:"partitions" choice:"pauses" choice:"versions" choice:"ends" choice:"silences" choice:"halves" default:"faults"`
 	Nodes  int           `long:"nodes" description:"number of nodes" default:"4"`
 	Calls  int           `long:"sessions" description:"number of callers in the plans versions and ends (default: 48 or one a node)"`
 	Dir    string        `long:"dir" description:"folder for logs and settings (default: a new one)"`
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -40,6 +40,7 @@
 	{soak.PlanVersions, 2, 6, 14 * time.Second, "a node ends by SIGHUP before it handles it, or after it no longer does"},
 	{soak.PlanEnds, 1, 8, 10 * time.Second, "the holder of a zone cancels sound groups after all endpoints were silent together"},
 	{soak.PlanSilences, 1, 4, 10 * time.Second, "a stream ends as it leaves an endpoint that is silent for a moment"},
+	{soak.PlanHalves, 1, 4, 8 * time.Second, "half an answer without a length passes as whole, as nobody can tell whether its process still runs"},
 }
 
 // TestSoak runs the plan of each regression for a short time, with real node processes,
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -94,6 +94,9 @@
 	// PlanSilences lets endpoints fall silent for a moment while others reject requests, beside versions and
 	// planned stops.
 	PlanSilences Plan = "silences"
+	// PlanHalves lets endpoints crash behind cuts in one direction, in answers that end with their connections, beside
+	// nodes that stand still.
+	PlanHalves Plan = "halves"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -77,8 +77,12 @@
 	}
 	g := kernel.NewGroup(ctx)
 	from := faults
-	if d.config.Plan == PlanPartitions {
+	switch d.config.Plan {
+	case PlanPartitions:
 		from = partitionFaults
+	case PlanHalves:
+		from = halfAnswerFaults
+		d.unframeAll()
 	}
 	end := time.Now().Add(d.config.Length)
 	for time.Now().Before(end) && ctx.Err() == nil {
