Answers of servers that name no start: whole if they answer at once

Cause: the strict rule asked for an answer that names the start of the entry.

An answer that names no start counts if it is the first question's, within 150 ms of the end: a process that has just started is slow for some seconds. It doesn't if this node stood still for over 0.3 s in the response, as the next process may be slow no more by then. A first question without an answer (a cut, a slow process) needs a start to be named, as before.

--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -54,7 +54,8 @@
 // awaitPresence asks until it is known whether an endpoint's process still runs, for limit at most.
 //
 // The first question goes over this node's own connection alone, as most processes answer it. This node may be cut off
-// from the endpoint, so the next ones go by way of other nodes too.
+// from the endpoint, so the next ones go by way of other nodes too. The servers of plain services name no start in what they
+// answer: it counts if it comes at once, as a process that has just started is slow.
 func (g *Gateway) awaitPresence(ctx context.Context, e *fleet.Endpoint, limit time.Duration) fleet.Presence {
 	begun := time.Now()
 	if g.Presence == nil || limit <= 0 {
@@ -64,7 +65,7 @@
 		return fleet.PresenceGone
 	}
 	found := g.askOnce(ctx, e, min(firstQuestion, limit))
-	if left := limit - kernel.RunTime(begun, time.Now()); !found.IsKnown() && left > 0 {
+	if left := limit - kernel.RunTime(begun, time.Now()); found == fleet.PresenceUnknown && left > 0 {
 		found = g.askAllWays(ctx, e, left)
 	}
 	return found
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"redwinghall/fleet"
+	"redwinghall/kernel"
 )
 
 // isUnframed reports whether a response has neither a length nor chunks, so that it ends with its connection.
@@ -18,7 +19,11 @@
 
 // lastProofShare is the share of the time left that the end of a response may be asked about if the request can't run
 // again. The rest is for a status.
-const lastProofShare = 0.9
+const lastProofShare = 0.8
+
+// maxStandstill is for how long this process may have stood still in a response, if a process that names no start is to
+// prove its end: another one may have started meanwhile, and be slow no more.
+const maxStandstill = 300 * time.Millisecond
 
 // errUnprovenEnd is the end of a response of which nothing shows that it is complete.
 var errUnprovenEnd = errors.New("nothing shows that the response is complete")
@@ -27,7 +32,7 @@
 //
 // The connections of a process that ends are closed like those after a complete response, and a part of the
 // response would pass for all of it. So the response is complete only if the same process answers a question that was
-// asked after the end.
+// asked after the end, or one that names no start does at once.
 type unframedBody struct {
 	io.ReadCloser
 	// presence finds out whether the process still runs, and found is its answer, "" before the end.
@@ -36,6 +41,12 @@
 	// mayBeEmpty is false for a stream from its beginning: it has at least one event.
 	mayBeEmpty bool
 	hasBytes   bool
+	begun      time.Time
+}
+
+// stoodStill reports whether this process stood still for so long that it can't tell what became of the endpoint meanwhile.
+func (b *unframedBody) stoodStill(now time.Time) bool {
+	return now.Sub(b.begun)-kernel.RunTime(b.begun, now) > maxStandstill
 }
 
 // Read implements io.Reader.
@@ -51,10 +62,10 @@
 	if b.found == "" {
 		b.found = b.presence()
 	}
-	switch b.found {
-	case fleet.PresenceAlive:
+	switch {
+	case b.found == fleet.PresenceAlive, b.found == fleet.PresenceAnswered && !b.stoodStill(time.Now()):
 		return n, err
-	case fleet.PresenceGone:
+	case b.found == fleet.PresenceGone:
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, errUnprovenEnd
@@ -73,10 +84,15 @@
 	response.Body = &unframedBody{
 		ReadCloser: response.Body,
 		presence: func() fleet.Presence {
-			found := g.awaitPresence(ctx, e, proofTime(time.Now(), r, mayRunAgain()))
+			now := time.Now()
+			// The caller's deadline goes by the clock, also while this process stands still.
+			ctx, cancel := context.WithDeadline(ctx, now.Add(proofTime(now, r, false)))
+			defer cancel()
+			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()))
 			g.Metrics.BrokenOff(found)
 			return found
 		},
+		begun:      time.Now(),
 		mayBeEmpty: r.Route.Kind != fleet.Streaming || response.Status != http.StatusOK || lastEvent != "",
 	}
 }
