--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -96,6 +96,9 @@
 	PlanSilences Plan = "silences"
 	// PlanRemovals removes endpoints' entries just after a zone's nodes were cut off from the store.
 	PlanRemovals Plan = "removals"
+	// PlanHalves lets endpoints crash behind cuts in one direction, in answers that end with their connections, beside
+	// nodes that stand still.
+	PlanHalves Plan = "halves"
 )
 
 // nodeProcess is a node with its settings and its link to the store.
