Stop: a carrier without callers of its own answers other nodes too

Whether a node has a last moment went by its callers' connections alone. A node that only carried requests of other nodes at the end of its stop closed their connections at once: the other node saw no answer, passed the carrier over and answered 502 also for calls that had not been sent.

TestEndingCarrierWithoutCallersAnswersOtherNodes: grace over failed before (1 of 1, EOF), passes; a part failed passed before too.

--- a/node/stop.go
+++ b/node/stop.go
@@ -80,7 +80,7 @@
 	switch {
 	case ctx.Err() != nil:
 		n.answerRunning(time.Now().Add(maxFailedTime), endedByFailure)
-	case !inactive:
+	case !inactive, n.gateway.Forwards() > 0: // what other nodes wait for runs on no connection of a caller
 		n.answerRunning(n.plannedStop().End.Add(answers), cutByGrace)
 	}
 }
