Stop: a part that fails late in a stop leaves the grace period

A part that fails gives the running requests 1 s, also when the planned stop has less left: beside a caller that reads nothing, a stop with a grace of 2 s whose part failed 1.2 s after the signal took 2.21 s (SIGKILL comes before). Now whichever ends first counts.

TestPartThatFailsLateInAStopLeavesTheGrace failed before (1 of 1), passes (3 of 3).

--- a/node/stop.go
+++ b/node/stop.go
@@ -77,14 +77,22 @@
 	for !inactive && n.waitStopPoll(ctx) {
 		inactive = n.conns.closeIfInactive(time.Now())
 	}
+	until := n.plannedStop().End.Add(answers)
 	switch {
 	case ctx.Err() != nil:
-		n.answerRunning(time.Now().Add(maxFailedTime), endedByFailure)
+		n.answerRunning(earlier(until, time.Now().Add(maxFailedTime)), endedByFailure)
 	case !inactive, n.gateway.Forwards() > 0: // what other nodes wait for runs on no connection of a caller
-		n.answerRunning(n.plannedStop().End.Add(answers), cutByGrace)
+		n.answerRunning(until, cutByGrace)
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // closeListener closes the listener of callers once it has taken what waits there.
 func (n *Node) closeListener(ctx context.Context) {
 	if err := n.callers.CloseDrained(ctx); err != nil {
