Stop: the wait for the load balancer ends sooner at a VM that was suspended

AdjustForSuspend brings Noticed and End forward, but the stop slept until Noticed as planned at the signal. A VM that was suspended for most of its grace period in the first 2.4 s of a stop slept beyond its end: nothing was answered, and the exit came as SIGKILL does. The wait for the reader of the last lines goes by the adjusted end too (by reading).

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -51,3 +51,10 @@
 
 // CloseAfterResponses makes every connection close after its current or next response.
 func (c CallerConnections) CloseAfterResponses() { c.conns.closeAfterResponses() }
+
+// Suspend makes a stopping node believe that its VM was suspended.
+func (n *Node) Suspend(d time.Duration) {
+	stop := *n.stopping.Load()
+	stop.Boot = stop.Boot.Add(-d)
+	n.stopping.Store(&stop)
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -63,7 +63,7 @@
 	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(stop.End)))
 	defer cancel()
 	protectStep("stop_leave", func() { n.table.Leave(leave) })
-	kernel.Sleep(ctx, time.Until(stop.Noticed))
+	n.awaitNoticed(ctx)
 	n.awaitInactive(ctx)
 	// A connection accepted after the check above would be cut off with its request.
 	// So the listener is closed first, and connections accepted just before that get
@@ -100,6 +100,14 @@
 	}
 }
 
+// awaitNoticed waits until the load balancer has noticed the stop, which it does also while this VM is suspended.
+func (n *Node) awaitNoticed(ctx context.Context) {
+	left := func() time.Duration { return time.Until(n.plannedStop().Noticed) }
+	for wait := left(); wait > 0 && kernel.Sleep(ctx, min(wait, stopPollInterval)); wait = left() {
+		continue
+	}
+}
+
 // awaitInactive waits until no request has been running for stopPollInterval, or the stop is over.
 //
 // What came while the process stood still is accepted and read only after it runs again. A node that
@@ -120,8 +128,8 @@
 
 // logDrainTime returns how long the last log lines may wait for their reader.
 func (n *Node) logDrainTime(now time.Time) time.Duration {
-	stop := n.stopping.Load()
-	if stop == nil || n.ending.failed() {
+	stop := n.plannedStop()
+	if !stop.Active() || n.ending.failed() {
 		return maxLogDrainTime
 	}
 	return min(maxLogDrainTime, minLogDrainTime+max(0, stop.End.Sub(now)))
