Stop: a silent store doesn't take the time to answer what is running

Table.Leave waits for the lock that a step of the table holds during its call to the store, and its timeout didn't count for that wait. With a store silent since before the signal, a stop with a grace of 1 s took 1.47 to 1.57 s: it overran its grace period, and the last moment had no time (unanswered=1). TestStopEndsInAShortGraceWithoutTheStore silences the store at the signal, so no call was in progress. Now the stop waits for its leave no longer than planned; a call that is in progress ends with the node.

--- a/node/stop.go
+++ b/node/stop.go
@@ -60,9 +60,7 @@
 	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "answer_time", answers, "connections", connections,
 		"requests", requests, "forwards", n.gateway.Forwards())
 	protectStep("stop_planning", n.manager.Stop)
-	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(stop.End)))
-	defer cancel()
-	protectStep("stop_leave", func() { n.table.Leave(leave) })
+	n.leaveTable(ctx, min(leaveTimeout, time.Until(stop.End)))
 	n.awaitNoticed(ctx)
 	n.awaitInactive(ctx)
 	// A connection accepted after the check above would be cut off with its request.
@@ -93,6 +91,17 @@
 	return b
 }
 
+// leaveTable gives up what this node holds in the store, and waits for that no longer than limit. A call to a silent store that
+// was in progress before may hold it up for longer; it ends with the node.
+func (n *Node) leaveTable(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	n.group.Task("stop_leave", func(context.Context) {
+		defer cancel()
+		n.table.Leave(ctx)
+	})
+	<-ctx.Done()
+}
+
 // closeListener closes the listener of callers once it has taken what waits there.
 func (n *Node) closeListener(ctx context.Context) {
 	if err := n.callers.CloseDrained(ctx); err != nil {
