Tests: the last moment begins in the last sixth of the grace period (red)

The time kept for answers is up to a quarter of the stop, so that with many open it begins before (grace 8 s: 500 open at 0.2 of a core 6.6 s after the signal, the sixth begins at 6.67 s; at most 1.9 s are kept, 5.7 s), and what is cut from then on counts. The test fails: a real fault that isn't mended here, as how much time is kept for what is a choice.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -52,6 +52,14 @@
 // CloseAfterResponses makes every connection close after its current or next response.
 func (c CallerConnections) CloseAfterResponses() { c.conns.closeAfterResponses() }
 
+// LongestStop returns how long after the signal a node with a share of a processor begins to answer so many running requests.
+func LongestStop(grace time.Duration, processor float64, requests int) time.Duration {
+	n := &Node{settings: fleet.Settings{Processor: processor}}
+	now := time.Now()
+	stop, _ := n.newStop(now, now, grace, requests)
+	return stop.End.Sub(now)
+}
+
 // Suspend makes a stopping node believe that its VM was suspended.
 func (n *Node) Suspend(d time.Duration) {
 	stop := *n.stopping.Load()
