Router: requests that outlast the drain get an answer

Requests accepted before the signal may outlast the drain (max_timeout and drain_timeout are set apart). Now their contexts end at most 0.5 s (a quarter of a short drain) before the end, and each is answered as when its time is over: 502 if its call may have run, 504 if it wasn't started. New requests are accepted up to that time.

--- a/daemon/router.go
+++ b/daemon/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -22,6 +23,8 @@
 	refreshInterval    = 100 * time.Millisecond
 	drainCheckInterval = 20 * time.Millisecond
 	grantInterval      = ramp.GrantTTL / 4
+	// maxAnswerTime is the most of a drain that is kept to answer requests that outlast it.
+	maxAnswerTime = 500 * time.Millisecond
 )
 
 // Router is a router process.
@@ -100,6 +103,9 @@
 func (r *Router) Run(ctx context.Context) error {
 	g := kernel.NewGroup(context.Background())
 	callers := r.Server.HTTPServer(r.settings.CallerAddress)
+	requests, endRequests := context.WithCancel(context.Background())
+	defer endRequests()
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	peers := peerServer(r.settings.PeerAddress, r.Node.Handler())
 	if err := serve(g, "peer.listener", peers, peerMaxConnections); err != nil {
 		return err
@@ -125,7 +131,7 @@
 	case <-ctx.Done():
 	case <-g.Context().Done():
 	}
-	r.drain(callers)
+	r.drain(callers, endRequests)
 	g.Stop()
 	_ = peers.Close()
 	r.calls.Stop()
@@ -167,18 +173,23 @@
 //
 // If the router closed its listener at once, requests that the load balancer still
 // sends to it would fail. If it exited before the outcomes are recorded, callers could
-// not retrieve them by a retry.
-func (r *Router) drain(callers *http.Server) {
+// not retrieve them by a retry. Requests that are still in progress before the end are ended by endRequests, so that each
+// gets an answer that says whether it may have been executed.
+func (r *Router) drain(callers *http.Server, endRequests func()) {
 	klog.InfoS("router_draining", "id", r.settings.ID)
 	started := time.Now()
 	end := started.Add(r.settings.DrainDelay.Std() + r.settings.DrainTimeout.Std())
-	r.Server.Drain(end)
+	answersFrom := end.Add(-min(maxAnswerTime, end.Sub(started)/4))
+	r.Server.Drain(answersFrom)
 	r.Node.Leave(started)
 	time.Sleep(r.settings.DrainDelay.Std())
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		klog.ErrorS(err, "drain_incomplete")
+	if !shutDown(callers, answersFrom) {
+		kernel.WarningS(nil, "drain_incomplete")
+		endRequests()
+	}
+	if !shutDown(callers, end) {
 		_ = callers.Close()
 	}
 	waitUntil(ctx, r.Server.CallsDone)
@@ -186,6 +197,13 @@
 	klog.InfoS("router_drained", "id", r.settings.ID, "outcomes_not_recorded", r.Keeper.PendingOutcomes())
 }
 
+// shutDown reports whether all requests have ended by a time.
+func shutDown(callers *http.Server, by time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
+	defer cancel()
+	return callers.Shutdown(ctx) == nil
+}
+
 func waitUntil(ctx context.Context, done func() bool) {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -49,6 +49,37 @@
 	require.NoError(t, err, "sent 0.1 s after the signal; its connection was closed without a response after %s", took)
 }
 
+// Guards against a router that closes the connections of calls that outlast its drain without a word on what became of them.
+func TestDrainingRouterAnswersCallsThatOutlastIt(t *testing.T) {
+	var platform string
+	d := rwhtest.Start(t, rwhtest.Options{PlatformProxy: func(address string) string {
+		platform = address
+		return address
+	}})
+	d.Submit("v1")
+	router, address := newDrainingRouter(t, platform, d.Controllers[0].Node.Members("tartu"))
+	stopping, stop := context.WithCancel(context.Background())
+	g := kernel.NewGroup(context.Background())
+	g.Go("router", func(context.Context) error { return router.Run(stopping) })
+	d.Eventually("the router executes calls", func() bool {
+		r, err := sendDeposit(t, d, address, "warm")
+		return err == nil && r.Status == http.StatusOK
+	})
+	for _, s := range d.Services {
+		s.SetFaults(service.Faults{Delay: redwinghall.Duration(4 * time.Second)})
+	}
+	d.Client.CloseIdleConnections() // Go's client retries a request if a reused connection is closed
+	g.Task("stop", func(ctx context.Context) {
+		kernel.Sleep(ctx, 200*time.Millisecond)
+		stop()
+	})
+	reply, err := sendDeposit(t, d, address, "slow")
+	require.NoError(t, g.Wait())
+	require.NoError(t, err, "its connection was closed without a response")
+	require.GreaterOrEqual(t, reply.Status, http.StatusInternalServerError)
+	require.NotEqual(t, http.StatusServiceUnavailable, reply.Status, "it may have been executed")
+}
+
 // newDrainingRouter returns a router with a drain delay of 0.5 s and a drain timeout of
 // 1 s, and its address for callers.
 func newDrainingRouter(t *testing.T, platform string, peers []peer.Member) (*daemon.Router, string) {
