Stop: a node that stood still past its end answers what is running

If the process stood still (a suspended VM, a throttled processor) until the last moment was over, the contexts of the requests ended and their connections were closed at once: each wrote its line, with its status, and its caller got the end of the connection.

--- a/node/last_moment.go
+++ b/node/last_moment.go
@@ -78,15 +78,16 @@
 // ended reports whether this node ends all requests.
 func (n *Node) ended() bool { return n.last.requests.Err() != nil }
 
-// answerRunning ends the requests that are still running, and waits until their answers are sent, at most until a time.
+// answerRunning ends the requests that are still running, and waits until their answers are sent, at most until a time. If
+// that has passed, as this process stood still, it waits once all the same: few answers take no longer.
 func (n *Node) answerRunning(until time.Time, reason string) {
 	n.ending.interrupt(n.conns.logInterrupted(time.Now(), reason), reason == cutByGrace)
 	n.last.end(errNodeEnds)
-	for running := true; running && time.Now().Before(until); {
+	for running := true; running; {
 		n.conns.endReads(time.Now())
 		kernel.Sleep(context.Background(), answerPollInterval)
 		_, requests := n.conns.counts()
-		running = requests > 0 || n.gateway.Forwards() > 0
+		running = (requests > 0 || n.gateway.Forwards() > 0) && time.Now().Before(until)
 	}
 	n.ending.leave(n.conns.unanswered())
 }
