--- a/node/last_moment.go
+++ b/node/last_moment.go
@@ -24,7 +24,7 @@
 	// maxFailedTime is the most that it takes at a node of which a part has failed.
 	maxFailedTime = time.Second
 	// answerPollInterval is how often it looks for requests that are still running.
-	answerPollInterval = 10 * time.Millisecond
+	answerPollInterval = 25 * time.Millisecond
 )
 
 // errNodeEnds is the cause of the end of requests that this node ends in its last moment.
@@ -90,7 +90,7 @@
 		n.conns.endReads(time.Now())
 		kernel.Sleep(context.Background(), answerPollInterval)
 		_, requests := n.conns.counts()
-		running = requests > 0 || n.gateway.Forwards() > 0
+		running = (requests > 0 || n.gateway.Forwards() > 0) && time.Now().Before(until)
 	}
 	n.ending.leave(n.conns.unanswered())
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -60,10 +60,8 @@
 	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "answer_time", answers, "connections", connections,
 		"requests", requests, "forwards", n.gateway.Forwards())
 	protectStep("stop_planning", n.manager.Stop)
-	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(stop.End)))
-	defer cancel()
-	protectStep("stop_leave", func() { n.table.Leave(leave) })
-	kernel.Sleep(ctx, time.Until(stop.Noticed))
+	n.leaveTable(ctx, min(leaveTimeout, time.Until(stop.End)))
+	n.awaitNoticed(ctx)
 	n.awaitInactive(ctx)
 	// A connection accepted after the check above would be cut off with its request.
 	// So the listener is closed first, and connections accepted just before that get
@@ -77,14 +75,33 @@
 	for !inactive && n.waitStopPoll(ctx) {
 		inactive = n.conns.closeIfInactive(time.Now())
 	}
+	until := n.plannedStop().End.Add(answers)
 	switch {
 	case ctx.Err() != nil:
-		n.answerRunning(time.Now().Add(maxFailedTime), endedByFailure)
-	case !inactive || n.gateway.Forwards() > 0:
-		n.answerRunning(n.plannedStop().End.Add(answers), cutByGrace)
+		n.answerRunning(earlier(until, time.Now().Add(maxFailedTime)), endedByFailure)
+	case !inactive, n.gateway.Forwards() > 0: // what other nodes wait for runs on no connection of a caller
+		n.answerRunning(until, cutByGrace)
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// leaveTable gives up what this node holds in the store, and waits for that no longer than limit. A call to a silent store that
+// was in progress before may hold it up for longer; it ends with the node.
+func (n *Node) leaveTable(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	n.group.Task("stop_leave", func(context.Context) {
+		defer cancel()
+		n.table.Leave(ctx)
+	})
+	<-ctx.Done()
+}
+
 // closeListener closes the listener of callers once it has taken what waits there.
 func (n *Node) closeListener(ctx context.Context) {
 	if err := n.callers.CloseDrained(ctx); err != nil {
@@ -92,6 +109,14 @@
 	}
 }
 
+// awaitNoticed waits until the load balancer has noticed the stop, which it does also while this VM is suspended.
+func (n *Node) awaitNoticed(ctx context.Context) {
+	left := func() time.Duration { return time.Until(n.plannedStop().Noticed) }
+	for wait := left(); wait > 0 && kernel.Sleep(ctx, min(wait, stopPollInterval)); wait = left() {
+		continue
+	}
+}
+
 // awaitInactive waits until no request has been running for stopPollInterval, or the stop is over.
 //
 // What came while the process stood still is accepted and read only after it runs again. A node that
@@ -112,8 +137,8 @@
 
 // logDrainTime returns how long the last log lines may wait for their reader.
 func (n *Node) logDrainTime(now time.Time) time.Duration {
-	stop := n.stopping.Load()
-	if stop == nil || n.ending.failed() {
+	stop := n.plannedStop()
+	if !stop.Active() || n.ending.failed() {
 		return maxLogDrainTime
 	}
 	return min(maxLogDrainTime, minLogDrainTime+max(0, stop.End.Sub(now)))
