--- a/directory/follower.go
+++ b/directory/follower.go
@@ -192,11 +192,15 @@
 
 // step reads a table once and applies the changes.
 func (f *Follower) step(ctx context.Context, feed *feed) (fleet.Rows, error) {
+	started := time.Now()
 	rows, err := f.read(ctx, feed)
 	if err != nil {
 		return rows, err
 	}
 	now := time.Now()
+	if feed.failing && now.Sub(started) > answeredWithin {
+		f.absence.note(started, now, true) // the call hung until the store was back, as it waits for nothing else
+	}
 	until, unanswered := f.absence.since(feed.answeredAt)
 	wasAway := feed.failing || (unanswered && now.Sub(feed.answeredAt) > longestGap)
 	feed.recordResponse(now, rows, wasAway, until)
