--- a/directory/follower.go
+++ b/directory/follower.go
@@ -184,7 +184,7 @@
 	feed.failing = true
 	feed.pause = min(max(2*feed.pause, minPause), maxPause)
 	if !called {
-		return relayedInterval // only other nodes were asked, and tell when the store has answered them
+		return retryWithin // only other nodes were asked, and all nodes of a zone ask the same one
 	}
 	wait := feed.pause/2 + rand.N(feed.pause/2+1)
 	return min(wait, max(minPause, retryWithin-took))
