--- a/gateway/byte_budget.go
+++ b/gateway/byte_budget.go
@@ -2,14 +2,17 @@
 
 import "sync/atomic"
 
-// byteBudget bounds the memory of what all requests hold together.
+// maxEventBytes bounds what the streams hold together of events that are larger than usual.
+const maxEventBytes = 512 << 10
+
+// byteBudget bounds the memory of what all requests hold together. It implements eventstream.Budget.
 type byteBudget struct {
 	limit int64
 	used  atomic.Int64
 }
 
-// take reports whether n more bytes may be held, and counts them if so.
-func (b *byteBudget) take(n int64) bool {
+// Take reports whether n more bytes may be held, and counts them if so.
+func (b *byteBudget) Take(n int64) bool {
 	if b.used.Add(n) <= b.limit {
 		return true
 	}
@@ -17,5 +20,5 @@
 	return false
 }
 
-// giveBack ends the holding of n bytes.
-func (b *byteBudget) giveBack(n int64) { b.used.Add(-n) }
+// GiveBack ends the holding of n bytes.
+func (b *byteBudget) GiveBack(n int64) { b.used.Add(-n) }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -263,8 +263,8 @@
 func (c *plainCall) readResponse(e *fleet.Endpoint, response *Response) plainAttempt {
 	last := plainAttempt{endpoint: e, response: response, notRun: response.Info.NotRun}
 	body, complete, err := readUpTo(response.Body, nil, smallBufferedResponse)
-	if err == nil && !complete && c.g.answerBytes.take(maxBufferedResponse) {
-		last.giveBack = func() { c.g.answerBytes.giveBack(maxBufferedResponse) }
+	if err == nil && !complete && c.g.answerBytes.Take(maxBufferedResponse) {
+		last.giveBack = func() { c.g.answerBytes.GiveBack(maxBufferedResponse) }
 		body, complete, err = readUpTo(response.Body, body, maxBufferedResponse)
 	}
 	last.body = body
--- a/gateway/stream_relay.go
+++ b/gateway/stream_relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwinghall/balance"
+	"redwinghall/eventstream"
 	"redwinghall/fleet"
 	"redwinghall/platform"
 )
@@ -32,11 +33,11 @@
 	}})
 	defer ahead.close()
 	c.ahead.Store(ahead)
-	events := newEventSplitter(ahead, &c.g.eventBytes)
-	defer events.close()
+	events := eventstream.NewSplitter(ahead, &c.g.eventBytes)
+	defer events.Close()
 	pace := c.predictedPause()
 	for {
-		event, err := events.next()
+		event, err := events.Next()
 		if (err == nil || errors.Is(err, io.EOF)) && !c.admit(run, event) {
 			return ErrStalled
 		}
@@ -46,10 +47,10 @@
 		if err != nil {
 			return err
 		}
-		if err := events.checkBlank(event); err != nil {
+		if err := events.CheckBlank(event); err != nil {
 			return err
 		}
-		if events.blank > 0 {
+		if events.InBlank() {
 			if err := c.writeBlank(choice.Endpoint, response, event); err != nil {
 				return err
 			}
@@ -65,7 +66,7 @@
 		if err := c.write(event); err != nil {
 			return err
 		}
-		if !events.buffered() {
+		if !events.Buffered() {
 			if err := c.flushEvents(); err != nil {
 				return err
 			}
@@ -133,7 +134,7 @@
 // alreadySent reports whether the caller already has an event. If not, it records the
 // id of the event as the last one sent.
 func (c *streamCall) alreadySent(event []byte) bool {
-	id, ok := eventID(event)
+	id, ok := eventstream.ID(event)
 	if !ok {
 		return false
 	}
--- a/gateway/stream_state.go
+++ b/gateway/stream_state.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"redwinghall/eventstream"
 )
 
 // admit reports whether an event, or with nil the end of a response, may be passed on to the caller: not if a takeover
@@ -13,8 +15,8 @@
 	if run.abandoned {
 		return false
 	}
-	isEvent := !isBlank(event)
-	if _, ok := eventID(event); isEvent && !ok {
+	isEvent := !eventstream.IsBlank(event)
+	if _, ok := eventstream.ID(event); isEvent && !ok {
 		c.unnumbered = true
 	}
 	if c.takeover != nil && (isEvent || event == nil) {
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall"
+	"redwinghall/eventstream"
 	"redwinghall/kernel"
 )
 
@@ -122,14 +123,14 @@
 		_ = response.Body.Close()
 		return streamAttempt{response: response, err: redwinghall.NewOpError("takeover.try", Unknown, errEndpointFailed)}, false
 	}
-	body := newProvingBody(response.Body)
+	body := eventstream.NewProvingBody(response.Body)
 	run.body = body
 	after, _ := t.call.lastEvent()
 	if t.enter(run) {
-		body.endProving()
+		body.EndProving()
 		return last, true
 	}
-	if err := body.prove(after, func() { t.win(run) }); err != nil && t.withdraw(run) {
+	if err := body.Prove(after, func() { t.win(run) }); err != nil && t.withdraw(run) {
 		return streamAttempt{response: response, err: redwinghall.NewOpError("takeover.try", Unknown, err)}, false
 	}
 	return last, t.win(run)
