Quarantine: nodes tell each other an answer once

Cause: nodes tell each other the age of an answer on a suspected part, as their clocks differ. Each hears it later by the time of the message, so a node that had the answer took what came back for a later answer, which is news: the first nodes of the zones gave it to each other and to all nodes of their zones again, without end. One answer was enough; its time moved on with each message too, so it could speak for a part that was at an end after it. Since each request has parts of its own in the quarantine, each end brings some.

The change: an answer is news only if it ends a suspicion, or is later than the known one by at least a second.

--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -31,6 +31,7 @@
 	ends   []time.Time
 	// refusedSound counts sound requests that were refused or not allowed a trial for too long.
 	sound, refusedSound int
+	told                int // messages of nodes to each other
 	serial              int
 }
 
@@ -106,6 +107,7 @@
 		}
 	}
 	for _, other := range to {
+		p.told++
 		if delay, ok := p.hop(n, other); ok {
 			p.after(delay, func() {
 				other.table.Merge(p.now, report)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,8 @@
 	// keepOwnAfter is how long a suspect is kept of which only its request's own parts are suspected. A caller
 	// that repeats its request does so sooner.
 	keepOwnAfter = 5 * time.Minute
+	// sameAnswerTime is how much later an answer on a part must be to tell more than the one known before.
+	sameAnswerTime = time.Second
 )
 
 // Verdict says what becomes of a request.
@@ -191,10 +194,13 @@
 
 // clear records an answer on a part, which ends all suspicion of before. It reports whether that is new.
 // The lock is held.
+//
+// Nodes tell each other the age of an answer, so each hears it later by the time of the message. They would otherwise
+// give each other the same answer again, as a later one, without end.
 func (t *Table) clear(part Part, at time.Time, local bool) bool {
 	one, known := t.cleared[part]
 	switch {
-	case known && !at.After(one.at):
+	case known && at.Sub(one.at) < sameAnswerTime && !t.endsSuspicion(part, at):
 		return false
 	case !known && len(t.cleared) >= maxCleared:
 		return false
@@ -215,6 +221,11 @@
 	return true
 }
 
+// endsSuspicion reports whether a process ended under a suspected part until a time. The lock is held.
+func (t *Table) endsSuspicion(part Part, at time.Time) bool {
+	return slices.ContainsFunc(t.live[part], func(s *suspect) bool { return !s.At.After(at) })
+}
+
 // setLive replaces the suspects of a part. The lock is held.
 func (t *Table) setLive(part Part, suspects []*suspect) {
 	if len(suspects) > 0 {
