Quarantine: a node looks at all suspected parts once a second for its log, not at each change

Cause: each change of the table was followed by a look at the evidence on all suspected parts, for the log and two metrics, before the news was told. With a request's own parts a crash of many endpoints leaves hundreds of them and changes the table up to 200 times a second. The count of all ends of a span of time, for the share, was made for parts without a trial's end too, which nothing condemns.

The change: the log has a loop of its own, which looks at once and then once a second at most; nothing else in it differs.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -19,6 +19,9 @@
 	// quarantineGatherTime is how long news of ended endpoints are gathered before they are sent: all nodes
 	// that had requests there find out at the same moment.
 	quarantineGatherTime = 5 * time.Millisecond
+	// quarantineLogInterval is the least time between two looks at all suspected parts for the log. A crash of many
+	// endpoints changes them hundreds of times a second.
+	quarantineLogInterval = time.Second
 	// quarantineTries is how many nodes are asked one after the other if those before don't respond.
 	quarantineTries = 3
 	// QuarantinePath is where a node shows the suspected and quarantined parts to operators.
@@ -31,15 +34,14 @@
 		n.quarantineHeard.Do(func() { close(n.quarantineKnown) }) // no node has learned anything yet
 	}
 	g.Keep("quarantine", n.followQuarantine)
+	g.Keep("log_quarantine", n.followQuarantineLog)
 }
 
 func (n *Node) followQuarantine(ctx context.Context) error {
 	var sent uint64
-	logged := map[quarantine.Part]bool{}
 	for {
 		changed := n.quarantine.Changed()
 		n.gateway.CancelQuarantined()
-		n.logQuarantine(logged)
 		sent = n.tellQuarantine(ctx, sent)
 		select {
 		case <-ctx.Done():
@@ -184,6 +186,21 @@
 	})
 }
 
+// followQuarantineLog keeps the log of suspected and quarantined parts.
+func (n *Node) followQuarantineLog(ctx context.Context) error {
+	logged := map[quarantine.Part]bool{}
+	for {
+		changed := n.quarantine.Changed()
+		n.logQuarantine(logged)
+		kernel.Sleep(ctx, quarantineLogInterval)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 // logQuarantine logs the parts that are suspected or quarantined now and weren't before, and those that no longer
 // are. logged holds what was logged last: whether each part is quarantined.
 func (n *Node) logQuarantine(logged map[quarantine.Part]bool) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -37,7 +37,7 @@
 	score  int // ends that count one by one
 	trials int // ends of trials
 	ends   int // processes that ended
-	all    int // processes that ended from the first of them to the last, under whatever; 0 if the score is too low to count
+	all    int // processes that ended from the first of them to the last, under whatever; 0 if they don't decide
 	// firstAt and lastAt are the times of the first and the last end.
 	firstAt, lastAt time.Time
 	// companions are the suspected parts that all its requests had, itself included. Parts that endpoints
@@ -64,7 +64,7 @@
 	}
 	e.ends = len(ends)
 	e.count(ends)
-	if e.score >= condemningScore {
+	if e.score >= condemningScore && e.trials > 0 {
 		e.all = t.endsBetween(e.firstAt, e.lastAt)
 	}
 	e.companions = slices.DeleteFunc(e.companions, func(p Part) bool { return p != part && trusted(t.provenAt(p), e.firstAt) })
