--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,8 @@
 	// keepOwnAfter is how long a suspect is kept of which only its request's own parts are suspected. A caller
 	// that repeats its request does so sooner.
 	keepOwnAfter = 5 * time.Minute
+	// sameAnswerTime is how much later an answer on a part must be to tell more than the one known before.
+	sameAnswerTime = time.Second
 )
 
 // Verdict says what becomes of a request.
@@ -57,6 +60,7 @@
 	// provenOwn holds the same of requests' own parts. They are many, and would push out those that are shared.
 	provenOwn recentParts
 	trials    map[Part]trial
+	digest    uint64 // of all suspects
 	seq       uint64
 	changed   chan struct{} // closed at the next change
 }
@@ -191,10 +195,13 @@
 
 // clear records an answer on a part, which ends all suspicion of before. It reports whether that is new.
 // The lock is held.
+//
+// Nodes tell each other the age of an answer, so each hears it later by the time of the message. They would otherwise
+// give each other the same answer again, as a later one, without end.
 func (t *Table) clear(part Part, at time.Time, local bool) bool {
 	one, known := t.cleared[part]
 	switch {
-	case known && !at.After(one.at):
+	case known && at.Sub(one.at) < sameAnswerTime && !t.endsSuspicion(part, at):
 		return false
 	case !known && len(t.cleared) >= maxCleared:
 		return false
@@ -209,12 +216,18 @@
 			left = append(left, s)
 		} else {
 			s.drop(part)
+			t.updateDigest(s)
 		}
 	}
 	t.setLive(part, left)
 	return true
 }
 
+// endsSuspicion reports whether a process ended under a suspected part until a time. The lock is held.
+func (t *Table) endsSuspicion(part Part, at time.Time) bool {
+	return slices.ContainsFunc(t.live[part], func(s *suspect) bool { return !s.At.After(at) })
+}
+
 // setLive replaces the suspects of a part. The lock is held.
 func (t *Table) setLive(part Part, suspects []*suspect) {
 	if len(suspects) > 0 {
@@ -266,6 +279,7 @@
 			t.live[part] = append(t.live[part], s)
 		}
 	}
+	t.updateDigest(s)
 	return true
 }
 
@@ -319,6 +333,7 @@
 
 func (t *Table) remove(s *suspect) {
 	delete(t.suspects, s.key())
+	t.digest ^= s.digest
 	for _, part := range s.live {
 		var left []*suspect
 		for _, one := range t.live[part] {
@@ -330,6 +345,15 @@
 	}
 }
 
+// updateDigest counts a suspect's present digest in place of the one before. The lock is held.
+//
+// Each load report asks for the table's digest, so it is kept.
+func (t *Table) updateDigest(s *suspect) {
+	t.digest ^= s.digest
+	s.digest = s.sum()
+	t.digest ^= s.digest
+}
+
 // endsBetween returns how many processes ended in a span of time. The lock is held.
 func (t *Table) endsBetween(from, to time.Time) int {
 	ended := map[Process]bool{}
