Quarantine: whole tables and the evidence on one part fit into an answer between nodes

Cause: limits each answer between nodes to 16 KiB unless its call names another size, and the calls of the quarantine named none. After a crash of many endpoints a table holds up to 512 suspects (some 200 bytes each), so that the exchange of two tables that differ failed each second from some 80 suspects on, and the node that grants trials counted as silent at all that asked it about a part with as many: each then granted its own trials. What callers saw: nothing that was reported; requests whose parts a node suspects though others know better, and more than one trial at a time. Evidence: TestFullTablesOfTheQuarantineAreExchanged, on: 'failed to read response body: request body too large'. Found by reading the merge of limits for requests. The change: 128 KiB for the answer to a trial, of which at most 64 are asked for at a time, so 8 MiB of what may be bad; 1 MiB for a whole table, as for loads.

--- a/neighbor/answer_size.go
+++ b/neighbor/answer_size.go
@@ -9,7 +9,10 @@
 const (
 	// maxShortAnswer is for the calls that a node makes for each request of a caller, or many at once.
 	maxShortAnswer = 16 << 10
-	// maxReportAnswer is for loads and loans, of which a node asks few others at a time.
+	// maxTrialAnswer is for what a node knows of the parts of one request, up to all of its suspects. Requests that wait
+	// for a trial are few.
+	maxTrialAnswer = 128 << 10
+	// maxReportAnswer is for loads, loans and whole tables of the quarantine, for which a node asks few others at a time.
 	maxReportAnswer = 1 << 20
 	// maxRowsAnswer is for rows, which a node reads once for each table at a time. A page of the store may be as large.
 	maxRowsAnswer = 8 << 20
--- /dev/null
+++ b/neighbor/quarantine_test.go
@@ -0,0 +1,55 @@
+package neighbor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/neighbor"
+	"redwinghall/quarantine"
+)
+
+// fullTable returns a table with as many suspects as it holds, which have a part in common, and answers on other parts.
+func fullTable(now time.Time) *quarantine.Table {
+	const suspects, answered = 512, 500
+	table := quarantine.NewTable()
+	for i := range suspects + answered {
+		request := fmt.Sprintf("%016x", i)
+		one := quarantine.Suspect{
+			Process: quarantine.Process{Endpoint: "i-" + request[6:], StartedMillis: now.UnixMilli()}, Request: request, Service: "llm", At: now,
+			Parts: []string{"5c1e07a2", "91bd3f06", "e4402b7d", quarantine.LastPart(request[8:]), quarantine.WholeRequest(request + request)},
+		}
+		if i < answered {
+			one.Parts = one.Parts[3:]
+		}
+		table.RecordEnd(one)
+		if i < answered {
+			table.RecordProven(now, "llm", one.Parts)
+		}
+	}
+	return table
+}
+
+// Guards against nodes whose evidence never agrees again after a crash of many endpoints, and that take each other for silent,
+// as a whole table is larger than an answer or a request may be.
+func TestFullTablesOfTheQuarantineAreExchanged(t *testing.T) {
+	now := time.Now()
+	full := fullTable(now)
+	o, client, address := serve(t)
+	o.quarantine.Merge(now, full.All(now))
+	parts := []string{"5c1e07a2", "91bd3f06"}
+	own := quarantine.NewTable()
+
+	answer, known, err := client.Trial(t.Context(), address, neighbor.TrialRequest{Request: "r", Service: "llm", Parts: parts, Known: full.About(now, "llm", parts)})
+	require.NoError(t, err)
+	require.NotEmpty(t, answer)
+	own.Merge(now, known)
+	require.Equal(t, full.Check(now, "llm", parts).Verdict, own.Check(now, "llm", parts).Verdict)
+
+	theirs, err := client.Quarantine(t.Context(), address, "n1", full.All(now), true)
+	require.NoError(t, err)
+	own.Merge(now, theirs)
+	require.Equal(t, full.Digest(), own.Digest())
+}
