Node: a stop answers what hasn't begun in time, and cuts what has begun late

Cause: one moment for all that runs, fixed at the signal by how many requests were read until then. Then all were ended at once, and thousands of handlers that were ready to run held up what decides and ends the node.

Change: two moments. From the signal on the node looks every 10 ms at what is open, and ends as many requests whose answers haven't begun as would not have theirs in time otherwise, by how long an answer took so far and by the share of the time that the process gets lately; what wasn't sent to an endpoint first. The last moment is no longer than fits in the last sixth of the grace (at least 0.25 s, as before); there what may have run is answered first, and what has begun is cut last. Both go in portions. For that the gateway asks whether the node ends this request, not all of them, and tells the node when a request is sent on. A process whose time is over takes 0.1 s of the margin, as DESIGN says; the loop ended after one round.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -73,7 +73,7 @@
 	limit    int64
 	memory   *requestMemory
 	deadline time.Time   // of the request
-	isEnded  func() bool // reports whether the node ends all requests
+	isEnded  func() bool // reports whether the node ends the request
 	response http.ResponseWriter
 
 	// mu guards the rest, which the timer uses too.
@@ -98,7 +98,7 @@
 		return nil, errBodyTooLarge
 	}
 	b := bodyRead{
-		from: in.Body, length: in.ContentLength, limit: limit, memory: &r.memory, deadline: r.Deadline, isEnded: g.isEnded,
+		from: in.Body, length: in.ContentLength, limit: limit, memory: &r.memory, deadline: r.Deadline, isEnded: r.isEnded,
 		response: w, pace: newBodyPace(time.Now()),
 	}
 	body, err := b.readAll()
@@ -286,9 +286,9 @@
 	case errors.Is(err, errBodyMemory):
 		g.refuseMemory(w, r, heldBody, read)
 		return
-	case g.isEnded():
+	case r.isEnded():
 		w.Header().Set("Connection", "close")
-		g.refuse(w, r, g.goneRefusal(false))
+		g.refuse(w, r, goneRefusal(r, false))
 		return
 	case errors.Is(err, errBodySlow):
 		klog.InfoS("body_slow", "request", r.Info.ID, "read", read, "pressed", r.memory.pressed(), "took", kernel.RunTime(r.Arrived, time.Now()))
@@ -301,7 +301,7 @@
 		g.refuse(w, r, why)
 		return
 	}
-	g.logUnanswered("request_broken_off", r, g.goneReason(), "body_read", read, "err", err)
+	g.logUnanswered("request_broken_off", r, goneReason(r), "body_read", read, "err", err)
 	_ = writeRefusal(w, r, why) // the caller has left, or only shut its sending side
 }
 
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -204,7 +204,7 @@
 		fresh:       f.LastEvent != "",
 		mayRunAgain: func() bool { return r.Idempotent() && r.Route.MaxAttempts > 1 }, // the other node counts the attempts
 	})
-	if redwinghall.KindOf[Kind](err) == NotSent && g.isEnded() {
+	if redwinghall.KindOf[Kind](err) == NotSent && r.isEnded() {
 		notForwarded(w, r.Header, f, neighbor.Busy, reasonNodeEnded)
 		return
 	}
@@ -214,7 +214,7 @@
 		return
 	}
 	if err != nil {
-		g.logUnanswered("forward_failed", r, g.brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "err", err)
+		g.logUnanswered("forward_failed", r, brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "err", err)
 		notForwarded(w, r.Header, f, neighbor.Lost, "no_response")
 		return
 	}
@@ -224,7 +224,7 @@
 	neighbor.SetForwardOutcome(w.Header(), neighbor.Delivered)
 	w.WriteHeader(response.Status)
 	if sent, err := g.copyForwarded(w, r, e, response); err != nil {
-		g.logUnanswered("forward_failed", r, g.brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "status", response.Status,
+		g.logUnanswered("forward_failed", r, brokenReason(r, time.Now(), err), "endpoint", e.ID, "from", f.Node, "status", response.Status,
 			"bytes", sent, "err", err)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,9 +68,11 @@
 	// Stopping returns the planned stop of this node. It may be nil for a node that
 	// never stops.
 	Stopping func() Stop
-	// Ended reports whether this node ends and closes its callers' connections. It may be nil for
+	// Ended reports whether this node ends the request with a context, as it ends itself. It may be nil for
 	// a node that never ends.
-	Ended func() bool
+	Ended func(request context.Context) bool
+	// Sending is called before the request with a context is sent to an endpoint. It may be nil.
+	Sending func(request context.Context)
 }
 
 // Placer asks a zone to choose one of its groups for a stream.
@@ -190,6 +192,7 @@
 	r := &Request{
 		Info: platform.DecodeRequestInfo(in.Header), Method: in.Method, Host: in.Host, Target: in.RequestURI,
 		Header: in.Header, Arrived: now, left: in.Context().Done(),
+		ended: g.endedBy(in.Context()),
 	}
 	r.takeView(g.Cache)
 	r.arrivedUnder = r.configVersion()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -148,7 +148,7 @@
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, ReportStall: func(string) {},
-		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: s.ended.Load, Presence: s.presence, PresenceElsewhere: s.presenceElsewhere, Quarantine: s.quarantine,
+		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: func(context.Context) bool { return s.ended.Load() }, Presence: s.presence, PresenceElsewhere: s.presenceElsewhere, Quarantine: s.quarantine,
 		Background: background.Task,
 	})
 	s.gateway, s.server = g, httptest.NewServer(g)
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -39,6 +39,9 @@
 // send sends the request of one attempt to an endpoint, over this node's own connection or
 // through another node. The kind of an error is NotSent or Unknown.
 func (g *Gateway) send(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, mode sendMode) (*Response, error) {
+	if g.Sending != nil {
+		g.Sending(ctx)
+	}
 	asked := false // other nodes were asked, and could not send it
 	if g.Forwarder != nil && !g.Paths.Direct(time.Now(), to.Service, to.ID) {
 		response, err := g.forward(ctx, r, to, lastEvent)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -376,7 +376,7 @@
 // A caller that only shut its sending side looks the same as one that has left, so the connection gets a status. mayHaveRun
 // tells whether an endpoint may have run the request, and begun whether the response has begun.
 func (g *Gateway) callerGone(w http.ResponseWriter, r *Request, mayHaveRun, begun bool, more ...any) {
-	why := g.goneRefusal(mayHaveRun)
+	why := goneRefusal(r, mayHaveRun)
 	if begun {
 		why.status = 0
 	}
@@ -390,8 +390,8 @@
 }
 
 // goneRefusal returns the answer to a request that ended before its response began.
-func (g *Gateway) goneRefusal(mayHaveRun bool) refusal {
-	why := refusal{status: http.StatusServiceUnavailable, reason: g.goneReason(), retryAfter: defaultRetryAfter}
+func goneRefusal(r *Request, mayHaveRun bool) refusal {
+	why := refusal{status: http.StatusServiceUnavailable, reason: goneReason(r), retryAfter: defaultRetryAfter}
 	if mayHaveRun {
 		why.status, why.retryAfter = http.StatusBadGateway, 0
 	}
--- a/gateway/plain_response.go
+++ b/gateway/plain_response.go
@@ -77,7 +77,7 @@
 	platform.CopyResponseHeaders(w.Header(), last.response.Header)
 	w.WriteHeader(status)
 	if sent, err := g.writeBody(w, r, last); err != nil {
-		g.logUnanswered("answer_broken_off", r, g.brokenReason(r, time.Now(), err), "status", status, "bytes", sent, "err", err)
+		g.logUnanswered("answer_broken_off", r, brokenReason(r, time.Now(), err), "status", status, "bytes", sent, "err", err)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 	g.Metrics.Answered(r, status, time.Since(r.Arrived))
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -91,7 +91,7 @@
 		"given", why.limit.Given, "due", why.limit.Due)
 	g.Metrics.Refused(r, why)
 	if err := writeRefusal(w, r, why); err != nil {
-		g.logUnanswered("caller_gone", r, g.goneReason(), "refusal", why.reason, "err", err)
+		g.logUnanswered("caller_gone", r, goneReason(r), "refusal", why.reason, "err", err)
 	}
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -37,6 +37,8 @@
 	arrivedUnder int64
 	// left is closed once the connection to the caller has ended; nil for a request without one.
 	left <-chan struct{}
+	// ended reports whether this node ends the request as it ends itself; nil if it never does.
+	ended func() bool
 	// memory is what the request holds.
 	memory requestMemory
 	// ownIdentity is computed at its first use, before the body is released.
@@ -77,6 +79,9 @@
 // callerLeft reports whether the connection to the caller has ended.
 func (r *Request) callerLeft() bool { return isClosed(r.left) }
 
+// isEnded reports whether this node ends the request as it ends itself.
+func (r *Request) isEnded() bool { return r.ended != nil && r.ended() }
+
 // account returns the account's name for headers, logs and metrics, "" if the request
 // has no account.
 func (r *Request) account() string {
--- a/gateway/slow_caller.go
+++ b/gateway/slow_caller.go
@@ -172,7 +172,7 @@
 		return
 	}
 	stopped := callerStopped(now, a.r.Deadline, took)
-	if stopped || (a.r.callerLeft() && !a.g.isEnded()) { // the end of the node is not the caller's, and soon ends the write
+	if stopped || (a.r.callerLeft() && !a.r.isEnded()) { // the end of the node is not the caller's, and soon ends the write
 		klog.InfoS("write_ended", "request", a.r.Info.ID, "took", took, "left", a.r.Left(now), "stopped", stopped)
 		a.endWriteAt(now)
 		return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -231,7 +231,7 @@
 func (c *streamCall) giveUp(ctx context.Context) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		if c.headersSent.Load() && c.g.isEnded() {
+		if c.headersSent.Load() && c.r.isEnded() {
 			_ = c.flush.Flush() // the events before the end, none of them in part
 		}
 		c.g.callerGone(c.w, c.r, c.mayHaveRun.Load(), c.headersSent.Load(), "last_event", c.lastID, "bytes", c.bytes, "attempts", c.sent.Load())
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -40,22 +40,24 @@
 	kernel.WarningSDepth(1, nil, event, line...)
 }
 
-// isEnded reports whether this node ends all requests as it ends itself.
-func (g *Gateway) isEnded() bool { return g.Ended != nil && g.Ended() }
+// endedBy returns a function that reports whether this node ends a request as it ends itself.
+func (g *Gateway) endedBy(request context.Context) func() bool {
+	return func() bool { return g.Ended != nil && g.Ended(request) }
+}
 
-// goneReason returns why the connection to the caller has ended.
-func (g *Gateway) goneReason() string {
-	if g.isEnded() {
+// goneReason returns why the connection to the caller of a request has ended.
+func goneReason(r *Request) string {
+	if r.isEnded() {
 		return reasonNodeEnded
 	}
 	return reasonCallerLeft
 }
 
 // brokenReason returns why a response could not be passed on completely, given the error.
-func (g *Gateway) brokenReason(r *Request, now time.Time, err error) string {
+func brokenReason(r *Request, now time.Time, err error) string {
 	switch {
 	case r.callerLeft():
-		return g.goneReason()
+		return goneReason(r)
 	case !now.Before(r.Deadline):
 		return reasonTimeout
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
--- a/node/caller_handler.go
+++ b/node/caller_handler.go
@@ -19,7 +19,7 @@
 // response has begun: then its connection is closed.
 func NewCallerHandler(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writer := &closingWriter{ResponseWriter: w, plannedStop: plannedStop}
+		writer := &closingWriter{ResponseWriter: w, plannedStop: plannedStop, connection: connectionOf(r.Context())}
 		defer endPanicked(writer, r)
 		next.ServeHTTP(writer, r)
 	})
--- a/node/closing_writer.go
+++ b/node/closing_writer.go
@@ -16,21 +16,29 @@
 type closingWriter struct {
 	http.ResponseWriter
 	plannedStop func() gateway.Stop
-	begun       bool // the response's headers were sent
+	connection  *connection // nil if it isn't tracked
+	begun       bool        // the response's headers were sent
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (a *closingWriter) WriteHeader(status int) {
-	a.begun = true
+	a.begin()
 	if a.plannedStop().Active() {
 		a.Header().Set("Connection", "close")
 	}
 	a.ResponseWriter.WriteHeader(status)
 }
 
+func (a *closingWriter) begin() {
+	if !a.begun {
+		a.begun = true
+		a.connection.reach(requestBegun)
+	}
+}
+
 // Write implements http.ResponseWriter.
 func (a *closingWriter) Write(p []byte) (int, error) {
-	a.begun = true
+	a.begin()
 	return a.ResponseWriter.Write(p)
 }
 
--- a/node/connections.go
+++ b/node/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -31,9 +32,26 @@
 	closeAfterResponse bool
 	// leavesUnread reports whether a new connection is to be closed unread; it may be nil.
 	leavesUnread func(now time.Time) bool
+	// answers is how many requests that this node ended have their answers, the last since answeredAt.
+	answers    int
+	answeredAt time.Time
 }
 
+// requestState is how far a request in progress is.
+type requestState int
+
+const (
+	requestNotSent requestState = iota // nothing of it was sent to an endpoint
+	requestSent                        // it may have run
+	requestBegun                       // its answer has begun
+)
+
 type connection struct {
+	// end ends the requests of the connection with a cause.
+	end   context.CancelCauseFunc
+	ended atomic.Bool  // this node has ended the request
+	state atomic.Int64 // the requestState of the current or last request
+
 	busy      bool
 	idleSince time.Time // start of the idle period
 	closed    bool      // this node has closed the connection or is about to
@@ -56,6 +74,15 @@
 
 type connectionKey struct{}
 
+// connectionOf returns the connection of the request with a context, nil if it isn't tracked.
+func connectionOf(request context.Context) *connection {
+	state, ok := request.Value(connectionKey{}).(*connection)
+	if !ok {
+		return nil
+	}
+	return state
+}
+
 func newConnections() *connections { return &connections{all: map[net.Conn]*connection{}} }
 
 // connContext is the http.Server ConnContext hook.
@@ -63,7 +90,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	state := &connection{idleSince: now, opened: now}
+	ctx, end := context.WithCancelCause(ctx)
+	state := &connection{idleSince: now, opened: now, end: end}
 	c.all[conn] = state
 	return context.WithValue(ctx, connectionKey{}, state)
 }
@@ -125,6 +153,7 @@
 		state.closed = state.closed || ends
 		return ends
 	case http.StateClosed, http.StateHijacked:
+		state.end(nil)
 		delete(c.all, conn)
 	case http.StateNew:
 	}
@@ -144,11 +173,11 @@
 func (c *connections) wrap(next http.Handler, plannedStop func() gateway.Stop) http.Handler {
 	next = NewCallerHandler(next, plannedStop)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		state, ok := r.Context().Value(connectionKey{}).(*connection)
+		state := connectionOf(r.Context())
 		switch {
-		case ok && !c.beginRequest(state, r, plannedStop()):
+		case state != nil && !c.beginRequest(state, r, plannedStop()):
 			panic(http.ErrAbortHandler)
-		case ok && state.refused:
+		case state != nil && state.refused:
 			refuseExcess(w, r)
 		default:
 			next.ServeHTTP(w, r)
@@ -165,6 +194,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state.answered = true
+	if state.ended.Load() {
+		c.answers, c.answeredAt = c.answers+1, time.Now()
+	}
 }
 
 // beginRequest records a request on a connection. It reports false if this
@@ -175,6 +207,7 @@
 	now := time.Now()
 	state.requests++
 	state.answered = false
+	state.state.Store(int64(requestNotSent))
 	state.requestID, state.requestedAt = platform.DecodeRequestInfo(r.Header).ID, now
 	if state.closed {
 		klog.InfoS("request_on_closed_connection", "request", state.requestID, "connection", state.kind(),
@@ -195,7 +228,7 @@
 	defer c.mu.Unlock()
 	interrupted := 0
 	for _, state := range c.all {
-		if !state.busy {
+		if !state.busy || state.ended.Load() {
 			continue
 		}
 		interrupted++
@@ -222,13 +255,68 @@
 func (c *connections) unanswered() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unanswered := 0
+	return c.countLocked(func(state *connection) bool { return state.busy && !state.answered })
+}
+
+// reach records that the current request is as far as a state at least. c is nil for a request without a connection of its own.
+func (c *connection) reach(to requestState) {
+	if c != nil && requestState(c.state.Load()) < to {
+		c.state.Store(int64(to))
+	}
+}
+
+// isServed reports whether a request was read, and its answer isn't complete.
+func (c *connection) isServed() bool { return c.busy && c.requests > 0 && !c.answered }
+
+// awaited returns how many requests that this node ended are still without their answers.
+func (c *connections) awaited() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.countLocked(func(state *connection) bool { return state.isServed() && state.ended.Load() })
+}
+
+// unended returns how many requests are in progress that this node hasn't ended.
+func (c *connections) unended() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.countLocked(func(state *connection) bool { return state.isServed() && !state.ended.Load() })
+}
+
+func (c *connections) countLocked(is func(state *connection) bool) (count int) {
 	for _, state := range c.all {
-		if state.busy && !state.answered {
-			unanswered++
+		if is(state) {
+			count++
+		}
+	}
+	return count
+}
+
+// endedAnswers returns how many requests that this node ended have their answers, and since when the last has.
+func (c *connections) endedAnswers() (answers int, last time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers, c.answeredAt
+}
+
+// endRequests ends so many requests in progress at most, of one state after the other, and returns how many it ended.
+func (c *connections) endRequests(now time.Time, most int, order []requestState) (ended int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, next := range order {
+		for conn, state := range c.all {
+			if ended >= most {
+				return ended
+			}
+			if !state.isServed() || state.ended.Load() || requestState(state.state.Load()) != next {
+				continue
+			}
+			state.ended.Store(true)
+			state.end(errNodeEnds)
+			_ = conn.SetReadDeadline(now) // fails only if the connection is closed
+			ended++
 		}
 	}
-	return unanswered
+	return ended
 }
 
 // endReads makes the reads of the requests in progress fail that wait for more of a body.
--- a/node/last_moment.go
+++ b/node/last_moment.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"redwinghall/gateway"
 	"redwinghall/kernel"
 )
@@ -21,34 +23,33 @@
 	leastAnswerTime = exitMargin / 4
 	// maxAnswerShare bounds what it takes of the time that a node has to end.
 	maxAnswerShare = 0.25
+	// cutShare is the last part of the grace period, in which answers that have begun may be cut. The time for the
+	// exit is a part of it.
+	cutShare = 1.0 / 6
 	// maxFailedTime is the most that it takes at a node of which a part has failed.
 	maxFailedTime = 2 * time.Second
 	// failedDrainTime is how much of that the listener gets to take what waits there, which is all that a slow node hasn't
 	// come to: no load balancer has noticed the end.
 	failedDrainTime = maxFailedTime / 2
-	// answerPollInterval is how often it looks for requests that are still running.
-	answerPollInterval = 25 * time.Millisecond
 )
 
 // errNodeEnds is the cause of the end of requests that this node ends in its last moment.
 var errNodeEnds = errors.New("this node ends")
 
-// answerTime returns how long a node with a share of a processor (0 if unknown) needs to answer requests, of the time
-// that it has to end.
+// answerTime returns how long the last moment of a node with a share of a processor (0 if unknown) is, of the time
+// that it has to end. What doesn't fit in and hasn't begun is answered before.
 func answerTime(requests int, processor float64, lasts time.Duration) time.Duration {
-	if processor <= 0 || processor > 1 {
-		processor = 1 // the runtime uses no more
-	}
-	needed := time.Duration(float64(requests) * float64(answerCost) / processor)
-	return min(max(minAnswerTime, needed), time.Duration(maxAnswerShare*float64(lasts)))
+	needed := time.Duration(requests) * newAnswerPace(processor).each
+	most := min(time.Duration(maxAnswerShare*float64(lasts)), max(minAnswerTime, time.Duration(cutShare*float64(lasts+exitMargin))-exitMargin))
+	return min(max(minAnswerTime, needed), most)
 }
 
 // lastMoment ends the requests that are still running when a node ends, so that each gets a status that says whether
 // it may have run.
 type lastMoment struct {
-	// requests is the parent of the contexts of all requests, which end ends.
-	requests context.Context
-	end      context.CancelCauseFunc
+	// requests is the parent of the contexts of all requests, which end ends, and forwarded of those of other nodes.
+	requests, forwarded context.Context
+	end, endForwarded   context.CancelCauseFunc
 	// answers is how long a planned stop keeps for it.
 	answers time.Duration
 	// servers are those whose requests get an answer before they are closed.
@@ -57,16 +58,17 @@
 
 func newLastMoment() lastMoment {
 	ctx, end := context.WithCancelCause(context.Background())
-	return lastMoment{requests: ctx, end: end}
+	forwarded, endForwarded := context.WithCancelCause(ctx)
+	return lastMoment{requests: ctx, end: end, forwarded: forwarded, endForwarded: endForwarded}
 }
 
-// serve runs a server until close.
-func (l *lastMoment) serve(g *kernel.Group, server *http.Server) (*kernel.ReopenedListener, error) {
+// serve runs a server until close. requests is the parent of the contexts of its requests.
+func (l *lastMoment) serve(requests context.Context, g *kernel.Group, server *http.Server) (*kernel.ReopenedListener, error) {
 	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
 		return nil, err
 	}
-	server.BaseContext = func(net.Listener) context.Context { return l.requests }
+	server.BaseContext = func(net.Listener) context.Context { return requests }
 	l.servers = append(l.servers, server)
 	g.Accept("serve "+server.Addr, server, listener)
 	return listener, nil
@@ -80,20 +82,31 @@
 	}
 }
 
-// ended reports whether this node ends all requests.
-func (n *Node) ended() bool { return n.last.requests.Err() != nil }
+// ended reports whether this node ends the request with a context.
+func (n *Node) ended(request context.Context) bool {
+	if state := connectionOf(request); state != nil {
+		return state.ended.Load() || n.last.requests.Err() != nil
+	}
+	return n.last.forwarded.Err() != nil
+}
 
 // answerRunning ends the requests that are still running, and waits until their answers are sent, until a time or for
-// leastAnswerTime at most.
+// leastAnswerTime at most. What may have run comes first, as nobody else can tell its caller; what has begun is cut last.
 func (n *Node) answerRunning(until time.Time, reason string) {
-	n.ending.interrupt(n.conns.logInterrupted(time.Now(), reason), reason == cutByGrace)
-	n.last.end(errNodeEnds)
+	given, each := n.answers.counts()
+	klog.InfoS("last_moment", "left", time.Until(until), "answered_before", given, "each", each)
+	n.ending.interrupt(given+n.conns.logInterrupted(time.Now(), reason), reason == cutByGrace)
+	n.last.endForwarded(errNodeEnds)
 	begun := time.Now()
-	for running := true; running && (time.Now().Before(until) || kernel.RunTime(begun, time.Now()) < leastAnswerTime); {
-		n.conns.endReads(time.Now())
+	for now := begun; now.Before(until) || kernel.RunTime(begun, now) < leastAnswerTime; now = time.Now() {
+		if n.answers.last(now) {
+			n.last.end(errNodeEnds)
+			n.conns.endReads(now)
+		}
 		kernel.Sleep(context.Background(), answerPollInterval)
-		_, requests := n.conns.counts()
-		running = (requests > 0 || n.conns.active(time.Now()) || n.gateway.Forwards() > 0) && time.Now().Before(until)
+		if !n.conns.active(time.Now()) && n.gateway.Forwards() == 0 { // a request on a new connection may not have been read yet
+			break
+		}
 	}
 	n.ending.leave(n.conns.unanswered())
 }
--- a/node/last_moment_test.go
+++ b/node/last_moment_test.go
@@ -67,10 +67,12 @@
 	reason string // of a refusal
 	header http.Header
 	err    error // of the body
+	ended  time.Time
 }
 
 // read reads the answer to the end.
 func (c *sentCall) read(response *http.Response, err error) {
+	defer func() { c.ended = time.Now() }()
 	if err != nil {
 		return
 	}
--- a/node/listen.go
+++ b/node/listen.go
@@ -42,12 +42,12 @@
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
 		Handler: newInternalHandler(n.operatorRoutes()), ReadHeaderTimeout: internalHeaderTimeout,
 	}
-	listener, err := n.last.serve(g, callers)
+	listener, err := n.last.serve(n.last.requests, g, callers)
 	if err != nil {
 		return err
 	}
 	n.callers = listener
-	if _, err := n.last.serve(g, n.neighborServer()); err != nil {
+	if _, err := n.last.serve(n.last.forwarded, g, n.neighborServer()); err != nil {
 		return err
 	}
 	for _, server := range []*http.Server{readiness, metricsServer} {
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,7 @@
 	started         time.Time
 	ending          ending
 	last            lastMoment
+	answers         answering
 }
 
 // New assembles a node. path is the settings file that is reloaded while the node
@@ -124,6 +125,7 @@
 		Store: store, PeerClient: n.neighbors, Self: s.Node, Peers: n.peers, RemotePeers: n.remotePeers, Leader: n.leader, EqualFor: equalFor,
 		Polled: members.IsTable,
 	})
+	n.answers = answering{conns: n.conns, pace: newAnswerPace(s.Processor)}
 	n.newConnections = newConnectionRate(s.Processor)
 	n.conns.leavesUnread = n.leavesUnread
 	n.current.Store(&s)
@@ -160,6 +162,7 @@
 		Quarantine: n.quarantine, Trials: trialGranter{n}, QuarantineKnown: n.quarantineKnown,
 		Stopping: n.plannedStop,
 		Ended:    n.ended,
+		Sending:  func(request context.Context) { connectionOf(request).reach(requestSent) },
 	})
 	n.follower = directory.NewFollower(n.source, n.cache, n.manager.Pending).WithKnown(n.table.Known())
 	return n
--- a/node/stop.go
+++ b/node/stop.go
@@ -59,6 +59,7 @@
 	n.last.answers = answers
 	n.stopping.Store(&stop)
 	n.conns.closeAfterResponses()
+	n.group.Task("answer_early", n.answerEarly)
 	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "answer_time", answers, "connections", connections,
 		"requests", requests, "forwards", n.gateway.Forwards())
 	protectStep("stop_planning", n.manager.Stop)
@@ -83,6 +84,10 @@
 		n.answerRunning(earlier(until, time.Now().Add(maxFailedTime)), endedByFailure)
 	case !inactive, n.gateway.Forwards() > 0: // what other nodes wait for runs on no connection of a caller
 		n.answerRunning(until, cutByGrace)
+	default:
+		if given, _ := n.answers.counts(); given > 0 {
+			n.ending.interrupt(given, true)
+		}
 	}
 }
 
