--- a/node/stop.go
+++ b/node/stop.go
@@ -24,6 +24,8 @@
 	// leaveTimeout is the timeout for releasing the lease in the store. If the release
 	// fails, the lease expires by itself.
 	leaveTimeout = time.Second
+	// drainTime is how long the listener gets to take what waits there once nothing is running, or the stop is over.
+	drainTime = 150 * time.Millisecond
 	// stopPollInterval is how often a stopping node checks for running requests.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -57,6 +59,7 @@
 	n.last.answers = answers
 	n.stopping.Store(&stop)
 	n.conns.closeAfterResponses()
+	n.group.Task("answer_early", n.answerEarly)
 	klog.InfoS("node_stopping", "node", n.settings.Node, "cause", cause, "grace_left", stop.End.Sub(begun), "answer_time", answers, "connections", connections,
 		"requests", requests, "forwards", n.gateway.Forwards())
 	protectStep("stop_planning", n.manager.Stop)
@@ -66,7 +69,7 @@
 	// A connection accepted after the check above would be cut off with its request.
 	// So the listener is closed first, and connections accepted just before that get
 	// time to be served.
-	n.closeListener(ctx)
+	n.closeListener(ctx, drainTime)
 	klog.InfoS("node_takes_no_connections", "node", n.settings.Node, "stopping_for", time.Since(begun))
 	kernel.Sleep(ctx, min(stopPollInterval, time.Until(n.lastMomentBegins())))
 	// Idle connections stay open until now: closing one may race with a request on it,
@@ -81,6 +84,10 @@
 		n.answerRunning(earlier(until, time.Now().Add(maxFailedTime)), endedByFailure)
 	case !inactive, n.gateway.Forwards() > 0: // what other nodes wait for runs on no connection of a caller
 		n.answerRunning(until, cutByGrace)
+	default:
+		if given, _ := n.answers.counts(); given > 0 {
+			n.ending.interrupt(given, true)
+		}
 	}
 }
 
@@ -102,9 +109,9 @@
 	<-ctx.Done()
 }
 
-// closeListener closes the listener of callers once it has taken what waits there.
-func (n *Node) closeListener(ctx context.Context) {
-	if err := n.callers.CloseDrained(ctx); err != nil {
+// closeListener closes the listener of callers once it has taken what waits there, for which it gets some time.
+func (n *Node) closeListener(ctx context.Context, most time.Duration) {
+	if err := n.callers.CloseDrained(ctx, most); err != nil {
 		klog.ErrorS(err, "listener_not_closed")
 	}
 }
