Neighbor: bodies of requests to the internal address are limited

A node, or anything that reaches the internal address, that sends without end ended the node for lack of memory. Part limited, whole not: a message of empty parts takes many times its bytes once it is decoded.

Short calls, for which callers wait, have memory of their own, so that reports without end don't take theirs (TestCallsBesideReportsWithoutEndAreAnswered). What is refused gets 'unavailable': it wasn't run.

--- /dev/null
+++ b/neighbor/body.go
@@ -0,0 +1,136 @@
+package neighbor
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+const (
+	// maxShortRequest is for the calls that nodes make for each request of a caller, maxLongRequest for reports
+	// and transactions, of which the store takes less.
+	maxShortRequest = 32 << 10
+	maxLongRequest  = 768 << 10
+	// maxShortBodies and maxLongBodies are how much memory requests may take together. Long ones, of which few are
+	// read at a time, leave room to those for which a caller waits.
+	maxShortBodies = 4 << 20
+	maxLongBodies  = 5 << 20
+	// requestTimeout is how long the body of a request may take. No node waits as long for the answer.
+	requestTimeout = 2 * callTimeout
+	// bodyCost is how many bytes one byte of a body takes until it is decoded: it is read here, again by the generated
+	// code, and copied into the message. fieldCost is for a part of a message, which takes no more than two bytes of the
+	// body.
+	bodyCost  = 6
+	fieldCost = 160
+)
+
+var (
+	errBodySize   = errors.New("the body is too large")
+	errBodyMemory = errors.New("too much is being read")
+)
+
+// longRequests are the calls whose requests may be long.
+var longRequests = map[string]bool{"Share": true, "Commit": true, "Lend": true, "Quarantine": true}
+
+// bodyMemory bounds the memory of all bodies that are being read and decoded.
+type bodyMemory struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// body is a body that was read whole.
+type body struct {
+	bytes.Reader
+	memory *bodyMemory
+	taken  atomic.Int64
+}
+
+// read reads a body of up to so many bytes. It must be closed if there is no error.
+func (m *bodyMemory) read(r io.Reader, most int64) (*body, error) {
+	b := &body{memory: m}
+	data, err := io.ReadAll(&bodyReader{r: r, body: b, left: most})
+	if err == nil && !b.take(fieldCost*countFields(data)) {
+		err = errBodyMemory
+	}
+	if err != nil {
+		_ = b.Close()
+		return nil, err
+	}
+	b.Reset(data)
+	return b, nil
+}
+
+func (b *body) take(n int64) bool {
+	b.taken.Add(n)
+	return b.memory.used.Add(n) <= b.memory.limit
+}
+
+// Close gives the memory back.
+func (b *body) Close() error {
+	b.memory.used.Add(-b.taken.Swap(0))
+	return nil
+}
+
+// bodyReader reads a body and takes the memory for it.
+type bodyReader struct {
+	r    io.Reader
+	body *body
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p[:min(int64(len(p)), r.left+1)])
+	if r.left -= int64(n); r.left < 0 {
+		return n, errBodySize
+	}
+	if !r.body.take(bodyCost * int64(n)) {
+		return n, errBodyMemory
+	}
+	return n, err
+}
+
+// countFields returns how many fields a message has, up to the first that can't be read.
+func countFields(message []byte) (count int64) {
+	for len(message) > 0 {
+		_, _, n := protowire.ConsumeField(message)
+		if n < 0 {
+			return count
+		}
+		message = message[n:]
+		count++
+	}
+	return count
+}
+
+// newBoundedHandler limits the bodies of requests before a handler reads them.
+//
+// The generated handlers read a body whole, whatever comes, and for as long as it comes.
+func newBoundedHandler(next http.Handler) http.Handler {
+	short, long := &bodyMemory{limit: maxShortBodies}, &bodyMemory{limit: maxLongBodies}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		memory, most := short, int64(maxShortRequest)
+		if longRequests[path.Base(r.URL.Path)] {
+			memory, most = long, maxLongRequest
+		}
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(requestTimeout)) // a writer without deadlines reads no connection
+		b, err := memory.read(r.Body, most)
+		if err != nil {
+			w.Header().Set("Connection", "close") // what is left isn't read
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unavailable, err.Error()))
+			return
+		}
+		defer func() { _ = b.Close() }()
+		_ = control.SetReadDeadline(time.Time{})
+		r.Body = b
+		next.ServeHTTP(w, r)
+	})
+}
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -69,7 +69,7 @@
 
 // NewHandler returns the HTTP handler for the internal address of a node.
 func NewHandler(config ServerConfig) http.Handler {
-	return rpc.NewNeighborServer(&Server{config: config, compressor: rowCompressor{last: map[string]compressedRows{}}})
+	return newBoundedHandler(rpc.NewNeighborServer(&Server{config: config, compressor: rowCompressor{last: map[string]compressedRows{}}}))
 }
 
 // List implements rpc.Neighbor.
