Gateway: no request on a reused connection whose bytes behind the last answer are unread

Cause: net/http hands an idle connection to the next request before it looks whether bytes came behind the last response, sends the request, and takes them for its response. What callers saw: 502 for a booking that could have been sent elsewhere, as nobody knows whether it runs.

A request on a reused connection is written only while the connection is being read. While net/http still has such bytes it doesn't read: it closes the connection, or returns them as the response to a request of which no byte was written, and that counts as not sent.

The test: the case sent its answer and the bytes behind it in two writes. Whether the second came before the next booking was sent was up to the scheduler, and a booking that was sent by then can have no true answer but 502: nothing of the node can tell it from one that runs.

--- /dev/null
+++ b/gateway/counting_conn.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxReadWait is how long a request waits until its reused connection is read, which it is within microseconds.
+const maxReadWait = 50 * time.Millisecond
+
+// countingConn counts the bytes written, to identify requests that were never sent.
+//
+// On a reused connection it begins to write a request only while the connection is being read: net/http gives an idle
+// connection to the next request before it looks whether bytes came behind the last response. It would send the request,
+// take them for its response, and nobody would know whether it runs. While net/http has such bytes, it doesn't read: it
+// closes the connection, or returns them as the response to a request that wasn't sent.
+type countingConn struct {
+	net.Conn
+	idle idleCloser
+	// open counts the open connections to the same address.
+	open *atomic.Int64
+
+	mu      sync.Mutex
+	changed sync.Cond // of reading, ended and late
+	written int64
+	writing bool
+	reading bool
+	ended   bool // no further byte may be written
+	reused  bool // and no byte of the request has been written since
+	late    bool // the request has waited for maxReadWait
+	closed  bool
+}
+
+func newCountingConn(conn net.Conn, open *atomic.Int64) *countingConn {
+	c := &countingConn{Conn: conn, open: open}
+	c.changed.L = &c.mu
+	return c
+}
+
+// begin records that a request gets the connection, and returns how many bytes were written before it.
+func (c *countingConn) begin(reused bool) (before int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reused, c.late = reused, false
+	return c.written
+}
+
+// isUnsent reports whether no byte has been written since so many were.
+func (c *countingConn) isUnsent(before int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written == before && !c.writing
+}
+
+// endUnsent reports whether a reused connection brought a response although no byte of the request has been written. None
+// will be then.
+func (c *countingConn) endUnsent(before int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reused || c.written != before || c.writing {
+		return false
+	}
+	c.ended = true
+	c.changed.Broadcast()
+	return true
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	c.mu.Lock()
+	if !c.closed {
+		c.open.Add(-1)
+	}
+	c.closed, c.ended = true, true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	c.setReading(true)
+	defer c.setReading(false)
+	return c.Conn.Read(b)
+}
+
+func (c *countingConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+	c.changed.Broadcast()
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	if !c.mayWrite() {
+		return 0, errUnread
+	}
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written += int64(n)
+	c.writing = false
+	return n, err
+}
+
+// mayWrite reports whether bytes may be written, and waits until that is clear.
+func (c *countingConn) mayWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reused && !c.reading && !c.ended {
+		timer := time.AfterFunc(maxReadWait, c.setLate)
+		defer timer.Stop()
+	}
+	for c.reused && !c.reading && !c.ended && !c.late {
+		c.changed.Wait()
+	}
+	if c.ended || (c.reused && !c.reading) {
+		return false
+	}
+	c.reused, c.writing = false, true
+	return true
+}
+
+func (c *countingConn) setLate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late = true
+	c.changed.Broadcast()
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,8 @@
 	promiser fakePromiser
 	// stop is the current planned stop. It must be set before requests are sent.
 	stop gateway.Stop
+	// timeout is the time of the requests of readAll, endlessTime if it is 0.
+	timeout time.Duration
 	// ended is set once the node has closed its connections.
 	ended atomic.Bool
 	// shares are the node counts. Like settings, they must be set before requests are
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -56,31 +56,9 @@
 var (
 	errWrongResponse = errors.New("the response does not match the request")
 	errInformational = errors.New("the endpoint sends too many informational responses")
+	errUnread        = errors.New("bytes came on the connection before the request was sent")
 )
 
-// countingConn counts the bytes written, to identify requests that were never sent.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-	idle    idleCloser
-	// open counts the open connections to the same address.
-	open   *atomic.Int64
-	closed atomic.Bool
-}
-
-func (c *countingConn) Close() error {
-	if !c.closed.Swap(true) {
-		c.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
-}
-
 // Upstream sends requests to endpoints over pooled connections.
 type Upstream struct {
 	open      dial.Func
@@ -114,7 +92,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn, open: counts.add(address)}, nil
+			return newCountingConn(conn, counts.add(address)), nil
 		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -239,7 +217,7 @@
 		},
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*countingConn); ok {
-				conn, before, use = c, c.written.Load(), c.idle.begin()
+				conn, before, use = c, c.begin(info.Reused), c.idle.begin()
 			}
 			if !info.Reused && options.OnConnected != nil {
 				options.OnConnected()
@@ -265,14 +243,26 @@
 	}
 	response, err := transport.RoundTrip(out.WithContext(ctx))
 	if err != nil {
-		if conn == nil || conn.written.Load() == before {
+		if conn == nil || conn.isUnsent(before) {
 			return nil, redwinghall.NewOpError("Upstream.Send", NotSent, err)
 		}
 		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
 	}
+	return conn.answer(response, in, before)
+}
+
+// answer returns the response that came on a connection, before which so many bytes were written. c may be nil.
+func (c *countingConn) answer(response *http.Response, in *Request, before int64) (*Response, error) {
+	if c == nil {
+		return newResponse(response, in)
+	}
+	if c.endUnsent(before) {
+		_ = response.Body.Close()
+		return nil, redwinghall.NewOpError("Upstream.Send", NotSent, errUnread)
+	}
 	answer, err := newResponse(response, in)
-	if conn != nil && err == nil {
-		conn.idle.setTimeout(answer.Info.IdleTimeout)
+	if err == nil {
+		c.idle.setTimeout(answer.Info.IdleTimeout)
 	}
 	return answer, err
 }
