Neighbor: answers of nodes take under 10 MiB in all

Cause: answers were limited one by one (8 MiB a list, 1 MiB a report), read by io.ReadAll, which copies its chunks at the end even if the answer is given up, and a list was held three times (compressed, plain, decoded). The tests had bounds of their maker (10 MiB and twice the limit; 48 MiB a list), and the one of List/a body was over its 16 MiB by 1 % now and then: 8 MiB of the list, the copy, and what was allocated beside a collection.

Answers are read whole by the transport, without the copy, within a limit of each (16 KiB, 768 KiB for reports, 1.4 MiB for compressed rows, 16 KiB for errors) and one of the memory that all take together until they are decoded; empty parts of a message count as what they take. Rows are measured before any is kept, and then decoded from the compressed form, one answer at a time. Changes are compressed as lists are (an older node understands that; an older node's uncompressed changes of some 2,000 rows and more aren't read, and the table is listed). The quarantine's answer is a report.

Tests: answers that stop short of their limit are new; calls of which few are made at once are measured by all that they allocate, as they are too short for measurements of the heap; the bound is 10 MiB throughout.

--- a/neighbor/answer_size.go
+++ b/neighbor/answer_size.go
@@ -9,10 +9,12 @@
 const (
 	// maxShortAnswer is for the calls that a node makes for each request of a caller, or many at once.
 	maxShortAnswer = 16 << 10
-	// maxReportAnswer is for loads and loans, of which a node asks few others at a time.
-	maxReportAnswer = 1 << 20
-	// maxRowsAnswer is for rows, which a node reads once for each table at a time. A page of the store may be as large.
-	maxRowsAnswer = 8 << 20
+	// maxReportAnswer is for loads, loans and the quarantine, of which a node asks few others at a time.
+	maxReportAnswer = 768 << 10
+	// maxRowsAnswer is for compressed rows, which a node reads once for each table at a time.
+	maxRowsAnswer = 1400 << 10
+	// maxAnswers is how much memory all answers may take that are being read.
+	maxAnswers = 9 << 20
 	// maxCallHeadBytes is for the head of an answer, which has no headers but those of net/http.
 	maxCallHeadBytes = 8 << 10
 )
@@ -32,8 +34,11 @@
 	return maxShortAnswer
 }
 
-// sizedTransport ends the answers that are too large with an error.
-type sizedTransport struct{ *answeringTransport }
+// sizedTransport reads answers whole, and ends those that are too large or take too much memory together with an error.
+type sizedTransport struct {
+	memory *bodyMemory
+	*answeringTransport
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t sizedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -41,6 +46,16 @@
 	if err != nil {
 		return nil, err
 	}
-	response.Body = http.MaxBytesReader(nil, response.Body, answerSize(request.Context()))
-	return response, nil
+	defer func() { _ = response.Body.Close() }()
+	most := answerSize(request.Context())
+	if response.StatusCode != http.StatusOK {
+		most = maxShortAnswer
+	}
+	whole, err := t.memory.read(response.Body, most)
+	if err != nil {
+		return nil, err
+	}
+	answer := *response
+	answer.Body = whole
+	return &answer, nil
 }
--- a/neighbor/body.go
+++ b/neighbor/body.go
@@ -29,10 +29,13 @@
 	// body.
 	bodyCost  = 6
 	fieldCost = 160
+	minChunk  = 512
+	maxChunk  = 32 << 10
 )
 
 var (
 	errBodySize   = errors.New("the body is too large")
+	errBodyCut    = errors.New("the body is cut off")
 	errBodyMemory = errors.New("too much is being read")
 )
 
@@ -55,7 +58,7 @@
 // read reads a body of up to so many bytes. It must be closed if there is no error.
 func (m *bodyMemory) read(r io.Reader, most int64) (*body, error) {
 	b := &body{memory: m}
-	data, err := io.ReadAll(&bodyReader{r: r, body: b, left: most})
+	data, err := readAll(&bodyReader{r: r, body: b, left: most})
 	if err == nil && !b.take(fieldCost*countFields(data)) {
 		err = errBodyMemory
 	}
@@ -88,6 +91,9 @@
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	n, err := r.r.Read(p[:min(int64(len(p)), r.left+1)])
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		err = errBodyCut // io.ReadFull returns the other for a body that ends
+	}
 	if r.left -= int64(n); r.left < 0 {
 		return n, errBodySize
 	}
@@ -97,6 +103,24 @@
 	return n, err
 }
 
+// readAll reads a body, in chunks that grow with it. A body that ends with an error is never held twice, as it would be by
+// io.ReadAll.
+func readAll(r io.Reader) ([]byte, error) {
+	var chunks [][]byte
+	for size := 0; ; {
+		chunk := make([]byte, min(max(size, minChunk), maxChunk))
+		n, err := io.ReadFull(r, chunk)
+		chunks = append(chunks, chunk[:n])
+		size += n
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+			return bytes.Join(chunks, nil), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // countFields returns how many fields a message has, up to the first that can't be read.
 func countFields(message []byte) (count int64) {
 	for len(message) > 0 {
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -38,6 +38,7 @@
 // Client calls other nodes.
 type Client struct {
 	http    *http.Client
+	unpacks sync.Mutex // of one answer at a time
 	mu      sync.Mutex
 	clients map[string]rpc.Neighbor // by address
 }
@@ -46,7 +47,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: sizedTransport{newAnsweringTransport(&http.Transport{
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: sizedTransport{&bodyMemory{limit: maxAnswers}, newAnsweringTransport(&http.Transport{
 		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
 	})}}}
 }
@@ -274,15 +275,20 @@
 			return relay.Answer{}, callError(op, err)
 		}
 	}
-	if err := decompress(out); err != nil {
-		return relay.Answer{}, callError(op, err)
-	}
 	answer := relay.Answer{Age: time.Duration(out.GetAgeMs()) * time.Millisecond, Rows: fleet.Rows{At: fleet.Position{Era: out.GetEra(), Version: out.GetVersion()}}}
 	for _, r := range out.GetRows() {
 		answer.Rows.Rows = append(answer.Rows.Rows, fleet.Row{
 			Table: table, Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
 		})
 	}
+	if len(out.GetPacked()) == 0 {
+		return answer, nil
+	}
+	c.unpacks.Lock()
+	defer c.unpacks.Unlock()
+	if answer.Rows.Rows, err = unpack(table, out.GetPacked()); err != nil {
+		return relay.Answer{}, callError(op, err)
+	}
 	return answer, nil
 }
 
--- a/neighbor/compress.go
+++ b/neighbor/compress.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
-	"net/http"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -22,31 +20,31 @@
 // endpoints, and the bandwidth of its network link limits how fast they start.
 type rowCompressor struct {
 	mu   sync.Mutex
-	last map[string]compressedRows // by table
+	last map[string]compressedRows // by call and table
 }
 
 type compressedRows struct {
-	at    fleet.Position
-	bytes []byte
+	after, at fleet.Position
+	bytes     []byte
 }
 
-// compress replaces the rows of a response by their compressed form, if there are at least
-// compressMinRows.
-func (c *rowCompressor) compress(table string, response *rpc.RowsResponse) error {
+// compress replaces the rows of a response, which lie behind a position, by their compressed form if there are at least
+// compressMinRows. name is that of the call and the table.
+func (c *rowCompressor) compress(name string, after fleet.Position, response *rpc.RowsResponse) error {
 	if len(response.GetRows()) < compressMinRows {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := fleet.Position{Era: response.GetEra(), Version: response.GetVersion()}
-	last, ok := c.last[table]
-	if !ok || last.at != at {
+	last, ok := c.last[name]
+	if !ok || last.at != at || last.after != after {
 		packed, err := deflateRows(response.GetRows())
 		if err != nil {
 			return err
 		}
-		last = compressedRows{at: at, bytes: packed}
-		c.last[table] = last
+		last = compressedRows{after: after, at: at, bytes: packed}
+		c.last[name] = last
 	}
 	response.Rows, response.Packed = nil, last.bytes
 	return nil
@@ -70,24 +68,3 @@
 	}
 	return out.Bytes(), nil
 }
-
-// maxDecompressedBytes limits the size of decompressed rows, since a few compressed bytes
-// can expand to very many. Three tables may be read at once, each with copies of its rows.
-const maxDecompressedBytes = 16 << 20
-
-// decompress replaces the compressed rows of a response by the rows.
-func decompress(response *rpc.RowsResponse) error {
-	if len(response.GetPacked()) == 0 {
-		return nil
-	}
-	plain, err := io.ReadAll(http.MaxBytesReader(nil, flate.NewReader(bytes.NewReader(response.GetPacked())), maxDecompressedBytes))
-	if err != nil {
-		return err
-	}
-	var rows rpc.RowsResponse
-	if err := proto.Unmarshal(plain, &rows); err != nil {
-		return err
-	}
-	response.Rows, response.Packed = rows.GetRows(), nil
-	return nil
-}
--- a/neighbor/endless_test.go
+++ b/neighbor/endless_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,74 +32,96 @@
 	endlessTime    = 3 * time.Second
 )
 
-// peerCalls are the calls to other nodes, with how many a node makes at once and the largest answer that is read.
-var peerCalls = map[string]struct {
+// endlessCalls is how many answers come at once of calls that many requests make.
+const endlessCalls = 200
+
+// peerCall is a call to other nodes.
+type peerCall struct {
 	atOnce int
 	most   int64
 	call   func(ctx context.Context, c *neighbor.Client, address string) error
-}{
-	"Reserve": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+}
+
+// peerCalls are the calls to other nodes, with how many a node makes at once and the largest answer that is read.
+var peerCalls = map[string]peerCall{
+	"Reserve": {endlessCalls, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.Reserve(ctx, address, fleet.PlacementRequest{}, neighbor.StreamReport{})
 		return err
 	}},
-	"Permit": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"Permit": {endlessCalls, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.Permit(ctx, address, "z", balance.LimitReport{})
 		return err
 	}},
-	"Commit": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"Commit": {endlessCalls, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.Commit(ctx, address, fleet.Txn{})
 		return err
 	}},
-	"Suspect": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"Suspect": {endlessCalls, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		return c.Suspect(ctx, address, "e")
 	}},
-	"SuspectGroup": {200, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"SuspectGroup": {endlessCalls, 16 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.SuspectGroup(ctx, address, "e")
 		return err
 	}},
-	"Lend": {4, 1 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"Lend": {4, 768 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.Lend(ctx, address, "z", nil)
 		return err
 	}},
-	"Share": {4, 1 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"Share": {4, 768 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.Share(ctx, address, neighbor.LoadReport{})
 		return err
 	}},
-	"ShareZone": {4, 1 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"ShareZone": {4, 768 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.ShareZone(ctx, address, neighbor.ZoneReport{})
 		return err
 	}},
-	"List": {1, 8 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"List": {3, 1400 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.List(ctx, address, "t")
 		return err
 	}},
-	"Changes": {1, 8 << 20, func(ctx context.Context, c *neighbor.Client, address string) error {
+	"Changes": {3, 1400 << 10, func(ctx context.Context, c *neighbor.Client, address string) error {
 		_, err := c.Changes(ctx, address, "t", fleet.Position{}, time.Second)
 		return err
 	}},
 }
 
-// A node that sends bytes without end instead of an answer took the memory of all nodes that had called it.
+// A node that sends bytes without end instead of an answer, or stops in the middle of one, took the memory of all nodes
+// that had called it.
 func TestAnswersOfNodesWithoutEndTakeLittleMemory(t *testing.T) {
 	for name, c := range peerCalls {
 		for form, endless := range platformtest.EndlessForms(endlessSent) {
-			t.Run(name+"/"+form, func(t *testing.T) {
-				endless.Listen(t)
-				client := neighbor.NewClient()
-				idle := platformtest.LiveHeap()
-				begun := time.Now()
-				most := platformtest.MostHeap(t, c.atOnce, func(int) { require.Error(t, c.call(t.Context(), client, endless.Address)) })
-				require.Less(t, kernel.RunTime(begun, time.Now()), endlessTime)
-				t.Logf("%d answers took %d KiB, the largest %d KiB", endless.Requests.Load(), (int64(most)-int64(idle))>>10, endless.Largest.Load()>>10)
-				require.Positive(t, endless.Requests.Load())
-				require.LessOrEqual(t, most, idle+endlessMemory+2*uint64(c.most))
-				require.Eventually(t, func() bool { return endless.Largest.Load() > 0 }, time.Second, 10*time.Millisecond)
-				require.LessOrEqual(t, endless.Largest.Load(), c.most+endlessSockets)
-			})
+			t.Run(name+"/"+form, func(t *testing.T) { requireLittleMemory(t, c, endless) })
+		}
+		for form, endless := range platformtest.EndlessForms(c.most - 1<<10) {
+			if slices.Contains([]string{"a body", "a body in chunks", "an error"}, form) {
+				t.Run(name+"/"+form+" that stops", func(t *testing.T) { requireLittleMemory(t, c, endless) })
+			}
 		}
 	}
 }
 
+// requireLittleMemory makes calls at once to a node that sends endless bytes.
+func requireLittleMemory(t *testing.T, c peerCall, endless *platformtest.Endless) {
+	t.Helper()
+	endless.Listen(t)
+	client := neighbor.NewClient()
+	fail := func(int) { require.Error(t, c.call(t.Context(), client, endless.Address)) }
+	idle := platformtest.LiveHeap()
+	begun := time.Now()
+	most := platformtest.MostHeap(t, c.atOnce, fail)
+	require.Less(t, kernel.RunTime(begun, time.Now()), endlessTime)
+	t.Logf("%d answers took %d KiB, the largest %d KiB", endless.Requests.Load(), (int64(most)-int64(idle))>>10, endless.Largest.Load()>>10)
+	require.Positive(t, endless.Requests.Load())
+	require.LessOrEqual(t, most, idle+endlessMemory)
+	if c.atOnce < endlessCalls {
+		allocated := platformtest.Allocated(t, c.atOnce, fail)
+		t.Logf("%d calls allocated %d KiB", c.atOnce, allocated>>10)
+		require.LessOrEqual(t, allocated, uint64(endlessMemory), "they are too short for measurements")
+	}
+	require.Eventually(t, func() bool { return endless.Largest.Load() > 0 }, time.Second, 10*time.Millisecond)
+	require.LessOrEqual(t, endless.Largest.Load(), c.most+endlessSockets)
+}
+
 // growingList returns a list that is small as it travels, and has size bytes after that.
 func growingList(t *testing.T, size int) []byte {
 	t.Helper()
@@ -119,9 +142,8 @@
 }
 
 const (
-	growingRow    = 64 << 10
-	growingLists  = 3        // a node reads as many tables
-	growingMemory = 48 << 20 // of a list
+	growingRow   = 64 << 10
+	growingLists = 3 // a node reads as many tables
 )
 
 // A list of a few compressed bytes took more memory than the smallest VM has.
@@ -133,15 +155,14 @@
 	}))
 	t.Cleanup(server.Close)
 	client := neighbor.NewClient()
-	idle := platformtest.LiveHeap()
 	var failed atomic.Int32
-	most := platformtest.MostHeap(t, growingLists, func(int) {
+	allocated := platformtest.Allocated(t, growingLists, func(int) {
 		if _, err := client.List(t.Context(), server.Listener.Addr().String(), "t"); err != nil {
 			failed.Add(1)
 		}
 	})
-	t.Logf("%d lists of %d KiB took %d KiB", growingLists, len(body)>>10, (int64(most)-int64(idle))>>10)
-	require.LessOrEqual(t, most, idle+growingLists*growingMemory)
+	t.Logf("%d lists of %d KiB allocated %d KiB", growingLists, len(body)>>10, allocated>>10)
+	require.LessOrEqual(t, allocated, uint64(endlessMemory))
 	require.EqualValues(t, growingLists, failed.Load(), "none may look whole")
 }
 
--- a/neighbor/quarantine.go
+++ b/neighbor/quarantine.go
@@ -39,7 +39,7 @@
 // Quarantine sends a node this one's evidence on parts under which endpoints ended. It returns what the other
 // node knows if withAll is set.
 func (c *Client) Quarantine(ctx context.Context, address, node string, report quarantine.Report, withAll bool) (quarantine.Report, error) {
-	ctx, cancel := kernel.WithTimeout(ctx, callTimeout)
+	ctx, cancel := kernel.WithTimeout(withAnswerSize(ctx, maxReportAnswer), callTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Quarantine(ctx, &rpc.QuarantineRequest{Node: node, Report: encodeQuarantine(report), WithAll: withAll})
 	if err != nil {
--- a/neighbor/server.go
+++ b/neighbor/server.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.compressor.compress(in.GetTable(), out); err != nil {
+	if err := s.compressor.compress("List "+in.GetTable(), fleet.Position{}, out); err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
 	return out, nil
@@ -88,8 +88,16 @@
 // Changes implements rpc.Neighbor.
 func (s *Server) Changes(ctx context.Context, in *rpc.ChangesRequest) (*rpc.RowsResponse, error) {
 	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxChangesWait)
-	answer, err := s.config.Mirror(in.GetTable()).Changes(ctx, fleet.Position{Era: in.GetEra(), Version: in.GetAfter()}, wait)
-	return encodeAnswer(answer, err)
+	after := fleet.Position{Era: in.GetEra(), Version: in.GetAfter()}
+	answer, err := s.config.Mirror(in.GetTable()).Changes(ctx, after, wait)
+	out, err := encodeAnswer(answer, err)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.compressor.compress("Changes "+in.GetTable(), after, out); err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return out, nil
 }
 
 // Share implements rpc.Neighbor.
