Answers of servers that name no start: proven over an earlier connection

Cause: an answer with neither a length nor chunks of a server that names no start counted as whole if anything answered 400 within 150 ms of its end. Callers saw half a booking as a signed 200 if the server crashed, started again at once and wasn't slow; and 502 for a whole booking whose server took over 150 ms to answer at its end.

Change: an idle connection of the node's pool that was open as the request was sent ends with the process that got the request, so an answer there is proof, however late it comes. The question goes over open connections only, and is the last one on its connection: an answer to an earlier request may come in place of the question's (told by its request id). If there is no proof and such a connection was ended by the other side since the request was sent, the 400 doesn't count. With no such connection the rule of 150 ms stays: nothing else tells.

Ruled out: a connection kept for the question alone, which would take one of the server's limit at each node.

--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	timeout time.Duration // 0 if the endpoint stated none
 	uses    int64         // requests that began on the connection
+	resting bool          // no request is in progress
 	timer   *time.Timer
 }
 
@@ -41,6 +42,12 @@
 func (c *idleCloser) begin() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.resting = false
+	return c.use()
+}
+
+// use records that the connection is used, and returns the number of its use. The caller must hold mu.
+func (c *idleCloser) use() int64 {
 	c.uses++
 	if c.timer != nil {
 		c.timer.Stop()
@@ -48,12 +55,29 @@
 	return c.uses
 }
 
+// ask records that a question begins on the connection, behind which it is closed.
+func (c *idleCloser) ask() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.use()
+}
+
+func (c *idleCloser) isResting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resting
+}
+
 // end records that the connection is idle after a request, and whether it is beyond what this node keeps. The
 // next request may have begun already.
 func (c *idleCloser) end(use int64, conn net.Conn, excess bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (c.timeout == 0 && !excess) || c.uses != use {
+	if c.uses != use {
+		return
+	}
+	c.resting = true
+	if c.timeout == 0 && !excess {
 		return
 	}
 	limit := c.timeout - min(idleMargin, time.Duration(maxIdleMarginShare*float64(c.timeout)))
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -55,8 +55,9 @@
 //
 // The first question goes over this node's own connection alone, as most processes answer it. This node may be cut off
 // from the endpoint, so the next ones go by way of other nodes too. The servers of plain services name no start in what they
-// answer: it counts if it comes at once, as a process that has just started is slow.
-func (g *Gateway) awaitPresence(ctx context.Context, e *fleet.Endpoint, limit time.Duration) fleet.Presence {
+// answer: it counts if it comes at once, as a process that has just started is slow, unless a connection shows more that was
+// open as the request was sent, at sent. A zero time is that of no request.
+func (g *Gateway) awaitPresence(ctx context.Context, e *fleet.Endpoint, limit time.Duration, sent time.Time) fleet.Presence {
 	begun := time.Now()
 	if g.Presence == nil || limit <= 0 {
 		return fleet.PresenceUnknown
@@ -65,22 +66,32 @@
 		return fleet.PresenceGone
 	}
 	found := g.askOnce(ctx, e, min(firstQuestion, limit))
-	if left := limit - kernel.RunTime(begun, time.Now()); found == fleet.PresenceUnknown && left > 0 {
-		found = g.askAllWays(ctx, e, left)
+	left := limit - kernel.RunTime(begun, time.Now())
+	switch {
+	case found == fleet.PresenceAnswered && !sent.IsZero():
+		found = g.Upstream.weigh(ctx, e, sent, min(maxQuestion, left))
+	case found == fleet.PresenceUnknown && left > 0:
+		found = g.askAllWays(ctx, e, left, sent)
 	}
 	return found
 }
 
-// askAllWays asks over this node's own connection and by way of other nodes at the same time.
-func (g *Gateway) askAllWays(ctx context.Context, e *fleet.Endpoint, limit time.Duration) fleet.Presence {
+// askAllWays asks over this node's own connections, new and earlier ones, and by way of other nodes at the same time.
+func (g *Gateway) askAllWays(ctx context.Context, e *fleet.Endpoint, limit time.Duration, sent time.Time) fleet.Presence {
 	ctx, cancel := kernel.WithTimeout(ctx, limit)
 	defer cancel()
 	group := kernel.NewGroup(ctx) // nobody waits for it: other nodes may answer after the end of ctx
-	answers := make(chan fleet.Presence, 2)
+	answers := make(chan fleet.Presence, 3)
 	group.Task("ask_process", func(ctx context.Context) { g.askOn(ctx, e, g.Presence, answers) })
 	if g.PresenceElsewhere != nil {
 		group.Task("ask_process_elsewhere", func(ctx context.Context) { g.askOn(ctx, e, g.askElsewhere, answers) })
 	}
+	if !sent.IsZero() {
+		askEarlier := func(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
+			return g.Upstream.askEarlier(ctx, e, sent, timeout)
+		}
+		group.Task("ask_process_earlier", func(ctx context.Context) { g.askOn(ctx, e, askEarlier, answers) })
+	}
 	select {
 	case found := <-answers:
 		return found
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -32,7 +32,7 @@
 //
 // The connections of a process that ends are closed like those after a complete response, and a part of the
 // response would pass for all of it. So the response is complete only if the same process answers a question that was
-// asked after the end, or one that names no start does at once.
+// asked after the end, or one that names no start does at once and none of its connections was seen to end.
 type unframedBody struct {
 	io.ReadCloser
 	// presence finds out whether the process still runs, and found is its answer, "" before the end.
@@ -88,7 +88,7 @@
 			// The caller's deadline goes by the clock, also while this process stands still.
 			ctx, cancel := context.WithDeadline(ctx, now.Add(proofTime(now, r, false)))
 			defer cancel()
-			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()))
+			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()), response.sentAt)
 			g.Metrics.BrokenOff(found)
 			return found
 		},
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -63,28 +63,45 @@
 	net.Conn
 	written atomic.Int64
 	idle    idleCloser
-	// open counts the open connections to the same address.
-	open   *atomic.Int64
-	closed atomic.Bool
+	opened  time.Time
+	// address counts the connections to the same address.
+	address *addressConns
+	closed  atomic.Bool
 }
 
 func (c *countingConn) Close() error {
 	if !c.closed.Swap(true) {
-		c.open.Add(-1)
+		c.address.open.Add(-1)
 	}
 	return c.Conn.Close()
 }
 
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.noteEnd(err)
+	return n, err
+}
+
 func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.written.Add(int64(n))
+	c.noteEnd(err)
 	return n, err
 }
 
+// noteEnd records that the endpoint ended the connection while no request was in progress on it.
+func (c *countingConn) noteEnd(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) && c.idle.isResting() {
+		now := time.Now()
+		c.address.endedAt.Store(&now)
+	}
+}
+
 // Upstream sends requests to endpoints over pooled connections.
 type Upstream struct {
 	open      dial.Func
 	transport *http.Transport
+	addresses addresses // of transport
 	// fresh opens a connection for each request and keeps none.
 	fresh *http.Transport
 }
@@ -100,21 +117,22 @@
 
 // NewUpstreamWithDialer returns an upstream that opens its connections by a function.
 func NewUpstreamWithDialer(open dial.Func) *Upstream {
-	open = dial.WithTimeout(open, connectTimeout)
-	fresh := newEndpointTransport(open)
+	open = unlessOpenOnly(dial.WithTimeout(open, connectTimeout))
+	fresh := newEndpointTransport(open, &addresses{})
 	fresh.MaxIdleConnsPerHost = -1 // keeps none, without asking the endpoint to close
-	return &Upstream{open: open, transport: newEndpointTransport(open), fresh: fresh}
+	u := &Upstream{open: open, fresh: fresh}
+	u.transport = newEndpointTransport(open, &u.addresses)
+	return u
 }
 
-func newEndpointTransport(open dial.Func) *http.Transport {
-	var counts openCounts
+func newEndpointTransport(open dial.Func, addresses *addresses) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := open(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn, open: counts.add(address)}, nil
+			return &countingConn{Conn: conn, opened: time.Now(), address: addresses.add(address)}, nil
 		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -126,37 +144,50 @@
 	}
 }
 
-// openCounts counts the open connections by address. The zero value is empty.
-type openCounts struct {
+// addressConns is what this node knows of its connections to an address.
+type addressConns struct {
+	open atomic.Int64
+	// endedAt is when the other side last ended one without a request in progress, nil for never.
+	endedAt atomic.Pointer[time.Time]
+}
+
+// addresses counts connections by address. The zero value is empty.
+type addresses struct {
 	mu    sync.Mutex
-	count map[string]*atomic.Int64
+	conns map[string]*addressConns
 }
 
-// maxOpenCounts bounds the addresses that openCounts holds. Addresses are used again by other endpoints.
-const maxOpenCounts = 10000
+// maxAddresses bounds what addresses holds. Addresses are used again by other endpoints.
+const maxAddresses = 10000
 
-// add counts one more connection to an address and returns the address's count.
-func (o *openCounts) add(address string) *atomic.Int64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.count == nil {
-		o.count = map[string]*atomic.Int64{}
+// of returns an address's connections.
+func (a *addresses) of(address string) *addressConns {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conns == nil {
+		a.conns = map[string]*addressConns{}
 	}
-	for one, count := range o.count {
-		if len(o.count) < maxOpenCounts {
+	for one, conns := range a.conns {
+		if len(a.conns) < maxAddresses {
 			break
 		}
-		if count.Load() == 0 {
-			delete(o.count, one)
+		if conns.open.Load() == 0 {
+			delete(a.conns, one)
 		}
 	}
-	count, ok := o.count[address]
+	conns, ok := a.conns[address]
 	if !ok {
-		count = &atomic.Int64{}
-		o.count[address] = count
+		conns = &addressConns{}
+		a.conns[address] = conns
 	}
-	count.Add(1)
-	return count
+	return conns
+}
+
+// add counts one more connection to an address and returns the address's connections.
+func (a *addresses) add(address string) *addressConns {
+	conns := a.of(address)
+	conns.open.Add(1)
+	return conns
 }
 
 // Close closes all idle connections.
@@ -193,6 +224,8 @@
 	// connection.
 	Unframed bool
 	Info     platform.ResponseInfo
+	// sentAt is when this node had the connection on which it sent the request.
+	sentAt time.Time
 	// Peer is the node that forwarded the request, "" if it went over this node's own
 	// connection.
 	Peer string
@@ -229,6 +262,7 @@
 func (u *Upstream) Send(ctx context.Context, to *fleet.Endpoint, in *Request, headers platform.ForwardHeaders, options SendOptions) (*Response, error) {
 	var conn *countingConn
 	var before, use int64
+	var sentAt time.Time
 	informational := 0
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
@@ -238,6 +272,7 @@
 			return nil
 		},
 		GotConn: func(info httptrace.GotConnInfo) {
+			sentAt = time.Now()
 			if c, ok := info.Conn.(*countingConn); ok {
 				conn, before, use = c, c.written.Load(), c.idle.begin()
 			}
@@ -247,7 +282,7 @@
 		},
 		PutIdleConn: func(err error) {
 			if err == nil && conn != nil {
-				conn.idle.end(use, conn.Conn, options.Keep > 0 && conn.open.Load() > int64(options.Keep))
+				conn.idle.end(use, conn.Conn, options.Keep > 0 && conn.address.open.Load() > int64(options.Keep))
 			}
 		},
 	})
@@ -273,6 +308,7 @@
 	answer, err := newResponse(response, in)
 	if conn != nil && err == nil {
 		conn.idle.setTimeout(answer.Info.IdleTimeout)
+		answer.sentAt = sentAt
 	}
 	return answer, err
 }
