--- a/gateway/counting_conn.go
+++ b/gateway/counting_conn.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -18,9 +18,10 @@
 // closes the connection, or returns them as the response to a request that wasn't sent.
 type countingConn struct {
 	net.Conn
-	idle idleCloser
-	// open counts the open connections to the same address.
-	open *atomic.Int64
+	idle   idleCloser
+	opened time.Time
+	// address counts the connections to the same address.
+	address *addressConns
 
 	mu      sync.Mutex
 	changed sync.Cond // of reading, ended and late
@@ -33,8 +34,8 @@
 	closed  bool
 }
 
-func newCountingConn(conn net.Conn, open *atomic.Int64) *countingConn {
-	c := &countingConn{Conn: conn, open: open}
+func newCountingConn(conn net.Conn, address *addressConns) *countingConn {
+	c := &countingConn{Conn: conn, opened: time.Now(), address: address}
 	c.changed.L = &c.mu
 	return c
 }
@@ -71,7 +72,7 @@
 func (c *countingConn) Close() error {
 	c.mu.Lock()
 	if !c.closed {
-		c.open.Add(-1)
+		c.address.open.Add(-1)
 	}
 	c.closed, c.ended = true, true
 	c.changed.Broadcast()
@@ -83,7 +84,17 @@
 func (c *countingConn) Read(b []byte) (int, error) {
 	c.setReading(true)
 	defer c.setReading(false)
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.noteEnd(err)
+	return n, err
+}
+
+// noteEnd records that the endpoint ended the connection while no request was in progress on it.
+func (c *countingConn) noteEnd(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) && c.idle.isResting() {
+		now := time.Now()
+		c.address.endedAt.Store(&now)
+	}
 }
 
 func (c *countingConn) setReading(reading bool) {
@@ -99,6 +110,7 @@
 		return 0, errUnread
 	}
 	n, err := c.Conn.Write(b)
+	c.noteEnd(err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written += int64(n)
