Admission: room is kept for the whole time in which a free place is unknown

Cause: places are kept for the urgent requests of the 50 ms in which a place that came free is unknown, but nodes report their loads every 60 ms and the report has a way to go. Late in an interval the dispatcher believes that all slots are taken.

Change: 75 ms.

--- a/admission/room.go
+++ b/admission/room.go
@@ -33,9 +33,9 @@
 	// of those requests has no bound.
 	maxBusy = 0.95
 	// unknownTime is how long a place that came free is unknown to the node that decides
-	// for all, and unknownOthersTime how long one of several doesn't know what the others
-	// accept.
-	unknownTime       = 50 * time.Millisecond
+	// for all, the interval of load reports and their way; unknownOthersTime is how long one
+	// of several doesn't know what the others accept.
+	unknownTime       = 75 * time.Millisecond
 	unknownOthersTime = 150 * time.Millisecond
 	// workWeight is the weight of a new request in the mean work of a model's requests.
 	workWeight = 0.02
