Caller: a silent group's attempt stays open until another one has the stream

Cause: after StallTimeout without a chunk relay.attempt canceled the attempt before another group had the stream; with an empty retry budget it ended the stream at once.

The sequence already delivers each chunk once and in order, so whichever attempt brings a chunk first goes on and the other one ends. If the others have failed, or none may be made, the silent one has one more StallTimeout. Retries still come out of the budget.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -44,11 +44,13 @@
 // relay streams one response from the endpoints to the caller. It may take several
 // attempts at different endpoints; the caller receives a single response.
 type relay struct {
-	server   *Server
-	request  *request
-	model    *route.ModelView
-	body     []byte
-	sink     sink
+	server  *Server
+	request *request
+	model   *route.ModelView
+	body    []byte
+	sink    sink
+	// mu guards sequence and sink while a silent attempt and its takeover are both in progress.
+	mu       sync.Mutex
 	sequence *sequence
 
 	failedGroup   *route.TrackedGroup
@@ -72,19 +74,31 @@
 	group   *route.TrackedGroup // nil if the target is another router
 }
 
-// run makes attempts until the response is complete, the deadline passes, the retry
+// run makes attempts until the response is complete or can't be completed.
+func (l *relay) run(ctx context.Context, prefix uint64) error {
+	if err := l.complete(ctx, prefix, nil); err != nil {
+		return l.giveUp(ctx, err)
+	}
+	return nil
+}
+
+// complete makes attempts until the response is complete, the deadline passes, the retry
 // budget is exhausted, or MaxAttempts attempts in a row bring no new chunk. An attempt
 // that brought one resets the count, since the response is making progress, also if the
-// chunk waits for an earlier one.
-func (l *relay) run(ctx context.Context, prefix uint64) error {
+// chunk waits for an earlier one. They are those of the takeover of a silent attempt unless
+// that is nil.
+func (l *relay) complete(ctx context.Context, prefix uint64, silent *attempt) error {
 	var last error
-	emptyAttempts := 0 // attempts in a row without a chunk
-	for attempt := 0; emptyAttempts < l.server.config.MaxAttempts; attempt++ {
+	emptyAttempts, attempt := 0, 0 // attempts in a row without a chunk, all attempts
+	if silent != nil {
+		emptyAttempts, attempt, last = 1, 1, errSilent
+	}
+	for ; emptyAttempts < l.server.config.MaxAttempts; attempt++ {
 		if attempt > 0 && !l.server.budget.Spend() {
 			l.retryDenied = true
 			break
 		}
-		from, received := l.sequence.next, l.sequence.received()
+		from, received := l.progress()
 		where, err := l.choose(ctx, prefix, attempt)
 		if err != nil {
 			if last == nil {
@@ -92,26 +106,35 @@
 			}
 			break
 		}
-		last = l.attempt(ctx, where)
+		var taken bool
+		taken, last = l.attempt(ctx, prefix, where, silent)
 		l.attempts++
-		if last == nil {
-			return nil
+		if last == nil || taken {
+			return last
 		}
 		if errors.Is(last, errCallerGone) || ctx.Err() != nil {
 			break
 		}
+		position, total := l.progress()
 		klog.InfoS("attempt_failed", "request_id", l.request.id, "address", where.address,
-			"from", from, "position", l.sequence.next, "buffered", len(l.sequence.buffered), "cause", last.Error())
+			"from", from, "position", position, "buffered", total-position, "cause", last.Error())
 		l.recordFailure(where)
 		emptyAttempts++
-		if l.sequence.received() > received {
+		if total > received {
 			emptyAttempts = 0
 		}
 		if emptyAttempts > 1 && !kernel.Sleep(ctx, backoff(emptyAttempts)) {
 			break
 		}
 	}
-	return l.giveUp(ctx, last)
+	return last
+}
+
+// progress returns which chunk is the next one, and how many have come.
+func (l *relay) progress() (next, received int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sequence.next, l.sequence.received()
 }
 
 func (l *relay) recordFailure(where target) {
@@ -221,35 +244,6 @@
 	return target{}, false
 }
 
-// attempt requests the rest of the response from one target.
-func (l *relay) attempt(ctx context.Context, where target) error {
-	if where.group != nil {
-		defer func() {
-			where.group.Release()
-			l.model.Gate.Wake(time.Now())
-		}()
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	// If the endpoint hangs, or a device on the path has lost the state of the
-	// connection, the connection stays silent forever and the caller would wait
-	// until its deadline. If the next chunk does not arrive within StallTimeout, the
-	// attempt ends, its connection is closed, and another group continues from the
-	// same position.
-	stall := kernel.AfterFunc(l.server.config.StallTimeout, cancel)
-	defer stall.Stop()
-
-	response, err := l.send(ctx, where)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("endpoint responded with HTTP status %d", response.StatusCode)
-	}
-	return l.copy(NewEventReader(response.Body), stall)
-}
-
 func (l *relay) send(ctx context.Context, where target) (*http.Response, error) {
 	out, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+where.address+"/v1/chat/completions", bytes.NewReader(l.body))
@@ -258,8 +252,8 @@
 	}
 	out.Header.Set("Content-Type", "application/json")
 	out.Header.Set(HeaderRequestID, l.request.id)
-	if l.sequence.next > 0 {
-		out.Header.Set(HeaderLastEvent, EventID(l.request.id, l.sequence.next-1))
+	if next, _ := l.progress(); next > 0 {
+		out.Header.Set(HeaderLastEvent, EventID(l.request.id, next-1))
 	}
 	if where.group == nil {
 		s := l.request
@@ -277,36 +271,6 @@
 	}
 }
 
-// copy sends events to the sink until the end mark, which has a position in the
-// sequence like any chunk.
-func (l *relay) copy(events *EventReader, stall *kernel.Timer) error {
-	complete := false
-	deliver := func(position int, data []byte) error {
-		if bytes.Equal(data, doneData) {
-			complete = true
-			return l.sink.done(position)
-		}
-		return l.sink.chunk(position, data, events.More())
-	}
-	for !complete {
-		event, err := events.Next()
-		if err != nil {
-			return fmt.Errorf("stream ended before its end mark: %w", unexpectedEOF(err))
-		}
-		stall.Reset(l.server.config.StallTimeout)
-		valid, err := l.sequence.add(event, deliver)
-		if err != nil {
-			return err
-		}
-		if !valid {
-			return errBadStream
-		}
-	}
-	stall.Reset(streamEndTimeout)
-	events.drain()
-	return nil
-}
-
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
--- a/caller/silent_group_test.go
+++ b/caller/silent_group_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"redwinghall"
 	"redwinghall/caller"
+	"redwinghall/kernel"
 	"redwinghall/rwhtest"
 )
 
@@ -162,3 +164,27 @@
 	require.Less(t, time.Since(begun), 3*silentStall)
 	require.EqualValues(t, 2, s.requests.Load())
 }
+
+// A group is silent for good and no other one takes its stream: the caller is told after a second stall timeout.
+func TestStreamThatNoGroupTakesEnds(t *testing.T) {
+	s := startSilentGroups(t, time.Minute, rejectStream, rejectStream)
+	begun := time.Now()
+	got, _ := s.ask(t)
+	require.Contains(t, got, string(redwinghall.CodeAnswerIncomplete))
+	require.Less(t, time.Since(begun), 3*silentStall)
+}
+
+// The same without any retries left: a silence must not end the stream at once, nor pass for the end of a whole one.
+func TestStreamOutlivesTheSilenceOfItsGroupWithoutRetries(t *testing.T) {
+	s := startSilentGroups(t, silentStall+200*time.Millisecond, rejectStream, rejectStream)
+	g := kernel.NewGroup(t.Context())
+	g.Task("spend", func(ctx context.Context) {
+		for s.Routers[0].Server.Budget().Spend() || kernel.Sleep(ctx, time.Millisecond) { // each request adds some
+			continue
+		}
+	})
+	defer g.Stop()
+	got, whole := s.ask(t)
+	require.Equal(t, whole, got)
+	require.EqualValues(t, 1, s.requests.Load())
+}
