Neighbor: reports of all nodes at once wait for memory instead of being refused

Cause: the limit on the memory of requests to the internal address refuses what doesn't fit at once. At the target size (100 nodes a zone, 3,000 endpoints in 16 zones) a report of loads counts for some 67 KiB until its handler returns, and all nodes' reports come within a moment if the node that collects was held up. The refused ones take it for silent (noteSilent), skip it and turn to the next one in rank, so a zone gets two dispatchers.

Test: 100 nodes with 187 loads each report while the collecting node's lock is held for 100 ms (they wait 500 ms for the answer); none may be refused.

A request now waits for memory up to half of the callers' timeout, by polling, before it is refused; what waits isn't counted, and is at most as much again as was read. Answers (the client's side) are refused at once as before. Ruled out: a higher limit, as the sum of all must stay under 10 MiB.

--- a/neighbor/body.go
+++ b/neighbor/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +12,8 @@
 
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"redwinghall/kernel"
 )
 
 const (
@@ -31,6 +34,10 @@
 	fieldCost = 160
 	minChunk  = 512
 	maxChunk  = 32 << 10
+	// memoryWait is how long a request waits for memory, well within what its sender waits for the answer, and
+	// memoryPollInterval how often it looks.
+	memoryWait         = callTimeout / 2
+	memoryPollInterval = 5 * time.Millisecond
 )
 
 var (
@@ -45,9 +52,32 @@
 // bodyMemory bounds the memory of all bodies that are being read and decoded.
 type bodyMemory struct {
 	limit int64
+	wait  time.Duration // for memory, before a body is given up
 	used  atomic.Int64
 }
 
+// take takes memory, and waits for it until others give theirs back.
+//
+// All nodes of a zone may report within a moment, as after a pause of this one. Those whose reports were refused
+// would take it for silent.
+func (m *bodyMemory) take(n int64) bool {
+	for begun := time.Now(); !m.tryTake(n); {
+		if kernel.RunTime(begun, time.Now()) >= m.wait {
+			return false
+		}
+		kernel.Sleep(context.Background(), memoryPollInterval)
+	}
+	return true
+}
+
+func (m *bodyMemory) tryTake(n int64) bool {
+	if m.used.Add(n) <= m.limit {
+		return true
+	}
+	m.used.Add(-n)
+	return false
+}
+
 // body is a body that was read whole.
 type body struct {
 	bytes.Reader
@@ -71,8 +101,11 @@
 }
 
 func (b *body) take(n int64) bool {
+	if !b.memory.take(n) {
+		return false
+	}
 	b.taken.Add(n)
-	return b.memory.used.Add(n) <= b.memory.limit
+	return true
 }
 
 // Close gives the memory back.
@@ -138,7 +171,7 @@
 //
 // The generated handlers read a body whole, whatever comes, and for as long as it comes.
 func newBoundedHandler(next http.Handler) http.Handler {
-	short, long := &bodyMemory{limit: maxShortBodies}, &bodyMemory{limit: maxLongBodies}
+	short, long := &bodyMemory{limit: maxShortBodies, wait: memoryWait}, &bodyMemory{limit: maxLongBodies, wait: memoryWait}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		memory, most := short, int64(maxShortRequest)
 		if longRequests[path.Base(r.URL.Path)] {
