Gateway: nothing is sent on a reused connection whose bytes or end lie unread in its socket

Cause: writes a request on a reused connection only while the connection is being read. The reader counts as reading also when something lies in the socket and it hasn't run since, as after a pause of the process. Then the request was sent. Callers saw 502 for a booking that could have been sent elsewhere (bytes, or an end of the connection, behind the last answer), or, if the endpoint doesn't echo request ids, the bytes as a whole 200 of their own request.

Test: a connection whose reader hasn't run since its first read, with an answer, a byte, or its end behind the first answer; the second request must count as not sent and none of its bytes may arrive.

The write now also waits, in the same 50 ms, while the socket holds unread bytes or the other side has ended the connection (as its state says). Remains: between the read from the socket and its return to the reader's lock a pause may still fall, some instructions long.

--- a/gateway/counting_conn.go
+++ b/gateway/counting_conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"redwinghall/kernel"
 )
 
 // maxReadWait is how long a request waits until its reused connection is read, which it is within microseconds.
@@ -122,20 +124,28 @@
 func (c *countingConn) mayWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reused && !c.reading && !c.ended {
+	if c.reused && !c.ended && !c.isQuietLocked() {
 		timer := time.AfterFunc(maxReadWait, c.setLate)
 		defer timer.Stop()
 	}
-	for c.reused && !c.reading && !c.ended && !c.late {
+	for c.reused && !c.ended && !c.late && !c.isQuietLocked() {
 		c.changed.Wait()
 	}
-	if c.ended || (c.reused && !c.reading) {
+	if c.ended || (c.reused && !c.isQuietLocked()) {
 		return false
 	}
 	c.reused, c.writing = false, true
 	return true
 }
 
+// isQuietLocked reports whether the connection is being read, and nothing came that the reader hasn't got yet.
+//
+// Bytes, or the end, may lie in the socket while the reader hasn't run, as after a pause of the process. A request that is sent
+// then has no true answer.
+func (c *countingConn) isQuietLocked() bool {
+	return c.reading && kernel.UnreadBytes(c.Conn) == 0 && !kernel.EndedByPeer(c.Conn)
+}
+
 func (c *countingConn) setLate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/kernel/arrival.go
+++ b/kernel/arrival.go
@@ -22,6 +22,22 @@
 	return unread
 }
 
+// tcpCloseWait is the state of a TCP connection that the other side has ended, in the kernel's numbers.
+const tcpCloseWait = 8
+
+// EndedByPeer reports whether the other side of a TCP connection has ended it, read or not; false if the socket doesn't tell.
+func EndedByPeer(c net.Conn) bool {
+	ended := false
+	err := control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			ended = info.State == tcpCloseWait
+		}
+		return err
+	})
+	return err == nil && ended
+}
+
 // SinceArrival returns how long ago bytes came last on a TCP connection, or it was established if none have; 0 if the
 // socket doesn't tell. A process that is slow or paused learns from it how long a request has waited in the backlog.
 func SinceArrival(c net.Conn) time.Duration {
