Node: streams that have begun don't end calls early in a stop

Cause: ends requests that haven't begun before the last moment if not all open requests can have their answers in time. It counted streams that have begun as well, which are cut last and only in the last sixth, so no other answer waits for them. Callers saw 502 for bookings (503 for what wasn't sent) at the signal, although there was all the time.

Test (10 calls sent beside 0, 500, 1,000 and 4,000 begun streams, 0.2 of a core, 7 s left; none may end early, as ten answers take 20 ms): before, all 10 ended at once beside 1,000. It also asks that of 4,000 calls some end early.

Only what hasn't begun, what was ended already, and other nodes' requests count now. Begun streams are cut within the time that is left in the last moment, as before; with more than fit there some end without a whole event, as before.

--- a/node/answering.go
+++ b/node/answering.go
@@ -132,7 +132,7 @@
 	defer a.mu.Unlock()
 	a.measure(now)
 	a.share = a.share.WithRound(now)
-	waiting := a.conns.unanswered() + others
+	waiting := a.conns.unbegun() + others
 	due := a.pace.Due(waiting, a.share.Of(until.Sub(now))) - a.conns.awaited()
 	if due <= 0 {
 		return
--- a/node/connections.go
+++ b/node/connections.go
@@ -258,6 +258,16 @@
 	return c.countLocked(func(state *connection) bool { return state.busy && !state.answered })
 }
 
+// unbegun returns how many requests are in progress whose answers haven't begun, or were ended. Those that have begun are cut
+// last, and no other one has its answer later for it.
+func (c *connections) unbegun() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.countLocked(func(state *connection) bool {
+		return state.busy && !state.answered && (state.ended.Load() || requestState(state.state.Load()) != requestBegun)
+	})
+}
+
 // reach records that the current request is as far as a state at least. c is nil for a request without a connection of its own.
 func (c *connection) reach(to requestState) {
 	if c != nil && requestState(c.state.Load()) < to {
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -66,3 +67,23 @@
 	stop.Boot = stop.Boot.Add(-d)
 	n.stopping.Store(&stop)
 }
+
+// EndedEarly returns how many requests that haven't begun a node with a share of a processor ends at a time before the last
+// moment, beside others whose answers have begun.
+func EndedEarly(processor float64, notBegun, begun int, left time.Duration) int {
+	conns := newConnections()
+	for i := range notBegun + begun {
+		conn, _ := net.Pipe()
+		c := &connection{busy: true, requests: 1, end: func(error) {}}
+		c.reach(requestSent)
+		if i >= notBegun {
+			c.reach(requestBegun)
+		}
+		conns.all[conn] = c
+	}
+	a := &answering{conns: conns, pace: newAnswerPace(processor)}
+	now := time.Now()
+	a.early(now, now.Add(left), 0)
+	given, _ := a.counts()
+	return given
+}
--- a/node/last_moment_share_test.go
+++ b/node/last_moment_share_test.go
@@ -64,3 +64,13 @@
 		})
 	}
 }
+
+// Bookings were ended right at the signal since many streams had begun, which are cut last.
+func TestStreamsThatHaveBegunEndNoCallEarly(t *testing.T) {
+	t.Parallel()
+	const left = 7 * time.Second
+	for _, begun := range []int{0, 500, 1000, 4000} {
+		require.Zero(t, node.EndedEarly(0.2, 10, begun, left), "%d streams", begun)
+	}
+	require.Positive(t, node.EndedEarly(0.2, 4000, 0, left), "more than are answered in time")
+}
