Gateway: a kept connection with unread bytes says nothing of the path to its endpoint

Cause: since a request is not sent on a reused connection on which bytes or its end lie unread; the attempt ended as not sent, like a failed dial. The gateway then counted the path as lost and the endpoint as unreachable. What callers saw: 503 for a booking at a service whose only endpoint is sound, and others held back from it. The change: such a request is sent once more, over a new connection, in the same attempt; nothing of it was written before, so it can't run twice.

--- a/gateway/late_reader_test.go
+++ b/gateway/late_reader_test.go
@@ -17,6 +17,7 @@
 	"redwinghall/gateway"
 	"redwinghall/kernel"
 	"redwinghall/platform"
+	"redwinghall/platform/platformtest"
 )
 
 // lateConn is a connection whose reader hasn't run since its first read, as after a pause of the process.
@@ -106,3 +107,28 @@
 		})
 	}
 }
+
+// A sound endpoint counted as one that this node doesn't reach, and its caller was refused, as bytes lay unread on a kept connection to it.
+func TestEndpointWhoseKeptConnectionHasUnreadBytesIsReachedOverANewOne(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	var conns atomic.Int64
+	runs := make(chan struct{})
+	defer close(runs)
+	s.gateway.Upstream = gateway.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil || conns.Add(1) > 1 {
+			return conn, err
+		}
+		return &lateConn{TCPConn: conn.(*net.TCPConn), runs: runs}, nil
+	})
+	s.endpoint("desk-1", "desk", func(w http.ResponseWriter, r *http.Request) {
+		sendBehind(w, r, platformtest.ResponseHead(http.StatusOK, "%s")+"Content-Length: 2\r\n\r\nok", "x", 20*time.Millisecond)
+	})
+	first, second := s.request(http.MethodPost, "/book/"), s.request(http.MethodPost, "/book/")
+	second.Header.Set("Request-Id", "r-2")
+	require.Equal(t, http.StatusOK, s.do(first).status)
+	time.Sleep(100 * time.Millisecond) // what comes behind the answer is there
+	require.Equal(t, http.StatusOK, s.do(second).status)
+	require.False(t, s.gateway.Paths.Unconnected("desk-1"))
+}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -75,11 +75,16 @@
 func (g *Gateway) sendDirect(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, mode sendMode) (*Response, error) {
 	now := time.Now()
 	doubtful := g.Paths.SeemsParted(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.Service, to.ID))
-	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), SendOptions{
+	options := SendOptions{
 		Fresh:       mode.fresh || doubtful,
 		Keep:        g.keptConnections(r.Service),
 		OnConnected: func() { g.recordConnected(time.Now(), to) },
-	})
+	}
+	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), options)
+	if errors.Is(err, errUnread) && ctx.Err() == nil { // says nothing of the path
+		options.Fresh = true
+		response, err = g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), options)
+	}
 	if redwinghall.KindOf[Kind](err) == NotSent && ctx.Err() == nil {
 		g.Paths.Failed(time.Now(), to.Service, to.ID)
 	}
