Gateway: nothing more is written once a request counts as not sent

Cause, by the review's reading: on a new connection that brings bytes at once net/http ends the request with an error while its writing goroutine may be about to begin. The gateway found that nothing was written, called the request not sent, and sent it elsewhere; a write some microseconds later would have let a booking run twice. The change: the look at what was written ends the connection for writing, under its lock.

--- a/gateway/counting_conn.go
+++ b/gateway/counting_conn.go
@@ -50,11 +50,17 @@
 	return c.written
 }
 
-// isUnsent reports whether no byte has been written since so many were.
+// isUnsent reports whether no byte has been written since so many were. None will be then: the failed request's own
+// goroutine may be about to write.
 func (c *countingConn) isUnsent(before int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.written == before && !c.writing
+	if c.written != before || c.writing {
+		return false
+	}
+	c.ended = true
+	c.changed.Broadcast()
+	return true
 }
 
 // endUnsent reports whether a reused connection brought a response although no byte of the request has been written. None
