endpointhttp: the requests to endpoints over kept connections, moved out of gateway

The gateway's client of endpoints (Upstream, its counted connections, their idle times and the questions over earlier connections) knew nothing of the gateway but the fields of Request that it sends. It is a package of its own now; the code is moved as it was. What it sends is endpointhttp.Request, and gateway.Response is its response with the node that forwarded the request.

The kinds of error are the client's (not_sent, unknown), and gateway's names for them are aliases, so that a failure is of one type whichever way the request went. The operation in errors' texts stays Upstream.Send.

--- a/gateway/counting_conn.go
+++ b/endpointhttp/counting_conn.go
@@ -1,4 +1,4 @@
-package gateway
+package endpointhttp
 
 import (
 	"errors"
@@ -115,7 +115,7 @@
 // Write implements net.Conn.
 func (c *countingConn) Write(b []byte) (int, error) {
 	if !c.mayWrite() {
-		return 0, errUnread
+		return 0, ErrUnread
 	}
 	n, err := c.Conn.Write(b)
 	c.noteEnd(err)
--- a/gateway/earlier_connection.go
+++ b/endpointhttp/earlier_connection.go
@@ -1,4 +1,4 @@
-package gateway
+package endpointhttp
 
 import (
 	"context"
@@ -38,10 +38,10 @@
 	return t.transport.RoundTrip(r)
 }
 
-// askEarlier asks an endpoint over an idle connection that was open as a request was sent. The process that got the request had
+// AskEarlier asks an endpoint over an idle connection that was open as a request was sent. The process that got the request had
 // accepted that connection, or its kernel for it, and the connection ends with the process: only this process can
 // answer there.
-func (u *Upstream) askEarlier(ctx context.Context, e *fleet.Endpoint, sent time.Time, timeout time.Duration) fleet.Presence {
+func (u *Upstream) AskEarlier(ctx context.Context, e *fleet.Endpoint, sent time.Time, timeout time.Duration) fleet.Presence {
 	var conn *countingConn
 	ctx = httptrace.WithClientTrace(context.WithValue(ctx, openOnly{}, true), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -59,10 +59,10 @@
 	return fleet.PresenceUnknown
 }
 
-// weigh finds out what the earlier connections to an endpoint show that has answered without naming its start. If one was ended
+// Weigh finds out what the earlier connections to an endpoint show that has answered without naming its start. If one was ended
 // by the other side since the request was sent, and none is answered, another process may have answered.
-func (u *Upstream) weigh(ctx context.Context, e *fleet.Endpoint, sent time.Time, timeout time.Duration) fleet.Presence {
-	if u.askEarlier(ctx, e, sent, timeout) == fleet.PresenceAlive {
+func (u *Upstream) Weigh(ctx context.Context, e *fleet.Endpoint, sent time.Time, timeout time.Duration) fleet.Presence {
+	if u.AskEarlier(ctx, e, sent, timeout) == fleet.PresenceAlive {
 		return fleet.PresenceAlive
 	}
 	if ended := u.addresses.of(e.Address).endedAt.Load(); ended != nil && ended.After(sent) {
--- a/gateway/idle.go
+++ b/endpointhttp/idle.go
@@ -1,4 +1,4 @@
-package gateway
+package endpointhttp
 
 import (
 	"net"
--- a/gateway/upstream.go
+++ b/endpointhttp/upstream.go
@@ -1,4 +1,6 @@
-package gateway
+// Package endpointhttp sends requests to endpoints over connections that it keeps, and tells whether a request that failed
+// was sent. It never sends a request twice by itself.
+package endpointhttp
 
 import (
 	"context"
@@ -9,6 +11,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,9 +57,11 @@
 type Error = redwinghall.OpError[Kind]
 
 var (
-	errWrongResponse = errors.New("the response does not match the request")
+	// ErrWrongResponse is the cause of an error if the response belongs to another request.
+	ErrWrongResponse = errors.New("the response does not match the request")
+	// ErrUnread is the cause of an error if bytes lay unread on the connection, which says nothing of the path to the endpoint.
+	ErrUnread        = errors.New("bytes came on the connection before the request was sent")
 	errInformational = errors.New("the endpoint sends too many informational responses")
-	errUnread        = errors.New("bytes came on the connection before the request was sent")
 )
 
 // Upstream sends requests to endpoints over pooled connections.
@@ -68,12 +73,12 @@
 	fresh *http.Transport
 }
 
-// EndpointKeepAlive is the configuration of keep-alive probes on connections to endpoints.
-var EndpointKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+// KeepAlive is the configuration of keep-alive probes on connections to endpoints.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
 // NewUpstream returns an upstream without connections.
 func NewUpstream() *Upstream {
-	dialer := &net.Dialer{KeepAliveConfig: EndpointKeepAlive}
+	dialer := &net.Dialer{KeepAliveConfig: KeepAlive}
 	return NewUpstreamWithDialer(dialer.DialContext)
 }
 
@@ -152,6 +157,11 @@
 	return conns
 }
 
+// Open opens a connection to an address, apart from those for requests.
+func (u *Upstream) Open(ctx context.Context, address string) (net.Conn, error) {
+	return u.open(ctx, "tcp", address)
+}
+
 // Close closes all idle connections.
 func (u *Upstream) Close() { u.transport.CloseIdleConnections() }
 
@@ -176,6 +186,28 @@
 
 func (b *onceBody) Close() error { return nil }
 
+// Request is what an endpoint gets of a caller's request.
+type Request struct {
+	ID     string
+	Method string
+	Host   string
+	Target string // path and query exactly as the caller sent them
+	Header http.Header
+	Body   []byte
+}
+
+// To returns the request as it is sent to an address with a header of its own. net/http sends it once at most.
+func (r *Request) To(address string, header http.Header) *http.Request {
+	return &http.Request{
+		Method: r.Method, Host: r.Host, Header: header,
+		URL:        endpointURL(address, r.Target),
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1, ProtoMinor: 1,
+		Body:          &onceBody{data: r.Body},
+		ContentLength: int64(len(r.Body)),
+	}
+}
+
 // Response is an endpoint's response; its body must be closed.
 type Response struct {
 	Status int
@@ -186,26 +218,8 @@
 	// connection.
 	Unframed bool
 	Info     platform.ResponseInfo
-	// sentAt is when this node had the connection on which it sent the request.
-	sentAt time.Time
-	// Peer is the node that forwarded the request, "" if it went over this node's own
-	// connection.
-	Peer string
-}
-
-// via returns the node that forwarded the request, "" if there is none or no response.
-func (r *Response) via() string {
-	if r == nil {
-		return ""
-	}
-	return r.Peer
-}
-
-// rejectedWithRetryAfter reports whether the endpoint did not run the request and asked
-// for none until later. That is no failure from which to conclude how the endpoint
-// serves others. A nil response is none.
-func (r *Response) rejectedWithRetryAfter() bool {
-	return r != nil && r.Info.NotRun && r.Info.RetryAfter > 0
+	// SentAt is when this node had the connection on which it sent the request, zero if that isn't known.
+	SentAt time.Time
 }
 
 // SendOptions vary how a request is sent.
@@ -248,14 +262,7 @@
 			}
 		},
 	})
-	out := &http.Request{
-		Method: in.Method, Host: in.Host, Header: headers.Encode(in.Header),
-		URL:        endpointURL(to.Address, in.Target),
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1, ProtoMinor: 1,
-		Body:          &onceBody{data: in.Body},
-		ContentLength: int64(len(in.Body)),
-	}
+	out := in.To(to.Address, headers.Encode(in.Header))
 	transport := u.transport
 	if options.Fresh {
 		transport = u.fresh
@@ -274,29 +281,29 @@
 // c may be nil.
 func (c *countingConn) answer(response *http.Response, in *Request, before int64, sentAt time.Time) (*Response, error) {
 	if c == nil {
-		return newResponse(response, in)
+		return NewResponse(response, in)
 	}
 	if c.endUnsent(before) {
 		_ = response.Body.Close()
-		return nil, redwinghall.NewOpError("Upstream.Send", NotSent, errUnread)
+		return nil, redwinghall.NewOpError("Upstream.Send", NotSent, ErrUnread)
 	}
-	answer, err := newResponse(response, in)
+	answer, err := NewResponse(response, in)
 	if err == nil {
 		c.idle.setTimeout(answer.Info.IdleTimeout)
-		answer.sentAt = sentAt
+		answer.SentAt = sentAt
 	}
 	return answer, err
 }
 
-// newResponse returns the response to a request, or an error if it belongs to another one.
-func newResponse(response *http.Response, in *Request) (*Response, error) {
+// NewResponse returns the response to a request, or an error if it belongs to another one.
+func NewResponse(response *http.Response, in *Request) (*Response, error) {
 	info := platform.DecodeResponseInfo(response.StatusCode, response.Header)
-	if info.RequestID != "" && info.RequestID != in.Info.ID {
+	if info.RequestID != "" && info.RequestID != in.ID {
 		// An endpoint may send a late second response to an earlier request on a
 		// reused connection, in place of the next request's response. The echoed
 		// request id reveals it.
 		_ = response.Body.Close()
-		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, errWrongResponse)
+		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, ErrWrongResponse)
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: response.Body,
@@ -304,6 +311,11 @@
 	}, nil
 }
 
+// isUnframed reports whether a response has neither a length nor chunks, so that it ends with its connection.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
 // endpointURL returns the URL of a request at an endpoint, with the caller's path and
 // query byte for byte.
 func endpointURL(address, target string) *url.URL {
--- a/gateway/bad_input_test.go
+++ b/gateway/bad_input_test.go
@@ -18,6 +18,7 @@
 
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/platform"
@@ -37,7 +38,7 @@
 func gatewayOf(cache *directory.Cache) *gateway.Gateway {
 	settings := fleet.Settings{Zone: "a", Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}}
 	return gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return settings }, Cache: cache, Tracker: balance.NewTracker(), Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return settings }, Cache: cache, Tracker: balance.NewTracker(), Upstream: endpointhttp.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{Nodes: 1, Zone: 1} }, ReportStall: func(string) {},
 		Stopping: func() gateway.Stop { return gateway.Stop{} },
 	})
--- a/gateway/cut_head_test.go
+++ b/gateway/cut_head_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/balance"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/neighbor"
@@ -115,7 +116,7 @@
 			n := 0
 			s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) { cutAt(w, r, head[:n], closeConn) })
 			carrier := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
-				Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: gateway.NewUpstream(),
+				Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: endpointhttp.NewUpstream(),
 				Metrics: gateway.NewMetrics(), ReportStall: func(string) {}, Presence: s.presence,
 			}).ServeForwarded))
 			t.Cleanup(carrier.Close)
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -94,7 +94,7 @@
 // Connect opens a connection to an endpoint and closes it, to find out whether this node
 // reaches it.
 func (g *Gateway) Connect(ctx context.Context, e *fleet.Endpoint) bool {
-	conn, err := g.Upstream.open(ctx, "tcp", e.Address)
+	conn, err := g.Upstream.Open(ctx, e.Address)
 	if err != nil {
 		g.Paths.Failed(time.Now(), e.Service, e.ID)
 		return false
--- a/gateway/forwarded_test.go
+++ b/gateway/forwarded_test.go
@@ -14,6 +14,7 @@
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
@@ -88,7 +89,7 @@
 	cache.Apply(time.Now(), directory.Change{Config: configuration()})
 	cache.Apply(time.Now(), directory.Change{Endpoint: &fleet.Endpoint{ID: "e1", Service: "llm", Address: endpoint.Listener.Addr().String(), State: fleet.EndpointReady}})
 	server := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return fleet.Settings{} }, Cache: cache, Tracker: balance.NewTracker(), Paths: paths, Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return fleet.Settings{} }, Cache: cache, Tracker: balance.NewTracker(), Paths: paths, Upstream: endpointhttp.NewUpstream(),
 	}).ServeForwarded))
 	t.Cleanup(server.Close)
 	check := func() neighbor.ForwardOutcome {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/platform"
 	"redwinghall/quarantine"
@@ -32,7 +33,7 @@
 	Settings func() fleet.Settings
 	Cache    *directory.Cache
 	Tracker  *balance.Tracker
-	Upstream *Upstream
+	Upstream *endpointhttp.Upstream
 	// Shares returns the current node counts; nil if this node is the only one.
 	Shares func() Shares
 	// ReportStall is called with the endpoint of a group that appears to be stalled
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
@@ -148,7 +149,7 @@
 	background := kernel.NewGroup(context.Background())
 	t.Cleanup(background.Stop)
 	g := gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: endpointhttp.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, ReportStall: func(string) {},
 		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: func(context.Context) bool { return s.ended.Load() }, Presence: s.presence, PresenceElsewhere: s.presenceElsewhere, Quarantine: s.quarantine,
 		Background: background.Task,
@@ -309,7 +310,7 @@
 	s := newFixture(t)
 	g := gateway.New(gateway.Options{
 		Settings: func() fleet.Settings { return fleet.Settings{} }, Cache: directory.NewCache(), Tracker: balance.NewTracker(),
-		Upstream: gateway.NewUpstream(), Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{} },
+		Upstream: endpointhttp.NewUpstream(), Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{} },
 	})
 	w := httptest.NewRecorder()
 	r := s.request(http.MethodGet, "/look/")
--- a/gateway/late_reader_test.go
+++ b/gateway/late_reader_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,102 +10,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"redwinghall"
-	"redwinghall/fleet"
-	"redwinghall/gateway"
-	"redwinghall/kernel"
-	"redwinghall/platform"
+	"redwinghall/endpointhttp"
 	"redwinghall/platform/platformtest"
+	"redwinghall/rwhtest/lateread"
 )
 
-// lateConn is a connection whose reader hasn't run since its first read, as after a pause of the process.
-type lateConn struct {
-	*net.TCPConn
-	reads atomic.Int64
-	runs  chan struct{}
-}
-
-func (c *lateConn) Read(b []byte) (int, error) {
-	if c.reads.Add(1) > 1 {
-		<-c.runs
-	}
-	return c.TCPConn.Read(b)
-}
-
-// A booking was sent on a reused connection on which bytes, or its end, lay in the socket unread: nobody knew whether it ran.
-func TestReusedConnectionIsNotWrittenWhileSomethingLiesUnread(t *testing.T) {
-	t.Parallel()
-	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	for name, behind := range map[string]string{"an answer": answer, "bytes": "x", "its end": ""} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			t.Cleanup(func() { _ = listener.Close() })
-			g := kernel.NewGroup(t.Context())
-			got := make(chan int, 1)
-			g.Go("endpoint", func(context.Context) error {
-				conn, err := listener.Accept()
-				if err != nil {
-					return err
-				}
-				defer func() { _ = conn.Close() }()
-				r := bufio.NewReader(conn)
-				first, err := http.ReadRequest(r)
-				if err != nil {
-					return err
-				}
-				if _, err := io.Copy(io.Discard, first.Body); err != nil {
-					return err
-				}
-				if _, err := io.WriteString(conn, answer); err != nil {
-					return err
-				}
-				time.Sleep(20 * time.Millisecond)
-				if _, err := io.WriteString(conn, behind); err != nil {
-					return err
-				}
-				if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
-					return err
-				}
-				left, _ := io.ReadAll(r) // a reset ends it too
-				got <- len(left)
-				return nil
-			})
-			var late *lateConn
-			upstream := gateway.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := new(net.Dialer).DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				late = &lateConn{TCPConn: conn.(*net.TCPConn), runs: make(chan struct{})}
-				return late, nil
-			})
-			e := &fleet.Endpoint{ID: "e1", Address: listener.Addr().String()}
-			booking := &gateway.Request{Method: http.MethodPost, Target: "/book/x", Host: "x", Header: http.Header{}}
-			response, err := upstream.Send(t.Context(), e, booking, platform.ForwardHeaders{}, gateway.SendOptions{})
-			require.NoError(t, err)
-			_, err = io.Copy(io.Discard, response.Body)
-			require.NoError(t, err)
-			require.NoError(t, response.Body.Close())
-			require.Eventually(t, func() bool { return late.reads.Load() > 1 }, 2*time.Second, time.Millisecond)
-			time.Sleep(100 * time.Millisecond) // what comes behind the answer is there
-			g.Go("reader", func(ctx context.Context) error {
-				kernel.Sleep(ctx, 20*time.Millisecond)
-				close(late.runs)
-				return nil
-			})
-			second, err := upstream.Send(t.Context(), e, booking, platform.ForwardHeaders{}, gateway.SendOptions{})
-			if err == nil {
-				require.NoError(t, second.Body.Close())
-			}
-			require.Equal(t, gateway.NotSent, redwinghall.KindOf[gateway.Kind](err), "%v", err)
-			require.Zero(t, <-got, "bytes of the second booking")
-			require.NoError(t, g.Wait())
-		})
-	}
-}
-
 // A sound endpoint counted as one that this node doesn't reach, and its caller was refused, as bytes lay unread on a kept connection to it.
 func TestEndpointWhoseKeptConnectionHasUnreadBytesIsReachedOverANewOne(t *testing.T) {
 	t.Parallel()
@@ -115,12 +22,12 @@
 	var conns atomic.Int64
 	runs := make(chan struct{})
 	defer close(runs)
-	s.gateway.Upstream = gateway.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+	s.gateway.Upstream = endpointhttp.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := new(net.Dialer).DialContext(ctx, network, address)
 		if err != nil || conns.Add(1) > 1 {
 			return conn, err
 		}
-		return &lateConn{TCPConn: conn.(*net.TCPConn), runs: runs}, nil
+		return &lateread.Conn{TCPConn: conn.(*net.TCPConn), Runs: runs}, nil
 	})
 	s.endpoint("desk-1", "desk", func(w http.ResponseWriter, r *http.Request) {
 		sendBehind(w, r, platformtest.ResponseHead(http.StatusOK, "%s")+"Content-Length: 2\r\n\r\nok", "x", 20*time.Millisecond)
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -10,6 +10,7 @@
 
 	"redwinghall"
 	"redwinghall/balance"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
@@ -26,6 +27,20 @@
 	Verify(e *fleet.Endpoint, silent bool)
 }
 
+// Kind classifies a failed request to an endpoint, sent by this node or by way of another one.
+type Kind = endpointhttp.Kind
+
+// The kinds of error.
+const (
+	// NotSent means that no byte of the request was sent to the endpoint.
+	NotSent = endpointhttp.NotSent
+	// Unknown means that the endpoint may have executed the request.
+	Unknown = endpointhttp.Unknown
+)
+
+// Error is a failed request to an endpoint.
+type Error = endpointhttp.Error
+
 // sendMode says how the request of one attempt is sent.
 type sendMode struct {
 	fresh bool // over a new connection
@@ -75,23 +90,25 @@
 func (g *Gateway) sendDirect(ctx context.Context, r *Request, to *fleet.Endpoint, lastEvent string, mode sendMode) (*Response, error) {
 	now := time.Now()
 	doubtful := g.Paths.SeemsParted(now) || (!r.Idempotent() && g.Paths.Doubtful(now, to.Service, to.ID))
-	options := SendOptions{
+	options := endpointhttp.SendOptions{
 		Fresh:       mode.fresh || doubtful,
 		Keep:        g.keptConnections(r.Service),
 		OnConnected: func() { g.recordConnected(time.Now(), to) },
 	}
-	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), options)
-	if errors.Is(err, errUnread) && ctx.Err() == nil { // says nothing of the path
+	answer, err := g.Upstream.Send(ctx, to, r.outgoing(), g.forwardHeaders(r, to, lastEvent), options)
+	if errors.Is(err, endpointhttp.ErrUnread) && ctx.Err() == nil { // says nothing of the path
 		options.Fresh = true
-		response, err = g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), options)
+		answer, err = g.Upstream.Send(ctx, to, r.outgoing(), g.forwardHeaders(r, to, lastEvent), options)
 	}
 	if redwinghall.KindOf[Kind](err) == NotSent && ctx.Err() == nil {
 		g.Paths.Failed(time.Now(), to.Service, to.ID)
 	}
-	if err == nil {
-		g.checkUnframed(ctx, r, to, response, lastEvent, mode.mayRunAgain)
+	if err != nil {
+		return nil, err
 	}
-	return response, err
+	response := &Response{Response: answer}
+	g.checkUnframed(ctx, r, to, response, lastEvent, mode.mayRunAgain)
+	return response, nil
 }
 
 // ErrNoPeer is the cause of an error if no other node could be asked to forward a request.
@@ -107,12 +124,11 @@
 	}
 	g.RecordPath(time.Now(), to, true, false)
 	g.Metrics.Forwarded()
-	answer, err := newResponse(response, r)
+	answer, err := endpointhttp.NewResponse(response, r.outgoing())
 	if err != nil {
 		return nil, err
 	}
-	answer.Peer = peer
-	return answer, nil
+	return &Response{Response: answer, Peer: peer}, nil
 }
 
 // forwardedRequest returns the request as another node gets it: the caller's own, which that
@@ -122,12 +138,7 @@
 		Kind: neighbor.ForwardRequest, Endpoint: to.ID, Node: g.Settings().Node, Configuration: r.configVersion(),
 		Timeout: r.Left(time.Now()), LastEvent: lastEvent,
 	}
-	return f, &http.Request{
-		Method: r.Method, Host: r.Host, Header: platform.ForwardableHeaders(r.Header),
-		URL:   endpointURL("", r.Target),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: &onceBody{data: r.Body}, ContentLength: int64(len(r.Body)),
-	}
+	return f, r.outgoing().To("", platform.ForwardableHeaders(r.Header))
 }
 
 // recordUnreached records that this node could not connect to an endpoint. Whether others can
--- a/gateway/paths_test.go
+++ b/gateway/paths_test.go
@@ -14,6 +14,7 @@
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/neighbor"
@@ -47,7 +48,7 @@
 	s.config.Services["desk"] = fleet.Service{Name: "desk", MaxConnections: 100, HealthPath: "/health"}
 	s.cache.Apply(time.Now(), directory.Change{Config: s.config})
 	g := gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: endpointhttp.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{Nodes: 2, Zone: 2} }, ReportStall: func(string) {},
 		Stopping: func() gateway.Stop { return s.stop }, Paths: s.paths, Forwarder: &s.peers,
 		Control: func(context.Context, *fleet.Endpoint, string, string, []byte, time.Duration) (platform.ControlResponse, error) {
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -69,7 +69,7 @@
 	left := limit - kernel.RunTime(begun, time.Now())
 	switch {
 	case found == fleet.PresenceAnswered && !sent.IsZero():
-		found = g.Upstream.weigh(ctx, e, sent, min(maxQuestion, left))
+		found = g.Upstream.Weigh(ctx, e, sent, min(maxQuestion, left))
 	case found == fleet.PresenceUnknown && left > 0:
 		found = g.askAllWays(ctx, e, left, sent)
 	}
@@ -88,7 +88,7 @@
 	}
 	if !sent.IsZero() {
 		askEarlier := func(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
-			return g.Upstream.askEarlier(ctx, e, sent, timeout)
+			return g.Upstream.AskEarlier(ctx, e, sent, timeout)
 		}
 		group.Task("ask_process_earlier", func(ctx context.Context) { g.askOn(ctx, e, askEarlier, answers) })
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/platform"
 )
@@ -49,6 +50,11 @@
 	computeParts sync.Once
 }
 
+// outgoing returns what an endpoint gets of the request.
+func (r *Request) outgoing() *endpointhttp.Request {
+	return &endpointhttp.Request{ID: r.Info.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Body: r.Body}
+}
+
 // releaseBody drops the body once no endpoint will be sent it any more.
 func (r *Request) releaseBody() {
 	r.Body = nil
--- a/gateway/response_info.go
+++ b/gateway/response_info.go
@@ -8,9 +8,33 @@
 	"k8s.io/klog/v2"
 
 	"redwinghall/balance"
+	"redwinghall/endpointhttp"
 	"redwinghall/platform"
 )
 
+// Response is an endpoint's response; its body must be closed.
+type Response struct {
+	*endpointhttp.Response
+	// Peer is the node that forwarded the request, "" if it went over this node's own
+	// connection.
+	Peer string
+}
+
+// via returns the node that forwarded the request, "" if there is none or no response.
+func (r *Response) via() string {
+	if r == nil {
+		return ""
+	}
+	return r.Peer
+}
+
+// rejectedWithRetryAfter reports whether the endpoint did not run the request and asked
+// for none until later. That is no failure from which to conclude how the endpoint
+// serves others. A nil response is none.
+func (r *Response) rejectedWithRetryAfter() bool {
+	return r != nil && r.Info.NotRun && r.Info.RetryAfter > 0
+}
+
 // recordResponseInfo records what the headers of a response tell about its endpoint.
 func (g *Gateway) recordResponseInfo(r *Request, choice balance.Choice, response *Response) {
 	for _, field := range response.Info.Unreadable {
--- a/gateway/silent_forwarded_test.go
+++ b/gateway/silent_forwarded_test.go
@@ -15,6 +15,7 @@
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/neighbor"
@@ -70,7 +71,7 @@
 		paths.ReachedByPeer(past, e.Service, e.ID)
 	}
 	s.gateway = gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: endpointhttp.NewUpstream(),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return gateway.Shares{Nodes: 1, Zone: 1} }, ReportStall: func(string) {},
 		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Paths: paths, Forwarder: &s.peer,
 	})
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -12,6 +12,7 @@
 
 	"redwinghall"
 	"redwinghall/balance"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 )
 
@@ -133,7 +134,7 @@
 		return response, streamAttempt{}
 	case !response.Info.Signed || response.Info.RequestID != c.r.Info.ID || response.Info.Encoded:
 		_ = response.Body.Close()
-		return nil, streamAttempt{err: redwinghall.NewOpError("streamRun.open", Unknown, errWrongResponse)}
+		return nil, streamAttempt{err: redwinghall.NewOpError("streamRun.open", Unknown, endpointhttp.ErrWrongResponse)}
 	}
 	run.response, run.body = response, response.Body
 	return response, streamAttempt{}
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -14,6 +14,7 @@
 
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
@@ -181,7 +182,7 @@
 		panic(http.ErrAbortHandler)
 	})
 	server := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: endpointhttp.NewUpstream(),
 		Metrics: gateway.NewMetrics(), ReportStall: func(string) {},
 	}).ServeForwarded))
 	t.Cleanup(server.Close)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -5,18 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 )
 
-// isUnframed reports whether a response has neither a length nor chunks, so that it ends with its connection.
-func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
-}
-
 // lastProofShare is the share of the time left that the end of a response may be asked about if the request can't run
 // again. The rest is for a status.
 const lastProofShare = 0.8
@@ -88,7 +82,7 @@
 			// The caller's deadline goes by the clock, also while this process stands still.
 			ctx, cancel := context.WithDeadline(ctx, now.Add(proofTime(now, r, false)))
 			defer cancel()
-			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()), response.sentAt)
+			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()), response.SentAt)
 			g.Metrics.BrokenOff(found)
 			return found
 		},
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/balance"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/neighbor"
@@ -155,7 +156,7 @@
 				unframed(w, r, wholeStream(2), closeConn)
 			})
 			carrier := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
-				Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: gateway.NewUpstream(),
+				Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: endpointhttp.NewUpstream(),
 				Metrics: gateway.NewMetrics(), ReportStall: func(string) {}, Presence: s.presence,
 			}).ServeForwarded))
 			t.Cleanup(carrier.Close)
--- a/gateway/unproven_end_test.go
+++ b/gateway/unproven_end_test.go
@@ -16,6 +16,7 @@
 
 	"redwinghall/balance"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
@@ -194,7 +195,7 @@
 func (s *fixture) carried(path string) (string, error) {
 	s.t.Helper()
 	carrier := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: gateway.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: endpointhttp.NewUpstream(),
 		Metrics: gateway.NewMetrics(), ReportStall: func(string) {}, Presence: s.presence,
 	}).ServeForwarded))
 	s.t.Cleanup(carrier.Close)
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"redwinghall/balance"
 	"redwinghall/dial"
 	"redwinghall/directory"
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/formation"
 	"redwinghall/gateway"
@@ -57,7 +58,7 @@
 	current  atomic.Pointer[fleet.Settings]
 	cache    *directory.Cache
 	tracker  *balance.Tracker
-	upstream *gateway.Upstream
+	upstream *endpointhttp.Upstream
 	gateway  *gateway.Gateway
 	table    *members.Table
 	manager  *formation.Manager
@@ -103,7 +104,7 @@
 // New assembles a node. path is the settings file that is reloaded while the node
 // runs, or "" for none.
 func New(path string, s fleet.Settings) *Node {
-	dialer := &net.Dialer{KeepAliveConfig: gateway.EndpointKeepAlive}
+	dialer := &net.Dialer{KeepAliveConfig: endpointhttp.KeepAlive}
 	return NewWithDialer(path, s, dialer.DialContext)
 }
 
@@ -111,7 +112,7 @@
 func NewWithDialer(path string, s fleet.Settings, open dial.Func) *Node {
 	store := platform.NewStore(s.StoreAddress)
 	n := &Node{
-		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: gateway.NewUpstreamWithDialer(open),
+		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: endpointhttp.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
 		silences: silence.NewTable(kernel.RunTime),
 		backoff:  relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
