gateway: what knows the memory of requests is apart from what knows the gateway

Prepares the move into a package of its own: the counts and ceilings, the budget and the reading of a body have the names and the few methods (Begin, Limit, Urgency, Held, HeldFor, Used) by which another package uses them, and what needs a Gateway is in memory.go and refuse.go, as it was. No bound, log line or test changes; export_test.go follows the names.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,14 +3,11 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall/kernel"
 )
 
@@ -18,24 +15,27 @@
 const (
 	defaultBodyBytes = 4 << 20
 	bodySlack        = 1 // one extra byte shows that a body exceeds the limit
-	// bodyIdleTime is how long a body may stand still. A segment that was lost several times arrives sooner.
-	bodyIdleTime = 5 * time.Second
-	// While memory is short, each bodyPressedTime has to bring bodyProgress bytes: a body that holds memory
+	// BodyIdleTime is how long a body may stand still. A segment that was lost several times arrives sooner.
+	BodyIdleTime = 5 * time.Second
+	// While memory is short, each BodyPressedTime has to bring bodyProgress bytes: a body that holds memory
 	// without sending keeps others out.
-	bodyPressedTime = time.Second
+	BodyPressedTime = time.Second
 	bodyProgress    = 4 << 10
 	// unreadBodyTime is how long the rest of a refused body is read for: a connection that is closed with unread
 	// bytes may take the refusal with it.
 	unreadBodyTime = 500 * time.Millisecond
-	// memoryRetryAfter is when a request that found no memory may return: slow bodies have made room by then.
-	memoryRetryAfter = bodyPressedTime
 )
 
+// Why a body isn't read to its end. Other errors are those of its connection.
 var (
-	errBodyTooLarge = errors.New("the body is larger than the configuration allows")
-	errBodyMemory   = errors.New("the bodies of all requests are too large together")
-	errBodySlow     = errors.New("the body stands still")
-	errBodyEnded    = errors.New("the node ended before the body")
+	// ErrTooLarge means that the body is larger than its limit.
+	ErrTooLarge = errors.New("the body is larger than the configuration allows")
+	// ErrNoMemory means that no memory is left for the body.
+	ErrNoMemory = errors.New("the bodies of all requests are too large together")
+	// ErrSlow means that the body counts as standing still.
+	ErrSlow = errors.New("the body stands still")
+	// ErrEnded means that the node ends the request.
+	ErrEnded = errors.New("the node ended before the body")
 )
 
 // bodyPace tells how long a body may take for its next bytes.
@@ -61,19 +61,24 @@
 // until returns when the body counts as standing still unless more bytes come.
 func (p *bodyPace) until(pressed bool) time.Time {
 	if pressed {
-		return p.since.Add(bodyPressedTime)
+		return p.since.Add(BodyPressedTime)
 	}
-	return p.last.Add(bodyIdleTime)
+	return p.last.Add(BodyIdleTime)
+}
+
+// BodyBounds bound the reading of a body beside its limit.
+type BodyBounds struct {
+	Memory   *Share
+	Deadline time.Time   // of the request
+	IsEnded  func() bool // reports whether the node ends the request
 }
 
 // bodyRead reads the body of one request.
 type bodyRead struct {
+	BodyBounds
 	from     io.Reader
 	length   int64 // as announced, -1 if unknown
 	limit    int64
-	memory   *requestMemory
-	deadline time.Time   // of the request
-	isEnded  func() bool // reports whether the node ends the request
 	response http.ResponseWriter
 
 	// mu guards the rest, which the timer uses too.
@@ -83,11 +88,11 @@
 	done  bool          // no further read follows
 }
 
-// readBody reads the complete body of a request, or returns what it read before an error: a retry at a second endpoint may
+// ReadBody reads the complete body of a request, or returns what it read before an error: a retry at a second endpoint may
 // need it, and a slow caller must not occupy an endpoint.
 //
 // Memory is taken in steps as bytes come, since many callers may announce large bodies and send little.
-func (g *Gateway) readBody(w http.ResponseWriter, in *http.Request, limit int64, r *Request) ([]byte, error) {
+func ReadBody(w http.ResponseWriter, in *http.Request, limit int64, bounds BodyBounds) ([]byte, error) {
 	if in.Body == nil || in.ContentLength == 0 {
 		return nil, nil
 	}
@@ -95,10 +100,10 @@
 		limit = defaultBodyBytes
 	}
 	if in.ContentLength > limit {
-		return nil, errBodyTooLarge
+		return nil, ErrTooLarge
 	}
 	b := bodyRead{
-		from: in.Body, length: in.ContentLength, limit: limit, memory: &r.memory, deadline: r.Deadline, isEnded: r.isEnded,
+		BodyBounds: bounds, from: in.Body, length: in.ContentLength, limit: limit,
 		response: w, pace: newBodyPace(time.Now()),
 	}
 	body, err := b.readAll()
@@ -106,7 +111,7 @@
 	switch {
 	case err != nil:
 		b.endReads()
-	case b.memory.bounded():
+	case b.Memory.Bounded():
 		_ = b.endReadsAt(time.Time{}) // fails only if the connection is closed
 	}
 	return body, err
@@ -114,7 +119,7 @@
 
 // endReads prepares the connection for a refusal of a body that isn't read to its end.
 func (b *bodyRead) endReads() {
-	if b.memory.bounded() {
+	if b.Memory.Bounded() {
 		b.response.Header().Set("Connection", "close")
 		_ = b.endReadsAt(time.Now().Add(unreadBodyTime)) // fails only if the connection is closed
 	}
@@ -142,7 +147,7 @@
 		if len(body) == cap(body) {
 			larger, ok := b.grow(body)
 			if !ok {
-				return body, errBodyMemory
+				return body, ErrNoMemory
 			}
 			body = larger
 		}
@@ -158,7 +163,7 @@
 func (b *bodyRead) finish(body []byte, err error) ([]byte, error) {
 	switch {
 	case int64(len(body)) > b.limit:
-		return nil, errBodyTooLarge
+		return nil, ErrTooLarge
 	case errors.Is(err, io.EOF) && b.length > 0 && int64(len(body)) < b.length:
 		return body, io.ErrUnexpectedEOF
 	case errors.Is(err, io.EOF):
@@ -170,7 +175,7 @@
 // grow doubles what is allocated for the body, up to what it may need.
 func (b *bodyRead) grow(body []byte) ([]byte, bool) {
 	size := min(2*int64(cap(body)), b.most())
-	if !b.memory.take(heldBody, size-int64(cap(body))) {
+	if !b.Memory.Take(Bodies, size-int64(cap(body))) {
 		return nil, false
 	}
 	larger := make([]byte, len(body), size)
@@ -183,16 +188,16 @@
 // net/http takes a read that fails for the caller's end. So no read is given less time than it may have, and a timer ends
 // those that have less as memory becomes short meanwhile.
 func (b *bodyRead) read(into []byte) (int, error) {
-	if !b.memory.bounded() {
+	if !b.Memory.Bounded() {
 		return b.from.Read(into)
 	}
 	for {
 		until := b.startTimer()
 		switch {
-		case b.isEnded():
-			return 0, errBodyEnded
+		case b.IsEnded():
+			return 0, ErrEnded
 		case !time.Now().Before(until):
-			return 0, errBodySlow
+			return 0, ErrSlow
 		}
 		if err := b.endReadsAt(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
 			return 0, err
@@ -203,7 +208,7 @@
 			return n, ignoreTimeout(err)
 		}
 		if b.length <= 0 {
-			return 0, errBodySlow
+			return 0, ErrSlow
 		}
 	}
 }
@@ -213,7 +218,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.timer == nil {
-		b.timer = kernel.AfterFunc(bodyPressedTime, b.endIfSlow)
+		b.timer = kernel.AfterFunc(BodyPressedTime, b.endIfSlow)
 	}
 	return b.until()
 }
@@ -225,7 +230,7 @@
 	if b.done {
 		return
 	}
-	b.timer.Reset(bodyPressedTime)
+	b.timer.Reset(BodyPressedTime)
 	if now := time.Now(); !now.Before(b.until()) {
 		_ = b.endReadsAt(now) // fails only if the connection is closed
 	}
@@ -246,7 +251,7 @@
 }
 
 // until returns when the body counts as standing still, at the latest with the time of the request. The caller holds b.mu.
-func (b *bodyRead) until() time.Time { return minTime(b.pace.until(b.memory.pressed()), b.deadline) }
+func (b *bodyRead) until() time.Time { return minTime(b.pace.until(b.Memory.Pressed()), b.Deadline) }
 
 // ignoreTimeout drops the timeout of a read that brought bytes.
 func ignoreTimeout(err error) error {
@@ -262,51 +267,3 @@
 	}
 	return b
 }
-
-// refuseMemory refuses a request for which no memory is left.
-func (g *Gateway) refuseMemory(w http.ResponseWriter, r *Request, why heldKind, read int) {
-	g.logMemoryRefused(r, why, read)
-	g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: memoryRetryAfter})
-}
-
-func (g *Gateway) logMemoryRefused(r *Request, why heldKind, read int) {
-	m := &g.memory
-	klog.InfoS("memory_refused", "request", r.Info.ID, "for", why, "urgency", r.memory.urgency, "read", read, "held", m.total.Load(), "limit", r.memory.limit,
-		"requests", m.byKind[heldRequest].Load(), "bodies", m.byKind[heldBody].Load(), "answers", m.byKind[heldAnswer].Load())
-	g.Metrics.MemoryRefused(why.String())
-}
-
-// refuseBody ends a request whose body could not be read completely. read is how many bytes were.
-func (g *Gateway) refuseBody(w http.ResponseWriter, r *Request, read int, err error) {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, errBodyTooLarge), errors.As(err, &tooLarge):
-		g.refuse(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
-		return
-	case errors.Is(err, errBodyMemory):
-		g.refuseMemory(w, r, heldBody, read)
-		return
-	case r.isEnded():
-		w.Header().Set("Connection", "close")
-		g.refuse(w, r, goneRefusal(r, false))
-		return
-	case errors.Is(err, errBodySlow):
-		klog.InfoS("body_slow", "request", r.Info.ID, "read", read, "pressed", r.memory.pressed(), "took", kernel.RunTime(r.Arrived, time.Now()))
-		g.refuse(w, r, refusal{status: http.StatusRequestTimeout, reason: "body_slow"})
-		return
-	}
-	why := refusal{status: http.StatusBadRequest, reason: "body_unreadable"}
-	w.Header().Set("Connection", "close")
-	if !bodyBrokeOff(err) {
-		g.refuse(w, r, why)
-		return
-	}
-	g.logUnanswered("request_broken_off", r, goneReason(r), "body_read", read, "err", err)
-	_ = writeRefusal(w, r, why) // the caller has left, or only shut its sending side
-}
-
-// bodyBrokeOff reports whether a body ended with its connection, and not as it can't be read.
-func bodyBrokeOff(err error) bool {
-	var network net.Error
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &network)
-}
--- a/gateway/byte_budget.go
+++ b/gateway/byte_budget.go
@@ -2,18 +2,15 @@
 
 import "sync/atomic"
 
-// maxEventBytes bounds what the streams hold together of events that are larger than usual.
-const maxEventBytes = 512 << 10
-
-// byteBudget bounds the memory of what all requests hold together. It implements eventstream.Budget.
-type byteBudget struct {
-	limit int64
+// Budget bounds the memory of what all requests hold together. It implements eventstream.Budget.
+type Budget struct {
+	Limit int64 // in bytes
 	used  atomic.Int64
 }
 
 // Take reports whether n more bytes may be held, and counts them if so.
-func (b *byteBudget) Take(n int64) bool {
-	if b.used.Add(n) <= b.limit {
+func (b *Budget) Take(n int64) bool {
+	if b.used.Add(n) <= b.Limit {
 		return true
 	}
 	b.used.Add(-n)
@@ -21,4 +18,7 @@
 }
 
 // GiveBack ends the holding of n bytes.
-func (b *byteBudget) GiveBack(n int64) { b.used.Add(-n) }
+func (b *Budget) GiveBack(n int64) { b.used.Add(-n) }
+
+// Used returns how many bytes are held.
+func (b *Budget) Used() int64 { return b.used.Load() }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -3,16 +3,16 @@
 import "time"
 
 // HeldLimit, RequestCeiling and BodyCeiling are the bounds on what requests hold.
-var HeldLimit = heldLimit
+var HeldLimit = Limit
 
 // RequestCeiling returns up to how much may be held for one more request.
-func RequestCeiling(limit int64, urgency int) int64 { return heldCeiling(limit, heldRequest, urgency) }
+func RequestCeiling(limit int64, urgency int) int64 { return Ceiling(limit, Requests, urgency) }
 
 // BodyCeiling returns up to how much may be held for a body that grows.
-func BodyCeiling(limit int64, urgency int) int64 { return heldCeiling(limit, heldBody, urgency) }
+func BodyCeiling(limit int64, urgency int) int64 { return Ceiling(limit, Bodies, urgency) }
 
 // AnswerCeiling returns up to how much may be held for an answer that has begun.
-func AnswerCeiling(limit int64, urgency int) int64 { return heldCeiling(limit, heldAnswer, urgency) }
+func AnswerCeiling(limit int64, urgency int) int64 { return Ceiling(limit, Answers, urgency) }
 
 // BodyPace tells how long a body may take.
 type BodyPace struct{ pace bodyPace }
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -120,14 +120,14 @@
 		notForwarded(w, in.Header, f, neighbor.Unusable, "path")
 		return
 	}
-	call := &Request{Deadline: time.Now().Add(max(f.Timeout, bodyIdleTime))}
-	defer call.memory.release()
+	call := &Request{Deadline: time.Now().Add(max(f.Timeout, BodyIdleTime))}
+	defer call.memory.Release()
 	if !g.beginControlMemory(call) {
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
 	body, err := g.readBody(w, in, maxControlBytes, call)
-	if errors.Is(err, errBodyMemory) {
+	if errors.Is(err, ErrNoMemory) {
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
@@ -170,15 +170,15 @@
 	}
 	// The route here may be of a newer configuration than the one by which the request was accepted.
 	r.Deadline = now.Add(f.Timeout)
-	defer r.memory.release()
+	defer r.memory.Release()
 	if !g.beginMemory(r) {
-		g.logMemoryRefused(r, heldRequest, 0)
+		g.logMemoryRefused(r, Requests, 0)
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
 	body, err := g.readBody(w, in, r.view().Config().Limits.BodyBytes, r)
-	if errors.Is(err, errBodyMemory) {
-		g.logMemoryRefused(r, heldBody, len(body))
+	if errors.Is(err, ErrNoMemory) {
+		g.logMemoryRefused(r, Bodies, len(body))
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,9 +115,9 @@
 	unproven      unprovenAttempts
 	stallWatches  stallWatches
 	// eventBytes and answerBytes bound what is held of unfinished events and answers.
-	eventBytes, answerBytes byteBudget
+	eventBytes, answerBytes Budget
 	// memory counts what all requests hold.
-	memory heldMemory
+	memory Total
 	// callers holds the answers that are being passed on.
 	callers callers
 	// unreadable holds the unreadable headers that were logged.
@@ -140,7 +140,7 @@
 		options.Trials = localTrials{options.Quarantine}
 	}
 	return &Gateway{Options: options, budget: balance.NewRetryBudget(bounds.RetryRatio, bounds.RetryWindow), callTimes: newCallTimes(), started: time.Now(),
-		eventBytes: byteBudget{limit: maxEventBytes}, answerBytes: byteBudget{limit: maxAnswerBytes},
+		eventBytes: Budget{Limit: maxEventBytes}, answerBytes: Budget{Limit: maxAnswerBytes},
 	}
 }
 
@@ -165,9 +165,9 @@
 		return
 	}
 	g.served.Add(1)
-	defer request.memory.release()
+	defer request.memory.Release()
 	if !g.beginMemory(request) {
-		g.refuseMemory(w, request, heldRequest, 0)
+		g.refuseMemory(w, request, Requests, 0)
 		return
 	}
 	body, err := g.readBody(w, in, request.view().Config().Limits.BodyBytes, request)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +15,7 @@
 
 	"redwinghall"
 	"redwinghall/balance"
+	"redwinghall/kernel"
 	"redwinghall/platform"
 )
 
@@ -135,3 +139,38 @@
 }
 
 func hash(id string) uint64 { return xxhash.Sum64String(id) }
+
+// refuseBody ends a request whose body could not be read completely. read is how many bytes were.
+func (g *Gateway) refuseBody(w http.ResponseWriter, r *Request, read int, err error) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, ErrTooLarge), errors.As(err, &tooLarge):
+		g.refuse(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
+		return
+	case errors.Is(err, ErrNoMemory):
+		g.refuseMemory(w, r, Bodies, read)
+		return
+	case r.isEnded():
+		w.Header().Set("Connection", "close")
+		g.refuse(w, r, goneRefusal(r, false))
+		return
+	case errors.Is(err, ErrSlow):
+		klog.InfoS("body_slow", "request", r.Info.ID, "read", read, "pressed", r.memory.Pressed(), "took", kernel.RunTime(r.Arrived, time.Now()))
+		g.refuse(w, r, refusal{status: http.StatusRequestTimeout, reason: "body_slow"})
+		return
+	}
+	why := refusal{status: http.StatusBadRequest, reason: "body_unreadable"}
+	w.Header().Set("Connection", "close")
+	if !bodyBrokeOff(err) {
+		g.refuse(w, r, why)
+		return
+	}
+	g.logUnanswered("request_broken_off", r, goneReason(r), "body_read", read, "err", err)
+	_ = writeRefusal(w, r, why) // the caller has left, or only shut its sending side
+}
+
+// bodyBrokeOff reports whether a body ended with its connection, and not as it can't be read.
+func bodyBrokeOff(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &network)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -41,7 +41,7 @@
 	// ended reports whether this node ends the request as it ends itself; nil if it never does.
 	ended func() bool
 	// memory is what the request holds.
-	memory requestMemory
+	memory Share
 	// ownIdentity is computed at its first use, before the body is released.
 	ownIdentity     string
 	computeIdentity sync.Once
@@ -58,7 +58,7 @@
 // releaseBody drops the body once no endpoint will be sent it any more.
 func (r *Request) releaseBody() {
 	r.Body = nil
-	r.memory.giveBackAll(heldBody)
+	r.memory.GiveBackAll(Bodies)
 }
 
 // takeView makes the request use the latest view.
