heldmemory: the memory that requests hold, moved out of gateway

The counts, the ceilings, the budget of events and answers, and the reading of a body within them are a package of their own. The reading on of an answer whose caller takes nothing stays in gateway: it needs the request's id, route, deadline and end, its metrics and the background tasks.

The texts of kinds and errors, the log lines and the bounds are as they were. The errors of a body stay plain values: the log has the connection's own error, which an error with an operation and a kind would change.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -13,6 +13,7 @@
 	"redwinghall"
 	"redwinghall/balance"
 	"redwinghall/fleet"
+	"redwinghall/heldmemory"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
 )
@@ -120,14 +121,14 @@
 		notForwarded(w, in.Header, f, neighbor.Unusable, "path")
 		return
 	}
-	call := &Request{Deadline: time.Now().Add(max(f.Timeout, BodyIdleTime))}
+	call := &Request{Deadline: time.Now().Add(max(f.Timeout, heldmemory.BodyIdleTime))}
 	defer call.memory.Release()
 	if !g.beginControlMemory(call) {
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
 	body, err := g.readBody(w, in, maxControlBytes, call)
-	if errors.Is(err, ErrNoMemory) {
+	if errors.Is(err, heldmemory.ErrNoMemory) {
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
@@ -172,13 +173,13 @@
 	r.Deadline = now.Add(f.Timeout)
 	defer r.memory.Release()
 	if !g.beginMemory(r) {
-		g.logMemoryRefused(r, Requests, 0)
+		g.logMemoryRefused(r, heldmemory.Requests, 0)
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
 	body, err := g.readBody(w, in, r.view().Config().Limits.BodyBytes, r)
-	if errors.Is(err, ErrNoMemory) {
-		g.logMemoryRefused(r, Bodies, len(body))
+	if errors.Is(err, heldmemory.ErrNoMemory) {
+		g.logMemoryRefused(r, heldmemory.Bodies, len(body))
 		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"redwinghall/directory"
 	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
+	"redwinghall/heldmemory"
 	"redwinghall/platform"
 	"redwinghall/quarantine"
 	"redwinghall/reach"
@@ -115,9 +116,9 @@
 	unproven      unprovenAttempts
 	stallWatches  stallWatches
 	// eventBytes and answerBytes bound what is held of unfinished events and answers.
-	eventBytes, answerBytes Budget
+	eventBytes, answerBytes heldmemory.Budget
 	// memory counts what all requests hold.
-	memory Total
+	memory heldmemory.Total
 	// callers holds the answers that are being passed on.
 	callers callers
 	// unreadable holds the unreadable headers that were logged.
@@ -140,7 +141,7 @@
 		options.Trials = localTrials{options.Quarantine}
 	}
 	return &Gateway{Options: options, budget: balance.NewRetryBudget(bounds.RetryRatio, bounds.RetryWindow), callTimes: newCallTimes(), started: time.Now(),
-		eventBytes: Budget{Limit: maxEventBytes}, answerBytes: Budget{Limit: maxAnswerBytes},
+		eventBytes: heldmemory.Budget{Limit: maxEventBytes}, answerBytes: heldmemory.Budget{Limit: maxAnswerBytes},
 	}
 }
 
@@ -167,7 +168,7 @@
 	g.served.Add(1)
 	defer request.memory.Release()
 	if !g.beginMemory(request) {
-		g.refuseMemory(w, request, Requests, 0)
+		g.refuseMemory(w, request, heldmemory.Requests, 0)
 		return
 	}
 	body, err := g.readBody(w, in, request.view().Config().Limits.BodyBytes, request)
--- a/gateway/held_memory_test.go
+++ b/gateway/held_memory_test.go
@@ -19,7 +19,6 @@
 
 	"redwinghall/directory"
 	"redwinghall/fleet"
-	"redwinghall/gateway"
 	"redwinghall/kernel"
 	"redwinghall/platform/platformtest"
 	"redwinghall/rwhtest/logtest"
@@ -212,37 +211,6 @@
 	return held
 }
 
-// The room ends for bodies before it ends for new requests, sooner the less urgent a request is, and leaves
-// the same room to all answers that have begun.
-func TestHeldCeilingsTurnAwayNewWorkFirst(t *testing.T) {
-	limit := gateway.HeldLimit(smallVM)
-	for urgency := range 10 {
-		require.Less(t, gateway.BodyCeiling(limit, urgency), gateway.RequestCeiling(limit, urgency))
-		require.Less(t, gateway.RequestCeiling(limit, urgency)+gateway.AnswerCeiling(limit, urgency), limit)
-		require.Equal(t, gateway.AnswerCeiling(limit, 0), gateway.AnswerCeiling(limit, urgency))
-		if urgency > 0 {
-			require.Less(t, gateway.BodyCeiling(limit, urgency), gateway.BodyCeiling(limit, urgency-1))
-			require.Less(t, gateway.RequestCeiling(limit, urgency), gateway.RequestCeiling(limit, urgency-1))
-		}
-	}
-	require.Equal(t, gateway.BodyCeiling(limit, 9), gateway.BodyCeiling(limit, 1000))
-	require.Positive(t, gateway.BodyCeiling(limit, 9))
-	require.Zero(t, gateway.HeldLimit(0))
-}
-
-// A body that sends a byte now and then would hold its memory for ever while others need it.
-func TestBodyPaceAsksForProgressWhileMemoryIsShort(t *testing.T) {
-	begun := time.Now()
-	pace := gateway.NewBodyPace(begun)
-	require.Equal(t, begun.Add(time.Second), pace.Until(true))
-	require.Equal(t, begun.Add(5*time.Second), pace.Until(false))
-	pace.Record(begun.Add(900*time.Millisecond), 1)
-	require.Equal(t, begun.Add(time.Second), pace.Until(true), "a byte is no progress")
-	require.Equal(t, begun.Add(5900*time.Millisecond), pace.Until(false), "it is while there is room")
-	pace.Record(begun.Add(950*time.Millisecond), 4<<10)
-	require.Equal(t, begun.Add(1950*time.Millisecond), pace.Until(true))
-}
-
 // BenchmarkSmallBody sends requests with small bodies, as nearly all have.
 func BenchmarkSmallBody(b *testing.B) {
 	klog.LogToStderr(false)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -15,6 +15,7 @@
 
 	"redwinghall"
 	"redwinghall/balance"
+	"redwinghall/heldmemory"
 	"redwinghall/kernel"
 	"redwinghall/platform"
 )
@@ -144,17 +145,17 @@
 func (g *Gateway) refuseBody(w http.ResponseWriter, r *Request, read int, err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, ErrTooLarge), errors.As(err, &tooLarge):
+	case errors.Is(err, heldmemory.ErrTooLarge), errors.As(err, &tooLarge):
 		g.refuse(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
 		return
-	case errors.Is(err, ErrNoMemory):
-		g.refuseMemory(w, r, Bodies, read)
+	case errors.Is(err, heldmemory.ErrNoMemory):
+		g.refuseMemory(w, r, heldmemory.Bodies, read)
 		return
 	case r.isEnded():
 		w.Header().Set("Connection", "close")
 		g.refuse(w, r, goneRefusal(r, false))
 		return
-	case errors.Is(err, ErrSlow):
+	case errors.Is(err, heldmemory.ErrSlow):
 		klog.InfoS("body_slow", "request", r.Info.ID, "read", read, "pressed", r.memory.Pressed(), "took", kernel.RunTime(r.Arrived, time.Now()))
 		g.refuse(w, r, refusal{status: http.StatusRequestTimeout, reason: "body_slow"})
 		return
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -9,6 +9,7 @@
 	"redwinghall/directory"
 	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
+	"redwinghall/heldmemory"
 	"redwinghall/platform"
 )
 
@@ -41,7 +42,7 @@
 	// ended reports whether this node ends the request as it ends itself; nil if it never does.
 	ended func() bool
 	// memory is what the request holds.
-	memory Share
+	memory heldmemory.Share
 	// ownIdentity is computed at its first use, before the body is released.
 	ownIdentity     string
 	computeIdentity sync.Once
@@ -58,7 +59,7 @@
 // releaseBody drops the body once no endpoint will be sent it any more.
 func (r *Request) releaseBody() {
 	r.Body = nil
-	r.memory.GiveBackAll(Bodies)
+	r.memory.GiveBackAll(heldmemory.Bodies)
 }
 
 // takeView makes the request use the latest view.
--- a/gateway/slow_caller.go
+++ b/gateway/slow_caller.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/heldmemory"
 	"redwinghall/kernel"
 )
 
@@ -85,7 +86,7 @@
 
 // drop gives back what is held. The caller holds a.mu.
 func (a *aheadBody) drop() {
-	a.r.memory.GiveBack(Answers, int64(cap(a.ahead)))
+	a.r.memory.GiveBack(heldmemory.Answers, int64(cap(a.ahead)))
 	a.ahead, a.taken = nil, 0
 }
 
@@ -244,7 +245,7 @@
 	if len(a.ahead) == cap(a.ahead) && !a.grow() {
 		a.recordUnread()
 		a.endReading()
-		a.g.logMemoryRefused(a.r, Answers, len(a.ahead))
+		a.g.logMemoryRefused(a.r, heldmemory.Answers, len(a.ahead))
 		return nil
 	}
 	return a.ahead[len(a.ahead):cap(a.ahead)]
@@ -300,8 +301,8 @@
 // grow makes room for more bytes, and reports whether it could. The caller holds a.mu.
 func (a *aheadBody) grow() bool {
 	size := max(aheadStep, 2*cap(a.ahead))
-	most := aheadShare * float64(Ceiling(a.r.memory.Limit(), Answers, a.r.memory.Urgency()))
-	if float64(size) > most || !a.r.memory.Take(Answers, int64(size)) {
+	most := aheadShare * float64(heldmemory.Ceiling(a.r.memory.Limit(), heldmemory.Answers, a.r.memory.Urgency()))
+	if float64(size) > most || !a.r.memory.Take(heldmemory.Answers, int64(size)) {
 		return false
 	}
 	larger := make([]byte, len(a.ahead), size)
--- a/gateway/byte_budget.go
+++ b/heldmemory/byte_budget.go
@@ -1,4 +1,4 @@
-package gateway
+package heldmemory
 
 import "sync/atomic"
 
--- a/gateway/held_memory.go
+++ b/heldmemory/held_memory.go
@@ -1,27 +1,29 @@
-package gateway
+// Package heldmemory bounds the memory that requests hold on a VM: while they are in progress, for their bodies as these
+// come, and for answers that their callers haven't taken yet.
+package heldmemory
 
 import (
 	"net/http"
 	"sync/atomic"
 )
 
-// heldKind says for what a request holds memory.
-type heldKind int
+// Kind says for what a request holds memory.
+type Kind int
 
 // The kinds of held memory.
 const (
 	// Requests is what each request takes: its headers, connections and goroutines, and a small body.
-	Requests heldKind = iota
+	Requests Kind = iota
 	// Bodies is what a body takes beyond freeBodyBytes.
 	Bodies
 	// Answers is what was read of an answer that its caller hasn't taken yet.
 	Answers
-	// heldKinds is how many kinds there are.
-	heldKinds
+	// Kinds is how many kinds there are.
+	Kinds
 )
 
 // String returns the name of a kind in logs and metrics.
-func (k heldKind) String() string { return [heldKinds]string{"requests", "bodies", "answers"}[k] }
+func (k Kind) String() string { return [Kinds]string{"requests", "bodies", "answers"}[k] }
 
 const (
 	// heldShare is the part of the VM's memory that all requests may hold together. The rest is for the process
@@ -52,7 +54,7 @@
 //
 // It answers callers that hold much at once and give nothing back. What would be refused anyhow is new
 // work, the least urgent first, and not whatever comes next.
-func Ceiling(limit int64, kind heldKind, urgency int) int64 {
+func Ceiling(limit int64, kind Kind, urgency int) int64 {
 	less := urgencyCeiling * float64(max(0, min(urgency, maxUrgency)))
 	switch kind {
 	case Bodies:
@@ -66,16 +68,16 @@
 // Total counts what all requests hold.
 type Total struct {
 	total  atomic.Int64
-	byKind [heldKinds]atomic.Int64
+	byKind [Kinds]atomic.Int64
 }
 
 // Held returns how many bytes are held of all kinds.
 func (h *Total) Held() int64 { return h.total.Load() }
 
 // HeldFor returns how many bytes of a kind are held.
-func (h *Total) HeldFor(kind heldKind) int64 { return h.byKind[kind].Load() }
+func (h *Total) HeldFor(kind Kind) int64 { return h.byKind[kind].Load() }
 
-func (h *Total) add(kind heldKind, n int64) {
+func (h *Total) add(kind Kind, n int64) {
 	h.total.Add(n)
 	h.byKind[kind].Add(n)
 }
@@ -85,7 +87,7 @@
 	all     *Total
 	limit   int64 // of all requests together, 0 if there is none
 	urgency int
-	held    [heldKinds]atomic.Int64
+	held    [Kinds]atomic.Int64
 }
 
 // Begin prepares what a request of some urgency may hold beside all others, up to a limit of all together, 0 for none.
@@ -100,7 +102,7 @@
 func (m *Share) Urgency() int { return m.urgency }
 
 // Take reports whether n more bytes may be held, and counts them if so.
-func (m *Share) Take(kind heldKind, n int64) bool {
+func (m *Share) Take(kind Kind, n int64) bool {
 	if m.all == nil {
 		return true
 	}
@@ -118,7 +120,7 @@
 }
 
 // GiveBack ends the holding of n bytes.
-func (m *Share) GiveBack(kind heldKind, n int64) {
+func (m *Share) GiveBack(kind Kind, n int64) {
 	if m.all != nil && n > 0 {
 		m.held[kind].Add(-n)
 		m.all.add(kind, -n)
@@ -126,11 +128,11 @@
 }
 
 // GiveBackAll ends the holding of all bytes of a kind.
-func (m *Share) GiveBackAll(kind heldKind) { m.GiveBack(kind, m.held[kind].Load()) }
+func (m *Share) GiveBackAll(kind Kind) { m.GiveBack(kind, m.held[kind].Load()) }
 
 // Release ends the holding of everything.
 func (m *Share) Release() {
-	for kind := range heldKinds {
+	for kind := range Kinds {
 		m.GiveBackAll(kind)
 	}
 }
