Gateway: a request that was written in part isn't sent once more

A write also fails with errUnread once the connection has ended, so the rest of a long body does: the first part was written, the error's kind is unknown, and the request was sent again. A booking ran twice.

Test: a booking of 64 KiB at an endpoint that runs it at its head and closes the connection, while the node's first write and its close are slow, as in a pause of the process.

The change: only a request that counts as not sent is sent once more.

--- a/gateway/late_reader_test.go
+++ b/gateway/late_reader_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,3 +133,50 @@
 	require.Equal(t, http.StatusOK, s.do(second).status)
 	require.False(t, s.gateway.Paths.Unconnected("desk-1"))
 }
+
+// slowConn is a connection of a process that is paused in its first write until the connection is closed, and while it closes.
+type slowConn struct {
+	*net.TCPConn
+	writes, closes atomic.Int64
+	closing        chan struct{}
+}
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	if c.writes.Add(1) == 1 {
+		<-c.closing
+	}
+	return n, err
+}
+
+func (c *slowConn) Close() error {
+	if c.closes.Add(1) == 1 {
+		close(c.closing)
+		time.Sleep(100 * time.Millisecond)
+	}
+	return c.TCPConn.Close()
+}
+
+// A booking ran twice as the connection ended between two writes of its body: it was taken for one that wasn't sent.
+func TestBookingWhoseConnectionEndsWhileItIsWrittenRunsOnce(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.gateway.Upstream = gateway.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &slowConn{TCPConn: conn.(*net.TCPConn), closing: make(chan struct{})}, nil
+	})
+	var ran atomic.Int64
+	s.endpoint("desk-1", "desk", func(w http.ResponseWriter, _ *http.Request) {
+		ran.Add(1)
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+	})
+	booking := s.request(http.MethodPost, "/book/")
+	booking.Body, booking.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 64<<10))), 64<<10
+	require.Equal(t, http.StatusBadGateway, s.do(booking).status)
+	require.EqualValues(t, 1, ran.Load())
+}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -81,7 +81,7 @@
 		OnConnected: func() { g.recordConnected(time.Now(), to) },
 	}
 	response, err := g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), options)
-	if errors.Is(err, errUnread) && ctx.Err() == nil { // says nothing of the path
+	if isUnread(err) && ctx.Err() == nil { // says nothing of the path
 		options.Fresh = true
 		response, err = g.Upstream.Send(ctx, to, r, g.forwardHeaders(r, to, lastEvent), options)
 	}
@@ -94,6 +94,12 @@
 	return response, err
 }
 
+// isUnread reports whether nothing of a request was written, as its connection wasn't fit for it. The rest of a request isn't
+// written either once its connection has ended.
+func isUnread(err error) bool {
+	return redwinghall.KindOf[Kind](err) == NotSent && errors.Is(err, errUnread)
+}
+
 // ErrNoPeer is the cause of an error if no other node could be asked to forward a request.
 var ErrNoPeer = errors.New("no other node can forward the request")
 
