Gateway: a kept connection that ends, or brings no answer, says nothing of the path to its endpoint

While the write waits for the reader, the reader may be first: net/http then returns its error (EOF, malformed response) in place of the write's. The request counted as not sent, the path as lost and the endpoint as unreachable. The end of an idle connection is the common case. What callers saw: 503 for a booking at a service whose only endpoint is sound, and others held back from it.

Test: TestEndpointWhoseKeptConnectionIsReadLateIsReachedOverANewOne, its reader runs 20 ms late.

The change: each request of which nothing was written on a reused connection is sent once more over a new one, whatever error is first.

--- a/gateway/late_reader_test.go
+++ b/gateway/late_reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,6 +36,12 @@
 	return c.TCPConn.Read(b)
 }
 
+// awaitUnread waits until what comes behind an answer is there: bytes, or the end.
+func (c *lateConn) awaitUnread(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { return kernel.UnreadBytes(c) > 0 || kernel.EndedByPeer(c) }, 2*time.Second, time.Millisecond)
+}
+
 // A booking was sent on a reused connection on which bytes, or its end, lay in the socket unread: nobody knew whether it ran.
 func TestReusedConnectionIsNotWrittenWhileSomethingLiesUnread(t *testing.T) {
 	t.Parallel()
@@ -92,7 +99,7 @@
 			require.NoError(t, err)
 			require.NoError(t, response.Body.Close())
 			require.Eventually(t, func() bool { return late.reads.Load() > 1 }, 2*time.Second, time.Millisecond)
-			time.Sleep(100 * time.Millisecond) // what comes behind the answer is there
+			late.awaitUnread(t)
 			g.Go("reader", func(ctx context.Context) error {
 				kernel.Sleep(ctx, 20*time.Millisecond)
 				close(late.runs)
@@ -114,6 +121,7 @@
 	t.Parallel()
 	s := newFixture(t)
 	var conns atomic.Int64
+	var late *lateConn
 	runs := make(chan struct{})
 	defer close(runs)
 	s.gateway.Upstream = gateway.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -121,7 +129,8 @@
 		if err != nil || conns.Add(1) > 1 {
 			return conn, err
 		}
-		return &lateConn{TCPConn: conn.(*net.TCPConn), runs: runs}, nil
+		late = &lateConn{TCPConn: conn.(*net.TCPConn), runs: runs}
+		return late, nil
 	})
 	s.endpoint("desk-1", "desk", func(w http.ResponseWriter, r *http.Request) {
 		sendBehind(w, r, platformtest.ResponseHead(http.StatusOK, "%s")+"Content-Length: 2\r\n\r\nok", "x", 20*time.Millisecond)
@@ -129,11 +138,67 @@
 	first, second := s.request(http.MethodPost, "/book/"), s.request(http.MethodPost, "/book/")
 	second.Header.Set("Request-Id", "r-2")
 	require.Equal(t, http.StatusOK, s.do(first).status)
-	time.Sleep(100 * time.Millisecond) // what comes behind the answer is there
+	late.awaitUnread(t)
 	require.Equal(t, http.StatusOK, s.do(second).status)
 	require.False(t, s.gateway.Paths.Unconnected("desk-1"))
 }
 
+// A sound endpoint counted as one that this node doesn't reach, and its caller was refused, as a kept connection to it ended or brought bytes.
+func TestEndpointWhoseKeptConnectionIsReadLateIsReachedOverANewOne(t *testing.T) {
+	t.Parallel()
+	for name, behind := range map[string]string{"its end": "", "no answer": "x\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t)
+			var conns, calls atomic.Int64
+			var late *lateConn
+			runs := make(chan struct{})
+			s.gateway.Upstream = gateway.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, network, address)
+				if err != nil || conns.Add(1) > 1 {
+					return conn, err
+				}
+				late = &lateConn{TCPConn: conn.(*net.TCPConn), runs: runs}
+				return late, nil
+			})
+			s.endpoint("desk-1", "desk", func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) > 1 {
+					sign(w, r)
+					return
+				}
+				answerAndEnd(w, r, behind)
+			})
+			first, second := s.request(http.MethodPost, "/book/"), s.request(http.MethodPost, "/book/")
+			second.Header.Set("Request-Id", "r-2")
+			require.Equal(t, http.StatusOK, s.do(first).status)
+			late.awaitUnread(t)
+			g := kernel.NewGroup(t.Context())
+			g.Go("reader", func(ctx context.Context) error {
+				kernel.Sleep(ctx, 20*time.Millisecond)
+				close(runs)
+				return nil
+			})
+			require.Equal(t, http.StatusOK, s.do(second).status)
+			require.False(t, s.gateway.Paths.Unconnected("desk-1"))
+			require.NoError(t, g.Wait())
+		})
+	}
+}
+
+// answerAndEnd answers a request whole, sends some bytes behind the answer, and ends the connection.
+func answerAndEnd(w http.ResponseWriter, r *http.Request, behind string) {
+	id := platformtest.ReadHeaders(r).ID
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, platformtest.ResponseHead(http.StatusOK, "%s")+"Content-Length: 2\r\n\r\nok", id)
+	time.Sleep(20 * time.Millisecond)
+	_, _ = io.WriteString(conn, behind)
+}
+
 // slowConn is a connection of a process that is paused in its first write until the connection is closed, and while it closes.
 type slowConn struct {
 	*net.TCPConn
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -94,8 +94,8 @@
 	return response, err
 }
 
-// isUnread reports whether nothing of a request was written, as its connection wasn't fit for it. The rest of a request isn't
-// written either once its connection has ended.
+// isUnread reports whether nothing of a request was written, as its reused connection wasn't fit for it. The rest of a request
+// isn't written either once its connection has ended.
 func isUnread(err error) bool {
 	return redwinghall.KindOf[Kind](err) == NotSent && errors.Is(err, errUnread)
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +57,7 @@
 var (
 	errWrongResponse = errors.New("the response does not match the request")
 	errInformational = errors.New("the endpoint sends too many informational responses")
-	errUnread        = errors.New("bytes came on the connection before the request was sent")
+	errUnread        = errors.New("bytes or the end came on the connection before the request was sent")
 )
 
 // Upstream sends requests to endpoints over pooled connections.
@@ -225,6 +226,7 @@
 	var conn *countingConn
 	var before, use int64
 	var sentAt time.Time
+	reused := false
 	informational := 0
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
@@ -234,7 +236,7 @@
 			return nil
 		},
 		GotConn: func(info httptrace.GotConnInfo) {
-			sentAt = time.Now()
+			sentAt, reused = time.Now(), info.Reused
 			if c, ok := info.Conn.(*countingConn); ok {
 				conn, before, use = c, c.begin(info.Reused), c.idle.begin()
 			}
@@ -263,13 +265,21 @@
 	response, err := transport.RoundTrip(out.WithContext(ctx))
 	if err != nil {
 		if conn == nil || conn.isUnsent(before) {
-			return nil, redwinghall.NewOpError("Upstream.Send", NotSent, err)
+			return nil, redwinghall.NewOpError("Upstream.Send", NotSent, unsentError(reused, err))
 		}
 		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
 	}
 	return conn.answer(response, in, before, sentAt)
 }
 
+// unsentError returns the error of a request that wasn't written. On a reused connection that means that bytes came, or its end.
+func unsentError(reused bool, err error) error {
+	if !reused || errors.Is(err, errUnread) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errUnread, err)
+}
+
 // answer returns the response to a request that was sent at a time on a connection, before which so many bytes were written.
 // c may be nil.
 func (c *countingConn) answer(response *http.Response, in *Request, before int64, sentAt time.Time) (*Response, error) {
