Neighbor: a request waits for memory no longer than its sender for the answer

Cause: since a request to the internal address waits for memory for up to 250 ms, and anew for each part of its body. Senders of Reserve and Permit wait 40 ms, of Trial 200 ms. What was read after that was done for nobody: a group was chosen, its place counted as taken by a stream that its node has placed elsewhere, a trial was granted to nobody; and each kept its memory from those who still wait.

Test: 21 calls hold the memory, a sender of Reserve gives up after 40 ms, 50 ms later the memory is given back.

The change: the wait is counted once a request, from the beginning of its body; that of Reserve, Permit and Trial ends with what their senders wait.

--- a/neighbor/answer_size.go
+++ b/neighbor/answer_size.go
@@ -54,7 +54,7 @@
 	if response.StatusCode != http.StatusOK {
 		most = maxShortAnswer
 	}
-	whole, err := t.memory.read(response.Body, most)
+	whole, err := t.memory.read(response.Body, most, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/neighbor/body.go
+++ b/neighbor/body.go
@@ -34,7 +34,7 @@
 	fieldCost = 160
 	minChunk  = 512
 	maxChunk  = 32 << 10
-	// memoryWait is how long a request waits for memory, well within what its sender waits for the answer, and
+	// memoryWait is how long a request may be read and wait for memory, well within what its sender waits for the answer, and
 	// memoryPollInterval how often it looks.
 	memoryWait         = callTimeout / 2
 	memoryPollInterval = 5 * time.Millisecond
@@ -49,27 +49,24 @@
 // longRequests are the calls whose requests may be long.
 var longRequests = map[string]bool{"Share": true, "Commit": true, "Lend": true, "Quarantine": true, "Trial": true}
 
+// memoryWaits are the waits of the calls whose senders have gone before memoryWait is over. What is read later would be done
+// for nobody.
+var memoryWaits = map[string]time.Duration{"Reserve": reserveTimeout, "Permit": reserveTimeout, "Trial": trialTimeout}
+
+// memoryWaitOf returns how long the request of a call waits for memory.
+func memoryWaitOf(call string) time.Duration {
+	if wait, ok := memoryWaits[call]; ok {
+		return wait
+	}
+	return memoryWait
+}
+
 // bodyMemory bounds the memory of all bodies that are being read and decoded.
 type bodyMemory struct {
 	limit int64
-	wait  time.Duration // for memory, before a body is given up
 	used  atomic.Int64
 }
 
-// take takes memory, and waits for it until others give theirs back.
-//
-// All nodes of a zone may report within a moment, as after a pause of this one. Those whose reports were refused
-// would take it for silent.
-func (m *bodyMemory) take(n int64) bool {
-	for begun := time.Now(); !m.tryTake(n); {
-		if kernel.RunTime(begun, time.Now()) >= m.wait {
-			return false
-		}
-		kernel.Sleep(context.Background(), memoryPollInterval)
-	}
-	return true
-}
-
 func (m *bodyMemory) tryTake(n int64) bool {
 	if m.used.Add(n) <= m.limit {
 		return true
@@ -82,12 +79,14 @@
 type body struct {
 	bytes.Reader
 	memory *bodyMemory
+	begun  time.Time
+	wait   time.Duration // for memory from then on, before the body is given up
 	taken  atomic.Int64
 }
 
-// read reads a body of up to so many bytes. It must be closed if there is no error.
-func (m *bodyMemory) read(r io.Reader, most int64) (*body, error) {
-	b := &body{memory: m}
+// read reads a body of up to so many bytes, and waits so long for memory. It must be closed if there is no error.
+func (m *bodyMemory) read(r io.Reader, most int64, wait time.Duration) (*body, error) {
+	b := &body{memory: m, begun: time.Now(), wait: wait}
 	data, err := readAll(&bodyReader{r: r, body: b, left: most})
 	if err == nil && !b.take(fieldCost*countFields(data)) {
 		err = errBodyMemory
@@ -100,9 +99,16 @@
 	return b, nil
 }
 
+// take takes memory, and waits for it until others give theirs back.
+//
+// All nodes of a zone may report within a moment, as after a pause of this one. Those whose reports were refused
+// would take it for silent.
 func (b *body) take(n int64) bool {
-	if !b.memory.take(n) {
-		return false
+	for !b.memory.tryTake(n) {
+		if kernel.RunTime(b.begun, time.Now()) >= b.wait {
+			return false
+		}
+		kernel.Sleep(context.Background(), memoryPollInterval)
 	}
 	b.taken.Add(n)
 	return true
@@ -171,15 +177,16 @@
 //
 // The generated handlers read a body whole, whatever comes, and for as long as it comes.
 func newBoundedHandler(next http.Handler) http.Handler {
-	short, long := &bodyMemory{limit: maxShortBodies, wait: memoryWait}, &bodyMemory{limit: maxLongBodies, wait: memoryWait}
+	short, long := &bodyMemory{limit: maxShortBodies}, &bodyMemory{limit: maxLongBodies}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call := path.Base(r.URL.Path)
 		memory, most := short, int64(maxShortRequest)
-		if longRequests[path.Base(r.URL.Path)] {
+		if longRequests[call] {
 			memory, most = long, maxLongRequest
 		}
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(requestTimeout)) // a writer without deadlines reads no connection
-		b, err := memory.read(r.Body, most)
+		b, err := memory.read(r.Body, most, memoryWaitOf(call))
 		if err != nil {
 			w.Header().Set("Connection", "close") // what is left isn't read
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unavailable, err.Error()))
--- a/neighbor/placement_burst_test.go
+++ b/neighbor/placement_burst_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +153,37 @@
 		return err
 	}))
 }
+
+// A request for a group waited for memory for longer than its sender for the answer, and a group was chosen for nobody.
+func TestNoGroupIsChosenForASenderThatHasGone(t *testing.T) {
+	t.Parallel()
+	const holders, holderBytes, requestBytes = 21, 31 << 10, 32400 // together more than short requests may take
+	held, release := make(chan struct{}, holders), make(chan struct{})
+	var chosen atomic.Int64
+	server := httptest.NewServer(neighbor.NewHandler(neighbor.ServerConfig{
+		SuspectGroup: func(context.Context, string) bool { held <- struct{}{}; <-release; return false },
+		Reserve: func(time.Time, fleet.PlacementRequest) (fleet.Placement, bool) {
+			chosen.Add(1)
+			return fleet.Placement{Endpoint: "e1"}, true
+		},
+	}))
+	t.Cleanup(server.Close)
+	address, client := server.Listener.Addr().String(), neighbor.NewClient()
+	g := kernel.NewGroup(t.Context())
+	for range holders {
+		g.Go("hold", func(ctx context.Context) error {
+			_, err := client.SuspectGroup(ctx, address, strings.Repeat("x", holderBytes))
+			return err
+		})
+	}
+	for range holders {
+		<-held
+	}
+	_, err := client.Reserve(t.Context(), address, fleet.PlacementRequest{Account: strings.Repeat("x", requestBytes)}, neighbor.StreamReport{})
+	require.Error(t, err)
+	kernel.Sleep(t.Context(), 50*time.Millisecond)
+	close(release)
+	require.NoError(t, g.Wait())
+	kernel.Sleep(t.Context(), 50*time.Millisecond)
+	require.Zero(t, chosen.Load())
+}
