Gateway: a forwarded request whose caller has left says nothing of the path to its endpoint

Cause: a node that connects to an endpoint for another node's request counted the endpoint as unreached if the request ended meanwhile, as its caller left, another attempt answered first, or its time was over: the end of the wait was read as a failed connection. send holds this against the request's context, exchangeForwarded didn't. What callers saw: 503 (unreachable) at the carrying node for requests of its own to a service whose only endpoint is sound.

Test: the first connection takes 100 ms, the caller of the forwarded request leaves meanwhile; the next booking must be served.

The change: nothing is recorded then, and the outcome is Unusable: nothing was sent, and this node isn't to be blamed.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -208,6 +208,10 @@
 		notForwarded(w, r.Header, f, neighbor.Busy, reasonNodeEnded)
 		return
 	}
+	if redwinghall.KindOf[Kind](err) == NotSent && ctx.Err() != nil { // says nothing of the path
+		notForwarded(w, r.Header, f, neighbor.Unusable, "given_up")
+		return
+	}
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		g.recordUnreached(time.Now(), e)
 		notForwarded(w, r.Header, f, neighbor.Unreached, "not_connected")
