Gateway: a check or control call that its sender gave up says nothing of the path to its endpoint

Cause: a node that asks several others whether they reach an endpoint gives up the rest once one says yes. Those that were still connecting read the end of their wait as a failed connection: their path to the endpoint counted as failed, they denied it to the next ones who asked, and several such endpoints look like a parted node. So did control calls; these marked the endpoint as unreached for the node's own callers too.

Tests: the sender of a check, and of a control call, leaves while the node connects.

The change: the same as for forwarded requests: nothing is recorded if the sender has gone.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -95,8 +95,10 @@
 // reaches it.
 func (g *Gateway) Connect(ctx context.Context, e *fleet.Endpoint) bool {
 	conn, err := g.Upstream.open(ctx, "tcp", e.Address)
-	if err != nil {
+	if err != nil && ctx.Err() == nil { // else whoever asked has given up, which says nothing of the path
 		g.Paths.Failed(time.Now(), e.Service, e.ID)
+	}
+	if err != nil {
 		return false
 	}
 	closeProbe(conn)
@@ -136,6 +138,10 @@
 		return
 	}
 	response, err := g.Control(in.Context(), e, in.Method, in.URL.Path, body, f.Timeout)
+	if redwinghall.KindOf[platform.Kind](err) == platform.NotReached && in.Context().Err() != nil { // says nothing of the path
+		notForwarded(w, in.Header, f, neighbor.Unusable, "given_up")
+		return
+	}
 	switch redwinghall.KindOf[platform.Kind](err) {
 	case "":
 		platform.CopyResponseHeaders(w.Header(), response.Header)
