--- a/endpointhttp/late_reader_test.go
+++ b/endpointhttp/late_reader_test.go
@@ -76,7 +76,7 @@
 			require.NoError(t, err)
 			require.NoError(t, response.Body.Close())
 			require.Eventually(t, func() bool { return late.Reads.Load() > 1 }, 2*time.Second, time.Millisecond)
-			time.Sleep(100 * time.Millisecond) // what comes behind the answer is there
+			late.AwaitUnread(t)
 			g.Go("reader", func(ctx context.Context) error {
 				kernel.Sleep(ctx, 20*time.Millisecond)
 				close(late.Runs)
--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -96,8 +96,10 @@
 // reaches it.
 func (g *Gateway) Connect(ctx context.Context, e *fleet.Endpoint) bool {
 	conn, err := g.Upstream.Open(ctx, e.Address)
-	if err != nil {
+	if err != nil && ctx.Err() == nil { // else whoever asked has given up, which says nothing of the path
 		g.Paths.Failed(time.Now(), e.Service, e.ID)
+	}
+	if err != nil {
 		return false
 	}
 	closeProbe(conn)
@@ -137,6 +139,10 @@
 		return
 	}
 	response, err := g.Control(in.Context(), e, in.Method, in.URL.Path, body, f.Timeout)
+	if redwinghall.KindOf[platform.Kind](err) == platform.NotReached && in.Context().Err() != nil { // says nothing of the path
+		notForwarded(w, in.Header, f, neighbor.Unusable, "given_up")
+		return
+	}
 	switch redwinghall.KindOf[platform.Kind](err) {
 	case "":
 		platform.CopyResponseHeaders(w.Header(), response.Header)
@@ -209,6 +215,10 @@
 		notForwarded(w, r.Header, f, neighbor.Busy, reasonNodeEnded)
 		return
 	}
+	if redwinghall.KindOf[Kind](err) == NotSent && ctx.Err() != nil { // says nothing of the path
+		notForwarded(w, r.Header, f, neighbor.Unusable, "given_up")
+		return
+	}
 	if redwinghall.KindOf[Kind](err) == NotSent {
 		g.recordUnreached(time.Now(), e)
 		notForwarded(w, r.Header, f, neighbor.Unreached, "not_connected")
--- a/rwhtest/lateread/lateread.go
+++ b/rwhtest/lateread/lateread.go
@@ -4,6 +4,12 @@
 import (
 	"net"
 	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"redwinghall/kernel"
 )
 
 // Conn is a connection whose reader hasn't run since its first read, as after a pause of the process.
@@ -21,3 +27,9 @@
 	}
 	return c.TCPConn.Read(b)
 }
+
+// AwaitUnread waits until the other side's bytes, or its end, lie unread in the socket.
+func (c *Conn) AwaitUnread(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { return kernel.UnreadBytes(c) > 0 || kernel.EndedByPeer(c) }, 2*time.Second, time.Millisecond)
+}
