Peer: answers of peers take under 10 MiB in all until they are whole

Cause: answers were limited one by one (16 MiB), read by io.ReadAll of the generated client, which copies its chunks at the end even if the answer is given up. Two that stop short of the limit were held in full.

Answers are read by the transport, in chunks that are dropped as the generated client reads them again. 64 KiB of each are read at any time; of longer ones one at a time is read and decoded, up to 9 MiB, and others wait for it, as none that is lawful may be refused. One that stands still for 0.2 s (of this process's running time) is ended if another waits. A peer puts into an answer what fits beside its marks, small registers first; the next exchange brings the others. Before, a zone with more than 16 MiB of newer registers was never repaired by an answer.

Registers of 17 MiB come in two exchanges; before, never.

Left: an answer that is whole takes twice its size until it is decoded (18 MiB at most, as the generated client copies it), one at a time; before 32 MiB each. A register over 9 MiB, as a manifest that grows by its defaults, comes by a request of a peer or by the table, not by an answer; an older node's answer over 9 MiB isn't read.

--- a/peer/client.go
+++ b/peer/client.go
@@ -38,11 +38,6 @@
 	dialTimeout     = 500 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
 	maxIdlePerPeer  = 1
-	// maxAnswerBytes is the largest answer of a peer, which the generated client reads whole: twice the
-	// largest manifest. maxErrorBytes is for an error, and maxHeadBytes for the head.
-	maxAnswerBytes = 16 << 20
-	maxErrorBytes  = 16 << 10
-	maxHeadBytes   = 8 << 10
 )
 
 func newClient(traffic *Traffic, token string) *http.Client {
@@ -61,29 +56,39 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &http.Client{Transport: tokenTransport{next: transport, token: token}}
+	return &http.Client{Transport: tokenTransport{next: transport, token: token, long: &longAnswers{}}}
 }
 
-// tokenTransport adds the peer token to each request, and ends answers that are too large with an error.
+// tokenTransport adds the peer token to each request. It reads answers whole, and ends those that are too large with an
+// error.
 type tokenTransport struct {
 	next  *http.Transport
 	token string
+	long  *longAnswers
 }
 
 func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
+	ctx, end := context.WithCancel(r.Context())
+	defer end()
+	r = r.Clone(ctx)
 	r.Header.Set("Authorization", "Bearer "+t.token)
 	r.Header.Set("User-Agent", "") // omitted to save bytes: no peer reads it
 	response, err := t.next.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	most := int64(maxAnswerBytes)
+	defer func() { _ = response.Body.Close() }()
+	most := maxAnswerBytes
 	if response.StatusCode != http.StatusOK {
 		most = maxErrorBytes
 	}
-	response.Body = http.MaxBytesReader(nil, response.Body, most)
-	return response, nil
+	whole, err := t.long.read(ctx, end, response.Body, most)
+	if err != nil {
+		return nil, err
+	}
+	out := *response
+	out.Body = whole
+	return &out, nil
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
--- a/peer/endless_test.go
+++ b/peer/endless_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,13 +31,21 @@
 	for form, endless := range platformtest.EndlessForms(endlessRead - 1<<10) {
 		t.Run(form+" that stops", func(t *testing.T) { requireBoundedMemory(t, endless) })
 	}
+	others := platformtest.EndlessForms(longAnswer - 1<<10)
+	for form, endless := range platformtest.EndlessForms(longAnswer - 1<<10) {
+		t.Run(form+" of two peers that stops within the limit", func(t *testing.T) { requireBoundedMemory(t, endless, others[form]) })
+	}
 }
 
-// requireBoundedMemory lets a process exchange with a peer that sends endless bytes.
-func requireBoundedMemory(t *testing.T, endless *platformtest.Endless) {
+// requireBoundedMemory lets a process exchange with peers that send endless bytes.
+func requireBoundedMemory(t *testing.T, endless *platformtest.Endless, others ...*platformtest.Endless) {
 	t.Helper()
-	endless.Listen(t)
-	n := node("a", peer.Member{ID: "b", AvailabilityZone: "tartu", Program: peer.Router, Address: endless.Address})
+	var seeds []peer.Member
+	for i, e := range append([]*platformtest.Endless{endless}, others...) {
+		e.Listen(t)
+		seeds = append(seeds, peer.Member{ID: fmt.Sprint("b", i), AvailabilityZone: "tartu", Program: peer.Router, Address: e.Address})
+	}
+	n := node("a", seeds...)
 	n.Interval = endlessTime
 	idle := platformtest.LiveHeap()
 	g := kernel.NewGroup(t.Context())
--- a/peer/server.go
+++ b/peer/server.go
@@ -43,8 +43,8 @@
 		out.Health = toHealth(time.Now(), n.Health.Newer(now, n.HealthBound, theirs))
 	}
 	if len(in.Marks) > 0 {
-		out.Entries = toEntries(n.Store.Newer(scope, fromMarks(in.Marks)))
 		out.Marks = toMarks(n.Store.Marks(scope))
+		out.Entries = toEntries(fitEntries(out, n.Store.Newer(scope, fromMarks(in.Marks))))
 	}
 	return out, nil
 }
