Neighbor: bursts of lawful requests are played in virtual time

TestPlacementRequestsOfAllNodesAtOnceAreTaken failed in one of 15 runs at a load of 22: a request waits for memory for as long as its sender waits for the answer (40 ms), and 230 of them were decoded within that time on this machine only if nothing else ran. The test asks whether the limits have room for what is lawful, not how fast the machine is. The calls now go to the handler itself, and time passes only while all of them wait.

--- a/neighbor/placement_burst_test.go
+++ b/neighbor/placement_burst_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -38,10 +39,24 @@
 // dispatcherHeldUp is how long the node that dispatches is held up, half of what the others wait for its answer.
 const dispatcherHeldUp = 20 * time.Millisecond
 
-// newBurstServer returns the address of a node that dispatches while it has a lock.
-func newBurstServer(t *testing.T, mu *sync.Mutex) (address string) {
-	t.Helper()
-	server := httptest.NewServer(neighbor.NewHandler(neighbor.ServerConfig{
+// nodeLock is held while the node that dispatches decides. Unlike with a sync.Mutex, virtual time passes while others wait for it.
+type nodeLock chan struct{}
+
+func (l nodeLock) Lock()   { l <- struct{}{} }
+func (l nodeLock) Unlock() { <-l }
+
+// handlerTransport calls a handler in place of a server, so that how fast this machine is doesn't count.
+type handlerTransport struct{ handler http.Handler }
+
+func (t handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	t.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// newBurstHandler returns the handler of a node that dispatches while it has a lock.
+func newBurstHandler(mu sync.Locker) http.Handler {
+	return neighbor.NewHandler(neighbor.ServerConfig{
 		Loads: neighbor.NewLoadTable(), Tracker: balance.NewTracker(), Quarantine: quarantine.NewTable(),
 		OnStreams: func(time.Time, fleet.PlacementRequest, neighbor.StreamReport) {},
 		Reserve: func(time.Time, fleet.PlacementRequest) (fleet.Placement, bool) {
@@ -59,13 +74,16 @@
 			defer mu.Unlock()
 			return redwinghall.RoomLoan{Service: wish.Service, Model: wish.Model, Urgency: wish.Urgency, Streams: wish.Streams, Lasts: time.Second}
 		},
-	}))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	})
+}
+
+// newBurstClient returns a client of a node that dispatches while it has a lock.
+func newBurstClient(mu sync.Locker) rpc.Neighbor {
+	return rpc.NewNeighborProtobufClient("http://node", &http.Client{Transport: handlerTransport{newBurstHandler(mu)}})
 }
 
 // refusedAtOnce makes so many calls at once while the node that dispatches is held up, and returns how many were refused, by the error.
-func refusedAtOnce(t *testing.T, held *sync.Mutex, callers int, call func(ctx context.Context, caller int) error) map[string]int {
+func refusedAtOnce(t *testing.T, held sync.Locker, callers int, call func(ctx context.Context, caller int) error) map[string]int {
 	t.Helper()
 	var mu sync.Mutex
 	refused := map[string]int{}
@@ -105,38 +123,36 @@
 
 // All nodes of a zone ask a new dispatcher for groups at once, and tell all their loads.
 func TestPlacementRequestsOfAllNodesAtOnceAreTaken(t *testing.T) {
-	var mu sync.Mutex
-	address := newBurstServer(t, &mu)
-	clients := make([]rpc.Neighbor, targetNodes)
-	for i := range clients {
-		clients[i] = rpc.NewNeighborProtobufClient("http://"+address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: requestsANode}})
-	}
-	for range 3 {
-		require.Empty(t, refusedAtOnce(t, &mu, targetNodes*requestsANode, func(ctx context.Context, caller int) error {
-			_, err := clients[caller%targetNodes].Reserve(ctx, largePlacementRequest(caller%targetNodes, caller))
-			return err
-		}))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		mu := make(nodeLock, 1)
+		client := newBurstClient(mu)
+		for range 3 {
+			require.Empty(t, refusedAtOnce(t, mu, targetNodes*requestsANode, func(ctx context.Context, caller int) error {
+				_, err := client.Reserve(ctx, largePlacementRequest(caller%targetNodes, caller))
+				return err
+			}))
+		}
+	})
 }
 
 // All nodes of a zone ask for permits at once.
 func TestPermitsOfAllNodesAtOnceAreTaken(t *testing.T) {
-	var mu sync.Mutex
-	address := newBurstServer(t, &mu)
-	clients := make([]rpc.Neighbor, targetNodes)
-	for i := range clients {
-		clients[i] = rpc.NewNeighborProtobufClient("http://"+address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: requestsANode}})
-	}
-	require.Empty(t, refusedAtOnce(t, &mu, targetNodes*requestsANode, func(ctx context.Context, caller int) error {
-		_, err := clients[caller%targetNodes].Permit(ctx, &rpc.PermitRequest{Zone: "zone-a", Limit: &rpc.Limit{Endpoint: fmt.Sprintf("engine-%020d", caller), Named: true, PerSecond: 5, AgeUs: 1000}})
-		return err
-	}))
+	synctest.Test(t, func(t *testing.T) {
+		mu := make(nodeLock, 1)
+		client := newBurstClient(mu)
+		require.Empty(t, refusedAtOnce(t, mu, targetNodes*requestsANode, func(ctx context.Context, caller int) error {
+			_, err := client.Permit(ctx, &rpc.PermitRequest{Zone: "zone-a", Limit: &rpc.Limit{Endpoint: fmt.Sprintf("engine-%020d", caller), Named: true, PerSecond: 5, AgeUs: 1000}})
+			return err
+		}))
+	})
 }
 
 // All zones ask one for loans of all models at once, while all nodes of that one report.
 func TestLoansOfAllZonesAtOnceAreGranted(t *testing.T) {
 	var mu sync.Mutex
-	address := newBurstServer(t, &mu)
+	server := httptest.NewServer(newBurstHandler(&mu))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
 	var wishes []redwinghall.RoomWish
 	for i := range burstWishes {
 		wishes = append(wishes, redwinghall.RoomWish{Service: "engines", Model: fmt.Sprintf("model-%020d", i), Urgency: 2, Objective: time.Second, Streams: 20, Gain: time.Second})
