Neighbor: a trial's evidence never takes more than its answer may

Cause: an answer to Trial may have 128 KiB. It holds all suspects with a part of the request, each with all its parts: 64 parts of 64 digits are lawful, 512 suspects are kept. A larger answer was an error: the node that asked took the one that grants trials for silent, passed it over as a dispatcher too, and asked the next one, or granted the trial itself: several trials of a prompt that ends endpoints at once. The same limit against what is bad, below what is lawful, as of the quarantine's tables and the reports of loads.

Test: a request with a history of 16, 64 and 512 suspects, of 20 parts of 16 digits and of 64 parts of 64.

The change: what is told is cut to suspects that fit, those of trials and the newest first, in the question as in the answer. Whole tables agree later, as before. Ruled out: a larger answer, 2.2 MB, of which two take all memory for answers.

--- a/neighbor/answer_size.go
+++ b/neighbor/answer_size.go
@@ -9,9 +9,10 @@
 const (
 	// maxShortAnswer is for the calls that a node makes for each request of a caller, or many at once.
 	maxShortAnswer = 16 << 10
-	// maxTrialAnswer is for what a node knows of the parts of one request, up to all of its suspects. Requests that wait
-	// for a trial are few.
+	// maxTrialAnswer is for what a node knows of the parts of one request, and maxTrialReport what it tells of that at most.
+	// Requests that wait for a trial are few.
 	maxTrialAnswer = 128 << 10
+	maxTrialReport = maxTrialAnswer - 1<<10
 	// maxReportAnswer is for loads, loans and whole tables of the quarantine, of which a node asks few others at a time.
 	maxReportAnswer = 768 << 10
 	// maxRowsAnswer is for compressed rows, which a node reads once for each table at a time.
--- a/neighbor/quarantine.go
+++ b/neighbor/quarantine.go
@@ -1,9 +1,13 @@
 package neighbor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"redwinghall/kernel"
 	"redwinghall/neighbor/rpc"
 	"redwinghall/quarantine"
@@ -28,7 +32,7 @@
 	ctx, cancel := kernel.WithTimeout(withAnswerSize(ctx, maxTrialAnswer), trialTimeout)
 	defer cancel()
 	out, err := c.clientFor(address).Trial(ctx, &rpc.TrialRequest{
-		Request: request.Request, Service: request.Service, Parts: request.Parts, Report: encodeQuarantine(request.Known), Over: request.Over,
+		Request: request.Request, Service: request.Service, Parts: request.Parts, Report: encodeShort(request.Known), Over: request.Over,
 	})
 	if err != nil {
 		return "", quarantine.Report{}, callError("Client.Trial", err)
@@ -68,7 +72,26 @@
 		return &rpc.TrialResponse{}, nil
 	}
 	answer := s.config.Quarantine.RequestTrial(now, in.GetRequest(), in.GetService(), in.GetParts())
-	return &rpc.TrialResponse{Answer: string(answer), Report: encodeQuarantine(s.config.Quarantine.About(now, in.GetService(), in.GetParts()))}, nil
+	return &rpc.TrialResponse{Answer: string(answer), Report: encodeShort(s.config.Quarantine.About(now, in.GetService(), in.GetParts()))}, nil
+}
+
+// encodeShort encodes a report on the parts of one request. If all its suspects take more than maxTrialReport, it has those that
+// say most: of trials, and the newest.
+func encodeShort(report quarantine.Report) *rpc.QuarantineReport {
+	out := encodeQuarantine(report)
+	slices.SortStableFunc(out.Suspects, func(a, b *rpc.PartSuspect) int {
+		switch {
+		case a.GetTrial() == b.GetTrial():
+			return cmp.Compare(a.GetAgeUs(), b.GetAgeUs())
+		case a.GetTrial():
+			return -1
+		}
+		return 1
+	})
+	for len(out.GetSuspects()) > 1 && proto.Size(out) > maxTrialReport {
+		out.Suspects = out.GetSuspects()[:len(out.GetSuspects())/2]
+	}
+	return out
 }
 
 func encodeQuarantine(report quarantine.Report) *rpc.QuarantineReport {
--- a/neighbor/quarantine_test.go
+++ b/neighbor/quarantine_test.go
@@ -53,3 +53,32 @@
 	own.Merge(now, theirs)
 	require.Equal(t, full.Digest(), own.Digest())
 }
+
+// Guards against nodes that take the one that grants trials for silent, as its answer on a few parts is larger than an answer may be.
+func TestTrialIsGrantedByTheNodeWithALongHistory(t *testing.T) {
+	for name, prompts := range map[string]struct{ parts, digits int }{"20 parts of 16 digits": {20, 16}, "most parts of most digits": {64, 64}} {
+		for _, suspects := range []int{16, 64, 512} {
+			t.Run(fmt.Sprintf("%s/%d", name, suspects), func(t *testing.T) {
+				now := time.Now()
+				o, client, address := serve(t)
+				for i := range suspects {
+					request := fmt.Sprintf("%016x", i)
+					one := quarantine.Suspect{Process: quarantine.Process{Endpoint: "i-" + request[6:], StartedMillis: now.UnixMilli()}, Request: request, Service: "llm", At: now, Trial: i < 3}
+					for part := range prompts.parts {
+						one.Parts = append(one.Parts, fmt.Sprintf("%0*x", prompts.digits, part))
+					}
+					o.quarantine.RecordEnd(one)
+				}
+				own := quarantine.NewTable()
+				var parts []string
+				for part := range prompts.parts {
+					parts = append(parts, fmt.Sprintf("%0*x", prompts.digits, part))
+				}
+				_, known, err := client.Trial(t.Context(), address, neighbor.TrialRequest{Request: "r", Service: "llm", Parts: parts, Known: own.About(now, "llm", parts)})
+				require.NoError(t, err)
+				own.Merge(now, known)
+				require.Equal(t, o.quarantine.Check(now, "llm", parts).Verdict, own.Check(now, "llm", parts).Verdict)
+			})
+		}
+	}
+}
