--- a/neighbor/quarantine_test.go
+++ b/neighbor/quarantine_test.go
@@ -82,3 +82,27 @@
 		}
 	}
 }
+
+// Guards against the same as TestFullTablesOfTheQuarantineAreExchanged, with prompts of many parts.
+func TestFullTablesOfLongPromptsAreExchanged(t *testing.T) {
+	for name, prompts := range map[string]struct{ parts, digits int }{"20 parts of 16 digits": {20, 16}, "most parts of most digits": {64, 64}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			full := quarantine.NewTable()
+			for i := range 512 {
+				request := fmt.Sprintf("%016x", i)
+				one := quarantine.Suspect{Process: quarantine.Process{Endpoint: "i-" + request[6:], StartedMillis: now.UnixMilli()}, Request: request, Service: "llm", At: now}
+				for part := range prompts.parts {
+					one.Parts = append(one.Parts, fmt.Sprintf("%0*x", prompts.digits, part))
+				}
+				full.RecordEnd(one)
+			}
+			_, client, address := serve(t)
+			own := quarantine.NewTable()
+			theirs, err := client.Quarantine(t.Context(), address, "n1", full.All(now), true)
+			require.NoError(t, err)
+			own.Merge(now, theirs)
+			require.Equal(t, full.Digest(), own.Digest())
+		})
+	}
+}
