Peer: an answer of empty parts takes no more than its bytes

Cause: the generated client decodes whatever an answer holds. An empty register is two bytes of it and over a hundred once it is decoded and applied.

The transport counts the parts of an answer before it is decoded. More than 32,768 are refused, and so is what is no message or begins a group, behind which nothing would be counted. A peer puts no more into an answer; the next exchange brings the others.

Left: requests of peers (16 MiB, known by the token) are neither counted nor bounded in sum.

--- a/peer/answer.go
+++ b/peer/answer.go
@@ -1,14 +1,17 @@
 package peer
 
 import (
+	"bufio"
 	"cmp"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"redwinghall/kernel"
@@ -22,6 +25,9 @@
 	maxErrorBytes  = 16 << 10
 	maxHeadBytes   = 8 << 10
 	entryBytes     = 32 // of an entry beside its key and value
+	// maxAnswerParts is how many registers, marks and the like an answer may hold. An empty one is two bytes of it, and takes
+	// a hundred times that once it is decoded.
+	maxAnswerParts = 32 << 10
 	// shortAnswerBytes is how much of each answer is read at any time. Rounds and pushes have no longer ones.
 	shortAnswerBytes = 64 << 10
 	minChunkBytes    = 512
@@ -32,7 +38,11 @@
 	turnPollInterval = 5 * time.Millisecond
 )
 
-var errAnswerSize = errors.New("the answer is too large")
+var (
+	errAnswerSize  = errors.New("the answer is too large")
+	errAnswerParts = errors.New("the answer has too many parts")
+	errAnswerForm  = errors.New("the answer is no message")
+)
 
 // longAnswers lets one long answer at a time be read and decoded.
 //
@@ -89,14 +99,10 @@
 	whole   bool
 }
 
-// read reads an answer of up to so many bytes, of a call that end ends. It must be closed if there is no error.
+// read reads an answer of up to so many bytes, of a call that end ends. It must be closed, also after an error.
 func (l *longAnswers) read(ctx context.Context, end context.CancelFunc, r io.Reader, most int) (*answer, error) {
 	a := &answer{long: l, end: end}
-	if err := a.fill(ctx, r, most); err != nil {
-		_ = a.Close()
-		return nil, err
-	}
-	return a, nil
+	return a, a.fill(ctx, r, most)
 }
 
 // fill reads in chunks that grow with the answer: one that ends with an error is never held twice, as it would be by
@@ -134,6 +140,9 @@
 	return filled, err
 }
 
+// check returns an error if the answer is no message, or one of too many parts.
+func (a *answer) check() error { return checkParts(&answer{chunks: slices.Clone(a.chunks)}) }
+
 // Read implements io.Reader.
 func (a *answer) Read(p []byte) (int, error) {
 	for len(a.chunks) > 0 && len(a.chunks[0]) == 0 {
@@ -159,10 +168,58 @@
 func fitEntries(answer *rpc.ExchangeResponse, entries []Entry) []Entry {
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(len(a.Value), len(b.Value)) })
 	left := maxAnswerBytes - proto.Size(answer)
+	parts := maxAnswerParts - len(answer.Marks) - len(answer.Health) - len(answer.Wanted) - 1 // the digest
 	for i, e := range entries {
-		if left -= len(e.Key) + len(e.Value) + entryBytes; left < 0 {
+		if left -= len(e.Key) + len(e.Value) + entryBytes; left < 0 || i >= parts {
 			return entries[:i]
 		}
 	}
 	return entries
 }
+
+// checkParts returns an error if a message has too many parts, or one that can't be read.
+func checkParts(message io.Reader) error {
+	in := bufio.NewReader(message)
+	for range maxAnswerParts + 1 {
+		tag, err := binary.ReadUvarint(in)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := skipPart(in, protowire.Type(tag&7)); err != nil { //nolint:gosec // three bits
+			return err
+		}
+	}
+	return errAnswerParts
+}
+
+// skipPart skips the value of a part.
+func skipPart(in *bufio.Reader, kind protowire.Type) error {
+	var length uint64
+	var err error
+	switch kind {
+	case protowire.VarintType:
+		_, err = binary.ReadUvarint(in)
+	case protowire.BytesType:
+		length, err = binary.ReadUvarint(in)
+	case protowire.Fixed64Type:
+		length = 8
+	case protowire.Fixed32Type:
+		length = 4
+	default:
+		err = errAnswerForm
+	}
+	if err == nil && length > maxAnswerBytes {
+		err = errAnswerForm
+	}
+	if err != nil {
+		return err
+	}
+	_, err = in.Discard(int(length)) //nolint:gosec // it is checked
+	if errors.Is(err, io.EOF) {
+		err = errAnswerForm
+	}
+	return err
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -78,12 +78,16 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	most := maxAnswerBytes
-	if response.StatusCode != http.StatusOK {
-		most = maxErrorBytes
+	most, ok := maxErrorBytes, response.StatusCode == http.StatusOK
+	if ok {
+		most = maxAnswerBytes
 	}
 	whole, err := t.long.read(ctx, end, response.Body, most)
+	if err == nil && ok {
+		err = whole.check()
+	}
 	if err != nil {
+		_ = whole.Close()
 		return nil, err
 	}
 	out := *response
--- a/peer/endless_test.go
+++ b/peer/endless_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,6 +24,8 @@
 	endlessRead    = 16 << 20
 	endlessMemory  = 10 << 20
 	endlessTime    = 400 * time.Millisecond
+	// emptyParts is how many empty parts an answer has that is well within the limit.
+	emptyParts = 1 << 20
 )
 
 // A peer that sends bytes without end instead of an answer, or stops in the middle of one, took the memory of all that
@@ -58,3 +64,26 @@
 	require.LessOrEqual(t, most, idle+endlessMemory)
 	require.LessOrEqual(t, endless.Largest.Load(), int64(endlessRead+endlessSockets))
 }
+
+// A peer's answer of empty registers took a hundred times its size.
+func TestAnswerOfEmptyPartsTakesBoundedMemory(t *testing.T) {
+	const emptyEntry, emptyHealth, emptyMark, group = "\x12\x00", "\x1a\x00", "\x22\x00", "\x7b\x7c"
+	for name, part := range map[string]string{"entries": emptyEntry, "health": emptyHealth, "marks": emptyMark, "entries behind a group": emptyEntry} {
+		t.Run(name, func(t *testing.T) {
+			body := []byte(strings.Repeat(part, emptyParts))
+			if strings.HasSuffix(name, "behind a group") {
+				body = append([]byte(group), body...)
+			}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // what is left unread would reset the connection
+				w.Header().Set("Content-Type", "application/protobuf")
+				_, _ = w.Write(body) // the test checks what the client read
+			}))
+			t.Cleanup(server.Close)
+			n := node("a", peer.Member{ID: "b", AvailabilityZone: "tartu", Program: peer.Router, Address: server.Listener.Addr().String()})
+			allocated := platformtest.Allocated(t, 1, func(int) { n.FetchHealth(t.Context(), time.Now()) })
+			t.Logf("an answer of %d KiB allocated %d KiB", len(body)>>10, allocated>>10)
+			require.LessOrEqual(t, allocated, uint64(endlessMemory))
+		})
+	}
+}
--- a/peer/long_answer_test.go
+++ b/peer/long_answer_test.go
@@ -22,6 +22,7 @@
 	zoneMembers     = 100
 	groupBytes      = 1 << 10
 	memberBytes     = 200
+	manyRegisters   = 20_000
 	longInterval    = 3 * time.Second
 	endpointBytes   = 400 << 10 // of the list of services
 )
@@ -96,3 +97,15 @@
 	n := requireAll(t, peer.DefaultInterval, 10*time.Second, 1, full)
 	require.Eventually(t, func() bool { _, ok := n.Store.Get("second"); return ok }, 10*time.Second, 5*time.Millisecond)
 }
+
+// Registers that are too many for one answer come with the next ones.
+func TestManyRegistersAreRead(t *testing.T) {
+	full := fullPeer(t, "b", func(n *peer.Node) {
+		fillStore(n)
+		for i := range manyRegisters {
+			n.Store.Apply(peer.Entry{Key: fmt.Sprintf("small/%06d", i), Number: 1})
+		}
+	})
+	n := requireAll(t, peer.DefaultInterval, 10*time.Second, 1, full)
+	require.Eventually(t, func() bool { return len(n.Store.List("small/")) == manyRegisters }, 10*time.Second, 100*time.Millisecond)
+}
