Quarantine: the first node learns of ends although it was slow for one other node

What callers saw: a request that ends workers ended a fourth one, as its trial was granted 0.18 s and 0.45 s after a third end had condemned it.

Cause: a node that passes over the first one of its zone, as that didn't respond to it lately (a reservation that took too long: 0.25 s and more), told only the next one of an end. That one isn't the first in its own eyes, and so told nobody. The first one, which grants trials and tells all others, heard of the end with the next exchange of whole tables, which are a second apart.

Change: the nodes that are passed over are told too, without waiting for them: one call more for each news while a node is passed over.

Ruled out: sameEndTime (the third end was of the same entry as the first, and counted). Left: a first node of another zone that is passed over is told by exchange only; a play of it with two zones of two nodes was never late (two runs before the change).

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"redwinghall/fleet"
 	"redwinghall/gateway"
+	"redwinghall/quarantine"
 )
 
 // FailPart makes a part of a running node fail.
@@ -15,6 +17,17 @@
 	n.group.Go("failing", func(context.Context) error { return err })
 }
 
+// IsFirst reports whether the node is the first of its zone.
+func (n *Node) IsFirst() bool { return n.collectsLoads(time.Now()) }
+
+// MissFirst makes a node believe that the first one of its zone didn't respond to it.
+func (n *Node) MissFirst() { n.noteSilent(time.Now(), n.settings.Zone, n.peers()[0], errMissed) }
+
+var errMissed = errors.New("no response")
+
+// RecordEnd makes a node find that an endpoint's process ended under a request.
+func (n *Node) RecordEnd(s quarantine.Suspect) { n.quarantine.RecordEnd(s) }
+
 // ExceedsConnectionRate returns a function that counts a new connection at a node with that many cores, and reports
 // whether it is one too many.
 func ExceedsConnectionRate(processor float64) func(now time.Time) bool {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -34,6 +34,7 @@
 	// partition stands between the node and all endpoints.
 	partition *link.Partition
 	path      string
+	node      *node.Node // once it is started
 	stop      context.CancelFunc
 	done      chan error
 }
@@ -112,6 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	n := node.NewWithDialer(d.path, settings, d.partition.Dial)
+	d.node = n
 	g := kernel.NewGroup(context.Background())
 	g.Go("node", func(context.Context) error {
 		err := n.Run(ctx)
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -57,7 +57,7 @@
 // continue from. The first node of a zone tells all others of its zone, and the first ones of the other zones;
 // the others of a zone tell the first one.
 func (n *Node) tellQuarantine(ctx context.Context, sent uint64) uint64 {
-	for range quarantineTries {
+	for try := range quarantineTries {
 		now := time.Now()
 		first := n.collectsLoads(now)
 		report, seq := n.quarantine.News(now, sent, !first)
@@ -68,10 +68,15 @@
 			n.spreadQuarantine(now, report)
 			return seq
 		}
-		peer, ok := n.backoff.FirstAvailable(now, n.peers())
-		if !ok {
+		firsts := n.firsts(now)
+		if len(firsts) == 0 {
 			return seq
 		}
+		last := len(firsts) - 1
+		if try == 0 { // a node that was passed over since then has just failed to respond
+			n.tellEach(firsts[:last], report)
+		}
+		peer := firsts[last]
 		_, err := n.neighbors.Quarantine(ctx, peer.Address, n.settings.Node, report, false)
 		if err == nil {
 			return seq
@@ -91,6 +96,26 @@
 			peers = append(slices.Clone(peers), theirs)
 		}
 	}
+	n.tellEach(peers, report)
+}
+
+// firsts returns the nodes that may be the first one of this node's zone, in order: those that this node passes over as they
+// didn't respond lately, and the first one that it doesn't.
+//
+// A node that was slow for a moment is still the first one for all others, and for itself. What only the next one was told would
+// stay there, as that one doesn't tell others, until tables are exchanged.
+func (n *Node) firsts(now time.Time) []relay.Peer {
+	peers := n.peers()
+	first, ok := n.backoff.FirstAvailable(now, peers)
+	if !ok {
+		return nil
+	}
+	i := slices.IndexFunc(peers, func(peer relay.Peer) bool { return peer.Name == first.Name })
+	return peers[:i+1]
+}
+
+// tellEach tells other nodes at the same time, without waiting for them.
+func (n *Node) tellEach(peers []relay.Peer, report quarantine.Report) {
 	for _, peer := range peers {
 		if peer.Name == n.settings.Node {
 			continue
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"redwinghall/node"
 	"redwinghall/platform/platformtest"
+	"redwinghall/quarantine"
 )
 
 // shownPart is a part as a node shows it to operators.
@@ -28,6 +30,14 @@
 	return fmt.Sprintf("http://%s:%d%s", d.settings.IP, node.MetricsPort, node.QuarantinePath)
 }
 
+// suspected returns whether a node shows a part as suspected or quarantined.
+func (d *deployment) suspected(t *testing.T, part string) bool {
+	t.Helper()
+	var parts []shownPart
+	getJSON(t, d.quarantineURL(), &parts)
+	return slices.ContainsFunc(parts, func(one shownPart) bool { return one.Part == part })
+}
+
 // quarantined returns whether a node shows a part as quarantined.
 func (d *deployment) quarantined(t *testing.T, part string) bool {
 	t.Helper()
@@ -79,3 +89,29 @@
 		}, 5*time.Second, 100*time.Millisecond, "a mended worker is used again")
 	}
 }
+
+// The first node of a zone grants trials. Guards against ends of which it isn't told as it was slow for one other node.
+func TestFirstNodeLearnsOfEndsAlthoughItWasSlow(t *testing.T) {
+	t.Parallel()
+	const ends, endPause = 6, 300 * time.Millisecond
+	z := deployZones(t, map[string]int{"a": 4})
+	isFirst := func(d *deployment) bool { return d.node.IsFirst() }
+	first := z.nodes[slices.IndexFunc(z.nodes, isFirst)]
+	other := z.nodes[slices.IndexFunc(z.nodes, func(d *deployment) bool { return !isFirst(d) })]
+	var late []string
+	for i := range ends {
+		part := fmt.Sprint("part-", i)
+		other.node.MissFirst()
+		ended := time.Now()
+		other.node.RecordEnd(quarantine.Suspect{
+			Process: quarantine.Process{Endpoint: "engine-a-0", StartedMillis: int64(i + 1)}, Request: fmt.Sprint("bad-", i), Service: "llm",
+			Parts: []string{part}, At: ended,
+		})
+		require.Eventually(t, func() bool { return first.suspected(t, part) }, 5*time.Second, 5*time.Millisecond)
+		if took := time.Since(ended); took > quarantineTime {
+			late = append(late, fmt.Sprintf("%s after %s", part, took.Round(time.Millisecond)))
+		}
+		time.Sleep(endPause)
+	}
+	require.Empty(t, late, "of %d ends", ends)
+}
