Quarantine: an end counts although the next process's entry is read while its predecessor is asked for

What callers saw: a request that ends workers ended a fourth one. The end before it was found by nobody, so its trial told nothing and the next one was granted 5 ms later.

Cause: an endpoint that starts again gets requests before its new entry is read. If one ends it, the node asks after the process of the entry it knows, and records the end of that process. If the new entry was read between the two, the end was recorded of neither: not of the earlier process, as the entry is of another one by then, and not of the one that had the request.

TestEndOfAProcessWhoseEntryIsReadLateCounts before: its two cases of a process that has ended failed (streams and calls), those of one that runs passed.

Change: if a later entry is known once the question was answered by "gone" or by nobody, its process is asked after too, and the end is its own.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,6 +51,8 @@
 	gone sync.Map
 	// presences holds what is found of other endpoints than sound ones.
 	presences sync.Map
+	// asked is called before an endpoint is asked whether it still runs; nil for nothing. It must be set before requests are sent.
+	asked func(e *fleet.Endpoint)
 	// client asks the endpoints themselves; nil for presences. It must be set before requests are sent.
 	client *platform.EndpointClient
 	// other is another node's client; nil if no other node reaches the endpoints. It must be set before requests are sent.
@@ -160,6 +162,9 @@
 }
 
 func (s *fixture) presence(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
+	if s.asked != nil {
+		s.asked(e)
+	}
 	if s.client != nil {
 		return s.client.Presence(ctx, e, timeout)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -235,9 +235,8 @@
 	if redwinghall.KindOf[Kind](err) != Unknown || ctx.Err() != nil {
 		return
 	}
-	e = c.g.latestEntry(e)
-	found := c.g.presenceAfter(ctx, e, err)
-	gate.recordPresence(time.Now(), e, found)
+	latest, found := c.g.presenceAfter(ctx, e, err)
+	gate.recordPresence(time.Now(), latest, found)
 }
 
 // sendMode returns how the next attempt is sent. One that may not be repeated isn't written to
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -33,15 +33,23 @@
 	return e
 }
 
-// presenceAfter finds out with one question whether an endpoint's process still runs after its response broke off with err.
-// A caller that has waited in vain for the proof of an end doesn't wait once more.
-func (g *Gateway) presenceAfter(ctx context.Context, e *fleet.Endpoint, err error) fleet.Presence {
+// presenceAfter finds out whether the process that had a request still runs after its response broke off with err. It returns
+// that process's entry too, which may be later than the one by which the request was sent.
+//
+// The entry of a process that started before the request came may be read while its predecessor is asked for. It is then
+// asked for itself: else the end of neither would count. A caller that has waited in vain for the proof of an end doesn't
+// wait once more.
+func (g *Gateway) presenceAfter(ctx context.Context, e *fleet.Endpoint, err error) (*fleet.Endpoint, fleet.Presence) {
+	latest := g.latestEntry(e)
 	if errors.Is(err, errUnprovenEnd) {
-		return fleet.PresenceUnknown
+		return latest, fleet.PresenceUnknown
+	}
+	found := g.askOnce(ctx, latest, firstQuestion)
+	if next := g.latestEntry(latest); next != latest && (found == fleet.PresenceGone || found == fleet.PresenceUnknown) {
+		latest, found = next, g.askOnce(ctx, next, firstQuestion)
 	}
-	found := g.askOnce(ctx, e, firstQuestion)
 	g.Metrics.BrokenOff(found)
-	return found
+	return latest, found
 }
 
 func (g *Gateway) askOnce(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -67,6 +67,36 @@
 	}
 }
 
+// The next process has ended under a request that was sent by the earlier entry, and its entry is read while it is asked for.
+func TestEndOfAProcessWhoseEntryIsReadLateCounts(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"a stream": "/stream/", "a call": "/book/"} {
+		for end, next := range map[string]struct {
+			runs      fleet.Presence
+			suspected bool
+		}{"it has ended": {fleet.PresenceGone, true}, "it runs": {fleet.PresenceAlive, false}} {
+			t.Run(name+", "+end, func(t *testing.T) {
+				t.Parallel()
+				s := newFixture(t)
+				s.presences.Store("e1", fleet.PresenceGone)
+				s.asked = func(e *fleet.Endpoint) {
+					if e.StartedMillis != 0 {
+						s.presences.Store("e1", next.runs)
+						return
+					}
+					later := *e
+					later.StartedMillis = laterStart
+					s.cache.Apply(time.Now(), directory.Change{Endpoint: &later})
+				}
+				service := map[bool]string{true: "llm", false: "desk"}[path == "/stream/"]
+				s.endpoint("e1", service, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+				require.Equal(t, http.StatusBadGateway, s.do(s.request(http.MethodPost, path)).status)
+				require.Equal(t, next.suspected, s.quarantine.IsSuspecting())
+			})
+		}
+	}
+}
+
 // A process that ended under a request starts again, and is slow: its end must be found, or the part goes on to the next one.
 func TestEndIsFoundThoughTheNextProcessIsSlow(t *testing.T) {
 	t.Parallel()
--- a/gateway/stream_run.go
+++ b/gateway/stream_run.go
@@ -166,8 +166,8 @@
 	switch {
 	case unknown && run.ctx.Err() == nil:
 		c.g.recordBroken(now, choice.Endpoint, last.response)
-		latest := c.g.latestEntry(choice.Endpoint)
-		presence = c.g.presenceAfter(run.ctx, latest, last.err)
+		var latest *fleet.Endpoint
+		latest, presence = c.g.presenceAfter(run.ctx, choice.Endpoint, last.err)
 		if !run.gate.proven {
 			run.gate.recordPresence(now, latest, presence)
 		}
