Relay: in a zone of more than 40 nodes some nodes pass on what they read from its reader

Cause: all nodes of a zone read the endpoints' table from one node. While the groups of 3,000 endpoints form, some 2,900 entries change a second, 35 bytes each once they are packed, and each goes to 74 nodes: 7.5 MB/s. A small VM's link carries 2.5 MB/s. So the nodes wait for their answers longer than for a lost reader, read page after page from the store and ask other readers in between, whose copies are as old. The position of a node that is behind by thousands of rows then lags for seconds. Packing isn't the bottleneck: one packed result serves nearly all nodes (two to six in a second for some 300 answers).

What callers saw: requests to an endpoint seconds after it had said that it leaves.

Mend: in a zone of more than 40 nodes, the square root of their number, next in the order behind the reader, read from it, and each of the others reads from one of these. For 75 nodes the reader and each relay tell at most nine. A node skips a relay that fails as it skips a reader. The age adds up: relays wait only while their copy can't go stale, and the reader lets the store confirm a quiet table 0.3 s earlier, so that staleAfter holds for all. Zones of up to 40 nodes read as before.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -37,13 +39,53 @@
 	if len(peers) <= maxDirectReaders {
 		return Peer{}, false
 	}
-	peer, ok := s.backoff.FirstAvailable(now, leaderFirst(RankPeers(peers, Reader), s.config.Leader()))
+	peer, ok := s.backoff.FirstAvailable(now, s.readers(peers))
 	if peer.Name == s.config.Self {
 		return Peer{}, false
 	}
 	return peer, ok
 }
 
+// readers returns the nodes from which this one reads, in order of preference.
+//
+// The answers to all nodes of a large zone would take more of its reader's network link than a small VM has. So the
+// nodes that are next in the order, some relays, read from it, and the other nodes from one of these each.
+func (s *Source) readers(peers []Peer) []Peer {
+	ranked := leaderFirst(RankPeers(peers, Reader), s.config.Leader())
+	relays, self := relayCount(len(peers)), s.place(ranked)
+	if self <= relays || relays == 0 {
+		return ranked
+	}
+	first := 1 + self%relays
+	return slices.Concat(ranked[first:1+relays], ranked[1:first], ranked[:1], ranked[1+relays:])
+}
+
+// place returns the place of this node in an order, -1 if it isn't in it.
+func (s *Source) place(ranked []Peer) int {
+	return slices.IndexFunc(ranked, func(p Peer) bool { return p.Name == s.config.Self })
+}
+
+// relayCount returns how many nodes of a zone pass on what they read from its reader. The reader and each of them
+// have about as many nodes to tell.
+func relayCount(nodes int) int {
+	if nodes <= maxWithoutRelays {
+		return 0
+	}
+	return int(math.Sqrt(float64(nodes)))
+}
+
+// peerWait returns how long a call for changes may wait at another node.
+//
+// Nodes that read from this one need a copy that isn't stale, and what it reads is as old as the reader's copy.
+func (s *Source) peerWait(now time.Time, table string, wait time.Duration) time.Duration {
+	peers := s.config.Peers()
+	relays := relayCount(len(peers))
+	if relays == 0 || s.place(leaderFirst(RankPeers(peers, Reader), s.config.Leader())) > relays {
+		return min(wait, peerWait)
+	}
+	return max(0, min(wait, peerWait, confirmAfter-s.Mirror(table).age(now)))
+}
+
 // fallbackPeer returns a node to call when this node cannot reach the store: one of
 // this zone if possible, else one of another zone, and never the one that was asked already.
 func (s *Source) fallbackPeer(now time.Time, asked string) (Peer, bool) {
--- a/relay/source.go
+++ b/relay/source.go
@@ -22,6 +22,10 @@
 	// Up to it, every node reads the store itself: those calls cost less than the failure
 	// of a reader would cost the other nodes.
 	maxDirectReaders = 3
+	// maxWithoutRelays is the largest number of nodes of a zone that all read from its reader.
+	maxWithoutRelays = 40
+	// relayTime is how much older the copy of a relay may be than that of the zone's reader.
+	relayTime = 300 * time.Millisecond
 	// staleAfter is the age from which changes read from another node are rejected. Without
 	// the limit, a reader that lost its connection to the store would keep the others from
 	// rows that they could read themselves, and new configurations would apply late.
@@ -89,7 +93,7 @@
 // effects of its orders. After it come the zone's other nodes in the order of RankPeers. A
 // node skips a reader that doesn't respond or returns stale rows, so the next one takes
 // its place. Each node keeps the rows that it received, so as a reader it continues from
-// their position.
+// their position. In a large zone, some nodes pass on to the others what they read from the reader.
 //
 // The reads of the store thus grow with the number of zones, not of nodes.
 type Source struct {
@@ -232,7 +236,7 @@
 // Changes implements fleet.Store.
 func (s *Source) Changes(ctx context.Context, table string, after fleet.Position, wait time.Duration) (fleet.Rows, error) {
 	changes := func(peer Peer) (Answer, error) {
-		return waitTwice(ctx, targetPeer, table, min(wait, peerWait), func(ctx context.Context, wait time.Duration) (Answer, error) {
+		return waitTwice(ctx, targetPeer, table, s.peerWait(time.Now(), table, wait), func(ctx context.Context, wait time.Duration) (Answer, error) {
 			return s.config.PeerClient.Changes(ctx, peer.Address, table, after, wait)
 		})
 	}
@@ -382,8 +386,13 @@
 // become stale whenever a change came early in an interval and none followed, and all nodes
 // of the zone would read the store themselves at that moment.
 func (s *Source) limitWait(now time.Time, table string, wait time.Duration) time.Duration {
-	if len(s.config.Peers()) <= maxDirectReaders {
+	nodes := len(s.config.Peers())
+	if nodes <= maxDirectReaders {
 		return wait
 	}
-	return max(0, min(wait, readerWait, confirmAfter-s.Mirror(table).age(now)))
+	confirm := confirmAfter
+	if relayCount(nodes) > 0 {
+		confirm -= relayTime
+	}
+	return max(0, min(wait, readerWait, confirm-s.Mirror(table).age(now)))
 }
