Tests: an endpoint leaves, and the store falls silent, once the nodes know another group

Traced: it waits for the first open group, and makes the store silent at once. The order to open the second group of the zone had been given, its entry wasn't read yet, and nothing can be formed or learned without the store (the holder's next orders on it: may_open_late); 4,064 refusals of that time name no_endpoint. So the only group that was known left, and no other endpoint could serve. The test now waits until each node knows more than one group that serves; what it asks is the same, and it fails if that doesn't come.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -25,6 +25,16 @@
 
 var errMissed = errors.New("no response")
 
+// Serving returns how many endpoints of a service the node knows to serve.
+func (n *Node) Serving(service string) (count int) {
+	for _, e := range n.cache.View().ByService[service] {
+		if e.Serves() {
+			count++
+		}
+	}
+	return count
+}
+
 // RecordEnd makes a node find that an endpoint's process ended under a request.
 func (n *Node) RecordEnd(s quarantine.Suspect) { n.quarantine.RecordEnd(s) }
 
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -33,6 +33,7 @@
 				t.Parallel()
 				z := deployZones(t, nodes)
 				leaves := z.serving(t, path)
+				z.awaitOthers(t)
 				z.nodes[0].store.SetFaults(faults)
 				leaves.AnnounceLeaving()
 				begun := time.Now()
@@ -46,3 +47,11 @@
 		}
 	})
 }
+
+// awaitOthers waits until each node knows more than one group that serves: without the store no further ones are formed.
+func (z *zonedDeployment) awaitOthers(t *testing.T) {
+	t.Helper()
+	for _, d := range z.nodes {
+		require.Eventually(t, func() bool { return d.node.Serving("llm") > 1 }, 20*time.Second, 20*time.Millisecond, d.settings.Node)
+	}
+}
