--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -20,7 +20,7 @@
 type Budget interface {
 	// Take reports whether n more bytes may be held, and counts them if so.
 	Take(n int64) bool
-	// GiveBack ends the holding of n bytes.
+	// GiveBack releases n bytes that were held.
 	GiveBack(n int64)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -53,7 +53,7 @@
 	// body is complete. It must be closed by release.
 	unread  io.Reader
 	release func()
-	// giveBack ends the holding of body; nil if nothing is held.
+	// giveBack releases the memory of body; nil if none is held.
 	giveBack func()
 }
 
--- a/heldmemory/byte_budget.go
+++ b/heldmemory/byte_budget.go
@@ -17,7 +17,7 @@
 	return false
 }
 
-// GiveBack ends the holding of n bytes.
+// GiveBack releases n bytes that were held.
 func (b *Budget) GiveBack(n int64) { b.used.Add(-n) }
 
 // Used returns how many bytes are held.
--- a/heldmemory/held_memory.go
+++ b/heldmemory/held_memory.go
@@ -119,7 +119,7 @@
 	return true
 }
 
-// GiveBack ends the holding of n bytes.
+// GiveBack releases n bytes that were held.
 func (m *Share) GiveBack(kind Kind, n int64) {
 	if m.all != nil && n > 0 {
 		m.held[kind].Add(-n)
@@ -127,10 +127,10 @@
 	}
 }
 
-// GiveBackAll ends the holding of all bytes of a kind.
+// GiveBackAll releases all bytes of a kind.
 func (m *Share) GiveBackAll(kind Kind) { m.GiveBack(kind, m.held[kind].Load()) }
 
-// Release ends the holding of everything.
+// Release releases everything.
 func (m *Share) Release() {
 	for kind := range Kinds {
 		m.GiveBackAll(kind)
