--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 top=$(cd "$here/../.." && pwd)
 cd "$top" || exit 2
 [ -x target/node ] && [ -x target/rig2 ] || { echo "build the deploy file and review/build-2.sh first" >&2; exit 2; }
-exec target/rig2 last-route "$top" "$here/record.txt"
+exec target/rig2 held-bytes "$top" "$here/record.txt"
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -1,4 +1,4 @@
-// Command rig3 runs the cases of the review that are scripts. It is built by review/build-3.sh with the standard library only.
+// Command rig3 runs the cases of the review that are scripts. It is built by review/build-2.sh with the standard library only.
 //
 // Usage: rig3 CASE FOLDER. TROUBLE=0 leaves the disruption out. Exit codes: 0 the rule held, 1 it was broken, 2 the case
 // couldn't run.
