--- a/review/rig3/node.go
+++ b/review/rig3/node.go
@@ -147,6 +147,19 @@
 	return n.cmd.Start()
 }
 
+// Restart kills the process and starts it again, as a deployment that was started before.
+func (n *Node) Restart(program string) error {
+	n.End()
+	text, err := os.ReadFile(n.settings)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(n.settings, []byte(strings.Replace(string(text), "first_start=true", "first_start=false", 1)), 0o600); err != nil {
+		return err
+	}
+	return n.start(program)
+}
+
 // Await waits until the node answers its readiness check with 200.
 func (n *Node) Await(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -94,8 +94,8 @@
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("limit"))
-	if err != nil || limit > 500 || limit <= 0 {
-		limit = 500
+	if err != nil || limit > maxRows || limit <= 0 {
+		limit = maxRows
 	}
 	s.mu.Lock()
 	a := rowsAnswer{Version: s.version}
@@ -106,9 +106,7 @@
 	}
 	s.mu.Unlock()
 	sort.Slice(a.Rows, func(i, j int) bool { return a.Rows[i].Key < a.Rows[j].Key })
-	if len(a.Rows) > limit {
-		a.Rows, a.HasMore = a.Rows[:limit], true
-	}
+	a.Rows, a.HasMore = page(a.Rows, limit)
 	s.answer(w, http.StatusOK, a)
 }
 
@@ -133,6 +131,9 @@
 		s.mu.Unlock()
 		sort.Slice(a.Rows, func(i, j int) bool { return a.Rows[i].Version < a.Rows[j].Version })
 		if len(a.Rows) > 0 {
+			if a.Rows, a.HasMore = page(a.Rows, maxRows); a.HasMore {
+				a.Version = a.Rows[len(a.Rows)-1].Version
+			}
 			s.answer(w, http.StatusOK, a)
 			return
 		}
@@ -190,3 +191,29 @@
 	s.notify()
 	s.answer(w, http.StatusOK, rowsAnswer{Version: s.version})
 }
+
+// An answer has at most maxRows rows or maxBytes.
+const (
+	maxRows  = 500
+	maxBytes = 1 << 20
+)
+
+// page returns the first rows that an answer holds, and whether there are more.
+func page(rows []row, limit int) ([]row, bool) {
+	size := 0
+	for i, one := range rows {
+		if size += len(one.Value) + len(one.Key); i > 0 && (i == limit || size > maxBytes) {
+			return rows[:i], true
+		}
+	}
+	return rows, false
+}
+
+// PutBytes writes a row whose value may be anything.
+func (s *Store) PutBytes(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[[2]string{table, key}] = &row{Table: table, Key: key, Value: value, Version: s.version}
+	s.notify()
+}
