Connections of clients and their heads are bounded by the VM's descriptors and memory

What callers saw: before clients that don't keep to the limits a node's process took more memory than its VM has, and ended, with every request on it; or all its descriptors were in use, so that ordinary callers waited, and connections to endpoints, the store and other nodes could not be opened.

Cause: net/http reads and holds a head before any handler runs, and heldmemory counts a request only from there on. A field of 3 to 5 bytes takes some 100 once it is parsed, so 64 KiB are 1 MB and more; the ports for readiness, metrics and nodes took net/http's 1 MiB. limits.file_descriptors was read and used nowhere. Class: what a client may make the process hold was counted from the moment of acceptance, and not from that of arrival.

Ruled out: empty lines, chunk extensions, trailers (net/http ends those itself).

Change: clienthttp, between the listeners and net/http. It counts the connections of each listener and what all heads take (bytes twice, as a line is copied while it grows, and 160 bytes a field), beyond 6 KiB a head, so that usual requests find room beside any others. Where there is too much, whoever makes least progress is closed: long heads, idle connections, slow bodies, unread answers, then heads and bodies that have had 0.1 s; of heads the one that takes most. A request that was read whole is kept; one whose connection was closed so is dropped before the handler, and its body doesn't end, so nothing of it is sent.

Why it holds: everything that a client can make net/http hold before a handler runs is counted as its bytes are read, and what would be too much isn't handed to net/http: the read waits until there is room. A head that waits or comes for over a second is closed for it, and stays counted until net/http has given it up. The cost of a head stays counted until its request has its answer, as its map does.

--- a/kernel/listener.go
+++ b/kernel/listener.go
@@ -89,6 +89,9 @@
 	return c.SetReadDeadline(deadline)
 }
 
+// NetConn returns the connection without this one's deadlines.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	socket, ok := c.Conn.(syscall.Conn)
--- a/node/last_moment.go
+++ b/node/last_moment.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/clienthttp"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
 )
@@ -63,14 +64,15 @@
 }
 
 // serve runs a server until close. requests is the parent of the contexts of its requests.
-func (l *lastMoment) serve(requests context.Context, g *kernel.Group, server *http.Server) (*kernel.ReopenedListener, error) {
+func (l *lastMoment) serve(requests context.Context, g *kernel.Group, server *http.Server, guard *clienthttp.Guard) (*kernel.ReopenedListener, error) {
 	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
 		return nil, err
 	}
 	server.BaseContext = func(net.Listener) context.Context { return requests }
 	l.servers = append(l.servers, server)
-	g.Accept("serve "+server.Addr, server, listener)
+	guard.Protect(server)
+	g.Accept("serve "+server.Addr, server, guard.Listen(listener))
 	return listener, nil
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -9,6 +9,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"redwinghall/clienthttp"
 	"redwinghall/kernel"
 	"redwinghall/platform"
 )
@@ -20,6 +21,7 @@
 	callerHeaderTimeout   = 20 * time.Second
 	maxHeaderBytes        = 64 << 10
 	internalHeaderTimeout = 5 * time.Second
+	maxStatusHeaderBytes  = 16 << 10
 	// idleSweep is how often idle connections are checked. idleSlack is added to the
 	// configured idle timeout, so that a caller that reuses a connection within the
 	// timeout never finds it closed.
@@ -37,23 +39,28 @@
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: n.conns.connState, ConnContext: n.conns.connContext,
 	}
-	readiness := &http.Server{Addr: n.settings.ReadinessAddress, Handler: newInternalHandler(n.statusRoutes()), ReadHeaderTimeout: internalHeaderTimeout}
+	readiness := &http.Server{
+		Addr: n.settings.ReadinessAddress, Handler: newInternalHandler(n.statusRoutes()), ReadHeaderTimeout: internalHeaderTimeout,
+		MaxHeaderBytes: maxStatusHeaderBytes,
+	}
 	metricsServer := &http.Server{
 		Addr:    net.JoinHostPort(n.settings.IP, strconv.Itoa(MetricsPort)),
 		Handler: newInternalHandler(n.operatorRoutes()), ReadHeaderTimeout: internalHeaderTimeout,
+		MaxHeaderBytes: maxStatusHeaderBytes,
 	}
-	listener, err := n.last.serve(n.last.requests, g, callers)
+	listener, err := n.last.serve(n.last.requests, g, callers, n.guards.callers)
 	if err != nil {
 		return err
 	}
 	n.callers = listener
-	if _, err := n.last.serve(n.last.forwarded, g, n.neighborServer()); err != nil {
+	if _, err := n.last.serve(n.last.forwarded, g, n.neighborServer(), n.guards.neighbors); err != nil {
 		return err
 	}
-	for _, server := range []*http.Server{readiness, metricsServer} {
-		if err := serve(g, server); err != nil {
-			return err
-		}
+	if err := serve(g, readiness, n.guards.readiness); err != nil {
+		return err
+	}
+	if err := serve(g, metricsServer, n.guards.metrics); err != nil {
+		return err
 	}
 	g.Every("idle_connections", idleSweep, func(_ context.Context, now time.Time) {
 		if config := n.cache.View().Config(); config != nil && config.Limits.IdleTimeout > 0 {
@@ -86,11 +93,12 @@
 }
 
 // serve runs a server until the group stops.
-func serve(g *kernel.Group, server *http.Server) error {
+func serve(g *kernel.Group, server *http.Server, guard *clienthttp.Guard) error {
 	listener, err := kernel.Listen(func() (net.Listener, error) { return net.Listen("tcp", server.Addr) })
 	if err != nil {
 		return err
 	}
-	g.Serve("serve "+server.Addr, server, listener)
+	guard.Protect(server)
+	g.Serve("serve "+server.Addr, server, guard.Listen(listener))
 	return nil
 }
--- a/node/memory.go
+++ b/node/memory.go
@@ -69,6 +69,9 @@
 	} {
 		n.metrics.SetGauge(name, value)
 	}
+	for name, value := range n.guards.gauges() {
+		n.metrics.SetGauge(name, value)
+	}
 	held, limit := n.gateway.HeldMemory()
 	n.metrics.SetGauge("memory.held_limit", limit)
 	for kind, bytes := range held {
--- a/node/neighbors.go
+++ b/node/neighbors.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"redwinghall/clienthttp"
 	"redwinghall/kernel"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
@@ -66,9 +67,10 @@
 		Lend: n.lendRoom,
 	})
 	return &http.Server{
-		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout,
+		Addr: n.internalAddress(), ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		Handler: newInternalHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if neighbor.IsForwarded(r) {
+				clienthttp.Sent(r.Context())
 				n.gateway.ServeForwarded(w, r)
 				return
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 
 	"redwinghall/admission"
 	"redwinghall/balance"
+	"redwinghall/clienthttp"
 	"redwinghall/dial"
 	"redwinghall/directory"
 	"redwinghall/endpointhttp"
@@ -81,6 +82,7 @@
 	group          *kernel.Group
 	stopping       atomic.Pointer[gateway.Stop] // nil unless a planned stop is under way
 	conns          *connections
+	guards         guards
 	// newConnections tells which new connections are more than the processor can serve.
 	newConnections *connectionRate
 	rosters        rosterCache
@@ -129,6 +131,7 @@
 	n.answers = answering{conns: n.conns, pace: newAnswerPace(s.Processor)}
 	n.newConnections = newConnectionRate(s.Processor)
 	n.conns.leavesUnread = n.leavesUnread
+	n.guards = newGuards(s)
 	n.current.Store(&s)
 	n.table = members.NewTable(members.Config{
 		Self:  members.Node{Name: s.Node, Zone: s.Zone, Address: n.internalAddress(), Capacity: capacityOf(s)},
@@ -163,7 +166,10 @@
 		Quarantine: n.quarantine, Trials: trialGranter{n}, QuarantineKnown: n.quarantineKnown,
 		Stopping: n.plannedStop,
 		Ended:    n.ended,
-		Sending:  func(request context.Context) { connectionOf(request).reach(requestSent) },
+		Sending: func(request context.Context) {
+			connectionOf(request).reach(requestSent)
+			clienthttp.Sent(request)
+		},
 	})
 	n.follower = directory.NewFollower(n.source, n.cache, n.manager.Pending).WithKnown(n.table.Known())
 	return n
