Answers without a length: a reset during the upload is no end

Cause: a socket tells of a reset once. The write that is in progress gets ECONNRESET, and the read finds a plain end then. The gateway asks whether the endpoint's process lives, which it does; that says nothing of a connection that was reset. With 1 MiB the sockets hold the whole upload, so that the read gets the error. Class: the end of a connection was taken from the read alone.

Change: httpanswer.TrueEnds, around each dial. The end that a read finds is an end if the kernel says that the other side has ended the connection (CLOSE_WAIT), or if no write has failed; the write that is in progress is waited for (it returns at once on a connection that was reset). It is one, too, if the first write failed with EPIPE: Linux gives that for a reset behind an end in order, and ECONNRESET for one without. Otherwise the read returns ECONNRESET. If nothing tells (the write goes on for 50 ms, and the kernel names no state), it counts as reset: not knowing isn't whole.

Why it holds: the body of such an answer now ends with an error, so the ways that exist for a broken answer follow: a look-up and a resumable stream run again, a booking gets 502, what has begun is aborted; also at the node that forwards.

The same cause wherever answers are read: connections to other nodes (calls, forwarded requests), the store, orders, reports and questions to endpoints, and the older stack (caller, peer, endpoint, tablehttp) are opened so now.

--- a/caller/once.go
+++ b/caller/once.go
@@ -14,6 +14,7 @@
 	"redwinghall"
 	"redwinghall/claim"
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 	"redwinghall/route"
 )
 
@@ -133,7 +134,7 @@
 // the request body cannot be rewound.
 func sendOnce(ctx context.Context, conn net.Conn, r *request) (redwinghall.Response, error) {
 	unused := conn
-	transport := &http.Transport{
+	transport := httpanswer.New(&http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 
@@ -146,7 +147,7 @@
 			unused = nil
 			return c, nil
 		},
-	}
+	})
 	defer func() { _ = conn.Close() }()
 	out, err := serviceRequest(ctx, conn.RemoteAddr().String(), r)
 	if err != nil {
--- a/caller/server.go
+++ b/caller/server.go
@@ -10,6 +10,7 @@
 	"redwinghall"
 	"redwinghall/claim"
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 	"redwinghall/kernel"
 	"redwinghall/route"
 )
@@ -69,7 +70,7 @@
 	keeper   *claim.Keeper
 	metrics  *Metrics
 	budget   *Budget
-	streams  *http.Transport
+	streams  *httpanswer.Transport
 	calls    *kernel.Group // service calls, which may continue after the caller disconnects
 
 	inProgress atomic.Int64
@@ -92,14 +93,14 @@
 		config: config, selector: selector, keeper: keeper, calls: calls,
 		metrics: NewMetrics(),
 		budget:  NewBudget(config.RetryPercent),
-		streams: &http.Transport{
+		streams: httpanswer.New(&http.Transport{
 			DialContext:         dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout),
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		}),
 	}
 }
 
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -16,6 +16,7 @@
 
 	"redwinghall"
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 	"redwinghall/kernel"
 )
 
@@ -56,14 +57,14 @@
 func NewClient(timeout time.Duration) *Client {
 	return &Client{
 		Timeout: timeout,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpanswer.New(&http.Transport{
 			DialContext:         dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout),
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     10 * time.Second,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		})},
 	}
 }
 
--- a/endpointhttp/upstream.go
+++ b/endpointhttp/upstream.go
@@ -21,6 +21,7 @@
 	"redwinghall"
 	"redwinghall/dial"
 	"redwinghall/fleet"
+	"redwinghall/httpanswer"
 	"redwinghall/platform"
 )
 
@@ -97,7 +98,7 @@
 func newEndpointTransport(open dial.Func, addresses *addresses) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := open(ctx, network, address)
+			conn, err := httpanswer.TrueEnds(open)(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/neighbor/answers.go
+++ b/neighbor/answers.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"redwinghall/httpanswer"
 )
 
 // answeringTransport records when peers last answered, and closes the idle connections
@@ -21,7 +23,7 @@
 	answered map[string]time.Time // by the peer's address
 }
 
-func newAnsweringTransport(t *http.Transport) *answeringTransport {
+func newAnsweringTransport(t *httpanswer.Transport) *answeringTransport {
 	return &answeringTransport{idleTransport: idleTransport{t}, answered: map[string]time.Time{}}
 }
 
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -14,6 +14,7 @@
 	"redwinghall/balance"
 	"redwinghall/dial"
 	"redwinghall/fleet"
+	"redwinghall/httpanswer"
 	"redwinghall/kernel"
 	"redwinghall/neighbor/rpc"
 	"redwinghall/relay"
@@ -47,9 +48,9 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: sizedTransport{&bodyMemory{limit: maxAnswers}, newAnsweringTransport(&http.Transport{
+	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: sizedTransport{&bodyMemory{limit: maxAnswers}, newAnsweringTransport(httpanswer.New(&http.Transport{
 		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
-	})}}}
+	}))}}}
 }
 
 func (c *Client) clientFor(address string) rpc.Neighbor {
--- a/neighbor/forward.go
+++ b/neighbor/forward.go
@@ -9,6 +9,7 @@
 
 	"redwinghall"
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 )
 
 // ForwardKind is the kind of a call that one node makes to an endpoint for another node.
@@ -153,14 +154,14 @@
 // ForwardClient makes calls to endpoints by way of other nodes. Each call has a connection of
 // its own: whether a request left on one that was open before would be unknown if it breaks.
 type ForwardClient struct {
-	transport *http.Transport
+	transport *httpanswer.Transport
 }
 
 // NewForwardClient returns a client.
 func NewForwardClient() *ForwardClient {
-	return &ForwardClient{transport: &http.Transport{
+	return &ForwardClient{transport: httpanswer.New(&http.Transport{
 		DialContext: dialWithKeepAlive(forwardDialTimeout), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
 
 // Send makes a call by way of the node at an address. The request's URL, host, headers and body
--- a/neighbor/progress.go
+++ b/neighbor/progress.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"redwinghall/httpanswer"
 	"redwinghall/kernel"
 )
 
@@ -19,7 +20,7 @@
 type idleTimerKey struct{}
 
 // idleTransport shows the bytes of responses to the idle timers of their calls.
-type idleTransport struct{ *http.Transport }
+type idleTransport struct{ *httpanswer.Transport }
 
 // RoundTrip implements http.RoundTripper.
 func (t idleTransport) RoundTrip(request *http.Request) (*http.Response, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 )
 
 // Traffic counts the bytes sent and received on the connections of the
@@ -42,7 +43,7 @@
 
 func newClient(traffic *Traffic, token string) *http.Client {
 	open := dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout)
-	transport := &http.Transport{
+	transport := httpanswer.New(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := open(ctx, network, address)
 			if err != nil {
@@ -55,14 +56,14 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 	return &http.Client{Transport: tokenTransport{next: transport, token: token, long: &longAnswers{}}}
 }
 
 // tokenTransport adds the peer token to each request. It reads answers whole, and ends those that are too large with an
 // error.
 type tokenTransport struct {
-	next  *http.Transport
+	next  *httpanswer.Transport
 	token string
 	long  *longAnswers
 }
--- a/tablehttp/platform.go
+++ b/tablehttp/platform.go
@@ -15,6 +15,7 @@
 
 	"redwinghall"
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 	"redwinghall/kernel"
 )
 
@@ -74,13 +75,13 @@
 	return &Client{
 		base:    (&url.URL{Scheme: "http", Host: address}).String(),
 		Timeout: defaultTimeout,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpanswer.New(&http.Transport{
 			DialContext:         dial.WithTimeout(new(net.Dialer).DialContext, dialTimeout),
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     10 * time.Second,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		})},
 	}
 }
 
