Bytes that are no answer: status 000, and names with a blank or a control byte

What callers saw (MIXED): a worker in trouble sent an answer whose status was 000, or in whose head the name of a field held a blank or a control byte. Callers got it as an answer, with that line dropped, or with a body that was not the worker's ("Content-Length : 2" and "Transfer-Encoding : chunked" are no framing to net/http). With 000 and 099 they got nothing at all here: WriteHeader panics on such a status, and the connection ended.

Cause, and its class: what net/http lets through was taken for an answer. It takes any three digits for a status, keeps a name with a blank as it stands, in heads, informational heads and trailers, and reads HTTP/2.0 in a status line.

What net/http refuses itself (control bytes in names and values, a tab behind a name) held before.

Change: httpanswer.Accept: version 1, a status of 200 to 599, names that are tokens, in the head, in the heads before it and in the trailer. Where that isn't so, nobody knows where the bytes end, so the connection is closed at once and never used again, also where net/http has put it back already. On a kept connection on which such bytes came before anything of the request was written, it isn't sent, as before. All that reads answers goes through it: endpoints (requests, questions, orders, reports), nodes, the store, the older stack, the operator's command line.

Ruled out as a place: endpointhttp's own reading of Not-Executed and Retry-After, which follows the check.

httptrace drops what a hook returns if the context has another one, so the error of an informational head is kept beside it.

--- a/endpointhttp/earlier_connection.go
+++ b/endpointhttp/earlier_connection.go
@@ -10,6 +10,7 @@
 
 	"redwinghall/dial"
 	"redwinghall/fleet"
+	"redwinghall/httpanswer"
 	"redwinghall/platform"
 )
 
@@ -35,7 +36,7 @@
 func (t askedOnce) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Close = true
-	return t.transport.RoundTrip(r)
+	return httpanswer.Over(t.transport).RoundTrip(r)
 }
 
 // AskEarlier asks an endpoint over an idle connection that was open as a request was sent. The process that got the request had
--- a/endpointhttp/upstream.go
+++ b/endpointhttp/upstream.go
@@ -244,12 +244,14 @@
 	var sentAt time.Time
 	reused := false
 	informational := 0
+	var badInformational error
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error {
 			if informational++; informational > maxInformational {
 				return errInformational
 			}
-			return nil
+			badInformational = errors.Join(badInformational, httpanswer.CheckInformational(head))
+			return badInformational
 		},
 		GotConn: func(info httptrace.GotConnInfo) {
 			sentAt, reused = time.Now(), info.Reused
@@ -278,7 +280,7 @@
 		}
 		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
 	}
-	return conn.answer(response, in, before, sentAt)
+	return conn.answer(response, badInformational, in, before, sentAt)
 }
 
 // unsentError returns the error of a request that wasn't written. On a reused connection that means that bytes came, or its end.
@@ -290,15 +292,21 @@
 }
 
 // answer returns the response to a request that was sent at a time on a connection, before which so many bytes were written.
-// c may be nil.
-func (c *countingConn) answer(response *http.Response, in *Request, before int64, sentAt time.Time) (*Response, error) {
+// informational is what is wrong with the heads before it, nil for nothing. c may be nil.
+func (c *countingConn) answer(response *http.Response, informational error, in *Request, before int64, sentAt time.Time) (*Response, error) {
 	if c == nil {
+		if err := httpanswer.Accept(response, informational, nil); err != nil {
+			return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
+		}
 		return NewResponse(response, in)
 	}
 	if c.endUnsent(before) {
 		_ = response.Body.Close()
 		return nil, redwinghall.NewOpError("Upstream.Send", NotSent, ErrUnread)
 	}
+	if err := httpanswer.Accept(response, informational, c); err != nil {
+		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
+	}
 	answer, err := NewResponse(response, in)
 	if err == nil {
 		c.idle.setTimeout(answer.Info.IdleTimeout)
--- /dev/null
+++ b/httpanswer/check.go
@@ -0,0 +1,62 @@
+// Package httpanswer tells answers of HTTP servers from bytes that are none. net/http takes any three digits for a status and
+// a blank for a part of a field's name, and the end of a connection that was reset for the end of an answer.
+package httpanswer
+
+import (
+	"fmt"
+	"net/http"
+	"net/textproto"
+
+	"golang.org/x/net/http/httpguts"
+
+	"redwinghall"
+)
+
+// Kind classifies what makes an answer none.
+type Kind string
+
+// The kinds of error.
+const (
+	// BadStatus means that the status is not one of an answer.
+	BadStatus Kind = "bad_status"
+	// BadField means that the name of a field holds a byte that no name has, so that its line may have said how long the
+	// answer is.
+	BadField Kind = "bad_field"
+	// BadVersion means that the answer is of another version of HTTP.
+	BadVersion Kind = "bad_version"
+)
+
+// Error tells why an answer is none.
+type Error = redwinghall.OpError[Kind]
+
+// The statuses of answers. A request never asks for another protocol, so 101 answers none.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// Check returns an error unless the head of a response is that of an answer.
+func Check(response *http.Response) error {
+	const op = "Check"
+	if response.ProtoMajor != 1 {
+		return redwinghall.NewOpError(op, BadVersion, fmt.Errorf("version %q", response.Proto))
+	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return redwinghall.NewOpError(op, BadStatus, fmt.Errorf("status %q", response.Status))
+	}
+	return checkNames(op, response.Header)
+}
+
+// CheckInformational returns an error unless the head of an informational response may precede an answer.
+func CheckInformational(head textproto.MIMEHeader) error {
+	return checkNames("CheckInformational", http.Header(head))
+}
+
+func checkNames(op string, head http.Header) error {
+	for name := range head {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return redwinghall.NewOpError(op, BadField, fmt.Errorf("field %q", name))
+		}
+	}
+	return nil
+}
--- a/httpanswer/transport.go
+++ b/httpanswer/transport.go
@@ -1,14 +1,89 @@
-// Package httpanswer tells answers of HTTP servers from bytes that are none. net/http takes the end of a connection that was
-// reset for the end of an answer.
 package httpanswer
 
-import "net/http"
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
 
-// Transport is a transport whose connections tell their true ends.
-type Transport struct{ *http.Transport }
+// Transport is a transport whose responses are answers. A connection on which something else came isn't used again: nobody
+// knows where that ends.
+type Transport struct{ base *http.Transport }
 
 // New returns a transport that sends requests by base, the connections of which it changes.
 func New(base *http.Transport) *Transport {
 	base.DialContext = TrueEnds(base.DialContext)
-	return &Transport{base}
+	return Over(base)
+}
+
+// Over returns a transport that sends requests by base, whose connections tell their true ends.
+func Over(base *http.Transport) *Transport { return &Transport{base} }
+
+// CloseIdleConnections closes the connections on which no request is in progress.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	var bad error // of an informational response; httptrace drops what a hook returns if there is another one
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error {
+			bad = errors.Join(bad, CheckInformational(head))
+			return bad
+		},
+	})
+	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := Accept(response, bad, conn); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// Accept returns an error unless a response is an answer, as far as its head tells, and makes its body end with one if its
+// trailer tells otherwise. informational is what CheckInformational said of the heads before it, and conn its connection,
+// which is closed if it isn't one.
+func Accept(response *http.Response, informational error, conn net.Conn) error {
+	if err := errors.Join(informational, Check(response)); err != nil {
+		discard(conn)
+		_ = response.Body.Close() // nobody reads it
+		return err
+	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &trailedBody{ReadCloser: response.Body, response: response, conn: conn}
+	}
+	return nil
+}
+
+// discard closes a connection, nil for none.
+func discard(conn net.Conn) {
+	if conn != nil {
+		_ = conn.Close() // it may be closed already
+	}
+}
+
+// trailedBody is a body behind which fields may come, which are as much a part of the answer as those of its head.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+	conn     net.Conn
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if bad := checkNames("Transport.RoundTrip", b.response.Trailer); bad != nil {
+		discard(b.conn)
+		return n, bad
+	}
+	return n, err
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -6,16 +6,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"redwinghall"
 	"redwinghall/dial"
+	"redwinghall/httpanswer"
 )
 
 const (
 	clientTimeout    = 15 * time.Second
 	maxResponseBytes = 64 << 20
+	maxHeadBytes     = 16 << 10
 )
 
 // Client is a client of a controller's operator API.
@@ -27,7 +30,10 @@
 
 // NewClient returns a client of the controller at address, given as host:port.
 func NewClient(address, token string) *Client {
-	return &Client{address: address, token: token, client: &http.Client{Timeout: clientTimeout}}
+	transport := httpanswer.New(&http.Transport{
+		Proxy: http.ProxyFromEnvironment, DialContext: new(net.Dialer).DialContext, MaxResponseHeaderBytes: maxHeadBytes,
+	})
+	return &Client{address: address, token: token, client: &http.Client{Timeout: clientTimeout, Transport: transport}}
 }
 
 // RefusedError is an error response of the controller.
