--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 # The variable SKIP of the environment names tests to pass over, as for go test -skip; CI gives those of KNOWN-RED.txt.
 # Most tests wait rather than compute, so as many run at once on a machine with few processors.
 # Tests bound times, so only two packages run at once. The longest, ./node, begins first.
-TEST_FLAGS := -timeout 20m -parallel 8 -p 2
+# The tests of programs run what they build themselves, of which the cache of results knows nothing.
+TEST_FLAGS := -timeout 20m -parallel 8 -p 2 -count 1
 test:
 	go test $(TEST_FLAGS) -skip "$$SKIP" ./node ./...
 	@for m in $(filter-out .,$(MODULES)); do (cd $$m && go test $(TEST_FLAGS) -skip "$$SKIP" ./...) || exit 1; done
