Routes are selected by the path that the endpoint gets

Cause: Gateway.resolve looked the route up by net/http's decoded path, and sent the path as it came. Class: two readings of one input decide. The host is compared as it stands in both readings.

Change: one reading, the bytes of the target up to the question mark, for the selection and for the endpoint.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -204,7 +204,7 @@
 	if r.view().Config() == nil {
 		return r, &refusal{status: http.StatusServiceUnavailable, reason: "configuration_unknown", retryAfter: defaultRetryAfter}
 	}
-	route, ok := r.view().Route(in.Host, in.URL.Path)
+	route, ok := r.view().Route(in.Host, r.path())
 	if !ok {
 		return r, &refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,12 @@
 	return &endpointhttp.Request{ID: r.Info.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Body: r.Body}
 }
 
+// path returns the path of the request as the endpoint gets it. The decoded path may begin with the prefix of another route.
+func (r *Request) path() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
+}
+
 // releaseBody drops the body once no endpoint will be sent it any more.
 func (r *Request) releaseBody() {
 	r.Body = nil
