An empty list of client accounts opens no route

Cause: View.RequiresKey asked how many accounts there are; the decoder made an empty list and a missing one the same. Class: the emptiness of an optional part is read as its absence. The other optional parts, by reading: an empty text among the keys was a key that requests without one hold (mended here, same test); a route without a kind counts as unsafe, without attempts as one, without `public` as not public, limits without a body's size have 4 MiB, without an idle timeout end no connection; an account without keys keeps its name and opens nothing. Open: a traffic split whose weights are all 0 goes to its first service.

--- a/directory/view.go
+++ b/directory/view.go
@@ -49,7 +49,9 @@
 	}
 	for i := range config.Accounts {
 		for _, key := range config.Accounts[i].Keys {
-			indexed.byKey[key] = &config.Accounts[i]
+			if key != "" { // else requests without a key would have that account
+				indexed.byKey[key] = &config.Accounts[i]
+			}
 		}
 	}
 	return indexed
@@ -96,9 +98,10 @@
 	return account, ok
 }
 
-// RequiresKey reports whether requests need an API key, which is the case if the
-// configuration has any client accounts.
-func (v *View) RequiresKey() bool { return v.indexed != nil && len(v.indexed.config.Accounts) > 0 }
+// RequiresKey reports whether requests need an API key.
+func (v *View) RequiresKey() bool {
+	return v.indexed != nil && (v.indexed.config.NeedsKey || len(v.indexed.config.Accounts) > 0)
+}
 
 // Service returns a service of the configuration.
 func (v *View) Service(name string) (fleet.Service, bool) {
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -20,8 +20,10 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
-	// Accounts holds the client accounts; if empty, no API key is required.
+	// Accounts holds the client accounts. If there is one, requests need an API key.
 	Accounts []Account
+	// NeedsKey means that requests need a key, also if no account has one any more.
+	NeedsKey bool
 	Limits   Limits
 }
 
