A version whose list of routes is empty comes into force

Cause: a version without routes doesn't replace one that has some. The guard is against a row that tells nothing of routes; the decoder made that and an empty list the same.

Change: the configuration says that its list of routes is there and empty (NoRoutes).

Seen beside it: TestUnusableConfigurationLeavesTheLastGoodOne fails if it runs without the package's other tests, on the code before too (klog writes a warning twice then); the whole package passes.

--- a/directory/rejection.go
+++ b/directory/rejection.go
@@ -30,15 +30,15 @@
 // there is none, or "" if it does.
 //
 // Versions only increase: an older configuration that is read late must not bring back routes
-// and keys that were removed. One without any route would end all requests with a response
-// after which callers don't retry.
+// and keys that were removed. One without any route ends all requests with a response
+// after which callers don't retry, so it has to say that there is none.
 func reasonToReject(next, current *fleet.Configuration) string {
 	switch {
 	case current != nil && next.Version < current.Version:
 		return "older than the one in force"
-	case current != nil && len(current.Routes) > 0 && len(next.Routes) == 0:
+	case current != nil && len(current.Routes) > 0 && len(next.Routes) == 0 && !next.NoRoutes:
 		return "no routes, the one in force has some"
-	case len(next.Routes) == 0 && len(next.Services) == 0:
+	case len(next.Routes) == 0 && len(next.Services) == 0 && !next.NoRoutes:
 		return "no routes and no services"
 	}
 	return ""
--- a/directory/rejection_test.go
+++ b/directory/rejection_test.go
@@ -110,3 +110,19 @@
 		require.Equal(t, 1, strings.Count(logged.String(), `"view_rejected"`), logged.String())
 	})
 }
+
+// The operators' last route was removed by an acknowledged version, and nodes went on with it for as long as they lived.
+func TestConfigurationWithAnEmptyListOfRoutesComesIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		store.set(10, "", configRow(goodConfig, 3))
+		cache, stop := follow(t, store)
+		defer stop()
+		time.Sleep(time.Second)
+		store.set(11, "", configRow(`{"version":6,"routes":[],"services":[{"name":"s"}]}`, 11))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, int64(6), cache.View().Config().Version)
+		_, ok := cache.View().Route("a.example", "/x/1")
+		require.False(t, ok)
+	})
+}
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -17,8 +17,10 @@
 
 // Configuration is one version of the operators' configuration. It is immutable.
 type Configuration struct {
-	Version  int64
-	Routes   []Route
+	Version int64
+	Routes  []Route
+	// NoRoutes means that the operators have removed all routes, and not that the configuration tells nothing of them.
+	NoRoutes bool
 	Services map[string]Service
 	// Accounts holds the client accounts. If there is one, requests need an API key.
 	Accounts []Account
