--- a/httpanswer/check.go
+++ b/httpanswer/check.go
@@ -6,8 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/textproto"
-
-	"golang.org/x/net/http/httpguts"
+	"strings"
 
 	"redwinghall"
 )
@@ -52,9 +51,22 @@
 	return checkNames("CheckInformational", http.Header(head))
 }
 
+// tokenMarks are the bytes of a name beside letters and digits (RFC 9110, 5.6.2).
+const tokenMarks = "!#$%&'*+-.^_`|~"
+
+func isToken(name string) bool {
+	for _, c := range []byte(name) {
+		isLetter := ('a' <= c && c <= 'z') || ('A' <= c && c <= 'Z')
+		if !isLetter && (c < '0' || c > '9') && strings.IndexByte(tokenMarks, c) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
 func checkNames(op string, head http.Header) error {
 	for name := range head {
-		if !httpguts.ValidHeaderFieldName(name) {
+		if !isToken(name) {
 			return redwinghall.NewOpError(op, BadField, fmt.Errorf("field %q", name))
 		}
 	}
