Rows of other parts of a table are no entries

Cause: a feed tells of all parts of a table, a list is asked for the empty one, and from the store's client on rows are known by their key alone. Class: two readings of one input, of which one looks at less. All tables that a node reads have the empty part only, so the store's client is the one place; mirrors and relays get their rows from there.

Change: the client passes on rows of the empty part only. The position that they cover stays that of the answer.

--- a/fleet/store.go
+++ b/fleet/store.go
@@ -48,7 +48,7 @@
 type Store interface {
 	// List returns the rows of a table whose Part is empty. Each page is a consistent snapshot.
 	List(ctx context.Context, table string) (Rows, error)
-	// Changes waits for changes after a position and returns them in order.
+	// Changes waits for changes after a position and returns those of rows whose Part is empty, in order. There may be none.
 	Changes(ctx context.Context, table string, after Position, wait time.Duration) (Rows, error)
 	// Commit applies a transaction and returns its position.
 	Commit(ctx context.Context, txn Txn) (Position, error)
