Informational responses without end are ended at all clients

Change: httpanswer.Informational counts them, too (five, as for endpoints until now), and endpointhttp uses it in place of its own count.

--- a/endpointhttp/upstream.go
+++ b/endpointhttp/upstream.go
@@ -38,10 +38,8 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 	connBufferSize    = 4 << 10
-	// maxHeadBytes is the largest head of a response, and maxInformational the most informational responses
-	// before it. An endpoint may send either without end, at all connections at once.
-	maxHeadBytes     = 16 << 10
-	maxInformational = 5
+	// maxHeadBytes is the largest head of a response. An endpoint may send one without end, at all connections at once.
+	maxHeadBytes = 16 << 10
 )
 
 // Kind classifies a failed request to an endpoint.
@@ -63,8 +61,7 @@
 	ErrWrongResponse = errors.New("the response does not match the request")
 	// ErrUnread is the cause of an error if bytes or the end came on a kept connection before the request was sent, which says
 	// nothing of the path to the endpoint.
-	ErrUnread        = errors.New("bytes or the end came on the connection before the request was sent")
-	errInformational = errors.New("the endpoint sends too many informational responses")
+	ErrUnread = errors.New("bytes or the end came on the connection before the request was sent")
 )
 
 // Upstream sends requests to endpoints over pooled connections.
@@ -243,16 +240,9 @@
 	var before, use int64
 	var sentAt time.Time
 	reused := false
-	informational := 0
-	var badInformational error
+	var informational httpanswer.Informational
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error {
-			if informational++; informational > maxInformational {
-				return errInformational
-			}
-			badInformational = errors.Join(badInformational, httpanswer.CheckInformational(head))
-			return badInformational
-		},
+		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error { return informational.Add(head) },
 		GotConn: func(info httptrace.GotConnInfo) {
 			sentAt, reused = time.Now(), info.Reused
 			if c, ok := info.Conn.(*countingConn); ok {
@@ -280,7 +270,7 @@
 		}
 		return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
 	}
-	return conn.answer(response, badInformational, in, before, sentAt)
+	return conn.answer(response, informational, in, before, sentAt)
 }
 
 // unsentError returns the error of a request that wasn't written. On a reused connection that means that bytes came, or its end.
@@ -292,8 +282,8 @@
 }
 
 // answer returns the response to a request that was sent at a time on a connection, before which so many bytes were written.
-// informational is what is wrong with the heads before it, nil for nothing. c may be nil.
-func (c *countingConn) answer(response *http.Response, informational error, in *Request, before int64, sentAt time.Time) (*Response, error) {
+// informational holds the heads before it. c may be nil.
+func (c *countingConn) answer(response *http.Response, informational httpanswer.Informational, in *Request, before int64, sentAt time.Time) (*Response, error) {
 	if c == nil {
 		if err := httpanswer.Accept(response, informational, nil); err != nil {
 			return nil, redwinghall.NewOpError("Upstream.Send", Unknown, err)
--- a/httpanswer/check.go
+++ b/httpanswer/check.go
@@ -23,6 +23,8 @@
 	BadField Kind = "bad_field"
 	// BadVersion means that the answer is of another version of HTTP.
 	BadVersion Kind = "bad_version"
+	// TooMany means that too many informational responses come before the answer.
+	TooMany Kind = "too_many_informational"
 )
 
 // Error tells why an answer is none.
@@ -46,9 +48,26 @@
 	return checkNames(op, response.Header)
 }
 
-// CheckInformational returns an error unless the head of an informational response may precede an answer.
-func CheckInformational(head textproto.MIMEHeader) error {
-	return checkNames("CheckInformational", http.Header(head))
+// maxInformational is the most informational responses before an answer. A server may send them without end, and net/http
+// bounds their size only together with their number.
+const maxInformational = 5
+
+// Informational checks the informational responses before one answer. The zero value has seen none.
+type Informational struct {
+	count int
+	err   error // what is wrong with them; httptrace drops what a hook returns if there is another one
+}
+
+// Add returns an error unless the head of one more informational response may precede an answer.
+func (i *Informational) Add(head textproto.MIMEHeader) error {
+	const op = "Informational.Add"
+	if i.count++; i.count > maxInformational {
+		i.err = redwinghall.NewOpError(op, TooMany, fmt.Errorf("more than %d", maxInformational))
+	}
+	if i.err == nil {
+		i.err = checkNames(op, http.Header(head))
+	}
+	return i.err
 }
 
 // tokenMarks are the bytes of a name beside letters and digits (RFC 9110, 5.6.2).
--- a/httpanswer/check_test.go
+++ b/httpanswer/check_test.go
@@ -38,6 +38,16 @@
 			require.Equal(t, c.want, redwinghall.KindOf[httpanswer.Kind](err), "%v", err)
 		})
 	}
-	require.NoError(t, httpanswer.CheckInformational(textproto.MIMEHeader{"Link": {"x"}}))
-	require.Error(t, httpanswer.CheckInformational(textproto.MIMEHeader{"Bad Name": {"x"}}))
+}
+
+// A server may send informational responses without end.
+func TestInformationalResponsesAreFewAndHaveNames(t *testing.T) {
+	t.Parallel()
+	var many, bad httpanswer.Informational
+	for range 5 {
+		require.NoError(t, many.Add(textproto.MIMEHeader{"Link": {"x"}}))
+	}
+	require.Equal(t, httpanswer.TooMany, redwinghall.KindOf[httpanswer.Kind](many.Add(textproto.MIMEHeader{"Link": {"x"}})))
+	require.Equal(t, httpanswer.BadField, redwinghall.KindOf[httpanswer.Kind](bad.Add(textproto.MIMEHeader{"Bad Name": {"x"}})))
+	require.Error(t, bad.Add(textproto.MIMEHeader{"Link": {"x"}}), "the answer that follows is none")
 }
--- a/httpanswer/transport.go
+++ b/httpanswer/transport.go
@@ -28,29 +28,25 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	var bad error // of an informational response; httptrace drops what a hook returns if there is another one
+	var informational Informational
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
-		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error {
-			bad = errors.Join(bad, CheckInformational(head))
-			return bad
-		},
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error { return informational.Add(head) },
 	})
 	response, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := Accept(response, bad, conn); err != nil {
+	if err := Accept(response, informational, conn); err != nil {
 		return nil, err
 	}
 	return response, nil
 }
 
 // Accept returns an error unless a response is an answer, as far as its head tells, and makes its body end with one if its
-// trailer tells otherwise. informational is what CheckInformational said of the heads before it, and conn its connection,
-// which is closed if it isn't one.
-func Accept(response *http.Response, informational error, conn net.Conn) error {
-	if err := errors.Join(informational, Check(response)); err != nil {
+// trailer tells otherwise. informational holds the heads before it, and conn is its connection, which is closed if it isn't one.
+func Accept(response *http.Response, informational Informational, conn net.Conn) error {
+	if err := errors.Join(informational.err, Check(response)); err != nil {
 		discard(conn)
 		_ = response.Body.Close() // nobody reads it
 		return err
