--- a/clienthttp/pool.go
+++ b/clienthttp/pool.go
@@ -136,7 +136,8 @@
 	c.cost = cost
 }
 
-// recordState records what net/http says of a connection. One that has its answer is closed if another one waits for room.
+// recordState records a connection's new state. If another connection waits for room, one whose request has just been answered
+// is closed for it.
 func (p *Pool) recordState(now time.Time, c *conn, state http.ConnState) {
 	p.mu.Lock()
 	p.recordStateLocked(now, c, state)
--- a/httpanswer/transport.go
+++ b/httpanswer/transport.go
@@ -43,8 +43,8 @@
 	return response, nil
 }
 
-// Accept returns an error unless a response is an answer, as far as its head tells, and makes its body end with one if its
-// trailer tells otherwise. informational holds the heads before it, and conn is its connection, which is closed if it isn't one.
+// Accept returns an error, and closes the connection, if the head of a response or an informational one before it is none of an
+// answer. If its trailer has a bad name, reading the body ends with an error.
 func Accept(response *http.Response, informational Informational, conn net.Conn) error {
 	if err := errors.Join(informational.err, Check(response)); err != nil {
 		discard(conn)
