Requests that are given up are reset, and unacknowledged bytes end after 2.5 s

The node answers 504, or the caller leaves, and seconds after the end of the cut the bookings run, 12 s after their zone was taken out.

Cause: net/http closes the connection of a request that is given up. The kernel goes on sending what was written before a close, and after the end of the process, for many minutes; keep-alive probes aren't sent meanwhile. Class: bytes that were handed to the kernel are out of our hands, whatever is decided after.

Change: connections that carry work (endpoints, orders, other nodes, the store, the older stack) are opened so that a close, or the end of the process, resets them; they end in order once a byte of an answer came, and without a request. To endpoints and other nodes TCP_USER_TIMEOUT bounds unacknowledged bytes to 2.5 s: for requests that nothing gives up, and while the process stands still. It lies between the last keep-alive probe and its failure. Such an attempt has the kind unknown, so bookings get 502 and run nowhere else.

Ruled out: a reset alone, which bounds no request that is still open, and doesn't outlive a standstill.

--- a/endpointhttp/counting_conn.go
+++ b/endpointhttp/counting_conn.go
@@ -88,6 +88,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection without this one's counts.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countingConn) Read(b []byte) (int, error) {
 	c.setReading(true)
--- a/endpointhttp/upstream.go
+++ b/endpointhttp/upstream.go
@@ -31,13 +31,9 @@
 	// another endpoint within a strict objective.
 	connectTimeout = 150 * time.Millisecond
 	// idleTimeout closes unused connections.
-	idleTimeout = 12 * time.Second
-	idlePerHost = 64
-	// TCP keep-alive probes detect idle connections whose peer no longer responds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-	connBufferSize    = 4 << 10
+	idleTimeout    = 12 * time.Second
+	idlePerHost    = 64
+	connBufferSize = 4 << 10
 	// maxHeadBytes is the largest head of a response. An endpoint may send one without end, at all connections at once.
 	maxHeadBytes = 16 << 10
 )
@@ -73,13 +69,9 @@
 	fresh *http.Transport
 }
 
-// KeepAlive is the configuration of keep-alive probes on connections to endpoints.
-var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-
 // NewUpstream returns an upstream without connections.
 func NewUpstream() *Upstream {
-	dialer := &net.Dialer{KeepAliveConfig: KeepAlive}
-	return NewUpstreamWithDialer(dialer.DialContext)
+	return NewUpstreamWithDialer(dial.NewDialer().DialContext)
 }
 
 // NewUpstreamWithDialer returns an upstream that opens its connections by a function.
@@ -245,6 +237,7 @@
 		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error { return informational.Add(head) },
 		GotConn: func(info httptrace.GotConnInfo) {
 			sentAt, reused = time.Now(), info.Reused
+			dial.BeginRequest(info.Conn)
 			if c, ok := info.Conn.(*countingConn); ok {
 				conn, before, use = c, c.begin(info.Reused), c.idle.begin()
 			}
--- a/httpanswer/ends.go
+++ b/httpanswer/ends.go
@@ -17,11 +17,13 @@
 // returns at once.
 const maxWriteWait = 50 * time.Millisecond
 
-// TrueEnds returns a function that opens connections by open, whose reads tell a reset from an end in order.
+// TrueEnds returns a function that opens connections by open, whose reads tell a reset from an end in order, and which discard
+// a request that is given up (see dial.Discarding).
 //
 // A socket tells only once that it was reset: a write that is in progress gets the error, and a read finds a plain end then.
 // Half an answer without a length would pass for a whole one.
 func TrueEnds(open dial.Func) dial.Func {
+	open = dial.Discarding(open)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := open(ctx, network, address)
 		if err != nil {
--- a/httpanswer/transport.go
+++ b/httpanswer/transport.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"redwinghall/dial"
 )
 
 // Transport is a transport whose responses are answers. A connection on which something else came isn't used again: nobody
@@ -30,7 +32,10 @@
 	var conn net.Conn
 	var informational Informational
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			dial.BeginRequest(conn)
+		},
 		Got1xxResponse: func(_ int, head textproto.MIMEHeader) error { return informational.Add(head) },
 	})
 	response, err := t.base.RoundTrip(r.WithContext(ctx))
--- a/neighbor/client.go
+++ b/neighbor/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -49,7 +48,7 @@
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	return &Client{clients: map[string]rpc.Neighbor{}, http: &http.Client{Transport: sizedTransport{&bodyMemory{limit: maxAnswers}, newAnsweringTransport(httpanswer.New(&http.Transport{
-		DialContext: dialWithKeepAlive(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
+		DialContext: dialWithin(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxCallHeadBytes,
 	}))}}}
 }
 
@@ -293,11 +292,7 @@
 	return answer, nil
 }
 
-// dialWithKeepAlive returns a dial function with a timeout, and with TCP keep-alive so that
-// broken connections are detected.
-func dialWithKeepAlive(timeout time.Duration) dial.Func {
-	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}}
-	return dial.WithTimeout(d.DialContext, timeout)
+// dialWithin returns a dial function with a timeout, whose connections end when the other node no longer responds.
+func dialWithin(timeout time.Duration) dial.Func {
+	return dial.WithTimeout(dial.NewDialer().DialContext, timeout)
 }
--- a/neighbor/forward.go
+++ b/neighbor/forward.go
@@ -160,7 +160,7 @@
 // NewForwardClient returns a client.
 func NewForwardClient() *ForwardClient {
 	return &ForwardClient{transport: httpanswer.New(&http.Transport{
-		DialContext: dialWithKeepAlive(forwardDialTimeout), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dialWithin(forwardDialTimeout), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	})}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -106,8 +105,7 @@
 // New assembles a node. path is the settings file that is reloaded while the node
 // runs, or "" for none.
 func New(path string, s fleet.Settings) *Node {
-	dialer := &net.Dialer{KeepAliveConfig: endpointhttp.KeepAlive}
-	return NewWithDialer(path, s, dialer.DialContext)
+	return NewWithDialer(path, s, dial.NewDialer().DialContext)
 }
 
 // NewWithDialer assembles a node that opens its connections to endpoints by a function.
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -38,7 +38,8 @@
 	OneWay Mode = "one_way"
 	// Deaf forwards data from the target and drops data from the client.
 	Deaf Mode = "deaf"
-	// Hold keeps all data until another mode is set, as a route that is slow to come back.
+	// Hold keeps all data until another mode is set, as a route that is slow to come back. It drops what it keeps of a
+	// connection that its sender resets.
 	Hold Mode = "hold"
 )
 
@@ -229,11 +230,35 @@
 	holdInterval = 2 * time.Millisecond
 )
 
-// awaitRelease waits while the link holds its data.
-func (l *Link) awaitRelease() {
+// awaitRelease waits while the link holds its data, and reports whether that still has a sender.
+func (l *Link) awaitRelease(from net.Conn) bool {
 	for l.holds() {
+		if isReset(from) {
+			return false
+		}
 		time.Sleep(holdInterval)
 	}
+	return true
+}
+
+// tcpClosed is the state of a TCP connection that was reset, in the kernel's numbers.
+const tcpClosed = 7
+
+func isReset(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) //nolint:gosec // file descriptors are small
+		reset = err == nil && info.State == tcpClosed
+	})
+	return err == nil && reset
 }
 
 func (l *Link) holds() bool {
@@ -268,7 +293,10 @@
 		if delay > 0 {
 			time.Sleep(delay)
 		}
-		l.awaitRelease()
+		if !l.awaitRelease(from) {
+			p.reset()
+			break
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			break
 		}
