A route without a prefix takes no path

Cause: each path begins with an empty text. Absence opened what nobody had named.

Evidence: TestRouteWithoutAPrefixTakesNoPath failed before.

--- a/directory/rejection_test.go
+++ b/directory/rejection_test.go
@@ -126,3 +126,19 @@
 		require.False(t, ok)
 	})
 }
+
+// A route that lacks its prefix took every path of its host, also those that another route had had until then.
+func TestRouteWithoutAPrefixTakesNoPath(t *testing.T) {
+	for _, prefix := range []string{``, `"prefix":null,`, `"prefix":"",`, `"prefix":"x/",`} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeStore{}
+			store.set(10, "", configRow(`{"version":5,"routes":[{"name":"r",`+prefix+`"host":"a.example","service":"s"}],"services":[{"name":"s"}]}`, 3))
+			cache, stop := follow(t, store)
+			defer stop()
+			time.Sleep(time.Second)
+			require.Equal(t, int64(5), cache.View().Config().Version)
+			_, ok := cache.View().Route("a.example", "/x/1")
+			require.False(t, ok, prefix)
+		})
+	}
+}
--- a/directory/view.go
+++ b/directory/view.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"redwinghall/fleet"
 )
 
@@ -42,6 +44,10 @@
 	indexed := &indexedConfig{config: config, since: since, byHost: map[string][]*fleet.Route{}, byKey: map[string]*fleet.Account{}}
 	for i := range config.Routes {
 		route := &config.Routes[i]
+		if !strings.HasPrefix(route.Prefix, "/") {
+			klog.InfoS("route_ignored", "route", route.Name, "host", route.Host, "prefix", route.Prefix, "configuration", config.Version)
+			continue // a missing prefix would begin each path
+		}
 		indexed.byHost[route.Host] = append(indexed.byHost[route.Host], route)
 	}
 	for _, routes := range indexed.byHost {
