A version whose services are missing leaves the last one in force

Cause: only the absence of routes was taken for a version that tells nothing of them. Beside it: a socket on which the user timeout can't be set still opens.

Evidence: TestConfigurationWhoseServicesAreMissingLeavesTheLastOne failed before.

--- a/dial/dialer.go
+++ b/dial/dialer.go
@@ -33,7 +33,8 @@
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control: func(_, _ string, socket syscall.RawConn) error {
-			return kernel.LimitUnacknowledged(socket, unacknowledgedTimeout)
+			_ = kernel.LimitUnacknowledged(socket, unacknowledgedTimeout) // a connection without it is better than none
+			return nil
 		},
 	}
 }
--- a/directory/rejection.go
+++ b/directory/rejection.go
@@ -31,7 +31,8 @@
 //
 // Versions only increase: an older configuration that is read late must not bring back routes
 // and keys that were removed. One without any route ends all requests with a response
-// after which callers don't retry, so it has to say that there is none.
+// after which callers don't retry, so it has to say that there is none. One whose routes lead to services
+// of which it has none would refuse all requests.
 func reasonToReject(next, current *fleet.Configuration) string {
 	switch {
 	case current != nil && next.Version < current.Version:
@@ -40,6 +41,8 @@
 		return "no routes, the one in force has some"
 	case len(next.Routes) == 0 && len(next.Services) == 0 && !next.NoRoutes:
 		return "no routes and no services"
+	case current != nil && len(current.Services) > 0 && len(next.Services) == 0 && len(next.Routes) > 0:
+		return "no services, the one in force has some"
 	}
 	return ""
 }
--- a/directory/rejection_test.go
+++ b/directory/rejection_test.go
@@ -142,3 +142,19 @@
 		})
 	}
 }
+
+// A version that lacked its services came into force, and all requests were refused that the one before had served.
+func TestConfigurationWhoseServicesAreMissingLeavesTheLastOne(t *testing.T) {
+	for _, services := range []string{``, `,"services":null`, `,"services":[]`} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeStore{}
+			store.set(10, "", configRow(goodConfig, 3))
+			cache, stop := follow(t, store)
+			defer stop()
+			time.Sleep(time.Second)
+			store.set(11, "", configRow(`{"version":6,"routes":[{"name":"r","host":"a.example","prefix":"/x/","service":"s"}]`+services+`}`, 11))
+			time.Sleep(3 * time.Second)
+			require.Equal(t, int64(5), cache.View().Config().Version, services)
+		})
+	}
+}
