--- a/node/last_moment_test.go
+++ b/node/last_moment_test.go
@@ -162,7 +162,7 @@
 				e.Stall(true)
 			}
 			c.send("no event", "/stream/x")
-			time.Sleep(100 * time.Millisecond)
+			require.Eventually(t, func() bool { return d.runCounter.Runs("no event") > 0 }, 5*time.Second, 10*time.Millisecond, "it isn't at an engine yet")
 			require.Less(t, end(), 2*time.Second)
 			calls := c.wait()
 			for id, want := range map[string]struct {
