Test of a request that crosses a close: the held response waits until the request has come

Traced: TestRequestThatCrossesTheCloseOfItsConnectionGetsAStatus/unread_as_a_response_ends_in_a_stop failed in two of three whole runs with "unexpected EOF". Its handler ends 50 ms after it began, and the test sends the second request some 25 ms later; if the test is held up until the response has ended, the connection is closed as a stop asks, before anything came. With 100 ms of sleep before the second request it failed so in 3 of 3 runs. The handler now waits for the request to be sent: with that sleep 3 of 3 pass, and without the look at unread bytes in connections.updateState 3 of 3 fail, as they should.

--- a/node/crossing_request_test.go
+++ b/node/crossing_request_test.go
@@ -64,6 +64,8 @@
 	conns  node.CallerConnections
 	reader *slowReader
 	conn   net.Conn
+	// finish lets the handler of a held request end; nil lets it end by itself.
+	finish chan struct{}
 }
 
 func newCrossing(t *testing.T) *crossing {
@@ -81,6 +83,9 @@
 		if r.URL.Path == "/hold" {
 			time.Sleep(readStarts)
 			c.reader.mu.Lock()
+			if c.finish != nil {
+				<-c.finish
+			}
 		}
 		_, _ = io.WriteString(w, "served") // the reader checks what it received
 	})), c.reader)
@@ -155,10 +160,12 @@
 	t.Run("unread as a response ends in a stop", func(t *testing.T) {
 		t.Parallel()
 		c := newCrossing(t)
+		c.finish = make(chan struct{})
 		c.send(holdGet)
 		time.Sleep(readStarts / 2)
 		c.conns.CloseAfterResponses()
 		c.send(wholePost)
+		close(c.finish) // a response that ended before the request came would have closed its connection
 		responses := bufio.NewReader(c.conn)
 		first, err := http.ReadResponse(responses, nil)
 		require.NoError(t, err)
