--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -145,7 +145,9 @@
 
 func entry(t *testing.T, id string, version int64) fleet.Row {
 	t.Helper()
-	value, err := json.Marshal(map[string]any{"service": "s", "address": "10.0.0.1:80", "state": "ready"})
+	value, err := json.Marshal(map[string]any{
+		"service": "s", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+	})
 	require.NoError(t, err)
 	return fleet.Row{Table: "servers", Key: id, Value: value, Version: version}
 }
@@ -268,7 +270,7 @@
 	}
 	kernel.Sleep(ctx, 5*time.Millisecond)
 	newest := min(s.newest(), after.Version+page)
-	value := []byte(`{"service":"s","address":"10.0.0.1:80","state":"ready"}`)
+	value := []byte(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":1}`)
 	var rows []fleet.Row
 	for version := after.Version + 1; version <= newest; version++ {
 		rows = append(rows, fleet.Row{Table: table, Key: "e" + strconv.FormatInt(version%3000, 10), Value: value, Version: version})
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -102,7 +102,7 @@
 func TestFollowerKeepsNewerStateThanARestoredList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		entry := func(id, state string, written, version int64) fleet.Row {
-			value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","state":"%s","born":5,"sequence":%d}`, state, written)
+			value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"%s","cold_remaining_ms":0,"born":5,"sequence":%d}`, state, written)
 			return fleet.Row{Table: "servers", Key: id, Value: []byte(value), Version: version}
 		}
 		store := &fakeStore{era: 1}
--- a/neighbor/large_list_test.go
+++ b/neighbor/large_list_test.go
@@ -25,7 +25,7 @@
 	for i := range count {
 		id := fmt.Sprintf("%x", sha256.Sum256(fmt.Append(nil, i)))
 		model := largeModels[i%len(largeModels)]
-		value := fmt.Sprintf(`{"service":"engine-%d","address":"10.%d.%d.%d:%d","zone":"zone-%d","slots":%d,"state":"ready","cold_remaining_ms":0,"born":%d,"sequence":%d,`+
+		value := fmt.Sprintf(`{"service":"engine-%d","address":"10.%d.%d.%d:%d","zone":"zone-%d","version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"born":%d,"sequence":%d,`+
 			`"domain":"rack-%d","staged":[%q,%q],"models":[{"name":%q}],"group":{"name":"group-%s","epoch":%d,"rank":%d,"state":"member"}}`,
 			i%7, i>>16, i>>8&255, i&255, 20000+i%1000, i%3, i%16, 1796540000000+i*7919, i*31, i%400, model, largeModels[i*3%len(largeModels)], model, id[24:40], i%97, i%8)
 		rows.Rows = append(rows.Rows, fleet.Row{Key: "engine-" + id[:20], Value: fmt.Appendf(nil, "%-450s", value), Version: int64(i + 1)})
