An entry that is older than what its endpoint said since changes nothing

Cause: Cache.applyOne put each entry in place of the one before. Starts and sequences, by which a process orders its words, were compared only after the store's return from an older copy.

Change: the comparison holds at all times. An older entry is held back until its endpoint writes again, for 15 s at most: what goes on after that is an endpoint whose clock was put back. Without a start nothing is compared. `restored_entry_older` is now `older_entry_held`.

Ruled out: to ignore older entries for good, as after a restored store until now: an endpoint that starts under its name after its clock was put back would never be known again.

--- a/directory/cache.go
+++ b/directory/cache.go
@@ -128,10 +128,7 @@
 	case change.Config != nil:
 		c.setConfig(now, change.Config)
 	case change.Endpoint != nil:
-		if change.Restored && c.restored.keeps(now, c.endpoints[change.Endpoint.ID], change.Endpoint) {
-			return
-		}
-		c.put(change.Endpoint)
+		c.applyEntry(now, change.Endpoint, change.Restored)
 	case change.Gone != "":
 		c.remove(now, change.Gone, change.LapsedUntil)
 	case change.ZoneOut != "":
@@ -145,6 +142,15 @@
 	}
 }
 
+// applyEntry records an endpoint's entry, unless what is known of the endpoint is newer.
+func (c *Cache) applyEntry(now time.Time, entry *fleet.Endpoint, isRestored bool) {
+	known := c.endpoints[entry.ID]
+	if c.restored.keepsKnown(now, known, entry) || (known == nil && isRestored && c.restored.keepsGone(now, entry)) {
+		return
+	}
+	c.put(entry)
+}
+
 // setConfig puts a configuration in force, unless it must not replace the current one.
 func (c *Cache) setConfig(now time.Time, next *fleet.Configuration) {
 	since := now
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -16,14 +16,18 @@
 	// goneRetention is how long endpoints that left are remembered. It is longer than the age
 	// of any copy.
 	goneRetention = time.Minute
+	// OlderGrace is how long an entry is held back that is older than what is known of its endpoint. By then the endpoint,
+	// which writes every heartbeat, has written again, although some of its writes are done late.
+	OlderGrace = 15 * time.Second
 )
 
-// restored reconciles the entries of a store that was restored from an older copy with the
-// known state.
+// restored reconciles entries that are older than the known state with it: those of a store that was restored from an
+// older copy, and writes that are done late, after newer ones.
 //
 // State that the store acknowledged must not be undone by an older copy. Otherwise a draining
 // endpoint would be ready again, an endpoint that is gone would get requests, and a zone that
-// was taken out would be back, until each is written again.
+// was taken out would be back, until each is written again. A late write would undo what its endpoint said since: a
+// group that serves would have no members, and they would be joined to another one.
 type restored struct {
 	gone map[string]goneEndpoint
 	held map[string]heldEndpoint
@@ -46,17 +50,34 @@
 	return restored{gone: map[string]goneEndpoint{}, held: map[string]heldEndpoint{}, zonesIn: map[string]time.Time{}}
 }
 
-// keeps reports whether the known state of an endpoint takes precedence over a restored
-// entry. known is nil for an unknown endpoint.
-func (r *restored) keeps(now time.Time, known, entry *fleet.Endpoint) bool {
-	if known != nil {
-		older := entry.StartedMillis < known.StartedMillis || (entry.StartedMillis == known.StartedMillis && entry.Sequence < known.Sequence)
-		if older {
-			klog.InfoS("restored_entry_older", "endpoint", entry.ID, "state", entry.State, "known", known.State,
-				"sequence", entry.Sequence, "known_sequence", known.Sequence)
-		}
-		return older
+// keepsKnown reports whether the known state of an endpoint takes precedence over an entry, which is held back then.
+// An endpoint that goes on writing such entries was started with a clock that had been put back.
+func (r *restored) keepsKnown(now time.Time, known, entry *fleet.Endpoint) bool {
+	if known == nil || !isOlder(entry, known) {
+		return false
+	}
+	held, ok := r.held[entry.ID]
+	if !ok {
+		klog.InfoS("older_entry_held", "endpoint", entry.ID, "state", entry.State, "known", known.State,
+			"sequence", entry.Sequence, "known_sequence", known.Sequence, "started", entry.StartedMillis, "known_started", known.StartedMillis)
+		held.until = now.Add(OlderGrace)
+	}
+	held.endpoint = entry
+	r.held[entry.ID] = held
+	return true
+}
+
+// isOlder reports whether an endpoint wrote an entry before a known one. Sequence numbers start anew with each process,
+// so they tell nothing without its start.
+func isOlder(entry, known *fleet.Endpoint) bool {
+	if entry.StartedMillis == 0 || known.StartedMillis == 0 {
+		return false
 	}
+	return entry.StartedMillis < known.StartedMillis || (entry.StartedMillis == known.StartedMillis && entry.Sequence < known.Sequence)
+}
+
+// keepsGone reports whether a restored entry of an unknown endpoint is held back, as the endpoint had left.
+func (r *restored) keepsGone(now time.Time, entry *fleet.Endpoint) bool {
 	left, ok := r.gone[entry.ID]
 	if !ok || entry.StartedMillis > left.startedMillis {
 		return false
