--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"time"
 
 	"redwinghall/kernel"
@@ -144,9 +145,16 @@
 	return d.restart(n)
 }
 
+// restart starts a node again. Its settings tell it that the deployment was started before.
 func (d *deployment) restart(n *nodeProcess) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !n.settings.Restarted {
+		n.settings.Restarted = true
+		if err := os.WriteFile(n.path, []byte(n.settings.Text()), settingsMode); err != nil {
+			return err
+		}
+	}
 	return d.startNode(n)
 }
 
