--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -2,19 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"redwinghall"
 	"redwinghall/balance"
-	"redwinghall/fleet"
 	"redwinghall/kernel"
-	"redwinghall/platform"
 )
 
 const (
@@ -34,44 +28,6 @@
 	attemptTimeShare = 0.4
 )
 
-var errEncodedResponse = errors.New("the response is encoded, so its bytes are not the endpoint's own")
-
-// plainAttempt is the result of one attempt at a plain service.
-type plainAttempt struct {
-	endpoint *fleet.Endpoint
-	response *Response
-	body     []byte
-	gate     *quarantineGate
-	err      error // of kind NotSent or Unknown
-	// refused is set if there was no endpoint for the attempt.
-	refused *refusal
-	// answers is set if the response is the one that the caller gets.
-	answers bool
-	// notRun is true if the endpoint guaranteed that it did not execute the request.
-	notRun bool
-	// unread is the remainder of a response that is too large to be buffered; nil if
-	// body is complete. It must be closed by release.
-	unread  io.Reader
-	release func()
-	// giveBack releases the memory of body; nil if none is held.
-	giveBack func()
-}
-
-// close releases the connection of a response that was not read completely, and what is held of it.
-func (t plainAttempt) close() {
-	if t.release != nil {
-		t.release()
-	}
-	if t.giveBack != nil {
-		t.giveBack()
-	}
-}
-
-// isServed reports whether the endpoint has served the request.
-func (t plainAttempt) isServed() bool {
-	return t.isResponse() && t.response.Status < http.StatusInternalServerError && !statusMeansNotRun(t.response.Status)
-}
-
 // plainCall is the state of one request to a plain service.
 type plainCall struct {
 	g *Gateway
@@ -196,60 +152,6 @@
 	return why
 }
 
-// attempt sends the request to one endpoint and reads the response, a large one only
-// in part.
-func (c *plainCall) attempt(run *plainRun) plainAttempt {
-	defer c.endRun(run)
-	defer c.hedgeIfSilent(time.Now(), run)()
-	endpoint := run.choice.Endpoint
-	response, err := c.g.send(run.ctx, c.r, endpoint, "", c.sendMode(run.fresh))
-	if err != nil {
-		c.recordBrokenOff(run.ctx, run.gate, endpoint, err)
-		c.recordSendFailure(run, err)
-		run.cancel(nil)
-		return plainAttempt{err: err}
-	}
-	c.g.recordResponded(time.Now(), endpoint, response)
-	c.g.recordResponseInfo(c.r, run.choice, response)
-	last := c.readResponse(endpoint, response)
-	last.gate = run.gate
-	last.release = func() {
-		_ = response.Body.Close() // the part that is needed has been read
-		run.cancel(nil)
-	}
-	last = c.claim(run, last)
-	c.recordBrokenOff(run.ctx, run.gate, endpoint, last.err)
-	if last.err == nil && !last.notRun && last.unread == nil {
-		run.gate.recordProven(time.Now())
-	}
-	c.recordAttempt(run, last)
-	if last.unread == nil && last.release != nil {
-		last.release()
-		last.release = nil
-	}
-	return last
-}
-
-// recordBrokenOff finds out whether the endpoint's process ended, if an attempt broke off without this node's doing.
-func (c *plainCall) recordBrokenOff(ctx context.Context, gate *quarantineGate, e *fleet.Endpoint, err error) {
-	if redwinghall.KindOf[Kind](err) != Unknown || ctx.Err() != nil {
-		return
-	}
-	latest, found := c.g.presenceAfter(ctx, e, err)
-	gate.recordPresence(time.Now(), latest, found)
-}
-
-// sendMode returns how the next attempt is sent. One that may not be repeated isn't written to
-// an open connection that may be dead: its outcome would be unknown until its deadline.
-func (c *plainCall) sendMode(fresh bool) sendMode {
-	return sendMode{
-		fresh:  fresh,
-		insist: func() bool { return c.dialsFailed() > 0 || !c.g.hasAlternative(time.Now(), c.r, c.triedEndpoints()) },
-
-		mayRunAgain: func() bool { return c.mayRunAgain(time.Now()) },
-	}
-}
-
 // mayRunAgain reports whether the call may be sent to another endpoint: not once its caller gets a part of an answer.
 func (c *plainCall) mayRunAgain(now time.Time) bool {
 	c.mu.Lock()
@@ -258,99 +160,6 @@
 	return !answered && c.r.Idempotent() && c.sentAttempts() < c.r.Route.MaxAttempts && c.g.hasAlternative(now, c.r, c.triedEndpoints())
 }
 
-// readResponse reads a response, or the first part of a large one.
-func (c *plainCall) readResponse(e *fleet.Endpoint, response *Response) plainAttempt {
-	last := plainAttempt{endpoint: e, response: response, notRun: response.Info.NotRun}
-	body, complete, err := readUpTo(response.Body, nil, smallBufferedResponse)
-	if err == nil && !complete && c.g.answerBytes.Take(maxBufferedResponse) {
-		last.giveBack = func() { c.g.answerBytes.GiveBack(maxBufferedResponse) }
-		body, complete, err = readUpTo(response.Body, body, maxBufferedResponse)
-	}
-	last.body = body
-	if err == nil && response.Info.Encoded {
-		err = errEncodedResponse
-	}
-	if err != nil && !last.notRun {
-		last.close()
-		return plainAttempt{err: redwinghall.NewOpError("plainCall.readResponse", Unknown, err)}
-	}
-	if err == nil && !complete {
-		last.unread = response.Body
-	}
-	return last
-}
-
-// readUpTo reads a response on until it has more than limit bytes, and reports whether that is all of it.
-func readUpTo(from io.Reader, begun []byte, limit int) (body []byte, complete bool, err error) {
-	more, err := io.ReadAll(io.LimitReader(from, int64(limit+1-len(begun))))
-	if len(begun) > 0 {
-		more = append(begun, more...)
-	}
-	return more, len(more) <= limit, err
-}
-
-// recordAttempt reports the result of an attempt to the tracker and logs it.
-func (c *plainCall) recordAttempt(run *plainRun, last plainAttempt) {
-	choice := run.choice
-	c.recordOutcome(last.err, last.notRun)
-	if last.err != nil {
-		c.recordFailure(time.Now(), run, last.err)
-		return
-	}
-	now := time.Now()
-	load := last.response.Info.Load
-	if load.Known {
-		choice.Attempt.RecordLoad(now, load.Running+load.Waiting)
-	}
-	if last.response.rejectedWithRetryAfter() {
-		choice.Attempt.Cancel()
-	} else {
-		choice.Attempt.Done(now, !last.notRun && last.response.Status < http.StatusInternalServerError)
-	}
-	if last.response.Status == http.StatusMisdirectedRequest {
-		c.g.Tracker.MarkUnreachable(now, choice.Endpoint.ID)
-	}
-	klog.InfoS("answered", "request", c.r.Info.ID, "route", c.r.Route.Name, "endpoint", choice.Endpoint.ID, "status", last.response.Status,
-		"not_run", last.notRun, "running", choice.Running, "load_age", choice.Age, "attempts", c.sentAttempts(), "took", now.Sub(c.r.Arrived), "via", last.response.Peer,
-		"configuration", c.r.configVersion())
-}
-
-// recordSendFailure records and logs an attempt that got no response.
-func (c *plainCall) recordSendFailure(run *plainRun, err error) {
-	now := time.Now()
-	c.recordOutcome(err, false)
-	if c.recordFailure(now, run, err) && redwinghall.KindOf[Kind](err) != NotSent {
-		c.g.recordBroken(now, run.choice.Endpoint, nil)
-	}
-}
-
-// recordOutcome counts an attempt that has ended.
-func (c *plainCall) recordOutcome(err error, notRun bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case redwinghall.KindOf[Kind](err) == NotSent:
-		c.failedDials++
-		c.sent--
-	case !notRun:
-		c.mayHaveRun = true
-	}
-}
-
-// recordFailure reports a failed attempt to the tracker and logs it, unless it was ended as it wasn't needed any more.
-// It reports whether it did.
-func (c *plainCall) recordFailure(now time.Time, run *plainRun, err error) bool {
-	if c.recordDropped(run) {
-		return false
-	}
-	choice := run.choice
-	choice.Attempt.Done(now, false)
-	c.g.Metrics.AttemptFailed(redwinghall.KindOf[Kind](err))
-	klog.InfoS("attempt_failed", "request", c.r.Info.ID, "endpoint", choice.Endpoint.ID, "address", choice.Endpoint.Address,
-		"kind", redwinghall.KindOf[Kind](err), "running", choice.Running, "identity", c.r.identity(), "err", err)
-	return true
-}
-
 // shouldRetry reports whether the request may be sent to another endpoint.
 func (c *plainCall) shouldRetry(ctx context.Context, last plainAttempt) bool {
 	now := time.Now()
@@ -368,38 +177,3 @@
 	}
 	return false
 }
-
-// callerGone ends a request whose connection to the caller has ended, or which this node ends as it ends itself. more are
-// further keys and values of its line.
-//
-// A caller that only shut its sending side looks the same as one that has left, so the connection gets a status. mayHaveRun
-// tells whether an endpoint may have run the request, and begun whether the response has begun.
-func (g *Gateway) callerGone(w http.ResponseWriter, r *Request, mayHaveRun, begun bool, more ...any) {
-	why := goneRefusal(r, mayHaveRun)
-	if begun {
-		why.status = 0
-	}
-	g.logUnanswered("caller_gone", r, why.reason, append(more, "status", why.status)...)
-	g.Metrics.CallerGone(r)
-	if begun {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("Connection", "close")
-	_ = writeRefusal(w, r, why) // the caller has left in most cases
-}
-
-// goneRefusal returns the answer to a request that ended before its response began.
-func goneRefusal(r *Request, mayHaveRun bool) refusal {
-	why := refusal{status: http.StatusServiceUnavailable, reason: goneReason(r), retryAfter: defaultRetryAfter}
-	if mayHaveRun {
-		why.status, why.retryAfter = http.StatusBadGateway, 0
-	}
-	return why
-}
-
-// forwardHeaders returns the headers that are added to a request for an endpoint.
-func (g *Gateway) forwardHeaders(r *Request, e *fleet.Endpoint, lastEvent string) platform.ForwardHeaders {
-	return platform.ForwardHeaders{
-		Timeout: r.Left(time.Now()), Endpoint: e.ID, Account: r.account(), Priority: r.Priority(), LastEvent: lastEvent,
-	}
-}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -135,3 +135,10 @@
 		r.ByRoute = false
 	}
 }
+
+// forwardHeaders returns the headers that are added to a request for an endpoint.
+func (g *Gateway) forwardHeaders(r *Request, e *fleet.Endpoint, lastEvent string) platform.ForwardHeaders {
+	return platform.ForwardHeaders{
+		Timeout: r.Left(time.Now()), Endpoint: e.ID, Account: r.account(), Priority: r.Priority(), LastEvent: lastEvent,
+	}
+}
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -81,3 +82,31 @@
 	}
 	return now.Sub(view.ConfigSince())
 }
+
+// callerGone ends a request whose connection to the caller has ended, or which this node ends as it ends itself. more are
+// further keys and values of its line.
+//
+// A caller that only shut its sending side looks the same as one that has left, so the connection gets a status. mayHaveRun
+// tells whether an endpoint may have run the request, and begun whether the response has begun.
+func (g *Gateway) callerGone(w http.ResponseWriter, r *Request, mayHaveRun, begun bool, more ...any) {
+	why := goneRefusal(r, mayHaveRun)
+	if begun {
+		why.status = 0
+	}
+	g.logUnanswered("caller_gone", r, why.reason, append(more, "status", why.status)...)
+	g.Metrics.CallerGone(r)
+	if begun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	_ = writeRefusal(w, r, why) // the caller has left in most cases
+}
+
+// goneRefusal returns the answer to a request that ended before its response began.
+func goneRefusal(r *Request, mayHaveRun bool) refusal {
+	why := refusal{status: http.StatusServiceUnavailable, reason: goneReason(r), retryAfter: defaultRetryAfter}
+	if mayHaveRun {
+		why.status, why.retryAfter = http.StatusBadGateway, 0
+	}
+	return why
+}
