Soak: an endpoint that sends a limit gets no second one

Traced: two faults of the run limited the same endpoint, 4 a second from 21:25:36.3 to 50.2 and 2 a second from 44.2 to 55.7. The end of the first took the second's limit away too (node-0 at 52.1: `limit_named` named=false), and the check counted on it until 55.7. A second limit at the same endpoint isn't begun any more; each that is begun is checked as before. Nothing of the product is in it.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -164,6 +164,7 @@
 	endpoint *platformtest.Endpoint
 	link     *link.Link
 	faults   intervals // in which the link lost responses or connections
+	limited  bool      // the run makes it send a limit
 }
 
 var zones = []string{"a", "b"}
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -24,18 +24,38 @@
 )
 
 // limitEndpoint makes an endpoint send a rate limit for a while and checks the rate of
-// the requests that it receives.
+// the requests that it receives. One that sends a limit already keeps it: a second one would end with the first.
 func limitEndpoint(ctx context.Context, d *deployment, duration time.Duration) error {
 	e, perSecond := d.pickEndpoint(), float64(1+d.randomInt(maxLimit))
+	if !d.beginLimit(e) {
+		return nil
+	}
+	defer d.endLimit(e)
 	d.recordFault("%s sends a limit of %g requests a second for %s", e.config.ID, perSecond, minLimitDuration+duration)
 	limitSetAt := time.Now()
 	e.endpoint.SetRateLimit(perSecond)
 	kernel.Sleep(ctx, minLimitDuration+duration)
 	d.checkLimit(e, perSecond, limitSetAt)
-	e.endpoint.ClearRateLimit()
 	return nil
 }
 
+func (d *deployment) beginLimit(e *linkedEndpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.limited {
+		return false
+	}
+	e.limited = true
+	return true
+}
+
+func (d *deployment) endLimit(e *linkedEndpoint) {
+	e.endpoint.ClearRateLimit()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e.limited = false
+}
+
 // checkLimit checks the rate of requests from limitPropagation after the limit was set and
 // after the last fault of a node: a node that has just started or resumed may not have
 // received the limit yet.
