Tests: entries of endpoints come from platformtest; comments say who does what

Tests of directory wrote the wire's names of an entry by themselves; platformtest.PlainEntry has them now. The test of unacknowledged requests asks platform whether a response says "not run". Nothing of what the tests ask changed.

--- a/directory/cache.go
+++ b/directory/cache.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// applyEntry records an endpoint's entry, unless what is known of the endpoint is newer.
+// applyEntry replaces the known entry of an endpoint, unless the endpoint wrote that one later.
 func (c *Cache) applyEntry(now time.Time, entry *fleet.Endpoint, isRestored bool) {
 	known := c.endpoints[entry.ID]
 	if c.restored.keepsKnown(now, known, entry) || (known == nil && isRestored && c.restored.keepsGone(now, entry)) {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"sync"
 	"testing"
@@ -15,6 +14,7 @@
 	"redwinghall/directory"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
 )
 
 var start = time.Unix(1000, 0)
@@ -143,13 +143,14 @@
 	return fleet.Position{}, nil
 }
 
+// entryValue returns the value of an endpoint's entry.
+func entryValue(state string, startedMillis, sequence int64) []byte {
+	return platformtest.PlainEntry{Service: "s", Address: "10.0.0.1:80", State: state, StartedMillis: startedMillis, Sequence: sequence}.Value()
+}
+
 func entry(t *testing.T, id string, version int64) fleet.Row {
 	t.Helper()
-	value, err := json.Marshal(map[string]any{
-		"service": "s", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
-	})
-	require.NoError(t, err)
-	return fleet.Row{Table: "servers", Key: id, Value: value, Version: version}
+	return fleet.Row{Table: "servers", Key: id, Value: entryValue("ready", 0, 1), Version: version}
 }
 
 func follow(t *testing.T, store fleet.Store) (*directory.Cache, func()) {
@@ -270,7 +271,7 @@
 	}
 	kernel.Sleep(ctx, 5*time.Millisecond)
 	newest := min(s.newest(), after.Version+page)
-	value := []byte(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":1}`)
+	value := entryValue("ready", 0, 1)
 	var rows []fleet.Row
 	for version := after.Version + 1; version <= newest; version++ {
 		rows = append(rows, fleet.Row{Table: table, Key: "e" + strconv.FormatInt(version%3000, 10), Value: value, Version: version})
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -1,7 +1,6 @@
 package directory_test
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,8 +101,7 @@
 func TestFollowerKeepsNewerStateThanARestoredList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		entry := func(id, state string, written, version int64) fleet.Row {
-			value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"%s","cold_remaining_ms":0,"born":5,"sequence":%d}`, state, written)
-			return fleet.Row{Table: "servers", Key: id, Value: []byte(value), Version: version}
+			return fleet.Row{Table: "servers", Key: id, Value: entryValue(state, 5, written), Version: version}
 		}
 		store := &fakeStore{era: 1}
 		store.set(90, "", entry("a", "draining", 9, 88), entry("b", "ready", 4, 80))
--- a/directory/quiet_table_test.go
+++ b/directory/quiet_table_test.go
@@ -64,7 +64,7 @@
 		rows.Rows = []fleet.Row{{Table: table, Key: "config", Value: value, Version: s.configAt}}
 	}
 	if table == "servers" && s.version > after {
-		value := fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":%d}`, s.version)
+		value := entryValue("ready", 0, s.version)
 		rows.Rows = []fleet.Row{{Table: table, Key: "e", Value: value, Version: s.version}}
 	}
 	return rows, s.changed
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -16,8 +16,8 @@
 	// goneRetention is how long endpoints that left are remembered. It is longer than the age
 	// of any copy.
 	goneRetention = time.Minute
-	// OlderGrace is how long an entry is held back that is older than what is known of its endpoint. By then the endpoint,
-	// which writes every heartbeat, has written again, although some of its writes are done late.
+	// OlderGrace is how long an entry is held back that its endpoint wrote before the known one. A live endpoint writes
+	// again within it, even if the store delays several of its writes.
 	OlderGrace = 15 * time.Second
 )
 
--- a/gateway/unacknowledged_test.go
+++ b/gateway/unacknowledged_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/directory"
+	"redwinghall/platform"
 	"redwinghall/platform/platformtest"
 )
 
@@ -69,7 +70,7 @@
 			require.Equal(t, c.status, got.status)
 			require.Less(t, time.Since(begun), changeTime)
 			require.Equal(t, c.runs, runs.Load())
-			require.Empty(t, got.header.Get("Not-Executed"), "a part of it arrived")
+			require.False(t, platform.DecodeResponseInfo(got.status, got.header).NotRun, "a part of it arrived")
 		})
 	}
 }
