--- a/caller/silent_group_test.go
+++ b/caller/silent_group_test.go
@@ -165,7 +165,7 @@
 	require.EqualValues(t, 2, s.requests.Load())
 }
 
-// A group is silent for good and no other one takes its stream: the caller is told after a second stall timeout.
+// Guards against a caller that waits in vain: its group is silent for good, no other takes the stream, and an error comes after a second stall timeout.
 func TestStreamThatNoGroupTakesEnds(t *testing.T) {
 	s := startSilentGroups(t, time.Minute, rejectStream, rejectStream)
 	begun := time.Now()
--- a/directory/absence.go
+++ b/directory/absence.go
@@ -13,8 +13,8 @@
 // and took longer was not answered as it began.
 const resentAfter = 200 * time.Millisecond
 
-// toldWithin is the time between two reads of a node that others read from while the store doesn't answer it. What it
-// says of the store is at most that old.
+// toldWithin is the time between two reads of a node that others read from while the store doesn't answer it. Its
+// answers are that much behind the store at most.
 const toldWithin = 800 * time.Millisecond
 
 // absence records the calls of both feeds that the store didn't answer. It can't tell a store that is away from one
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -304,8 +304,8 @@
 	return rows, err
 }
 
-// wait returns how long the store may wait for changes. The first response after calls that weren't answered comes at
-// once: what it doesn't report was changed after the store's return.
+// wait returns how long the store may wait for changes. The first call after failed ones doesn't
+// wait: what its response lacks changed after the store's return.
 func (f *feed) wait() time.Duration {
 	if f.failing {
 		return 0
--- a/endpointhttp/upstream.go
+++ b/endpointhttp/upstream.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// addressConns is what this node knows of its connections to an address.
+// addressConns counts the open connections to an address, and records when the other side last ended an idle one.
 type addressConns struct {
 	open atomic.Int64
 	// endedAt is when the other side last ended one without a request in progress, nil for never.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -110,7 +110,7 @@
 	return r.Route.Kind == fleet.Safe || (r.Route.Kind == fleet.Streaming && r.Route.Resumable)
 }
 
-// ending returns what is known of the request's end; expected is 0 if unknown.
+// ending returns when the request ends; expected is how long it takes, 0 if unknown.
 func (r *Request) ending(expected time.Duration) Ending {
 	out := Ending{Deadline: r.Deadline, Expected: expected}
 	switch {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -69,7 +69,7 @@
 	LosesCertainty
 )
 
-// Ending is what is known of the end of a request.
+// Ending says when a request ends.
 type Ending struct {
 	// Deadline is when it ends at the latest.
 	Deadline time.Time
--- a/neighbor/answer_size.go
+++ b/neighbor/answer_size.go
@@ -9,7 +9,7 @@
 const (
 	// maxShortAnswer is for the calls that a node makes for each request of a caller, or many at once.
 	maxShortAnswer = 16 << 10
-	// maxTrialAnswer is for what a node knows of the parts of one request, and maxTrialReport what it tells of that at most.
+	// maxTrialAnswer bounds the answer with the suspected parts of one request, and maxTrialReport the report of them.
 	// Requests that wait for a trial are few.
 	maxTrialAnswer = 128 << 10
 	maxTrialReport = maxTrialAnswer - 1<<10
