Endpoints that read slowly keep their connections

What callers saw: a request with a body that is larger than its endpoint's receive window, and of which the endpoint reads nothing for 2.5 s, got 502 (bookings), though the endpoint was there and would have run it; look-ups took a second attempt, and an answer that began before the body was read was cut.

Linux counts the time for which a window is closed against TCP_USER_TIMEOUT, although all that had room is acknowledged and each probe is answered. TestBytesThatNobodyAcknowledgesAreGivenUp and TestRequestThatNobodyAcknowledgesEndsByItsKind had just that case (a reader's full queue) in place of a cut, so they asked for the fault.

Change: dial.Dialer's connections look each 0.5 s at a send queue that isn't empty; while the window is closed and its probes are answered, the user timeout doesn't hold. What is unacknowledged, or goes unprobed behind a cut, is bounded as before.

The two tests above now have a true cut: a filter at the endpoint's socket drops all that arrives, acknowledgements too. Their bounds stay (4 s); both, and TestSlowReaderThatIsCutOffIsGivenUp, fail with 25 s in place of 2.5 s. Ruled out: no limit for requests larger than a window, which would run late behind a cut again.

--- a/dial/dialer.go
+++ b/dial/dialer.go
@@ -25,16 +25,31 @@
 // the last keep-alive probe and the time at which that has failed, so that it changes nothing of those.
 const unacknowledgedTimeout = 2500 * time.Millisecond
 
-// NewDialer returns a dialer for connections that carry requests. They end by themselves when the other side no longer responds.
+// Dialer opens connections that carry requests.
+type Dialer struct{ base net.Dialer }
+
+// NewDialer returns a dialer whose connections end by themselves when the other side no longer responds.
 //
 // No keep-alive probes are sent while bytes are unacknowledged. The operating system goes on sending those behind a cut, and
 // they arrive however long it lasts.
-func NewDialer() *net.Dialer {
-	return &net.Dialer{
+func NewDialer() *Dialer {
+	return &Dialer{net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control: func(_, _ string, socket syscall.RawConn) error {
 			_ = kernel.LimitUnacknowledged(socket, unacknowledgedTimeout) // a connection without it is better than none
 			return nil
 		},
+	}}
+}
+
+// DialContext is a Func.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.base.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &windowConn{TCPConn: tcp}, nil
 	}
+	return conn, nil
 }
--- a/gateway/unacknowledged_test.go
+++ b/gateway/unacknowledged_test.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -15,24 +15,24 @@
 	"redwinghall/directory"
 	"redwinghall/platform"
 	"redwinghall/platform/platformtest"
+	"redwinghall/standin/link"
 )
 
 const (
 	// unreadBytes are more than lie in the sockets between a node and an endpoint that doesn't read.
-	unreadBytes = 3 << 20
+	unreadBytes = 16 << 20
 	// changeTime is how soon no request may go by what held before a change.
 	changeTime = 4 * time.Second
 )
 
-// unreading adds an endpoint that accepts connections and reads nothing.
-func (s *fixture) unreading(id, service string) {
-	small := net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
-		return socket.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) }) // the test sees if it has no effect
-	}}
-	listener, err := small.Listen(s.t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	s.t.Cleanup(func() { _ = listener.Close() })
-	s.register(id, service, listener.Addr().String())
+// cutOff adds an endpoint whose path is cut once the head of a request has arrived.
+func (s *fixture) cutOff(id, service string) {
+	s.endpoint(id, service, func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		require.NoError(s.t, err)
+		s.t.Cleanup(func() { _ = conn.Close() })
+		require.NoError(s.t, link.DropSegments(conn.(*net.TCPConn)))
+	})
 }
 
 // The kernel ended the connection of a request whose bytes nobody acknowledged, and a booking of which a part may have arrived ran once more.
@@ -49,10 +49,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newUnconfiguredFixture(t)
-			s.config.Limits.BodyBytes = 4 << 20
+			s.config.Limits.BodyBytes = unreadBytes
 			withTimeout(s.config.Routes, 4*requestTimeout)
 			s.cache.Apply(time.Now(), directory.Change{Config: s.config})
-			s.unreading("e1", "desk")
+			s.cutOff("e1", "desk")
 			var runs atomic.Int32
 			r, err := platformtest.NewRequest(context.Background(), http.MethodPost, s.server.Listener.Addr().String(), c.path,
 				bytes.NewReader(make([]byte, unreadBytes)), platformtest.RequestInfo{ID: "r-1", Key: "key-1", Timeout: 4 * requestTimeout})
@@ -74,3 +74,25 @@
 		})
 	}
 }
+
+// A booking got 502 once its endpoint had read none of its body for 2.5 s, although the endpoint was there and ran it later.
+func TestBookingThatIsReadLateIsAnswered(t *testing.T) {
+	t.Parallel()
+	const unreadTime = 5 * time.Second
+	s := newUnconfiguredFixture(t)
+	s.config.Limits.BodyBytes = unreadBytes
+	withTimeout(s.config.Routes, 4*requestTimeout)
+	s.cache.Apply(time.Now(), directory.Change{Config: s.config})
+	s.endpoint("e1", "desk", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(unreadTime)
+		_, _ = io.Copy(io.Discard, r.Body)
+		sign(w, r)
+		writeEvents(w, 1, 3)
+	})
+	r, err := platformtest.NewRequest(t.Context(), http.MethodPost, s.server.Listener.Addr().String(), "/book2/x",
+		bytes.NewReader(make([]byte, unreadBytes)), platformtest.RequestInfo{ID: "r-1", Key: "key-1", Timeout: 4 * requestTimeout})
+	require.NoError(t, err)
+	got := s.do(r)
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+}
--- a/httpanswer/given_up_test.go
+++ b/httpanswer/given_up_test.go
@@ -17,6 +17,7 @@
 	"redwinghall/dial"
 	"redwinghall/httpanswer"
 	"redwinghall/kernel"
+	"redwinghall/standin/link"
 )
 
 // longestUnacknowledged is how long after its sending a request that nobody takes may still arrive: a decision of operators is
@@ -105,25 +106,53 @@
 // A request that was written behind a cut arrived whenever the cut ended, although its endpoint had been taken out meanwhile.
 func TestBytesThatNobodyAcknowledgesAreGivenUp(t *testing.T) {
 	t.Parallel()
-	given := make(chan struct{})
-	var arrived int64
+	isCut, given := make(chan struct{}), make(chan struct{})
+	var arrived []byte
 	address, done := serveOne(t, func(conn *net.TCPConn) error {
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return err
+		}
+		if err := link.DropSegments(conn); err != nil {
+			return err
+		}
+		if _, err := io.WriteString(conn, okHead+okBody); err != nil {
+			return err
+		}
+		close(isCut)
 		<-given
+		if err := link.PassSegments(conn); err != nil {
+			return err
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(2 * longestUnacknowledged)); err != nil { // longer than a kernel waits before it sends them again
+			return err
+		}
 		var err error
-		arrived, err = io.Copy(io.Discard, conn)
+		arrived, err = io.ReadAll(reader)
 		if err == nil {
 			return errArrived
 		}
 		return nil
 	})
+	transport := newTransport()
+	send := func(ctx context.Context, body io.Reader) error {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", body)
+		require.NoError(t, err)
+		response, err := transport.RoundTrip(r)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return errors.Join(err, response.Body.Close())
+	}
+	require.NoError(t, send(t.Context(), nil))
+	<-isCut
 	ctx, cancel := context.WithTimeout(t.Context(), longestUnacknowledged)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, uploadBytes)))
-	require.NoError(t, err)
-	_, err = newTransport().RoundTrip(r)
+	err := send(ctx, bytes.NewReader(make([]byte, 1<<10)))
 	close(given)
 	require.Error(t, err)
 	require.NoError(t, ctx.Err(), "it wasn't given up in time")
 	require.NoError(t, done())
-	require.Less(t, arrived, int64(uploadBytes))
+	require.Empty(t, arrived)
 }
--- a/kernel/unacknowledged.go
+++ b/kernel/unacknowledged.go
@@ -10,8 +10,8 @@
 )
 
 // LimitUnacknowledged makes the operating system end a TCP connection with a timeout once written bytes have lain
-// unacknowledged for so long, or the other side has taken none of those that wait. It goes on doing so while this process
-// doesn't run, and after its end.
+// unacknowledged for so long, or the other side has kept its receive window closed to those that wait, although it answers
+// probes. It goes on doing so while this process doesn't run, and after its end. The timeout 0 is no limit.
 func LimitUnacknowledged(socket syscall.RawConn, timeout time.Duration) error {
 	var err error
 	controlErr := socket.Control(func(fd uintptr) {
