Answers that end with their connection: only the process that accepted a witness vouches for them

Its worker crashed in the middle of it, was up again under its id 0.1 s later, and the end of the connection came late.

Cause: the question whether the process still runs went over a connection opened behind the end. The next process answers there, and the servers of plain services name no start; if no idle connection of the pool had ended, that was taken for proof.

Change: endpointhttp.Witness, a connection opened as the head of such an answer comes and left alone until its end. The question goes over that, where only the process that accepted it answers. If nobody does, an answer elsewhere that names no start proves nothing, and the request ends at once (502) or runs again. It takes the place of the question's new connection.

--- a/endpointhttp/earlier_connection.go
+++ b/endpointhttp/earlier_connection.go
@@ -60,13 +60,19 @@
 	return fleet.PresenceUnknown
 }
 
+// endedSince reports whether the other side has ended an idle connection to an address since a time.
+func (u *Upstream) endedSince(address string, since time.Time) bool {
+	ended := u.addresses.of(address).endedAt.Load()
+	return ended != nil && ended.After(since)
+}
+
 // Weigh finds out what the earlier connections to an endpoint show that has answered without naming its start. If one was ended
 // by the other side since the request was sent, and none is answered, another process may have answered.
 func (u *Upstream) Weigh(ctx context.Context, e *fleet.Endpoint, sent time.Time, timeout time.Duration) fleet.Presence {
 	if u.AskEarlier(ctx, e, sent, timeout) == fleet.PresenceAlive {
 		return fleet.PresenceAlive
 	}
-	if ended := u.addresses.of(e.Address).endedAt.Load(); ended != nil && ended.After(sent) {
+	if u.endedSince(e.Address, sent) {
 		return fleet.PresenceUnknown
 	}
 	return fleet.PresenceAnswered
--- a/endpointhttp/upstream.go
+++ b/endpointhttp/upstream.go
@@ -66,7 +66,8 @@
 	transport *http.Transport
 	addresses addresses // of transport
 	// fresh opens a connection for each request and keeps none.
-	fresh *http.Transport
+	fresh     *http.Transport
+	witnesses atomic.Int64 // open, or being opened
 }
 
 // NewUpstream returns an upstream without connections.
--- a/gateway/earlier_connection_test.go
+++ b/gateway/earlier_connection_test.go
@@ -18,6 +18,9 @@
 // keptOpen is how many connections to an endpoint are idle before a test's request.
 const keptOpen = 3
 
+// answerPause is the time between the first bytes of an answer and its end, shorter than a process takes to start again.
+const answerPause = 50 * time.Millisecond
+
 // keeping is an endpoint of a plain service that names no start. Its answers have a length, but for the last one.
 type keeping struct {
 	server *httptest.Server
@@ -26,6 +29,7 @@
 	body     string
 	together sync.WaitGroup
 	begun    atomic.Bool
+	onRun    func() // nil for nothing
 	runs     atomic.Int32
 	delay    atomic.Int64
 	idle     sync.Map // connections without a request in progress
@@ -37,6 +41,12 @@
 	_ = conn.Close()
 }
 
+// crashLater is crash some time after the first bytes of the answer.
+func crashLater(e *keeping, conn *net.TCPConn) {
+	time.Sleep(answerPause)
+	crash(e, conn)
+}
+
 func endSoundly(_ *keeping, conn *net.TCPConn) { _ = conn.Close() }
 
 // endSlowly ends the answer, and slows the process down.
@@ -74,6 +84,9 @@
 		_, _ = w.Write([]byte("framed")) // the reader checks what it received
 	default:
 		e.runs.Add(1)
+		if e.onRun != nil {
+			e.onRun()
+		}
 		unframed(w, r, e.body, func(conn *net.TCPConn) { e.end(e, conn) })
 	}
 }
@@ -81,13 +94,9 @@
 // keeping adds an endpoint to which connections are idle.
 func (s *fixture) keeping(body string, end func(*keeping, *net.TCPConn)) *keeping {
 	s.t.Helper()
-	e := &keeping{end: end, body: body}
+	e := s.keepingNone(body, end)
+	e.begun.Store(false)
 	e.together.Add(keptOpen)
-	e.server = httptest.NewUnstartedServer(e)
-	e.server.Config.ConnState = e.note
-	e.server.Start()
-	s.t.Cleanup(e.server.Close)
-	s.register("e1", "desk", e.server.Listener.Addr().String())
 	var callers sync.WaitGroup
 	for range keptOpen {
 		callers.Go(func() { s.do(s.request(http.MethodGet, "/look/")) })
@@ -97,6 +106,19 @@
 	return e
 }
 
+// keepingNone adds an endpoint to which no connections are idle.
+func (s *fixture) keepingNone(body string, end func(*keeping, *net.TCPConn)) *keeping {
+	s.t.Helper()
+	e := &keeping{end: end, body: body}
+	e.begun.Store(true)
+	e.server = httptest.NewUnstartedServer(e)
+	e.server.Config.ConnState = e.note
+	e.server.Start()
+	s.t.Cleanup(e.server.Close)
+	s.register("e1", "desk", e.server.Listener.Addr().String())
+	return e
+}
+
 // The next process answers at once, and names no start: only a connection of the one before could show that it lives.
 func TestAnswerIsNotCompleteIfItsEarlierConnectionsEnded(t *testing.T) {
 	t.Parallel()
@@ -125,3 +147,51 @@
 		})
 	}
 }
+
+// The next process answers at once, names no start, and no earlier connection was open that its predecessor could have ended: it vouched
+// for half of an answer.
+func TestAnswerIsNotCompleteIfTheNextProcessVouchesForIt(t *testing.T) {
+	t.Parallel()
+	for path, want := range map[string]struct {
+		status int
+		body   string
+	}{
+		"/book2/": {http.StatusBadGateway, ""},
+		"/look/":  {http.StatusOK, "whole"},
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t)
+			s.client = platform.NewEndpointClient(nil)
+			first := s.keepingNone("part", crashLater)
+			first.onRun = func() { // the only endpoint when the request is sent
+				s.endpoint("e2", "desk", func(w http.ResponseWriter, r *http.Request) {
+					sign(w, r)
+					_, _ = w.Write([]byte("whole"))
+				})
+			}
+			got := s.do(s.request(http.MethodPost, path))
+			require.NoError(t, got.err)
+			require.Equal(t, want.status, got.status)
+			require.Contains(t, got.body, want.body)
+			require.NotContains(t, got.body, "part")
+			require.EqualValues(t, 1, first.runs.Load())
+		})
+	}
+}
+
+// An answer on a connection that was opened while the response came is proof.
+func TestAnswerIsCompleteIfItsWitnessIsAnswered(t *testing.T) {
+	t.Parallel()
+	s := newFixture(t)
+	s.client = platform.NewEndpointClient(nil)
+	e := s.keepingNone("whole", func(_ *keeping, conn *net.TCPConn) {
+		time.Sleep(answerPause)
+		_ = conn.Close()
+	})
+	got := s.do(s.request(http.MethodPost, "/book2/"))
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "whole", got.body)
+	require.EqualValues(t, 1, e.runs.Load())
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/balance"
+	"redwinghall/dial"
 	"redwinghall/directory"
 	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
@@ -54,6 +55,8 @@
 	presences sync.Map
 	// asked is called before an endpoint is asked whether it still runs; nil for nothing. It must be set before requests are sent.
 	asked func(e *fleet.Endpoint)
+	// open opens connections to endpoints. It must be set before requests are sent.
+	open dial.Func
 	// client asks the endpoints themselves; nil for presences. It must be set before requests are sent.
 	client *platform.EndpointClient
 	// other is another node's client; nil if no other node reaches the endpoints. It must be set before requests are sent.
@@ -146,12 +149,15 @@
 // read nothing.
 func newUnconfiguredFixture(t testing.TB) *fixture {
 	t.Helper()
-	s := &fixture{t: t, cache: directory.NewCache(), tracker: balance.NewTracker(), config: configuration(), shares: gateway.Shares{Nodes: 1, Zone: 1}, quarantine: quarantine.NewTable()}
+	s := &fixture{t: t, cache: directory.NewCache(), tracker: balance.NewTracker(), config: configuration(), shares: gateway.Shares{Nodes: 1, Zone: 1}, quarantine: quarantine.NewTable(), open: dial.NewDialer().DialContext}
 	s.settings = fleet.Settings{Zone: "a", Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}}
 	background := kernel.NewGroup(context.Background())
 	t.Cleanup(background.Stop)
 	g := gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker, Upstream: endpointhttp.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: s.tracker,
+		Upstream: endpointhttp.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+			return s.open(ctx, network, address)
+		}),
 		Metrics: gateway.NewMetrics(), Shares: func() gateway.Shares { return s.shares }, ReportStall: func(string) {},
 		Placer: &s.placer, Promiser: &s.promiser, Stopping: func() gateway.Stop { return s.stop }, Ended: func(context.Context) bool { return s.ended.Load() }, Presence: s.presence, PresenceElsewhere: s.presenceElsewhere, Quarantine: s.quarantine,
 		Background: background.Task,
@@ -162,6 +168,13 @@
 	return s
 }
 
+// newUpstream returns an upstream that opens its connections by open.
+func (s *fixture) newUpstream() *endpointhttp.Upstream {
+	return endpointhttp.NewUpstreamWithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return s.open(ctx, network, address)
+	})
+}
+
 func (s *fixture) presence(ctx context.Context, e *fleet.Endpoint, timeout time.Duration) fleet.Presence {
 	if s.asked != nil {
 		s.asked(e)
@@ -169,10 +182,15 @@
 	if s.client != nil {
 		return s.client.Presence(ctx, e, timeout)
 	}
-	if _, gone := s.gone.Load(e.ID); gone {
+	return s.presenceOf(e.ID)
+}
+
+// presenceOf returns what is found of an endpoint's process while there is no client.
+func (s *fixture) presenceOf(id string) fleet.Presence {
+	if _, gone := s.gone.Load(id); gone {
 		return fleet.PresenceGone
 	}
-	if found, ok := s.presences.Load(e.ID); ok {
+	if found, ok := s.presences.Load(id); ok {
 		return found.(fleet.Presence)
 	}
 	return fleet.PresenceAlive
@@ -188,7 +206,13 @@
 // endpoint adds a fake endpoint of a service.
 func (s *fixture) endpoint(id, service string, handler http.HandlerFunc) *httptest.Server {
 	s.t.Helper()
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.client == nil && platformtest.IsReport(r) {
+			s.report(w, id)
+			return
+		}
+		handler(w, r)
+	}))
 	s.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -197,6 +221,14 @@
 	return server
 }
 
+// report answers a question that an endpoint gets itself, which agrees with presenceOf.
+func (s *fixture) report(w http.ResponseWriter, id string) {
+	if found := s.presenceOf(id); found == fleet.PresenceGone || found == fleet.PresenceUnknown {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
+	w.WriteHeader(http.StatusBadRequest)
+}
+
 func (s *fixture) register(id, service, address string) { s.registerIn("a", id, service, address, 0) }
 
 func (s *fixture) registerIn(zone, id, service, address string, cold time.Duration) {
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 )
@@ -63,9 +64,9 @@
 //
 // The first question goes over this node's own connection alone, as most processes answer it. This node may be cut off
 // from the endpoint, so the next ones go by way of other nodes too. The servers of plain services name no start in what they
-// answer: it counts if it comes at once, as a process that has just started is slow, unless a connection shows more that was
-// open as the request was sent, at sent. A zero time is that of no request.
-func (g *Gateway) awaitPresence(ctx context.Context, e *fleet.Endpoint, limit time.Duration, sent time.Time) fleet.Presence {
+// answer: it counts on an open witness, or else if it comes at once, as a process that has just started is slow, unless a connection
+// shows more that was open as the request was sent, at sent. A zero time is that of no request. witness may be nil.
+func (g *Gateway) awaitPresence(ctx context.Context, e *fleet.Endpoint, limit time.Duration, sent time.Time, witness *endpointhttp.Witness) fleet.Presence {
 	begun := time.Now()
 	if g.Presence == nil || limit <= 0 {
 		return fleet.PresenceUnknown
@@ -73,6 +74,9 @@
 	if g.hasSuccessor(e) {
 		return fleet.PresenceGone
 	}
+	if witness != nil && witness.IsOpen(ctx) {
+		return g.askBesideWitness(ctx, e, limit, sent, witness)
+	}
 	found := g.askOnce(ctx, e, min(firstQuestion, limit))
 	left := limit - kernel.RunTime(begun, time.Now())
 	switch {
@@ -84,6 +88,20 @@
 	return found
 }
 
+// askBesideWitness is awaitPresence with an open witness. If nobody answers there, another answer that names no start proves nothing.
+func (g *Gateway) askBesideWitness(ctx context.Context, e *fleet.Endpoint, limit time.Duration, sent time.Time, witness *endpointhttp.Witness) fleet.Presence {
+	begun := time.Now()
+	there := witness.Ask(ctx, min(firstQuestion, limit))
+	if there.IsKnown() {
+		return there
+	}
+	found := g.awaitPresence(ctx, e, limit-kernel.RunTime(begun, time.Now()), sent, nil)
+	if there == fleet.PresenceUnknown && found == fleet.PresenceAnswered {
+		return fleet.PresenceUnknown
+	}
+	return found
+}
+
 // askAllWays asks over this node's own connections, new and earlier ones, and by way of other nodes at the same time.
 func (g *Gateway) askAllWays(ctx context.Context, e *fleet.Endpoint, limit time.Duration, sent time.Time) fleet.Presence {
 	ctx, cancel := kernel.WithTimeout(ctx, limit)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -191,7 +191,7 @@
 	if !kernel.Sleep(ctx, presenceInterval) {
 		return
 	}
-	found := g.awaitPresence(ctx, e, recheckTime, time.Time{})
+	found := g.awaitPresence(ctx, e, recheckTime, time.Time{}, nil)
 	g.Metrics.BrokenOff(found)
 	if found == fleet.PresenceGone {
 		g.recordEnd(e, suspect)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/kernel"
 )
@@ -26,9 +27,11 @@
 //
 // The connections of a process that ends are closed like those after a complete response, and a part of the
 // response would pass for all of it. So the response is complete only if the same process answers a question that was
-// asked after the end, or one that names no start does at once and none of its connections was seen to end.
+// asked after the end, over a connection that was opened before it or by its start. If no such connection could be opened, one
+// that names no start may answer at once, unless one of its connections was seen to end.
 type unframedBody struct {
 	io.ReadCloser
+	witness *endpointhttp.Witness
 	// presence finds out whether the process still runs, and found is its answer, "" before the end.
 	presence func() fleet.Presence
 	found    fleet.Presence
@@ -65,6 +68,12 @@
 	return n, errUnprovenEnd
 }
 
+// Close implements io.Closer.
+func (b *unframedBody) Close() error {
+	b.witness.Close()
+	return b.ReadCloser.Close()
+}
+
 // endsSoundly reports whether the end of a response shows that its endpoint lived on. What another node passed on shows
 // it only if that node knew.
 func (r *Response) endsSoundly() bool { return r.Peer == "" }
@@ -75,14 +84,16 @@
 	if !response.Unframed || response.Info.NotRun {
 		return
 	}
+	witness := g.Upstream.OpenWitness(ctx, e, response.SentAt)
 	response.Body = &unframedBody{
 		ReadCloser: response.Body,
+		witness:    witness,
 		presence: func() fleet.Presence {
 			now := time.Now()
 			// The caller's deadline goes by the clock, also while this process stands still.
 			ctx, cancel := context.WithDeadline(ctx, now.Add(proofTime(now, r, false)))
 			defer cancel()
-			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()), response.SentAt)
+			found := g.awaitPresence(ctx, e, proofTime(now, r, mayRunAgain()), response.SentAt, witness)
 			g.Metrics.BrokenOff(found)
 			return found
 		},
--- a/gateway/unproven_end_test.go
+++ b/gateway/unproven_end_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"redwinghall/balance"
+	"redwinghall/dial"
 	"redwinghall/directory"
-	"redwinghall/endpointhttp"
 	"redwinghall/fleet"
 	"redwinghall/gateway"
 	"redwinghall/kernel"
@@ -92,13 +92,14 @@
 // restartables adds two endpoints, of which the one that is chosen first ends as end says.
 func (s *fixture) restartables(service, begun, whole string, end func(*restartable)) (both [2]*restartable) {
 	cuts := map[string]*restartable{}
-	s.client = platform.NewEndpointClientWithDialer(nil, func(ctx context.Context, network, address string) (net.Conn, error) {
+	s.open = func(ctx context.Context, network, address string) (net.Conn, error) {
 		if cuts[address].cut.Load() {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		return new(net.Dialer).DialContext(ctx, network, address)
-	})
+		return dial.NewDialer().DialContext(ctx, network, address)
+	}
+	s.client = platform.NewEndpointClientWithDialer(nil, s.open)
 	var begunBy atomic.Pointer[restartable]
 	for i, id := range []string{"e1", "e2"} {
 		e := &restartable{}
@@ -195,7 +196,7 @@
 func (s *fixture) carried(path string) (string, error) {
 	s.t.Helper()
 	carrier := httptest.NewServer(http.HandlerFunc(gateway.New(gateway.Options{
-		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: endpointhttp.NewUpstream(),
+		Settings: func() fleet.Settings { return s.settings }, Cache: s.cache, Tracker: balance.NewTracker(), Upstream: s.newUpstream(),
 		Metrics: gateway.NewMetrics(), ReportStall: func(string) {}, Presence: s.presence,
 	}).ServeForwarded))
 	s.t.Cleanup(carrier.Close)
