Refusals of requests whose body is still on its way arrive

What callers saw: a reset in place of 401, 404, 413 or 503, while they sent a body: they couldn't know that their request hadn't run. Between nodes: peer_silent in place of busy, so a booking might have run, and the node counted as silent.

Cause: a connection that is closed with unread bytes is reset. net/http reads up to 256 KiB of a body's rest, and waits for 0.5 s behind its end; neither where the request says that it closes the connection (all calls between nodes), nor where the body is wrapped, as the guard of hostile callers does.

Change: heldmemory.ReadRest sends the refusal and reads on for 0.5 s and 8 MiB at most, the request's memory given back.

--- a/gateway/forwarded.go
+++ b/gateway/forwarded.go
@@ -44,20 +44,20 @@
 	e, known := g.Cache.View().Endpoints[f.Endpoint]
 	switch {
 	case !known:
-		notForwarded(w, in.Header, f, neighbor.Unusable, "endpoint_unknown")
+		refuseForwarded(w, in, f, neighbor.Unusable, "endpoint_unknown")
 	case f.Kind == neighbor.ForwardCheck:
 		g.serveCheck(in.Context(), w, e)
 	case !g.Paths.Reaches(now, e.Service, e.ID):
-		notForwarded(w, in.Header, f, neighbor.Indirect, "indirect")
+		refuseForwarded(w, in, f, neighbor.Indirect, "indirect")
 	case f.Kind == neighbor.ForwardControl && g.controls.Add(1) > maxControls:
 		g.controls.Add(-1)
-		notForwarded(w, in.Header, f, neighbor.Busy, "busy")
+		refuseForwarded(w, in, f, neighbor.Busy, "busy")
 	case f.Kind == neighbor.ForwardControl:
 		defer g.controls.Add(-1)
 		g.serveControl(w, in, f, e)
 	case g.forwards.Add(1) > maxForwards || g.stop().Active():
 		g.forwards.Add(-1)
-		notForwarded(w, in.Header, f, neighbor.Busy, "busy")
+		refuseForwarded(w, in, f, neighbor.Busy, "busy")
 	default:
 		defer g.forwards.Add(-1)
 		g.serveForwardedRequest(w, in, f, e, now)
@@ -71,9 +71,16 @@
 func notForwarded(w http.ResponseWriter, request http.Header, f neighbor.Forward, outcome neighbor.ForwardOutcome, why string) {
 	klog.InfoS("not_forwarded", "request", platform.DecodeRequestInfo(request).ID, "endpoint", f.Endpoint, "from", f.Node, "outcome", outcome, "why", why)
 	neighbor.SetForwardOutcome(w.Header(), outcome)
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// refuseForwarded is notForwarded for a call whose body may not have been read.
+func refuseForwarded(w http.ResponseWriter, in *http.Request, f neighbor.Forward, outcome neighbor.ForwardOutcome, why string) {
+	notForwarded(w, in.Header, f, outcome, why)
+	heldmemory.ReadRest(w, in)
+}
+
 // serveCheck says whether this node reaches an endpoint over its own connections.
 func (g *Gateway) serveCheck(ctx context.Context, w http.ResponseWriter, e *fleet.Endpoint) {
 	outcome := neighbor.Unreached
@@ -120,27 +127,29 @@
 func (g *Gateway) serveControl(w http.ResponseWriter, in *http.Request, f neighbor.Forward, e *fleet.Endpoint) {
 	service, _ := g.Cache.View().Service(e.Service)
 	if !platform.IsControlPath(in.URL.Path) && in.URL.Path != service.HealthPath {
-		notForwarded(w, in.Header, f, neighbor.Unusable, "path")
+		refuseForwarded(w, in, f, neighbor.Unusable, "path")
 		return
 	}
 	call := &Request{Deadline: time.Now().Add(max(f.Timeout, heldmemory.BodyIdleTime))}
 	defer call.memory.Release()
 	if !g.beginControlMemory(call) {
-		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		refuseForwarded(w, in, f, neighbor.Busy, "memory")
 		return
 	}
 	body, err := g.readBody(w, in, maxControlBytes, call)
 	if errors.Is(err, heldmemory.ErrNoMemory) {
-		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		call.memory.Release()
+		refuseForwarded(w, in, f, neighbor.Busy, "memory")
 		return
 	}
 	if err != nil {
-		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
+		call.memory.Release()
+		refuseForwarded(w, in, f, neighbor.Unusable, "body")
 		return
 	}
 	response, err := g.Control(in.Context(), e, in.Method, in.URL.Path, body, f.Timeout)
 	if redwinghall.KindOf[platform.Kind](err) == platform.NotReached && in.Context().Err() != nil { // says nothing of the path
-		notForwarded(w, in.Header, f, neighbor.Unusable, "given_up")
+		refuseForwarded(w, in, f, neighbor.Unusable, "given_up")
 		return
 	}
 	switch redwinghall.KindOf[platform.Kind](err) {
@@ -152,13 +161,13 @@
 			klog.V(1).InfoS("control_not_returned", "endpoint", e.ID, "from", f.Node, "err", err)
 		}
 	case platform.Absent:
-		notForwarded(w, in.Header, f, neighbor.Refused, "refused")
+		refuseForwarded(w, in, f, neighbor.Refused, "refused")
 	case platform.NotReached:
 		g.Paths.Failed(time.Now(), e.Service, e.ID)
 		g.recordUnreached(time.Now(), e)
-		notForwarded(w, in.Header, f, neighbor.Unreached, "not_connected")
+		refuseForwarded(w, in, f, neighbor.Unreached, "not_connected")
 	default:
-		notForwarded(w, in.Header, f, neighbor.Lost, "no_response") // it may have been carried out
+		refuseForwarded(w, in, f, neighbor.Lost, "no_response") // it may have been carried out
 	}
 }
 
@@ -166,13 +175,13 @@
 	r, refusal := g.resolve(in, now)
 	switch {
 	case refusal != nil:
-		notForwarded(w, in.Header, f, neighbor.Unusable, refusal.reason)
+		refuseForwarded(w, in, f, neighbor.Unusable, refusal.reason)
 		return
 	case r.configVersion() < f.Configuration || r.Service.Name != e.Service:
-		notForwarded(w, in.Header, f, neighbor.Unusable, "configuration")
+		refuseForwarded(w, in, f, neighbor.Unusable, "configuration")
 		return
 	case !balance.Usable(&r.Service, e, r.view().ZonesOut) || g.Tracker.IsLeaving(e) || g.Tracker.RetryAfterLeft(now, e) > 0:
-		notForwarded(w, in.Header, f, neighbor.Unusable, "endpoint")
+		refuseForwarded(w, in, f, neighbor.Unusable, "endpoint")
 		return
 	}
 	// The route here may be of a newer configuration than the one by which the request was accepted.
@@ -180,21 +189,23 @@
 	defer r.memory.Release()
 	if !g.beginMemory(r) {
 		g.logMemoryRefused(r, heldmemory.Requests, 0)
-		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		refuseForwarded(w, in, f, neighbor.Busy, "memory")
 		return
 	}
 	body, err := g.readBody(w, in, r.view().Config().Limits.BodyBytes, r)
 	if errors.Is(err, heldmemory.ErrNoMemory) {
 		g.logMemoryRefused(r, heldmemory.Bodies, len(body))
-		notForwarded(w, in.Header, f, neighbor.Busy, "memory")
+		r.memory.Release()
+		refuseForwarded(w, in, f, neighbor.Busy, "memory")
 		return
 	}
 	if err != nil {
-		notForwarded(w, in.Header, f, neighbor.Unusable, "body")
+		r.memory.Release()
+		refuseForwarded(w, in, f, neighbor.Unusable, "body")
 		return
 	}
 	if g.stop().Active() { // the stop may have begun while the body came
-		notForwarded(w, in.Header, f, neighbor.Busy, "stopping")
+		refuseForwarded(w, in, f, neighbor.Busy, "stopping")
 		return
 	}
 	r.Body = body
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,17 +163,21 @@
 	request, refusal := g.resolve(in, now)
 	if refusal != nil {
 		g.refuse(w, request, *refusal)
+		heldmemory.ReadRest(w, in)
 		return
 	}
 	g.served.Add(1)
 	defer request.memory.Release()
 	if !g.beginMemory(request) {
 		g.refuseMemory(w, request, heldmemory.Requests, 0)
+		heldmemory.ReadRest(w, in)
 		return
 	}
 	body, err := g.readBody(w, in, request.view().Config().Limits.BodyBytes, request)
 	if err != nil {
 		g.refuseBody(w, request, len(body), err)
+		request.memory.Release()
+		heldmemory.ReadRest(w, in)
 		return
 	}
 	request.Body = body
