The store is read at the address that the settings file names now

Cause: platform.NewStore took the address once, and a reload didn't tell it. Change: a reload moves the store's client; reads in progress at the former address end, commits are answered where they were sent.

--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,7 @@
 	manager  *formation.Manager
 	follower *directory.Follower
 	metrics  *gateway.Metrics
+	store    *platform.Store
 	// source is the store as read through the zone's reader nodes.
 	source    *relay.Source
 	neighbors *neighbor.Client
@@ -112,7 +113,7 @@
 func NewWithDialer(path string, s fleet.Settings, open dial.Func) *Node {
 	store := platform.NewStore(s.StoreAddress)
 	n := &Node{
-		path: path, settings: s, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: endpointhttp.NewUpstreamWithDialer(open),
+		path: path, settings: s, store: store, cache: directory.NewCache(), tracker: balance.NewTracker(), upstream: endpointhttp.NewUpstreamWithDialer(open),
 		metrics: gateway.NewMetrics(), conns: newConnections(), neighbors: neighbor.NewClient(), loads: neighbor.NewLoadTable(),
 		silences: silence.NewTable(kernel.RunTime),
 		backoff:  relay.NewPeerBackoff(dispatcherMinBackoff, dispatcherMaxBackoff), paths: reach.NewTable(), started: time.Now(),
--- a/node/reload.go
+++ b/node/reload.go
@@ -19,7 +19,7 @@
 // without a signal.
 const reloadInterval = 3 * time.Second
 
-// currentSettings returns the settings in effect. Changes to listen addresses take no
+// currentSettings returns the settings in effect. Changes to addresses of this node take no
 // effect until a restart, as the listeners are already open.
 func (n *Node) currentSettings() fleet.Settings { return *n.current.Load() }
 
@@ -65,4 +65,5 @@
 	}
 	klog.InfoS("settings_reloaded", "path", n.path, "bounds", next.Bounds)
 	n.current.Store(&next)
+	n.store.Move(next.StoreAddress)
 }
