Tests: heads of requests and large tables come from platformtest; comments say who does what

Names of the platform's wire leave gateway, neighbor and node. What the tests send is the same, but for the order of the fields.

--- a/formation/released.go
+++ b/formation/released.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// releaseTimeout is how long the free VMs of a domain wait for other members of a group that is released. A member that
-// hasn't confirmed by then that it left, although it isn't suspect, may take as long as an order in flight.
+// releaseTimeout is how long the free VMs of a domain wait for other members of a group that is released. An order to
+// leave that is on its way arrives within this time, so a member that hasn't confirmed its leaving by then isn't waited for.
 const releaseTimeout = 4 * time.Second
 
 // awaitReleased keeps the free VMs of a domain from loading another model while other members of a released group
--- a/gateway/silent_look_up_test.go
+++ b/gateway/silent_look_up_test.go
@@ -283,7 +283,7 @@
 	s.requireNothingHeld()
 }
 
-// Two endpoints reject a look-up in the end, one of them after its silence: its caller is told that it was not run.
+// A silent endpoint rejects a look-up at last, and so does the second one that got it: the refusal says that nothing ran.
 func TestSilentLookUpThatNobodyRan(t *testing.T) {
 	s := newSilentLookUp(t, 2, 1500*time.Millisecond, notExecuted(""))
 	s.first = notExecuted("")
--- a/gateway/slow_caller_test.go
+++ b/gateway/slow_caller_test.go
@@ -18,6 +18,7 @@
 
 	"redwinghall/directory"
 	"redwinghall/kernel"
+	"redwinghall/platform/platformtest"
 	"redwinghall/rwhtest/logtest"
 )
 
@@ -64,8 +65,7 @@
 	conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { _ = conn.Close() })
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nAuthorization: Bearer key-1\r\nModel: m0\r\nToken-Counts: 10,50\r\nContent-Length: 0\r\n\r\n",
-		method, path, id)
+	_, err = io.WriteString(conn, platformtest.RequestHead(method, path, 0, platformtest.RequestInfo{ID: id, Key: "key-1", Model: "m0", Prompt: 10, Answer: 50}))
 	require.NoError(s.t, err)
 	return conn
 }
--- a/gateway/slow_endpoint_test.go
+++ b/gateway/slow_endpoint_test.go
@@ -17,8 +17,8 @@
 // slowlyTakenBytes is the size of a body that the sockets before an endpoint don't hold.
 const slowlyTakenBytes = 16 << 20
 
-// An endpoint takes a large body in at a trickle. The request is sent elsewhere where that is allowed; where it may have
-// run it isn't, and ends with its time. Its memory is given back.
+// An endpoint reads a large body very slowly. A request that may run twice is sent to a second endpoint; one that may not ends with
+// a 504 at its deadline. The memory of the body is given back.
 func TestBodyThatAnEndpointTakesAtATrickle(t *testing.T) {
 	for path, c := range map[string]struct {
 		status, sent int
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,7 +68,7 @@
 	hasID  bool
 	// unnumbered is set once an event without an id is passed on: nothing tells from where the stream would go on.
 	unnumbered bool
-	// trials are the gates of the attempts in progress that take part in the trial of the request.
+	// trials holds the quarantine gates of the attempts in progress that were sent as trials of a suspected part.
 	trials   map[*quarantineGate]bool
 	takeover *takeover // the takeover in progress or won, nil if there is none
 	// takeovers runs all takeovers of the stream, nil before the first.
--- a/gateway/stream_state.go
+++ b/gateway/stream_state.go
@@ -25,7 +25,7 @@
 	return true
 }
 
-// beginTrial records that an attempt takes part in the trial of its request, if it does.
+// beginTrial records the gate of an attempt that is sent as the trial of a suspected part. Other attempts are not recorded.
 func (c *streamCall) beginTrial(gate *quarantineGate) {
 	if !gate.trial {
 		return
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -364,7 +364,7 @@
 	require.Equal(t, wholeStream(silentEvents), got.body)
 }
 
-// The silent endpoint and the one that the stream was to move to both say that they ran nothing: the caller is told so.
+// The silent endpoint and the second one both reject the stream with the guarantee that nothing ran: the refusal repeats it.
 func TestTwoRejectionsBesideATakeoverPromiseThatNothingRan(t *testing.T) {
 	t.Parallel()
 	s := newFixture(t)
--- a/neighbor/slow_reader_test.go
+++ b/neighbor/slow_reader_test.go
@@ -20,6 +20,7 @@
 	"redwinghall/kernel"
 	"redwinghall/neighbor"
 	"redwinghall/platform"
+	"redwinghall/platform/platformtest"
 	"redwinghall/relay"
 )
 
@@ -215,7 +216,7 @@
 	for _, nodes := range []int{9, 36, 75} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				entries := largeTable(nodes * endpointsOf * zonesOf).Rows
+				entries := platformtest.LargeTable(nodes * endpointsOf * zonesOf).Rows
 				store := &busyStore{rows: map[string]fleet.Row{}, changed: make(chan struct{})}
 				store.write(entries...)
 				caches, stop := startSmallZone(t, store, nodes)
--- a/node/last_moment_kept_test.go
+++ b/node/last_moment_kept_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -79,7 +78,7 @@
 
 // bookOn makes a booking on a connection, and returns its status, 0 if the connection ended.
 func bookOn(conn net.Conn, reader *bufio.Reader, id string) int {
-	_, err := fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nAuthorization: Bearer key-1\r\nRequest-Deadline: 8000\r\nContent-Length: 0\r\n\r\n", id)
+	_, err := io.WriteString(conn, platformtest.RequestHead(http.MethodPost, "/book/x", 0, platformtest.RequestInfo{ID: id, Key: "key-1", Timeout: 8 * time.Second}))
 	if err != nil {
 		return 0
 	}
--- a/node/last_moment_share_test.go
+++ b/node/last_moment_share_test.go
@@ -12,7 +12,7 @@
 	"redwinghall/platform/platformtest"
 )
 
-// Guards against a last moment that takes so much of the grace period that work is cut which may be cut only in its last sixth.
+// Guards against cutting requests before the last sixth of the grace period, because the end of the process is given too much of it.
 func TestLastMomentBeginsInTheLastSixthOfTheGrace(t *testing.T) {
 	t.Parallel()
 	for _, grace := range []time.Duration{8 * time.Second, 15 * time.Second, 30 * time.Second} {
--- a/node/last_moment_test.go
+++ b/node/last_moment_test.go
@@ -127,8 +127,8 @@
 			return nil, err
 		}
 		context.AfterFunc(ctx, func() { _ = conn.Close() }) // the answer has been read by then
-		_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nAuthorization: Bearer key-1\r\nRequest-Deadline: 8000\r\nContent-Length: 100\r\n\r\n%s",
-			id, strings.Repeat("x", 99))
+		head := platformtest.RequestHead(http.MethodPost, "/book/x", 100, platformtest.RequestInfo{ID: id, Key: "key-1", Timeout: 8 * time.Second})
+		_, err = io.WriteString(conn, head+strings.Repeat("x", 99))
 		if err != nil {
 			return nil, err
 		}
--- a/node/store_moved_test.go
+++ b/node/store_moved_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"strings"
 	"testing"
 	"time"
 
@@ -25,9 +24,9 @@
 	t.Cleanup(moved.Close)
 	moved.Restore(d.store.Snapshot())
 	require.NoError(t, moved.PutConfiguration(platformtest.Configuration(2, "key-2")))
-	text := strings.Replace(d.settings.Text(), "platform.address="+d.store.Address(), "platform.address="+moved.Address(), 1)
-	require.Contains(t, text, moved.Address())
-	require.NoError(t, os.WriteFile(d.path, []byte(text), 0o600))
+	settings := d.settings
+	settings.StoreAddress = moved.Address()
+	require.NoError(t, os.WriteFile(d.path, []byte(settings.Text()), 0o600))
 	require.Eventually(t, func() bool { return !d.accepts("key-1", "look-1") }, changeBound, 50*time.Millisecond)
 	require.True(t, d.accepts("key-2", "look-2"))
 }
--- a/room.go
+++ b/room.go
@@ -30,8 +30,8 @@
 	// Ahead is the number of requests that are expected and go before this one. The groups
 	// have to have room for them, within Predicted, beside this one.
 	Ahead float64
-	// Rivals is the number of requests that other nodes accept on the same condition before
-	// this node knows of them.
+	// Rivals is the number of requests that other nodes accept for the same room, and that this
+	// node hasn't heard of yet.
 	Rivals float64
 	// Short says that the room was too little lately.
 	Short bool
